--- /dev/null
+++ b/Makefile
@@ -0,0 +1,31 @@
+# Each target does all its own set-up; Python 3.11 and make are all it needs.
+
+PYTHON ?= python3
+STAMP := .venv/.installed-$(shell cat requirements.txt pyproject.toml | sha256sum | cut -c1-16)
+BIN := .venv/bin
+JOBS ?= 6
+
+.PHONY: demo test check format setup
+
+setup: $(STAMP)
+
+$(STAMP):
+	test -x $(BIN)/python || $(PYTHON) -m venv .venv
+	$(BIN)/python -m pip install --quiet --disable-pip-version-check -r requirements.txt
+	$(BIN)/python -m pip install --quiet --disable-pip-version-check --no-deps -e .
+	touch $(STAMP)
+
+demo: $(STAMP)
+	$(BIN)/wisterialoom demo
+
+check: $(STAMP)
+	$(BIN)/ruff format --check .
+	$(BIN)/ruff check .
+	$(BIN)/mypy
+
+test: check
+	$(BIN)/python -m pytest -n $(JOBS)
+
+format: $(STAMP)
+	$(BIN)/ruff format .
+	$(BIN)/ruff check --fix .
--- /dev/null
+++ b/src/wisterialoom/__init__.py
@@ -0,0 +1,5 @@
+"""A serving system for many language models on fewer accelerators."""
+
+__all__ = ["__version__"]
+
+__version__ = "0.1.0"
--- /dev/null
+++ b/src/wisterialoom/core/peer.py
@@ -0,0 +1,293 @@
+"""Messages between entry instances.
+
+Each class says whether it needs a reliable (TCP) link; the others go by UDP
+and may be lost, late, doubled and out of order. `ConnectionLost` of a reliable
+link is not reported: senders time out.
+"""
+
+from __future__ import annotations
+
+import enum
+from dataclasses import dataclass, field
+from typing import ClassVar
+
+from wisterialoom.core.message import Command, Event
+
+__all__ = [
+    "ClaimAnswer",
+    "ClaimRequest",
+    "ClaimStateWire",
+    "ConfigPull",
+    "ConfigPush",
+    "ConfirmLetGo",
+    "DemandReport",
+    "Heartbeat",
+    "HeartbeatAck",
+    "IndirectPing",
+    "LetGo",
+    "MemberStatus",
+    "MemberUpdate",
+    "NonceAnswer",
+    "NonceQuery",
+    "PeerMessage",
+    "PeerReceived",
+    "PlanEntry",
+    "PlanMessage",
+    "SendPeer",
+    "ServerLoad",
+]
+
+
+@dataclass(frozen=True, slots=True)
+class PeerMessage:
+    """Base class of the messages."""
+
+    reliable: ClassVar[bool] = False
+
+
+class MemberStatus(enum.IntEnum):
+    """What is believed of a member; later values win at equal incarnation."""
+
+    ALIVE = 0
+    SUSPECT = 1
+    LEAVING = 2
+    DEAD = 3
+
+
+@dataclass(frozen=True, slots=True)
+class MemberUpdate:
+    """News of one member, piggybacked on heartbeats.
+
+    Attributes:
+        name: Identifier of the entry instance.
+        address: `IP:port` of its peer link (UDP and TCP alike).
+        availability_zone: Name of the availability zone.
+        incarnation: Raised by the member itself to refute a suspicion.
+        status: What is believed.
+    """
+
+    name: str
+    address: str
+    availability_zone: str
+    incarnation: int
+    status: MemberStatus
+
+
+@dataclass(frozen=True, slots=True)
+class ServerLoad:
+    """Load and residency of one backend server, as its steward last read it.
+
+    Attributes:
+        server: Identifier of the backend server.
+        serial: Raised by the steward with each report; latest wins.
+        running: Requests in the batch.
+        waiting: Requests in the engine's queue.
+        resident: `name@version` of models and adapters that may be used.
+        draining: `name@version` of models about to be unloaded.
+        leaving: No new work may go there.
+        incarnation: Of the backend server.
+        kv_free: Share of KV cache that is free, in percent.
+    """
+
+    server: str
+    serial: int
+    running: int
+    waiting: int
+    resident: tuple[str, ...] = ()
+    draining: tuple[str, ...] = ()
+    leaving: bool = False
+    incarnation: str = ""
+    kv_free: int = 100
+
+
+@dataclass(frozen=True, slots=True)
+class Heartbeat(PeerMessage):
+    """Probe of a member, with news piggybacked.
+
+    Attributes:
+        serial: Echoed by the acknowledgement.
+        generation: Of the configuration in force at the sender.
+        config_age_ms: Time since the sender last knew it to be the newest.
+        members: News of members.
+        loads: News of backend servers.
+    """
+
+    serial: int
+    generation: int
+    config_age_ms: int = 0
+    members: tuple[MemberUpdate, ...] = ()
+    loads: tuple[ServerLoad, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class HeartbeatAck(PeerMessage):
+    """Answer to a heartbeat, with news of its own."""
+
+    serial: int
+    generation: int
+    config_age_ms: int = 0
+    members: tuple[MemberUpdate, ...] = ()
+    loads: tuple[ServerLoad, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class IndirectPing(PeerMessage):
+    """Ask a member to probe another that does not answer the sender."""
+
+    serial: int
+    target: str
+
+
+@dataclass(frozen=True, slots=True)
+class ConfigPull(PeerMessage):
+    """Ask a peer for a configuration above the generation held."""
+
+    reliable: ClassVar[bool] = True
+    generation: int
+
+
+@dataclass(frozen=True, slots=True)
+class ConfigPush(PeerMessage):
+    """A configuration document and its generation."""
+
+    reliable: ClassVar[bool] = True
+    generation: int
+    body: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class ClaimRequest(PeerMessage):
+    """Ask the home of a claim bucket to commit a claim or its settlement.
+
+    Attributes:
+        bucket: Number of the bucket.
+        key: Hex hash of caller and idempotency key.
+        nonce: Identity of this attempt to claim.
+        digest: Hex hash of the request's content.
+        owner: Entry instance that asks.
+        settled: Empty to claim; else the serialized settlement.
+    """
+
+    reliable: ClassVar[bool] = True
+    bucket: int
+    key: str
+    nonce: str
+    digest: str
+    owner: str
+    settled: bytes = b""
+
+
+class ClaimStateWire(enum.IntEnum):
+    """Answer of a bucket's home."""
+
+    GRANTED = 0
+    HELD = 1
+    UNAVAILABLE = 2
+    FULL = 3
+
+
+@dataclass(frozen=True, slots=True)
+class ClaimAnswer(PeerMessage):
+    """What became of a claim request; `entry` is the serialized winner."""
+
+    reliable: ClassVar[bool] = True
+    key: str
+    nonce: str
+    state: ClaimStateWire
+    entry: bytes = b""
+
+
+@dataclass(frozen=True, slots=True)
+class NonceQuery(PeerMessage):
+    """Ask a claim's owner what became of it."""
+
+    reliable: ClassVar[bool] = True
+    key: str
+    nonce: str
+
+
+@dataclass(frozen=True, slots=True)
+class NonceAnswer(PeerMessage):
+    """A claim owner's word.
+
+    Attributes:
+        abandoned: The owner gave the claim up and never will dispatch under it.
+    """
+
+    reliable: ClassVar[bool] = True
+    key: str
+    nonce: str
+    abandoned: bool
+
+
+@dataclass(frozen=True, slots=True)
+class LetGo(PeerMessage):
+    """Ask a former lease holder to confirm that it sends no more orders."""
+
+    reliable: ClassVar[bool] = True
+    server: str
+    epoch: int
+
+
+@dataclass(frozen=True, slots=True)
+class ConfirmLetGo(PeerMessage):
+    """A former holder sends no more orders of epochs up to this one."""
+
+    reliable: ClassVar[bool] = True
+    server: str
+    epoch: int
+
+
+@dataclass(frozen=True, slots=True)
+class DemandReport(PeerMessage):
+    """Demand seen by one entry instance, sent to the planner.
+
+    Attributes:
+        rates: Requests a second of each model or adapter, smoothed.
+        waiting: Requests that wait for each model or adapter.
+    """
+
+    reliable: ClassVar[bool] = True
+    rates: dict[str, float] = field(default_factory=dict)
+    waiting: dict[str, int] = field(default_factory=dict)
+
+
+@dataclass(frozen=True, slots=True)
+class PlanEntry:
+    """What one backend server should hold."""
+
+    server: str
+    models: tuple[str, ...]
+    adapters: tuple[str, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class PlanMessage(PeerMessage):
+    """The planner's wish for some backend servers, sent to their stewards.
+
+    Attributes:
+        generation: Of the configuration that the plan follows.
+        serial: Raised with each plan of this planner.
+    """
+
+    reliable: ClassVar[bool] = True
+    generation: int
+    serial: int
+    entries: tuple[PlanEntry, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class SendPeer(Command):
+    """Send a message to an entry instance; delivery is not reported."""
+
+    to: str
+    address: str
+    message: PeerMessage
+
+
+@dataclass(frozen=True, slots=True)
+class PeerReceived(Event):
+    """A message came from an entry instance."""
+
+    sender: str
+    message: PeerMessage
--- /dev/null
+++ b/src/wisterialoom/core/selector.py
@@ -0,0 +1,79 @@
+"""Label selectors: `role=drafting,tier!=old,gpu` picks what carries the labels."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from wisterialoom.core.error import WisterialoomError
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+__all__ = ["Selector", "SelectorError"]
+
+
+class SelectorError(WisterialoomError):
+    """Raised when the text of a selector cannot be read."""
+
+
+@dataclass(frozen=True, slots=True)
+class Requirement:
+    """One comma-separated part of a selector.
+
+    Attributes:
+        key: Label key.
+        value: Wanted value; `None` asks only for the key.
+        negated: The label must not have this value (or must not exist).
+    """
+
+    key: str
+    value: str | None
+    negated: bool
+
+    def matches(self, labels: Mapping[str, str]) -> bool:
+        """Tell whether a set of labels meets the requirement."""
+        if self.value is None:
+            return (self.key in labels) is not self.negated
+        return (labels.get(self.key) == self.value) is not self.negated
+
+
+@dataclass(frozen=True, slots=True)
+class Selector:
+    """A conjunction of requirements; an empty one matches everything."""
+
+    requirements: tuple[Requirement, ...] = ()
+
+    def matches(self, labels: Mapping[str, str]) -> bool:
+        """Tell whether a set of labels meets every requirement."""
+        return all(item.matches(labels) for item in self.requirements)
+
+    @classmethod
+    def parse(cls, text: str) -> Selector:
+        """Read `key=value`, `key!=value`, `key` and `!key`, joined by commas.
+
+        Raises:
+            SelectorError: A part has no key or an unknown form.
+        """
+        parts = [part.strip() for part in text.split(",")]
+        if parts == [""]:
+            return cls()
+        return cls(tuple(_parse_requirement(part, text) for part in parts))
+
+
+def _parse_requirement(part: str, text: str) -> Requirement:
+    key, operator, value = part, "", ""
+    for candidate in ("!=", "="):
+        if candidate in part:
+            key, operator, value = part.partition(candidate)
+            break
+    negated = operator == "!="
+    if not operator and key.startswith("!"):
+        key, negated = key[1:], True
+    key, value = key.strip(), value.strip()
+    if not key or any(char in "=!" or char.isspace() for char in key + value):
+        raise SelectorError(
+            f"selector {text!r} has a part {part!r} that cannot be read; "
+            "write key=value, key!=value, key or !key, joined by commas"
+        )
+    return Requirement(key=key, value=value if operator else None, negated=negated)
--- /dev/null
+++ b/tests/test_selector.py
@@ -0,0 +1,27 @@
+"""Tests of `wisterialoom.core.selector`."""
+
+import pytest
+
+from wisterialoom.core.selector import Selector, SelectorError
+
+
+@pytest.mark.parametrize(
+    ("text", "labels", "expected"),
+    [
+        ("", {}, True),
+        ("role=drafting", {"role": "drafting"}, True),
+        ("role=drafting", {"role": "filing"}, False),
+        ("role!=drafting", {}, True),
+        ("gpu", {"gpu": ""}, True),
+        ("!gpu", {"gpu": ""}, False),
+        ("role=drafting, tier!=old", {"role": "drafting", "tier": "old"}, False),
+    ],
+)
+def test_matches(text, labels, expected):
+    assert Selector.parse(text).matches(labels) is expected
+
+
+@pytest.mark.parametrize("text", ["=x", "a=b=c", "a b", "a,,b", "!"])
+def test_parse_names_the_remedy(text):
+    with pytest.raises(SelectorError, match="key=value"):
+        Selector.parse(text)
