--- a/src/wisterialoom/core/engine.py
+++ b/src/wisterialoom/core/engine.py
@@ -134,6 +134,7 @@
         incarnation: Changes when the engine starts anew, with empty memory.
         fence: Highest fence seen; `None` on engines that do not check.
         models: Resident models and their weights in MB.
+        loading: Models and adapters being loaded; their memory is taken already.
         adapters: Resident adapters and their weights in MB.
         memory_mb: Accelerator memory in all, in MB.
         running: Requests in the current batch.
@@ -146,6 +147,7 @@
     incarnation: str
     fence: Fence | None = None
     models: dict[ModelKey, int] = field(default_factory=dict)
+    loading: dict[ModelKey, int] = field(default_factory=dict)
     adapters: dict[ModelKey, int] = field(default_factory=dict)
     memory_mb: int = 0
     running: int = 0
--- /dev/null
+++ b/src/wisterialoom/lab/order_port.py
@@ -0,0 +1,166 @@
+"""Orders to engines on the virtual clock, with faults."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, TypeAlias
+
+from wisterialoom.core.engine import (
+    LoadAdapter,
+    LoadModel,
+    Order,
+    OrderDone,
+    OrderLost,
+    OrderRefused,
+    ReadState,
+    SendOrder,
+    StateRead,
+    StateUnavailable,
+)
+from wisterialoom.lab.fault import OrderFault
+
+if TYPE_CHECKING:
+    import random
+
+    from wisterialoom.core.message import Event
+    from wisterialoom.lab.schedule import Schedule
+    from wisterialoom.standin.engine_memory import EngineMemory
+
+__all__ = ["FakeEngine", "OrderPort"]
+
+Reply: TypeAlias = Callable[["Event"], None]
+
+
+@dataclass
+class FakeEngine:
+    """An engine's memory with its load times and faults.
+
+    Attributes:
+        memory: What it holds.
+        load_s: Seconds that a model load takes.
+        adapter_load_s: Seconds that an adapter load takes.
+        fault: Faults of orders sent to it.
+        down: It answers nothing.
+        running: Requests in its batch, for its state.
+        waiting: Requests in its queue, for its state.
+    """
+
+    memory: EngineMemory
+    load_s: float = 5.0
+    adapter_load_s: float = 0.008
+    fault: OrderFault = field(default_factory=OrderFault)
+    down: bool = False
+    running: int = 0
+    waiting: int = 0
+
+
+class OrderPort:
+    """Delivers orders and state reads to the engines.
+
+    Attributes:
+        engines: Engines by server name.
+    """
+
+    def __init__(self, schedule: Schedule, rng: random.Random) -> None:
+        self.schedule = schedule
+        self.rng = rng
+        self.engines: dict[str, FakeEngine] = {}
+
+    def read(self, caller: str, command: ReadState, reply: Reply) -> None:
+        """Read a state; reply with `StateRead` or `StateUnavailable`."""
+        engine = self.engines.get(command.server)
+        delay = engine.fault.delay_s if engine else 0.0
+        if engine is None or engine.down or caller in engine.fault.cut_off:
+            event: Event = StateUnavailable(command.server)
+            self.schedule.after(delay, lambda: reply(event))
+            return
+
+        def answer() -> None:
+            state = engine.memory.state(engine.running, engine.waiting)
+            event = StateRead(command.server, state)
+            self.schedule.after(delay, lambda: reply(event))
+
+        self.schedule.after(delay, answer)
+
+    def send(self, caller: str, command: SendOrder, reply: Reply) -> None:
+        """Send an order with its faults; reply once."""
+        server, order = command.server, command.order
+        engine = self.engines.get(server)
+        if engine is None or engine.down or caller in engine.fault.cut_off:
+            self.schedule.after(0.01, lambda: reply(OrderLost(server, order.order_id)))
+            return
+        exchange = _Exchange(self, engine, server, order, reply)
+        exchange.start(self.rng)
+
+
+class _Exchange:
+    """One order on its way, with at most one answer to the sender."""
+
+    def __init__(
+        self,
+        port: OrderPort,
+        engine: FakeEngine,
+        server: str,
+        order: Order,
+        reply: Reply,
+    ) -> None:
+        self.port = port
+        self.engine = engine
+        self.server = server
+        self.order = order
+        self.reply = reply
+        self.answered = False
+        self.answer_lost = False
+
+    def start(self, rng: random.Random) -> None:
+        fault = self.engine.fault
+        self.answer_lost = rng.random() < fault.lose_answer
+        delay = fault.delay_s
+        if rng.random() < fault.late:
+            delay = fault.timeout_s + rng.random() * fault.late_s
+        if rng.random() >= fault.lose_order:
+            self.port.schedule.after(delay, self._arrive)
+        if rng.random() < fault.double:
+            copy = fault.delay_s + rng.random() * fault.late_s
+            self.port.schedule.after(copy, self._arrive)
+        self.port.schedule.after(fault.timeout_s, self._time_out)
+
+    def _arrive(self) -> None:
+        if self.engine.down:
+            return
+        incarnation = self.engine.memory.incarnation
+        refusal = self.engine.memory.begin(self.order)
+        if refusal is not None:
+            state = self.engine.memory.state()
+            order_id = self.order.order_id
+            self._answer(OrderRefused(self.server, order_id, refusal, state))
+            return
+        match self.order.action:
+            case LoadModel():
+                duration = self.engine.load_s
+            case LoadAdapter():
+                duration = self.engine.adapter_load_s
+            case _:
+                duration = 0.0
+        self.port.schedule.after(duration, lambda: self._finish(incarnation))
+
+    def _finish(self, incarnation: str) -> None:
+        if self.engine.memory.incarnation != incarnation or self.engine.down:
+            return
+        self.engine.memory.finish(self.order.order_id)
+        state = self.engine.memory.state(self.engine.running, self.engine.waiting)
+        self._answer(OrderDone(self.server, self.order.order_id, state))
+
+    def _answer(self, event: Event) -> None:
+        if self.answered or self.answer_lost:
+            return
+        self.answered = True
+        delay = self.engine.fault.delay_s
+        self.port.schedule.after(delay, lambda: self.reply(event))
+
+    def _time_out(self) -> None:
+        if self.answered:
+            return
+        self.answered = True
+        self.reply(OrderLost(self.server, self.order.order_id))
--- a/src/wisterialoom/standin/engine_memory.py
+++ b/src/wisterialoom/standin/engine_memory.py
@@ -148,6 +148,7 @@
             incarnation=self.incarnation,
             fence=self.fence if self.checks_fencing else None,
             models=dict(self.models),
+            loading={item.key: item.memory_mb for item in self.loading.values()},
             adapters=dict(self.adapters),
             memory_mb=self.capacity_mb,
             running=running,
