--- a/src/wisterialoom/lab/world.py
+++ b/src/wisterialoom/lab/world.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Protocol, TYPE_CHECKING
 
@@ -37,7 +36,7 @@
 from wisterialoom.lab.store_port import StorePort
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable, Sequence
+    from collections.abc import Callable, Iterable, Sequence
 
 __all__ = ["Core", "Host", "ServingPort", "TraceLine", "World"]
 
@@ -86,6 +85,7 @@
         alive: Its process runs or is frozen; a killed one gets nothing more.
         frozen: Its process is paused; what arrives waits.
         hold_sends: While frozen, commands already decided wait as well.
+        past_checks: What waits in the outbox had passed the shell's last checks.
         inbox: Events that arrived while it was frozen.
         outbox: Commands that were decided and not carried out yet.
         drained: It asked to exit.
@@ -97,6 +97,7 @@
     alive: bool = True
     frozen: bool = False
     hold_sends: bool = False
+    past_checks: bool = False
     inbox: list[Event] = field(default_factory=list)
     outbox: list[Command] = field(default_factory=list)
     drained: bool = False
@@ -180,15 +181,20 @@
         host.inbox.clear()
         host.outbox.clear()
 
-    def freeze(self, name: str, *, hold_sends: bool = False) -> None:
+    def freeze(
+        self, name: str, *, hold_sends: bool = False, past_checks: bool = False
+    ) -> None:
         """Pause a process.
 
         Args:
             name: Name of the entry instance.
             hold_sends: Let the core decide once more and pause between the
                 decision and carrying it out.
+            past_checks: With `hold_sends`: pause after the shell's last check of
+                the lease, right before the bytes go out.
         """
         host = self.hosts[name]
+        host.past_checks = past_checks
         host.hold_sends = hold_sends
         host.frozen = not hold_sends
 
@@ -200,7 +206,10 @@
         outbox, host.outbox = host.outbox, []
         inbox, host.inbox = host.inbox, []
         for command in outbox:
-            self._carry_out(host, command)
+            if isinstance(command, SendOrder) and host.past_checks:
+                self.order_port.send(host.name, command, self._reply_to(host))
+            else:
+                self._carry_out(host, command)
         for event in inbox:
             self._deliver(host, event)
 
--- /dev/null
+++ b/tests/test_store_port.py
@@ -0,0 +1,61 @@
+"""Tests of `wisterialoom.lab.store_port`."""
+
+import random
+
+from wisterialoom.core.object_store import (
+    ObjectConflict,
+    ObjectRead,
+    ObjectUnavailable,
+    ObjectWritten,
+    ReadObject,
+    WatchObject,
+    WriteObject,
+)
+from wisterialoom.lab.schedule import Schedule
+from wisterialoom.lab.store_port import StorePort
+
+
+def make_port():
+    schedule = Schedule()
+    return schedule, StorePort(schedule, random.Random(1))
+
+
+def test_conditional_update_has_one_winner():
+    schedule, port = make_port()
+    events = []
+    for name in ("a", "b"):
+        port.call(name, WriteObject(name, "key", name.encode(), 0), events.append)
+    schedule.run_until(schedule.now + 1)
+    assert len(events) == 2
+    assert {type(event) for event in events} == {ObjectWritten, ObjectConflict}
+
+
+def test_lost_answer_of_a_write_took_effect():
+    schedule, port = make_port()
+    port.fault.lose_answer = 1.0
+    events = []
+    port.call("a", WriteObject("op", "key", b"body", 0), events.append)
+    schedule.run_until(schedule.now + 2)
+    assert events == [ObjectUnavailable("op", "key", ambiguous=True)]
+    assert port.store.read("key").body == b"body"
+
+
+def test_watch_waits_for_a_newer_version():
+    schedule, port = make_port()
+    version = port.put("key", b"old")
+    events = []
+    port.call("a", WatchObject("op", "key", version), events.append)
+    schedule.run_until(schedule.now + 1)
+    assert events == []
+    newer = port.put("key", b"new")
+    schedule.run_until(schedule.now + 1)
+    assert events == [ObjectRead("op", "key", newer, b"new")]
+
+
+def test_down_store_answers_at_once_and_does_nothing():
+    schedule, port = make_port()
+    port.fault.down = True
+    events = []
+    port.call("a", ReadObject("op", "key"), events.append)
+    schedule.run_until(schedule.now + 0.1)
+    assert events == [ObjectUnavailable("op", "key", ambiguous=False)]
