--- /dev/null
+++ b/src/wisterialoom/core/_document_memory.py
@@ -0,0 +1,102 @@
+"""Faults of memory in a document: what no backend server could ever hold."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from wisterialoom.core.fault import Fault
+from wisterialoom.core.selector import Selector, SelectorError
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+    from wisterialoom.core.document import Document, Model, ServerGroup
+
+__all__ = ["memory_faults"]
+
+
+def memory_faults(document: Document) -> Iterator[Fault]:
+    """Yield the faults of memory, and of work that no server could take."""
+    for group in document.server_groups:
+        yield from _group_faults(group)
+    holders = {model.name: _holders(document, model) for model in document.models}
+    for model in document.models:
+        yield from _model_faults(model, holders[model.name])
+    for adapter in document.adapters:
+        pools = [group.adapter_pool_mb for group in holders.get(adapter.model, [])]
+        if pools and adapter.memory_mb > max(pools):
+            yield Fault(
+                f"adapters[{adapter.name}].memory_mb",
+                f"is {adapter.memory_mb}, but no group that may hold "
+                f"{adapter.model!r} keeps more than {max(pools)} for adapters",
+                "raise adapter_pool_mb of a group",
+            )
+    services = [group for group in document.server_groups if group.kind == "service"]
+    for rule in document.traffic:
+        if rule.servers and not _matching(document, rule.servers, services):
+            problem = f"{rule.servers!r} can match no group of plain services"
+            remedy = "correct the selector, or declare the group"
+            yield Fault(f"traffic[{rule.name}].servers", problem, remedy)
+
+
+def _group_faults(group: ServerGroup) -> Iterator[Fault]:
+    place = f"server_groups[{group.name}]"
+    if group.kind not in ("engine", "service"):
+        problem = f"{group.kind!r} is not a kind of backend server"
+        yield Fault(f"{place}.kind", problem, "use engine or service")
+    if group.kind != "engine":
+        return
+    if group.memory_mb <= 0:
+        problem = f"is {group.memory_mb}, but engines need accelerator memory"
+        yield Fault(f"{place}.memory_mb", problem, "use a number above 0")
+    elif not 0 <= group.adapter_pool_mb < group.memory_mb:
+        problem = f"is {group.adapter_pool_mb}, of {group.memory_mb} in all"
+        remedy = "use 0 or more, and less than memory_mb"
+        yield Fault(f"{place}.adapter_pool_mb", problem, remedy)
+
+
+def _model_faults(model: Model, holders: list[ServerGroup]) -> Iterator[Fault]:
+    place = f"models[{model.name}]"
+    if not holders:
+        problem = f"{model.servers!r} can match no group of engines"
+        remedy = "correct the selector, or declare the group"
+        yield Fault(f"{place}.servers", problem, remedy)
+        return
+    room = max(group.memory_mb - group.adapter_pool_mb for group in holders)
+    if model.memory_mb > room:
+        names = ", ".join(group.name for group in holders)
+        yield Fault(
+            f"{place}.memory_mb",
+            f"is {model.memory_mb}, but {names} leave {room} for models",
+            "let it run on a larger group, or lower adapter_pool_mb",
+        )
+
+
+def _holders(document: Document, model: Model) -> list[ServerGroup]:
+    engines = [group for group in document.server_groups if group.kind == "engine"]
+    return _matching(document, model.servers, engines)
+
+
+def _matching(
+    document: Document, selector: str, groups: list[ServerGroup]
+) -> list[ServerGroup]:
+    changed = {label.key for label in document.labels}
+    return [group for group in groups if _may_match(selector, group.selector, changed)]
+
+
+def _may_match(wanted: str, group: str, changed: set[str]) -> bool:
+    """Tell whether one backend server could satisfy both selectors.
+
+    Labels of backend servers are unknown here, so only a contradiction counts;
+    keys that operators' labels change can't contradict.
+    """
+    try:
+        left, right = Selector.parse(wanted), Selector.parse(group)
+    except SelectorError:
+        return True
+    return not any(
+        one.contradicts(other)
+        for one in left.requirements
+        for other in right.requirements
+        if one.key not in changed
+    )
--- a/src/wisterialoom/core/selector.py
+++ b/src/wisterialoom/core/selector.py
@@ -37,6 +37,17 @@
             return (self.key in labels) is not self.negated
         return (labels.get(self.key) == self.value) is not self.negated
 
+    def contradicts(self, other: Requirement) -> bool:
+        """Tell whether no set of labels can meet both requirements."""
+        if self.key != other.key:
+            return False
+        if self.negated != other.negated:
+            negative, positive = (self, other) if self.negated else (other, self)
+            return negative.value in (None, positive.value)
+        if self.negated or None in (self.value, other.value):
+            return False
+        return self.value != other.value
+
 
 @dataclass(frozen=True, slots=True)
 class Selector:
