Read an instance's settings

Addresses are IP numbers only, as instances are reached by them; host names are refused with the remedy instead of being looked up at a bad moment. The reader of the document is used again, so all faults are listed at once here too.

--- /dev/null
+++ b/src/wisterialoom/settings.py
@@ -0,0 +1,238 @@
+"""An entry instance's own settings, from its TOML file."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from ipaddress import ip_address
+from pathlib import Path
+from typing import TYPE_CHECKING
+from urllib.parse import urlsplit
+
+from wisterialoom.core._toml_reader import read_toml
+from wisterialoom.core.fault import Fault, FaultyInputError
+
+if TYPE_CHECKING:
+    from collections.abc import Iterator
+
+__all__ = [
+    "Instance",
+    "Limits",
+    "Listen",
+    "Log",
+    "Peers",
+    "Platform",
+    "Settings",
+    "SettingsError",
+    "split_address",
+]
+
+MAX_PORT = 65_535
+LOG_LEVELS = ("debug", "info", "warning", "error")
+
+
+class SettingsError(FaultyInputError):
+    """Raised when a settings file can't be read or has faults."""
+
+
+@dataclass(frozen=True, slots=True)
+class Instance:
+    """Who this entry instance is.
+
+    Attributes:
+        name: Identifier, unique in the deployment.
+        availability_zone: Availability zone in which it runs.
+        region: Region of the availability zone.
+    """
+
+    name: str
+    availability_zone: str
+    region: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class Listen:
+    """Addresses on which it listens, as `IP:port`; port 0 takes a free one.
+
+    Attributes:
+        callers: HTTP for callers.
+        peers: TCP and UDP for other entry instances.
+        admin: HTTP for operators: health, metrics and status.
+    """
+
+    callers: str = "127.0.0.1:8080"
+    peers: str = "127.0.0.1:8081"
+    admin: str = "127.0.0.1:8082"
+
+
+@dataclass(frozen=True, slots=True)
+class Platform:
+    """Where the platform's object API and instance list are.
+
+    Attributes:
+        url: `http://IP:port`, perhaps with a path.
+        timeout_s: Time for one call, watches aside.
+    """
+
+    url: str
+    timeout_s: float = 2.0
+
+
+@dataclass(frozen=True, slots=True)
+class Peers:
+    """Other entry instances to begin with; the rest is learned from them.
+
+    Attributes:
+        seeds: Peer addresses as `IP:port`; may contain this instance's own.
+        advertise: `IP:port` at which peers reach this instance; empty for
+            `listen.peers`.
+    """
+
+    seeds: tuple[str, ...] = ()
+    advertise: str = ""
+
+
+@dataclass(frozen=True, slots=True)
+class Limits:
+    """Bounds on what callers may make the instance hold.
+
+    Attributes:
+        max_body_bytes: Largest body of a request.
+        max_header_bytes: Largest line or field of a request's head.
+        max_concurrent: Requests in progress and waiting.
+        max_waiting: Requests that wait for a backend server, of these.
+        max_connections: Connections of callers.
+        header_timeout_s: Time for a request's head to arrive.
+        body_timeout_s: Time for a request's body to arrive.
+        drain_timeout_s: Time for requests in progress at a planned stop; the
+            instance reports what is left after it and goes on waiting.
+    """
+
+    max_body_bytes: int = 8_000_000
+    max_header_bytes: int = 16_384
+    max_concurrent: int = 4_096
+    max_waiting: int = 2_048
+    max_connections: int = 8_192
+    header_timeout_s: float = 10.0
+    body_timeout_s: float = 60.0
+    drain_timeout_s: float = 300.0
+
+
+@dataclass(frozen=True, slots=True)
+class Log:
+    """Logs, written as JSON lines to standard error.
+
+    Attributes:
+        level: `debug`, `info`, `warning` or `error`.
+    """
+
+    level: str = "info"
+
+
+@dataclass(frozen=True, slots=True)
+class Settings:
+    """Everything that one entry instance takes from its file."""
+
+    instance: Instance
+    platform: Platform
+    listen: Listen = field(default_factory=Listen)
+    peers: Peers = field(default_factory=Peers)
+    limits: Limits = field(default_factory=Limits)
+    log: Log = field(default_factory=Log)
+
+    @classmethod
+    def load(cls, path: str | Path) -> Settings:
+        """Read a settings file.
+
+        Raises:
+            SettingsError: It can't be read or has faults; all are listed.
+        """
+        try:
+            body = Path(path).read_bytes()
+        except OSError as error:
+            problem = error.strerror or str(error)
+            fault = Fault(str(path), problem, "name a readable settings file")
+            raise SettingsError([fault]) from error
+        return cls.parse(body)
+
+    @classmethod
+    def parse(cls, body: bytes) -> Settings:
+        """Read settings from TOML text in UTF-8.
+
+        Raises:
+            SettingsError: It has faults; all are listed.
+        """
+        reading = read_toml(body, cls)
+        faults = list(reading.faults)
+        if isinstance(reading.value, cls):
+            found = _faults(reading.value)
+            faults += [fault for fault in found if not fault.follows(reading.faults)]
+        if faults or not isinstance(reading.value, cls):
+            raise SettingsError(faults)
+        return reading.value
+
+
+def split_address(address: str) -> tuple[str, int]:
+    """Split `IP:port`, with IPv6 numbers in brackets.
+
+    Raises:
+        ValueError: It has another form.
+    """
+    host, separator, port = address.rpartition(":")
+    if not separator or not (port.isascii() and port.isdigit()):
+        raise ValueError(f"{address!r} has no port")
+    if int(port) > MAX_PORT:
+        raise ValueError(f"port {port} is above {MAX_PORT}")
+    bracketed = host.startswith("[") and host.endswith("]")
+    number = ip_address(host[1:-1] if bracketed else host)
+    if (number.version == 6) is not bracketed:
+        raise ValueError(f"{host!r} must stand in brackets")
+    return str(number), int(port)
+
+
+def _faults(settings: Settings) -> Iterator[Fault]:
+    for name in ("name", "availability_zone"):
+        if not getattr(settings.instance, name):
+            yield Fault(f"instance.{name}", "is empty", "give it a name")
+    for name in ("callers", "peers", "admin"):
+        address = getattr(settings.listen, name)
+        yield from _address_faults(f"listen.{name}", address, any_port=True)
+    yield from _url_faults(settings.platform.url)
+    if settings.peers.advertise:
+        yield from _address_faults("peers.advertise", settings.peers.advertise)
+    for index, seed in enumerate(settings.peers.seeds):
+        yield from _address_faults(f"peers.seeds[{index}]", seed)
+    yield from _positive_faults("platform.timeout_s", settings.platform.timeout_s)
+    for name in Limits.__dataclass_fields__:
+        yield from _positive_faults(f"limits.{name}", getattr(settings.limits, name))
+    if settings.log.level not in LOG_LEVELS:
+        problem = f"{settings.log.level!r} is not a level"
+        yield Fault("log.level", problem, f"use one of {', '.join(LOG_LEVELS)}")
+
+
+def _address_faults(
+    place: str, address: str, *, any_port: bool = False
+) -> Iterator[Fault]:
+    remedy = "write IP:port with an IP number; host names are not looked up"
+    try:
+        _, port = split_address(address)
+    except ValueError as error:
+        yield Fault(place, str(error), remedy)
+        return
+    if port == 0 and not any_port:
+        yield Fault(place, "has port 0", "write the port that the peer listens on")
+
+
+def _url_faults(url: str) -> Iterator[Fault]:
+    parts = urlsplit(url)
+    if parts.scheme not in ("http", "https"):
+        yield Fault("platform.url", f"{url!r} is not a URL", "write http://IP:port")
+        return
+    default = 443 if parts.scheme == "https" else 80
+    has_port = ":" in parts.netloc.rpartition("]")[2]
+    address = parts.netloc if has_port else f"{parts.netloc}:{default}"
+    yield from _address_faults("platform.url", address)
+
+
+def _positive_faults(place: str, value: float) -> Iterator[Fault]:
+    if value <= 0:
+        yield Fault(place, f"is {value}", "use a number above 0")
