Follow the configuration and the platform's list of servers

ConfigFollower: one watcher in each availability zone by rendezvous hashing, pulls from peers for the rest, and doubt about the newest after isolation or a pause. ReadObject, ConfigPull, ConfigPush and ConfigFreshness get fields with defaults: an answer must be tied to its question, or one from before a pause would count as word from after it. An age that came from a peer gets an allowance for its way; without it two instances that answer each other's heartbeats would see their age shrink by the delay of each message.

ServerDirectory: leaving sticks to an incarnation whatever lagging lists show.

--- /dev/null
+++ b/src/wisterialoom/core/config_follower.py
@@ -0,0 +1,305 @@
+"""Follows the configuration in the object API and holds the one in force.
+
+In each availability zone one member, the first by rendezvous hashing, watches the
+object; the others hear of a generation by heartbeat and pull its body from the
+peer that has it. Reads spread thinly over the fleet cover for relays that fail.
+
+Cut off from the object API alone, an instance goes on with what its peers vouch
+for. While the object API is down for all, no configuration can be accepted, and
+instances that stay in touch serve with the one they have; its age shows. Cut off
+from both, or woken from a pause, an instance isn't fresh until the object API or a
+fresh peer has confirmed its configuration. An availability zone that is cut off
+with several instances in it can't tell this from an outage for all: they go on
+with the configuration they have until the cut heals.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import ClassVar, TYPE_CHECKING
+
+from wisterialoom.core import rendezvous
+from wisterialoom.core._config_freshness import Freshness
+from wisterialoom.core._config_object import CONFIG_KEY, ConfigObject
+from wisterialoom.core._config_pull import ConfigPuller
+from wisterialoom.core.document_check import DocumentError, read_document
+from wisterialoom.core.message import Event, Tick
+from wisterialoom.core.notice import (
+    ConfigChanged,
+    ConfigFreshness,
+    ConfigRefused,
+    MembersChanged,
+)
+from wisterialoom.core.object_store import ObjectRead, ObjectUnavailable
+from wisterialoom.core.peer import (
+    ConfigPull,
+    ConfigPush,
+    Heartbeat,
+    HeartbeatAck,
+    PeerReceived,
+    SendPeer,
+    STALE_AGE_MS,
+)
+
+if TYPE_CHECKING:
+    import random
+
+    from wisterialoom.core.document import Document
+    from wisterialoom.core.message import Output
+    from wisterialoom.core.notice import Member
+
+__all__ = ["CONFIG_KEY", "ConfigFollower"]
+
+PART = "config"
+REPORT_INTERVAL_S = 1.0
+"""Time between two reports of the freshness when nothing changes."""
+
+RELAY_READ_INTERVAL_S = 2.0
+"""Time between two reads of a relay, in case its watch is deaf."""
+
+DOUBT_READ_INTERVAL_S = 2.0
+"""Time between two reads of an instance in doubt."""
+
+OLD_S = 10.0
+"""Above this age, instances begin to read for themselves."""
+
+OLD_READS_PER_S = 20.0
+SWEEP_READS_PER_S = 2.0
+"""Reads of the whole fleet that make up for relays, at a great age and always."""
+
+MIN_SWEEP_INTERVAL_S = 30.0
+FIRST_READ_S = 0.2
+"""Time over which the first reads of instances started together are spread."""
+
+HEARD_S = 5.0
+"""Time for which the last heartbeat of a peer counts."""
+
+BEHIND_S = 3.0
+"""An instance that can't get what a live peer has is not fresh after this time."""
+
+
+@dataclass(frozen=True, slots=True)
+class Heard:
+    """What a peer last said of its configuration."""
+
+    generation: int
+    fresh: bool
+    at: float
+
+
+class ConfigFollower:
+    """Part of the core that follows the configuration.
+
+    Attributes:
+        name: Name of this instance.
+        availability_zone: Where it runs.
+        document: In force; `None` before the first.
+        generation: Of the document in force.
+        known: Highest generation seen, readable here or not.
+        body: Text of the highest generation seen, for peers.
+        relay: This instance watches for its availability zone.
+        members: Other members by name.
+        heard: What each of them last said.
+        behind_since: Since when a live peer has had a higher generation.
+    """
+
+    listens: ClassVar[tuple[type[Event], ...]] = (
+        Tick,
+        MembersChanged,
+        PeerReceived,
+        ObjectRead,
+        ObjectUnavailable,
+    )
+
+    def __init__(self, name: str, availability_zone: str, rng: random.Random) -> None:
+        self.name = name
+        self.availability_zone = availability_zone
+        self.document: Document | None = None
+        self.generation = 0
+        self.known = 0
+        self.body = b""
+        self.relay = False
+        self.members: dict[str, Member] = {}
+        self.heard: dict[str, Heard] = {}
+        self.behind_since: float | None = None
+        self.freshness = Freshness()
+        self.object = ConfigObject(rng, PART)
+        self.puller = ConfigPuller(rng)
+        self.reported: ConfigFreshness | None = None
+        self.reported_at = 0.0
+
+    def handle(self, now: float, event: Event) -> list[Output]:
+        """Take one event and return what follows from it."""
+        first = self.freshness.event_at is None
+        if first:
+            self.object.read_due = now + FIRST_READ_S
+            self.object.read_soon(now, FIRST_READ_S)
+        if self.freshness.observe(now):
+            self.object.forget(now)
+            self.puller.forget(now)
+            self.heard.clear()
+        outputs = self._handle(now, event)
+        return [*outputs, *self._report(now)]
+
+    def _handle(self, now: float, event: Event) -> list[Output]:
+        match event:
+            case Tick():
+                return self._tick(now)
+            case MembersChanged(members=members):
+                self._set_members(members)
+            case PeerReceived(sender, Heartbeat() | HeartbeatAck() as beat):
+                return self._hear(now, sender, beat)
+            case PeerReceived(sender, ConfigPull() as pull):
+                return self._push(now, sender, pull)
+            case PeerReceived(sender, ConfigPush() as push):
+                return self._take_push(now, sender, push)
+            case ObjectRead() | ObjectUnavailable() if self.object.ops.owns(event.op):
+                return self._take_answer(now, event)
+        return []
+
+    # Duties.
+
+    def _set_members(self, members: tuple[Member, ...]) -> None:
+        key = f"{PART}/{self.availability_zone}"
+        zone = [
+            m.name for m in members if m.availability_zone == self.availability_zone
+        ]
+        self.relay = rendezvous.first(key, zone) == self.name
+        self.members = {m.name: m for m in members if m.name != self.name}
+        self.heard = {k: v for k, v in self.heard.items() if k in self.members}
+
+    def _tick(self, now: float) -> list[Output]:
+        behind = self._peak(now) > self.known
+        if not behind:
+            self.behind_since = None
+        elif self.behind_since is None:
+            self.behind_since = now
+        outputs: list[Output] = []
+        if behind or self.freshness.doubt_since is not None:
+            outputs += self._pull(now)
+        outputs += self.object.due(
+            now,
+            known=self.known,
+            interval_s=self._read_interval_s(now),
+            watching=self.relay,
+        )
+        return outputs
+
+    def _read_interval_s(self, now: float) -> float:
+        fleet = len(self.members) + 1
+        if self.freshness.doubt_since is not None:
+            return DOUBT_READ_INTERVAL_S
+        if self.relay:
+            return RELAY_READ_INTERVAL_S
+        if self.freshness.age_s(now) > OLD_S:
+            return max(DOUBT_READ_INTERVAL_S, fleet / OLD_READS_PER_S)
+        return max(MIN_SWEEP_INTERVAL_S, fleet / SWEEP_READS_PER_S)
+
+    # Peers.
+
+    def _peak(self, now: float) -> int:
+        """Return the highest generation that a live peer has."""
+        heard = self.heard.values()
+        live = [item.generation for item in heard if now - item.at < HEARD_S]
+        return max(live, default=0)
+
+    def _hear(
+        self, now: float, sender: str, beat: Heartbeat | HeartbeatAck
+    ) -> list[Output]:
+        fresh = beat.config_age_ms < STALE_AGE_MS
+        if sender in self.members:
+            self.heard[sender] = Heard(beat.generation, fresh, now)
+        if fresh:
+            self.freshness.hear(now)
+            if beat.generation <= self.known:
+                self.freshness.hear_age(now, beat.config_age_ms / 1_000)
+        if beat.generation > self.known:
+            return self._pull(now)
+        return []
+
+    def _pull(self, now: float) -> list[Output]:
+        candidates = self._candidates(now)
+        command = self.puller.ask(now, self.known, candidates)
+        if command is not None:
+            return [command]
+        if self.puller.exhausted(now, candidates):
+            self.object.read_soon(now, 0.0)
+        return []
+
+    def _candidates(self, now: float) -> list[Member]:
+        """Return the peers that can help: ahead of this instance, or fresh."""
+        peak = self._peak(now)
+        if peak > self.known:
+            ahead = [n for n, h in self.heard.items() if h.generation > self.known]
+            return [self.members[name] for name in sorted(ahead)]
+        fresh = [name for name, heard in self.heard.items() if heard.fresh]
+        return [self.members[name] for name in sorted(fresh or self.members)]
+
+    def _push(self, now: float, sender: str, pull: ConfigPull) -> list[Output]:
+        member = self.members.get(sender)
+        if member is None:
+            return []
+        body = self.body if self.known > pull.generation else b""
+        age_ms = int(self._age_s(now) * 1_000)
+        message = ConfigPush(self.known, body, pull.serial, age_ms)
+        return [SendPeer(sender, member.address, message)]
+
+    def _take_push(self, now: float, sender: str, push: ConfigPush) -> list[Output]:
+        asked_at = self.puller.settle(sender, push)
+        age_s = push.config_age_ms / 1_000
+        fresh = push.config_age_ms < STALE_AGE_MS
+        outputs = self._take(push.generation, push.body)
+        if asked_at is not None and fresh and push.generation <= self.known:
+            self.freshness.confirm(asked_at, now, age_s)
+            self.puller.forget(now)
+        return outputs
+
+    # The object.
+
+    def _take_answer(
+        self, now: float, event: ObjectRead | ObjectUnavailable
+    ) -> list[Output]:
+        asked_at = self.object.settle(now, event)
+        if asked_at is None or isinstance(event, ObjectUnavailable):
+            return []
+        outputs = self._take(event.version, event.body)
+        self.freshness.hear(now)
+        if event.version == self.known:
+            self.freshness.confirm(asked_at, now)
+        return outputs
+
+    def _take(self, generation: int, body: bytes) -> list[Output]:
+        """Put a document in force if its generation is higher and it is sound."""
+        if generation <= self.known or not body:
+            return []
+        self.known, self.body = generation, body
+        try:
+            document = read_document(body)
+        except DocumentError as error:
+            return [ConfigRefused(generation, str(error))]
+        self.document, self.generation = document, generation
+        return [ConfigChanged(generation, document)]
+
+    # Reports.
+
+    def _is_fresh(self, now: float) -> bool:
+        if self.document is None or self.freshness.doubt_since is not None:
+            return False
+        return self.behind_since is None or now - self.behind_since < BEHIND_S
+
+    def _age_s(self, now: float) -> float:
+        return self.freshness.age_s(now) if self._is_fresh(now) else STALE_AGE_MS / 1e3
+
+    def _report(self, now: float) -> list[Output]:
+        fresh = self._is_fresh(now)
+        report = ConfigFreshness(self.generation, fresh, self._age_s(now), self.known)
+        last = self.reported
+        if (
+            last is not None
+            and (last.generation, last.fresh, last.known)
+            == (report.generation, report.fresh, report.known)
+            and now - self.reported_at < REPORT_INTERVAL_S
+        ):
+            return []
+        self.reported, self.reported_at = report, now
+        return [report]
--- a/src/wisterialoom/core/notice.py
+++ b/src/wisterialoom/core/notice.py
@@ -24,6 +24,7 @@
     "ClaimWanted",
     "ConfigChanged",
     "ConfigFreshness",
+    "ConfigRefused",
     "DemandSeen",
     "DrainRequested",
     "Drained",
@@ -53,12 +54,29 @@
         generation: In force here; 0 if none is.
         fresh: False while the instance is cut off from the object API and
             from every peer, or has just woken from a pause.
-        age_s: Time since it was last known to be the newest.
+        age_s: Time since it was last known to be the newest; `STALE_AGE_MS`
+            and more, in seconds, while not fresh. Heartbeats carry it.
+        known: Highest generation known, which is above `generation` if this
+            version of the program can't read that document. Heartbeats carry it.
     """
 
     generation: int
     fresh: bool
     age_s: float
+    known: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class ConfigRefused(Notice):
+    """A document in the object API can't be read here; the last one stays.
+
+    Attributes:
+        generation: Of the document that was refused.
+        problem: Its faults, one a line.
+    """
+
+    generation: int
+    problem: str
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/wisterialoom/core/object_store.py
+++ b/src/wisterialoom/core/object_store.py
@@ -38,10 +38,16 @@
 
 @dataclass(frozen=True, slots=True)
 class ReadObject(Command):
-    """Read one object; answered by `ObjectRead` or `ObjectUnavailable`."""
+    """Read one object; answered by `ObjectRead` or `ObjectUnavailable`.
+
+    Attributes:
+        unless: Version already held; an answer at this very version may come
+            with an empty body. `ABSENT` asks for the body in any case.
+    """
 
     op: str
     key: str
+    unless: int = ABSENT
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/wisterialoom/core/peer.py
+++ b/src/wisterialoom/core/peer.py
@@ -34,9 +34,13 @@
     "PlanEntry",
     "PlanMessage",
     "SendPeer",
+    "STALE_AGE_MS",
     "ServerLoad",
 ]
 
+STALE_AGE_MS = 1_000_000_000
+"""Age of a configuration, in ms, that vouches for nothing."""
+
 
 @dataclass(frozen=True, slots=True)
 class PeerMessage:
@@ -106,8 +110,10 @@
 
     Attributes:
         serial: Echoed by the acknowledgement.
-        generation: Of the configuration in force at the sender.
-        config_age_ms: Time since the sender last knew it to be the newest.
+        generation: Highest configuration that the sender knows
+            (`ConfigFreshness.known`).
+        config_age_ms: Time since the sender last knew it to be the newest
+            (`ConfigFreshness.age_s`); `STALE_AGE_MS` or more if it isn't fresh.
         members: News of members.
         loads: News of backend servers.
     """
@@ -140,19 +146,34 @@
 
 @dataclass(frozen=True, slots=True)
 class ConfigPull(PeerMessage):
-    """Ask a peer for a configuration above the generation held."""
+    """Ask a peer for a configuration above the generation known.
+
+    Attributes:
+        generation: Highest that the sender knows.
+        serial: Echoed by the answer, which then was given after the question.
+    """
 
     reliable: ClassVar[bool] = True
     generation: int
+    serial: int = 0
 
 
 @dataclass(frozen=True, slots=True)
 class ConfigPush(PeerMessage):
-    """A configuration document and its generation."""
+    """Answer to a `ConfigPull`.
+
+    Attributes:
+        generation: Highest that the sender knows.
+        body: Its document; empty if the asker knows this generation.
+        serial: Of the pull.
+        config_age_ms: As in `Heartbeat`.
+    """
 
     reliable: ClassVar[bool] = True
     generation: int
     body: bytes
+    serial: int = 0
+    config_age_ms: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/src/wisterialoom/core/server_directory.py
@@ -0,0 +1,200 @@
+"""Puts the platform's list, the document and words of leaving servers together."""
+
+from __future__ import annotations
+
+from typing import ClassVar, TYPE_CHECKING
+
+from wisterialoom.core._server_record import ServerRecord
+from wisterialoom.core.instance_list import (
+    InstanceListRead,
+    InstanceListUnavailable,
+    ReadInstanceList,
+)
+from wisterialoom.core.message import Event, Tick
+from wisterialoom.core.notice import (
+    BackendServer,
+    ConfigChanged,
+    LoadReported,
+    MembersChanged,
+    ServersChanged,
+    ServerSeenLeaving,
+)
+from wisterialoom.core.selector import Selector
+
+if TYPE_CHECKING:
+    import random
+
+    from wisterialoom.core.document import Document, Label, ServerGroup
+    from wisterialoom.core.instance_list import InstanceList, ListedInstance
+    from wisterialoom.core.message import Output
+
+__all__ = ["DRAIN_LABEL", "ServerDirectory"]
+
+DRAIN_LABEL = "drain"
+"""Operators' label that takes a backend server out of service."""
+
+ENTRY_KIND = "entry"
+MIN_READ_INTERVAL_S = 2.0
+READS_PER_S = 100.0
+"""Reads of the list by the whole fleet, which bounds the rate of large fleets."""
+
+FIRST_READ_S = 0.2
+"""Time over which the first reads of instances started together are spread."""
+
+ANSWER_LIMIT_S = 10.0
+"""A read without an answer is given up after this time."""
+
+
+class ServerDirectory:
+    """Part of the core that knows the backend servers.
+
+    Attributes:
+        configured: A document is in force.
+        listed: The list was read.
+        groups: Server groups of the document with their selectors.
+        labels: Operators' labels with their selectors.
+        records: What is known of each listed name.
+        servers: The servers as last told to the other parts.
+        fleet: Count of entry instances.
+        read_due: Moment of the next read of the list; `None` before the first.
+        read_at: Moment of the read in progress; `None` if there is none.
+    """
+
+    listens: ClassVar[tuple[type[Event], ...]] = (
+        Tick,
+        InstanceListRead,
+        InstanceListUnavailable,
+        ConfigChanged,
+        MembersChanged,
+        ServerSeenLeaving,
+        LoadReported,
+    )
+
+    def __init__(self, rng: random.Random) -> None:
+        self.rng = rng
+        self.configured = False
+        self.listed = False
+        self.groups: list[tuple[ServerGroup, Selector]] = []
+        self.labels: list[tuple[Selector, Label]] = []
+        self.records: dict[str, ServerRecord] = {}
+        self.servers: tuple[BackendServer, ...] | None = None
+        self.fleet = 1
+        self.read_due: float | None = None
+        self.read_at: float | None = None
+
+    def handle(self, now: float, event: Event) -> list[Output]:
+        """Take one event and return what follows from it."""
+        match event:
+            case Tick():
+                return self._read(now)
+            case InstanceListRead(listing=listing):
+                self.read_at = None
+                self._take_listing(now, listing)
+            case InstanceListUnavailable():
+                self.read_at = None
+                return []
+            case MembersChanged(members=members):
+                self.fleet = max(1, len(members))
+                return []
+            case ConfigChanged(document=document):
+                self._take_document(document)
+            case ServerSeenLeaving(server, incarnation):
+                return self._see_leaving(now, server, incarnation)
+            case LoadReported(load=load):
+                if not load.leaving:
+                    return []
+                return self._see_leaving(now, load.server, load.incarnation)
+        return self._tell()
+
+    # The list.
+
+    def _read(self, now: float) -> list[Output]:
+        if self.read_due is None:
+            self.read_due = now + self.rng.random() * FIRST_READ_S
+        if self.read_at is not None and now - self.read_at > ANSWER_LIMIT_S:
+            self.read_at = None
+        if now < self.read_due or self.read_at is not None:
+            return []
+        interval_s = max(MIN_READ_INTERVAL_S, self.fleet / READS_PER_S)
+        self.read_due = now + interval_s * (0.75 + self.rng.random() / 4)
+        self.read_at = now
+        return [ReadInstanceList()]
+
+    def _take_listing(self, now: float, listing: InstanceList) -> None:
+        # The list holds the entry instances too, so an empty one is a fault of it.
+        if not listing.instances:
+            return
+        self.listed = True
+        listed = {item.name: item for item in listing.instances if not _is_entry(item)}
+        for name, item in listed.items():
+            self._record(now, name).list(now, item)
+        for name in self.records.keys() - listed.keys():
+            self.records[name].miss()
+            if self.records[name].has_expired(now):
+                del self.records[name]
+
+    def _see_leaving(self, now: float, name: str, incarnation: str) -> list[Output]:
+        if not self._record(now, name).leave(now, incarnation):
+            return []
+        return self._tell()
+
+    def _record(self, now: float, name: str) -> ServerRecord:
+        return self.records.setdefault(name, ServerRecord(now))
+
+    # The document.
+
+    def _take_document(self, document: Document) -> None:
+        self.groups = [(g, Selector.parse(g.selector)) for g in document.server_groups]
+        self.labels = [
+            (Selector.parse(label.selector), label) for label in document.labels
+        ]
+        self.configured = True
+
+    # What follows from both.
+
+    def _tell(self) -> list[Output]:
+        if not self.configured or not self.listed:
+            return []
+        present = [item for item in self.records.values() if item.is_present()]
+        built = [self._server(record) for record in present]
+        servers = tuple(sorted((s for s in built if s), key=lambda s: s.name))
+        if servers == self.servers:
+            return []
+        self.servers = servers
+        return [ServersChanged(servers)]
+
+    def _server(self, record: ServerRecord) -> BackendServer | None:
+        listed = record.listed
+        if listed is None:
+            return None
+        platform = {**listed.labels, "name": listed.name}
+        group = self._group(platform)
+        if group is None:
+            return None
+        marks = {
+            label.key: label.value
+            for selector, label in self.labels
+            if selector.matches(platform)
+        }
+        return BackendServer(
+            name=listed.name,
+            incarnation=listed.incarnation,
+            address=listed.address,
+            availability_zone=listed.availability_zone,
+            labels={**platform, **marks},
+            group=group.name,
+            kind=group.kind,
+            leaving=record.is_leaving(),
+            drained=DRAIN_LABEL in marks,
+        )
+
+    def _group(self, labels: dict[str, str]) -> ServerGroup | None:
+        kind = labels.get("kind")
+        for group, selector in self.groups:
+            if kind in (None, group.kind) and selector.matches(labels):
+                return group
+        return None
+
+
+def _is_entry(listed: ListedInstance) -> bool:
+    return listed.labels.get("kind") == ENTRY_KIND
