--- /dev/null
+++ b/src/wisterialoom/core/classifier.py
@@ -0,0 +1,123 @@
+"""First filters of the request path: who asks, and by which rules."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from wisterialoom.core.document import Traffic
+from wisterialoom.core.refusal import refuse
+from wisterialoom.core.request import Classified, Reason, Refusal, Request
+
+if TYPE_CHECKING:
+    from wisterialoom.core.document import Caller, Document, TrafficClass
+
+__all__ = ["MODEL_PATHS", "Classifier", "model_lane", "service_lane"]
+
+MODEL_PATHS = frozenset({"/v1/chat/completions", "/v1/completions"})
+"""Paths that model engines serve."""
+
+_DEFAULT_RULE = Traffic(name="", path="*")
+
+
+def model_lane(name: str) -> str:
+    """Return the lane of a model or adapter."""
+    return f"model:{name}"
+
+
+def service_lane(selector: str) -> str:
+    """Return the lane of the plain services behind a selector."""
+    return f"service:{selector}"
+
+
+@dataclass
+class Classifier:
+    """Applies one generation of the document to requests.
+
+    Attributes:
+        callers: Callers by the digest of their API key.
+        classes: Traffic classes by name.
+        traffic: Rules in their order.
+        models: Names of models and adapters.
+    """
+
+    callers: dict[str, Caller] = field(default_factory=dict)
+    classes: dict[str, TrafficClass] = field(default_factory=dict)
+    traffic: tuple[Traffic, ...] = ()
+    models: frozenset[str] = frozenset()
+
+    @classmethod
+    def from_document(cls, document: Document) -> Classifier:
+        """Build from a checked document."""
+        names = [model.name for model in document.models]
+        names += [adapter.name for adapter in document.adapters]
+        return cls(
+            callers={item.api_key_sha256: item for item in document.callers},
+            classes={item.name: item for item in document.traffic_classes},
+            traffic=document.traffic,
+            models=frozenset(names),
+        )
+
+    def classify(self, now: float, request: Request) -> Classified | Refusal:
+        """Find caller, rule, class and deadline of a request.
+
+        Args:
+            now: Monotonic time in seconds.
+            request: As it came.
+
+        Returns:
+            The classified request, or why it cannot be served.
+        """
+        caller = self.callers.get(request.api_key_sha256)
+        if caller is None:
+            return refuse(Reason.NO_CALLER)
+        for_model = request.path in MODEL_PATHS
+        rule = self._find_rule(request, caller.name)
+        if for_model and request.model not in self.models:
+            return refuse(Reason.NO_MODEL)
+        if not for_model and (rule is None or not rule.servers):
+            return refuse(Reason.NO_ROUTE)
+        return self._apply(now, request, caller, rule or _DEFAULT_RULE)
+
+    def _find_rule(self, request: Request, caller: str) -> Traffic | None:
+        matching = (rule for rule in self.traffic if _matches(rule, request, caller))
+        return next(matching, None)
+
+    def _apply(
+        self, now: float, request: Request, caller: Caller, rule: Traffic
+    ) -> Classified:
+        name = rule.traffic_class or caller.traffic_class
+        if request.priority in caller.classes:
+            name = request.priority
+        found = self.classes[name]
+        target_s = found.max_wait_s if found.may_wait else found.first_token_s
+        deadline = now + (request.deadline_s or target_s)
+        for_model = request.path in MODEL_PATHS
+        return Classified(
+            request=request,
+            caller=caller.name,
+            traffic_class=name,
+            idempotent=rule.idempotent,
+            servers=rule.servers,
+            arrived=now,
+            deadline=deadline,
+            give_up=deadline if request.deadline_s else now + found.load_wait_s,
+            priority=found.priority,
+            may_wait=found.may_wait,
+            weight=caller.weight,
+            timeout_s=rule.timeout_s,
+            lane=model_lane(request.model) if for_model else service_lane(rule.servers),
+        )
+
+
+def _matches(rule: Traffic, request: Request, caller: str) -> bool:
+    if rule.path.endswith("*"):
+        on_path = request.path.startswith(rule.path[:-1])
+    else:
+        on_path = request.path == rule.path
+    return (
+        on_path
+        and (not rule.methods or request.method in rule.methods)
+        and (not rule.callers or caller in rule.callers)
+        and (not rule.models or request.model in rule.models)
+    )
--- a/src/wisterialoom/core/document.py
+++ b/src/wisterialoom/core/document.py
@@ -165,6 +165,7 @@
         token_gap_s: Target between tokens.
         may_wait: Work may be left for later.
         max_wait_s: For work that may wait: it is served within this time.
+        load_wait_s: Longest wait for a model that has to be loaded first.
     """
 
     name: str
@@ -173,6 +174,7 @@
     token_gap_s: float = 0.074
     may_wait: bool = False
     max_wait_s: float = 3_600.0
+    load_wait_s: float = 30.0
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/src/wisterialoom/core/ejection.py
@@ -0,0 +1,59 @@
+"""Server ejection by consecutive failures, with a damped return."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+__all__ = ["Ejection"]
+
+FAILURES_TO_EJECT = 3
+"""Consecutive failures after which a server gets no work."""
+
+FIRST_COOLDOWN_S = 2.0
+MAX_COOLDOWN_S = 60.0
+
+FORGIVE_AFTER_S = 60.0
+"""Time without a failure after which the cooldown starts small again."""
+
+
+@dataclass
+class Ejection:
+    """Health of one backend server as seen by attempts.
+
+    Attributes:
+        failures: Consecutive failures.
+        cooldown_s: Length of the next ejection.
+        until: Monotonic time at which the current ejection ends.
+        last_failure: Monotonic time of the last failure.
+        probing: Back from an ejection; one request at a time until one succeeds.
+    """
+
+    failures: int = 0
+    cooldown_s: float = FIRST_COOLDOWN_S
+    until: float = 0.0
+    last_failure: float = 0.0
+    probing: bool = False
+
+    def allows(self, now: float, in_flight: int) -> bool:
+        """Tell whether the server may get a request now."""
+        if now < self.until:
+            return False
+        return not self.probing or in_flight == 0
+
+    def succeed(self, now: float) -> None:
+        """Count a success."""
+        self.failures = 0
+        self.probing = False
+        if now - self.last_failure > FORGIVE_AFTER_S:
+            self.cooldown_s = FIRST_COOLDOWN_S
+
+    def fail(self, now: float) -> None:
+        """Count a failure; eject after several, or at once while probing."""
+        self.failures += 1
+        self.last_failure = now
+        if self.failures < FAILURES_TO_EJECT and not self.probing:
+            return
+        self.until = now + self.cooldown_s
+        self.cooldown_s = min(self.cooldown_s * 2, MAX_COOLDOWN_S)
+        self.failures = 0
+        self.probing = True
--- /dev/null
+++ b/src/wisterialoom/core/refusal.py
@@ -0,0 +1,139 @@
+"""Refusals: status, message and remedy of each reason."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from wisterialoom.core.request import Outcome, Reason, Refusal
+
+__all__ = ["RETRY_AFTER_LIMITS_S", "refuse"]
+
+RETRY_AFTER_LIMITS_S = (1.0, 600.0)
+"""Least and greatest time that a caller is told to wait, in seconds."""
+
+CONFIG_RETRY_S = 60.0
+"""When to come back where only a change of configuration helps, in seconds."""
+
+
+@dataclass(frozen=True, slots=True)
+class _Form:
+    status: int
+    message: str
+    outcome: Outcome = Outcome.NOT_RUN
+    retry_after_s: float | None = 1.0
+
+
+_FORMS = {
+    Reason.NO_CALLER: _Form(
+        401,
+        "The API key is missing or unknown; send a declared key as a bearer token.",
+        retry_after_s=CONFIG_RETRY_S,
+    ),
+    Reason.NO_ROUTE: _Form(
+        404,
+        "No traffic rule serves this path; ask the operator for a rule.",
+        retry_after_s=CONFIG_RETRY_S,
+    ),
+    Reason.NO_MODEL: _Form(
+        404,
+        "No such model or adapter is declared; see /v1/models for those that are.",
+        retry_after_s=CONFIG_RETRY_S,
+    ),
+    Reason.CALLER_LIMIT: _Form(
+        429, "This caller has too many requests in progress; let some end first."
+    ),
+    Reason.QUEUE_FULL: _Form(503, "The queue is full; come back later."),
+    Reason.DEADLINE: _Form(
+        503, "The request could not begin before its deadline; come back later."
+    ),
+    Reason.OVERLOAD: _Form(
+        503,
+        "The request would not begin before its deadline; come back later, or "
+        "send it as work that may wait.",
+    ),
+    Reason.UNREACHABLE: _Form(
+        503, "No backend server can serve this now; come back later."
+    ),
+    Reason.DRAINING: _Form(
+        503, "This instance is stopping; send the request again to reach another."
+    ),
+    Reason.CONFIG_STALE: _Form(
+        503, "This instance has no current configuration; send the request again."
+    ),
+    Reason.KEY_MISSING: _Form(
+        400,
+        "This operation may run only once: send an Idempotency-Key header.",
+        retry_after_s=None,
+    ),
+    Reason.KEY_REUSED: _Form(
+        422,
+        "The Idempotency-Key was used with other content; use a new key.",
+        retry_after_s=None,
+    ),
+    Reason.CLAIM_UNAVAILABLE: _Form(
+        503, "The idempotency key could not be claimed; send it again with the key."
+    ),
+    Reason.CLAIMS_FULL: _Form(
+        503, "No more idempotency keys can be kept now; send it again with the key."
+    ),
+    Reason.JOB_UNAVAILABLE: _Form(
+        503, "The work could not be kept for later; send it again."
+    ),
+    Reason.CALLER_GONE: _Form(499, "The caller left before the request was run."),
+    Reason.IN_PROGRESS: _Form(
+        409,
+        "A request with this Idempotency-Key is in progress; ask again with the key.",
+        outcome=Outcome.UNKNOWN,
+    ),
+    Reason.KEY_UNKNOWN: _Form(
+        409,
+        "A request with this Idempotency-Key was dispatched and its end was not "
+        "seen; check its effect before you use a new key.",
+        outcome=Outcome.UNKNOWN,
+        retry_after_s=CONFIG_RETRY_S,
+    ),
+    Reason.CONNECT: _Form(503, "No backend server accepted it; come back later."),
+    Reason.SERVER_REFUSED: _Form(
+        503, "The backend servers did not start it; come back later."
+    ),
+    Reason.CONNECTION_LOST: _Form(
+        502,
+        "The connection to the backend server was lost: the request may have run.",
+        outcome=Outcome.UNKNOWN,
+    ),
+    Reason.SERVER_TIMEOUT: _Form(
+        504,
+        "The backend server did not end in time: the request may have run.",
+        outcome=Outcome.UNKNOWN,
+    ),
+    Reason.SERVER_ERROR: _Form(
+        502, "The backend server answered with an error.", outcome=Outcome.FAILED
+    ),
+}
+
+
+def refuse(
+    reason: Reason,
+    *,
+    retry_after_s: float | None = None,
+    outcome: Outcome | None = None,
+) -> Refusal:
+    """Build the refusal for a reason.
+
+    Args:
+        reason: Why.
+        retry_after_s: When to come back; `None` takes the reason's own time.
+        outcome: `None` takes the reason's own outcome.
+    """
+    form = _FORMS[reason]
+    wait = form.retry_after_s
+    if wait is not None and retry_after_s is not None:
+        low, high = RETRY_AFTER_LIMITS_S
+        wait = min(max(retry_after_s, low), high)
+    return Refusal(
+        outcome=outcome or form.outcome,
+        reason=reason,
+        message=form.message,
+        retry_after_s=wait,
+        status=form.status,
+    )
--- a/src/wisterialoom/core/request.py
+++ b/src/wisterialoom/core/request.py
@@ -122,6 +122,12 @@
         servers: Selector of the backend servers that may serve it.
         arrived: Monotonic time in seconds.
         deadline: Monotonic time by which the first output must have begun.
+        give_up: Monotonic time up to which it may wait for a model to be loaded.
+        priority: Of the traffic class; lower goes first.
+        may_wait: The work may be left for later.
+        weight: Share of the caller relative to others of the same priority.
+        timeout_s: Time for the whole answer after dispatch.
+        lane: What it waits for: `model:NAME`, or `service:SELECTOR`.
     """
 
     request: Request
@@ -131,6 +137,12 @@
     servers: str
     arrived: float
     deadline: float
+    give_up: float = 0.0
+    priority: int = 0
+    may_wait: bool = False
+    weight: float = 1.0
+    timeout_s: float = 300.0
+    lane: str = ""
 
 
 @dataclass(frozen=True, slots=True)
