--- /dev/null
+++ b/src/wisterialoom/core/admission.py
@@ -0,0 +1,106 @@
+"""Admission: what may wait, and when to come back for what may not."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from wisterialoom.core.refusal import refuse
+from wisterialoom.core.request import Reason
+
+if TYPE_CHECKING:
+    from wisterialoom.core.document import Document
+    from wisterialoom.core.request import Classified, Refusal
+    from wisterialoom.core.request_queue import RequestQueue
+    from wisterialoom.core.router import Router
+
+__all__ = ["Admission"]
+
+MAX_WAITING = 4_096
+"""Requests that may wait in one entry instance."""
+
+CALLER_QUEUE_SHARE = 0.5
+"""Greatest share of the queue that one caller may take."""
+
+
+@dataclass
+class Admission:
+    """Limits on the requests that one entry instance holds.
+
+    Attributes:
+        queue: Waiting requests.
+        router: Views of the backend servers.
+        limits: Greatest count of requests in progress by caller.
+        held: Count of requests in progress by caller.
+        loads_s: Seconds to load a model by lane.
+    """
+
+    queue: RequestQueue
+    router: Router
+    limits: dict[str, int] = field(default_factory=dict)
+    held: dict[str, int] = field(default_factory=dict)
+    loads_s: dict[str, float] = field(default_factory=dict)
+
+    def configure(self, document: Document) -> None:
+        """Take a document into use."""
+        self.limits = {item.name: item.max_concurrent for item in document.callers}
+        self.loads_s = {f"model:{x.name}": x.load_s for x in document.models}
+        for adapter in document.adapters:
+            base = self.loads_s.get(f"model:{adapter.model}", 0.0)
+            self.loads_s[f"model:{adapter.name}"] = base + adapter.load_s
+
+    def check(self, now: float, classified: Classified) -> Refusal | None:
+        """Return why a new request may not wait, or `None` if it may."""
+        caller = classified.caller
+        if self.held.get(caller, 0) >= self.limits.get(caller, 0):
+            after = self.router.lane_service_s(classified.lane)
+            return refuse(Reason.CALLER_LIMIT, retry_after_s=after)
+        if self._queue_full(caller):
+            after = self.retry_after_s(now, classified)
+            return refuse(Reason.QUEUE_FULL, retry_after_s=after)
+        wait_s = self.wait_s(now, classified)
+        if wait_s is None:
+            return self._check_load(now, classified)
+        if now + wait_s > classified.deadline:
+            after = now + wait_s - classified.deadline
+            return refuse(Reason.OVERLOAD, retry_after_s=after)
+        return None
+
+    def _queue_full(self, caller: str) -> bool:
+        if len(self.queue) >= MAX_WAITING:
+            return True
+        waiting = self.queue.by_caller.get(caller, 0)
+        return waiting >= MAX_WAITING * CALLER_QUEUE_SHARE
+
+    def _check_load(self, now: float, classified: Classified) -> Refusal | None:
+        load_s = self.loads_s.get(classified.lane)
+        limit = max(classified.give_up, classified.deadline)
+        if load_s is None or now + load_s > limit:
+            return refuse(Reason.UNREACHABLE, retry_after_s=load_s)
+        return None
+
+    def wait_s(self, now: float, classified: Classified) -> float | None:
+        """Return the expected wait of a new request, in seconds.
+
+        Returns:
+            `None` if no server serves its lane now.
+        """
+        ahead = self.queue.ahead_by_lane(classified)
+        return self.router.estimate_wait_s(now, classified.lane, ahead)
+
+    def retry_after_s(self, now: float, classified: Classified) -> float:
+        """Return when a request like this would be served in time, in seconds."""
+        wait_s = self.wait_s(now, classified)
+        if wait_s is None:
+            return self.loads_s.get(classified.lane, 1.0)
+        target_s = classified.deadline - classified.arrived
+        return max(0.0, wait_s - target_s)
+
+    def enter(self, classified: Classified) -> None:
+        """Count a request as in progress."""
+        caller = classified.caller
+        self.held[caller] = self.held.get(caller, 0) + 1
+
+    def leave(self, classified: Classified) -> None:
+        """Count a request as ended."""
+        self.held[classified.caller] -= 1
--- /dev/null
+++ b/src/wisterialoom/core/entry.py
@@ -0,0 +1,78 @@
+"""The core of one entry instance: its parts, and the way events take."""
+
+from __future__ import annotations
+
+from collections import deque
+from typing import TYPE_CHECKING
+
+from wisterialoom.core.message import Command, Event, Notice, Part
+from wisterialoom.core.notice import Drained, DrainRequested, PartDrained
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+
+__all__ = ["EntryCore"]
+
+
+class EntryCore:
+    """Hands each event to the parts that listen for it.
+
+    Notices of one part reach the others within the same call, in the order in
+    which they were returned.
+
+    Attributes:
+        parts: Every part, in the order in which they are asked.
+        listeners: Parts by the class of event, filled as classes come up.
+        awaited: Names of parts that have yet to report `PartDrained`.
+        draining: The instance is stopping.
+    """
+
+    def __init__(self, parts: Sequence[Part], drains: frozenset[str]) -> None:
+        """Compose a core.
+
+        Args:
+            parts: The parts.
+            drains: Names that report `PartDrained` before the instance exits.
+        """
+        self.parts = tuple(parts)
+        self.listeners: dict[type[Event], tuple[Part, ...]] = {}
+        self.awaited = set(drains)
+        self.draining = False
+
+    def handle(self, now: float, event: Event) -> list[Command]:
+        """Take one event and return the commands that follow from it.
+
+        Args:
+            now: Monotonic time in seconds.
+            event: What happened.
+        """
+        commands: list[Command] = []
+        pending: deque[Event] = deque([event])
+        while pending:
+            current = pending.popleft()
+            commands += self._note_draining(current)
+            for part in self._parts_for(type(current)):
+                for output in part.handle(now, current):
+                    match output:
+                        case Notice():
+                            pending.append(output)
+                        case Command():
+                            commands.append(output)
+        return commands
+
+    def _parts_for(self, kind: type[Event]) -> tuple[Part, ...]:
+        found = self.listeners.get(kind)
+        if found is None:
+            found = tuple(x for x in self.parts if issubclass(kind, x.listens))
+            self.listeners[kind] = found
+        return found
+
+    def _note_draining(self, event: Event) -> list[Command]:
+        match event:
+            case DrainRequested():
+                self.draining = True
+            case PartDrained(part=part) if part in self.awaited:
+                self.awaited.discard(part)
+                if self.draining and not self.awaited:
+                    return [Drained()]
+        return []
