--- a/src/wisterialoom/core/object_store.py
+++ b/src/wisterialoom/core/object_store.py
@@ -10,6 +10,7 @@
 
 from dataclasses import dataclass
 
+from wisterialoom.core.error import WisterialoomError
 from wisterialoom.core.message import Command, Event
 
 __all__ = [
@@ -20,11 +21,14 @@
     "ObjectConflict",
     "ObjectEvent",
     "ObjectRead",
+    "ObjectTooLargeError",
     "ObjectUnavailable",
     "ObjectWritten",
     "ObjectsListed",
     "OperationIds",
     "ReadObject",
+    "StoredObject",
+    "VersionConflictError",
     "WatchObject",
     "WriteObject",
 ]
@@ -36,6 +40,30 @@
 """Largest body that the platform stores, in bytes."""
 
 
+class VersionConflictError(WisterialoomError):
+    """Raised when a conditional update names another version.
+
+    Attributes:
+        version: The version that the object has.
+    """
+
+    def __init__(self, key: str, version: int) -> None:
+        super().__init__(f"{key} is at version {version}: read it and try again")
+        self.version = version
+
+
+class ObjectTooLargeError(WisterialoomError):
+    """Raised when a body exceeds what the platform stores."""
+
+
+@dataclass(frozen=True, slots=True)
+class StoredObject:
+    """A body and the version at which it was written."""
+
+    version: int = ABSENT
+    body: bytes = b""
+
+
 @dataclass(frozen=True, slots=True)
 class ReadObject(Command):
     """Read one object; answered by `ObjectRead` or `ObjectUnavailable`."""
--- /dev/null
+++ b/src/wisterialoom/platform/client.py
@@ -0,0 +1,192 @@
+"""Client of the platform's HTTP API."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+from urllib.parse import quote
+
+import orjson
+from aiohttp import ClientError, ClientTimeout
+from yarl import URL
+
+from wisterialoom.core.error import WisterialoomError
+from wisterialoom.core.object_store import (
+    ABSENT,
+    ObjectTooLargeError,
+    StoredObject,
+    VersionConflictError,
+)
+from wisterialoom.no_resend import no_resend, was_never_sent
+from wisterialoom.platform.codec import decode_instances
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+    from aiohttp import ClientSession
+
+    from wisterialoom.core.instance_list import InstanceList
+
+__all__ = [
+    "VERSION_HEADER",
+    "WATCH_LIMIT_S",
+    "PlatformClient",
+    "PlatformUnavailableError",
+]
+
+VERSION_HEADER = "X-Version"
+"""Carries an object's version in each answer about it."""
+
+WATCH_LIMIT_S = 30.0
+"""Time after which the platform ends a waiting watch unchanged."""
+
+RATE_LIMITED = 429
+
+
+class PlatformUnavailableError(WisterialoomError):
+    """Raised when the platform gave no usable answer.
+
+    Attributes:
+        ambiguous: A write may have taken effect all the same.
+    """
+
+    def __init__(self, what: str, cause: str, *, ambiguous: bool) -> None:
+        remedy = "read the object to see" if ambiguous else "try again later"
+        super().__init__(f"{what}: the platform is unavailable ({cause}); {remedy}")
+        self.ambiguous = ambiguous
+
+
+class PlatformClient:
+    """Calls to the object API and the instance list, each tried once.
+
+    Attributes:
+        session: Session that the calls share; its owner closes it.
+        url: Base address, such as `http://127.0.0.1:8000`.
+        timeout_s: Time for one call; a watch gets `WATCH_LIMIT_S` on top.
+    """
+
+    def __init__(self, session: ClientSession, url: str, timeout_s: float) -> None:
+        self.session = session
+        self.url = url.rstrip("/")
+        self.timeout_s = timeout_s
+
+    async def read(self, key: str) -> StoredObject:
+        """Return an object, or one at version `ABSENT`.
+
+        Raises:
+            PlatformUnavailableError: No usable answer came.
+        """
+        return await self._get_object(self._object_url(key), self.timeout_s)
+
+    async def watch(self, key: str, after: int) -> StoredObject:
+        """Wait for a version above `after`; return what is there at the end.
+
+        Raises:
+            PlatformUnavailableError: No usable answer came.
+        """
+        url = self._object_url(key).with_query(watch_after=str(after))
+        return await self._get_object(url, self.timeout_s + WATCH_LIMIT_S)
+
+    async def write(self, key: str, body: bytes, expected: int) -> int:
+        """Write if the object has the expected version; return the new one.
+
+        Args:
+            key: Name of the object.
+            body: What to store.
+            expected: Version that was read; `ABSENT` creates.
+
+        Raises:
+            VersionConflictError: It has another version.
+            ObjectTooLargeError: The body is too large.
+            PlatformUnavailableError: No usable answer came.
+        """
+        return await self._change("PUT", key, expected, body)
+
+    async def delete(self, key: str, expected: int) -> int:
+        """Delete if the object has the expected version; return the new one.
+
+        Raises:
+            VersionConflictError: It has another version.
+            PlatformUnavailableError: No usable answer came.
+        """
+        return await self._change("DELETE", key, expected, None)
+
+    async def list(self, prefix: str) -> tuple[str, ...]:
+        """Return the sorted keys below a prefix.
+
+        Raises:
+            PlatformUnavailableError: No usable answer came.
+        """
+        url = URL(f"{self.url}/objects").with_query(prefix=prefix)
+        status, _, body = await self._call("GET", url, self.timeout_s)
+        self._expect_ok("GET", url, status)
+        return tuple(orjson.loads(body)["keys"])
+
+    async def instances(self) -> InstanceList:
+        """Return the instance list, which lags behind reality.
+
+        Raises:
+            PlatformUnavailableError: No usable answer came.
+        """
+        url = URL(f"{self.url}/instances")
+        status, _, body = await self._call("GET", url, self.timeout_s)
+        self._expect_ok("GET", url, status)
+        return decode_instances(body)
+
+    def _object_url(self, key: str) -> URL:
+        return URL(f"{self.url}/objects/{quote(key, safe='')}", encoded=True)
+
+    async def _get_object(self, url: URL, timeout_s: float) -> StoredObject:
+        status, headers, body = await self._call("GET", url, timeout_s)
+        if status == 404:
+            return StoredObject()
+        self._expect_ok("GET", url, status)
+        return StoredObject(int(headers[VERSION_HEADER]), body)
+
+    async def _change(
+        self, method: str, key: str, expected: int, body: bytes | None
+    ) -> int:
+        url = self._object_url(key)
+        condition = {"If-Match": f'"{expected}"'}
+        status, headers, _ = await self._call(
+            method, url, self.timeout_s, headers=condition, body=body
+        )
+        if status == 412:
+            raise VersionConflictError(key, int(headers.get(VERSION_HEADER, ABSENT)))
+        if status == 413:
+            raise ObjectTooLargeError(f"{key} is too large: split it")
+        self._expect_ok(method, url, status)
+        return int(headers[VERSION_HEADER])
+
+    def _expect_ok(self, method: str, url: URL, status: int) -> None:
+        if status == 200:
+            return
+        ambiguous = method != "GET" and status != RATE_LIMITED
+        raise PlatformUnavailableError(
+            f"{method} {url.path}", f"status {status}", ambiguous=ambiguous
+        )
+
+    async def _call(
+        self,
+        method: str,
+        url: URL,
+        timeout_s: float,
+        *,
+        headers: Mapping[str, str] | None = None,
+        body: bytes | None = None,
+    ) -> tuple[int, Mapping[str, str], bytes]:
+        try:
+            async with self.session.request(
+                method,
+                url,
+                data=body,
+                headers=headers,
+                timeout=ClientTimeout(total=timeout_s),
+                allow_redirects=False,
+                middlewares=(no_resend,),
+            ) as response:
+                return response.status, response.headers, await response.read()
+        except (ClientError, TimeoutError, OSError) as error:
+            ambiguous = method != "GET" and not was_never_sent(error)
+            raise PlatformUnavailableError(
+                f"{method} {url.path}", type(error).__name__, ambiguous=ambiguous
+            ) from error
--- /dev/null
+++ b/src/wisterialoom/platform/port.py
@@ -0,0 +1,133 @@
+"""Carries out the core's commands to the platform."""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Any, TYPE_CHECKING, TypeAlias
+
+from wisterialoom.core.instance_list import (
+    InstanceListRead,
+    InstanceListUnavailable,
+    ReadInstanceList,
+)
+from wisterialoom.core.object_store import (
+    DeleteObject,
+    ListObjects,
+    ObjectConflict,
+    ObjectRead,
+    ObjectsListed,
+    ObjectTooLargeError,
+    ObjectUnavailable,
+    ObjectWritten,
+    ReadObject,
+    VersionConflictError,
+    WatchObject,
+    WriteObject,
+)
+from wisterialoom.platform.client import PlatformUnavailableError
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Coroutine
+
+    from wisterialoom.core.message import Event
+    from wisterialoom.platform.client import PlatformClient
+
+__all__ = ["PlatformCommand", "PlatformPort"]
+
+ObjectCommand: TypeAlias = (
+    ReadObject | WatchObject | WriteObject | DeleteObject | ListObjects
+)
+PlatformCommand: TypeAlias = ObjectCommand | ReadInstanceList
+
+
+class PlatformPort:
+    """Runs each command as a task of its own and delivers the answer.
+
+    Attributes:
+        client: Calls the platform.
+        deliver: Takes the event that answers a command.
+        tasks: Calls in progress.
+        running: Commands are taken; false before `start` and after `stop`.
+    """
+
+    def __init__(
+        self, client: PlatformClient, deliver: Callable[[Event], None]
+    ) -> None:
+        self.client = client
+        self.deliver = deliver
+        self.tasks: set[asyncio.Task[None]] = set()
+        self.running = False
+
+    async def start(self) -> None:
+        """Begin to take commands."""
+        self.running = True
+
+    async def stop(self) -> None:
+        """Cancel the calls in progress, watches among them, and await them."""
+        self.running = False
+        tasks = tuple(self.tasks)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
+    def carry_out(self, command: PlatformCommand) -> None:
+        """Start one command; its answer is delivered later, once."""
+        if not self.running:
+            return
+        task = asyncio.get_running_loop().create_task(self._run(command))
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    async def _run(self, command: PlatformCommand) -> None:
+        if isinstance(command, ReadInstanceList):
+            event = await self._read_instances()
+        else:
+            event = await self._answer(command)
+        self.deliver(event)
+
+    async def _read_instances(self) -> Event:
+        try:
+            return InstanceListRead(await self.client.instances())
+        except PlatformUnavailableError:
+            return InstanceListUnavailable()
+
+    async def _answer(self, command: ObjectCommand) -> Event:
+        key = command.prefix if isinstance(command, ListObjects) else command.key
+        try:
+            return await self._call(command)
+        except VersionConflictError as error:
+            return ObjectConflict(command.op, key, error.version)
+        except ObjectTooLargeError:
+            return ObjectUnavailable(command.op, key, ambiguous=False)
+        except PlatformUnavailableError as error:
+            return ObjectUnavailable(command.op, key, error.ambiguous)
+
+    def _call(self, command: ObjectCommand) -> Coroutine[Any, Any, Event]:
+        match command:
+            case ReadObject(op, key):
+                return self._read(op, key)
+            case WatchObject(op, key, after):
+                return self._watch(op, key, after)
+            case WriteObject(op, key, body, expected):
+                return self._write(op, key, body, expected)
+            case DeleteObject(op, key, expected):
+                return self._delete(op, key, expected)
+            case ListObjects(op, prefix):
+                return self._list(op, prefix)
+
+    async def _read(self, op: str, key: str) -> Event:
+        stored = await self.client.read(key)
+        return ObjectRead(op, key, stored.version, stored.body)
+
+    async def _watch(self, op: str, key: str, after: int) -> Event:
+        stored = await self.client.watch(key, after)
+        return ObjectRead(op, key, stored.version, stored.body)
+
+    async def _write(self, op: str, key: str, body: bytes, expected: int) -> Event:
+        return ObjectWritten(op, key, await self.client.write(key, body, expected))
+
+    async def _delete(self, op: str, key: str, expected: int) -> Event:
+        return ObjectWritten(op, key, await self.client.delete(key, expected))
+
+    async def _list(self, op: str, prefix: str) -> Event:
+        return ObjectsListed(op, prefix, await self.client.list(prefix))
--- a/src/wisterialoom/standin/object_store.py
+++ b/src/wisterialoom/standin/object_store.py
@@ -4,36 +4,16 @@
 
 from dataclasses import dataclass, field
 
-from wisterialoom.core.error import WisterialoomError
-from wisterialoom.core.object_store import ABSENT, MAX_OBJECT_BYTES
+from wisterialoom.core.object_store import (
+    MAX_OBJECT_BYTES,
+    ObjectTooLargeError,
+    StoredObject,
+    VersionConflictError,
+)
 
 __all__ = ["ObjectStore", "ObjectTooLargeError", "StoredObject", "VersionConflictError"]
 
 
-class VersionConflictError(WisterialoomError):
-    """Raised when a conditional update names another version.
-
-    Attributes:
-        version: The version that the object has.
-    """
-
-    def __init__(self, key: str, version: int) -> None:
-        super().__init__(f"{key} is at version {version}: read it and try again")
-        self.version = version
-
-
-class ObjectTooLargeError(WisterialoomError):
-    """Raised when a body exceeds what the platform stores."""
-
-
-@dataclass(frozen=True, slots=True)
-class StoredObject:
-    """A body and the version at which it was written."""
-
-    version: int = ABSENT
-    body: bytes = b""
-
-
 @dataclass
 class ObjectStore:
     """Versioned objects with conditional updates.
--- /dev/null
+++ b/src/wisterialoom/standin/platform_app.py
@@ -0,0 +1,275 @@
+"""A stand-in for the platform behind HTTP: object API and instance list.
+
+| call | answer |
+| --- | --- |
+| `GET /objects/{key}` | 200 with `X-Version`, or 404 |
+| `GET /objects/{key}?watch_after=N` | the same, once a version above N exists |
+| `PUT /objects/{key}` with `If-Match: "N"` | 200, or 412 with `X-Version` |
+| `DELETE /objects/{key}` with `If-Match: "N"` | 200, or 412 with `X-Version` |
+| `GET /objects?prefix=P` | the sorted keys |
+| `GET /instances` | the instance list |
+| `POST /instances` | `register`, `leaving` or `remove` one instance |
+| `POST /faults` | set any of `PlatformFault`'s attributes |
+| `GET /records` | counts of calls |
+
+Calls beyond the rates get 429. Calls to `/faults` and `/records` are not counted.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import asdict, dataclass, fields
+from typing import Any, TYPE_CHECKING
+
+import orjson
+from aiohttp import web
+
+from wisterialoom.core.object_store import (
+    ABSENT,
+    MAX_OBJECT_BYTES,
+    ObjectTooLargeError,
+    VersionConflictError,
+)
+from wisterialoom.platform.client import VERSION_HEADER, WATCH_LIMIT_S
+from wisterialoom.platform.codec import encode_instances, instance_from_json
+from wisterialoom.standin.instance_registry import InstanceRegistry
+from wisterialoom.standin.object_store import ObjectStore
+from wisterialoom.standin.rate import RateLimit
+
+if TYPE_CHECKING:
+    from aiohttp.typedefs import Handler, Middleware
+
+    from wisterialoom.core.object_store import StoredObject
+
+__all__ = ["PlatformApp", "PlatformFault"]
+
+READS_PER_S = 2_000.0
+WRITES_PER_S = 400.0
+
+
+@dataclass
+class PlatformFault:
+    """Faults in force.
+
+    Attributes:
+        down: Every call gets 503 without effect.
+        cut: Every call loses its connection without effect.
+        delay_s: Time of each call before it takes effect.
+        lose_answers: Count of the next changes that take effect and then lose
+            their connection; -1 stands for all.
+        lag_s: Age of what the instance list tells.
+        freeze_instances: The instance list does not change any more.
+    """
+
+    down: bool = False
+    cut: bool = False
+    delay_s: float = 0.0
+    lose_answers: int = 0
+    lag_s: float = 0.0
+    freeze_instances: bool = False
+
+    def update(self, changes: dict[str, Any]) -> None:
+        """Set the attributes that are named.
+
+        Raises:
+            ValueError: A name is unknown.
+        """
+        known = {item.name for item in fields(self)}
+        unknown = set(changes) - known
+        if unknown:
+            raise ValueError(f"unknown {sorted(unknown)}: use {sorted(known)}")
+        for name, value in changes.items():
+            setattr(self, name, value)
+
+
+class PlatformApp:
+    """The platform's HTTP application.
+
+    Attributes:
+        store: The objects.
+        registry: The instance list.
+        fault: Faults in force.
+        reads: Rate of reads; a waiting watch counts as one.
+        writes: Rate of changes.
+        watchers: Calls that wait for an object to change.
+        app: The application to serve.
+    """
+
+    def __init__(
+        self, *, reads_per_s: float = READS_PER_S, writes_per_s: float = WRITES_PER_S
+    ) -> None:
+        self.store = ObjectStore()
+        self.registry = InstanceRegistry()
+        self.fault = PlatformFault()
+        self.reads = RateLimit(reads_per_s)
+        self.writes = RateLimit(writes_per_s)
+        self.watchers: dict[str, set[asyncio.Future[None]]] = {}
+        self.app = web.Application(
+            middlewares=[self._middleware()], client_max_size=2 * MAX_OBJECT_BYTES
+        )
+        self.app.add_routes(
+            [
+                web.get("/objects", self.list_objects),
+                web.get("/objects/{key:.+}", self.read_object),
+                web.put("/objects/{key:.+}", self.write_object),
+                web.delete("/objects/{key:.+}", self.delete_object),
+                web.get("/instances", self.list_instances),
+                web.post("/instances", self.change_instance),
+                web.post("/faults", self.set_faults),
+                web.get("/records", self.read_records),
+            ]
+        )
+
+    def _middleware(self) -> Middleware:
+        @web.middleware
+        async def guard(request: web.Request, handler: Handler) -> web.StreamResponse:
+            if request.path in ("/faults", "/records"):
+                return await handler(request)
+            return await self._guard(request, handler)
+
+        return guard
+
+    async def _guard(
+        self, request: web.Request, handler: Handler
+    ) -> web.StreamResponse:
+        now = asyncio.get_running_loop().time()
+        rate = self.reads if request.method == "GET" else self.writes
+        if not rate.take(now):
+            return web.Response(status=429, headers={"Retry-After": "1"})
+        if self.fault.cut:
+            return _drop(request)
+        if self.fault.delay_s:
+            await asyncio.sleep(self.fault.delay_s)
+        if self.fault.down:
+            return web.Response(status=503)
+        response = await handler(request)
+        changed = request.method != "GET" and response.status == 200
+        if changed and self.fault.lose_answers:
+            self.fault.lose_answers -= self.fault.lose_answers > 0
+            return _drop(request)
+        return response
+
+    async def list_objects(self, request: web.Request) -> web.Response:
+        """Answer with the keys below a prefix."""
+        keys = self.store.list(request.query.get("prefix", ""))
+        return _json({"keys": keys})
+
+    async def read_object(self, request: web.Request) -> web.Response:
+        """Answer with an object, after waiting for a newer one if asked to."""
+        key = request.match_info["key"]
+        after = request.query.get("watch_after")
+        if after is not None and self.store.read(key).version <= int(after):
+            await self._wait(key)
+            if self.fault.down:
+                return web.Response(status=503)
+        return _object_response(self.store.read(key))
+
+    async def _wait(self, key: str) -> None:
+        future = asyncio.get_running_loop().create_future()
+        waiting = self.watchers.setdefault(key, set())
+        waiting.add(future)
+        try:
+            await asyncio.wait_for(future, WATCH_LIMIT_S)
+        except TimeoutError:
+            pass
+        finally:
+            waiting.discard(future)
+
+    def _wake(self, key: str) -> None:
+        for future in self.watchers.pop(key, set()):
+            if not future.done():
+                future.set_result(None)
+
+    async def write_object(self, request: web.Request) -> web.Response:
+        """Write an object under the condition."""
+        key = request.match_info["key"]
+        body = await request.read()
+        try:
+            stored = self.store.write(key, body, _expected(request))
+        except VersionConflictError as error:
+            return web.Response(status=412, headers=_version(error.version))
+        except ObjectTooLargeError as error:
+            return web.Response(status=413, text=str(error))
+        self._wake(key)
+        return web.Response(headers=_version(stored.version))
+
+    async def delete_object(self, request: web.Request) -> web.Response:
+        """Delete an object under the condition."""
+        key = request.match_info["key"]
+        try:
+            version = self.store.delete(key, _expected(request))
+        except VersionConflictError as error:
+            return web.Response(status=412, headers=_version(error.version))
+        self._wake(key)
+        return web.Response(headers=_version(version))
+
+    async def list_instances(self, request: web.Request) -> web.Response:
+        """Answer with the instance list."""
+        self.registry.lag_s = self.fault.lag_s
+        self.registry.frozen = self.fault.freeze_instances
+        listing = self.registry.listing(asyncio.get_running_loop().time())
+        return web.Response(
+            body=encode_instances(listing), content_type="application/json"
+        )
+
+    async def change_instance(self, request: web.Request) -> web.Response:
+        """Register an instance, mark it as leaving, or remove it."""
+        now = asyncio.get_running_loop().time()
+        match orjson.loads(await request.read()):
+            case {"register": dict() as item}:
+                self.registry.register(now, instance_from_json(item))
+            case {"leaving": str() as name}:
+                self.registry.mark_leaving(now, name)
+            case {"remove": str() as name}:
+                self.registry.remove(now, name)
+            case _:
+                return web.Response(status=400, text="send register, leaving or remove")
+        return _json({})
+
+    async def set_faults(self, request: web.Request) -> web.Response:
+        """Change the faults; answer with those in force."""
+        try:
+            self.fault.update(orjson.loads(await request.read()))
+        except ValueError as error:
+            return web.Response(status=400, text=str(error))
+        return _json(asdict(self.fault))
+
+    async def read_records(self, request: web.Request) -> web.Response:
+        """Answer with counts of calls."""
+        return _json(
+            {
+                "reads": self.reads.taken,
+                "writes": self.writes.taken,
+                "refused": self.reads.refused + self.writes.refused,
+                "watching": sum(len(items) for items in self.watchers.values()),
+                "version": self.store.version,
+            }
+        )
+
+
+def _drop(request: web.Request) -> web.Response:
+    """Close the connection without an answer."""
+    if request.transport is not None:
+        request.transport.abort()
+    return web.Response()
+
+
+def _json(value: object) -> web.Response:
+    return web.Response(body=orjson.dumps(value), content_type="application/json")
+
+
+def _version(version: int) -> dict[str, str]:
+    return {VERSION_HEADER: str(version)}
+
+
+def _object_response(stored: StoredObject) -> web.Response:
+    if stored.version == ABSENT:
+        return web.Response(status=404)
+    return web.Response(body=stored.body, headers=_version(stored.version))
+
+
+def _expected(request: web.Request) -> int:
+    text = request.headers.get("If-Match", "").strip('"')
+    if not text.isdigit():
+        raise web.HTTPPreconditionRequired(text='send If-Match: "version"; 0 creates')
+    return int(text)
--- /dev/null
+++ b/tests/test_platform_client.py
@@ -0,0 +1,120 @@
+"""Tests of `wisterialoom.platform` against the stand-in platform."""
+
+import asyncio
+from contextlib import asynccontextmanager
+
+import aiohttp
+import pytest
+from aiohttp.test_utils import TestServer, unused_port
+
+from wisterialoom.core.instance_list import InstanceListRead, ReadInstanceList
+from wisterialoom.core.object_store import (
+    DeleteObject,
+    ListObjects,
+    MAX_OBJECT_BYTES,
+    ObjectConflict,
+    ObjectRead,
+    ObjectsListed,
+    ObjectTooLargeError,
+    ObjectUnavailable,
+    ObjectWritten,
+    ReadObject,
+    StoredObject,
+    VersionConflictError,
+    WatchObject,
+    WriteObject,
+)
+from wisterialoom.platform import (
+    PlatformClient,
+    PlatformPort,
+    PlatformUnavailableError,
+)
+from wisterialoom.standin.platform_app import PlatformApp
+
+KEY = "claims/2026-12-03/bucket 7?"
+
+
+@asynccontextmanager
+async def running(**options):
+    platform = PlatformApp(**options)
+    async with TestServer(platform.app) as server, aiohttp.ClientSession() as session:
+        yield platform, PlatformClient(session, str(server.make_url("")), 2.0)
+
+
+async def test_conditional_updates_keep_versions_and_bodies():
+    async with running() as (_, client):
+        assert await client.read(KEY) == StoredObject()
+        version = await client.write(KEY, b"\x00\xff", 0)
+        assert await client.read(KEY) == StoredObject(version, b"\x00\xff")
+        with pytest.raises(VersionConflictError) as caught:
+            await client.write(KEY, b"other", 0)
+        assert caught.value.version == version
+        with pytest.raises(ObjectTooLargeError):
+            await client.write(KEY, b"x" * (MAX_OBJECT_BYTES + 1), version)
+        assert await client.list("claims/") == (KEY,)
+        assert await client.delete(KEY, version) > version
+        assert await client.list("claims/") == ()
+
+
+@pytest.mark.parametrize("kept", [False, True])
+async def test_committed_write_without_answer_is_ambiguous_and_sent_once(kept):
+    async with running() as (platform, client):
+        if kept:  # A kept connection is what makes aiohttp send a PUT again.
+            await client.read(KEY)
+        platform.fault.lose_answers = 1
+        with pytest.raises(PlatformUnavailableError) as caught:
+            await client.write(KEY, b"body", 0)
+        assert caught.value.ambiguous
+        assert len(platform.store.history) == 1
+        assert platform.writes.taken == 1
+
+
+async def test_refused_connection_and_rate_limit_are_not_ambiguous():
+    async with aiohttp.ClientSession() as session:
+        client = PlatformClient(session, f"http://127.0.0.1:{unused_port()}", 1.0)
+        with pytest.raises(PlatformUnavailableError) as caught:
+            await client.write(KEY, b"body", 0)
+        assert not caught.value.ambiguous
+    async with running(writes_per_s=1.0) as (platform, client):
+        await client.write(KEY, b"body", 0)
+        with pytest.raises(PlatformUnavailableError) as caught:
+            await client.write(KEY, b"more", 1)
+        assert not caught.value.ambiguous
+        assert platform.store.read(KEY).body == b"body"
+
+
+async def test_port_answers_each_command_with_its_op():
+    async with running() as (platform, client):
+        events: asyncio.Queue = asyncio.Queue()
+        port = PlatformPort(client, events.put_nowait)
+        await port.start()
+
+        async def ask(command):
+            port.carry_out(command)
+            return await asyncio.wait_for(events.get(), 5)
+
+        assert await ask(WriteObject("a/1", KEY, b"1", 0)) == ObjectWritten(
+            "a/1", KEY, 1
+        )
+        assert await ask(WriteObject("a/2", KEY, b"2", 0)) == ObjectConflict(
+            "a/2", KEY, 1
+        )
+        assert await ask(ReadObject("a/3", KEY)) == ObjectRead("a/3", KEY, 1, b"1")
+        assert await ask(ListObjects("a/4", "")) == ObjectsListed("a/4", "", (KEY,))
+        port.carry_out(WatchObject("a/5", KEY, 1))
+        while not platform.watchers.get(KEY):
+            await asyncio.sleep(0)
+        platform.fault.down = True
+        assert await ask(ReadObject("a/6", KEY)) == ObjectUnavailable(
+            "a/6", KEY, ambiguous=False
+        )
+        platform.fault.down = False
+        await client.write(KEY, b"new", 1)
+        assert await events.get() == ObjectRead("a/5", KEY, 2, b"new")
+        assert await ask(DeleteObject("a/7", KEY, 2)) == ObjectWritten("a/7", KEY, 3)
+        listing = await ask(ReadInstanceList())
+        assert isinstance(listing, InstanceListRead)
+        port.carry_out(WatchObject("a/8", KEY, 9))
+        await port.stop()
+        assert not port.tasks
+        assert events.empty()
