--- /dev/null
+++ b/src/wisterialoom/http/error_answer.py
@@ -0,0 +1,61 @@
+"""Refusals in the OpenAI error shape."""
+
+from __future__ import annotations
+
+import math
+from typing import Any, TYPE_CHECKING
+
+import orjson
+from aiohttp import web
+
+if TYPE_CHECKING:
+    from wisterialoom.core.request import Refusal
+
+__all__ = [
+    "OUTCOME_HEADER",
+    "REASON_HEADER",
+    "REQUEST_ID_HEADER",
+    "error_event",
+    "error_response",
+]
+
+OUTCOME_HEADER = "X-Outcome"
+REASON_HEADER = "X-Reason"
+REQUEST_ID_HEADER = "X-Request-Id"
+
+
+def error_body(refusal: Refusal) -> dict[str, Any]:
+    """Return the error object of a refusal."""
+    kind = "invalid_request_error" if refusal.status < 500 else "server_error"
+    error: dict[str, Any] = {
+        "message": refusal.message,
+        "type": kind,
+        "param": None,
+        "code": refusal.reason.value,
+        "outcome": refusal.outcome.value,
+    }
+    if refusal.retry_after_s is not None:
+        error["retry_after_s"] = round(refusal.retry_after_s, 3)
+    return {"error": error}
+
+
+def error_response(refusal: Refusal, request_id: str) -> web.Response:
+    """Return the whole answer of a refusal."""
+    headers = {
+        OUTCOME_HEADER: refusal.outcome.value,
+        REASON_HEADER: refusal.reason.value,
+        REQUEST_ID_HEADER: request_id,
+    }
+    if refusal.retry_after_s is not None:
+        headers["Retry-After"] = str(math.ceil(refusal.retry_after_s))
+    return web.Response(
+        status=refusal.status,
+        body=orjson.dumps(error_body(refusal)),
+        content_type="application/json",
+        headers=headers,
+    )
+
+
+def error_event(refusal: Refusal) -> bytes:
+    """Return the server-sent event that tells of a cut stream."""
+    return b"event: error\ndata: " + orjson.dumps(error_body(refusal)) + b"\n\n"
--- /dev/null
+++ b/src/wisterialoom/http/intake.py
@@ -0,0 +1,161 @@
+"""Reads a caller's HTTP request into what the core needs to know of it."""
+
+from __future__ import annotations
+
+import hashlib
+from dataclasses import dataclass
+from typing import Any, TYPE_CHECKING
+
+import orjson
+
+from wisterialoom.core.classifier import MODEL_PATHS
+from wisterialoom.core.error import WisterialoomError
+from wisterialoom.core.request import Request
+
+if TYPE_CHECKING:
+    from aiohttp import web
+
+__all__ = ["BadRequestError", "Intake", "read_request"]
+
+DEADLINE_HEADER = "X-Deadline-Ms"
+PRIORITY_HEADER = "X-Priority"
+IDEMPOTENCY_HEADER = "Idempotency-Key"
+
+MAX_IDEMPOTENCY_KEY = 255
+"""Longest idempotency key, in characters."""
+
+CHARS_PER_TOKEN = 4
+"""Assumed characters of one token, to estimate the length of prompts."""
+
+BLOCK_CHARS = 256
+"""Characters of one prefix block."""
+
+MAX_BLOCKS = 64
+"""Most leading blocks of a prompt that are hashed."""
+
+DEFAULT_MAX_TOKENS = 256
+
+
+class BadRequestError(WisterialoomError):
+    """Raised when a request cannot be read."""
+
+
+@dataclass(frozen=True, slots=True)
+class Intake:
+    """A request as read.
+
+    Attributes:
+        request: What the core gets.
+        body: The body as it came.
+    """
+
+    request: Request
+    body: bytes
+
+
+async def read_request(web_request: web.Request, request_id: str) -> Intake:
+    """Read a request whole.
+
+    Raises:
+        BadRequestError: A header or the body cannot be read.
+        aiohttp.web.HTTPRequestEntityTooLarge: The body is too large.
+    """
+    body = await web_request.read()
+    fields: dict[str, Any] = {}
+    if web_request.path in MODEL_PATHS:
+        fields = _read_model_fields(body)
+    key = web_request.headers.get(IDEMPOTENCY_HEADER, "")
+    if len(key) > MAX_IDEMPOTENCY_KEY:
+        raise BadRequestError(
+            f"{IDEMPOTENCY_HEADER} is longer than {MAX_IDEMPOTENCY_KEY} characters; "
+            "send a shorter one"
+        )
+    request = Request(
+        request_id=request_id,
+        method=web_request.method,
+        path=web_request.path,
+        api_key_sha256=_digest_api_key(web_request),
+        idempotency_key=key,
+        body_sha256=_digest_content(web_request, body),
+        deadline_s=_read_deadline(web_request),
+        priority=web_request.headers.get(PRIORITY_HEADER, ""),
+        respond_async=_prefers_async(web_request),
+        **fields,
+    )
+    return Intake(request, body)
+
+
+def _digest_api_key(web_request: web.Request) -> str:
+    scheme, _, key = web_request.headers.get("Authorization", "").partition(" ")
+    if scheme.lower() != "bearer" or not key:
+        return ""
+    return hashlib.sha256(key.strip().encode()).hexdigest()
+
+
+def _digest_content(web_request: web.Request, body: bytes) -> str:
+    digest = hashlib.sha256(f"{web_request.method} {web_request.path_qs}\n".encode())
+    digest.update(body)
+    return digest.hexdigest()
+
+
+def _read_deadline(web_request: web.Request) -> float | None:
+    text = web_request.headers.get(DEADLINE_HEADER)
+    if text is None:
+        return None
+    if not text.isascii() or not text.isdigit() or int(text) == 0:
+        raise BadRequestError(
+            f"{DEADLINE_HEADER} is {text!r}; send whole milliseconds above 0"
+        )
+    return int(text) / 1e3
+
+
+def _prefers_async(web_request: web.Request) -> bool:
+    preferences = web_request.headers.getall("Prefer", [])
+    parts = [part.strip() for text in preferences for part in text.split(",")]
+    return "respond-async" in parts
+
+
+def _read_model_fields(body: bytes) -> dict[str, Any]:
+    try:
+        item = orjson.loads(body)
+    except orjson.JSONDecodeError as error:
+        raise BadRequestError(f"the body is not JSON ({error}); send JSON") from error
+    model = item.get("model") if isinstance(item, dict) else None
+    if not isinstance(model, str) or not model:
+        raise BadRequestError("the body names no model; send a string in `model`")
+    prompt = _prompt_text(item)
+    return {
+        "model": model,
+        "stream": item.get("stream") is True,
+        "prompt_tokens": len(prompt) // CHARS_PER_TOKEN + 1,
+        "max_tokens": _max_tokens(item),
+        "prefix_hashes": _hash_blocks(model, prompt),
+    }
+
+
+def _prompt_text(item: dict[str, Any]) -> str:
+    messages = item.get("messages")
+    if not isinstance(messages, list):
+        return str(item.get("prompt", ""))
+    parts = (
+        f"{message.get('role')}:{message.get('content')}"
+        for message in messages
+        if isinstance(message, dict)
+    )
+    return "\n".join(parts)
+
+
+def _max_tokens(item: dict[str, Any]) -> int:
+    value = item.get("max_completion_tokens", item.get("max_tokens"))
+    return value if isinstance(value, int) and value > 0 else DEFAULT_MAX_TOKENS
+
+
+def _hash_blocks(model: str, prompt: str) -> tuple[int, ...]:
+    digest = hashlib.blake2b(model.encode(), digest_size=8)
+    hashes = []
+    whole = min(len(prompt) // BLOCK_CHARS, MAX_BLOCKS)
+    for index in range(whole):
+        block = prompt[index * BLOCK_CHARS : (index + 1) * BLOCK_CHARS]
+        digest.update(block.encode())
+        hashes.append(int.from_bytes(digest.digest(), "big"))
+    return tuple(hashes)
