--- /dev/null
+++ b/src/wisterialoom/http/front.py
@@ -0,0 +1,123 @@
+"""The HTTP server for callers."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from typing import Any, TYPE_CHECKING
+
+import orjson
+from aiohttp import web
+
+from wisterialoom.core.request import CallerGone, RequestArrived
+from wisterialoom.http.error_answer import (
+    OUTCOME_HEADER,
+    REASON_HEADER,
+    REQUEST_ID_HEADER,
+)
+from wisterialoom.http.exchange import Exchange
+from wisterialoom.http.intake import BadRequestError, read_request
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from wisterialoom.core.message import Event
+
+__all__ = ["Front"]
+
+logger = logging.getLogger(__name__)
+
+
+class Front:
+    """Accepts requests and waits for the core to have each answered.
+
+    Attributes:
+        deliver: Takes events for the core.
+        next_id: Returns a new request id.
+        list_models: Returns the names for `/v1/models`.
+        exchanges: Open exchanges by request id.
+        bad_requests: Count of requests that could not be read.
+    """
+
+    def __init__(
+        self,
+        deliver: Callable[[Event], None],
+        next_id: Callable[[], str],
+        list_models: Callable[[], list[str]],
+    ) -> None:
+        self.deliver = deliver
+        self.next_id = next_id
+        self.list_models = list_models
+        self.exchanges: dict[str, Exchange] = {}
+        self.bad_requests = 0
+
+    def make_app(self, max_body_bytes: int) -> web.Application:
+        """Return the application to serve.
+
+        Args:
+            max_body_bytes: Largest body that a caller may send.
+        """
+        app = web.Application(client_max_size=max_body_bytes)
+        app.router.add_get("/v1/models", self.models)
+        app.router.add_route("*", "/{path:.*}", self.serve)
+        return app
+
+    async def models(self, _: web.Request) -> web.Response:
+        """Answer with the models and adapters that are declared."""
+        items = [
+            {"id": name, "object": "model", "created": 0, "owned_by": "deployment"}
+            for name in self.list_models()
+        ]
+        return _json({"object": "list", "data": items})
+
+    async def serve(self, web_request: web.Request) -> web.StreamResponse:
+        """Carry one request to its answer."""
+        request_id = self.next_id()
+        try:
+            intake = await read_request(web_request, request_id)
+        except BadRequestError as error:
+            return self._bad_request(400, str(error), request_id)
+        except web.HTTPRequestEntityTooLarge as error:
+            message = f"the body is above {error.args[0]}; send a smaller one"
+            if isinstance(error.args[0], int):
+                message += " (bytes)"
+            return self._bad_request(413, message, request_id)
+        exchange = Exchange(web_request, intake)
+        self.exchanges[request_id] = exchange
+        try:
+            self.deliver(RequestArrived(intake.request))
+            return await exchange.answer
+        except asyncio.CancelledError:
+            exchange.gone = True
+            self.deliver(CallerGone(request_id))
+            raise
+        finally:
+            if not exchange.gone:
+                self.exchanges.pop(request_id, None)
+
+    def _bad_request(self, status: int, message: str, request_id: str) -> web.Response:
+        self.bad_requests += 1
+        error = {
+            "message": message,
+            "type": "invalid_request_error",
+            "param": None,
+            "code": "bad_request",
+            "outcome": "not_run",
+        }
+        headers = {
+            OUTCOME_HEADER: "not_run",
+            REASON_HEADER: "bad_request",
+            REQUEST_ID_HEADER: request_id,
+        }
+        return _json({"error": error}, status=status, headers=headers)
+
+
+def _json(
+    item: Any, status: int = 200, headers: dict[str, str] | None = None
+) -> web.Response:
+    return web.Response(
+        status=status,
+        body=orjson.dumps(item),
+        content_type="application/json",
+        headers=headers,
+    )
