--- /dev/null
+++ b/tests/test_engine_batch.py
@@ -0,0 +1,117 @@
+"""Tests of `wisterialoom.standin.engine_batch`."""
+
+import pytest
+from hypothesis import given, settings, strategies as st
+
+from wisterialoom.standin.engine_batch import (
+    BatchSettings,
+    EngineBatch,
+    FirstToken,
+    Job,
+    LastToken,
+)
+
+SMALL = BatchSettings(
+    slots=2, max_batch=4, kv_tokens=100, prefix_blocks=3, block_tokens=8
+)
+
+arrivals = st.lists(
+    st.tuples(
+        st.floats(0, 3),  # Time since the last one.
+        st.integers(0, 2),  # Priority.
+        st.integers(0, 40),  # Prompt.
+        st.integers(1, 60),  # Output.
+        st.lists(st.integers(0, 4), max_size=4),  # Prefix blocks.
+        st.one_of(st.none(), st.integers(0, 20)),  # Earlier job to take out.
+    ),
+    max_size=25,
+)
+
+
+def check_limits(batch):
+    held = sum(run.job.kv_tokens for run in batch.runs.values())
+    assert held == batch.kv_used <= batch.settings.kv_tokens
+    assert len(batch.runs) <= batch.settings.max_batch
+    assert len(batch.cache.blocks) <= batch.settings.prefix_blocks
+
+
+@settings(derandomize=True, deadline=None, max_examples=200)
+@given(arrivals)
+def test_no_token_is_lost_and_limits_hold(plan):
+    batch, now, events, left = EngineBatch(SMALL), 0.0, [], set()
+    jobs = {}
+    for number, (gap, priority, prompt, output, prefix, out) in enumerate(plan):
+        now += gap
+        job = Job(str(number), "m", prompt, output, priority, tuple(prefix))
+        jobs[job.job_id] = job
+        batch.join(now, job)
+        check_limits(batch)
+        events += batch.advance(now)
+        if out is not None and str(out) in {*batch.runs, *batch.waiting}:
+            tokens = batch.leave(now, str(out))
+            assert 0 <= tokens <= jobs[str(out)].output_tokens
+            left.add(str(out))
+            check_limits(batch)
+    events += batch.advance(now)
+    while (at := batch.next_at()) is not None:
+        assert at >= batch.at
+        events += batch.advance(at)
+        check_limits(batch)
+    first = {e.job_id: e.at for e in events if isinstance(e, FirstToken)}
+    last = {e.job_id: e.at for e in events if isinstance(e, LastToken)}
+    assert len(events) == len(first) + len(last)
+    assert set(last) == set(jobs) - left
+    assert not batch.runs
+    assert not batch.waiting
+    assert batch.kv_used == 0
+    for job_id, at in last.items():
+        decode_s = (jobs[job_id].output_tokens - 1) * SMALL.token_gap_s
+        slowest = SMALL.max_batch / SMALL.slots
+        assert decode_s - 1e-6 <= at - first[job_id] <= decode_s * slowest + 1e-6
+
+
+@settings(derandomize=True, deadline=None, max_examples=100)
+@given(st.lists(st.integers(0, 3), min_size=1, max_size=12))
+def test_queue_goes_by_priority_then_arrival(priorities):
+    batch = EngineBatch(BatchSettings(max_batch=1))
+    batch.join(0.0, Job("running"))
+    for number, priority in enumerate(priorities):
+        batch.join(0.0, Job(str(number), priority=priority))
+    ended = [e.job_id for e in batch.advance(1e6) if isinstance(e, LastToken)]
+    wanted = sorted(range(len(priorities)), key=lambda n: priorities[n])
+    assert ended == ["running", *map(str, wanted)]
+
+
+def test_tokens_come_one_a_step_and_slow_beyond_the_slots():
+    alone, crowd = EngineBatch(SMALL), EngineBatch(SMALL)
+    alone.join(0.0, Job("a", output_tokens=11))
+    for name in "abcd":
+        crowd.join(0.0, Job(name, output_tokens=11))
+    seen = []
+    for step in range(11):
+        now = SMALL.first_token_s + step * SMALL.token_gap_s
+        alone.advance(now)
+        seen.append(alone.tokens("a") if "a" in alone.runs else 11)
+    assert seen == list(range(1, 12))
+    ends = [e.at for e in crowd.advance(1e6) if isinstance(e, LastToken)]
+    assert ends[0] == pytest.approx(2 * now)
+
+
+def test_prefix_cache_saves_prompt_time_until_it_is_evicted():
+    batch = EngineBatch(SMALL)
+
+    def first_token_s(prefix):
+        start = batch.at
+        batch.join(start, Job("a", "m", 24, 1, prefix_hashes=prefix))
+        events = batch.advance(start + 100)
+        return events[0].at - start
+
+    cold = first_token_s((1, 2, 3))
+    warm = first_token_s((1, 2, 3))
+    assert cold - warm == pytest.approx(24 / SMALL.prefill_tokens_per_s)
+    first_token_s((7, 8, 9))
+    assert first_token_s((1, 2, 3)) == pytest.approx(cold)
+    stored = {}
+    for event in batch.cache.events:
+        assert event.serial == len(stored) + 1
+        stored[event.serial] = event.stored
