Share the weight store's limits among the engines of a world

A load's time is settled when it starts; a copy of an order begins no load, and no longer ends the first one's either, which mattered once durations differ.

--- a/src/wisterialoom/lab/order_port.py
+++ b/src/wisterialoom/lab/order_port.py
@@ -7,8 +7,6 @@
 from typing import TYPE_CHECKING, TypeAlias
 
 from wisterialoom.core.engine import (
-    LoadAdapter,
-    LoadModel,
     Order,
     OrderDone,
     OrderLost,
@@ -19,12 +17,14 @@
     StateUnavailable,
 )
 from wisterialoom.lab.fault import OrderFault
+from wisterialoom.lab.weight_store import load_seconds
 
 if TYPE_CHECKING:
     import random
 
     from wisterialoom.core.message import Event
     from wisterialoom.lab.schedule import Schedule
+    from wisterialoom.lab.weight_store import LabWeightStore
     from wisterialoom.standin.engine_memory import EngineMemory
 
 __all__ = ["FakeEngine", "OrderPort"]
@@ -60,12 +60,14 @@
 
     Attributes:
         engines: Engines by server name.
+        weight_store: Stretches loads; `None` leaves them at full speed.
     """
 
     def __init__(self, schedule: Schedule, rng: random.Random) -> None:
         self.schedule = schedule
         self.rng = rng
         self.engines: dict[str, FakeEngine] = {}
+        self.weight_store: LabWeightStore | None = None
 
     def read(self, caller: str, command: ReadState, reply: Reply) -> None:
         """Read a state; reply with `StateRead` or `StateUnavailable`."""
@@ -129,26 +131,33 @@
     def _arrive(self) -> None:
         if self.engine.down:
             return
-        incarnation = self.engine.memory.incarnation
-        refusal = self.engine.memory.begin(self.order)
+        memory = self.engine.memory
+        incarnation = memory.incarnation
+        known = self.order.order_id in memory.loading
+        refusal = memory.begin(self.order)
         if refusal is not None:
-            state = self.engine.memory.state()
+            state = memory.state()
             order_id = self.order.order_id
             self._answer(OrderRefused(self.server, order_id, refusal, state))
             return
-        match self.order.action:
-            case LoadModel():
-                duration = self.engine.load_s
-            case LoadAdapter():
-                duration = self.engine.adapter_load_s
-            case _:
-                duration = 0.0
-        self.port.schedule.after(duration, lambda: self._finish(incarnation))
-
-    def _finish(self, incarnation: str) -> None:
+        # A copy of an order, or a load of what is loading, begins no load.
+        fresh = self.order.order_id in memory.loading and not known
+        duration = self._duration(fresh=fresh)
+        self.port.schedule.after(
+            duration, lambda: self._finish(incarnation, fresh=fresh)
+        )
+
+    def _duration(self, *, fresh: bool) -> float:
+        engine, action = self.engine, self.order.action
+        if fresh and self.port.weight_store is not None:
+            return self.port.weight_store.duration(engine, action)
+        return load_seconds(engine, action)
+
+    def _finish(self, incarnation: str, *, fresh: bool) -> None:
         if self.engine.memory.incarnation != incarnation or self.engine.down:
             return
-        self.engine.memory.finish(self.order.order_id)
+        if fresh:
+            self.engine.memory.finish(self.order.order_id)
         state = self.engine.memory.state(self.engine.running, self.engine.waiting)
         self._answer(OrderDone(self.server, self.order.order_id, state))
 
