Add claims of idempotency keys

Cause: non-idempotent work has to be dispatched at most once over all instances, whichever of them a repeat reaches.

Change: ClaimKeeper asks the bucket's home, which commits many claims in one conditional update, and commits by itself when the home does not answer. The nonce in the object decides after a write without an answer. Settlements and releases are repeated until they are in the object. Vocabulary added, all with defaults: ClaimRequest.replaces, ClaimAnswer.maybe_written, NonceAnswer.gone, ClaimHeld.answer_kept.

--- /dev/null
+++ b/src/wisterialoom/core/claim_commit.py
@@ -0,0 +1,249 @@
+"""Group commit of changes to one bucket of claims."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, replace
+from typing import TYPE_CHECKING, TypeAlias
+
+from wisterialoom.core.claim_bucket import Change, ClaimBucket, Release, Verdict
+from wisterialoom.core.message import Command
+from wisterialoom.core.object_store import (
+    ObjectConflict,
+    ObjectEvent,
+    ObjectRead,
+    ObjectUnavailable,
+    ObjectWritten,
+    OperationIds,
+    ReadObject,
+    WriteObject,
+)
+from wisterialoom.core.peer import ClaimStateWire
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+__all__ = [
+    "AnswersDropped",
+    "BucketCommitter",
+    "ChangeEnded",
+    "CommitOutput",
+    "PendingChange",
+]
+
+CALL_LIMIT_S = 10.0
+"""Time after which a call without an answer counts as failed."""
+
+
+@dataclass
+class PendingChange:
+    """A change that waits for its commit.
+
+    Attributes:
+        change: What is wanted.
+        asker: Entry instance that asked; empty for this one.
+        deadline: Monotonic time at which it is given up.
+        in_call: The write in progress holds it.
+        in_doubt: A write that held it got no answer, and may have taken effect.
+    """
+
+    change: Change
+    asker: str
+    deadline: float
+    in_call: bool = False
+    in_doubt: bool = False
+
+    @property
+    def maybe_written(self) -> bool:
+        """It may be in the object, now or later."""
+        return self.in_call or self.in_doubt
+
+
+@dataclass(frozen=True, slots=True)
+class ChangeEnded:
+    """A change was committed, refused or given up."""
+
+    pending: PendingChange
+    verdict: Verdict
+
+
+@dataclass(frozen=True, slots=True)
+class AnswersDropped:
+    """Answer objects whose entries were pruned."""
+
+    keys: list[str]
+
+
+CommitOutput: TypeAlias = Command | ChangeEnded | AnswersDropped
+
+
+class BucketCommitter:
+    """Commits the changes to one bucket; while a call is out, more gather.
+
+    Attributes:
+        key: Key of the bucket's object.
+        wall_clock: Returns the wall-clock time in seconds.
+        bucket: The object as last read or written; `None` if in doubt.
+        queue: Changes that wait for the next call.
+        batch: Changes that the call in progress is for.
+        drafted: Changes of the batch that were put into the draft.
+        op: Operation id of the call in progress; empty if there is none.
+        doubt: Version that a write without an answer was conditional upon; while
+            the object still has it, the write may yet take effect.
+    """
+
+    def __init__(
+        self, key: str, ops: OperationIds, wall_clock: Callable[[], float]
+    ) -> None:
+        self.key = key
+        self.ops = ops
+        self.wall_clock = wall_clock
+        self.bucket: ClaimBucket | None = None
+        self.draft: ClaimBucket | None = None
+        self.queue: list[PendingChange] = []
+        self.batch: list[PendingChange] = []
+        self.verdicts: list[Verdict] = []
+        self.op = ""
+        self.sent_at = 0.0
+        self.doubt = -1
+
+    @property
+    def idle(self) -> bool:
+        """Nothing waits and no call is in progress."""
+        return not self.op and not self.queue
+
+    def forget(self) -> None:
+        """Free the copy of the object, to be read again when it is needed."""
+        if not self.op:
+            self.bucket = None
+
+    def add(self, now: float, pending: PendingChange) -> list[CommitOutput]:
+        """Take a change into the next batch."""
+        self.queue.append(pending)
+        return [] if self.op else self._begin(now)
+
+    def handle(self, now: float, event: ObjectEvent) -> list[CommitOutput]:
+        """Take the answer to the call in progress."""
+        self.op = ""
+        match event:
+            case ObjectRead(version=version, body=body):
+                self.bucket = ClaimBucket.decode(version, body)
+                if version != self.doubt:
+                    self.doubt = -1
+                return self._commit(now, confirmed=True)
+            case ObjectWritten(version=version):
+                return self._written(now, version)
+            case ObjectUnavailable(ambiguous=ambiguous):
+                return self._unavailable(now, ambiguous=ambiguous)
+            case ObjectConflict():
+                self._close_call(in_doubt=False)
+                return self._read(now)
+        return []
+
+    def _close_call(self, *, in_doubt: bool) -> None:
+        """Forget a copy that the object has, or may have, gone beyond."""
+        self.bucket = None
+        for pending in self.batch:
+            pending.in_doubt |= pending.in_call and in_doubt
+            pending.in_call = False
+
+    def tick(self, now: float) -> list[CommitOutput]:
+        """Give up what waited too long."""
+        late = [x for x in self.batch + self.queue if now >= x.deadline]
+        outputs = self._give_up(late)
+        if self.op and now >= self.sent_at + CALL_LIMIT_S:
+            self.op = ""
+            outputs += self._unavailable(now, ambiguous=True)
+        return outputs
+
+    def _begin(self, now: float) -> list[CommitOutput]:
+        if not self.queue:
+            return []
+        self.batch, self.queue = self.queue, []
+        if self.bucket is None:
+            return self._read(now)
+        return self._commit(now, confirmed=False)
+
+    def _read(self, now: float) -> list[CommitOutput]:
+        self.draft = None
+        if not self.batch:
+            return self._begin(now)
+        self.op = self.ops.next()
+        self.sent_at = now
+        return [ReadObject(self.op, self.key)]
+
+    def _commit(self, now: float, *, confirmed: bool) -> list[CommitOutput]:
+        assert self.bucket is not None
+        draft = self.bucket.copy()
+        draft.prune(self.wall_clock())
+        results = [draft.apply(pending.change) for pending in self.batch]
+        self.verdicts = [verdict for verdict, _ in results]
+        if any(changed for _, changed in results) or self._must_void():
+            return self._write(now, draft, [changed for _, changed in results])
+        if not confirmed:
+            # A refusal may rest on an old copy: ask again before saying so.
+            return self._read(now)
+        return self._end(now)
+
+    def _must_void(self) -> bool:
+        """Tell whether an earlier write has to be kept from taking effect."""
+        assert self.bucket is not None
+        released = any(isinstance(item.change, Release) for item in self.batch)
+        return released and self.bucket.version == self.doubt
+
+    def _write(
+        self, now: float, draft: ClaimBucket, changed: list[bool]
+    ) -> list[CommitOutput]:
+        self.draft = draft
+        self.op = self.ops.next()
+        self.sent_at = now
+        for pending, written in zip(self.batch, changed, strict=True):
+            pending.in_call = written
+        return [WriteObject(self.op, self.key, draft.encode(), draft.version)]
+
+    def _written(self, now: float, version: int) -> list[CommitOutput]:
+        assert self.draft is not None
+        self.bucket, self.draft = self.draft, None
+        self.bucket.version = version
+        self.doubt = -1
+        dropped = self.bucket.dropped
+        outputs: list[CommitOutput] = [AnswersDropped(dropped)] if dropped else []
+        return outputs + self._end(now)
+
+    def _unavailable(self, now: float, *, ambiguous: bool) -> list[CommitOutput]:
+        if self.draft is not None and ambiguous:
+            self.doubt = self.draft.version
+        self._close_call(in_doubt=ambiguous)
+        if ambiguous:
+            # The nonces in the object decide what became of the batch.
+            return self._read(now)
+        return [*self._give_up(self.batch + self.queue), *self._begin(now)]
+
+    def _end(self, now: float) -> list[CommitOutput]:
+        outputs: list[CommitOutput] = [
+            ChangeEnded(pending, verdict)
+            for pending, verdict in zip(self.batch, self.verdicts, strict=True)
+        ]
+        self.batch, self.verdicts = [], []
+        return outputs + self._begin(now)
+
+    def _give_up(self, late: list[PendingChange]) -> list[CommitOutput]:
+        if not late:
+            return []
+        kept = [
+            (pending, verdict)
+            for pending, verdict in zip(self.batch, self._verdicts(), strict=True)
+            if pending not in late
+        ]
+        self.batch = [pending for pending, _ in kept]
+        self.verdicts = [verdict for _, verdict in kept]
+        self.queue = [pending for pending in self.queue if pending not in late]
+        verdict = Verdict(ClaimStateWire.UNAVAILABLE)
+        return [
+            ChangeEnded(item, replace(verdict, maybe_written=item.maybe_written))
+            for item in late
+        ]
+
+    def _verdicts(self) -> list[Verdict]:
+        # While the batch is being read there is no verdict yet.
+        missing = len(self.batch) - len(self.verdicts)
+        return self.verdicts + [Verdict(ClaimStateWire.UNAVAILABLE)] * missing
--- /dev/null
+++ b/src/wisterialoom/core/claim_entry.py
@@ -0,0 +1,103 @@
+"""One claim of an idempotency key, and its serialized form."""
+
+from __future__ import annotations
+
+import base64
+import enum
+import hashlib
+import json
+from dataclasses import dataclass
+
+from wisterialoom.core.request import StoredAnswer
+
+__all__ = ["ClaimEntry", "ClaimState", "bucket_of", "claim_key", "short_hash"]
+
+HASH_HEX_DIGITS = 32
+"""Length of stored hashes; 128 bits."""
+
+
+class ClaimState(enum.IntEnum):
+    """How far the request that holds a claim has come."""
+
+    CLAIMED = 0
+    DONE = 1
+    UNKNOWN = 2
+
+
+@dataclass(frozen=True, slots=True)
+class ClaimEntry:
+    """A claim as it is kept in a bucket.
+
+    Attributes:
+        key: Hash of caller and idempotency key.
+        nonce: Identity of the attempt that holds the claim; it begins with the
+            boot id of the owner's process.
+        digest: Hash of the request's content.
+        owner: Entry instance that holds the claim.
+        expiry: Wall-clock time after which the claim is forgotten, in seconds.
+        state: How far the request has come.
+        answer: The whole answer, if it is small.
+        answer_object: Key of the object that holds the answer, if it is not.
+    """
+
+    key: str
+    nonce: str
+    digest: str
+    owner: str
+    expiry: int
+    state: ClaimState = ClaimState.CLAIMED
+    answer: StoredAnswer | None = None
+    answer_object: str = ""
+
+    def encode(self) -> bytes:
+        """Return the entry as one line of JSON."""
+        fields: list[object] = [
+            self.key,
+            self.nonce,
+            self.digest,
+            self.owner,
+            self.expiry,
+            int(self.state),
+        ]
+        if self.answer is not None:
+            body = base64.b64encode(self.answer.body).decode()
+            fields.append([self.answer.status, self.answer.content_type, body])
+        elif self.answer_object:
+            fields.append(self.answer_object)
+        return json.dumps(fields, separators=(",", ":")).encode()
+
+    @classmethod
+    def decode(cls, line: bytes) -> ClaimEntry:
+        """Build from `encode`'s form."""
+        key, nonce, digest, owner, expiry, state, *rest = json.loads(line)
+        answer, answer_object = None, ""
+        match rest:
+            case [[status, content_type, body]]:
+                answer = StoredAnswer(status, content_type, base64.b64decode(body))
+            case [str(name)]:
+                answer_object = name
+        return cls(
+            key,
+            nonce,
+            digest,
+            owner,
+            expiry,
+            ClaimState(state),
+            answer,
+            answer_object,
+        )
+
+
+def short_hash(text: str) -> str:
+    """Return a 128-bit hash in hex."""
+    return hashlib.sha256(text.encode()).hexdigest()[:HASH_HEX_DIGITS]
+
+
+def claim_key(caller: str, idempotency_key: str) -> str:
+    """Return the hash of caller and idempotency key."""
+    return short_hash(f"{len(caller)}:{caller}:{idempotency_key}")
+
+
+def bucket_of(key: str, buckets: int) -> int:
+    """Return the number of a key's bucket."""
+    return int(key, 16) % buckets
--- a/src/wisterialoom/core/notice.py
+++ b/src/wisterialoom/core/notice.py
@@ -197,11 +197,21 @@
 
 @dataclass(frozen=True, slots=True)
 class ClaimHeld(Notice):
-    """An earlier request holds the key; this one must not be dispatched."""
+    """An earlier request holds the key; this one must not be dispatched.
+
+    Attributes:
+        request_id: The later request.
+        holding: State of the earlier one.
+        answer: The earlier one's answer if it is done; `None` if that can't be
+            given.
+        answer_kept: False if the answer was too large to keep; if true while
+            `answer` is `None`, it may be had later.
+    """
 
     request_id: str
     holding: ClaimHolding
     answer: StoredAnswer | None = None
+    answer_kept: bool = True
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/wisterialoom/core/peer.py
+++ b/src/wisterialoom/core/peer.py
@@ -166,6 +166,8 @@
         digest: Hex hash of the request's content.
         owner: Entry instance that asks.
         settled: Empty to claim; else the serialized settlement.
+        replaces: Nonce of a claim that its owner has given up, and that may be
+            replaced; empty for none.
     """
 
     reliable: ClassVar[bool] = True
@@ -175,6 +177,7 @@
     digest: str
     owner: str
     settled: bytes = b""
+    replaces: str = ""
 
 
 class ClaimStateWire(enum.IntEnum):
@@ -188,13 +191,23 @@
 
 @dataclass(frozen=True, slots=True)
 class ClaimAnswer(PeerMessage):
-    """What became of a claim request; `entry` is the serialized winner."""
+    """What became of a claim request.
+
+    Attributes:
+        key: As in the request.
+        nonce: As in the request.
+        state: What became of it.
+        entry: The serialized entry that stands under the key.
+        maybe_written: If unavailable: the claim may be in the object all the
+            same, now or later.
+    """
 
     reliable: ClassVar[bool] = True
     key: str
     nonce: str
     state: ClaimStateWire
     entry: bytes = b""
+    maybe_written: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -212,12 +225,15 @@
 
     Attributes:
         abandoned: The owner gave the claim up and never will dispatch under it.
+        gone: The nonce is of an earlier process of this name, which can't be
+            asked any more.
     """
 
     reliable: ClassVar[bool] = True
     key: str
     nonce: str
     abandoned: bool
+    gone: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/tests/claim_fleet.py
@@ -0,0 +1,177 @@
+"""Entry instances that only claim and dispatch, for tests of the claims."""
+
+from __future__ import annotations
+
+import itertools
+from dataclasses import dataclass, field
+
+from wisterialoom.core.claim import ClaimKeeper
+from wisterialoom.core.document import ClaimSettings, Deployment, Document
+from wisterialoom.core.message import Command, Event, Notice
+from wisterialoom.core.notice import (
+    ClaimAbandoned,
+    ClaimFailed,
+    ClaimGranted,
+    ClaimHeld,
+    ClaimSettled,
+    ClaimWanted,
+    ConfigChanged,
+    Member,
+    MembersChanged,
+)
+from wisterialoom.core.peer import MemberStatus
+from wisterialoom.core.request import StoredAnswer
+from wisterialoom.lab.world import World
+
+BUCKETS = 2
+WALL_START = 1_700_000_000.0
+
+
+@dataclass(frozen=True, slots=True)
+class Run(Command):
+    """The dispatch of a request that was granted its claim."""
+
+    request_id: str
+    key: str
+
+
+@dataclass(frozen=True, slots=True)
+class RunEnded(Event):
+    """A run's answer came back, or was lost."""
+
+    request_id: str
+    answer: StoredAnswer | None
+
+
+@dataclass
+class Record:
+    """What really happened, over all instances.
+
+    Attributes:
+        runs: Request that ran, by key; one entry for each run.
+        finals: Final notices by request.
+        wanted: Key by request.
+        asked_at: Virtual time by request.
+        answered_at: Virtual time by request.
+    """
+
+    runs: list[tuple[str, str]] = field(default_factory=list)
+    finals: dict[str, list[Notice]] = field(default_factory=dict)
+    wanted: dict[str, str] = field(default_factory=dict)
+    asked_at: dict[str, float] = field(default_factory=dict)
+    answered_at: dict[str, float] = field(default_factory=dict)
+    answers: dict[str, StoredAnswer] = field(default_factory=dict)
+
+
+class Dispatcher:
+    """A claim keeper with the least of a request path around it.
+
+    Attributes:
+        hasty: Requests that are abandoned as soon as they are granted.
+    """
+
+    def __init__(self, fleet: Fleet, name: str, boot_id: str) -> None:
+        self.fleet = fleet
+        self.keeper = ClaimKeeper(name, boot_id, fleet.wall_clock)
+        self.hasty: set[str] = set()
+
+    def handle(self, now: float, event: Event) -> list[Command]:
+        if isinstance(event, RunEnded):
+            event = ClaimSettled(event.request_id, event.answer)
+        commands: list[Command] = []
+        todo = self.keeper.handle(now, event)
+        while todo:
+            output = todo.pop(0)
+            if isinstance(output, Command):
+                commands.append(output)
+                continue
+            if isinstance(output, ClaimGranted | ClaimHeld | ClaimFailed):
+                self.fleet.note(output)
+            if isinstance(output, ClaimGranted):
+                if output.request_id in self.hasty:
+                    abandoned = ClaimAbandoned(output.request_id)
+                    todo += self.keeper.handle(now, abandoned)
+                else:
+                    key = self.fleet.record.wanted[output.request_id]
+                    commands.append(Run(output.request_id, key))
+        return commands
+
+
+class FleetWorld(World):
+    """A world that carries out runs."""
+
+    fleet: Fleet
+
+    def _carry_out_request(self, host, command):
+        if isinstance(command, Run):
+            self.fleet.run(host, command)
+            return
+        super()._carry_out_request(host, command)
+
+
+class Fleet:
+    """Some dispatchers in one world, and the record of what they did."""
+
+    def __init__(self, seed=0, names=("a", "b", "c"), *, run_s=0.05, answer_size=20):
+        self.world = FleetWorld(seed)
+        self.world.fleet = self
+        self.record = Record()
+        self.run_s = run_s
+        self.answer_size = answer_size
+        self.lose_runs = False
+        self.serials = itertools.count(1)
+        self.retention_s = 1_000.0
+        self.views = {}
+        for name in names:
+            self.start(name)
+        for name in names:
+            self.see(name, names)
+
+    def wall_clock(self):
+        return WALL_START + self.world.now
+
+    def start(self, name):
+        boot_id = f"{name}{next(self.serials)}"
+        core = Dispatcher(self, name, boot_id)
+        self.world.add(name, core)
+        claims = ClaimSettings(buckets=BUCKETS, retention_s=self.retention_s)
+        document = Document(Deployment("test", claims=claims))
+        self.world.send(name, ConfigChanged(1, document))
+        return core
+
+    def see(self, name, members, gone=()):
+        """Give an instance a view of the membership."""
+        self.views[name] = tuple(members)
+        seen = tuple(
+            Member(x, "127.0.0.1:1", "z", 1, MemberStatus.ALIVE)
+            for x in sorted(members)
+        )
+        self.world.send(name, MembersChanged(seen, frozenset(gone)))
+
+    def want(self, name, key, digest="d", *, hasty=False):
+        request_id = f"r{next(self.serials)}"
+        self.record.wanted[request_id] = key
+        self.record.asked_at[request_id] = self.world.now
+        if hasty:
+            self.world.hosts[name].core.hasty.add(request_id)
+        self.world.send(name, ClaimWanted(request_id, "caller", key, digest))
+        return request_id
+
+    def note(self, notice):
+        self.record.finals.setdefault(notice.request_id, []).append(notice)
+        self.record.answered_at[notice.request_id] = self.world.now
+
+    def run(self, host, command):
+        """Run a request once, and report its end some time later."""
+        self.record.runs.append((command.key, command.request_id))
+        body = command.request_id.encode().ljust(self.answer_size, b".")
+        answer = StoredAnswer(200, "text/plain", body)
+        self.record.answers[command.request_id] = answer
+        lost = self.lose_runs
+        event = RunEnded(command.request_id, None if lost else answer)
+        self.world.schedule.after(self.run_s, lambda: self.world._deliver(host, event))
+
+    def final(self, request_id):
+        finals = self.record.finals.get(request_id, [])
+        assert len(finals) == 1, f"{request_id}: {finals}"
+        return finals[0]
