Test claims under kills, pauses, cuts and a failing object API

Change: a hypothesis state machine over four keepers in one world asks the record of what ran. A claim that is decided after its deadline is refused: a process that was paused for longer than the retention would otherwise grant a key that has been forgotten.

--- a/src/wisterialoom/core/claim.py
+++ b/src/wisterialoom/core/claim.py
@@ -252,6 +252,10 @@
 
     def _judge(self, now: float, pursuit: Pursuit, verdict: Verdict) -> list[Output]:
         """Act upon what became of a wanted claim."""
+        if now >= pursuit.deadline and pursuit.stage is not Stage.GRANTED:
+            # After a long pause the retention itself may be over.
+            pursuit.sent = True
+            return self._fail(now, pursuit)
         match verdict.state:
             case ClaimStateWire.GRANTED if verdict.entry is not None:
                 return self._grant(pursuit, verdict.entry)
--- a/tests/claim_fleet.py
+++ b/tests/claim_fleet.py
@@ -48,14 +48,14 @@
     """What really happened, over all instances.
 
     Attributes:
-        runs: Request that ran, by key; one entry for each run.
+        runs: Key, request and virtual time of each run.
         finals: Final notices by request.
         wanted: Key by request.
         asked_at: Virtual time by request.
         answered_at: Virtual time by request.
     """
 
-    runs: list[tuple[str, str]] = field(default_factory=list)
+    runs: list[tuple[str, str, float]] = field(default_factory=list)
     finals: dict[str, list[Notice]] = field(default_factory=dict)
     wanted: dict[str, str] = field(default_factory=dict)
     asked_at: dict[str, float] = field(default_factory=dict)
@@ -72,7 +72,7 @@
 
     def __init__(self, fleet: Fleet, name: str, boot_id: str) -> None:
         self.fleet = fleet
-        self.keeper = ClaimKeeper(name, boot_id, fleet.wall_clock)
+        self.keeper = ClaimKeeper(name, boot_id, lambda: fleet.wall_clock(name))
         self.hasty: set[str] = set()
 
     def handle(self, now: float, event: Event) -> list[Command]:
@@ -127,8 +127,9 @@
         for name in names:
             self.see(name, names)
 
-    def wall_clock(self):
-        return WALL_START + self.world.now
+    def wall_clock(self, name):
+        """Return the clock of one instance; they differ by up to 200 s."""
+        return WALL_START + self.world.now + 100.0 * (ord(name[0]) % 3)
 
     def start(self, name):
         boot_id = f"{name}{next(self.serials)}"
@@ -163,11 +164,14 @@
 
     def run(self, host, command):
         """Run a request once, and report its end some time later."""
-        self.record.runs.append((command.key, command.request_id))
+        run = (command.key, command.request_id, self.world.now)
+        self.record.runs.append(run)
         body = command.request_id.encode().ljust(self.answer_size, b".")
         answer = StoredAnswer(200, "text/plain", body)
         self.record.answers[command.request_id] = answer
         lost = self.lose_runs
+        if lost:
+            del self.record.answers[command.request_id]
         event = RunEnded(command.request_id, None if lost else answer)
         self.world.schedule.after(self.run_s, lambda: self.world._deliver(host, event))
 
--- /dev/null
+++ b/tests/test_claim_faults.py
@@ -0,0 +1,220 @@
+"""Claims under kills, pauses, cuts and a failing object API."""
+
+import itertools
+
+from hypothesis import settings, strategies as st
+from hypothesis.stateful import (
+    initialize,
+    invariant,
+    precondition,
+    rule,
+    RuleBasedStateMachine,
+)
+
+from tests.claim_fleet import Fleet, Run
+from wisterialoom.core.notice import ClaimFailed, ClaimGranted, ClaimHeld, ClaimHolding
+
+NAMES = ("a", "b", "c", "d")
+KEYS = ("k0", "k1", "k2")
+BOUND_S = 2.2
+HEAL_S = 20.0
+
+names = st.sampled_from(NAMES)
+keys = st.sampled_from(KEYS)
+
+
+class ClaimMachine(RuleBasedStateMachine):
+    """Asks the record of what ran, not the parts under test."""
+
+    @initialize(seed=st.integers(0, 2**16), size=st.sampled_from((20, 2_000)))
+    def begin(self, seed, size):
+        self.fleet = Fleet(seed, NAMES, answer_size=size)
+        self.world = self.fleet.world
+        self.asked = {}
+        self.killed = set()
+        self.lost = set()
+        self.any_kill = False
+
+    def host(self, name):
+        return self.world.hosts[name]
+
+    def frozen(self):
+        return [n for n in NAMES if self.host(n).frozen or self.host(n).hold_sends]
+
+    # Work.
+
+    @rule(name=names, key=keys, hasty=st.sampled_from((False, False, False, True)))
+    def want(self, name, key, hasty):
+        host = self.host(name)
+        if not host.alive:
+            return
+        request = self.fleet.want(name, key, hasty=hasty)
+        self.asked[request] = (name, host, self.world.now)
+
+    @rule(key=keys, pause=st.sampled_from((0.0, 0.002, 0.005)))
+    def want_everywhere(self, key, pause):
+        for name in NAMES:
+            self.want(name, key, False)
+            self.world.run_for(pause)
+
+    @rule(seconds=st.sampled_from((0.001, 0.002, 0.004, 0.01, 0.1, 0.6, 3.0)))
+    def wait(self, seconds):
+        self.world.run_for(seconds)
+
+    @precondition(lambda self: not self.frozen_runs())
+    @rule()
+    def wait_for_retention(self):
+        self.world.run_for(1_600.0)
+
+    def frozen_runs(self):
+        """Tell whether a dispatch waits in a process that is paused."""
+        outboxes = [self.host(name).outbox for name in NAMES]
+        return any(isinstance(x, Run) for x in itertools.chain(*outboxes))
+
+    @rule(lost=st.booleans())
+    def set_lost_runs(self, lost):
+        self.fleet.lose_runs = lost
+
+    # Processes.
+
+    @rule(name=names)
+    def kill(self, name):
+        self.world.kill(name)
+        self.any_kill = True
+
+    @rule(name=names)
+    def replace(self, name):
+        if self.host(name).alive:
+            return
+        self.fleet.start(name)
+        self.fleet.see(name, NAMES)
+
+    @rule(name=names, hold=st.booleans())
+    def freeze(self, name, hold):
+        if self.host(name).alive:
+            self.world.freeze(name, hold_sends=hold)
+
+    @rule(name=names)
+    def thaw(self, name):
+        host = self.host(name)
+        if not host.alive:
+            return
+        self.world.thaw(name)
+        self.excuse(name)
+
+    def excuse(self, name):
+        for request, (asker, host, _) in self.asked.items():
+            if asker == name:
+                self.asked[request] = (asker, host, self.world.now)
+
+    # Views, links, the object API.
+
+    @rule(name=names, seen=st.sets(names), gone=st.sets(names))
+    def see(self, name, seen, gone):
+        if self.host(name).alive:
+            self.fleet.see(name, seen | {name}, gone - seen - {name})
+
+    @rule(left=st.sets(names, min_size=1, max_size=2))
+    def cut(self, left):
+        self.world.links.cut(set(left), set(NAMES) - set(left))
+
+    @rule()
+    def mend(self):
+        self.world.links.mend()
+
+    @rule(
+        down=st.sampled_from((False, False, True)),
+        lose_answer=st.sampled_from((0.0, 0.3, 1.0)),
+        lose_call=st.sampled_from((0.0, 0.3)),
+        delay_s=st.sampled_from((0.004, 0.3, 1.5)),
+        cut_off=st.sets(names, max_size=2),
+    )
+    def break_store(self, down, lose_answer, lose_call, delay_s, cut_off):
+        fault = self.world.store_port.fault
+        fault.down, fault.delay_s = down, delay_s
+        fault.lose_answer, fault.lose_call = lose_answer, lose_call
+        fault.cut_off = set(cut_off)
+
+    @rule()
+    def mend_store(self):
+        self.break_store(False, 0.0, 0.0, 0.004, ())
+
+    # What must hold.
+
+    @invariant()
+    def no_key_runs_twice_within_its_retention(self):
+        last = {}
+        for key, request, at in self.fleet.record.runs:
+            if key in last:
+                gap = at - last[key]
+                assert gap >= self.fleet.retention_s, (key, request, gap)
+            last[key] = at
+
+    @invariant()
+    def every_request_has_one_final_answer_in_time(self):
+        for request, (_, host, since) in self.asked.items():
+            finals = self.fleet.record.finals.get(request, [])
+            assert len(finals) <= 1, (request, finals)
+            running = host.alive and not host.frozen and not host.hold_sends
+            if running and self.world.now > since + BOUND_S:
+                assert len(finals) == 1, (request, finals)
+
+    @invariant()
+    def refused_requests_never_run(self):
+        finals = self.fleet.record.finals
+        for _, request, _ in self.fleet.record.runs:
+            assert [type(x) for x in finals[request]] == [ClaimGranted], request
+
+    # After all faults are mended.
+
+    def teardown(self):
+        if not hasattr(self, "fleet"):
+            return
+        self.heal()
+        for key in KEYS:
+            self.check_key(key)
+        self.no_key_runs_twice_within_its_retention()
+        self.every_request_has_one_final_answer_in_time()
+        self.refused_requests_never_run()
+
+    def heal(self):
+        self.mend()
+        self.mend_store()
+        self.fleet.lose_runs = False
+        for name in NAMES:
+            self.thaw(name)
+            self.replace(name)
+        for name in NAMES:
+            self.fleet.see(name, NAMES)
+        self.world.run_for(HEAL_S)
+
+    def check_key(self, key):
+        """Ask everywhere: all get the same, and it fits what really ran."""
+        finals = [self.ask(name, key) for name in NAMES]
+        runs = [run for run in self.fleet.record.runs if run[0] == key]
+        if isinstance(finals[0], ClaimGranted):
+            finals = finals[1:]
+        elif not self.any_kill:
+            assert runs, f"{key} is held and never ran: {finals}"
+        held = {(final.holding, final.answer) for final in finals}
+        assert len(held) == 1, (key, held)
+        ((holding, answer),) = held
+        assert holding in {ClaimHolding.DONE, ClaimHolding.UNKNOWN}, (key, held)
+        if holding is ClaimHolding.DONE:
+            assert answer == self.fleet.record.answers[runs[-1][1]]
+        elif not self.any_kill:
+            assert runs[-1][1] not in self.fleet.record.answers, (key, runs)
+
+    def ask(self, name, key):
+        request = self.fleet.want(name, key)
+        self.world.run_for(1.0)
+        final = self.fleet.final(request)
+        assert not isinstance(final, ClaimFailed), final
+        assert isinstance(final, ClaimGranted | ClaimHeld)
+        return final
+
+
+TestClaimMachine = ClaimMachine.TestCase
+TestClaimMachine.settings = settings(
+    derandomize=True, deadline=None, max_examples=150, stateful_step_count=40
+)
