Steward engines under a lease with a memory account

A steward takes the lease on an engine's ledger by conditional update, journals loads before they are sent to engines that do not check fencing, and settles doubt by a newer order on those that do. The account counts a load from before it is sent until it is proved over.

--- /dev/null
+++ b/src/wisterialoom/core/lease.py
@@ -0,0 +1,227 @@
+"""The lease on one engine, kept in its ledger without a shared clock."""
+
+from __future__ import annotations
+
+import enum
+from dataclasses import dataclass, replace
+from typing import TYPE_CHECKING
+
+from wisterialoom.core.ledger import Ledger, ledger_key, LedgerError
+from wisterialoom.core.object_store import (
+    ABSENT,
+    ObjectConflict,
+    ObjectRead,
+    ObjectUnavailable,
+    ObjectWritten,
+    ReadObject,
+    WriteObject,
+)
+
+if TYPE_CHECKING:
+    from wisterialoom.core.ledger import JournalEntry
+    from wisterialoom.core.object_store import ObjectEvent, OperationIds
+
+__all__ = ["Holder", "Lease", "LeaseChange"]
+
+RETRY_S = 0.5
+"""Wait before the object API is asked again after a failure, in seconds."""
+
+EXPIRY_FACTOR = 1.1
+"""A candidate waits this many lease lengths, for clocks that differ in speed."""
+
+NEVER = float("-inf")
+
+
+@dataclass(frozen=True, slots=True)
+class Holder:
+    """Identity of one process of one entry instance."""
+
+    name: str
+    boot_id: str
+
+
+class LeaseChange(enum.Enum):
+    """What an answer of the object API meant for the lease."""
+
+    NONE = "none"
+    TAKEN = "taken"
+    COMMITTED = "committed"
+    RELEASED = "released"
+    LOST = "lost"
+
+
+class Lease:
+    """Reads, takes, renews and releases the lease on one engine.
+
+    One operation is under way at a time. The lease counts from before the
+    renewing write was sent; a candidate counts from when it first saw the
+    ledger's version, which is later in any case.
+
+    Attributes:
+        server: Identifier of the backend server.
+        me: Identity of this process.
+        lease_s: Length of the lease in seconds.
+        holding: The ledger named this process when last seen.
+        valid_until: Monotonic time at which the lease runs out.
+        renewed_at: When the last committed write was sent.
+        ledger: The ledger as last seen; `None` before the first read.
+        version: Its version.
+        seen_at: When that version was first seen.
+        read_due: When to read again; infinite if nothing calls for it.
+        op: Operation under way; empty if none is.
+        barred_epoch: This process said that it let go of epochs up to this one.
+    """
+
+    def __init__(
+        self, server: str, me: Holder, ids: OperationIds, lease_s: float
+    ) -> None:
+        self.server = server
+        self.me = me
+        self.ids = ids
+        self.lease_s = lease_s
+        self.holding = False
+        self.valid_until = NEVER
+        self.renewed_at = NEVER
+        self.ledger: Ledger | None = None
+        self.version = ABSENT
+        self.seen_at = NEVER
+        self.read_due = 0.0
+        self.op = ""
+        self.sent_at = NEVER
+        self.writing: Ledger | None = None
+        self.writes = 0
+        self.barred_epoch = 0
+
+    @property
+    def epoch(self) -> int:
+        """Epoch of the ledger as last seen."""
+        return self.ledger.epoch if self.ledger else 0
+
+    def is_valid(self, now: float) -> bool:
+        """Tell whether the lease is held and has not run out."""
+        return self.holding and now < self.valid_until
+
+    def drop(self) -> None:
+        """Stop holding, whatever the ledger says."""
+        self.holding = False
+        self.valid_until = NEVER
+
+    def bar(self, epoch: int) -> None:
+        """Never again hold the lease under an epoch up to this one."""
+        self.barred_epoch = max(self.barred_epoch, epoch)
+        if self.epoch <= self.barred_epoch:
+            self.drop()
+
+    def is_open(self, now: float, patience: int) -> bool:
+        """Tell whether a candidate may take the lease.
+
+        Args:
+            now: Monotonic time in seconds.
+            patience: Rank of the candidate; greater ranks wait longer.
+        """
+        if self.op or self.holding or self.ledger is None:
+            return False
+        if self.read_due != float("inf"):
+            return False
+        seen_for = now - self.seen_at
+        if self.ledger.holder == self.me.name or self.ledger.released:
+            return seen_for >= patience * self.lease_s
+        return seen_for > (1 + patience) * self.lease_s * EXPIRY_FACTOR
+
+    def read(self, now: float) -> ReadObject:
+        """Begin to read the ledger."""
+        self._begin(now)
+        self.writing = None
+        self.read_due = float("inf")
+        return ReadObject(self.op, ledger_key(self.server))
+
+    def take(self, now: float) -> WriteObject:
+        """Begin to take the lease over; the journal stays as it was."""
+        ledger = replace(
+            self.ledger or Ledger(),
+            holder=self.me.name,
+            boot_id=self.me.boot_id,
+            epoch=self.epoch + 1,
+            released=False,
+        )
+        return self._write(now, ledger)
+
+    def renew(
+        self,
+        now: float,
+        entries: tuple[JournalEntry, ...],
+        resident: tuple[str, ...],
+        *,
+        release: bool = False,
+    ) -> WriteObject:
+        """Begin to renew the lease, or release it, and write the journal."""
+        ledger = replace(
+            self.ledger or Ledger(),
+            entries=entries,
+            resident=resident,
+            released=release,
+        )
+        return self._write(now, ledger)
+
+    def _write(self, now: float, ledger: Ledger) -> WriteObject:
+        self._begin(now)
+        self.writes += 1
+        write_id = f"{self.me.boot_id}/{self.writes}"
+        self.writing = replace(ledger, write_id=write_id)
+        body = self.writing.encode()
+        return WriteObject(self.op, ledger_key(self.server), body, self.version)
+
+    def _begin(self, now: float) -> None:
+        self.op = self.ids.next()
+        self.sent_at = now
+
+    def handle(self, now: float, event: ObjectEvent) -> LeaseChange:
+        """Take the answer to the operation under way."""
+        if event.op != self.op:
+            return LeaseChange.NONE
+        self.op = ""
+        match event:
+            case ObjectWritten(version=version) if self.writing is not None:
+                return self._commit(now, version, self.writing)
+            case ObjectRead(version=version, body=body):
+                return self._see(now, version, body)
+            case ObjectConflict():
+                self.read_due = now
+            case ObjectUnavailable():
+                self.read_due = now + RETRY_S
+        return LeaseChange.NONE
+
+    def _commit(self, now: float, version: int, ledger: Ledger) -> LeaseChange:
+        taken = not self.holding
+        self.version = version
+        self.ledger = ledger
+        self.seen_at = now
+        self.writing = None
+        if ledger.released:
+            self.drop()
+            return LeaseChange.RELEASED
+        if ledger.epoch <= self.barred_epoch:
+            return LeaseChange.NONE
+        self.holding = True
+        self.renewed_at = self.sent_at
+        self.valid_until = self.sent_at + self.lease_s
+        return LeaseChange.TAKEN if taken else LeaseChange.COMMITTED
+
+    def _see(self, now: float, version: int, body: bytes) -> LeaseChange:
+        try:
+            ledger = Ledger.decode(body)
+        except LedgerError:
+            self.read_due = now + self.lease_s
+            return LeaseChange.NONE
+        if version != self.version or self.ledger is None:
+            self.seen_at = now
+        self.version = version
+        self.ledger = ledger
+        mine = (ledger.holder, ledger.boot_id) == (self.me.name, self.me.boot_id)
+        barred = ledger.epoch <= self.barred_epoch
+        if mine and not ledger.released and not barred:
+            taken, self.holding = not self.holding, True
+            return LeaseChange.TAKEN if taken else LeaseChange.COMMITTED
+        lost = self.holding
+        self.drop()
+        return LeaseChange.LOST if lost else LeaseChange.NONE
--- /dev/null
+++ b/src/wisterialoom/core/memory_account.py
@@ -0,0 +1,79 @@
+"""What of an engine's accelerator memory may be taken, in the worst case."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, replace
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from wisterialoom.core.engine import EngineState, ModelKey
+    from wisterialoom.core.order_journal import PossibleLoad
+
+__all__ = ["MemoryAccount"]
+
+
+@dataclass(frozen=True, slots=True)
+class MemoryAccount:
+    """Memory of one engine: a state, and the loads that may come on top.
+
+    A key that is resident, or being loaded, or possibly to come counts once:
+    an engine does not load it twice.
+
+    Attributes:
+        memory_mb: Accelerator memory in all.
+        adapter_pool_mb: Part of it that is kept for adapters.
+        models: Memory of models and of unknown loads, in MB.
+        adapters: Memory of adapters, in MB.
+    """
+
+    memory_mb: int
+    adapter_pool_mb: int
+    models: dict[ModelKey, int]
+    adapters: dict[ModelKey, int]
+
+    @classmethod
+    def from_state(
+        cls,
+        state: EngineState,
+        possible: Iterable[PossibleLoad],
+        *,
+        memory_mb: int,
+        adapter_pool_mb: int,
+    ) -> MemoryAccount:
+        """Build from the newest proved state and the loads still possible."""
+        models = dict(state.models)
+        adapters = dict(state.adapters)
+        for load in possible:
+            held = adapters if load.entry.adapter else models
+            held[load.key] = max(held.get(load.key, 0), load.entry.memory_mb)
+        for key, size in state.loading.items():
+            held = adapters if key in adapters else models
+            held[key] = max(held.get(key, 0), size)
+        if state.memory_mb > 0:
+            memory_mb = min(memory_mb, state.memory_mb)
+        return cls(memory_mb, adapter_pool_mb, models, adapters)
+
+    def without(self, keys: Iterable[ModelKey]) -> MemoryAccount:
+        """Return the account as it would be if some keys were gone for good."""
+        gone = set(keys)
+        models = {key: size for key, size in self.models.items() if key not in gone}
+        adapters = {k: size for k, size in self.adapters.items() if k not in gone}
+        return replace(self, models=models, adapters=adapters)
+
+    def fits_model(self, key: ModelKey, size_mb: int) -> bool:
+        """Tell whether a model may be loaded, whatever else still happens."""
+        models = {**self.models, key: max(size_mb, self.models.get(key, 0))}
+        need = sum(models.values())
+        if need > self.memory_mb - self.adapter_pool_mb:
+            return False
+        return need + sum(self.adapters.values()) <= self.memory_mb
+
+    def fits_adapter(self, key: ModelKey, size_mb: int) -> bool:
+        """Tell whether an adapter may be loaded, whatever else still happens."""
+        adapters = {**self.adapters, key: max(size_mb, self.adapters.get(key, 0))}
+        need = sum(adapters.values())
+        if need > self.adapter_pool_mb:
+            return False
+        return need + sum(self.models.values()) <= self.memory_mb
--- a/src/wisterialoom/core/peer.py
+++ b/src/wisterialoom/core/peer.py
@@ -87,6 +87,7 @@
         leaving: No new work may go there.
         incarnation: Of the backend server.
         kv_free: Share of KV cache that is free, in percent.
+        steward: Entry instance that read it; empty if unknown.
     """
 
     server: str
@@ -98,6 +99,7 @@
     leaving: bool = False
     incarnation: str = ""
     kv_free: int = 100
+    steward: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/src/wisterialoom/core/steward_report.py
@@ -0,0 +1,66 @@
+"""What a steward tells the others of its engine."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+from wisterialoom.core.notice import LoadReported
+from wisterialoom.core.peer import ServerLoad
+
+if TYPE_CHECKING:
+    from collections.abc import Collection
+
+    from wisterialoom.core.engine import EngineState, ModelKey
+    from wisterialoom.core.message import Output
+
+__all__ = ["StateReport"]
+
+EPOCH_SERIALS = 1 << 24
+"""Serials kept for one epoch: a newer steward's reports win."""
+
+
+@dataclass(slots=True)
+class StateReport:
+    """Turns states of one engine into load reports, each state once.
+
+    Attributes:
+        server: Identifier of the backend server.
+        steward: Name of this entry instance.
+        serial: Count of reports.
+    """
+
+    server: str
+    steward: str
+    serial: int = 0
+    state: EngineState | None = None
+    draining: frozenset[ModelKey] = frozenset()
+
+    def make(
+        self,
+        now: float,
+        state: EngineState | None,
+        draining: Collection[ModelKey],
+        epoch: int,
+    ) -> list[Output]:
+        """Return a report if anything is new since the last one."""
+        announced = frozenset(draining)
+        if state is None or (state is self.state and announced == self.draining):
+            return []
+        self.state, self.draining = state, announced
+        self.serial += 1
+        held = {**state.models, **state.adapters}
+        usable = sorted(str(key) for key in held if key not in announced)
+        load = ServerLoad(
+            server=self.server,
+            serial=epoch * EPOCH_SERIALS + self.serial,
+            running=state.running,
+            waiting=state.waiting,
+            resident=tuple(usable),
+            draining=tuple(sorted(map(str, announced))),
+            leaving=state.leaving,
+            incarnation=state.incarnation,
+            kv_free=round(state.kv_free * 100),
+            steward=self.steward,
+        )
+        return [LoadReported(load, own=True)]
--- /dev/null
+++ b/src/wisterialoom/core/stewards.py
@@ -0,0 +1,259 @@
+"""The part that stewards engines: takes leases, follows plans, lets go."""
+
+from __future__ import annotations
+
+from typing import ClassVar, TYPE_CHECKING
+
+from wisterialoom.core.engine import (
+    OrderDone,
+    OrderLost,
+    OrderNotSent,
+    OrderRefused,
+    StateRead,
+    StateUnavailable,
+)
+from wisterialoom.core.instance_list import InstanceListRead
+from wisterialoom.core.lease import Holder
+from wisterialoom.core.message import Event, Tick
+from wisterialoom.core.notice import (
+    BackendServer,
+    ConfigChanged,
+    DrainRequested,
+    MembersChanged,
+    PartDrained,
+    PlanMade,
+    ServersChanged,
+)
+from wisterialoom.core.object_store import ObjectEvent, OperationIds
+from wisterialoom.core.peer import (
+    ConfirmLetGo,
+    LetGo,
+    PeerReceived,
+    PlanEntry,
+    PlanMessage,
+    SendPeer,
+)
+from wisterialoom.core.steward import Steward
+from wisterialoom.core.steward_choice import Target
+from wisterialoom.core.steward_duty import StewardDuty
+from wisterialoom.core.steward_presence import Presence
+
+if TYPE_CHECKING:
+    from wisterialoom.core.document import Document, ServerGroup
+    from wisterialoom.core.message import Output
+    from wisterialoom.core.peer import PeerMessage
+
+__all__ = ["Stewards"]
+
+PART = "stewards"
+
+LET_GO_INTERVAL_S = 1.0
+"""Time between two questions to a former holder, in seconds."""
+
+
+class Stewards:
+    """Stewards the engines that this instance is a candidate for.
+
+    Attributes:
+        me: Identity of this process.
+        stewards: One for each engine that this instance looks after.
+        plans: Newest plan by server, also of servers stewarded elsewhere.
+        drain_until: While stopping: when to exit without the object API.
+    """
+
+    listens: ClassVar[tuple[type[Event], ...]] = (
+        ConfigChanged,
+        ServersChanged,
+        MembersChanged,
+        InstanceListRead,
+        PlanMade,
+        PeerReceived,
+        ObjectEvent,
+        OrderDone,
+        OrderRefused,
+        OrderLost,
+        OrderNotSent,
+        StateRead,
+        StateUnavailable,
+        DrainRequested,
+        Tick,
+    )
+
+    def __init__(self, name: str, boot_id: str) -> None:
+        """Build for one process.
+
+        Args:
+            name: Name of this entry instance.
+            boot_id: Differs between any two processes of this name.
+        """
+        self.me = Holder(name, boot_id)
+        self.ids = OperationIds(PART)
+        self.duty = StewardDuty()
+        self.presence = Presence(name)
+        self.document: Document | None = None
+        self.servers: dict[str, BackendServer] = {}
+        self.stewards: dict[str, Steward] = {}
+        self.plans: dict[str, PlanEntry] = {}
+        self.let_go_due = 0.0
+        self.drain_until: float | None = None
+        self.drained = False
+
+    def handle(self, now: float, event: Event) -> list[Output]:
+        """Take one event; see `Part`."""
+        match event:
+            case Tick():
+                return self._tick(now)
+            case ObjectEvent(op=op):
+                return self._take_object(now, op, event)
+            case PeerReceived(sender=sender, message=message):
+                return self._take_peer(now, sender, message)
+            case PlanMade(server=server, models=models, adapters=adapters):
+                self._take_plan(now, PlanEntry(server, models, adapters))
+            case DrainRequested():
+                self._begin_drain(now)
+            case (
+                ConfigChanged()
+                | ServersChanged()
+                | MembersChanged()
+                | InstanceListRead()
+            ):
+                self._take_surroundings(now, event)
+            case _:
+                steward = self.stewards.get(getattr(event, "server", ""))
+                return steward.handle(now, event) if steward else []
+        return []
+
+    def _take_object(self, now: float, op: str, event: Event) -> list[Output]:
+        if not self.ids.owns(op):
+            return []
+        for steward in self.stewards.values():
+            if steward.lease.op == op:
+                return steward.handle(now, event)
+        return []
+
+    # Surroundings.
+
+    def _take_surroundings(self, now: float, event: Event) -> None:
+        match event:
+            case ConfigChanged(document=document):
+                self.document = document
+            case ServersChanged(servers=servers):
+                self.servers = {x.name: x for x in servers if x.kind == "engine"}
+                self.duty.set_servers(self.servers)
+            case MembersChanged(members=members):
+                self.presence.set_members(members)
+                self.duty.set_members(member.name for member in members)
+            case InstanceListRead(listing=listing):
+                names = frozenset(item.name for item in listing.instances)
+                self.presence.listed = names
+        self._sort_out(now)
+
+    def _sort_out(self, now: float) -> None:
+        if self.document is None:
+            return
+        groups = {group.name: group for group in self.document.server_groups}
+        for name, server in self.servers.items():
+            group = groups.get(server.group)
+            if group is None:
+                continue
+            self._sort_out_one(now, name, server, group)
+        for name in [x for x in self.stewards if x not in self.servers]:
+            del self.stewards[name]
+
+    def _sort_out_one(
+        self, now: float, name: str, server: BackendServer, group: ServerGroup
+    ) -> None:
+        assert self.document is not None
+        lease_s = self.document.deployment.lease_s
+        steward = self.stewards.get(name)
+        if steward is None:
+            if self.duty.place(name, self.me.name) is None:
+                return
+            steward = Steward.from_group(server, group, self.me, self.ids, lease_s)
+            self.stewards[name] = steward
+        steward.server = server
+        steward.group = group
+        steward.lease.lease_s = lease_s
+        steward.may_journal = self.presence.self_listed
+        self._set_target(now, name)
+
+    # Plans.
+
+    def _take_plan(self, now: float, plan: PlanEntry) -> None:
+        self.plans[plan.server] = plan
+        self._set_target(now, plan.server)
+
+    def _set_target(self, now: float, server: str) -> None:
+        steward, plan = self.stewards.get(server), self.plans.get(server)
+        if steward is None or plan is None or self.document is None:
+            return
+        target = Target.from_plan(self.document, plan.models, plan.adapters)
+        steward.set_target(now, target)
+
+    # Peers.
+
+    def _take_peer(self, now: float, sender: str, message: PeerMessage) -> list[Output]:
+        match message:
+            case PlanMessage(entries=entries):
+                for plan in entries:
+                    self._take_plan(now, plan)
+            case LetGo(server=server, epoch=epoch):
+                return self._let_go(sender, server, epoch)
+            case ConfirmLetGo(server=server, epoch=epoch):
+                steward = self.stewards.get(server)
+                if steward is not None:
+                    steward.journal.close_holder(sender, epoch, now)
+        return []
+
+    def _let_go(self, sender: str, server: str, epoch: int) -> list[Output]:
+        steward = self.stewards.get(server)
+        if steward is not None:
+            steward.let_go(epoch)
+            if steward.journal.has_open(epoch):
+                return []
+        return self._send(sender, ConfirmLetGo(server, epoch))
+
+    def _ask_former_holders(self, now: float) -> list[Output]:
+        if now < self.let_go_due:
+            return []
+        self.let_go_due = now + LET_GO_INTERVAL_S
+        outputs: list[Output] = []
+        for name, steward in self.stewards.items():
+            if not steward.lease.holding:
+                continue
+            for holder, epoch in steward.journal.open_holders().items():
+                if self.presence.is_gone(holder.name, now):
+                    steward.journal.close_holder(holder.name, epoch, now)
+                else:
+                    outputs += self._send(holder.name, LetGo(name, epoch))
+        return outputs
+
+    def _send(self, name: str, message: PeerMessage) -> list[Output]:
+        member = self.presence.members.get(name)
+        return [SendPeer(name, member.address, message)] if member else []
+
+    # Time.
+
+    def _tick(self, now: float) -> list[Output]:
+        outputs = self._ask_former_holders(now)
+        for name, steward in self.stewards.items():
+            place = self.duty.place(name, self.me.name)
+            outputs += steward.tick(now, place)
+        return outputs + self._finish_drain(now)
+
+    def _begin_drain(self, now: float) -> None:
+        if self.drain_until is not None:
+            return
+        longest = [steward.lease.lease_s for steward in self.stewards.values()]
+        self.drain_until = now + 2 * max(longest, default=0.0)
+        for steward in self.stewards.values():
+            steward.stopping = True
+
+    def _finish_drain(self, now: float) -> list[Output]:
+        if self.drain_until is None or self.drained:
+            return []
+        held = any(steward.lease.holding for steward in self.stewards.values())
+        if held and now < self.drain_until:
+            return []
+        self.drained = True
+        return [PartDrained(PART)]
--- /dev/null
+++ b/tests/fleet.py
@@ -0,0 +1,174 @@
+"""A small fleet of stewards and engines for the tests of memory and placement."""
+
+from __future__ import annotations
+
+from wisterialoom.core.document import Deployment, Document, Model, ServerGroup
+from wisterialoom.core.engine import ModelKey
+from wisterialoom.core.instance_list import (
+    InstanceList,
+    ListedInstance,
+    ReadInstanceList,
+)
+from wisterialoom.core.message import Command, Notice, Tick
+from wisterialoom.core.notice import (
+    BackendServer,
+    ConfigChanged,
+    Member,
+    MembersChanged,
+    ServersChanged,
+)
+from wisterialoom.core.peer import MemberStatus, PlanEntry, PlanMessage
+from wisterialoom.core.stewards import Stewards
+from wisterialoom.lab.order_port import FakeEngine
+from wisterialoom.lab.world import World
+from wisterialoom.standin.engine_memory import EngineMemory
+
+LEASE_S = 4.0
+LIFETIME_S = 35.0
+LOAD_S = 3.0
+CAPACITY_MB = 100
+POOL_MB = 20
+LISTING_INTERVAL_S = 1.0
+
+
+class PartsCore:
+    """Parts of the core that hand notices to each other."""
+
+    def __init__(self, parts):
+        self.parts = parts
+        self.notices = []
+        self.listing_due = 0.0
+
+    def handle(self, now, event):
+        commands = []
+        events = [event]
+        if isinstance(event, Tick) and now >= self.listing_due:
+            self.listing_due = now + LISTING_INTERVAL_S
+            commands.append(ReadInstanceList())
+        while events:
+            event = events.pop(0)
+            for part in self.parts:
+                if isinstance(event, part.listens):
+                    for output in part.handle(now, event):
+                        if isinstance(output, Command):
+                            commands.append(output)
+                        else:
+                            events.append(output)
+                            self.notices.append(output)
+        assert all(isinstance(x, Notice) for x in self.notices)
+        return commands
+
+
+def make_document(sizes, *, lease_s=LEASE_S, adapters=()):
+    groups = tuple(
+        ServerGroup(
+            name=name,
+            selector=f"group={name}",
+            memory_mb=CAPACITY_MB + POOL_MB,
+            adapter_pool_mb=POOL_MB,
+            checks_fencing=name == "checking",
+            order_lifetime_s=LIFETIME_S,
+        )
+        for name in ("checking", "trusting")
+    )
+    return Document(
+        deployment=Deployment("test", lease_s=lease_s),
+        models=tuple(
+            Model(name, "1", memory_mb=size, load_s=LOAD_S)
+            for name, size in sizes.items()
+        ),
+        adapters=tuple(adapters),
+        server_groups=groups,
+    )
+
+
+class Fleet:
+    """Entry instances and engines in one world."""
+
+    def __init__(self, seed, *, document, engines, instances=3, make_parts=None):
+        self.world = World(seed)
+        self.world.listing_lag_s = 0.05
+        self.document = document
+        self.make_parts = make_parts or (lambda name, boot: [Stewards(name, boot)])
+        self.boots = 0
+        self.gone = set()
+        for name, group in engines.items():
+            memory = EngineMemory(
+                CAPACITY_MB + POOL_MB, checks_fencing=group == "checking"
+            )
+            engine = FakeEngine(memory, load_s=LOAD_S)
+            self.world.order_port.engines[name] = engine
+        self.servers = tuple(
+            BackendServer(
+                name,
+                "1",
+                "127.0.0.1:1",
+                f"zone-{index % 2}",
+                {"group": group, "name": name},
+                group,
+                "engine",
+            )
+            for index, (name, group) in enumerate(sorted(engines.items()))
+        )
+        for index in range(instances):
+            self.start(f"entry-{index}")
+
+    @property
+    def engines(self):
+        return self.world.order_port.engines
+
+    @property
+    def violations(self):
+        return [x for e in self.engines.values() for x in e.memory.violations]
+
+    def start(self, name):
+        self.boots += 1
+        core = PartsCore(self.make_parts(name, f"boot-{self.boots}"))
+        self.world.add(name, core)
+        self.gone.discard(name)
+        self.refresh()
+        return core
+
+    def kill(self, name):
+        self.world.kill(name)
+        self.gone.add(name)
+        self.refresh()
+
+    def refresh(self):
+        """Tell everyone the members and the servers, and fix the listing."""
+        names = [x for x, host in self.world.hosts.items() if host.alive]
+        self.world.listing = InstanceList(
+            tuple(ListedInstance(x, "1", "127.0.0.1:1", "zone-0") for x in names)
+        )
+        up = [x for x in names if not self.world.hosts[x].frozen]
+        members = tuple(
+            Member(x, "127.0.0.1:1", "zone-0", 1, MemberStatus.ALIVE)
+            for x in sorted(up)
+        )
+        gone = frozenset(self.gone | (set(names) - set(up)))
+        for name in names:
+            self.world.send(name, ConfigChanged(1, self.document))
+            self.world.send(name, MembersChanged(members, gone))
+            self.world.send(name, ServersChanged(self.servers))
+
+    def plan(self, wanted):
+        """Give every instance the same plan."""
+        entries = tuple(PlanEntry(x, tuple(models)) for x, models in wanted.items())
+        for name, host in self.world.hosts.items():
+            if host.alive:
+                message = PlanMessage(1, 1, entries)
+                self.world.send(name, _from_planner(message))
+
+    def resident(self, server):
+        memory = self.engines[server].memory
+        return {str(key) for key in (*memory.models, *memory.adapters)}
+
+
+def _from_planner(message):
+    from wisterialoom.core.peer import PeerReceived
+
+    return PeerReceived("planner", message)
+
+
+def key(name):
+    return ModelKey(name, "1")
