--- /dev/null
+++ b/idl/peer.thrift
@@ -0,0 +1,179 @@
+// Messages between entry instances; mirrors src/wisterialoom/core/peer.py.
+// Every field is optional on the wire: a field that has its default is left out.
+// Never reuse or renumber a field; raise VERSION when old readers must refuse.
+//
+// Generate (Thrift 0.17 or later; the result is committed):
+//   thrift --gen py:slots -out src idl/peer.thrift && rm -f src/__init__.py
+
+namespace py wisterialoom.peer.gen
+
+const i32 VERSION = 1
+
+enum MemberStatus {
+  ALIVE = 0
+  SUSPECT = 1
+  LEAVING = 2
+  DEAD = 3
+}
+
+enum ClaimStateWire {
+  GRANTED = 0
+  HELD = 1
+  UNAVAILABLE = 2
+  FULL = 3
+}
+
+struct MemberUpdate {
+  1: optional string name
+  2: optional string address
+  3: optional string availability_zone
+  4: optional i64 incarnation
+  5: optional MemberStatus status
+}
+
+struct ServerLoad {
+  1: optional string server
+  2: optional i64 serial
+  3: optional i64 running
+  4: optional i64 waiting
+  5: optional list<string> resident
+  6: optional list<string> draining
+  7: optional bool leaving
+  8: optional string incarnation
+  9: optional i64 kv_free
+  10: optional i64 epoch
+}
+
+struct LoadChange {
+  1: optional string server
+  2: optional i64 epoch
+  3: optional i64 base
+  4: optional i64 serial
+  5: optional i64 running
+  6: optional i64 waiting
+  7: optional i64 kv_free
+}
+
+struct Heartbeat {
+  1: optional i64 serial
+  2: optional i64 generation
+  3: optional i64 config_age_ms
+  4: optional list<MemberUpdate> members
+  5: optional list<ServerLoad> loads
+  6: optional list<LoadChange> changes
+  7: optional i64 digest
+}
+
+struct HeartbeatAck {
+  1: optional i64 serial
+  2: optional i64 generation
+  3: optional i64 config_age_ms
+  4: optional list<MemberUpdate> members
+  5: optional list<ServerLoad> loads
+  6: optional list<LoadChange> changes
+  7: optional i64 digest
+}
+
+struct IndirectPing {
+  1: optional i64 serial
+  2: optional string target
+}
+
+struct StateSync {
+  1: optional list<MemberUpdate> members
+  2: optional list<ServerLoad> loads
+  3: optional bool wants_reply
+  4: optional bool wants_loads
+}
+
+struct LoadPull {
+  1: optional list<string> servers
+}
+
+struct ConfigPull {
+  1: optional i64 generation
+}
+
+struct ConfigPush {
+  1: optional i64 generation
+  2: optional binary body
+}
+
+struct ClaimRequest {
+  1: optional i64 bucket
+  2: optional string key
+  3: optional string nonce
+  4: optional string digest
+  5: optional string owner
+  6: optional binary settled
+}
+
+struct ClaimAnswer {
+  1: optional string key
+  2: optional string nonce
+  3: optional ClaimStateWire state
+  4: optional binary entry
+}
+
+struct NonceQuery {
+  1: optional string key
+  2: optional string nonce
+}
+
+struct NonceAnswer {
+  1: optional string key
+  2: optional string nonce
+  3: optional bool abandoned
+}
+
+struct LetGo {
+  1: optional string server
+  2: optional i64 epoch
+}
+
+struct ConfirmLetGo {
+  1: optional string server
+  2: optional i64 epoch
+}
+
+struct DemandReport {
+  1: optional map<string, double> rates
+  2: optional map<string, i64> waiting
+}
+
+struct PlanEntry {
+  1: optional string server
+  2: optional list<string> models
+  3: optional list<string> adapters
+}
+
+struct PlanMessage {
+  1: optional i64 generation
+  2: optional i64 serial
+  3: optional list<PlanEntry> entries
+}
+
+// Exactly one field is set; fields are named after the classes.
+union Message {
+  1: Heartbeat as_Heartbeat
+  2: HeartbeatAck as_HeartbeatAck
+  3: IndirectPing as_IndirectPing
+  4: ConfigPull as_ConfigPull
+  5: ConfigPush as_ConfigPush
+  6: ClaimRequest as_ClaimRequest
+  7: ClaimAnswer as_ClaimAnswer
+  8: NonceQuery as_NonceQuery
+  9: NonceAnswer as_NonceAnswer
+  10: LetGo as_LetGo
+  11: ConfirmLetGo as_ConfirmLetGo
+  12: DemandReport as_DemandReport
+  13: PlanMessage as_PlanMessage
+  14: StateSync as_StateSync
+  15: LoadPull as_LoadPull
+}
+
+struct Envelope {
+  1: optional i32 version
+  2: optional string sender
+  3: optional Message message
+}
--- a/src/wisterialoom/core/peer.py
+++ b/src/wisterialoom/core/peer.py
@@ -25,6 +25,8 @@
     "HeartbeatAck",
     "IndirectPing",
     "LetGo",
+    "LoadChange",
+    "LoadPull",
     "MemberStatus",
     "MemberUpdate",
     "NonceAnswer",
@@ -35,6 +37,7 @@
     "PlanMessage",
     "SendPeer",
     "ServerLoad",
+    "StateSync",
 ]
 
 
@@ -87,6 +90,8 @@
         leaving: No new work may go there.
         incarnation: Of the backend server.
         kv_free: Share of KV cache that is free, in percent.
+        epoch: Count of takeovers of the server; goes before the serial, so that
+            a new steward's first report beats every report of the old one.
     """
 
     server: str
@@ -98,6 +103,31 @@
     leaving: bool = False
     incarnation: str = ""
     kv_free: int = 100
+    epoch: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class LoadChange:
+    """Newer load of a backend server whose residency has not changed.
+
+    Attributes:
+        server: Identifier of the backend server.
+        epoch: As in `ServerLoad`.
+        base: Serial of the whole report that this one goes with; whoever does
+            not have that one asks for it with `LoadPull`.
+        serial: As in `ServerLoad`.
+        running: Requests in the batch.
+        waiting: Requests in the engine's queue.
+        kv_free: Share of KV cache that is free, in percent.
+    """
+
+    server: str
+    epoch: int
+    base: int
+    serial: int
+    running: int = 0
+    waiting: int = 0
+    kv_free: int = 100
 
 
 @dataclass(frozen=True, slots=True)
@@ -110,6 +140,8 @@
         config_age_ms: Time since the sender last knew it to be the newest.
         members: News of members.
         loads: News of backend servers.
+        changes: News of the load alone of backend servers.
+        digest: Of the sender's member table; differing ones start a `StateSync`.
     """
 
     serial: int
@@ -117,6 +149,8 @@
     config_age_ms: int = 0
     members: tuple[MemberUpdate, ...] = ()
     loads: tuple[ServerLoad, ...] = ()
+    changes: tuple[LoadChange, ...] = ()
+    digest: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -128,6 +162,8 @@
     config_age_ms: int = 0
     members: tuple[MemberUpdate, ...] = ()
     loads: tuple[ServerLoad, ...] = ()
+    changes: tuple[LoadChange, ...] = ()
+    digest: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -138,6 +174,32 @@
     target: str
 
 
+@dataclass(frozen=True, slots=True)
+class StateSync(PeerMessage):
+    """Everything that the sender knows, for joiners and after a partition.
+
+    Attributes:
+        members: The whole member table, the sender's own entry included.
+        loads: Latest whole report of each backend server, if asked for.
+        wants_reply: The receiver should answer with a sync of its own.
+        wants_loads: The reply should carry the loads.
+    """
+
+    reliable: ClassVar[bool] = True
+    members: tuple[MemberUpdate, ...] = ()
+    loads: tuple[ServerLoad, ...] = ()
+    wants_reply: bool = False
+    wants_loads: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class LoadPull(PeerMessage):
+    """Ask for the latest whole reports of some backend servers."""
+
+    reliable: ClassVar[bool] = True
+    servers: tuple[str, ...] = ()
+
+
 @dataclass(frozen=True, slots=True)
 class ConfigPull(PeerMessage):
     """Ask a peer for a configuration above the generation held."""
--- /dev/null
+++ b/src/wisterialoom/peer/gen/__init__.py
@@ -0,0 +1,1 @@
+__all__ = ['ttypes', 'constants']
