--- /dev/null
+++ b/src/wisterialoom/status.py
@@ -0,0 +1,104 @@
+"""What `/status` and the gauges of `/metrics` show of an entry instance."""
+
+from __future__ import annotations
+
+from typing import Any, TYPE_CHECKING
+
+from wisterialoom.core.classifier import model_lane
+
+if TYPE_CHECKING:
+    from wisterialoom.app import App
+    from wisterialoom.core.server_view import ServerView
+
+__all__ = ["Status"]
+
+
+class Status:
+    """Reads the state of the parts; changes nothing.
+
+    Attributes:
+        app: The application whose state is shown.
+    """
+
+    def __init__(self, app: App) -> None:
+        self.app = app
+
+    def show(self) -> dict[str, Any]:
+        """Return the state as JSON-ready data."""
+        parts = self.app.parts
+        path = parts.path
+        views = path.router.views
+        return {
+            "instance": self.app.settings.instance.name,
+            "availability_zone": self.app.settings.instance.availability_zone,
+            "generation": parts.config.generation,
+            "fresh": path.fresh,
+            "draining": path.draining,
+            "in_progress": len(path.flights),
+            "waiting": len(path.queue),
+            "members": sorted(parts.config.members),
+            "servers": [self._server(views[name]) for name in sorted(views)],
+            "unreachable": self._unreachable(),
+        }
+
+    def _server(self, view: ServerView) -> dict[str, Any]:
+        load = view.load
+        return {
+            "name": view.server.name,
+            "kind": view.server.kind,
+            "availability_zone": view.server.availability_zone,
+            "resident": sorted(load.resident) if load else [],
+            "running": load.running if load else None,
+            "waiting": load.waiting if load else None,
+            "leaving": view.closed,
+            "steward": load.steward if load else "",
+            "in_flight": view.window.in_flight,
+        }
+
+    def _unreachable(self) -> list[dict[str, str]]:
+        path = self.app.parts.path
+        if path.classifier is None:
+            return [{"model": "*", "reason": "no configuration is in force here"}]
+        served: set[str] = set()
+        for view in path.router.views.values():
+            if not view.closed:
+                served |= view.lanes
+        return [
+            {"model": name, "reason": "resident on no backend server that takes work"}
+            for name in sorted(path.classifier.models)
+            if model_lane(name) not in served
+        ]
+
+    def refresh(self) -> None:
+        """Bring the gauges and mirrored counts up to date."""
+        metrics = self.app.metrics
+        path = self.app.parts.path
+        gauge = metrics.set_gauge
+        gauge(
+            "generation",
+            "Generation of the configuration in force.",
+            self.app.parts.config.generation,
+        )
+        gauge("config_fresh", "1 while the configuration is current.", path.fresh)
+        gauge("requests_in_progress", "Requests in progress.", len(path.flights))
+        gauge("requests_waiting", "Requests that wait.", len(path.queue))
+        gauge("members", "Entry instances.", len(self.app.parts.config.members))
+        count = metrics.set_count
+        count(
+            "late_events_total",
+            "Events for requests already settled.",
+            path.late_events,
+        )
+        count(
+            "bad_requests_total",
+            "Requests that could not be read.",
+            self.app.front.bad_requests,
+        )
+        count(
+            "core_busy_seconds_total",
+            "Processor time spent in decisions.",
+            self.app.driver.busy_s,
+        )
+        for name, value in vars(self.app.links.counters).items():
+            if isinstance(value, int):
+                count("peer_total", "Peer traffic by kind.", value, {"kind": name})
