--- a/src/wisterialoom/core/peer.py
+++ b/src/wisterialoom/core/peer.py
@@ -25,6 +25,8 @@
     "HeartbeatAck",
     "IndirectPing",
     "LetGo",
+    "LoadChange",
+    "LoadPull",
     "MemberStatus",
     "MemberUpdate",
     "NonceAnswer",
@@ -36,6 +38,7 @@
     "SendPeer",
     "STALE_AGE_MS",
     "ServerLoad",
+    "StateSync",
 ]
 
 STALE_AGE_MS = 1_000_000_000
@@ -91,6 +94,9 @@
         leaving: No new work may go there.
         incarnation: Of the backend server.
         kv_free: Share of KV cache that is free, in percent.
+        steward: Entry instance that read it; empty if unknown.
+        epoch: Count of takeovers of the server; goes before the serial, so that
+            a new steward's first report beats every report of the old one.
     """
 
     server: str
@@ -102,6 +108,32 @@
     leaving: bool = False
     incarnation: str = ""
     kv_free: int = 100
+    steward: str = ""
+    epoch: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class LoadChange:
+    """Newer load of a backend server whose residency has not changed.
+
+    Attributes:
+        server: Identifier of the backend server.
+        epoch: As in `ServerLoad`.
+        base: Serial of the whole report that this one goes with; whoever does
+            not have that one asks for it with `LoadPull`.
+        serial: As in `ServerLoad`.
+        running: Requests in the batch.
+        waiting: Requests in the engine's queue.
+        kv_free: Share of KV cache that is free, in percent.
+    """
+
+    server: str
+    epoch: int
+    base: int
+    serial: int
+    running: int = 0
+    waiting: int = 0
+    kv_free: int = 100
 
 
 @dataclass(frozen=True, slots=True)
@@ -116,6 +148,8 @@
             (`ConfigFreshness.age_s`); `STALE_AGE_MS` or more if it isn't fresh.
         members: News of members.
         loads: News of backend servers.
+        changes: News of the load alone of backend servers.
+        digest: Of the sender's member table; differing ones start a `StateSync`.
     """
 
     serial: int
@@ -123,6 +157,8 @@
     config_age_ms: int = 0
     members: tuple[MemberUpdate, ...] = ()
     loads: tuple[ServerLoad, ...] = ()
+    changes: tuple[LoadChange, ...] = ()
+    digest: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -134,6 +170,8 @@
     config_age_ms: int = 0
     members: tuple[MemberUpdate, ...] = ()
     loads: tuple[ServerLoad, ...] = ()
+    changes: tuple[LoadChange, ...] = ()
+    digest: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -144,6 +182,32 @@
     target: str
 
 
+@dataclass(frozen=True, slots=True)
+class StateSync(PeerMessage):
+    """Everything that the sender knows, for joiners and after a partition.
+
+    Attributes:
+        members: The whole member table, the sender's own entry included.
+        loads: Latest whole report of each backend server, if asked for.
+        wants_reply: The receiver should answer with a sync of its own.
+        wants_loads: The reply should carry the loads.
+    """
+
+    reliable: ClassVar[bool] = True
+    members: tuple[MemberUpdate, ...] = ()
+    loads: tuple[ServerLoad, ...] = ()
+    wants_reply: bool = False
+    wants_loads: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class LoadPull(PeerMessage):
+    """Ask for the latest whole reports of some backend servers."""
+
+    reliable: ClassVar[bool] = True
+    servers: tuple[str, ...] = ()
+
+
 @dataclass(frozen=True, slots=True)
 class ConfigPull(PeerMessage):
     """Ask a peer for a configuration above the generation known.
@@ -187,6 +251,8 @@
         digest: Hex hash of the request's content.
         owner: Entry instance that asks.
         settled: Empty to claim; else the serialized settlement.
+        replaces: Nonce of a claim that its owner has given up, and that may be
+            replaced; empty for none.
     """
 
     reliable: ClassVar[bool] = True
@@ -196,6 +262,7 @@
     digest: str
     owner: str
     settled: bytes = b""
+    replaces: str = ""
 
 
 class ClaimStateWire(enum.IntEnum):
@@ -209,13 +276,23 @@
 
 @dataclass(frozen=True, slots=True)
 class ClaimAnswer(PeerMessage):
-    """What became of a claim request; `entry` is the serialized winner."""
+    """What became of a claim request.
+
+    Attributes:
+        key: As in the request.
+        nonce: As in the request.
+        state: What became of it.
+        entry: The serialized entry that stands under the key.
+        maybe_written: If unavailable: the claim may be in the object all the
+            same, now or later.
+    """
 
     reliable: ClassVar[bool] = True
     key: str
     nonce: str
     state: ClaimStateWire
     entry: bytes = b""
+    maybe_written: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -233,12 +310,15 @@
 
     Attributes:
         abandoned: The owner gave the claim up and never will dispatch under it.
+        gone: The nonce is of an earlier process of this name, which can't be
+            asked any more.
     """
 
     reliable: ClassVar[bool] = True
     key: str
     nonce: str
     abandoned: bool
+    gone: bool = False
 
 
 @dataclass(frozen=True, slots=True)
