--- /dev/null
+++ b/src/wisterialoom/operator/platform.py
@@ -0,0 +1,39 @@
+"""The part of the platform's API that operators' commands use."""
+
+from __future__ import annotations
+
+from typing import Protocol, TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from wisterialoom.core.instance_list import InstanceList
+    from wisterialoom.core.object_store import StoredObject
+
+__all__ = ["Platform"]
+
+
+class Platform(Protocol):
+    """Versioned objects and the instance list; `PlatformClient` is one.
+
+    Every call may raise `PlatformUnavailableError`; changes may also raise
+    `VersionConflictError`.
+    """
+
+    async def read(self, key: str) -> StoredObject:
+        """Return an object, or one at version `ABSENT`."""
+        ...
+
+    async def write(self, key: str, body: bytes, expected: int) -> int:
+        """Write if the object has the expected version; return the new one."""
+        ...
+
+    async def delete(self, key: str, expected: int) -> int:
+        """Delete if the object has the expected version; return the new one."""
+        ...
+
+    async def list(self, prefix: str) -> tuple[str, ...]:
+        """Return the sorted keys below a prefix."""
+        ...
+
+    async def instances(self) -> InstanceList:
+        """Return the instance list."""
+        ...
