--- /dev/null
+++ b/src/wisterialoom/measure/__init__.py
@@ -0,0 +1,1 @@
+"""Measures the policy under load, on the virtual clock, with a fixed seed."""
