--- a/src/wisterialoom/measure/workload.py
+++ b/src/wisterialoom/measure/workload.py
@@ -47,7 +47,7 @@
         height = (math.sin(angle) + 1) / 2
         own = self.swing ** (height - 0.5)
         surging = self.surge_at_s <= at_s < self.surge_at_s + self.surge_length_s
-        return own * (self.surge_factor if surging else 1.0)
+        return float(own * (self.surge_factor if surging else 1.0))
 
     @property
     def peak_factor(self) -> float:
