Add the command line, examples and the reference of settings

Examples at the deployments' sizes of today; the reference is written from the data classes, so that it can't say other than the program. Errors become exit codes in one place, by their class.

--- /dev/null
+++ b/src/wisterialoom/cli/connection.py
@@ -0,0 +1,105 @@
+"""How operators' commands reach the platform."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass
+from typing import Any, TYPE_CHECKING, TypeVar
+
+import click
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+    from aiohttp import ClientSession
+
+    from wisterialoom.platform.client import PlatformClient
+
+__all__ = ["PLATFORM_VARIABLE", "Connection", "platform_options"]
+
+T = TypeVar("T")
+
+PLATFORM_VARIABLE = "WISTERIALOOM_PLATFORM"
+DEFAULT_TIMEOUT_S = 5.0
+
+
+@dataclass(frozen=True, slots=True)
+class Connection:
+    """Where the platform is.
+
+    Attributes:
+        url: `http://IP:port`; empty if none was named.
+        timeout_s: Time for each call.
+    """
+
+    url: str
+    timeout_s: float
+
+    def run(self, work: Callable[[PlatformClient], Awaitable[T]]) -> T:
+        """Do some work with the platform."""
+        if not self.url:
+            raise click.UsageError(
+                f"name the platform by --platform, {PLATFORM_VARIABLE} or --config"
+            )
+        return self.run_with_session(lambda session: work(self.client(session)))
+
+    def run_with_session(self, work: Callable[[ClientSession], Awaitable[T]]) -> T:
+        """Do some work with an HTTP session."""
+        return asyncio.run(self._run(work))
+
+    def client(self, session: ClientSession) -> PlatformClient:
+        """Return a client of the platform."""
+        from wisterialoom.platform.client import PlatformClient
+
+        return PlatformClient(session, self.url, self.timeout_s)
+
+    async def _run(self, work: Callable[[ClientSession], Awaitable[T]]) -> T:
+        from aiohttp import ClientSession, DummyCookieJar
+
+        async with ClientSession(cookie_jar=DummyCookieJar()) as session:
+            return await work(session)
+
+
+def platform_options(command: Callable[..., Any]) -> Callable[..., Any]:
+    """Give a command the options that say where the platform is.
+
+    The command gets a `connection` argument in their place.
+    """
+
+    def connect(
+        *args: Any, platform: str, timeout: float, config: str | None, **options: Any
+    ) -> Any:
+        url, timeout_s = platform, timeout
+        if not url and config:
+            from wisterialoom.settings import Settings
+
+            url = Settings.load(config).platform.url
+        return command(*args, connection=Connection(url, timeout_s), **options)
+
+    connect.__name__ = command.__name__
+    connect.__doc__ = command.__doc__
+    connect.__dict__.update(command.__dict__)
+    for option in (
+        click.option(
+            "--config",
+            type=click.Path(exists=True, dir_okay=False),
+            help="Settings file of an entry instance, which names the platform.",
+        ),
+        click.option(
+            "--timeout",
+            type=click.FloatRange(min=0.0, min_open=True),
+            default=DEFAULT_TIMEOUT_S,
+            show_default=True,
+            help="Seconds for each call to the platform.",
+        ),
+        click.option(
+            "--platform",
+            envvar=PLATFORM_VARIABLE,
+            show_envvar=True,
+            default="",
+            metavar="URL",
+            help="The platform's API, as http://IP:port.",
+        ),
+    ):
+        connect = option(connect)
+    return connect
--- /dev/null
+++ b/src/wisterialoom/cli/exit_code.py
@@ -0,0 +1,55 @@
+"""Exit codes of the command line, by the kind of error."""
+
+from __future__ import annotations
+
+import enum
+from typing import TYPE_CHECKING
+
+from wisterialoom.core.fault import FaultyInputError
+from wisterialoom.core.object_store import ObjectTooLargeError, VersionConflictError
+from wisterialoom.core.selector import SelectorError
+from wisterialoom.operator.error import ConflictError, OutcomeUnknownError
+from wisterialoom.platform.client import PlatformUnavailableError
+
+if TYPE_CHECKING:
+    from wisterialoom.core.error import WisterialoomError
+
+__all__ = ["EXIT_CODES_HELP", "ExitCode", "exit_code"]
+
+
+class ExitCode(enum.IntEnum):
+    """What a command's exit code means."""
+
+    OK = 0
+    FAULTS = 1
+    USAGE = 2
+    CONFLICT = 3
+    UNAVAILABLE = 4
+    UNKNOWN = 5
+    ATTENTION = 6
+
+
+EXIT_CODES_HELP = """\b
+Exit codes:
+  0  done
+  1  a document or settings file has faults
+  2  wrong usage of the command line
+  3  another operator's change came first
+  4  the platform is unavailable; nothing was written
+  5  the platform stopped answering; a write may have happened
+  6  the state needs attention (status)
+"""
+
+
+def exit_code(error: WisterialoomError) -> ExitCode:
+    """Return the exit code for an error."""
+    match error:
+        case ConflictError() | VersionConflictError():
+            return ExitCode.CONFLICT
+        case OutcomeUnknownError():
+            return ExitCode.UNKNOWN
+        case PlatformUnavailableError():
+            return ExitCode.UNAVAILABLE
+        case FaultyInputError() | SelectorError() | ObjectTooLargeError():
+            return ExitCode.FAULTS
+    return ExitCode.FAULTS
--- a/src/wisterialoom/core/_document_values.py
+++ b/src/wisterialoom/core/_document_values.py
@@ -28,7 +28,7 @@
     "models": ("memory_mb", "load_s"),
     "adapters": ("memory_mb", "load_s"),
     "server_groups": ("slots", "order_lifetime_s"),
-    "traffic_classes": ("first_token_s", "token_gap_s", "max_wait_s"),
+    "traffic_classes": ("first_token_s", "token_gap_s", "max_wait_s", "load_wait_s"),
     "callers": ("max_concurrent", "weight"),
     "traffic": ("timeout_s",),
 }
--- a/src/wisterialoom/core/document.py
+++ b/src/wisterialoom/core/document.py
@@ -74,7 +74,13 @@
 
 @dataclass(frozen=True, slots=True)
 class AvailabilityZone:
-    """An availability zone and its one-way delays to others, in ms."""
+    """An availability zone.
+
+    Attributes:
+        name: Name, as instances are listed with it.
+        region: Region in which it lies.
+        delay_ms: One-way delays to other availability zones by name, in ms.
+    """
 
     name: str
     region: str = ""
@@ -104,7 +110,15 @@
 
 @dataclass(frozen=True, slots=True)
 class Adapter:
-    """An adapter on a base model, listed to callers as a model."""
+    """An adapter on a base model, listed to callers as a model.
+
+    Attributes:
+        name: Name that callers use.
+        model: Name of the base model.
+        version: Version that should serve.
+        memory_mb: Accelerator memory, taken from the pool for adapters.
+        load_s: Seconds to load at full speed.
+    """
 
     name: str
     model: str
