Add the membership of entry instances and the spread of load news

Cause: duties are shared out over live members, and stewards' reports have to reach every entry within 3 KB/s. Change: SWIM-style probes in a shuffled ring, indirect probes, suspicion with refutation, a digest in heartbeats that starts a full sync when tables stay apart, whole load reports for residency and small changes for load, both within a budget of bytes. Weighed: taking over news of deaths from others (drops members of the own half for a moment after a partition heals) against asking the member itself, kept. A member that starts again below its floor after having been forgotten was never let in; the reply to its sync now names the floor, which it refutes.

--- /dev/null
+++ b/src/wisterialoom/core/membership.py
@@ -0,0 +1,444 @@
+"""Membership of the entry instances, and the news that rides on it."""
+
+from __future__ import annotations
+
+import math
+from dataclasses import replace
+from typing import ClassVar, TYPE_CHECKING
+
+from wisterialoom.core.gossip import (
+    DATAGRAM_BYTES,
+    GossipQueue,
+    int_size,
+    send_limit,
+    text_size,
+)
+from wisterialoom.core.instance_list import InstanceListRead
+from wisterialoom.core.load_gossip import LoadGossip
+from wisterialoom.core.membership_join import JoinSchedule
+from wisterialoom.core.membership_probe import PROBE_INTERVAL_S, ProbeSchedule
+from wisterialoom.core.membership_table import MemberTable
+from wisterialoom.core.message import Event, Output, Tick
+from wisterialoom.core.notice import (
+    ConfigChanged,
+    ConfigFreshness,
+    DrainRequested,
+    LoadReported,
+    MembersChanged,
+    PartDrained,
+)
+from wisterialoom.core.peer import (
+    Heartbeat,
+    HeartbeatAck,
+    IndirectPing,
+    LoadPull,
+    MemberStatus,
+    MemberUpdate,
+    PeerMessage,
+    PeerReceived,
+    SendPeer,
+    ServerLoad,
+    StateSync,
+)
+
+if TYPE_CHECKING:
+    import random
+    from collections.abc import Iterable
+
+__all__ = ["Membership"]
+
+PART = "membership"
+
+PAUSE_S = 1.0
+"""Time without any event after which this instance was itself paused."""
+
+SUSPICION_PERIODS = 4.0
+"""Probe intervals of suspicion for each factor of ten in the fleet's size."""
+
+HELPERS = 3
+"""Members that are asked to probe one that does not answer."""
+
+SUSPECT_PROBES = 2
+"""Suspected members that are told of it with each probe."""
+
+DOUBT_PROBES = 4
+"""Members that are told of rumors of their death with each probe."""
+
+URGENT_FANOUT = 2
+"""Members that urgent news is sent to with each tick."""
+
+LEAVE_S = 2.0
+"""Time in which the news of leaving spreads before the part is drained."""
+
+EXPIRE_INTERVAL_S = 0.5
+"""Time between two looks at suspicions and forgotten members."""
+
+NEWS_ONLY = 0
+"""Serial of an acknowledgement that answers nothing and only carries news."""
+
+FRAME_BYTES = 64
+"""Bytes of a heartbeat besides the sender's name and news."""
+
+
+class Membership:
+    """Probes members in turn and spreads news of members and backend servers.
+
+    Attributes:
+        own: This instance as it describes itself.
+        table: What is believed of the others.
+        loads: What is known of backend servers.
+        generation: Of the configuration in force here.
+        conflicts: Times that another process used this instance's name.
+    """
+
+    listens: ClassVar[tuple[type[Event], ...]] = (
+        Tick,
+        PeerReceived,
+        InstanceListRead,
+        ConfigChanged,
+        ConfigFreshness,
+        LoadReported,
+        DrainRequested,
+    )
+
+    def __init__(
+        self,
+        name: str,
+        address: str,
+        availability_zone: str,
+        *,
+        seeds: Iterable[str],
+        rng: random.Random,
+        incarnation: int,
+    ) -> None:
+        """Set the part up.
+
+        Args:
+            name: Name of this instance, unique among those that live.
+            address: `IP:port` at which peers reach it.
+            availability_zone: Where it is.
+            seeds: Addresses to join through, beside the instance list.
+            rng: Source of random choices.
+            incarnation: Above those of earlier lives of the name, if possible
+                (such as the boot time); a lower one costs a refutation.
+        """
+        self.own = MemberUpdate(
+            name, address, availability_zone, incarnation, MemberStatus.ALIVE
+        )
+        self.rng = rng
+        self.table = MemberTable(self.own)
+        self.news: GossipQueue[MemberUpdate] = GossipQueue()
+        self.probes = ProbeSchedule(rng)
+        self.joins = JoinSchedule(address, seeds, rng)
+        self.loads = LoadGossip()
+        self.generation = 0
+        self.fresh_at: float | None = None
+        self.conflicts = 0
+        self.loads_synced = False
+        self.leaving_at: float | None = None
+        self.drained = False
+        self.last_event: float | None = None
+        self.expire_at = 0.0
+        self.announced: MembersChanged | None = None
+        self.out: list[Output] = []
+
+    def handle(self, now: float, event: Event) -> list[Output]:
+        """Take one event and return what follows from it."""
+        self.out = []
+        self._notice_pause(now)
+        match event:
+            case Tick():
+                self._tick(now)
+            case PeerReceived(sender=sender, message=message):
+                self._receive(now, sender, message)
+            case InstanceListRead(listing=listing):
+                self.joins.take_listing(listing)
+            case ConfigChanged(generation=generation):
+                self.generation = max(self.generation, generation)
+            case ConfigFreshness(generation=generation, age_s=age_s):
+                self.generation = max(self.generation, generation)
+                self.fresh_at = now - age_s
+            case LoadReported(load=load, own=True):
+                self.loads.report(now, load)
+            case DrainRequested():
+                self._leave(now)
+        self._announce_members()
+        return self.out
+
+    # Time.
+
+    def _notice_pause(self, now: float) -> None:
+        last, self.last_event = self.last_event, now
+        if last is None or now - last < PAUSE_S:
+            return
+        # The others had no chance to answer meanwhile.
+        self.table.shift(now - last)
+        self.probes.reset(now)
+
+    def _tick(self, now: float) -> None:
+        self.loads.tick(now)
+        self._expire(now)
+        self._join(now)
+        self._ask_for_help(now)
+        if now >= self.probes.next_at:
+            self._probe(now)
+        self._send_urgent(now)
+        self._pull_loads()
+        self._finish_leaving(now)
+
+    def _expire(self, now: float) -> None:
+        if now < self.expire_at:
+            return
+        self.expire_at = now + EXPIRE_INTERVAL_S
+        self.table.expire(now, self.suspicion_s)
+        self.probes.expire(now)
+
+    @property
+    def suspicion_s(self) -> float:
+        """Time from a suspicion to taking the member for dead, in seconds."""
+        decades = math.log10(len(self.table.active()) + 2)
+        return SUSPICION_PERIODS * PROBE_INTERVAL_S * max(1.0, decades)
+
+    # Probes.
+
+    def _probe(self, now: float) -> None:
+        failed = self.probes.failed()
+        if failed is not None:
+            self._suspect(now, failed)
+        self.probes.next_at = now + PROBE_INTERVAL_S
+        doubted = self._some(list(self.table.doubts), DOUBT_PROBES)
+        names = [x.name for x in self.table.active()]
+        target = doubted[0] if doubted else self.probes.next_target(names)
+        if target is None:
+            return
+        probe = self.probes.begin(now, target)
+        self._send(target, self._heartbeat(now, target, probe.serial))
+        suspects = [x.name for x in self.table.suspects()]
+        told = [*doubted[1:], *self._some(suspects, SUSPECT_PROBES)]
+        for name in dict.fromkeys(told):
+            if name != target:
+                serial = self.probes.next_serial()
+                self._send(name, self._heartbeat(now, name, serial))
+
+    def _some(self, names: list[str], count: int) -> list[str]:
+        return self.rng.sample(names, min(count, len(names)))
+
+    def _suspect(self, now: float, name: str) -> None:
+        entry = self.table.entries.get(name)
+        if entry is None or entry.update.status is not MemberStatus.ALIVE:
+            return
+        update = self.table.mark(now, name, MemberStatus.SUSPECT)
+        if update is not None:
+            self._spread(update)
+
+    def _ask_for_help(self, now: float) -> None:
+        probe = self.probes.wants_help(now)
+        if probe is None:
+            return
+        names = [x.name for x in self.table.active() if x.name != probe.target]
+        for name in self._some(names, HELPERS):
+            self._send(name, IndirectPing(probe.serial, probe.target))
+
+    # Messages.
+
+    def _receive(self, now: float, sender: str, message: PeerMessage) -> None:
+        match message:
+            case Heartbeat():
+                self._take_news(now, sender, message)
+                self._send(sender, self._ack(now, sender, message.serial))
+            case HeartbeatAck():
+                self._take_ack(now, sender, message)
+            case IndirectPing(serial=serial, target=target):
+                own = self.probes.begin_relay(now, sender, serial)
+                self._send(target, self._heartbeat(now, target, own))
+            case StateSync():
+                self._take_sync(now, sender, message)
+            case LoadPull(servers=servers):
+                loads = self.loads.wholes_of(servers)
+                self._send(sender, StateSync(loads=loads))
+
+    def _take_ack(self, now: float, sender: str, message: HeartbeatAck) -> None:
+        self._take_news(now, sender, message)
+        if message.serial == NEWS_ONLY:
+            return
+        self.table.doubts.pop(sender, None)
+        relay = self.probes.acknowledge(message.serial)
+        if relay is not None:
+            self._send(relay.origin, self._ack(now, relay.origin, relay.serial))
+
+    def _take_news(
+        self, now: float, sender: str, message: Heartbeat | HeartbeatAck
+    ) -> None:
+        for update in message.members:
+            self._merge(now, update)
+        for load in message.loads:
+            self._take_load(self.loads.take_whole(now, load))
+        for change in message.changes:
+            self._take_load(self.loads.take_change(now, change, sender))
+        differs = message.digest != self.table.digest
+        changed_at = self.table.changed_at
+        if self.joins.should_sync(now, changed_at, differs=differs):
+            self._send(sender, self._sync(wants_reply=True))
+
+    def _take_load(self, load: ServerLoad | None) -> None:
+        if load is not None:
+            self.out.append(LoadReported(load, own=False))
+
+    def _take_sync(self, now: float, sender: str, message: StateSync) -> None:
+        for update in message.members:
+            self._merge(now, update)
+        for load in message.loads:
+            self._take_load(self.loads.take_whole(now, load))
+        if message.members and not message.wants_reply:
+            self.loads_synced = True
+        if message.wants_reply:
+            self._reply_sync(sender, message)
+
+    def _reply_sync(self, sender: str, message: StateSync) -> None:
+        reply = self._sync()
+        if message.wants_loads:
+            reply = replace(reply, loads=self.loads.all_wholes())
+        for update in message.members:
+            floor = self.table.floor_above(update)
+            if update.name == sender and floor is not None:
+                reply = replace(reply, members=(*reply.members, floor))
+                self.out.append(SendPeer(sender, update.address, reply))
+                return
+        self._send(sender, reply)
+
+    def _merge(self, now: float, update: MemberUpdate) -> None:
+        if update.name == self.own.name:
+            self._merge_own(now, update)
+            return
+        news = self.table.merge(now, update)
+        if news is not None:
+            self._spread(news)
+
+    def _merge_own(self, now: float, update: MemberUpdate) -> None:
+        if update.incarnation < self.own.incarnation or update == self.own:
+            return
+        if update.status is MemberStatus.ALIVE:
+            self.conflicts += 1
+        if self.leaving_at is None:
+            self._set_own(now, replace(self.own, incarnation=update.incarnation + 1))
+
+    def _set_own(self, now: float, own: MemberUpdate) -> None:
+        self.own = self.table.own = own
+        self.table.changed_at = now
+        self.table.refresh_digest()
+        self._spread(own, urgent=own.status is MemberStatus.LEAVING)
+
+    def _spread(self, update: MemberUpdate, *, urgent: bool = False) -> None:
+        leaving = update.status is MemberStatus.LEAVING
+        size = _member_size(update)
+        self.news.put(update.name, update, size, urgent=urgent or leaving)
+
+    # Joining and leaving.
+
+    def _join(self, now: float) -> None:
+        if self.leaving_at is not None:
+            return
+        gone = [
+            entry.update.address
+            for entry in self.table.entries.values()
+            if entry.update.status is MemberStatus.DEAD
+        ]
+        active = [update.address for update in self.table.active()]
+        for address in self.joins.contacts(now, active, gone):
+            sync = self._sync(wants_reply=True)
+            sync = replace(sync, wants_loads=not self.loads_synced)
+            self.out.append(SendPeer("", address, sync))
+
+    def _leave(self, now: float) -> None:
+        if self.leaving_at is None:
+            self.leaving_at = now
+            self._set_own(now, replace(self.own, status=MemberStatus.LEAVING))
+
+    def _finish_leaving(self, now: float) -> None:
+        if self.leaving_at is None or self.drained:
+            return
+        if now - self.leaving_at >= LEAVE_S or not self.table.active():
+            self.drained = True
+            self.out.append(PartDrained(PART))
+
+    def _sync(self, *, wants_reply: bool = False) -> StateSync:
+        return StateSync(members=self.table.updates(), wants_reply=wants_reply)
+
+    # Sending.
+
+    def _send_urgent(self, now: float) -> None:
+        if not (self.news.urgent or self.loads.urgent):
+            return
+        names = [update.name for update in self.table.active()]
+        for name in self._some(names, URGENT_FANOUT):
+            self._send(name, self._ack(now, name, NEWS_ONLY))
+
+    def _pull_loads(self) -> None:
+        for member, servers in self.loads.take_missing().items():
+            self._send(member, LoadPull(servers))
+
+    def _heartbeat(self, now: float, to: str, serial: int) -> Heartbeat:
+        ack = self._ack(now, to, serial)
+        return Heartbeat(
+            serial=serial,
+            generation=ack.generation,
+            config_age_ms=ack.config_age_ms,
+            members=ack.members,
+            loads=ack.loads,
+            changes=ack.changes,
+            digest=ack.digest,
+        )
+
+    def _ack(self, now: float, to: str, serial: int) -> HeartbeatAck:
+        limit = send_limit(len(self.table.entries))
+        room = DATAGRAM_BYTES - FRAME_BYTES - text_size(self.own.name)
+        doubt = self._doubt_about(to)
+        members, used = self.news.take(room - sum(map(_member_size, doubt)), limit)
+        used += sum(map(_member_size, doubt))
+        loads = self.loads.take(now, room - used, limit)
+        return HeartbeatAck(
+            serial=serial,
+            generation=self.generation,
+            config_age_ms=self._config_age_ms(now),
+            members=(*doubt, *(x for x in members if x not in doubt)),
+            loads=loads.loads,
+            changes=loads.changes,
+            digest=self.table.digest,
+        )
+
+    def _doubt_about(self, name: str) -> tuple[MemberUpdate, ...]:
+        """Return what the receiver itself should refute, if it lives."""
+        doubt = self.table.doubts.get(name)
+        entry = self.table.entries.get(name)
+        if doubt is not None:
+            return (doubt,)
+        if entry is not None and entry.update.status is not MemberStatus.ALIVE:
+            return (entry.update,)
+        return ()
+
+    def _config_age_ms(self, now: float) -> int:
+        if self.fresh_at is None:
+            return 0
+        return max(int((now - self.fresh_at) * 1_000), 0)
+
+    def _send(self, to: str, message: PeerMessage) -> None:
+        entry = self.table.entries.get(to)
+        if entry is not None:
+            self.out.append(SendPeer(to, entry.update.address, message))
+
+    def _announce_members(self) -> None:
+        notice = MembersChanged(self.table.members(), self.table.gone())
+        if notice != self.announced:
+            self.announced = notice
+            self.out.append(notice)
+
+
+def _member_size(update: MemberUpdate) -> int:
+    return (
+        text_size(update.name)
+        + text_size(update.address)
+        + text_size(update.availability_zone)
+        + int_size(update.incarnation)
+        + int_size(update.status)
+        + 1
+    )
--- /dev/null
+++ b/tests/test_load_gossip.py
@@ -0,0 +1,186 @@
+"""Load news: never out of order, complete in the end, within its bytes."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+
+from hypothesis import given, strategies as st
+
+from tests.test_membership import fleet_of, worlds
+from wisterialoom.core.gossip import GossipQueue, URGENT_SENDS
+from wisterialoom.core.load_gossip import (
+    LOAD_BYTES_PER_S,
+    load_change_size,
+    LoadGossip,
+    MIN_REFRESH_S,
+    server_load_size,
+)
+from wisterialoom.core.membership import _member_size, FRAME_BYTES
+from wisterialoom.core.notice import LoadReported
+from wisterialoom.core.peer import (
+    HeartbeatAck,
+    LoadChange,
+    MemberStatus,
+    MemberUpdate,
+    ServerLoad,
+)
+from wisterialoom.peer.codec import encode
+
+counts = st.integers(0, 300)
+text = st.text(st.characters(exclude_categories=["Cs"]), max_size=150)
+serials = st.integers(0, 2**50)
+
+
+class Steward:
+    """Reports of one server, from whichever member holds its lease."""
+
+    def __init__(self, fleet, server):
+        self.fleet = fleet
+        self.load = ServerLoad(server, 0, 0, 0, epoch=1)
+        self.home = "entry-0"
+
+    def report(self, **values):
+        self.load = replace(self.load, serial=self.load.serial + 1, **values)
+        self.fleet.send(self.home, LoadReported(self.load, own=True))
+
+    def move(self, home):
+        self.home = home
+        self.load = replace(self.load, epoch=self.load.epoch + 1, serial=0)
+
+
+def residency(load):
+    return load.epoch, load.resident, load.draining, load.leaving
+
+
+@worlds(40)
+@given(st.integers(0, 10_000), st.integers(5, 7), st.data())
+def test_loads_are_applied_in_order_and_arrive_in_the_end(seed, size, data):
+    fleet = fleet_of(seed, size, loss=0.2)
+    stewards = [Steward(fleet, f"writer-{number}") for number in range(4)]
+    for _ in range(data.draw(st.integers(1, 25))):
+        steward = data.draw(st.sampled_from(stewards))
+        if data.draw(st.integers(0, 9)) == 0:
+            steward.move(data.draw(st.sampled_from(sorted(fleet.members))))
+        models = data.draw(st.sets(st.sampled_from("abc"), max_size=2))
+        steward.report(
+            running=data.draw(counts),
+            resident=tuple(f"{model}@1" for model in sorted(models)),
+            leaving=data.draw(st.integers(0, 9)) == 0,
+        )
+        fleet.run_for(data.draw(st.sampled_from([0.05, 0.5, 3.0])))
+    fleet.links.loss = 0.0
+    for _ in range(int(2 * MIN_REFRESH_S)):
+        for steward in stewards:
+            steward.report()
+        fleet.run_for(1.0)
+    for name, member in fleet.members.items():
+        latest = {}
+        for load in member.loads:
+            if load.server in latest:
+                held = latest[load.server]
+                assert (load.epoch, load.serial) > (held.epoch, held.serial)
+            latest[load.server] = load
+        for steward in stewards:
+            known = member.part.loads.known[steward.load.server].load
+            assert residency(known) == residency(steward.load), name
+            assert abs(known.running - steward.load.running) <= 0.25 * known.running + 2
+
+
+@worlds(20)
+@given(st.integers(0, 10_000))
+def test_leaving_and_lost_models_are_known_everywhere_at_once(seed):
+    fleet = fleet_of(seed, 7, loss=0.1)
+    steward = Steward(fleet, "writer-1")
+    steward.report(resident=("a@1", "b@1"))
+    fleet.run_for(20.0)
+    for change in ({"draining": ("a@1",)}, {"resident": ("b@1",)}, {"leaving": True}):
+        steward.report(**change)
+
+        def known():
+            parts = [m.part.loads.known.get("writer-1") for m in fleet.members.values()]
+            wanted = residency(steward.load)
+            return all(x is not None and residency(x.load) == wanted for x in parts)
+
+        assert fleet.run_until(known, 3.0)
+
+
+def test_load_news_keeps_to_its_bytes_while_hundreds_of_servers_change():
+    fleet = fleet_of(5, 6)
+    stewards = [Steward(fleet, f"writer-{number}") for number in range(200)]
+    for number, steward in enumerate(stewards):
+        steward.home = f"entry-{number % 6}"
+        steward.report(resident=(f"model-{number}@1",))
+    fleet.run_for(120.0)
+    before = {n: sum(t.payload_bytes.values()) for n, t in fleet.traffic.items()}
+    for second in range(120):
+        for number, steward in enumerate(stewards):
+            steward.report(running=(second * 37 + number * 11) % 100)
+        fleet.run_for(1.0)
+    for name, traffic in fleet.traffic.items():
+        rate = (sum(traffic.payload_bytes.values()) - before[name]) / 120.0
+        assert rate < LOAD_BYTES_PER_S + 250.0, name
+
+
+def test_a_missed_whole_report_is_asked_for():
+    gossip = LoadGossip()
+    change = LoadChange("writer-1", epoch=1, base=5, serial=6, running=3)
+    assert gossip.take_change(1.0, change, "entry-3") is None
+    assert gossip.take_missing() == {"entry-3": ("writer-1",)}
+    assert gossip.take_missing() == {}
+    whole = ServerLoad("writer-1", 5, 1, 0, resident=("a@1",), epoch=1)
+    assert gossip.take_whole(2.0, whole) == whole
+    taken = gossip.take_change(3.0, change, "entry-3")
+    assert taken == replace(whole, serial=6, running=3)
+    assert gossip.take_change(4.0, change, "entry-3") is None
+
+
+def test_urgent_news_stops_being_urgent():
+    queue = GossipQueue()
+    queue.put("a", 1, 10, urgent=True)
+    for _ in range(URGENT_SENDS):
+        assert queue.urgent
+        queue.take(100, 50)
+    assert not queue.urgent
+
+
+@worlds(300)
+@given(st.data())
+def test_sizes_in_the_core_are_never_below_the_encoded_ones(data):
+    statuses = st.sampled_from(list(MemberStatus))
+    members = st.builds(MemberUpdate, text, text, text, serials, statuses)
+    loads = st.builds(
+        ServerLoad,
+        text,
+        serials,
+        counts,
+        counts,
+        st.lists(text, max_size=20).map(tuple),
+        st.lists(text, max_size=3).map(tuple),
+        st.booleans(),
+        text,
+        counts,
+        serials,
+    )
+    changes = st.builds(
+        LoadChange, text, serials, serials, serials, counts, counts, counts
+    )
+    message = HeartbeatAck(
+        data.draw(serials),
+        data.draw(serials),
+        data.draw(serials),
+        data.draw(st.lists(members, max_size=20).map(tuple)),
+        data.draw(st.lists(loads, max_size=20).map(tuple)),
+        data.draw(st.lists(changes, max_size=20).map(tuple)),
+        data.draw(st.integers(0, 2**32 - 1)),
+    )
+    size = (
+        FRAME_BYTES
+        + sum(map(_member_size, message.members))
+        + sum(map(server_load_size, message.loads))
+        + sum(map(load_change_size, message.changes))
+    )
+    encoded = len(encode("entry-0", message)) - len("entry-0") - 2
+    assert encoded <= size
+    assert size <= encoded + FRAME_BYTES + 16 * (
+        len(message.members) + len(message.loads) + len(message.changes)
+    )
