--- a/src/wisterialoom/core/assembly.py
+++ b/src/wisterialoom/core/assembly.py
@@ -11,6 +11,7 @@
 from wisterialoom.core.membership import Membership
 from wisterialoom.core.request_path import RequestPath
 from wisterialoom.core.server_directory import ServerDirectory
+from wisterialoom.core.static_planner import StaticPlanner
 from wisterialoom.core.stewards import Stewards
 
 if TYPE_CHECKING:
@@ -99,6 +100,7 @@
         stewards = Stewards(identity.name, identity.boot_id)
         claims = ClaimKeeper(identity.name, identity.boot_id, wall_clock)
         path = RequestPath(zone, policy=policy)
-        parts = (config, membership, directory, stewards, claims, path)
+        planner = StaticPlanner()
+        parts = (config, membership, directory, planner, stewards, claims, path)
         core = EntryCore(parts, DRAINING_PARTS)
         return cls(config, membership, directory, stewards, claims, path, core)
