--- a/src/wisterialoom/core/peer.py
+++ b/src/wisterialoom/core/peer.py
@@ -108,8 +108,8 @@
     leaving: bool = False
     incarnation: str = ""
     kv_free: int = 100
-    steward: str = ""
     epoch: int = 0
+    steward: str = ""
 
 
 @dataclass(frozen=True, slots=True)
