--- a/src/wisterialoom/operator/status.py
+++ b/src/wisterialoom/operator/status.py
@@ -5,9 +5,10 @@
 import asyncio
 from collections import Counter
 from dataclasses import dataclass, field
-from typing import Any, TYPE_CHECKING
+from typing import TYPE_CHECKING
 
 from aiohttp import ClientError, ClientTimeout
+from pydantic import TypeAdapter, ValidationError
 
 from wisterialoom.platform.client import PlatformUnavailableError
 
@@ -56,6 +57,29 @@
     steward: str = ""
 
 
+@dataclass(frozen=True, slots=True)
+class UnreachableModel:
+    """A model or adapter that an entry instance can't reach, and why."""
+
+    model: str
+    reason: str
+
+
+@dataclass(frozen=True, slots=True)
+class StatusAnswer:
+    """What `/status` of an entry instance answers, as far as it is used here."""
+
+    instance: str
+    generation: int
+    fresh: bool
+    members: tuple[str, ...] = ()
+    servers: tuple[ServerStatus, ...] = ()
+    unreachable: tuple[UnreachableModel, ...] = ()
+
+
+ANSWER = TypeAdapter(StatusAnswer)
+
+
 @dataclass(frozen=True, slots=True)
 class DeploymentStatus:
     """The whole.
@@ -132,42 +156,44 @@
 
 async def _ask(
     session: ClientSession, address: str, timeout_s: float
-) -> tuple[InstanceStatus, dict[str, Any]]:
+) -> tuple[InstanceStatus, StatusAnswer | None]:
     url = f"http://{address}/status"
     try:
         async with session.get(url, timeout=ClientTimeout(timeout_s)) as response:
             response.raise_for_status()
-            answer = await response.json()
-            return _instance(address, answer), answer
-    except (ClientError, TimeoutError, OSError, ValueError) as error:
+            answer = ANSWER.validate_json(await response.read())
+    except ValidationError as error:
+        first = error.errors()[0]
+        problem = f"its answer has an unknown form: {first['loc']}: {first['msg']}"
+        return InstanceStatus(address, problem=problem), None
+    except (ClientError, TimeoutError, OSError) as error:
         problem = f"{type(error).__name__}: {error}".rstrip(": ")
-        return InstanceStatus(address, problem=problem), {}
-
-
-def _instance(address: str, answer: dict[str, Any]) -> InstanceStatus:
-    return InstanceStatus(
+        return InstanceStatus(address, problem=problem), None
+    instance = InstanceStatus(
         address=address,
-        name=str(answer["instance"]),
-        generation=int(answer["generation"]),
-        fresh=bool(answer["fresh"]),
-        members=tuple(str(item) for item in answer["members"]),
+        name=answer.instance,
+        generation=answer.generation,
+        fresh=answer.fresh,
+        members=answer.members,
     )
+    return instance, answer
 
 
 def _combine(
     listed: tuple[ListedInstance, ...],
     problem: str,
-    answers: list[tuple[InstanceStatus, dict[str, Any]]],
+    answers: list[tuple[InstanceStatus, StatusAnswer | None]],
 ) -> DeploymentStatus:
     servers: dict[str, ServerStatus] = {}
     unreachable: dict[str, list[str]] = {}
-    for instance, answer in answers:
-        for item in answer.get("servers", ()):
-            server = _server(item)
+    for _, answer in answers:
+        if answer is None:
+            continue
+        for server in answer.servers:
             servers[server.name] = _newer(servers.get(server.name), server)
-        for item in answer.get("unreachable", ()):
-            reasons = unreachable.setdefault(str(item["model"]), [])
-            reasons.append(f"{item['reason']} (at {instance.name})")
+        for item in answer.unreachable:
+            reasons = unreachable.setdefault(item.model, [])
+            reasons.append(f"{item.reason} (at {answer.instance})")
     return DeploymentStatus(
         listed=listed,
         instances=tuple(instance for instance, _ in answers),
@@ -177,15 +203,6 @@
     )
 
 
-def _server(item: dict[str, Any]) -> ServerStatus:
-    return ServerStatus(
-        name=str(item["name"]),
-        resident=tuple(item.get("resident", ())),
-        leaving=bool(item.get("leaving")),
-        steward=str(item.get("steward") or ""),
-    )
-
-
 def _newer(known: ServerStatus | None, seen: ServerStatus) -> ServerStatus:
     """Choose between two views; the steward's own and a leaving mark count more."""
     if known is None or seen.leaving or (seen.steward and not known.steward):
