--- a/src/wisterialoom/core/engine.py
+++ b/src/wisterialoom/core/engine.py
@@ -225,7 +225,10 @@
 
 @dataclass(frozen=True, slots=True)
 class OrderNotSent(Event):
-    """No byte of an order was sent: the sender's lease had run out."""
+    """No byte of an order was sent, so that it cannot take effect.
+
+    The sender's lease had run out, or no connection could be made.
+    """
 
     server: str
     order_id: str
--- a/src/wisterialoom/standin/engine_batch.py
+++ b/src/wisterialoom/standin/engine_batch.py
@@ -152,8 +152,8 @@
         load = max(1.0, len(self.runs) / self.settings.slots)
         return self.settings.token_gap_s * load
 
-    def join(self, now: float, job: Job) -> None:
-        """Add a job to the queue.
+    def check(self, job: Job) -> None:
+        """Check that a job can ever run.
 
         Raises:
             JobTooLargeError: It would never fit into the KV cache.
@@ -163,6 +163,14 @@
                 f"{job.job_id} needs {job.kv_tokens} tokens of KV cache of "
                 f"{self.settings.kv_tokens}: shorten it"
             )
+
+    def join(self, now: float, job: Job) -> None:
+        """Add a job to the queue.
+
+        Raises:
+            JobTooLargeError: It would never fit into the KV cache.
+        """
+        self.check(job)
         self._run_until(now)
         serial = next(self.serials)
         self.waiting[job.job_id] = serial
--- a/src/wisterialoom/standin/engine_memory.py
+++ b/src/wisterialoom/standin/engine_memory.py
@@ -46,6 +46,7 @@
         adapters: Resident adapters.
         loading: Loads in progress by order id.
         busy: Requests in progress by model or adapter.
+        bases: Base model of each adapter that was ever loaded.
         fence: Highest fence seen.
         role: What the engine is used for.
         violations: Descriptions of each overcommitment.
@@ -59,6 +60,7 @@
     adapters: dict[ModelKey, int] = field(default_factory=dict)
     loading: dict[str, Loading] = field(default_factory=dict)
     busy: dict[ModelKey, int] = field(default_factory=dict)
+    bases: dict[ModelKey, ModelKey] = field(default_factory=dict)
     fence: Fence | None = None
     role: str = ""
     violations: list[str] = field(default_factory=list)
@@ -89,6 +91,7 @@
             case LoadAdapter(adapter=adapter, model=model, memory_mb=memory_mb):
                 if model not in self.models:
                     return OrderRefusal.NOT_RESIDENT
+                self.bases[adapter] = model
                 self._begin_load(order_id, Loading(adapter, memory_mb, adapter=True))
             case UnloadModel(model=model):
                 return self._unload(self.models, model, "unload_model")
@@ -133,6 +136,42 @@
     def _count(self, kind: str) -> None:
         self.moves[kind] = self.moves.get(kind, 0) + 1
 
+    def find(self, name: str) -> tuple[ModelKey, ...]:
+        """Return what serves a name: a model, or an adapter and its base.
+
+        Args:
+            name: `name` for any version that is resident, or `name@version`.
+
+        Returns:
+            What has to stay resident meanwhile; empty if it cannot be served.
+        """
+        for key in self.adapters:
+            if name not in (key.name, str(key)):
+                continue
+            base = self.bases.get(key)
+            if base is None:
+                return (key,)
+            if base in self.models:
+                return (key, base)
+        for key in self.models:
+            if name in (key.name, str(key)):
+                return (key,)
+        return ()
+
+    def hold(self, keys: tuple[ModelKey, ...]) -> None:
+        """Count a request in progress on each."""
+        for key in keys:
+            self.busy[key] = self.busy.get(key, 0) + 1
+
+    def release(self, keys: tuple[ModelKey, ...]) -> None:
+        """End a request on each."""
+        for key in keys:
+            left = self.busy.get(key, 0) - 1
+            if left > 0:
+                self.busy[key] = left
+            else:
+                self.busy.pop(key, None)
+
     def restart(self, incarnation: str) -> None:
         """Start anew with empty memory."""
         self.incarnation = incarnation
--- a/src/wisterialoom/standin/platform_app.py
+++ b/src/wisterialoom/standin/platform_app.py
@@ -9,17 +9,18 @@
 | `GET /objects?prefix=P` | the sorted keys |
 | `GET /instances` | the instance list |
 | `POST /instances` | `register`, `leaving` or `remove` one instance |
+| `POST /weights` | seconds that a load takes, begun by an engine |
 | `POST /faults` | set any of `PlatformFault`'s attributes |
 | `GET /records` | counts of calls |
 
-Calls beyond the rates get 429. Calls to `/faults` and `/records` are not counted.
+Calls beyond the rates get 429; only the object API and the list are counted.
 """
 
 from __future__ import annotations
 
 import asyncio
-from dataclasses import asdict, dataclass, fields
-from typing import Any, TYPE_CHECKING
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
 
 import orjson
 from aiohttp import web
@@ -32,9 +33,11 @@
 )
 from wisterialoom.platform.client import VERSION_HEADER, WATCH_LIMIT_S
 from wisterialoom.platform.codec import encode_instances, instance_from_json
+from wisterialoom.standin.fault_switch import abort, FaultSwitch, json_response
 from wisterialoom.standin.instance_registry import InstanceRegistry
 from wisterialoom.standin.object_store import ObjectStore
 from wisterialoom.standin.rate import RateLimit
+from wisterialoom.standin.weight_store import WeightStore
 
 if TYPE_CHECKING:
     from aiohttp.typedefs import Handler, Middleware
@@ -45,10 +48,11 @@
 
 READS_PER_S = 2_000.0
 WRITES_PER_S = 400.0
+UNCOUNTED_PATHS = frozenset({"/faults", "/records", "/weights"})
 
 
 @dataclass
-class PlatformFault:
+class PlatformFault(FaultSwitch):
     """Faults in force.
 
     Attributes:
@@ -68,19 +72,6 @@
     lag_s: float = 0.0
     freeze_instances: bool = False
 
-    def update(self, changes: dict[str, Any]) -> None:
-        """Set the attributes that are named.
-
-        Raises:
-            ValueError: A name is unknown.
-        """
-        known = {item.name for item in fields(self)}
-        unknown = set(changes) - known
-        if unknown:
-            raise ValueError(f"unknown {sorted(unknown)}: use {sorted(known)}")
-        for name, value in changes.items():
-            setattr(self, name, value)
-
 
 class PlatformApp:
     """The platform's HTTP application.
@@ -91,18 +82,24 @@
         fault: Faults in force.
         reads: Rate of reads; a waiting watch counts as one.
         writes: Rate of changes.
+        weights: The weight store, which has limits of its own.
         watchers: Calls that wait for an object to change.
         app: The application to serve.
     """
 
     def __init__(
-        self, *, reads_per_s: float = READS_PER_S, writes_per_s: float = WRITES_PER_S
+        self,
+        *,
+        reads_per_s: float = READS_PER_S,
+        writes_per_s: float = WRITES_PER_S,
+        weights: WeightStore | None = None,
     ) -> None:
         self.store = ObjectStore()
         self.registry = InstanceRegistry()
         self.fault = PlatformFault()
         self.reads = RateLimit(reads_per_s)
         self.writes = RateLimit(writes_per_s)
+        self.weights = weights or WeightStore()
         self.watchers: dict[str, set[asyncio.Future[None]]] = {}
         self.app = web.Application(
             middlewares=[self._middleware()], client_max_size=2 * MAX_OBJECT_BYTES
@@ -115,7 +112,8 @@
                 web.delete("/objects/{key:.+}", self.delete_object),
                 web.get("/instances", self.list_instances),
                 web.post("/instances", self.change_instance),
-                web.post("/faults", self.set_faults),
+                web.post("/weights", self.begin_load),
+                web.post("/faults", self.fault.answer),
                 web.get("/records", self.read_records),
             ]
         )
@@ -123,7 +121,7 @@
     def _middleware(self) -> Middleware:
         @web.middleware
         async def guard(request: web.Request, handler: Handler) -> web.StreamResponse:
-            if request.path in ("/faults", "/records"):
+            if request.path in UNCOUNTED_PATHS:
                 return await handler(request)
             return await self._guard(request, handler)
 
@@ -137,22 +135,21 @@
         if not rate.take(now):
             return web.Response(status=429, headers={"Retry-After": "1"})
         if self.fault.cut:
-            return _drop(request)
+            return abort(request)
         if self.fault.delay_s:
             await asyncio.sleep(self.fault.delay_s)
         if self.fault.down:
             return web.Response(status=503)
         response = await handler(request)
         changed = request.method != "GET" and response.status == 200
-        if changed and self.fault.lose_answers:
-            self.fault.lose_answers -= self.fault.lose_answers > 0
-            return _drop(request)
+        if changed and self.fault.take("lose_answers"):
+            return abort(request)
         return response
 
     async def list_objects(self, request: web.Request) -> web.Response:
         """Answer with the keys below a prefix."""
         keys = self.store.list(request.query.get("prefix", ""))
-        return _json({"keys": keys})
+        return json_response({"keys": keys})
 
     async def read_object(self, request: web.Request) -> web.Response:
         """Answer with an object, after waiting for a newer one if asked to."""
@@ -224,40 +221,30 @@
                 self.registry.remove(now, name)
             case _:
                 return web.Response(status=400, text="send register, leaving or remove")
-        return _json({})
+        return json_response({})
 
-    async def set_faults(self, request: web.Request) -> web.Response:
-        """Change the faults; answer with those in force."""
-        try:
-            self.fault.update(orjson.loads(await request.read()))
-        except ValueError as error:
-            return web.Response(status=400, text=str(error))
-        return _json(asdict(self.fault))
+    async def begin_load(self, request: web.Request) -> web.Response:
+        """Begin a load from the weight store; answer how long it takes."""
+        item = orjson.loads(await request.read())
+        now = asyncio.get_running_loop().time()
+        load_s = self.weights.begin(now, item["load_s"], adapter=item["adapter"])
+        return json_response({"load_s": load_s})
 
     async def read_records(self, request: web.Request) -> web.Response:
         """Answer with counts of calls."""
-        return _json(
+        return json_response(
             {
                 "reads": self.reads.taken,
                 "writes": self.writes.taken,
                 "refused": self.reads.refused + self.writes.refused,
                 "watching": sum(len(items) for items in self.watchers.values()),
                 "version": self.store.version,
+                "loads": self.weights.loads,
+                "adapter_loads": self.weights.adapter_loads,
             }
         )
 
 
-def _drop(request: web.Request) -> web.Response:
-    """Close the connection without an answer."""
-    if request.transport is not None:
-        request.transport.abort()
-    return web.Response()
-
-
-def _json(value: object) -> web.Response:
-    return web.Response(body=orjson.dumps(value), content_type="application/json")
-
-
 def _version(version: int) -> dict[str, str]:
     return {VERSION_HEADER: str(version)}
 
--- /dev/null
+++ b/tests/test_standin_run.py
@@ -0,0 +1,74 @@
+"""Tests of `wisterialoom.standin.run` with real processes."""
+
+import asyncio
+import json
+import os
+import pathlib
+import signal
+import sys
+
+import aiohttp
+import pytest
+
+import wisterialoom
+from wisterialoom.core.instance_list import InstanceState
+from wisterialoom.platform import PlatformClient
+
+SOURCE = str(pathlib.Path(wisterialoom.__file__).parents[1])
+
+
+async def start(call):
+    code = f"from wisterialoom.standin.run import *; {call}"
+    process = await asyncio.create_subprocess_exec(
+        sys.executable,
+        "-c",
+        code,
+        stdout=asyncio.subprocess.PIPE,
+        env={**os.environ, "PYTHONPATH": SOURCE},
+    )
+    line = await asyncio.wait_for(process.stdout.readline(), 20)
+    return process, json.loads(line)["address"]
+
+
+async def until_listed(client, check):
+    async with asyncio.timeout(20):
+        while not check(listing := (await client.instances()).instances):
+            await asyncio.sleep(0.02)
+    return listing
+
+
+@pytest.mark.processes
+async def test_engine_lists_itself_and_finishes_its_work_before_it_exits():
+    platform, address = await start("run_platform()")
+    listing = f"Listing('http://{address}', '7', 'az1', {{'role': 'drafting'}})"
+    engine, engine_address = await start(
+        f"run_engine(name='e1', listing={listing}, load_s=0.01, token_gap_s=0.01)"
+    )
+    async with aiohttp.ClientSession() as session:
+        client = PlatformClient(session, f"http://{address}", 2.0)
+        (listed,) = await until_listed(client, lambda found: found)
+        assert listed.address == engine_address
+        assert listed.labels == {"role": "drafting", "kind": "engine"}
+        order = {
+            "order_id": "1",
+            "fence": {"epoch": 1, "sequence": 1},
+            "action": {"kind": "load_model", "model": "m@1", "memory_mb": 10},
+        }
+        done = await session.post(f"http://{engine_address}/orders", json=order)
+        assert done.status == 200
+        answer = await session.post(
+            f"http://{engine_address}/v1/completions",
+            json={"model": "m", "prompt": "p", "max_tokens": 60, "stream": True},
+        )
+        await answer.content.readany()
+        engine.send_signal(signal.SIGTERM)
+        await until_listed(
+            client, lambda found: found[0].state is InstanceState.LEAVING
+        )
+        assert (await answer.read()).endswith(b"data: [DONE]\n\n")
+        assert await asyncio.wait_for(engine.wait(), 20) == 0
+        assert await until_listed(client, lambda found: not found) == ()
+        loads = await session.get(f"http://{address}/records")
+        assert (await loads.json())["loads"] == 1
+    platform.send_signal(signal.SIGTERM)
+    assert await asyncio.wait_for(platform.wait(), 20) == 0
