Take the platform and labels as options of the runners; serve in the lab

The runners' options are those that the command line passes. A resumable stream that was cut stays whole or not, and the processes of a failed test are ended. The doubled order's test depended on two copies 50 ms apart; now one copy comes a second later. Serving on the virtual clock has no test yet.

--- /dev/null
+++ b/src/wisterialoom/lab/serving.py
@@ -0,0 +1,394 @@
+"""Backend servers that serve dispatched requests on the virtual clock.
+
+An attempt costs a handful of scheduled calls, however long its answer.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING, TypeAlias
+
+from wisterialoom.core.request import (
+    AttemptEnded,
+    AttemptFirstByte,
+    AttemptResult,
+    StoredAnswer,
+)
+from wisterialoom.lab.attempt_record import AttemptRecord
+from wisterialoom.lab.serving_fault import ServingFault
+from wisterialoom.standin.engine_batch import (
+    BatchSettings,
+    EngineBatch,
+    FirstToken,
+    Job,
+    JobTooLargeError,
+)
+from wisterialoom.standin.run_record import Run, RunRecord
+
+if TYPE_CHECKING:
+    import random
+
+    from wisterialoom.core.engine import ModelKey
+    from wisterialoom.core.message import Event
+    from wisterialoom.core.request import Attempt, CancelAttempt, Dispatch, Request
+    from wisterialoom.lab.order_port import FakeEngine, OrderPort
+    from wisterialoom.lab.schedule import Schedule
+
+__all__ = ["Serving", "ServingServer"]
+
+Reply: TypeAlias = Callable[["Event"], None]
+
+REFUSED_CONNECTION_S = 0.01
+
+
+@dataclass
+class ServingServer:
+    """One backend server.
+
+    Attributes:
+        name: Identifier of the backend server.
+        batch: Batch of an engine; `None` for a plain service.
+        run_s: Time of one run of a plain service.
+        fault: Faults in force.
+        down: It accepts no connection; engines go by their `FakeEngine.down`.
+        live: Attempts in progress, by job id.
+        wake_at: Moment of the next scheduled look at the batch.
+    """
+
+    name: str
+    batch: EngineBatch | None = None
+    run_s: float = 0.01
+    fault: ServingFault = field(default_factory=ServingFault)
+    down: bool = False
+    live: dict[str, _Exchange] = field(default_factory=dict)
+    wake_at: float | None = None
+
+
+@dataclass
+class _Exchange:
+    """One attempt on its way."""
+
+    command: Dispatch
+    reply: Reply
+    record: AttemptRecord
+    server: ServingServer
+    keys: tuple[ModelKey, ...] = ()
+    run: Run | None = None
+    open: bool = True
+
+    @property
+    def attempt(self) -> Attempt:
+        return self.command.attempt
+
+    @property
+    def request(self) -> Request:
+        return self.command.classified.request
+
+    @property
+    def job_id(self) -> str:
+        return f"{self.attempt.request_id}#{self.attempt.number}"
+
+
+class Serving:
+    """Serves attempts; implements `ServingPort`.
+
+    Attributes:
+        orders: Holds the engines' memory.
+        servers: Backend servers by name.
+        record: Every run on any server, and non-idempotent work that ran twice.
+        attempts: How each attempt went, in the order of their dispatch.
+        output_tokens: Returns how many tokens a request's answer takes.
+    """
+
+    def __init__(
+        self,
+        schedule: Schedule,
+        rng: random.Random,
+        orders: OrderPort,
+        output_tokens: Callable[[Request], int] | None = None,
+    ) -> None:
+        self.schedule = schedule
+        self.rng = rng
+        self.orders = orders
+        self.servers: dict[str, ServingServer] = {}
+        self.record = RunRecord()
+        self.attempts: list[AttemptRecord] = []
+        self.exchanges: dict[Attempt, _Exchange] = {}
+        self.output_tokens = output_tokens or (lambda request: request.max_tokens)
+
+    @property
+    def runs(self) -> list[Run]:
+        """Every run on any server."""
+        return self.record.runs
+
+    def add_engine(
+        self, name: str, settings: BatchSettings | None = None
+    ) -> ServingServer:
+        """Let an engine of the order port serve."""
+        batch = EngineBatch(settings or BatchSettings(), at=self.schedule.now)
+        server = self.servers[name] = ServingServer(name, batch)
+        return server
+
+    def add_service(self, name: str, run_s: float = 0.01) -> ServingServer:
+        """Add a plain service."""
+        server = self.servers[name] = ServingServer(name, run_s=run_s)
+        return server
+
+    def kill(self, name: str) -> None:
+        """End a server at once; what it was doing is lost."""
+        server = self.servers[name]
+        engine = self.orders.engines.get(name)
+        server.down = True
+        if engine is not None:
+            engine.down = True
+        for exchange in tuple(server.live.values()):
+            self._leave(exchange)
+            self._report(exchange, AttemptResult.LOST)
+
+    def revive(self, name: str, incarnation: str) -> None:
+        """Start a killed server anew, an engine with empty memory."""
+        server = self.servers[name]
+        server.down = False
+        engine = self.orders.engines.get(name)
+        if engine is not None:
+            engine.down = False
+            engine.memory.restart(incarnation)
+        if server.batch is not None:
+            server.batch = EngineBatch(server.batch.settings, at=self.schedule.now)
+
+    # The port.
+
+    def dispatch(self, caller: str, command: Dispatch, reply: Reply) -> None:
+        """Serve one attempt; reply with its first byte and its end."""
+        attempt = command.attempt
+        server = self.servers.get(attempt.server)
+        record = AttemptRecord(
+            attempt.request_id,
+            attempt.number,
+            attempt.server,
+            command.classified,
+            self.schedule.now,
+        )
+        self.attempts.append(record)
+        if server is None:
+            server = ServingServer(attempt.server, down=True)
+        exchange = _Exchange(command, reply, record, server)
+        self.exchanges[attempt] = exchange
+        if self._is_down(server) or caller in server.fault.cut_off:
+            delay = REFUSED_CONNECTION_S
+            self._report(exchange, AttemptResult.NOT_SENT, delay=delay)
+            return
+        self.schedule.after(server.fault.delay_s, lambda: self._arrive(exchange))
+
+    def cancel(self, caller: str, command: CancelAttempt) -> None:
+        """Stop one attempt: the sender at once, the server when it notices."""
+        exchange = self.exchanges.get(command.attempt)
+        if exchange is None or not exchange.open:
+            return
+        self._report(exchange, AttemptResult.LOST, delay=0.0)
+        delay = exchange.server.fault.delay_s
+        self.schedule.after(delay, lambda: self._notice_cancel(exchange))
+
+    def _notice_cancel(self, exchange: _Exchange) -> None:
+        # A plain service carries on when its caller has left.
+        if exchange.server.batch is not None:
+            self._leave(exchange)
+
+    def _is_down(self, server: ServingServer) -> bool:
+        engine = self.orders.engines.get(server.name)
+        return server.down or (engine is not None and engine.down)
+
+    # On the server.
+
+    def _arrive(self, exchange: _Exchange) -> None:
+        server = exchange.server
+        if self._is_down(server) or self._roll(server.fault.cut_before):
+            self._report(exchange, AttemptResult.LOST)
+            return
+        if server.fault.leaving:
+            self._report(exchange, AttemptResult.NOT_STARTED)
+            return
+        if server.batch is None:
+            self._start(exchange)
+            self.schedule.after(server.run_s, lambda: self._end(exchange))
+            return
+        self._join(exchange, server.batch)
+
+    def _join(self, exchange: _Exchange, batch: EngineBatch) -> None:
+        server = exchange.server
+        engine = self.orders.engines[server.name]
+        exchange.keys = engine.memory.find(exchange.request.model)
+        if not exchange.keys:
+            self._report(exchange, AttemptResult.NOT_STARTED)
+            return
+        try:
+            batch.join(self.schedule.now, self._job(exchange))
+        except JobTooLargeError:
+            self._report(exchange, AttemptResult.SERVER_ERROR)
+            return
+        engine.memory.hold(exchange.keys)
+        self._start(exchange)
+        self._look(server)
+
+    def _job(self, exchange: _Exchange) -> Job:
+        request = exchange.request
+        return Job(
+            job_id=exchange.job_id,
+            model=request.model,
+            prompt_tokens=request.prompt_tokens,
+            output_tokens=max(1, self.output_tokens(request)),
+            priority=exchange.command.classified.priority,
+            prefix_hashes=request.prefix_hashes,
+        )
+
+    def _start(self, exchange: _Exchange) -> None:
+        classified, request = exchange.command.classified, exchange.request
+        key = request.idempotency_key
+        operation = f"{classified.caller}/{key}" if key else request.request_id
+        exchange.run = Run(
+            request_id=request.request_id,
+            operation=operation,
+            digest=request.body_sha256,
+            run_once=not classified.idempotent,
+            at=self.schedule.now,
+            server=exchange.server.name,
+        )
+        self.record.add(exchange.run)
+        exchange.server.live[exchange.job_id] = exchange
+
+    def _look(self, server: ServingServer) -> None:
+        """Take what has happened in a batch, and look again in time."""
+        batch = server.batch
+        if batch is None:
+            return
+        for event in batch.advance(self.schedule.now):
+            exchange = server.live.get(event.job_id)
+            if exchange is None:
+                continue
+            if isinstance(event, FirstToken):
+                self._first_token(exchange, event.at)
+            else:
+                self._last_token(exchange, event.at)
+        self._publish_load(server, batch)
+        at = batch.next_at()
+        if at is not None and (server.wake_at is None or at < server.wake_at):
+            server.wake_at = at
+            self.schedule.at(at, lambda: self._wake(server, at))
+
+    def _wake(self, server: ServingServer, at: float) -> None:
+        if server.wake_at == at:
+            server.wake_at = None
+            self._look(server)
+
+    def _publish_load(self, server: ServingServer, batch: EngineBatch) -> None:
+        engine = self.orders.engines[server.name]
+        engine.running = len(batch.runs)
+        engine.waiting = len(batch.waiting)
+
+    def _first_token(self, exchange: _Exchange, at: float) -> None:
+        fault = exchange.server.fault
+        exchange.record.first = at
+        exchange.record.tokens = 1
+        if exchange.request.stream:
+            self._reply_first_byte(exchange)
+        if self._roll(fault.cut_midway):
+            left = max(1, self.output_tokens(exchange.request)) - 1
+            batch = exchange.server.batch
+            delay = self.rng.random() * left * (batch.step_s if batch else 0.0)
+            self.schedule.after(delay, lambda: self._cut(exchange))
+
+    def _reply_first_byte(self, exchange: _Exchange) -> None:
+        def tell() -> None:
+            if exchange.open:
+                exchange.reply(AttemptFirstByte(exchange.attempt))
+
+        self.schedule.after(exchange.server.fault.delay_s, tell)
+
+    def _cut(self, exchange: _Exchange) -> None:
+        if exchange.job_id in exchange.server.live:
+            self._leave(exchange)
+            self._report(exchange, AttemptResult.LOST)
+
+    def _last_token(self, exchange: _Exchange, at: float) -> None:
+        record = exchange.record
+        record.tokens = max(1, self.output_tokens(exchange.request))
+        if record.tokens > 1 and record.first is not None:
+            record.token_gap_s = (at - record.first) / (record.tokens - 1)
+        self._end(exchange)
+
+    def _end(self, exchange: _Exchange) -> None:
+        """End a run that went to its end, whatever becomes of the answer."""
+        if exchange.job_id not in exchange.server.live:
+            return
+        fault = exchange.server.fault
+        self._release(exchange, "done")
+        delay = fault.delay_s
+        if self._roll(fault.late):
+            delay += self.rng.random() * fault.late_s
+        if self._roll(fault.cut_after):
+            self._report(exchange, AttemptResult.LOST, delay=delay)
+        elif self._roll(fault.error):
+            self._report(exchange, AttemptResult.SERVER_ERROR, delay=delay)
+        else:
+            self._report(exchange, AttemptResult.COMPLETED, delay=delay)
+
+    def _leave(self, exchange: _Exchange) -> None:
+        """Take an attempt out of the server before its end."""
+        if exchange.job_id not in exchange.server.live:
+            return
+        batch = exchange.server.batch
+        if batch is not None:
+            tokens = batch.leave(self.schedule.now, exchange.job_id)
+            exchange.record.tokens = max(exchange.record.tokens, tokens)
+        self._release(exchange, "cancelled")
+        self._look(exchange.server)
+
+    def _release(self, exchange: _Exchange, ended: str) -> None:
+        server = exchange.server
+        del server.live[exchange.job_id]
+        if exchange.run is not None:
+            exchange.run.ended = ended
+        engine: FakeEngine | None = self.orders.engines.get(server.name)
+        if engine is not None:
+            engine.memory.release(exchange.keys)
+
+    # Towards the sender.
+
+    def _report(
+        self, exchange: _Exchange, result: AttemptResult, delay: float | None = None
+    ) -> None:
+        """Tell the sender how its attempt ended, once and after the way back."""
+        delay = exchange.server.fault.delay_s if delay is None else delay
+        event = AttemptEnded(
+            attempt=exchange.attempt,
+            result=result,
+            answer=self._answer(exchange, result),
+            tokens=exchange.record.tokens,
+            leaving=exchange.server.fault.leaving,
+        )
+
+        def tell() -> None:
+            if not exchange.open:
+                return
+            if result is AttemptResult.COMPLETED and not exchange.request.stream:
+                exchange.reply(AttemptFirstByte(exchange.attempt))
+            exchange.open = False
+            exchange.record.result = result
+            exchange.record.ended = self.schedule.now
+            del self.exchanges[exchange.attempt]
+            exchange.reply(event)
+
+        self.schedule.after(delay, tell)
+
+    def _answer(
+        self, exchange: _Exchange, result: AttemptResult
+    ) -> StoredAnswer | None:
+        kept = not exchange.command.classified.idempotent
+        if not kept or result is not AttemptResult.COMPLETED:
+            return None
+        body = f"answer of {exchange.attempt.request_id}".encode()
+        return StoredAnswer(200, "text/plain", body)
+
+    def _roll(self, share: float) -> bool:
+        return share > 0.0 and self.rng.random() < share
--- a/src/wisterialoom/standin/engine_app.py
+++ b/src/wisterialoom/standin/engine_app.py
@@ -64,7 +64,7 @@
         memory: What it holds.
         batch: Its batch, queue and caches.
         orders: Carries out orders.
-        record: What ran.
+        records: What ran.
         generations: Requests that are being answered, by request id.
         app: The application to serve.
     """
@@ -86,7 +86,7 @@
         self.orders = EngineOrders(
             self.settings, self.memory, self.batch, self.fault, load_time
         )
-        self.record = RunRecord()
+        self.records = RunRecord()
         self.generations: dict[str, Generation] = {}
         self.serials = itertools.count()
         self.app = web.Application(
@@ -169,7 +169,7 @@
 
     async def tell_records(self, request: web.Request) -> web.Response:
         """Answer with what ran and what went wrong."""
-        item = self.record.to_json()
+        item = self.records.to_json()
         item["violations"] = self.memory.violations
         item["moves"] = self.memory.moves
         return json_response(item)
@@ -234,7 +234,7 @@
     def _record_run(self, request: web.Request, body: bytes) -> Run:
         now = asyncio.get_running_loop().time()
         target = f"{request.method} {request.path_qs}"
-        return self.record.begin(now, target, request.headers, body)
+        return self.records.begin(now, target, request.headers, body)
 
     def _end(
         self, generation: Generation, keys: tuple[ModelKey, ...], run: Run
@@ -256,18 +256,13 @@
     async def _answer(
         self, request: web.Request, generation: Generation, *, stream: bool
     ) -> web.StreamResponse:
-        resumable = "X-Resumable" in request.headers
         try:
             await asyncio.sleep(self.fault.late_answers_s)
             if stream:
                 return await self._stream(request, generation, 0)
             return await self._whole(request, generation)
-        except (asyncio.CancelledError, ConnectionError):
-            if not resumable:
-                await generation.stop()
-            raise
         finally:
-            if not resumable or generation.whole:
+            if "X-Resumable" not in request.headers:
                 await generation.stop()
 
     async def _whole(
--- a/src/wisterialoom/standin/run.py
+++ b/src/wisterialoom/standin/run.py
@@ -8,8 +8,8 @@
 import asyncio
 import signal
 import sys
-from dataclasses import dataclass, field
 from typing import Any, TYPE_CHECKING
+from uuid import uuid4
 
 import orjson
 import uvloop
@@ -29,7 +29,7 @@
 
     pass
 
-__all__ = ["Listing", "run_engine", "run_platform", "run_service"]
+__all__ = ["run_engine", "run_platform", "run_service"]
 
 DRAIN_LIMIT_S = 60.0
 """Longest time that a leaving stand-in waits for its requests in progress."""
@@ -37,23 +37,6 @@
 DRAIN_POLL_S = 0.05
 
 
-@dataclass(frozen=True)
-class Listing:
-    """How a backend server appears in the instance list.
-
-    Attributes:
-        platform_url: Base address of the platform; empty to stay unlisted.
-        incarnation: Changes with each start.
-        availability_zone: Name of the availability zone.
-        labels: The platform's labels; `kind` is added.
-    """
-
-    platform_url: str = ""
-    incarnation: str = "1"
-    availability_zone: str = ""
-    labels: Mapping[str, str] = field(default_factory=dict)
-
-
 def run_platform(
     host: str = "127.0.0.1",
     port: int = 0,
@@ -93,7 +76,10 @@
     port: int = 0,
     *,
     name: str = "engine",
-    listing: Listing | None = None,
+    platform: str = "",
+    incarnation: str = "",
+    availability_zone: str = "",
+    labels: Mapping[str, str] | None = None,
     memory_mb: int = 80_000,
     checks_fencing: bool = True,
     slots: int = 8,
@@ -110,7 +96,10 @@
         host: IP number to listen on.
         port: Port to listen on; 0 lets the system choose.
         name: Identifier of the backend server.
-        listing: How it appears in the instance list; `None` for not at all.
+        platform: Base address of the platform; empty to stay unlisted.
+        incarnation: Changes with each start; empty for a random one.
+        availability_zone: Name of the availability zone.
+        labels: The platform's labels; `kind` is added.
         memory_mb: Accelerator memory in all.
         checks_fencing: Refuse orders below the highest fence seen.
         slots: Requests at once before tokens slow down.
@@ -121,10 +110,11 @@
         adapter_load_s: The same for an adapter.
         load_s_by_name: Exceptions by the name of a model or adapter.
     """
-    listing = listing or Listing()
+    incarnation = incarnation or uuid4().hex
+    listed = _lister("engine", name, incarnation, availability_zone, labels)
     settings = EngineSettings(
         name=name,
-        incarnation=listing.incarnation,
+        incarnation=incarnation,
         memory_mb=memory_mb,
         checks_fencing=checks_fencing,
         load_s=load_s,
@@ -140,10 +130,11 @@
     )
 
     async def serve(stopping: asyncio.Event) -> None:
-        access = PlatformAccess(listing.platform_url)
+        access = PlatformAccess(platform)
         engine = EngineApp(settings, access.load_time)
         async with StandinServer(engine.app, host, port) as server:
-            await _list(access, listing, "engine", name, server.address)
+            _announce("engine", name, server.address)
+            await access.register(listed(server.address))
             await stopping.wait()
             engine.fault.leaving = True
             await access.mark_leaving(name)
@@ -158,7 +149,10 @@
     port: int = 0,
     *,
     name: str = "service",
-    listing: Listing | None = None,
+    platform: str = "",
+    incarnation: str = "",
+    availability_zone: str = "",
+    labels: Mapping[str, str] | None = None,
     delay_s: float = 0.0,
 ) -> None:
     """Run a plain service.
@@ -167,17 +161,22 @@
         host: IP number to listen on.
         port: Port to listen on; 0 lets the system choose.
         name: Identifier of the backend server.
-        listing: How it appears in the instance list; `None` for not at all.
+        platform: Base address of the platform; empty to stay unlisted.
+        incarnation: Changes with each start; empty for a random one.
+        availability_zone: Name of the availability zone.
+        labels: The platform's labels; `kind` is added.
         delay_s: Time of each run.
     """
-    listing = listing or Listing()
+    incarnation = incarnation or uuid4().hex
+    listed = _lister("service", name, incarnation, availability_zone, labels)
 
     async def serve(stopping: asyncio.Event) -> None:
-        access = PlatformAccess(listing.platform_url)
+        access = PlatformAccess(platform)
         service = ServiceApp(name)
         service.fault.delay_s = delay_s
         async with StandinServer(service.app, host, port) as server:
-            await _list(access, listing, "service", name, server.address)
+            _announce("service", name, server.address)
+            await access.register(listed(server.address))
             await stopping.wait()
             service.fault.leaving = True
             await access.mark_leaving(name)
@@ -187,18 +186,21 @@
     _run(serve)
 
 
-async def _list(
-    access: PlatformAccess, listing: Listing, kind: str, name: str, address: str
-) -> None:
-    _announce(kind, name, address)
-    instance = ListedInstance(
+def _lister(
+    kind: str,
+    name: str,
+    incarnation: str,
+    availability_zone: str,
+    labels: Mapping[str, str] | None,
+) -> Callable[[str], ListedInstance]:
+    """Return what lists a backend server once its address is known."""
+    return lambda address: ListedInstance(
         name=name,
-        incarnation=listing.incarnation,
+        incarnation=incarnation,
         address=address,
-        availability_zone=listing.availability_zone,
-        labels={**listing.labels, "kind": kind},
+        availability_zone=availability_zone,
+        labels={**(labels or {}), "kind": kind},
     )
-    await access.register(instance)
 
 
 async def _drain(in_progress: Callable[[], int]) -> None:
--- a/src/wisterialoom/standin/run_record.py
+++ b/src/wisterialoom/standin/run_record.py
@@ -28,6 +28,8 @@
         run_once: The operation is not idempotent.
         at: Monotonic time of its start, in seconds.
         ended: `running`, `done` or `cancelled`.
+        server: Backend server, where one record serves several.
+        method: HTTP method.
     """
 
     request_id: str
@@ -36,6 +38,8 @@
     run_once: bool
     at: float
     ended: str = "running"
+    server: str = ""
+    method: str = ""
 
 
 @dataclass
@@ -70,6 +74,7 @@
             digest=hashlib.sha256(f"{target}\n".encode() + body).hexdigest(),
             run_once=RUN_ONCE_HEADER in headers,
             at=now,
+            method=target.partition(" ")[0],
         )
         self.add(run)
         return run
--- a/tests/test_engine_client.py
+++ b/tests/test_engine_client.py
@@ -144,14 +144,16 @@
 
 async def test_doubled_order_runs_once_more_and_the_state_lags():
     async with running() as (engine, ask):
-        engine.fault.double_orders_s = 0.05
+        engine.fault.double_orders_s = 1.0
         engine.fault.state_lag_s = 30.0
         before = await ask(ReadState("e"))
         await ask(send("1", 1, LoadModel(MODEL, 10)))
+        engine.fault.double_orders_s = 0.0
         await ask(send("2", 1, UnloadModel(MODEL)))
-        await asyncio.gather(*engine.orders.tasks)
         assert not engine.memory.models
-        assert engine.memory.moves == {"load_model": 1, "unload_model": 1}
+        await asyncio.gather(*engine.orders.tasks)
+        assert engine.memory.models == {MODEL: 10}
+        assert engine.memory.moves == {"load_model": 2, "unload_model": 1}
         assert await ask(ReadState("e")) == before
 
 
--- a/tests/test_standin_run.py
+++ b/tests/test_standin_run.py
@@ -17,7 +17,17 @@
 SOURCE = str(pathlib.Path(wisterialoom.__file__).parents[1])
 
 
-async def start(call):
+@pytest.fixture
+async def processes():
+    started = []
+    yield started
+    for process in started:
+        if process.returncode is None:
+            process.kill()
+            await process.wait()
+
+
+async def start(processes, call):
     code = f"from wisterialoom.standin.run import *; {call}"
     process = await asyncio.create_subprocess_exec(
         sys.executable,
@@ -26,6 +36,7 @@
         stdout=asyncio.subprocess.PIPE,
         env={**os.environ, "PYTHONPATH": SOURCE},
     )
+    processes.append(process)
     line = await asyncio.wait_for(process.stdout.readline(), 20)
     return process, json.loads(line)["address"]
 
@@ -38,11 +49,12 @@
 
 
 @pytest.mark.processes
-async def test_engine_lists_itself_and_finishes_its_work_before_it_exits():
-    platform, address = await start("run_platform()")
-    listing = f"Listing('http://{address}', '7', 'az1', {{'role': 'drafting'}})"
+async def test_engine_lists_itself_and_finishes_its_work_before_it_exits(processes):
+    platform, address = await start(processes, "run_platform()")
     engine, engine_address = await start(
-        f"run_engine(name='e1', listing={listing}, load_s=0.01, token_gap_s=0.01)"
+        processes,
+        f"run_engine(name='e1', platform='http://{address}', load_s=0.01, "
+        "token_gap_s=0.01, labels={'role': 'drafting'})",
     )
     async with aiohttp.ClientSession() as session:
         client = PlatformClient(session, f"http://{address}", 2.0)
