Read cache events by stretches without a gap; treat unreadable answers as none

An unreadable answer raised out of a port's task, so that the core would have waited for ever for its operation: it now counts as unavailable, ambiguous for changes. Likewise whoever waits for a stand-in's answer hears that it stopped.

--- a/src/wisterialoom/engine/client.py
+++ b/src/wisterialoom/engine/client.py
@@ -16,6 +16,7 @@
     OrderRefused,
 )
 from wisterialoom.core.error import WisterialoomError
+from wisterialoom.engine.cache_events import read_reports
 from wisterialoom.engine.codec import decode_state, encode_order, state_from_json
 from wisterialoom.no_resend import no_resend
 
@@ -25,6 +26,7 @@
     from aiohttp import ClientSession
 
     from wisterialoom.core.engine import EngineState, Order
+    from wisterialoom.core.prefix_index import CacheEvents
 
 __all__ = ["EngineClient", "EngineUnavailableError"]
 
@@ -90,19 +92,47 @@
         Raises:
             EngineUnavailableError: It did not tell.
         """
+        body = await self._get(f"http://{address}/state")
+        try:
+            return decode_state(body)
+        except (ValueError, KeyError, TypeError) as error:
+            raise _unavailable(address, error) from error
+
+    async def read_cache_events(
+        self, server: str, address: str, after: int
+    ) -> tuple[CacheEvents, ...]:
+        """Read the changes of an engine's prefix cache after a serial.
+
+        Returns:
+            A report for each stretch without a gap, in order.
+
+        Raises:
+            EngineUnavailableError: It did not tell.
+        """
+        body = await self._get(f"http://{address}/cache_events?after={after}")
+        try:
+            return read_reports(server, body)
+        except (ValueError, KeyError, TypeError) as error:
+            raise _unavailable(address, error) from error
+
+    async def _get(self, url: str) -> bytes:
         try:
             async with self.session.get(
-                f"http://{address}/state",
+                url,
                 timeout=ClientTimeout(total=self.state_timeout_s),
                 allow_redirects=False,
                 raise_for_status=True,
             ) as response:
-                return decode_state(await response.read())
-        except (ClientError, TimeoutError, OSError, ValueError, KeyError) as error:
-            raise EngineUnavailableError(
-                f"{address} did not tell its state ({type(error).__name__}); "
-                "check that the engine runs and try again"
-            ) from error
+                return await response.read()
+        except (ClientError, TimeoutError, OSError) as error:
+            raise _unavailable(url, error) from error
+
+
+def _unavailable(what: str, error: Exception) -> EngineUnavailableError:
+    return EngineUnavailableError(
+        f"{what} gave no usable answer ({type(error).__name__}); "
+        "check that the engine runs and try again"
+    )
 
 
 class _GuardedBody:
--- a/src/wisterialoom/platform/client.py
+++ b/src/wisterialoom/platform/client.py
@@ -11,7 +11,6 @@
 
 from wisterialoom.core.error import WisterialoomError
 from wisterialoom.core.object_store import (
-    ABSENT,
     ObjectTooLargeError,
     StoredObject,
     VersionConflictError,
@@ -119,7 +118,10 @@
         url = URL(f"{self.url}/objects").with_query(prefix=prefix)
         status, _, body = await self._call("GET", url, self.timeout_s)
         self._expect_ok("GET", url, status)
-        return tuple(orjson.loads(body)["keys"])
+        try:
+            return tuple(orjson.loads(body)["keys"])
+        except (ValueError, KeyError, TypeError) as error:
+            raise _unreadable("GET", url) from error
 
     async def instances(self) -> InstanceList:
         """Return the instance list, which lags behind reality.
@@ -130,7 +132,10 @@
         url = URL(f"{self.url}/instances")
         status, _, body = await self._call("GET", url, self.timeout_s)
         self._expect_ok("GET", url, status)
-        return decode_instances(body)
+        try:
+            return decode_instances(body)
+        except (ValueError, KeyError, TypeError, AttributeError) as error:
+            raise _unreadable("GET", url) from error
 
     def _object_url(self, key: str) -> URL:
         return URL(f"{self.url}/objects/{quote(key, safe='')}", encoded=True)
@@ -140,7 +145,7 @@
         if status == 404:
             return StoredObject()
         self._expect_ok("GET", url, status)
-        return StoredObject(int(headers[VERSION_HEADER]), body)
+        return StoredObject(_read_version("GET", url, headers), body)
 
     async def _change(
         self, method: str, key: str, expected: int, body: bytes | None
@@ -151,11 +156,11 @@
             method, url, self.timeout_s, headers=condition, body=body
         )
         if status == 412:
-            raise VersionConflictError(key, int(headers.get(VERSION_HEADER, ABSENT)))
+            raise VersionConflictError(key, _read_version(method, url, headers))
         if status == 413:
             raise ObjectTooLargeError(f"{key} is too large: split it")
         self._expect_ok(method, url, status)
-        return int(headers[VERSION_HEADER])
+        return _read_version(method, url, headers)
 
     def _expect_ok(self, method: str, url: URL, status: int) -> None:
         if status == 200:
@@ -190,3 +195,16 @@
             raise PlatformUnavailableError(
                 f"{method} {url.path}", type(error).__name__, ambiguous=ambiguous
             ) from error
+
+
+def _read_version(method: str, url: URL, headers: Mapping[str, str]) -> int:
+    text = headers.get(VERSION_HEADER, "")
+    if not (text.isascii() and text.isdigit()):
+        raise _unreadable(method, url)
+    return int(text)
+
+
+def _unreadable(method: str, url: URL) -> PlatformUnavailableError:
+    return PlatformUnavailableError(
+        f"{method} {url.path}", "unreadable answer", ambiguous=method != "GET"
+    )
--- a/src/wisterialoom/standin/generation.py
+++ b/src/wisterialoom/standin/generation.py
@@ -5,6 +5,8 @@
 import asyncio
 from typing import TYPE_CHECKING
 
+from wisterialoom.core.error import WisterialoomError
+
 if TYPE_CHECKING:
     from collections.abc import Callable
 
@@ -12,12 +14,16 @@
     from wisterialoom.standin.batch_clock import BatchClock
     from wisterialoom.standin.engine_batch import Job
 
-__all__ = ["Generation"]
+__all__ = ["Generation", "GenerationStoppedError"]
 
 KEPT_S = 5.0
 """Time for which a resumable answer is kept once it is whole."""
 
 
+class GenerationStoppedError(WisterialoomError):
+    """Raised when an answer stops before it is whole."""
+
+
 class Generation:
     """Generates an answer's tokens, whoever reads them.
 
@@ -50,6 +56,8 @@
         """
         self.task = asyncio.get_running_loop().create_task(self._run())
         self.task.add_done_callback(lambda _: ended())
+        # Whoever still waits must not wait for ever.
+        self.task.add_done_callback(lambda _: self.grown.set())
 
     async def _run(self) -> None:
         tokens = self.clock.generate(self.job)
@@ -70,7 +78,13 @@
         await asyncio.gather(self.task, return_exceptions=True)
 
     async def wait_for(self, count: int) -> int:
-        """Wait for at least so many tokens; return how many there are."""
+        """Wait for at least so many tokens; return how many there are.
+
+        Raises:
+            GenerationStoppedError: So many will not come.
+        """
         while self.count < count:
+            if self.task is None or self.task.done():
+                raise GenerationStoppedError("the answer was stopped: ask again")
             await self.grown.wait()
         return self.count
--- a/tests/test_engine_app.py
+++ b/tests/test_engine_app.py
@@ -9,6 +9,7 @@
 import pytest
 
 from wisterialoom.core.engine import ModelKey
+from wisterialoom.engine import EngineClient
 from wisterialoom.standin.answer import answer_text
 from wisterialoom.standin.engine_app import EngineApp
 from wisterialoom.standin.engine_batch import BatchSettings
@@ -62,7 +63,7 @@
 async def test_many_at_once_get_their_own_answers_with_the_openai_library():
     async with running() as (engine, _session):
         client = openai.AsyncOpenAI(
-            base_url=f"{engine.url}/v1", api_key="k", max_retries=0
+            base_url=f"{engine.url}/v1", api_key="k", max_retries=0, timeout=20
         )
 
         async def ask(number, *, stream):
@@ -151,8 +152,12 @@
         told = await (await session.get("/cache_events")).json()
         assert told["events"] == []
         engine.fault.cache_lag_s = 0.0
-        told = await (await session.get("/cache_events?after=1")).json()
-        assert [event["serial"] for event in told["events"]] == [2, 4, 5, 7]
+        client = EngineClient(session)
+        address = engine.url.removeprefix("http://")
+        reports = await client.read_cache_events("e", address, 1)
+        assert [(r.first, r.last) for r in reports] == [(2, 2), (4, 5), (7, 7)]
+        held = {prefix_hash for _, prefix_hash in engine.batch.cache.blocks}
+        assert {h for r in reports for h in r.stored} < held
 
 
 async def test_service_records_each_run_and_its_faults():
--- a/tests/test_platform_client.py
+++ b/tests/test_platform_client.py
@@ -5,6 +5,7 @@
 
 import aiohttp
 import pytest
+from aiohttp import web
 from aiohttp.test_utils import TestServer, unused_port
 
 from wisterialoom.core.instance_list import InstanceListRead, ReadInstanceList
@@ -83,6 +84,27 @@
         assert platform.store.read(KEY).body == b"body"
 
 
+async def test_unreadable_answers_count_as_none():
+    async def answer(request):
+        return web.Response(text="{}")
+
+    app = web.Application()
+    app.router.add_route("*", "/{path:.*}", answer)
+    async with TestServer(app) as server, aiohttp.ClientSession() as session:
+        client = PlatformClient(session, str(server.make_url("")), 2.0)
+        calls = {
+            client.write(KEY, b"", 0): True,
+            client.delete(KEY, 1): True,
+            client.read(KEY): False,
+            client.list(""): False,
+            client.instances(): False,
+        }
+        for call, ambiguous in calls.items():
+            with pytest.raises(PlatformUnavailableError) as caught:
+                await call
+            assert caught.value.ambiguous is ambiguous
+
+
 async def test_port_answers_each_command_with_its_op():
     async with running() as (platform, client):
         events: asyncio.Queue = asyncio.Queue()
@@ -102,15 +124,17 @@
         assert await ask(ReadObject("a/3", KEY)) == ObjectRead("a/3", KEY, 1, b"1")
         assert await ask(ListObjects("a/4", "")) == ObjectsListed("a/4", "", (KEY,))
         port.carry_out(WatchObject("a/5", KEY, 1))
-        while not platform.watchers.get(KEY):
-            await asyncio.sleep(0)
+        async with asyncio.timeout(5):
+            while not platform.watchers.get(KEY):
+                await asyncio.sleep(0.001)
         platform.fault.down = True
         assert await ask(ReadObject("a/6", KEY)) == ObjectUnavailable(
             "a/6", KEY, ambiguous=False
         )
         platform.fault.down = False
         await client.write(KEY, b"new", 1)
-        assert await events.get() == ObjectRead("a/5", KEY, 2, b"new")
+        watched = await asyncio.wait_for(events.get(), 5)
+        assert watched == ObjectRead("a/5", KEY, 2, b"new")
         assert await ask(DeleteObject("a/7", KEY, 2)) == ObjectWritten("a/7", KEY, 3)
         listing = await ask(ReadInstanceList())
         assert isinstance(listing, InstanceListRead)
