--- a/tests/test_platform_client.py
+++ b/tests/test_platform_client.py
@@ -6,7 +6,7 @@
 import aiohttp
 import pytest
 from aiohttp import web
-from aiohttp.test_utils import TestServer, unused_port
+from aiohttp.test_utils import unused_port
 
 from wisterialoom.core.instance_list import InstanceListRead, ReadInstanceList
 from wisterialoom.core.object_store import (
@@ -31,6 +31,7 @@
     PlatformUnavailableError,
 )
 from wisterialoom.standin.platform_app import PlatformApp
+from wisterialoom.standin.server import StandinServer
 
 KEY = "claims/2026-12-03/bucket 7?"
 
@@ -38,8 +39,11 @@
 @asynccontextmanager
 async def running(**options):
     platform = PlatformApp(**options)
-    async with TestServer(platform.app) as server, aiohttp.ClientSession() as session:
-        yield platform, PlatformClient(session, str(server.make_url("")), 2.0)
+    async with (
+        StandinServer(platform.app) as server,
+        aiohttp.ClientSession() as session,
+    ):
+        yield platform, PlatformClient(session, server.url, 2.0)
 
 
 async def test_conditional_updates_keep_versions_and_bodies():
@@ -90,8 +94,8 @@
 
     app = web.Application()
     app.router.add_route("*", "/{path:.*}", answer)
-    async with TestServer(app) as server, aiohttp.ClientSession() as session:
-        client = PlatformClient(session, str(server.make_url("")), 2.0)
+    async with StandinServer(app) as server, aiohttp.ClientSession() as session:
+        client = PlatformClient(session, server.url, 2.0)
         calls = {
             client.write(KEY, b"", 0): True,
             client.delete(KEY, 1): True,
