--- a/src/wisterialoom/lab/serving.py
+++ b/src/wisterialoom/lab/serving.py
@@ -5,18 +5,11 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable
-from dataclasses import dataclass, field
-from typing import TYPE_CHECKING, TypeAlias
-
-from wisterialoom.core.request import (
-    AttemptEnded,
-    AttemptFirstByte,
-    AttemptResult,
-    StoredAnswer,
-)
+from typing import TYPE_CHECKING
+
+from wisterialoom.core.request import AttemptResult
 from wisterialoom.lab.attempt_record import AttemptRecord
-from wisterialoom.lab.serving_fault import ServingFault
+from wisterialoom.lab.serving_exchange import Exchange, ServingServer
 from wisterialoom.standin.engine_batch import (
     BatchSettings,
     EngineBatch,
@@ -28,68 +21,18 @@
 
 if TYPE_CHECKING:
     import random
+    from collections.abc import Callable
 
-    from wisterialoom.core.engine import ModelKey
-    from wisterialoom.core.message import Event
     from wisterialoom.core.request import Attempt, CancelAttempt, Dispatch, Request
     from wisterialoom.lab.order_port import FakeEngine, OrderPort
     from wisterialoom.lab.schedule import Schedule
+    from wisterialoom.lab.serving_exchange import Reply
 
 __all__ = ["Serving", "ServingServer"]
 
-Reply: TypeAlias = Callable[["Event"], None]
-
 REFUSED_CONNECTION_S = 0.01
 
 
-@dataclass
-class ServingServer:
-    """One backend server.
-
-    Attributes:
-        name: Identifier of the backend server.
-        batch: Batch of an engine; `None` for a plain service.
-        run_s: Time of one run of a plain service.
-        fault: Faults in force.
-        down: It accepts no connection; engines go by their `FakeEngine.down`.
-        live: Attempts in progress, by job id.
-        wake_at: Moment of the next scheduled look at the batch.
-    """
-
-    name: str
-    batch: EngineBatch | None = None
-    run_s: float = 0.01
-    fault: ServingFault = field(default_factory=ServingFault)
-    down: bool = False
-    live: dict[str, _Exchange] = field(default_factory=dict)
-    wake_at: float | None = None
-
-
-@dataclass
-class _Exchange:
-    """One attempt on its way."""
-
-    command: Dispatch
-    reply: Reply
-    record: AttemptRecord
-    server: ServingServer
-    keys: tuple[ModelKey, ...] = ()
-    run: Run | None = None
-    open: bool = True
-
-    @property
-    def attempt(self) -> Attempt:
-        return self.command.attempt
-
-    @property
-    def request(self) -> Request:
-        return self.command.classified.request
-
-    @property
-    def job_id(self) -> str:
-        return f"{self.attempt.request_id}#{self.attempt.number}"
-
-
 class Serving:
     """Serves attempts; implements `ServingPort`.
 
@@ -114,7 +57,7 @@
         self.servers: dict[str, ServingServer] = {}
         self.record = RunRecord()
         self.attempts: list[AttemptRecord] = []
-        self.exchanges: dict[Attempt, _Exchange] = {}
+        self.exchanges: dict[Attempt, Exchange] = {}
         self.output_tokens = output_tokens or (lambda request: request.max_tokens)
 
     @property
@@ -144,7 +87,7 @@
             engine.down = True
         for exchange in tuple(server.live.values()):
             self._leave(exchange)
-            self._report(exchange, AttemptResult.LOST)
+            exchange.report(AttemptResult.LOST)
 
     def revive(self, name: str, incarnation: str) -> None:
         """Start a killed server anew, an engine with empty memory."""
@@ -173,11 +116,12 @@
         self.attempts.append(record)
         if server is None:
             server = ServingServer(attempt.server, down=True)
-        exchange = _Exchange(command, reply, record, server)
+        exchange = Exchange(self.schedule, command, reply, record, server)
         self.exchanges[attempt] = exchange
+        exchange.closed = lambda: self.exchanges.pop(attempt)
         if self._is_down(server) or caller in server.fault.cut_off:
             delay = REFUSED_CONNECTION_S
-            self._report(exchange, AttemptResult.NOT_SENT, delay=delay)
+            exchange.report(AttemptResult.NOT_SENT, delay=delay)
             return
         self.schedule.after(server.fault.delay_s, lambda: self._arrive(exchange))
 
@@ -186,11 +130,11 @@
         exchange = self.exchanges.get(command.attempt)
         if exchange is None or not exchange.open:
             return
-        self._report(exchange, AttemptResult.LOST, delay=0.0)
+        exchange.report(AttemptResult.LOST, delay=0.0)
         delay = exchange.server.fault.delay_s
         self.schedule.after(delay, lambda: self._notice_cancel(exchange))
 
-    def _notice_cancel(self, exchange: _Exchange) -> None:
+    def _notice_cancel(self, exchange: Exchange) -> None:
         # A plain service carries on when its caller has left.
         if exchange.server.batch is not None:
             self._leave(exchange)
@@ -201,13 +145,13 @@
 
     # On the server.
 
-    def _arrive(self, exchange: _Exchange) -> None:
+    def _arrive(self, exchange: Exchange) -> None:
         server = exchange.server
         if self._is_down(server) or self._roll(server.fault.cut_before):
-            self._report(exchange, AttemptResult.LOST)
+            exchange.report(AttemptResult.LOST)
             return
         if server.fault.leaving:
-            self._report(exchange, AttemptResult.NOT_STARTED)
+            exchange.report(AttemptResult.NOT_STARTED)
             return
         if server.batch is None:
             self._start(exchange)
@@ -215,23 +159,23 @@
             return
         self._join(exchange, server.batch)
 
-    def _join(self, exchange: _Exchange, batch: EngineBatch) -> None:
+    def _join(self, exchange: Exchange, batch: EngineBatch) -> None:
         server = exchange.server
         engine = self.orders.engines[server.name]
         exchange.keys = engine.memory.find(exchange.request.model)
         if not exchange.keys:
-            self._report(exchange, AttemptResult.NOT_STARTED)
+            exchange.report(AttemptResult.NOT_STARTED)
             return
         try:
             batch.join(self.schedule.now, self._job(exchange))
         except JobTooLargeError:
-            self._report(exchange, AttemptResult.SERVER_ERROR)
+            exchange.report(AttemptResult.SERVER_ERROR)
             return
         engine.memory.hold(exchange.keys)
         self._start(exchange)
         self._look(server)
 
-    def _job(self, exchange: _Exchange) -> Job:
+    def _job(self, exchange: Exchange) -> Job:
         request = exchange.request
         return Job(
             job_id=exchange.job_id,
@@ -242,7 +186,7 @@
             prefix_hashes=request.prefix_hashes,
         )
 
-    def _start(self, exchange: _Exchange) -> None:
+    def _start(self, exchange: Exchange) -> None:
         classified, request = exchange.command.classified, exchange.request
         key = request.idempotency_key
         operation = f"{classified.caller}/{key}" if key else request.request_id
@@ -286,38 +230,31 @@
         engine.running = len(batch.runs)
         engine.waiting = len(batch.waiting)
 
-    def _first_token(self, exchange: _Exchange, at: float) -> None:
+    def _first_token(self, exchange: Exchange, at: float) -> None:
         fault = exchange.server.fault
         exchange.record.first = at
         exchange.record.tokens = 1
         if exchange.request.stream:
-            self._reply_first_byte(exchange)
+            exchange.reply_first_byte()
         if self._roll(fault.cut_midway):
             left = max(1, self.output_tokens(exchange.request)) - 1
             batch = exchange.server.batch
             delay = self.rng.random() * left * (batch.step_s if batch else 0.0)
             self.schedule.after(delay, lambda: self._cut(exchange))
 
-    def _reply_first_byte(self, exchange: _Exchange) -> None:
-        def tell() -> None:
-            if exchange.open:
-                exchange.reply(AttemptFirstByte(exchange.attempt))
-
-        self.schedule.after(exchange.server.fault.delay_s, tell)
-
-    def _cut(self, exchange: _Exchange) -> None:
+    def _cut(self, exchange: Exchange) -> None:
         if exchange.job_id in exchange.server.live:
             self._leave(exchange)
-            self._report(exchange, AttemptResult.LOST)
+            exchange.report(AttemptResult.LOST)
 
-    def _last_token(self, exchange: _Exchange, at: float) -> None:
+    def _last_token(self, exchange: Exchange, at: float) -> None:
         record = exchange.record
         record.tokens = max(1, self.output_tokens(exchange.request))
         if record.tokens > 1 and record.first is not None:
             record.token_gap_s = (at - record.first) / (record.tokens - 1)
         self._end(exchange)
 
-    def _end(self, exchange: _Exchange) -> None:
+    def _end(self, exchange: Exchange) -> None:
         """End a run that went to its end, whatever becomes of the answer."""
         if exchange.job_id not in exchange.server.live:
             return
@@ -327,13 +264,13 @@
         if self._roll(fault.late):
             delay += self.rng.random() * fault.late_s
         if self._roll(fault.cut_after):
-            self._report(exchange, AttemptResult.LOST, delay=delay)
+            exchange.report(AttemptResult.LOST, delay=delay)
         elif self._roll(fault.error):
-            self._report(exchange, AttemptResult.SERVER_ERROR, delay=delay)
+            exchange.report(AttemptResult.SERVER_ERROR, delay=delay)
         else:
-            self._report(exchange, AttemptResult.COMPLETED, delay=delay)
+            exchange.report(AttemptResult.COMPLETED, delay=delay)
 
-    def _leave(self, exchange: _Exchange) -> None:
+    def _leave(self, exchange: Exchange) -> None:
         """Take an attempt out of the server before its end."""
         if exchange.job_id not in exchange.server.live:
             return
@@ -344,7 +281,7 @@
         self._release(exchange, "cancelled")
         self._look(exchange.server)
 
-    def _release(self, exchange: _Exchange, ended: str) -> None:
+    def _release(self, exchange: Exchange, ended: str) -> None:
         server = exchange.server
         del server.live[exchange.job_id]
         if exchange.run is not None:
@@ -353,42 +290,5 @@
         if engine is not None:
             engine.memory.release(exchange.keys)
 
-    # Towards the sender.
-
-    def _report(
-        self, exchange: _Exchange, result: AttemptResult, delay: float | None = None
-    ) -> None:
-        """Tell the sender how its attempt ended, once and after the way back."""
-        delay = exchange.server.fault.delay_s if delay is None else delay
-        event = AttemptEnded(
-            attempt=exchange.attempt,
-            result=result,
-            answer=self._answer(exchange, result),
-            tokens=exchange.record.tokens,
-            leaving=exchange.server.fault.leaving,
-        )
-
-        def tell() -> None:
-            if not exchange.open:
-                return
-            if result is AttemptResult.COMPLETED and not exchange.request.stream:
-                exchange.reply(AttemptFirstByte(exchange.attempt))
-            exchange.open = False
-            exchange.record.result = result
-            exchange.record.ended = self.schedule.now
-            del self.exchanges[exchange.attempt]
-            exchange.reply(event)
-
-        self.schedule.after(delay, tell)
-
-    def _answer(
-        self, exchange: _Exchange, result: AttemptResult
-    ) -> StoredAnswer | None:
-        kept = not exchange.command.classified.idempotent
-        if not kept or result is not AttemptResult.COMPLETED:
-            return None
-        body = f"answer of {exchange.attempt.request_id}".encode()
-        return StoredAnswer(200, "text/plain", body)
-
     def _roll(self, share: float) -> bool:
         return share > 0.0 and self.rng.random() < share
