--- a/src/wisterialoom/cli/standin.py
+++ b/src/wisterialoom/cli/standin.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import time
 from importlib import import_module
 from typing import Any, TYPE_CHECKING
 
@@ -97,13 +98,45 @@
     show_default=True,
     help="Whether orders with an old fencing number are refused.",
 )
+@click.option(
+    "--load-s", type=float, default=5.0, show_default=True, help="Model load time."
+)
+@click.option(
+    "--first-token-s",
+    type=float,
+    default=0.1,
+    show_default=True,
+    help="Time to the first token of an empty prompt.",
+)
+@click.option(
+    "--token-gap-s",
+    type=float,
+    default=0.03,
+    show_default=True,
+    help="Time between tokens at full speed.",
+)
 def engine(**options: Any) -> None:
     """Run a stand-in of a model engine."""
-    import_module(RUNNERS).run_engine(**options)
+    runners = import_module(RUNNERS)
+    runners.run_engine(listing=_take_listing(options), **options)
 
 
 @standin.command()
 @_server_options
 def service(**options: Any) -> None:
     """Run a stand-in of a plain service."""
-    import_module(RUNNERS).run_service(**options)
+    runners = import_module(RUNNERS)
+    runners.run_service(listing=_take_listing(options), **options)
+
+
+def _take_listing(options: dict[str, Any]) -> Any:
+    """Take the options that say how a server is listed out of the others.
+
+    Each start is a new incarnation.
+    """
+    return import_module(RUNNERS).Listing(
+        platform_url=options.pop("platform"),
+        incarnation=f"{time.time_ns():x}",
+        availability_zone=options.pop("availability_zone"),
+        labels=options.pop("labels"),
+    )
--- a/src/wisterialoom/core/load_gossip.py
+++ b/src/wisterialoom/core/load_gossip.py
@@ -312,6 +312,7 @@
         text_size(load.server)
         + text_size(load.incarnation)
         + text_size(load.steward)
+        + text_size(load.steward)
         + sum(text_size(text) for text in texts)
         + sum(int_size(number) for number in numbers)
         + 8
--- a/src/wisterialoom/status.py
+++ b/src/wisterialoom/status.py
@@ -36,11 +36,15 @@
             "draining": path.draining,
             "in_progress": len(path.flights),
             "waiting": len(path.queue),
-            "members": sorted(parts.config.members),
+            "members": self._members(),
             "servers": [self._server(views[name]) for name in sorted(views)],
             "unreachable": self._unreachable(),
         }
 
+    def _members(self) -> list[str]:
+        others = self.app.parts.config.members
+        return sorted({self.app.settings.instance.name, *others})
+
     def _server(self, view: ServerView) -> dict[str, Any]:
         load = view.load
         return {
@@ -82,7 +86,7 @@
         gauge("config_fresh", "1 while the configuration is current.", path.fresh)
         gauge("requests_in_progress", "Requests in progress.", len(path.flights))
         gauge("requests_waiting", "Requests that wait.", len(path.queue))
-        gauge("members", "Entry instances.", len(self.app.parts.config.members))
+        gauge("members", "Entry instances.", len(self._members()))
         count = metrics.set_count
         count(
             "late_events_total",
