Send documents compressed and rebuild only the servers that changed

A body that can't be unpacked, or that is larger than an object may be, is passed over.

ServerDirectory built all servers anew from each list: 46 ms for 600 servers, 410 entry instances and 100 labels, every 4 s. Parsed selectors are kept, too.

A heartbeat of generation 0 no longer counts as word from a fresh peer, whatever age it gives.

--- /dev/null
+++ b/src/wisterialoom/core/_config_body.py
@@ -0,0 +1,24 @@
+"""The document's text on its way between peers, compressed."""
+
+from __future__ import annotations
+
+import zlib
+
+from wisterialoom.core.object_store import MAX_OBJECT_BYTES
+
+__all__ = ["pack", "unpack"]
+
+
+def pack(body: bytes) -> bytes:
+    """Compress a text; an empty one stays empty."""
+    return zlib.compress(body) if body else b""
+
+
+def unpack(packed: bytes) -> bytes:
+    """Undo `pack`; what can't be read, or is too large, counts as empty."""
+    reader = zlib.decompressobj()
+    try:
+        body = reader.decompress(packed, MAX_OBJECT_BYTES)
+    except zlib.error:
+        return b""
+    return body if reader.eof and not reader.unconsumed_tail else b""
--- a/src/wisterialoom/core/_config_object.py
+++ b/src/wisterialoom/core/_config_object.py
@@ -19,11 +19,27 @@
 
     from wisterialoom.core.message import Command
 
-__all__ = ["CONFIG_KEY", "ConfigObject"]
+__all__ = ["CONFIG_KEY", "ConfigObject", "read_interval_s"]
 
 CONFIG_KEY = "config/document"
 """Key of the document; its version is the generation."""
 
+RELAY_READ_INTERVAL_S = 2.0
+"""Time between two reads of a relay, in case its watch is deaf."""
+
+DOUBT_READ_INTERVAL_S = 2.0
+"""Time between two reads of an instance in doubt."""
+
+OLD_S = 10.0
+"""Above this age, instances begin to read for themselves."""
+
+OLD_READS_PER_S = 20.0
+"""Reads of the whole fleet above that age."""
+
+SWEEP_READS_PER_S = 2.0
+MIN_SWEEP_INTERVAL_S = 30.0
+"""Reads of the whole fleet at any time, which make up for relays that fail."""
+
 ANSWER_LIMIT_S = 10.0
 """A read without an answer is given up after this time."""
 
@@ -43,6 +59,24 @@
     at: float
 
 
+def read_interval_s(*, fleet: int, relay: bool, doubt: bool, age_s: float) -> float:
+    """Return the time between two reads by one instance, in seconds.
+
+    Args:
+        fleet: Count of entry instances.
+        relay: It watches for its availability zone.
+        doubt: It doubts its configuration.
+        age_s: Age of its configuration.
+    """
+    if doubt:
+        return DOUBT_READ_INTERVAL_S
+    if relay:
+        return RELAY_READ_INTERVAL_S
+    if age_s > OLD_S:
+        return max(DOUBT_READ_INTERVAL_S, fleet / OLD_READS_PER_S)
+    return max(MIN_SWEEP_INTERVAL_S, fleet / SWEEP_READS_PER_S)
+
+
 class ConfigObject:
     """At most one read and one watch at a time.
 
--- a/src/wisterialoom/core/_server_record.py
+++ b/src/wisterialoom/core/_server_record.py
@@ -28,6 +28,7 @@
     or that was seen leaving. Neither ever serves again.
 
     Attributes:
+        name: Name in the list.
         listed: As last listed; `None` before the first list that has it.
         leaving: Incarnations that were seen leaving, oldest first.
         past: Incarnations that newer ones have followed, oldest first.
@@ -35,24 +36,28 @@
         seen_at: Moment at which it was last listed or spoken of.
     """
 
-    def __init__(self, now: float) -> None:
+    def __init__(self, name: str, now: float) -> None:
+        self.name = name
         self.listed: ListedInstance | None = None
         self.leaving: list[str] = []
         self.past: list[str] = []
         self.misses = 0
         self.seen_at = now
 
-    def list(self, now: float, listed: ListedInstance) -> None:
-        """Take an entry of the platform's list."""
+    def list(self, now: float, listed: ListedInstance) -> bool:
+        """Take an entry of the platform's list; tell whether it is news."""
         self.seen_at = now
         if listed.incarnation in self.past:
-            return
+            return False
         self.misses = 0
+        if listed == self.listed:
+            return False
         if self.listed is not None and self.listed.incarnation != listed.incarnation:
             _remember(self.past, self.listed.incarnation)
         self.listed = listed
         if listed.state is InstanceState.LEAVING:
             _remember(self.leaving, listed.incarnation)
+        return True
 
     def miss(self) -> None:
         """Take a list without this server."""
--- a/src/wisterialoom/core/config_follower.py
+++ b/src/wisterialoom/core/config_follower.py
@@ -15,12 +15,17 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass
 from typing import ClassVar, TYPE_CHECKING
 
 from wisterialoom.core import rendezvous
+from wisterialoom.core._config_body import pack, unpack
 from wisterialoom.core._config_freshness import Freshness
-from wisterialoom.core._config_object import CONFIG_KEY, ConfigObject
+from wisterialoom.core._config_object import (
+    CONFIG_KEY,
+    ConfigObject,
+    read_interval_s,
+)
+from wisterialoom.core._config_peers import ConfigPeers
 from wisterialoom.core._config_pull import ConfigPuller
 from wisterialoom.core.document_check import DocumentError, read_document
 from wisterialoom.core.message import Event, Tick
@@ -54,39 +59,13 @@
 REPORT_INTERVAL_S = 1.0
 """Time between two reports of the freshness when nothing changes."""
 
-RELAY_READ_INTERVAL_S = 2.0
-"""Time between two reads of a relay, in case its watch is deaf."""
-
-DOUBT_READ_INTERVAL_S = 2.0
-"""Time between two reads of an instance in doubt."""
-
-OLD_S = 10.0
-"""Above this age, instances begin to read for themselves."""
-
-OLD_READS_PER_S = 20.0
-SWEEP_READS_PER_S = 2.0
-"""Reads of the whole fleet that make up for relays, at a great age and always."""
-
-MIN_SWEEP_INTERVAL_S = 30.0
 FIRST_READ_S = 0.2
 """Time over which the first reads of instances started together are spread."""
 
-HEARD_S = 5.0
-"""Time for which the last heartbeat of a peer counts."""
-
 BEHIND_S = 3.0
 """An instance that can't get what a live peer has is not fresh after this time."""
 
 
-@dataclass(frozen=True, slots=True)
-class Heard:
-    """What a peer last said of its configuration."""
-
-    generation: int
-    fresh: bool
-    at: float
-
-
 class ConfigFollower:
     """Part of the core that follows the configuration.
 
@@ -96,10 +75,9 @@
         document: In force; `None` before the first.
         generation: Of the document in force.
         known: Highest generation seen, readable here or not.
-        body: Text of the highest generation seen, for peers.
+        packed: Text of the highest generation seen, compressed for peers.
         relay: This instance watches for its availability zone.
-        members: Other members by name.
-        heard: What each of them last said.
+        peers: The other members and their generations.
         behind_since: Since when a live peer has had a higher generation.
     """
 
@@ -117,10 +95,9 @@
         self.document: Document | None = None
         self.generation = 0
         self.known = 0
-        self.body = b""
+        self.packed = b""
         self.relay = False
-        self.members: dict[str, Member] = {}
-        self.heard: dict[str, Heard] = {}
+        self.peers = ConfigPeers()
         self.behind_since: float | None = None
         self.freshness = Freshness()
         self.object = ConfigObject(rng, PART)
@@ -128,6 +105,11 @@
         self.reported: ConfigFreshness | None = None
         self.reported_at = 0.0
 
+    @property
+    def members(self) -> dict[str, Member]:
+        """Other members by name."""
+        return self.peers.members
+
     def handle(self, now: float, event: Event) -> list[Output]:
         """Take one event and return what follows from it."""
         first = self.freshness.event_at is None
@@ -137,7 +119,7 @@
         if self.freshness.observe(now):
             self.object.forget(now)
             self.puller.forget(now)
-            self.heard.clear()
+            self.peers.heard.clear()
         outputs = self._handle(now, event)
         return [*outputs, *self._report(now)]
 
@@ -165,8 +147,7 @@
             m.name for m in members if m.availability_zone == self.availability_zone
         ]
         self.relay = rendezvous.first(key, zone) == self.name
-        self.members = {m.name: m for m in members if m.name != self.name}
-        self.heard = {k: v for k, v in self.heard.items() if k in self.members}
+        self.peers.set_members(m for m in members if m.name != self.name)
 
     def _tick(self, now: float) -> list[Output]:
         self._note_behind(now)
@@ -176,41 +157,29 @@
         outputs += self.object.due(
             now,
             known=self.known,
-            interval_s=self._read_interval_s(now),
+            interval_s=read_interval_s(
+                fleet=len(self.peers.members) + 1,
+                relay=self.relay,
+                doubt=self.freshness.doubt_since is not None,
+                age_s=self.freshness.age_s(now),
+            ),
             watching=self.relay,
         )
         return outputs
 
     def _note_behind(self, now: float) -> None:
-        if self._peak(now) <= self.known:
+        if self.peers.peak(now) <= self.known:
             self.behind_since = None
         elif self.behind_since is None:
             self.behind_since = now
 
-    def _read_interval_s(self, now: float) -> float:
-        fleet = len(self.members) + 1
-        if self.freshness.doubt_since is not None:
-            return DOUBT_READ_INTERVAL_S
-        if self.relay:
-            return RELAY_READ_INTERVAL_S
-        if self.freshness.age_s(now) > OLD_S:
-            return max(DOUBT_READ_INTERVAL_S, fleet / OLD_READS_PER_S)
-        return max(MIN_SWEEP_INTERVAL_S, fleet / SWEEP_READS_PER_S)
-
     # Peers.
 
-    def _peak(self, now: float) -> int:
-        """Return the highest generation that a live peer has."""
-        heard = self.heard.values()
-        live = [item.generation for item in heard if now - item.at < HEARD_S]
-        return max(live, default=0)
-
     def _hear(
         self, now: float, sender: str, beat: Heartbeat | HeartbeatAck
     ) -> list[Output]:
-        fresh = beat.config_age_ms < STALE_AGE_MS
-        if sender in self.members:
-            self.heard[sender] = Heard(beat.generation, fresh, now)
+        fresh = _vouches(beat)
+        self.peers.hear(now, sender, beat.generation, fresh=fresh)
         if fresh:
             self.freshness.hear(now)
             if beat.generation <= self.known:
@@ -220,7 +189,7 @@
         return []
 
     def _pull(self, now: float) -> list[Output]:
-        candidates = self._candidates(now)
+        candidates = self.peers.candidates(now, self.known)
         command = self.puller.ask(now, self.known, candidates)
         if command is not None:
             return [command]
@@ -228,20 +197,11 @@
             self.object.read_soon(now, 0.0)
         return []
 
-    def _candidates(self, now: float) -> list[Member]:
-        """Return the peers that can help: ahead of this instance, or fresh."""
-        peak = self._peak(now)
-        if peak > self.known:
-            ahead = [n for n, h in self.heard.items() if h.generation > self.known]
-            return [self.members[name] for name in sorted(ahead)]
-        fresh = [name for name, heard in self.heard.items() if heard.fresh]
-        return [self.members[name] for name in sorted(fresh or self.members)]
-
     def _push(self, now: float, sender: str, pull: ConfigPull) -> list[Output]:
-        member = self.members.get(sender)
+        member = self.peers.members.get(sender)
         if member is None:
             return []
-        body = self.body if self.known > pull.generation else b""
+        body = self.packed if self.known > pull.generation else b""
         age_ms = int(self._age_s(now) * 1_000)
         message = ConfigPush(self.known, body, pull.serial, age_ms)
         return [SendPeer(sender, member.address, message)]
@@ -249,8 +209,8 @@
     def _take_push(self, now: float, sender: str, push: ConfigPush) -> list[Output]:
         asked_at = self.puller.settle(sender, push)
         age_s = push.config_age_ms / 1_000
-        fresh = push.config_age_ms < STALE_AGE_MS
-        outputs = self._take(now, push.generation, push.body)
+        fresh = _vouches(push)
+        outputs = self._take(now, push.generation, unpack(push.body))
         if asked_at is not None and fresh and push.generation <= self.known:
             self.freshness.confirm(asked_at, now, age_s)
             self.puller.forget(now)
@@ -274,7 +234,7 @@
         """Put a document in force if its generation is higher and it is sound."""
         if generation <= self.known or not body:
             return []
-        self.known, self.body = generation, body
+        self.known, self.packed = generation, pack(body)
         self._note_behind(now)
         try:
             document = read_document(body)
@@ -286,7 +246,7 @@
     # Reports.
 
     def _is_fresh(self, now: float) -> bool:
-        if self.document is None or self.freshness.doubt_since is not None:
+        if self.generation == 0 or self.freshness.doubt_since is not None:
             return False
         return self.behind_since is None or now - self.behind_since < BEHIND_S
 
@@ -306,3 +266,8 @@
             return []
         self.reported, self.reported_at = report, now
         return [report]
+
+
+def _vouches(message: Heartbeat | HeartbeatAck | ConfigPush) -> bool:
+    """Tell whether the sender has a configuration and trusts it to be the newest."""
+    return message.generation > 0 and message.config_age_ms < STALE_AGE_MS
--- a/src/wisterialoom/core/peer.py
+++ b/src/wisterialoom/core/peer.py
@@ -228,7 +228,8 @@
 
     Attributes:
         generation: Highest that the sender knows.
-        body: Its document; empty if the asker knows this generation.
+        body: Its document, compressed by zlib; empty if the asker knows this
+            generation.
         serial: Of the pull.
         config_age_ms: As in `Heartbeat`.
     """
--- a/src/wisterialoom/core/selector.py
+++ b/src/wisterialoom/core/selector.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass
+from functools import lru_cache
 from typing import TYPE_CHECKING
 
 from wisterialoom.core.error import WisterialoomError
@@ -12,6 +13,9 @@
 
 __all__ = ["Selector", "SelectorError"]
 
+PARSED_SELECTORS = 4_096
+"""Texts whose selectors are kept; documents repeat a few of them very often."""
+
 
 class SelectorError(WisterialoomError):
     """Raised when the text of a selector cannot be read."""
@@ -66,10 +70,15 @@
         Raises:
             SelectorError: A part has no key or an unknown form.
         """
-        parts = [part.strip() for part in text.split(",")]
-        if parts == [""]:
-            return cls()
-        return cls(tuple(_parse_requirement(part, text) for part in parts))
+        return _parse(text)
+
+
+@lru_cache(maxsize=PARSED_SELECTORS)
+def _parse(text: str) -> Selector:
+    parts = [part.strip() for part in text.split(",")]
+    if parts == [""]:
+        return Selector()
+    return Selector(tuple(_parse_requirement(part, text) for part in parts))
 
 
 def _parse_requirement(part: str, text: str) -> Requirement:
--- a/src/wisterialoom/core/server_directory.py
+++ b/src/wisterialoom/core/server_directory.py
@@ -54,6 +54,8 @@
         groups: Server groups of the document with their selectors.
         labels: Operators' labels with their selectors.
         records: What is known of each listed name.
+        built: Servers by name, until something about them changes; `None` for
+            those that no group picks.
         servers: The servers as last told to the other parts.
         fleet: Count of entry instances.
         read_due: Moment of the next read of the list; `None` before the first.
@@ -77,6 +79,7 @@
         self.groups: list[tuple[ServerGroup, Selector]] = []
         self.labels: list[tuple[Selector, Label]] = []
         self.records: dict[str, ServerRecord] = {}
+        self.built: dict[str, BackendServer | None] = {}
         self.servers: tuple[BackendServer, ...] | None = None
         self.fleet = 1
         self.read_due: float | None = None
@@ -127,19 +130,22 @@
         self.listed = True
         listed = {item.name: item for item in listing.instances if not _is_entry(item)}
         for name, item in listed.items():
-            self._record(now, name).list(now, item)
+            if self._record(now, name).list(now, item):
+                self.built.pop(name, None)
         for name in self.records.keys() - listed.keys():
             self.records[name].miss()
             if self.records[name].has_expired(now):
                 del self.records[name]
+                self.built.pop(name, None)
 
     def _see_leaving(self, now: float, name: str, incarnation: str) -> list[Output]:
         if not self._record(now, name).leave(now, incarnation):
             return []
+        self.built.pop(name, None)
         return self._tell()
 
     def _record(self, now: float, name: str) -> ServerRecord:
-        return self.records.setdefault(name, ServerRecord(now))
+        return self.records.setdefault(name, ServerRecord(name, now))
 
     # The document.
 
@@ -149,6 +155,7 @@
             (Selector.parse(label.selector), label) for label in document.labels
         ]
         self.configured = True
+        self.built.clear()
 
     # What follows from both.
 
@@ -157,13 +164,19 @@
             return []
         present = [item for item in self.records.values() if item.is_present()]
         built = [self._server(record) for record in present]
-        servers = tuple(sorted((s for s in built if s), key=lambda s: s.name))
+        found = (server for server in built if server is not None)
+        servers = tuple(sorted(found, key=lambda server: server.name))
         if servers == self.servers:
             return []
         self.servers = servers
         return [ServersChanged(servers)]
 
     def _server(self, record: ServerRecord) -> BackendServer | None:
+        if record.name not in self.built:
+            self.built[record.name] = self._build(record)
+        return self.built[record.name]
+
+    def _build(self, record: ServerRecord) -> BackendServer | None:
         listed = record.listed
         if listed is None:
             return None
--- a/tests/test_config_follower.py
+++ b/tests/test_config_follower.py
@@ -5,6 +5,7 @@
 import pytest
 from hypothesis import given, settings, strategies as st
 
+from wisterialoom.core._config_body import pack, unpack
 from wisterialoom.core._config_freshness import Freshness, PAUSE_S
 from wisterialoom.core.config_follower import CONFIG_KEY, ConfigFollower
 from wisterialoom.core.message import Tick
@@ -15,6 +16,7 @@
     Member,
     MembersChanged,
 )
+from wisterialoom.core.object_store import MAX_OBJECT_BYTES
 from wisterialoom.core.peer import (
     ConfigPush,
     Heartbeat,
@@ -330,7 +332,26 @@
         assert core.refused == [bad]
         assert core.generations == [good]
         assert core.report.fresh
-        assert core.follower.body == BAD
+        assert unpack(core.follower.packed) == BAD
+
+
+def test_a_body_that_is_cut_off_or_too_large_is_not_taken():
+    assert unpack(pack(GOOD)) == GOOD
+    assert unpack(pack(b"")) == b""
+    assert unpack(pack(GOOD)[:-1]) == b""
+    assert unpack(pack(b" " * (MAX_OBJECT_BYTES + 1))) == b""
+    assert unpack(b"plain") == b""
+
+
+def test_a_peer_without_a_configuration_vouches_for_nothing():
+    fleet = Fleet(2)
+    fleet.put()
+    fleet.world.run_for(3)
+    fleet.isolate("entry-0")
+    for _ in range(20):
+        fleet.world.run_for(0.5)
+        fleet.world.send("entry-0", PeerReceived("entry-1", Heartbeat(1, 0, 0)))
+    assert not fleet.core("entry-0").report.fresh
 
 
 def test_an_instance_that_cannot_get_what_a_peer_has_is_not_fresh():
@@ -344,5 +365,5 @@
         fleet.world.run_for(0.45)
     assert not core.report.fresh
     assert core.report.age_s >= STALE_AGE_MS / 1_000
-    fleet.world.send("entry-0", PeerReceived("entry-1", ConfigPush(99, GOOD)))
+    fleet.world.send("entry-0", PeerReceived("entry-1", ConfigPush(99, pack(GOOD))))
     assert core.report.fresh
--- a/tests/test_server_directory.py
+++ b/tests/test_server_directory.py
@@ -1,6 +1,7 @@
 """Tests of `wisterialoom.core.server_directory`."""
 
 import random
+from dataclasses import replace
 
 from hypothesis import given, settings, strategies as st
 
@@ -63,6 +64,9 @@
     ]
     assert notice.servers[1].labels["tier"] == "new"
     assert directory.handle(0.0, event) == []
+    bare = replace(DOCUMENT, labels=())
+    (notice,) = directory.handle(0.0, ConfigChanged(2, bare))
+    assert not any(server.drained for server in notice.servers)
     assert directory.handle(0.0, InstanceListRead(InstanceList())) == []
 
 
