--- a/tests/test_config_follower.py
+++ b/tests/test_config_follower.py
@@ -1,5 +1,6 @@
 """Tests of `wisterialoom.core.config_follower`."""
 
+import math
 import random
 
 import pytest
@@ -44,6 +45,30 @@
 BAD = b"[a_table_of_a_later_version]"
 
 
+class GossipCore:
+    """A follower in a large fleet: a beat to one random member each second."""
+
+    def __init__(self, name, seed, fleet, members):
+        self.inner = FollowerCore(name, seed, fleet)
+        self.inner.beat_at = math.inf
+        self.rng = random.Random(seed)
+        self.beat_at = None
+        self.members = members
+
+    def handle(self, now, event):
+        outputs = []
+        if self.beat_at is None:
+            self.beat_at = now + self.rng.random()
+            outputs += self.inner.hand(now, self.members)
+        if isinstance(event, Tick) and now >= self.beat_at:
+            self.beat_at += 1.0
+            to = self.rng.choice(self.inner.fleet)
+            outputs.append(self.inner.beat(to, Heartbeat, now))
+        if isinstance(event, PeerReceived) and isinstance(event.message, Heartbeat):
+            outputs.append(self.inner.beat(event.sender, HeartbeatAck, now))
+        return outputs + self.inner.hand(now, event)
+
+
 class FollowerCore:
     """A follower with just enough of a membership: everyone beats to everyone."""
 
@@ -256,6 +281,35 @@
     assert calls[1] <= 150
 
 
+def test_a_fleet_of_410_follows_within_seconds_by_five_watches():
+    world = World(1, keep_trace=False)
+    world.links.delay_s = world.links.jitter_s = 0.005
+    world.links.loss = 0.02
+    names = [f"entry-{i}" for i in range(410)]
+    zones = [f"zone-{i % 5}" for i in range(410)]
+    members = MembersChanged(
+        tuple(
+            Member(name, f"{name}:1", zone, 1, MemberStatus.ALIVE)
+            for name, zone in zip(names, zones, strict=True)
+        )
+    )
+    cores = []
+    for i, (name, zone) in enumerate(zip(names, zones, strict=True)):
+        core = GossipCore(name, i, names, members)
+        core.inner.follower.availability_zone = zone
+        world.add(name, core)
+        cores.append(core.inner)
+    world.store_port.put(CONFIG_KEY, GOOD)
+    world.run_for(10)
+    world.store_port.calls.clear()
+    newest = world.store_port.put(CONFIG_KEY, GOOD)
+    world.run_for(8)
+    assert {core.report.generation for core in cores} == {newest}
+    assert all(core.report.fresh for core in cores)
+    assert sum(world.store_port.calls.values()) <= 8 * 10
+    assert len(world.store_port.watches[CONFIG_KEY]) == 5
+
+
 def test_an_outage_for_all_leaves_the_configuration_in_force_and_shows():
     fleet = Fleet(5)
     fleet.world.links.delay_s = fleet.world.links.jitter_s = 0.1
