--- a/src/wisterialoom/cli/standin.py
+++ b/src/wisterialoom/cli/standin.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from importlib import import_module
+import secrets
 from typing import Any, TYPE_CHECKING
 
 import click
@@ -10,17 +10,21 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-__all__ = ["standin"]
+    from wisterialoom.standin.run import Listing
 
-RUNNERS = "wisterialoom.standin.run"
-"""Module that runs the stand-ins; imported by the commands that need it."""
+__all__ = ["standin"]
 
 LOOPBACK = "127.0.0.1"
+INCARNATION_BYTES = 4
 
 
 @click.group()
 def standin() -> None:
-    """Run small stand-ins, for trials and tests only."""
+    """Run small stand-ins, for trials and tests only.
+
+    Each prints a JSON line with its address when it listens, and stops on SIGTERM
+    or SIGINT; backend servers finish their work first.
+    """
 
 
 def _address_options(command: Callable[..., Any]) -> Callable[..., Any]:
@@ -41,9 +45,17 @@
     options = (
         click.option("--name", required=True, help="Name in the instance list."),
         click.option(
-            "--platform", default="", metavar="URL", help="Where to register."
+            "--platform",
+            default="",
+            metavar="URL",
+            help="Where to be listed; nowhere if left out.",
         ),
         click.option("--availability-zone", default="", help="Where it runs."),
+        click.option(
+            "--incarnation",
+            default=lambda: secrets.token_hex(INCARNATION_BYTES),
+            help="Changes with each start; made up if left out.",
+        ),
         click.option(
             "--label",
             "labels",
@@ -58,6 +70,16 @@
     return _address_options(command)
 
 
+def _seconds(name: str, default: float, text: str) -> Callable[..., Any]:
+    kind = click.FloatRange(min=0.0)
+    return click.option(name, type=kind, default=default, show_default=True, help=text)
+
+
+def _count(name: str, default: int, text: str) -> Callable[..., Any]:
+    kind = click.IntRange(min=1)
+    return click.option(name, type=kind, default=default, show_default=True, help=text)
+
+
 def _labels(items: tuple[str, ...]) -> dict[str, str]:
     labels = {}
     for item in items:
@@ -68,42 +90,65 @@
     return labels
 
 
+def _listing(
+    platform: str, availability_zone: str, incarnation: str, labels: dict[str, str]
+) -> Listing:
+    from wisterialoom.standin.run import Listing
+
+    return Listing(platform, incarnation, availability_zone, labels)
+
+
 @standin.command()
 @_address_options
+@_seconds("--loads-per-s", 2.0, "Model loads that may start each second.")
+@_count("--full-speed-loads", 8, "Model loads at once before they slow each other.")
+@_count("--adapter-full-speed-loads", 60, "The same for adapters.")
 def platform(**options: Any) -> None:
-    """Run a stand-in of the platform: object API and instance list."""
-    import_module(RUNNERS).run_platform(**options)
+    """Run a stand-in of the platform: object API, instance list, weight store."""
+    from wisterialoom.standin.run import run_platform
+
+    run_platform(**options)
 
 
 @standin.command()
 @_server_options
-@click.option(
-    "--memory-mb",
-    type=click.IntRange(min=1),
-    default=80_000,
-    show_default=True,
-    help="Accelerator memory.",
-)
-@click.option(
-    "--slots",
-    type=click.IntRange(min=1),
-    default=8,
-    show_default=True,
-    help="Requests served at once at full speed.",
-)
+@_count("--memory-mb", 80_000, "Accelerator memory.")
+@_count("--slots", 8, "Requests served at once at full speed.")
+@_seconds("--load-s", 5.0, "Time of a model load at full speed.")
 @click.option(
     "--checks-fencing/--ignores-fencing",
     default=True,
     show_default=True,
     help="Whether orders with an old fencing number are refused.",
 )
-def engine(**options: Any) -> None:
+def engine(
+    *,
+    platform: str,
+    availability_zone: str,
+    incarnation: str,
+    labels: dict[str, str],
+    **options: Any,
+) -> None:
     """Run a stand-in of a model engine."""
-    import_module(RUNNERS).run_engine(**options)
+    from wisterialoom.standin.run import run_engine
+
+    listing = _listing(platform, availability_zone, incarnation, labels)
+    run_engine(listing=listing, **options)
 
 
 @standin.command()
 @_server_options
-def service(**options: Any) -> None:
+@_seconds("--delay-s", 0.0, "Time of each call.")
+def service(
+    *,
+    platform: str,
+    availability_zone: str,
+    incarnation: str,
+    labels: dict[str, str],
+    **options: Any,
+) -> None:
     """Run a stand-in of a plain service."""
-    import_module(RUNNERS).run_service(**options)
+    from wisterialoom.standin.run import run_service
+
+    listing = _listing(platform, availability_zone, incarnation, labels)
+    run_service(listing=listing, **options)
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import json
-import subprocess
+import os
 import sys
 from pathlib import Path
 from types import SimpleNamespace
@@ -152,29 +152,54 @@
 
 def test_daemon_commands_call_what_they_name(monkeypatch):
     calls = []
-    standins = SimpleNamespace(
-        run_platform=lambda **options: calls.append(options),
-        run_engine=lambda **options: calls.append(options),
-    )
     daemon = SimpleNamespace(run=calls.append)
     shown = SimpleNamespace(run=lambda *, serve: calls.append(serve) or 3)
-    monkeypatch.setitem(sys.modules, "wisterialoom.standin.run", standins)
     monkeypatch.setitem(sys.modules, "wisterialoom.app", daemon)
     monkeypatch.setitem(sys.modules, "wisterialoom.demo", shown)
     assert run("entry", "--config", ROOT / "examples/entry.toml").exit_code == 0
     assert run("demo", "--serve").exit_code == 3
-    assert run("standin", "platform", "--port", 9000).exit_code == 0
-    assert run("standin", "engine", "--name", "w1", "--label", "a=b").exit_code == 0
     assert calls[0].instance.name == "entry-1"
-    assert calls[1:3] == [True, {"host": "127.0.0.1", "port": 9000}]
-    assert calls[3]["labels"] == {"a": "b"}
+    assert calls[1] is True
 
 
-def test_module_runs_as_a_program():
-    command = [sys.executable, "-m", "wisterialoom", "--version"]
-    env = {"PYTHONPATH": str(Path(wisterialoom.__file__).parents[1])}
-    done = subprocess.run(command, env=env, capture_output=True, text=True, check=True)
-    assert wisterialoom.__version__ in done.stdout
+async def start(*args):
+    """Start the program as a process; return it and the address that it prints."""
+    process = await asyncio.create_subprocess_exec(
+        *(sys.executable, "-m", "wisterialoom", *args),
+        stdout=asyncio.subprocess.PIPE,
+        env={**os.environ, "PYTHONPATH": str(Path(wisterialoom.__file__).parents[1])},
+    )
+    line = await asyncio.wait_for(process.stdout.readline(), 20)
+    return process, json.loads(line)["address"]
+
+
+@pytest.mark.processes
+async def test_stand_ins_run_as_programs_and_are_listed():
+    platform, address = await start("standin", "platform")
+    where = ("--platform", f"http://{address}", "--availability-zone", "zone-1")
+    labels = ("--label", "role=drafting")
+    engine, _ = await start("standin", "engine", "--name", "e1", *where, *labels)
+    service, _ = await start("standin", "service", "--name", "s1", *where)
+    try:
+        url = f"http://{address}"
+        async with asyncio.timeout(20):
+            while len(listed := (await listing(url))) < 2:
+                await asyncio.sleep(0.02)
+        assert listed["e1"]["labels"] == {"kind": "engine", "role": "drafting"}
+        assert listed["s1"]["availability_zone"] == "zone-1"
+        engine.terminate()
+        assert await asyncio.wait_for(engine.wait(), 20) == 0
+        assert set(await listing(url)) == {"s1"}
+    finally:
+        for process in (engine, service, platform):
+            if process.returncode is None:
+                process.terminate()
+            await asyncio.wait_for(process.wait(), 20)
+
+
+async def listing(url):
+    output = await runner(url)("status", "--json", code=6)
+    return {item["name"]: item for item in json.loads(output)["listed"]}
 
 
 def test_reference_is_up_to_date():
