--- a/tests/test_config_follower.py
+++ b/tests/test_config_follower.py
@@ -1,10 +1,12 @@
 """Tests of `wisterialoom.core.config_follower`."""
 
+import math
 import random
 
 import pytest
 from hypothesis import given, settings, strategies as st
 
+from wisterialoom.core._config_body import pack, unpack
 from wisterialoom.core._config_freshness import Freshness, PAUSE_S
 from wisterialoom.core.config_follower import CONFIG_KEY, ConfigFollower
 from wisterialoom.core.message import Tick
@@ -15,6 +17,7 @@
     Member,
     MembersChanged,
 )
+from wisterialoom.core.object_store import MAX_OBJECT_BYTES
 from wisterialoom.core.peer import (
     ConfigPush,
     Heartbeat,
@@ -42,6 +45,30 @@
 BAD = b"[a_table_of_a_later_version]"
 
 
+class GossipCore:
+    """A follower in a large fleet: a beat to one random member each second."""
+
+    def __init__(self, name, seed, fleet, members):
+        self.inner = FollowerCore(name, seed, fleet)
+        self.inner.beat_at = math.inf
+        self.rng = random.Random(seed)
+        self.beat_at = None
+        self.members = members
+
+    def handle(self, now, event):
+        outputs = []
+        if self.beat_at is None:
+            self.beat_at = now + self.rng.random()
+            outputs += self.inner.hand(now, self.members)
+        if isinstance(event, Tick) and now >= self.beat_at:
+            self.beat_at += 1.0
+            to = self.rng.choice(self.inner.fleet)
+            outputs.append(self.inner.beat(to, Heartbeat, now))
+        if isinstance(event, PeerReceived) and isinstance(event.message, Heartbeat):
+            outputs.append(self.inner.beat(event.sender, HeartbeatAck, now))
+        return outputs + self.inner.hand(now, event)
+
+
 class FollowerCore:
     """A follower with just enough of a membership: everyone beats to everyone."""
 
@@ -254,6 +281,35 @@
     assert calls[1] <= 150
 
 
+def test_a_fleet_of_410_follows_within_seconds_by_five_watches():
+    world = World(1, keep_trace=False)
+    world.links.delay_s = world.links.jitter_s = 0.005
+    world.links.loss = 0.02
+    names = [f"entry-{i}" for i in range(410)]
+    zones = [f"zone-{i % 5}" for i in range(410)]
+    members = MembersChanged(
+        tuple(
+            Member(name, f"{name}:1", zone, 1, MemberStatus.ALIVE)
+            for name, zone in zip(names, zones, strict=True)
+        )
+    )
+    cores = []
+    for i, (name, zone) in enumerate(zip(names, zones, strict=True)):
+        core = GossipCore(name, i, names, members)
+        core.inner.follower.availability_zone = zone
+        world.add(name, core)
+        cores.append(core.inner)
+    world.store_port.put(CONFIG_KEY, GOOD)
+    world.run_for(10)
+    world.store_port.calls.clear()
+    newest = world.store_port.put(CONFIG_KEY, GOOD)
+    world.run_for(8)
+    assert {core.report.generation for core in cores} == {newest}
+    assert all(core.report.fresh for core in cores)
+    assert sum(world.store_port.calls.values()) <= 8 * 10
+    assert len(world.store_port.watches[CONFIG_KEY]) == 5
+
+
 def test_an_outage_for_all_leaves_the_configuration_in_force_and_shows():
     fleet = Fleet(5)
     fleet.world.links.delay_s = fleet.world.links.jitter_s = 0.1
@@ -330,7 +386,26 @@
         assert core.refused == [bad]
         assert core.generations == [good]
         assert core.report.fresh
-        assert core.follower.body == BAD
+        assert unpack(core.follower.packed) == BAD
+
+
+def test_a_body_that_is_cut_off_or_too_large_is_not_taken():
+    assert unpack(pack(GOOD)) == GOOD
+    assert unpack(pack(b"")) == b""
+    assert unpack(pack(GOOD)[:-1]) == b""
+    assert unpack(pack(b" " * (MAX_OBJECT_BYTES + 1))) == b""
+    assert unpack(b"plain") == b""
+
+
+def test_a_peer_without_a_configuration_vouches_for_nothing():
+    fleet = Fleet(2)
+    fleet.put()
+    fleet.world.run_for(3)
+    fleet.isolate("entry-0")
+    for _ in range(20):
+        fleet.world.run_for(0.5)
+        fleet.world.send("entry-0", PeerReceived("entry-1", Heartbeat(1, 0, 0)))
+    assert not fleet.core("entry-0").report.fresh
 
 
 def test_an_instance_that_cannot_get_what_a_peer_has_is_not_fresh():
@@ -344,5 +419,5 @@
         fleet.world.run_for(0.45)
     assert not core.report.fresh
     assert core.report.age_s >= STALE_AGE_MS / 1_000
-    fleet.world.send("entry-0", PeerReceived("entry-1", ConfigPush(99, GOOD)))
+    fleet.world.send("entry-0", PeerReceived("entry-1", ConfigPush(99, pack(GOOD))))
     assert core.report.fresh
