--- a/tests/test_engine_app.py
+++ b/tests/test_engine_app.py
@@ -9,6 +9,7 @@
 import pytest
 
 from wisterialoom.core.engine import ModelKey
+from wisterialoom.engine import EngineClient
 from wisterialoom.standin.answer import answer_text
 from wisterialoom.standin.engine_app import EngineApp
 from wisterialoom.standin.engine_batch import BatchSettings
@@ -62,7 +63,7 @@
 async def test_many_at_once_get_their_own_answers_with_the_openai_library():
     async with running() as (engine, _session):
         client = openai.AsyncOpenAI(
-            base_url=f"{engine.url}/v1", api_key="k", max_retries=0
+            base_url=f"{engine.url}/v1", api_key="k", max_retries=0, timeout=20
         )
 
         async def ask(number, *, stream):
@@ -86,7 +87,7 @@
         assert [text.split("]")[0] for text in texts] == [f"[r{n}" for n in range(12)]
         await until(lambda: not engine.in_progress)
         assert not engine.memory.busy
-        assert {run.ended for run in engine.record.runs} == {"done"}
+        assert {run.ended for run in engine.records.runs} == {"done"}
 
 
 async def test_only_what_is_resident_serves_and_a_leaving_engine_does_not():
@@ -98,7 +99,7 @@
         answer = await session.post(CHAT, data=body())
         assert (answer.status, answer.headers["X-Not-Started"]) == (503, "1")
         assert (await session.get("/state")).headers["X-Leaving"] == "1"
-        assert engine.record.runs == []
+        assert engine.records.runs == []
 
 
 @pytest.mark.parametrize("stream", [False, True])
@@ -110,7 +111,7 @@
             (await call).close()
         call.cancel()
         await until(lambda: not engine.in_progress)
-        assert engine.record.runs[0].ended == "cancelled"
+        assert engine.records.runs[0].ended == "cancelled"
         assert not engine.batch.runs
         assert engine.batch.kv_used == 0
 
@@ -131,7 +132,7 @@
         rest = await answer.read()
         got = b"\n\n".join(whole) + b"\n\n" + rest
         assert text_of(got) == answer_text("r1", sent, 20)
-        assert len(engine.record.runs) == 1
+        assert len(engine.records.runs) == 1
 
 
 async def test_double_run_of_non_idempotent_work_is_recorded():
@@ -151,8 +152,12 @@
         told = await (await session.get("/cache_events")).json()
         assert told["events"] == []
         engine.fault.cache_lag_s = 0.0
-        told = await (await session.get("/cache_events?after=1")).json()
-        assert [event["serial"] for event in told["events"]] == [2, 4, 5, 7]
+        client = EngineClient(session)
+        address = engine.url.removeprefix("http://")
+        reports = await client.read_cache_events("e", address, 1)
+        assert [(r.first, r.last) for r in reports] == [(2, 2), (4, 5), (7, 7)]
+        held = {prefix_hash for _, prefix_hash in engine.batch.cache.blocks}
+        assert {h for r in reports for h in r.stored} < held
 
 
 async def test_service_records_each_run_and_its_faults():
@@ -168,8 +173,8 @@
             await session.post("/faults", json={fault: 1})
             with pytest.raises(aiohttp.ClientError):
                 await session.post("/plates", data=b"p", headers=headers)
-            assert len(service.record.runs) == runs
-        assert len(service.record.doubles) == 1
+            assert len(service.records.runs) == runs
+        assert len(service.records.doubles) == 1
         await session.post("/faults", json={"error_status": 500})
         assert (await session.post("/plates")).status == 500
         assert (await session.post("/faults", json={"nonsense": 1})).status == 400
