Keep a settled claim when a late answer to it would free it

Cause: the home's answer to a claim came after the requester had committed and settled the same claim by itself; the requester took the claim for an orphan, and its release removed the settled entry: the key ran twice.

Change: a release applies to open claims only.

--- a/src/wisterialoom/core/claim_bucket.py
+++ b/src/wisterialoom/core/claim_bucket.py
@@ -189,6 +189,9 @@
         held = self.entries.get(change.key)
         if held is None or held.nonce != change.nonce:
             return Verdict(ClaimStateWire.GRANTED, held), False
+        if held.state is not ClaimState.CLAIMED:
+            # It did run: what freed it had heard of the claim only, too late.
+            return Verdict(ClaimStateWire.GRANTED, held), False
         self.remove(change.key)
         return Verdict(ClaimStateWire.GRANTED), True
 
