--- /dev/null
+++ b/src/wisterialoom/core/job_accept.py
@@ -0,0 +1,188 @@
+"""Taking jobs in and telling callers of them."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, replace
+from typing import TYPE_CHECKING
+
+from wisterialoom.core.claim_entry import short_hash
+from wisterialoom.core.job_record import job_key, JobRecord
+from wisterialoom.core.notice_job import (
+    JobAccepted,
+    JobAsked,
+    JobFound,
+    JobMissing,
+    JobRefused,
+    JobUnreadable,
+    JobWanted,
+)
+from wisterialoom.core.object_store import (
+    ABSENT,
+    ObjectConflict,
+    ObjectEvent,
+    ObjectRead,
+    ObjectUnavailable,
+    ObjectWritten,
+    OperationIds,
+    ReadObject,
+    WriteObject,
+)
+from wisterialoom.core.request import Reason
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from wisterialoom.core.message import Output
+
+__all__ = ["JobAccepter"]
+
+ANSWER_LIMIT_S = 2.0
+"""Time within which each wanted or asked job is answered."""
+
+RETRY_AFTER_S = 1.0
+"""When to come back after the object API failed."""
+
+
+@dataclass
+class Submission:
+    """A wanted job on its way into the object API.
+
+    Attributes:
+        request_id: The request.
+        record: The job.
+        deadline: Monotonic time by which the caller is answered.
+        in_doubt: A write got no answer and may have taken effect.
+    """
+
+    request_id: str
+    record: JobRecord
+    deadline: float
+    in_doubt: bool = False
+
+
+class JobAccepter:
+    """Creates jobs, and reads them for their callers.
+
+    Attributes:
+        submissions: By operation id of the call in progress.
+        questions: Questions and their deadlines, by operation id of the read.
+    """
+
+    def __init__(
+        self, boot_id: str, ops: OperationIds, wall_clock: Callable[[], float]
+    ) -> None:
+        self.boot_id = boot_id
+        self.ops = ops
+        self.wall_clock = wall_clock
+        self.serial = 0
+        self.submissions: dict[str, Submission] = {}
+        self.questions: dict[str, tuple[JobAsked, float]] = {}
+
+    def want(self, now: float, event: JobWanted) -> list[Output]:
+        """Create a job; the same key of the same caller is the same job."""
+        request_id = event.request.request_id
+        record = self._record(event)
+        if not record.fits:
+            return [JobRefused(request_id, Reason.JOB_TOO_LARGE, None)]
+        return self._write(Submission(request_id, record, now + ANSWER_LIMIT_S))
+
+    def _record(self, event: JobWanted) -> JobRecord:
+        self.serial += 1
+        key = event.request.idempotency_key
+        name = f"{self.boot_id}.{self.serial}"
+        if key:
+            name = f"{len(event.caller)}:{event.caller}:{key}"
+        job_id = short_hash(f"job {bool(key)} {name}")
+        # Without a key of the caller's, the job's id keeps it from running twice.
+        request = replace(event.request, idempotency_key=key or job_id)
+        return JobRecord(
+            job_id,
+            event.caller,
+            request,
+            event.traffic_class,
+            event.idempotent,
+            event.max_wait_s,
+            self.wall_clock(),
+            body=event.body,
+        )
+
+    def ask(self, now: float, event: JobAsked) -> list[Output]:
+        """Read a job for a caller."""
+        op = self.ops.next()
+        self.questions[op] = (event, now + ANSWER_LIMIT_S)
+        return [ReadObject(op, job_key(event.job_id))]
+
+    def handle(self, event: ObjectEvent) -> list[Output]:
+        """Take an answer of the object API."""
+        submission = self.submissions.pop(event.op, None)
+        if submission is not None:
+            return self._advance(submission, event)
+        question = self.questions.pop(event.op, None)
+        return [_reply(question[0], event)] if question else []
+
+    def _advance(self, submission: Submission, event: ObjectEvent) -> list[Output]:
+        match event:
+            case ObjectWritten():
+                job_id = submission.record.job_id
+                return [JobAccepted(submission.request_id, job_id)]
+            case ObjectRead(version=version, body=body) if version != ABSENT:
+                return [_match(submission, JobRecord.decode(body))]
+            case ObjectRead():
+                return self._write(submission)
+            case ObjectConflict():
+                return self._read(submission)
+            case ObjectUnavailable(ambiguous=True):
+                submission.in_doubt = True
+                return self._read(submission)
+        return [_refuse(submission)]
+
+    def _write(self, submission: Submission) -> list[Output]:
+        op = self.ops.next()
+        self.submissions[op] = submission
+        record = submission.record
+        return [WriteObject(op, job_key(record.job_id), record.encode(), ABSENT)]
+
+    def _read(self, submission: Submission) -> list[Output]:
+        op = self.ops.next()
+        self.submissions[op] = submission
+        return [ReadObject(op, job_key(submission.record.job_id))]
+
+    def tick(self, now: float) -> list[Output]:
+        """Answer what took too long."""
+        outputs: list[Output] = []
+        for op, submission in list(self.submissions.items()):
+            if now >= submission.deadline:
+                del self.submissions[op]
+                submission.in_doubt = True
+                outputs.append(_refuse(submission))
+        for op, (question, deadline) in list(self.questions.items()):
+            if now >= deadline:
+                del self.questions[op]
+                outputs.append(JobUnreadable(question.request_id, RETRY_AFTER_S))
+        return outputs
+
+
+def _refuse(submission: Submission) -> JobRefused:
+    job_id = submission.record.job_id if submission.in_doubt else ""
+    return JobRefused(
+        submission.request_id, Reason.JOB_UNAVAILABLE, RETRY_AFTER_S, job_id
+    )
+
+
+def _match(submission: Submission, stored: JobRecord) -> Output:
+    wanted = submission.record.request.body_sha256
+    if stored.request.body_sha256 != wanted:
+        return JobRefused(submission.request_id, Reason.KEY_REUSED, None)
+    return JobAccepted(submission.request_id, stored.job_id)
+
+
+def _reply(question: JobAsked, event: ObjectEvent) -> Output:
+    match event:
+        case ObjectRead(version=version, body=body):
+            record = JobRecord.decode(body) if version != ABSENT else None
+            if record is None or record.caller != question.caller:
+                return JobMissing(question.request_id)
+            return JobFound(
+                question.request_id, record.job_id, record.state, record.answer
+            )
+    return JobUnreadable(question.request_id, RETRY_AFTER_S)
--- a/src/wisterialoom/core/request.py
+++ b/src/wisterialoom/core/request.py
@@ -60,6 +60,7 @@
     CLAIM_UNAVAILABLE = "claim_unavailable"
     CLAIMS_FULL = "claims_full"
     JOB_UNAVAILABLE = "job_unavailable"
+    JOB_TOO_LARGE = "job_too_large"
     CALLER_GONE = "caller_gone"
     # A second request with the key of an earlier one.
     IN_PROGRESS = "in_progress"
