--- /dev/null
+++ b/src/wisterialoom/core/planner_view.py
@@ -0,0 +1,104 @@
+"""What the planner knows of one engine, from its load reports."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from wisterialoom.core.engine import ModelKey
+from wisterialoom.core.planner_damping import ServerHealth
+from wisterialoom.core.planner_input import ServerView
+
+if TYPE_CHECKING:
+    from wisterialoom.core.document import ServerGroup
+    from wisterialoom.core.notice import BackendServer
+    from wisterialoom.core.peer import PlanEntry, ServerLoad
+
+__all__ = ["EngineRecord"]
+
+PENDING_S = 30.0
+"""A planned load may take this long beyond its own time, in seconds."""
+
+LOAD_FACTOR = 3.0
+"""A load may take this many times its full-speed time."""
+
+BLOCKED_S = 60.0
+"""A model that did not load in time is not tried again for this long."""
+
+
+@dataclass(slots=True)
+class EngineRecord:
+    """Reports, plan and failures of one engine.
+
+    Attributes:
+        load: Newest report.
+        health: Rise and fall counts.
+        resident_since: When each key was first reported as resident.
+        plan: Newest plan; `None` before the first.
+        pending_since: When each planned model that is not resident was planned.
+        blocked_until: When a model that failed to load may be tried again.
+    """
+
+    load: ServerLoad | None = None
+    health: ServerHealth = field(default_factory=ServerHealth)
+    resident_since: dict[ModelKey, float] = field(default_factory=dict)
+    plan: PlanEntry | None = None
+    pending_since: dict[ModelKey, float] = field(default_factory=dict)
+    blocked_until: dict[ModelKey, float] = field(default_factory=dict)
+
+    def report(self, now: float, load: ServerLoad) -> None:
+        """Take a newer load report."""
+        if self.load is not None and load.serial <= self.load.serial:
+            return
+        self.load = load
+        self.health.report(now, load.incarnation)
+        held = {ModelKey.parse(x) for x in (*load.resident, *load.draining)}
+        for key in [x for x in self.resident_since if x not in held]:
+            del self.resident_since[key]
+        for key in held:
+            self.resident_since.setdefault(key, now)
+
+    def follow(self, now: float, load_s: dict[ModelKey, float], extra_s: float) -> None:
+        """Block what was planned too long ago and is still not resident.
+
+        Args:
+            now: Monotonic time in seconds.
+            load_s: Time of each model's load at full speed, in seconds.
+            extra_s: Further time that the engine's memory may stay taken.
+        """
+        planned = self.planned or ()
+        missing = [key for key in planned if key not in self.resident_since]
+        for key in [x for x in self.pending_since if x not in missing]:
+            del self.pending_since[key]
+        for key in missing:
+            since = self.pending_since.setdefault(key, now)
+            limit_s = PENDING_S + extra_s + LOAD_FACTOR * load_s.get(key, 0.0)
+            if now - since > limit_s:
+                self.blocked_until[key] = now + BLOCKED_S
+        for key in [x for x, until in self.blocked_until.items() if now >= until]:
+            del self.blocked_until[key]
+
+    @property
+    def planned(self) -> tuple[ModelKey, ...] | None:
+        """Models of the newest plan."""
+        if self.plan is None:
+            return None
+        return tuple(ModelKey.parse(text) for text in self.plan.models)
+
+    def view(self, now: float, server: BackendServer, group: ServerGroup) -> ServerView:
+        """Return what a plan depends on."""
+        leaving = self.load is not None and self.load.leaving
+        out = server.leaving or server.drained or leaving
+        return ServerView(
+            name=server.name,
+            availability_zone=server.availability_zone,
+            labels=server.labels,
+            budget_mb=group.memory_mb - group.adapter_pool_mb,
+            pool_mb=group.adapter_pool_mb,
+            slots=group.slots,
+            resident={key: now - at for key, at in self.resident_since.items()},
+            planned=self.planned,
+            usable=not out and self.health.is_usable(now),
+            serving=not out and self.health.is_serving(now),
+            blocked=frozenset(self.blocked_until),
+        )
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -17,8 +17,9 @@
     MembersChanged,
     ServersChanged,
 )
-from wisterialoom.core.peer import MemberStatus, PlanEntry, PlanMessage
+from wisterialoom.core.peer import MemberStatus, PeerReceived, PlanEntry, PlanMessage
 from wisterialoom.core.stewards import Stewards
+from wisterialoom.lab.fault import OrderFault, StoreFault
 from wisterialoom.lab.order_port import FakeEngine
 from wisterialoom.lab.world import World
 from wisterialoom.standin.engine_memory import EngineMemory
@@ -92,6 +93,7 @@
         self.make_parts = make_parts or (lambda name, boot: [Stewards(name, boot)])
         self.boots = 0
         self.gone = set()
+        self.plans = {}
         for name, group in engines.items():
             memory = EngineMemory(
                 CAPACITY_MB + POOL_MB, checks_fencing=group == "checking"
@@ -127,6 +129,7 @@
         self.world.add(name, core)
         self.gone.discard(name)
         self.refresh()
+        self._send_plan(tuple(self.plans.values()))
         return core
 
     def kill(self, name):
@@ -152,23 +155,42 @@
             self.world.send(name, ServersChanged(self.servers))
 
     def plan(self, wanted):
-        """Give every instance the same plan."""
+        """Give every instance the same plan, most wanted first."""
         entries = tuple(PlanEntry(x, tuple(models)) for x, models in wanted.items())
+        self._send_plan(entries)
+
+    def plan_one(self, server, models, adapters):
+        """Give every instance a plan for one server."""
+        models = tuple(f"{x}@1" for x in models)
+        adapters = tuple(f"{x}@1" for x in adapters)
+        self._send_plan((PlanEntry(server, models, adapters),))
+
+    def _send_plan(self, entries):
+        self.plans |= {entry.server: entry for entry in entries}
         for name, host in self.world.hosts.items():
             if host.alive:
                 message = PlanMessage(1, 1, entries)
-                self.world.send(name, _from_planner(message))
+                self.world.send(name, PeerReceived("planner", message))
+
+    def set_busy(self, server, name, *, busy):
+        """Let a model have a request in progress, or none."""
+        self.engines[server].memory.busy[ModelKey(name, "1")] = int(busy)
+
+    def heal(self, names):
+        """Mend everything and run every instance."""
+        self.world.store_port.fault = StoreFault()
+        self.world.links.mend()
+        for engine in self.engines.values():
+            engine.fault = OrderFault()
+            engine.memory.busy.clear()
+        for name in names:
+            if self.world.hosts[name].alive:
+                self.world.thaw(name)
+            else:
+                self.start(name)
+        self.refresh()
 
     def resident(self, server):
+        """Return `name@version` of what an engine holds."""
         memory = self.engines[server].memory
         return {str(key) for key in (*memory.models, *memory.adapters)}
-
-
-def _from_planner(message):
-    from wisterialoom.core.peer import PeerReceived
-
-    return PeerReceived("planner", message)
-
-
-def key(name):
-    return ModelKey(name, "1")
--- /dev/null
+++ b/tests/test_memory_invariant.py
@@ -0,0 +1,216 @@
+"""Accelerator memory is never overcommitted, whatever fails."""
+
+import random
+
+from hypothesis import Phase, settings, strategies as st
+from hypothesis.stateful import (
+    initialize,
+    invariant,
+    precondition,
+    rule,
+    RuleBasedStateMachine,
+    run_state_machine_as_test,
+)
+
+from tests.fleet import CAPACITY_MB, Fleet, LEASE_S, LIFETIME_S, LOAD_S, make_document
+from wisterialoom.core.document import Adapter
+from wisterialoom.lab.fault import OrderFault, StoreFault
+
+SIZES = {"a": 60, "b": 60, "c": 40, "d": 50, "e": 100}
+ADAPTERS = (Adapter("x", "a", "1", 15), Adapter("y", "c", "1", 15))
+ENGINES = {
+    "engine-0": "checking",
+    "engine-1": "checking",
+    "engine-2": "trusting",
+    "engine-3": "trusting",
+}
+INSTANCES = ("entry-0", "entry-1", "entry-2")
+ORDER_TIMEOUT_S = 10.0
+LATE_S = 20.0
+STORM_STEPS = 30
+HEALED_LIMIT_S = 8 * LEASE_S + LIFETIME_S + 3 * ORDER_TIMEOUT_S + 6 * LOAD_S
+
+engines = st.sampled_from(sorted(ENGINES))
+instances = st.sampled_from(INSTANCES)
+ORDER_FAULTS = {
+    "none": {},
+    "lost": {"lose_order": 0.5},
+    "unanswered": {"lose_answer": 0.7},
+    "late": {"late": 0.7},
+    "double": {"double": 0.8},
+    "all": {"lose_order": 0.2, "lose_answer": 0.3, "late": 0.4, "double": 0.5},
+}
+STORE_FAULTS = {
+    "none": {},
+    "down": {"down": True},
+    "slow": {"delay_s": 2.0, "jitter_s": 1.0},
+    "unanswered": {"lose_answer": 0.5},
+    "lost": {"lose_call": 0.5},
+}
+plans = st.permutations([*SIZES, "x", "y"])
+
+
+def fitting(names):
+    """Return the models of a plan that fit together, and their adapters."""
+    chosen, used = [], 0
+    for name in names:
+        if name in SIZES and used + SIZES[name] <= CAPACITY_MB:
+            used += SIZES[name]
+            chosen.append(name)
+    adapters = [x.name for x in ADAPTERS if x.model in chosen and x.name in names]
+    return chosen, adapters[:1]
+
+
+class Memory(RuleBasedStateMachine):
+    """Faults alone and together, against the engines' own account."""
+
+    @initialize(seed=st.integers(0, 10_000))
+    def begin(self, seed):
+        document = make_document(SIZES, adapters=ADAPTERS)
+        self.fleet = Fleet(seed, document=document, engines=ENGINES)
+        self.world = self.fleet.world
+        self.incarnations = 1
+        self.world.run_for(LEASE_S)
+
+    @rule(seconds=st.sampled_from([0.1, 0.5, 2.0, 5.0, 12.0, 40.0]))
+    def pass_time(self, seconds):
+        self.world.run_for(seconds)
+
+    @rule(server=engines, names=plans, greedy=st.booleans())
+    def plan(self, server, names, greedy):
+        models, adapters = fitting(names)
+        if greedy:
+            models, adapters = [x for x in names if x in SIZES], ["x", "y"]
+        self.fleet.plan_one(server, models, adapters)
+
+    @rule(fault=st.sampled_from(sorted(ORDER_FAULTS)))
+    def harm_orders(self, fault):
+        for engine in self.fleet.engines.values():
+            engine.fault = OrderFault(
+                **ORDER_FAULTS[fault], late_s=LATE_S, timeout_s=ORDER_TIMEOUT_S
+            )
+
+    @rule(server=engines, name=instances)
+    def cut_off_engine(self, server, name):
+        self.fleet.engines[server].fault.cut_off.add(name)
+
+    @rule(server=engines)
+    def restart_engine(self, server):
+        self.incarnations += 1
+        self.fleet.engines[server].memory.restart(str(self.incarnations))
+
+    @rule(server=engines, name=st.sampled_from(sorted(SIZES)), busy=st.booleans())
+    def make_busy(self, server, name, busy):
+        self.fleet.set_busy(server, name, busy=busy)
+
+    @rule(fault=st.sampled_from(sorted(STORE_FAULTS)))
+    def harm_store(self, fault):
+        self.world.store_port.fault = StoreFault(**STORE_FAULTS[fault])
+
+    @rule(name=instances)
+    def cut_off_store(self, name):
+        self.world.store_port.fault.cut_off.add(name)
+
+    @rule(name=instances, hold_sends=st.booleans(), past_checks=st.booleans())
+    def freeze(self, name, hold_sends, past_checks):
+        if not self.world.hosts[name].frozen:
+            self.world.freeze(name, hold_sends=hold_sends, past_checks=past_checks)
+
+    @rule(name=instances)
+    def thaw(self, name):
+        self.world.thaw(name)
+
+    @rule(name=instances, same_name=st.booleans())
+    def kill(self, name, same_name):
+        self.fleet.kill(name)
+        if same_name:
+            self.fleet.start(name)
+
+    @rule(name=instances)
+    def start(self, name):
+        if not self.world.hosts[name].alive:
+            self.fleet.start(name)
+
+    @rule()
+    def notice_members(self):
+        self.fleet.refresh()
+
+    @rule(left=instances, right=instances)
+    def cut_link(self, left, right):
+        self.world.links.cut({left}, {right})
+
+    @rule()
+    def mend_links(self):
+        self.world.links.mend()
+
+    @rule(seed=st.integers(0, 1_000_000))
+    def storm(self, seed):
+        """Do many things in quick succession."""
+        dice = random.Random(seed)
+        for _ in range(STORM_STEPS):
+            self._do_one(dice)
+            self.world.run_for(dice.choice([0.05, 0.3, 1.0, 3.0, 6.0, 15.0]))
+            assert self.fleet.violations == [], self.world.explain()
+
+    def _do_one(self, dice):
+        server = dice.choice(sorted(ENGINES))
+        name = dice.choice(INSTANCES)
+        match dice.randrange(16):
+            case 0 | 1 | 2 | 3 | 4:
+                names = [*SIZES, "x", "y"]
+                dice.shuffle(names)
+                self.plan(server, names, dice.random() < 0.2)
+            case 5 | 6:
+                self.harm_orders(dice.choice(sorted(ORDER_FAULTS)))
+            case 7:
+                self.harm_store(dice.choice(sorted(STORE_FAULTS)))
+            case 8:
+                self.harm_store("none")
+            case 9 | 10:
+                self.freeze(name, dice.random() < 0.7, dice.random() < 0.7)
+                self.plan(server, [*SIZES], False)
+            case 11 | 12:
+                self.thaw(name)
+            case 13:
+                self.restart_engine(server)
+            case 14:
+                self.kill(name, dice.random() < 0.5)
+            case 15:
+                self.start(name)
+                self.notice_members()
+
+    @invariant()
+    def memory_is_never_overcommitted(self):
+        if hasattr(self, "fleet"):
+            assert self.fleet.violations == [], self.world.explain()
+
+    @precondition(lambda self: hasattr(self, "fleet"))
+    @rule(names=st.lists(plans, min_size=4, max_size=4))
+    def heal(self, names):
+        self.fleet.heal(INSTANCES)
+        wanted = {}
+        for server, order in zip(sorted(ENGINES), names, strict=True):
+            models, adapters = fitting(order)
+            self.fleet.plan_one(server, models, adapters)
+            wanted[server] = {f"{x}@1" for x in models + adapters}
+
+        def missing():
+            return {x: y - self.fleet.resident(x) for x, y in wanted.items()}
+
+        healed = self.world.run_while(lambda: any(missing().values()), HEALED_LIMIT_S)
+        assert self.fleet.violations == [], self.world.explain()
+        assert healed, (missing(), self.world.explain())
+
+
+def test_memory_is_never_overcommitted_and_plans_are_met():
+    run_state_machine_as_test(
+        Memory,
+        settings=settings(
+            derandomize=True,
+            deadline=None,
+            max_examples=60,
+            phases=[Phase.generate],
+            report_multiple_bugs=False,
+            stateful_step_count=25,
+        ),
+    )
