--- a/src/wisterialoom/core/planner_placement.py
+++ b/src/wisterialoom/core/planner_placement.py
@@ -199,12 +199,12 @@
 
     def _order(
         self, key: ModelKey, slot: _Slot, victims: list[ModelKey]
-    ) -> tuple[float, int, float]:
+    ) -> tuple[float, int, int, float]:
         zone = slot.view.availability_zone
         held = [self.slots[name].view for name in self._replicas(key)]
         same_zone = sum(1 for view in held if view.availability_zone == zone)
         load = sum(self._share(x) for x in slot.models if x not in victims)
-        return (self._loss(victims), same_zone, load)
+        return (self._loss(victims), len(victims), same_zone, load)
 
     def _share(self, key: ModelKey) -> float:
         return self._worth(key) / max(1, len(self.holders.get(key, ())))
