Sync member tables by asking with the own entry only

Change: ask with the own entry, answer with the whole table, return what is known better, which also tells a healed partition whom it took for dead.

--- a/idl/peer.thrift
+++ b/idl/peer.thrift
@@ -85,6 +85,7 @@
   2: optional list<ServerLoad> loads
   3: optional bool wants_reply
   4: optional bool wants_loads
+  5: optional bool whole
 }
 
 struct LoadPull {
--- a/src/wisterialoom/core/membership.py
+++ b/src/wisterialoom/core/membership.py
@@ -291,7 +291,7 @@
         differs = message.digest != self.table.digest
         changed_at = self.table.changed_at
         if self.joins.should_sync(now, changed_at, differs=differs):
-            self._send(sender, self._sync(wants_reply=True))
+            self._send(sender, self._ask())
 
     def _take_load(self, load: ServerLoad | None) -> None:
         if load is not None:
@@ -302,13 +302,16 @@
             self._merge(now, update)
         for load in message.loads:
             self._take_load(self.loads.take_whole(now, load))
-        if message.members and not message.wants_reply:
-            self.loads_synced = True
         if message.wants_reply:
             self._reply_sync(sender, message)
+        if message.whole:
+            self.loads_synced = True
+            better = self.table.better_than(message.members)
+            if better:
+                self._send(sender, StateSync(members=better))
 
     def _reply_sync(self, sender: str, message: StateSync) -> None:
-        reply = self._sync()
+        reply = StateSync(members=self.table.updates(), whole=True)
         if message.wants_loads:
             reply = replace(reply, loads=self.loads.all_wholes())
         for update in message.members:
@@ -355,9 +358,7 @@
         ]
         active = [update.address for update in self.table.active()]
         for address in self.joins.contacts(now, active, gone):
-            sync = self._sync(wants_reply=True)
-            sync = replace(sync, wants_loads=not self.loads_synced)
-            self.out.append(SendPeer("", address, sync))
+            self.out.append(SendPeer("", address, self._ask()))
 
     def _leave(self, now: float) -> None:
         if self.leaving_at is None:
@@ -371,8 +372,10 @@
             self.drained = True
             self.out.append(PartDrained(PART))
 
-    def _sync(self, *, wants_reply: bool = False) -> StateSync:
-        return StateSync(members=self.table.updates(), wants_reply=wants_reply)
+    def _ask(self) -> StateSync:
+        return StateSync(
+            members=(self.own,), wants_reply=True, wants_loads=not self.loads_synced
+        )
 
     # Sending.
 
--- a/src/wisterialoom/core/membership_table.py
+++ b/src/wisterialoom/core/membership_table.py
@@ -177,6 +177,16 @@
         """Return everything known, this instance included."""
         return tuple(self._known())
 
+    def better_than(self, updates: Iterable[MemberUpdate]) -> tuple[MemberUpdate, ...]:
+        """Return what this table holds beyond another whole table."""
+        other = {x.name: (x.incarnation, x.status) for x in updates}
+        return tuple(
+            held
+            for held in self._known()
+            if (held.incarnation, held.status) > other.get(held.name, (-1, held.status))
+            and (held.name in other or held.status in ACTIVE)
+        )
+
     def members(self) -> tuple[Member, ...]:
         """Return the members that duties are shared out over, sorted by name."""
         active = [x for x in self._known() if x.status in ACTIVE]
--- a/src/wisterialoom/core/peer.py
+++ b/src/wisterialoom/core/peer.py
@@ -184,13 +184,17 @@
 
 @dataclass(frozen=True, slots=True)
 class StateSync(PeerMessage):
-    """Everything that the sender knows, for joiners and after a partition.
+    """Exchange of member tables, for joiners and after a partition.
+
+    One asks with its own entry, the other answers with its whole table, and the
+    first returns what it knows better.
 
     Attributes:
-        members: The whole member table, the sender's own entry included.
+        members: Entries of the sender's table.
         loads: Latest whole report of each backend server, if asked for.
-        wants_reply: The receiver should answer with a sync of its own.
+        wants_reply: The receiver should answer with its whole table.
         wants_loads: The reply should carry the loads.
+        whole: The members are the whole table.
     """
 
     reliable: ClassVar[bool] = True
@@ -198,6 +202,7 @@
     loads: tuple[ServerLoad, ...] = ()
     wants_reply: bool = False
     wants_loads: bool = False
+    whole: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/wisterialoom/peer/gen/ttypes.py
+++ b/src/wisterialoom/peer/gen/ttypes.py
@@ -939,6 +939,7 @@
      - loads
      - wants_reply
      - wants_loads
+     - whole
 
     """
 
@@ -947,14 +948,16 @@
         'loads',
         'wants_reply',
         'wants_loads',
+        'whole',
     )
 
 
-    def __init__(self, members=None, loads=None, wants_reply=None, wants_loads=None,):
+    def __init__(self, members=None, loads=None, wants_reply=None, wants_loads=None, whole=None,):
         self.members = members
         self.loads = loads
         self.wants_reply = wants_reply
         self.wants_loads = wants_loads
+        self.whole = whole
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -997,6 +1000,11 @@
                     self.wants_loads = iprot.readBool()
                 else:
                     iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.BOOL:
+                    self.whole = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -1029,6 +1037,10 @@
             oprot.writeFieldBegin('wants_loads', TType.BOOL, 4)
             oprot.writeBool(self.wants_loads)
             oprot.writeFieldEnd()
+        if self.whole is not None:
+            oprot.writeFieldBegin('whole', TType.BOOL, 5)
+            oprot.writeBool(self.whole)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2635,6 +2647,7 @@
     (2, TType.LIST, 'loads', (TType.STRUCT, [ServerLoad, None], False), None, ),  # 2
     (3, TType.BOOL, 'wants_reply', None, None, ),  # 3
     (4, TType.BOOL, 'wants_loads', None, None, ),  # 4
+    (5, TType.BOOL, 'whole', None, None, ),  # 5
 )
 all_structs.append(LoadPull)
 LoadPull.thrift_spec = (
