--- a/src/wisterialoom/core/gossip.py
+++ b/src/wisterialoom/core/gossip.py
@@ -24,7 +24,7 @@
 SENDS_PER_DECADE = 6
 """Times that news is sent besides, for each factor of ten in the fleet's size."""
 
-URGENT_SENDS = 8
+URGENT_SENDS = 6
 """Sends of urgent news that do not wait for the next heartbeat."""
 
 
--- a/src/wisterialoom/core/load_gossip.py
+++ b/src/wisterialoom/core/load_gossip.py
@@ -21,9 +21,15 @@
 LOAD_BURST_BYTES = 3_000.0
 """Bytes of load news that may be sent at once after a quiet time."""
 
-WHOLE_SENDS = 10
+WHOLE_SENDS = 6
 """Times that each instance sends a whole report on."""
 
+MAX_WHOLE_BYTES = 600
+"""Largest whole report that is sent unasked; the others fetch larger ones."""
+
+PULL_RETRY_S = 1.0
+"""Time after which a whole report is asked for again."""
+
 CHANGE_SENDS = 4
 """Times that each instance sends a change on; the next one makes a loss good."""
 
@@ -112,12 +118,14 @@
         known: Latest load by server.
         own: Servers stewarded here by name.
         missing: Servers whose whole report was missed, and who has it.
+        asked: When it was last asked for, in seconds.
     """
 
     def __init__(self) -> None:
         self.known: dict[str, Known] = {}
         self.own: dict[str, Own] = {}
         self.missing: dict[str, str] = {}
+        self.asked: dict[str, float] = {}
         self.wholes: GossipQueue[ServerLoad] = GossipQueue()
         self.changes: GossipQueue[LoadChange] = GossipQueue()
         self.budget = ByteBudget(LOAD_BYTES_PER_S, LOAD_BURST_BYTES)
@@ -130,7 +138,7 @@
     @property
     def urgent(self) -> bool:
         """Whether some news should be sent without waiting for a heartbeat."""
-        return self.wholes.urgent
+        return self.wholes.urgent or self.changes.urgent
 
     # Servers stewarded here.
 
@@ -213,13 +221,18 @@
         self._queue_change(change)
         return load
 
-    def take_missing(self) -> dict[str, tuple[str, ...]]:
-        """Return the servers to ask for, by the member to ask, once."""
+    def take_missing(self, now: float) -> dict[str, tuple[str, ...]]:
+        """Return the servers to ask for now, by the member to ask."""
         asked: dict[str, list[str]] = {}
-        for server, member in self.missing.items():
-            asked.setdefault(member, []).append(server)
-        self.missing.clear()
-        return {member: tuple(x[:MAX_PULL]) for member, x in asked.items()}
+        for server, member in list(self.missing.items()):
+            if now - self.asked.get(server, -PULL_RETRY_S) < PULL_RETRY_S:
+                continue
+            servers = asked.setdefault(member, [])
+            if len(servers) < MAX_PULL:
+                servers.append(server)
+                self.asked[server] = now
+                del self.missing[server]
+        return {member: tuple(servers) for member, servers in asked.items()}
 
     # What goes out.
 
@@ -248,11 +261,18 @@
     def _apply_whole(self, now: float, load: ServerLoad, *, urgent: bool) -> None:
         self.known[load.server] = Known(load, now)
         self.missing.pop(load.server, None)
+        self.asked.pop(load.server, None)
+        size = server_load_size(load)
+        if size > MAX_WHOLE_BYTES:
+            self.wholes.discard(load.server)
+            self._queue_change(_change(load, load.serial), urgent=urgent)
+            return
         self.changes.discard(load.server)
-        self.wholes.put(load.server, load, server_load_size(load), urgent=urgent)
+        self.wholes.put(load.server, load, size, urgent=urgent)
 
-    def _queue_change(self, change: LoadChange) -> None:
-        self.changes.put(change.server, change, load_change_size(change))
+    def _queue_change(self, change: LoadChange, *, urgent: bool = False) -> None:
+        size = load_change_size(change)
+        self.changes.put(change.server, change, size, urgent=urgent)
 
     def _is_newer(self, server: str, epoch: int, serial: int) -> bool:
         known = self.known.get(server)
--- a/src/wisterialoom/core/membership.py
+++ b/src/wisterialoom/core/membership.py
@@ -84,6 +84,9 @@
 NEWS_ONLY = 0
 """Serial of an acknowledgement that answers nothing and only carries news."""
 
+MEMBER_BYTES = 400
+"""Most bytes of news of members on one heartbeat or acknowledgement."""
+
 FRAME_BYTES = 64
 """Bytes of a heartbeat besides the sender's name and news."""
 
@@ -196,7 +199,7 @@
         if now >= self.probes.next_at:
             self._probe(now)
         self._send_urgent(now)
-        self._pull_loads()
+        self._pull_loads(now)
         self._finish_leaving(now)
 
     def _expire(self, now: float) -> None:
@@ -352,13 +355,13 @@
         if self.leaving_at is not None:
             return
         gone = [
-            entry.update.address
+            entry.update
             for entry in self.table.entries.values()
             if entry.update.status is MemberStatus.DEAD
         ]
         active = [update.address for update in self.table.active()]
-        for address in self.joins.contacts(now, active, gone):
-            self.out.append(SendPeer("", address, self._ask()))
+        for name, address in self.joins.contacts(now, active, gone):
+            self.out.append(SendPeer(name, address, self._ask()))
 
     def _leave(self, now: float) -> None:
         if self.leaving_at is None:
@@ -390,8 +393,8 @@
             self.urgent_budget.spend(size)
             self._send(name, message)
 
-    def _pull_loads(self) -> None:
-        for member, servers in self.loads.take_missing().items():
+    def _pull_loads(self, now: float) -> None:
+        for member, servers in self.loads.take_missing(now).items():
             self._send(member, LoadPull(servers))
 
     def _heartbeat(self, now: float, to: str, serial: int) -> Heartbeat:
@@ -414,7 +417,8 @@
         limit = send_limit(len(self.table.entries))
         room = DATAGRAM_BYTES - FRAME_BYTES - text_size(self.own.name)
         doubt = self._doubt_about(to)
-        members, used = self.news.take(room - sum(map(_member_size, doubt)), limit)
+        budget = room if serial == NEWS_ONLY else MEMBER_BYTES
+        members, used = self.news.take(budget - sum(map(_member_size, doubt)), limit)
         used += sum(map(_member_size, doubt))
         loads = self.loads.take(now, room - used)
         message = HeartbeatAck(
--- a/src/wisterialoom/core/membership_join.py
+++ b/src/wisterialoom/core/membership_join.py
@@ -9,6 +9,7 @@
     from collections.abc import Iterable
 
     from wisterialoom.core.instance_list import InstanceList
+    from wisterialoom.core.peer import MemberUpdate
 
 __all__ = ["JoinSchedule"]
 
@@ -36,7 +37,7 @@
 
     Attributes:
         seeds: Addresses from the settings.
-        listed: Addresses of entry instances in the platform's list.
+        listed: Names of entry instances in the platform's list, by address.
         sync_interval_s: Least time between two syncs for a differing digest;
             doubles while they do not help.
     """
@@ -44,7 +45,7 @@
     def __init__(self, address: str, seeds: Iterable[str], rng: random.Random) -> None:
         self.address = address
         self.seeds = tuple(seeds)
-        self.listed: tuple[str, ...] = ()
+        self.listed: dict[str, str] = {}
         self.rng = rng
         self.next_at = 0.0
         self.sync_at = 0.0
@@ -52,29 +53,36 @@
 
     def take_listing(self, listing: InstanceList) -> None:
         """Remember where the platform says that entry instances are."""
-        self.listed = tuple(
-            instance.address
+        self.listed = {
+            instance.address: instance.name
             for instance in listing.instances
             if instance.labels.get("kind") == ENTRY_KIND
-        )
+        }
 
     def contacts(
-        self, now: float, active: Iterable[str], gone: Iterable[str]
-    ) -> list[str]:
-        """Return the addresses to send a sync to now.
+        self, now: float, active: Iterable[str], gone: Iterable[MemberUpdate]
+    ) -> list[tuple[str, str]]:
+        """Return name and address of whom to send a sync now.
+
+        The name is empty where only an address is known.
 
         Args:
             now: Monotonic time in seconds.
             active: Addresses of the other active members.
-            gone: Addresses of members taken for dead.
+            gone: Members taken for dead.
         """
         if now < self.next_at:
             return []
         reached = {self.address, *active}
         alone = len(reached) == 1
         self.next_at = now + (ALONE_INTERVAL_S if alone else CONTACT_INTERVAL_S)
-        candidates = dict.fromkeys([*self.seeds, *self.listed, *gone])
-        missing = [address for address in candidates if address not in reached]
+        candidates = dict.fromkeys(self.seeds, "") | self.listed
+        candidates |= {update.address: update.name for update in gone}
+        missing = [
+            (name, address)
+            for address, name in candidates.items()
+            if address not in reached
+        ]
         count = min(ALONE_CONTACTS if alone else 1, len(missing))
         return self.rng.sample(missing, count)
 
--- a/tests/test_load_gossip.py
+++ b/tests/test_load_gossip.py
@@ -90,13 +90,15 @@
 
 
 @worlds(100)
-@given(st.integers(0, 10_000))
-def test_leaving_and_lost_models_are_known_everywhere_soon(seed):
+@given(st.integers(0, 10_000), st.sampled_from([0, 100]))
+def test_leaving_and_lost_models_are_known_everywhere_soon(seed, adapters):
     fleet = fleet_of(seed, 7, loss=0.1)
     steward = Steward(fleet, "writer-1")
-    steward.report(resident=("a@1", "b@1"))
+    more = tuple(f"deposit-cover-{number}@2026-11-07" for number in range(adapters))
+    steward.report(resident=("a@1", "b@1", *more))
     fleet.run_for(20.0)
-    for change in ({"draining": ("a@1",)}, {"resident": ("b@1",)}, {"leaving": True}):
+    changes = ({"draining": ("a@1",)}, {"resident": ("b@1", *more)}, {"leaving": True})
+    for change in changes:
         steward.report(**change)
 
         for _ in range(KNOWN_S):
@@ -128,8 +130,10 @@
     gossip = LoadGossip()
     change = LoadChange("writer-1", epoch=1, base=5, serial=6, running=3)
     assert gossip.take_change(1.0, change, "entry-3") is None
-    assert gossip.take_missing() == {"entry-3": ("writer-1",)}
-    assert gossip.take_missing() == {}
+    assert gossip.take_missing(1.0) == {"entry-3": ("writer-1",)}
+    gossip.take_change(1.1, change, "entry-4")
+    assert gossip.take_missing(1.1) == {}
+    assert gossip.take_missing(2.5) == {"entry-4": ("writer-1",)}
     whole = ServerLoad("writer-1", 5, 1, 0, resident=("a@1",), epoch=1)
     assert gossip.take_whole(2.0, whole) == whole
     taken = gossip.take_change(3.0, change, "entry-3")
