--- a/src/wisterialoom/standin/completions.py
+++ b/src/wisterialoom/standin/completions.py
@@ -30,7 +30,7 @@
 
     Attributes:
         orders: Holds the memory, the batch and the faults.
-        records: What ran.
+        record: What ran.
         generations: Requests that are being answered, by job id.
     """
 
@@ -40,7 +40,7 @@
         self.batch = orders.batch
         self.fault = orders.fault
         self.clock = BatchClock(orders.batch)
-        self.records = RunRecord()
+        self.record = RunRecord()
         self.generations: dict[str, Generation] = {}
         self.serials = itertools.count()
 
@@ -107,7 +107,7 @@
     def _record_run(self, request: web.Request, body: bytes) -> Run:
         now = asyncio.get_running_loop().time()
         target = f"{request.method} {request.path_qs}"
-        return self.records.begin(now, target, request.headers, body)
+        return self.record.begin(now, target, request.headers, body)
 
     def _end(
         self, generation: Generation, keys: tuple[ModelKey, ...], run: Run
--- a/src/wisterialoom/standin/engine_app.py
+++ b/src/wisterialoom/standin/engine_app.py
@@ -57,7 +57,7 @@
         batch: Its batch, queue and caches.
         orders: Carries out orders.
         completions: Answers completions.
-        records: What ran.
+        record: What ran.
         app: The application to serve.
     """
 
@@ -78,7 +78,7 @@
             self.settings, self.memory, self.batch, self.fault, load_time
         )
         self.completions = Completions(self.orders)
-        self.records = self.completions.records
+        self.record = self.completions.record
         self.app = web.Application(
             middlewares=[self._freezer()], client_max_size=MAX_BODY_BYTES
         )
@@ -158,7 +158,7 @@
 
     async def tell_records(self, request: web.Request) -> web.Response:
         """Answer with what ran and what went wrong."""
-        item = self.records.to_json()
+        item = self.record.to_json()
         item["violations"] = self.memory.violations
         item["moves"] = self.memory.moves
         return json_response(item)
--- a/src/wisterialoom/standin/service_app.py
+++ b/src/wisterialoom/standin/service_app.py
@@ -49,7 +49,7 @@
     Attributes:
         name: Identifier of the backend server.
         fault: Faults in force.
-        records: What ran.
+        record: What ran.
         in_progress: Requests that are being answered.
         app: The application to serve.
     """
@@ -57,7 +57,7 @@
     def __init__(self, name: str = "service") -> None:
         self.name = name
         self.fault = ServiceFault()
-        self.records = RunRecord()
+        self.record = RunRecord()
         self.in_progress = 0
         self.app = web.Application(
             middlewares=[self._dispatcher()], client_max_size=MAX_BODY_BYTES
@@ -93,7 +93,7 @@
             return abort(request)
         now = asyncio.get_running_loop().time()
         target = f"{request.method} {request.path_qs}"
-        run = self.records.begin(now, target, request.headers, body)
+        run = self.record.begin(now, target, request.headers, body)
         # The run takes effect whether or not the caller stays.
         await asyncio.shield(asyncio.ensure_future(asyncio.sleep(self.fault.delay_s)))
         run.ended = "done"
@@ -104,7 +104,7 @@
                 "service": self.name,
                 "request_id": run.request_id,
                 "digest": run.digest,
-                "runs": len(self.records.runs),
+                "runs": len(self.record.runs),
             },
             self.fault.error_status or 200,
             {REQUEST_ID_HEADER: run.request_id},
@@ -112,4 +112,4 @@
 
     async def tell_records(self, request: web.Request) -> web.Response:
         """Answer with what ran and what ran twice."""
-        return json_response(self.records.to_json())
+        return json_response(self.record.to_json())
--- a/tests/test_engine_app.py
+++ b/tests/test_engine_app.py
@@ -87,7 +87,7 @@
         assert [text.split("]")[0] for text in texts] == [f"[r{n}" for n in range(12)]
         await until(lambda: not engine.in_progress)
         assert not engine.memory.busy
-        assert {run.ended for run in engine.records.runs} == {"done"}
+        assert {run.ended for run in engine.record.runs} == {"done"}
 
 
 async def test_only_what_is_resident_serves_and_a_leaving_engine_does_not():
@@ -99,7 +99,7 @@
         answer = await session.post(CHAT, data=body())
         assert (answer.status, answer.headers["X-Not-Started"]) == (503, "1")
         assert (await session.get("/state")).headers["X-Leaving"] == "1"
-        assert engine.records.runs == []
+        assert engine.record.runs == []
 
 
 @pytest.mark.parametrize("stream", [False, True])
@@ -111,7 +111,7 @@
             (await call).close()
         call.cancel()
         await until(lambda: not engine.in_progress)
-        assert engine.records.runs[0].ended == "cancelled"
+        assert engine.record.runs[0].ended == "cancelled"
         assert not engine.batch.runs
         assert engine.batch.kv_used == 0
 
@@ -132,7 +132,7 @@
         rest = await answer.read()
         got = b"\n\n".join(whole) + b"\n\n" + rest
         assert text_of(got) == answer_text("r1", sent, 20)
-        assert len(engine.records.runs) == 1
+        assert len(engine.record.runs) == 1
 
 
 async def test_double_run_of_non_idempotent_work_is_recorded():
@@ -173,8 +173,8 @@
             await session.post("/faults", json={fault: 1})
             with pytest.raises(aiohttp.ClientError):
                 await session.post("/plates", data=b"p", headers=headers)
-            assert len(service.records.runs) == runs
-        assert len(service.records.doubles) == 1
+            assert len(service.record.runs) == runs
+        assert len(service.record.doubles) == 1
         await session.post("/faults", json={"error_status": 500})
         assert (await session.post("/plates")).status == 500
         assert (await session.post("/faults", json={"nonsense": 1})).status == 400
