--- a/tests/test_platform_client.py
+++ b/tests/test_platform_client.py
@@ -146,3 +146,41 @@
         await port.stop()
         assert not port.tasks
         assert events.empty()
+
+
+async def test_instance_list_lags_and_freezes():
+    async with running() as (platform, client):
+
+        async def change(item):
+            call = client.session.post(f"{client.url}/instances", json=item)
+            assert (await call).status == 200
+
+        async def listed():
+            found = (await client.instances()).instances
+            return [(item.name, item.state.value) for item in found]
+
+        new = {"name": "e", "incarnation": "1", "address": "", "availability_zone": ""}
+        await change({"register": new})
+        assert await listed() == [("e", "live")]
+        platform.fault.lag_s = 1_000.0
+        await change({"leaving": "e"})
+        assert await listed() == [("e", "live")]
+        platform.fault.lag_s = 0.0
+        assert await listed() == [("e", "leaving")]
+        platform.fault.freeze_instances = True
+        await change({"remove": "e"})
+        assert await listed() == [("e", "leaving")]
+        platform.fault.freeze_instances = False
+        assert await listed() == []
+
+
+async def test_a_waiting_watch_counts_as_one_read():
+    async with running(reads_per_s=3.0) as (platform, client):
+        watch = asyncio.ensure_future(client.watch(KEY, 0))
+        async with asyncio.timeout(5):
+            while not platform.watchers.get(KEY):
+                await asyncio.sleep(0.001)
+        assert platform.reads.taken == 1
+        await client.write(KEY, b"new", 0)
+        assert (await watch).body == b"new"
+        assert platform.reads.taken == 1
