--- a/src/wisterialoom/core/assembly.py
+++ b/src/wisterialoom/core/assembly.py
@@ -2,13 +2,18 @@
 
 from __future__ import annotations
 
+import enum
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from wisterialoom.core.claim import ClaimKeeper
 from wisterialoom.core.config_follower import ConfigFollower
+from wisterialoom.core.demand import Demand
 from wisterialoom.core.entry import EntryCore
+from wisterialoom.core.job import JobKeeper
+from wisterialoom.core.job_gate import JobGate
 from wisterialoom.core.membership import Membership
+from wisterialoom.core.planner import Planner
 from wisterialoom.core.request_path import RequestPath
 from wisterialoom.core.server_directory import ServerDirectory
 from wisterialoom.core.static_planner import StaticPlanner
@@ -18,14 +23,22 @@
     import random
     from collections.abc import Callable
 
+    from wisterialoom.core.message import Part
     from wisterialoom.core.window import WindowPolicy
 
-__all__ = ["EntryParts", "Identity"]
+__all__ = ["EntryParts", "Identity", "Placement"]
 
-DRAINING_PARTS = frozenset({"request_path", "claims", "stewards", "membership"})
+DRAINING_PARTS = frozenset({"request_path", "claims", "jobs", "stewards", "membership"})
 """Parts that report `PartDrained` before the instance exits."""
 
 
+class Placement(enum.Enum):
+    """What decides which models are resident where."""
+
+    DEMAND = "demand"
+    STATIC = "static"
+
+
 @dataclass(frozen=True, slots=True)
 class Identity:
     """Who an entry instance is.
@@ -57,6 +70,7 @@
         directory: Knows the backend servers.
         stewards: Steers the engines whose lease this instance holds.
         claims: Claims of idempotency keys.
+        jobs: Deferred work.
         path: Carries requests.
         core: All of them together.
     """
@@ -66,6 +80,7 @@
     directory: ServerDirectory
     stewards: Stewards
     claims: ClaimKeeper
+    jobs: JobKeeper
     path: RequestPath
     core: EntryCore
 
@@ -77,6 +92,7 @@
         wall_clock: Callable[[], float],
         *,
         policy: WindowPolicy | None = None,
+        placement: Placement = Placement.DEMAND,
     ) -> EntryParts:
         """Build every part of an instance.
 
@@ -85,6 +101,7 @@
             rng: Source of random choices.
             wall_clock: Returns the wall-clock time in seconds.
             policy: How in-flight limits are found; `None` for the default.
+            placement: What decides which models are resident where.
         """
         zone = identity.availability_zone
         config = ConfigFollower(identity.name, zone, rng)
@@ -100,7 +117,25 @@
         stewards = Stewards(identity.name, identity.boot_id)
         claims = ClaimKeeper(identity.name, identity.boot_id, wall_clock)
         path = RequestPath(zone, policy=policy)
-        planner = StaticPlanner()
-        parts = (config, membership, directory, planner, stewards, claims, path)
+        jobs = JobKeeper(identity.name, identity.boot_id, wall_clock)
+        parts: tuple[Part, ...] = (
+            config,
+            membership,
+            directory,
+            *_planning_parts(identity.name, placement),
+            stewards,
+            claims,
+            jobs,
+            JobGate(),
+            path,
+        )
         core = EntryCore(parts, DRAINING_PARTS)
-        return cls(config, membership, directory, stewards, claims, path, core)
+        return cls(config, membership, directory, stewards, claims, jobs, path, core)
+
+
+def _planning_parts(name: str, placement: Placement) -> tuple[Part, ...]:
+    match placement:
+        case Placement.DEMAND:
+            return (Demand(name), Planner(name))
+        case Placement.STATIC:
+            return (StaticPlanner(),)
--- a/src/wisterialoom/core/classifier.py
+++ b/src/wisterialoom/core/classifier.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import TYPE_CHECKING
 
 from wisterialoom.core.document import Traffic
@@ -11,12 +11,16 @@
 
 if TYPE_CHECKING:
     from wisterialoom.core.document import Caller, Document, TrafficClass
+    from wisterialoom.core.notice_job import JobDue
 
 __all__ = ["MODEL_PATHS", "Classifier", "model_lane", "service_lane"]
 
 MODEL_PATHS = frozenset({"/v1/chat/completions", "/v1/completions"})
 """Paths that model engines serve."""
 
+MIN_JOB_ATTEMPT_S = 60.0
+"""Time that each attempt at a job has at least to begin, in seconds."""
+
 _DEFAULT_RULE = Traffic(name="", path="*")
 
 
@@ -79,6 +83,33 @@
             return refuse(Reason.NO_ROUTE)
         return self._apply(now, request, caller, rule or _DEFAULT_RULE)
 
+    def classify_job(self, now: float, due: JobDue) -> Classified | None:
+        """Classify an attempt at a job by the rules in force now.
+
+        Returns:
+            `None` if the caller, the class or the model is not declared any more.
+        """
+        caller = next((x for x in self.callers.values() if x.name == due.caller), None)
+        if caller is None or due.traffic_class not in self.classes:
+            return None
+        request = replace(due.request, api_key_sha256=caller.api_key_sha256)
+        found = self.classify(now, request)
+        if isinstance(found, Refusal):
+            return None
+        traffic_class = self.classes[due.traffic_class]
+        left_s = max(due.max_wait_s - due.age_s, MIN_JOB_ATTEMPT_S)
+        return replace(
+            found,
+            request=due.request,
+            traffic_class=due.traffic_class,
+            idempotent=due.idempotent,
+            arrived=now - due.age_s,
+            deadline=now + left_s,
+            give_up=now + left_s,
+            priority=traffic_class.priority,
+            may_wait=True,
+        )
+
     def _find_rule(self, request: Request, caller: str) -> Traffic | None:
         matching = (rule for rule in self.traffic if _matches(rule, request, caller))
         return next(matching, None)
--- a/src/wisterialoom/core/flight.py
+++ b/src/wisterialoom/core/flight.py
@@ -36,6 +36,7 @@
         tried: Servers that failed it.
         retries: Reason of each retry.
         may_have_run: An earlier attempt was lost after bytes were sent.
+        job: It is an attempt at a job; nobody waits on a connection.
         answered: The caller has its final answer, or is gone.
         timed_out: The attempt was cancelled because of its timeout.
     """
@@ -51,6 +52,7 @@
     tried: frozenset[str] = frozenset()
     retries: list[Reason] = field(default_factory=list)
     may_have_run: bool = False
+    job: bool = False
     answered: bool = False
     timed_out: bool = False
 
--- a/src/wisterialoom/core/refusal.py
+++ b/src/wisterialoom/core/refusal.py
@@ -79,6 +79,17 @@
     Reason.JOB_UNAVAILABLE: _Form(
         503, "The work could not be kept for later; send it again."
     ),
+    Reason.JOB_TOO_LARGE: _Form(
+        413,
+        "The request is too large to be kept for later; send a smaller one, or "
+        "send it without the preference and wait.",
+        retry_after_s=None,
+    ),
+    Reason.NO_JOB: _Form(
+        404,
+        "No such job of this caller; jobs are kept for a limited time.",
+        retry_after_s=None,
+    ),
     Reason.CALLER_GONE: _Form(499, "The caller left before the request was run."),
     Reason.IN_PROGRESS: _Form(
         409,
--- a/src/wisterialoom/core/request.py
+++ b/src/wisterialoom/core/request.py
@@ -60,6 +60,7 @@
     CLAIM_UNAVAILABLE = "claim_unavailable"
     CLAIMS_FULL = "claims_full"
     JOB_UNAVAILABLE = "job_unavailable"
+    NO_JOB = "no_job"
     JOB_TOO_LARGE = "job_too_large"
     CALLER_GONE = "caller_gone"
     # A second request with the key of an earlier one.
@@ -216,9 +217,15 @@
 
 @dataclass(frozen=True, slots=True)
 class RequestArrived(Event):
-    """A caller's request has been read whole."""
+    """A caller's request has been read whole.
+
+    Attributes:
+        request: What the core knows of it.
+        body: Its body, only if the caller prefers a job address to waiting.
+    """
 
     request: Request
+    body: bytes = b""
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/wisterialoom/core/request_path.py
+++ b/src/wisterialoom/core/request_path.py
@@ -28,6 +28,7 @@
     ServersChanged,
     ServerSeenLeaving,
 )
+from wisterialoom.core.notice_job import JobDue, JobEnded, JobWanted
 from wisterialoom.core.prefix_index import CacheEvents
 from wisterialoom.core.refusal import refuse
 from wisterialoom.core.request import (
@@ -102,6 +103,7 @@
 
     listens: ClassVar[tuple[type[Event], ...]] = (
         RequestArrived,
+        JobDue,
         CallerGone,
         AttemptFirstByte,
         AttemptEnded,
@@ -144,8 +146,10 @@
             event: What happened.
         """
         match event:
-            case RequestArrived(request=request):
-                return self._arrive(now, request)
+            case RequestArrived(request=request, body=body):
+                return self._arrive(now, request, body)
+            case JobDue():
+                return self._arrive_job(now, event)
             case AttemptFirstByte(attempt=attempt):
                 return self._first_byte(now, attempt)
             case AttemptEnded():
@@ -184,7 +188,7 @@
 
     # Arrival: classify, admit, claim, queue.
 
-    def _arrive(self, now: float, request: Request) -> list[Output]:
+    def _arrive(self, now: float, request: Request, body: bytes) -> list[Output]:
         refusal = self._refuse_any()
         if refusal is not None:
             return self._turn_away(request, refusal)
@@ -192,13 +196,45 @@
         found = self.classifier.classify(now, request)
         if isinstance(found, Refusal):
             return self._turn_away(request, found)
+        if request.respond_async and found.may_wait:
+            return [self._want_job(found, body)]
         self.demand.arrived(now, request.model)
+        return self._admit(now, found)
+
+    def _want_job(self, found: Classified, body: bytes) -> JobWanted:
+        return JobWanted(
+            request=found.request,
+            caller=found.caller,
+            traffic_class=found.traffic_class,
+            idempotent=found.idempotent,
+            max_wait_s=found.deadline - found.arrived,
+            body=body,
+        )
+
+    def _arrive_job(self, now: float, due: JobDue) -> list[Output]:
+        request = due.request
+        found = None
+        if self.classifier is not None and not self.draining:
+            found = self.classifier.classify_job(now, due)
+        if not isinstance(found, Classified):
+            return [JobEnded(request.request_id, Outcome.NOT_RUN)]
+        self.demand.arrived(now, request.model)
+        return self._admit(now, found, job=True)
+
+    def _admit(
+        self, now: float, found: Classified, *, job: bool = False
+    ) -> list[Output]:
+        request = found.request
         if not found.idempotent and not request.idempotency_key:
             return self._turn_away(request, refuse(Reason.KEY_MISSING), found)
         refusal = self.admission.check(now, found)
+        if refusal is not None and job:
+            wait_s = refusal.retry_after_s or 1.0
+            ended = JobEnded(request.request_id, Outcome.NOT_RUN, retry_after_s=wait_s)
+            return [ended]
         if refusal is not None:
             return self._turn_away(request, refusal, found)
-        flight = Flight(found)
+        flight = Flight(found, job=job, answered=job)
         self.flights[request.request_id] = flight
         self.admission.enter(found)
         if found.idempotent:
@@ -263,8 +299,10 @@
     ) -> list[Output]:
         if answer is None:
             return self._give_up(now, flight, refuse(Reason.KEY_UNKNOWN))
-        replay = ReplayAnswer(flight.request_id, answer)
-        return [replay, *self._settle(flight, Outcome.COMPLETED)]
+        settled = self._settle(flight, Outcome.COMPLETED, answer=answer)
+        if flight.job:
+            return settled
+        return [ReplayAnswer(flight.request_id, answer), *settled]
 
     def _enqueue(self, now: float, flight: Flight) -> list[Output]:
         flight.stage = Stage.QUEUED
@@ -380,7 +418,8 @@
         return self._give_up(now, flight, refusal)
 
     def _may_retry(self, now: float, flight: Flight, *, safe: bool) -> bool:
-        if flight.answered or flight.first_byte or flight.timed_out:
+        gone = flight.answered and not flight.job
+        if gone or flight.first_byte or flight.timed_out:
             return False
         if not safe and not flight.classified.idempotent:
             return False
@@ -423,7 +462,10 @@
             attempts=flight.attempts,
             retries=tuple(flight.retries),
         )
-        return [settled, *self._settle_claim(flight, outcome, answer)]
+        outputs = [settled, *self._settle_claim(flight, outcome, answer)]
+        if flight.job:
+            outputs.append(JobEnded(flight.request_id, outcome, answer))
+        return outputs
 
     def _settle_claim(
         self, flight: Flight, outcome: Outcome, answer: StoredAnswer | None
--- a/src/wisterialoom/demo.py
+++ b/src/wisterialoom/demo.py
@@ -75,7 +75,7 @@
 [[server_groups]]
 name = "engines"
 selector = "kind=engine"
-memory_mb = 40000
+memory_mb = 24000
 adapter_pool_mb = 4000
 slots = 8
 
@@ -165,7 +165,7 @@
     batch = BatchSettings(
         slots=8, max_batch=32, kv_tokens=200_000, first_token_s=0.02, token_gap_s=0.005
     )
-    return EngineSettings(name=name, memory_mb=40_000, load_s=0.3, batch=batch)
+    return EngineSettings(name=name, memory_mb=24_000, load_s=0.3, batch=batch)
 
 
 def _entry_settings(platform_url: str) -> Settings:
@@ -305,7 +305,7 @@
 
 
 def _records_are_right(stage: Stage) -> bool:
-    runs = [run for run in stage.service.record.runs if run.run_once]
+    runs = [run for run in stage.service.records.runs if run.run_once]
     violations = [x for engine in stage.engines for x in engine.memory.violations]
     click.echo(f"\nthe registry ran {len(runs)} registration (1 is right)")
     click.echo(f"the engines saw {len(violations)} memory overcommitments (0 is right)")
