--- a/src/wisterialoom/app.py
+++ b/src/wisterialoom/app.py
@@ -16,7 +16,9 @@
 from wisterialoom.core.assembly import EntryParts, Identity
 from wisterialoom.core.engine import ReadState, SendOrder
 from wisterialoom.core.instance_list import ReadInstanceList
+from wisterialoom.core.job_gate import TellJob
 from wisterialoom.core.notice import Drained, DrainRequested
+from wisterialoom.core.notice_job import KeepBody
 from wisterialoom.core.object_store import (
     DeleteObject,
     ListObjects,
@@ -212,7 +214,14 @@
     def carry_out(self, command: Command) -> None:
         """Hand a command to the port that carries it out."""
         match command:
-            case Dispatch() | CancelAttempt() | Refuse() | ReplayAnswer():
+            case (
+                Dispatch()
+                | CancelAttempt()
+                | Refuse()
+                | ReplayAnswer()
+                | TellJob()
+                | KeepBody()
+            ):
                 self.dispatcher.carry_out(command)
             case RequestSettled():
                 self._record(command)
--- a/src/wisterialoom/core/job.py
+++ b/src/wisterialoom/core/job.py
@@ -221,7 +221,7 @@
             max(0.0, self.wall_clock() - record.accepted_at),
             record.max_wait_s,
         )
-        return [KeepBody(run.nonce, record.body), due]
+        return [KeepBody(run.nonce, record.body, due.request), due]
 
     def _check_drain(self, now: float) -> list[Output]:
         if self.drain_until is None or self.drained:
--- a/src/wisterialoom/core/notice_job.py
+++ b/src/wisterialoom/core/notice_job.py
@@ -115,10 +115,17 @@
 
 @dataclass(frozen=True, slots=True)
 class KeepBody(Command):
-    """Hold a body for a request, as if it had arrived with it."""
+    """Hold a body for a request, as if it had arrived with it.
+
+    Attributes:
+        request_id: As in `JobDue`.
+        body: The body.
+        request: The request that the body belongs to.
+    """
 
     request_id: str
     body: bytes
+    request: Request
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/wisterialoom/demo.py
+++ b/src/wisterialoom/demo.py
@@ -280,7 +280,7 @@
 
 
 async def _perform(session: aiohttp.ClientSession, url: str, check: Check) -> bool:
-    headers = {"Authorization": f"Bearer {DEMO_API_KEY}", "X-Deadline-Ms": "15000"}
+    headers = {"Authorization": f"Bearer {DEMO_API_KEY}", "X-Deadline-Ms": "40000"}
     async with session.request(
         check.method, url + check.path, json=check.body, headers=headers | check.headers
     ) as response:
@@ -295,6 +295,30 @@
     return right
 
 
+async def _perform_job(session: aiohttp.ClientSession, url: str) -> bool:
+    """Leave a review for later and fetch its answer by its address."""
+    headers = {
+        "Authorization": f"Bearer {DEMO_API_KEY}",
+        "Prefer": "respond-async",
+        "X-Priority": "deferred",
+    }
+    body = _chat("drafting", "Review the ledger by tomorrow.")
+    async with session.post(url + CHAT, json=body, headers=headers) as response:
+        address = response.headers.get("Location", "")
+        accepted = response.status == 202
+    mark = "ok  " if accepted else "WRONG"
+    click.echo(f"{mark} {'leave a review for later':30} {response.status} {address}")
+    outcome = ""
+    async with asyncio.timeout(READY_LIMIT_S):
+        while accepted and outcome not in ("completed", "unknown"):
+            await asyncio.sleep(POLL_S)
+            async with session.get(url + address, headers=headers) as response:
+                outcome = response.headers.get("X-Outcome", "")
+    mark = "ok  " if outcome == "completed" else "WRONG"
+    click.echo(f"{mark} {'fetch its answer':30} {response.status} {outcome}")
+    return outcome == "completed"
+
+
 async def _show_counters(session: aiohttp.ClientSession, stage: Stage) -> None:
     async with session.get(stage.urls["admin"] + "/metrics") as response:
         text = await response.text()
@@ -318,6 +342,7 @@
         results = [
             await _perform(session, stage.urls["callers"], check) for check in CHECKS
         ]
+        results.append(await _perform_job(session, stage.urls["callers"]))
         await _show_counters(session, stage)
     return all(results) and _records_are_right(stage)
 
--- a/src/wisterialoom/http/dispatcher.py
+++ b/src/wisterialoom/http/dispatcher.py
@@ -4,10 +4,12 @@
 
 import asyncio
 import logging
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, TypeAlias
 
 from aiohttp import ClientSession, DummyCookieJar, TCPConnector
 
+from wisterialoom.core.job_gate import TellJob
+from wisterialoom.core.notice_job import KeepBody
 from wisterialoom.core.request import (
     AttemptEnded,
     AttemptResult,
@@ -16,6 +18,8 @@
     Refuse,
     ReplayAnswer,
 )
+from wisterialoom.http.exchange import Exchange
+from wisterialoom.http.job_exchange import JobExchange
 from wisterialoom.http.relay import Relay
 
 if TYPE_CHECKING:
@@ -26,7 +30,11 @@
     from wisterialoom.http.front import Front
     from wisterialoom.metrics import Metrics
 
-__all__ = ["Dispatcher"]
+__all__ = ["CallerCommand", "Dispatcher"]
+
+CallerCommand: TypeAlias = (
+    Dispatch | CancelAttempt | Refuse | ReplayAnswer | TellJob | KeepBody
+)
 
 logger = logging.getLogger(__name__)
 
@@ -76,9 +84,7 @@
             if session is not None:
                 await session.close()
 
-    def carry_out(
-        self, command: Dispatch | CancelAttempt | Refuse | ReplayAnswer
-    ) -> None:
+    def carry_out(self, command: CallerCommand) -> None:
         """Start one command."""
         match command:
             case Dispatch():
@@ -88,14 +94,22 @@
                 running = self.attempts.get(attempt)
                 if running is not None:
                     running.cancel()
-            case Refuse(request_id=request_id, refusal=refusal):
-                exchange = self.front.exchanges.get(request_id)
-                if exchange is not None:
-                    self._spawn(exchange.refuse(refusal))
-            case ReplayAnswer(request_id=request_id, answer=answer):
-                exchange = self.front.exchanges.get(request_id)
-                if exchange is not None:
-                    exchange.replay(answer)
+            case KeepBody(request_id=request_id):
+                self.front.exchanges[request_id] = JobExchange(command)
+            case _:
+                self._answer(command)
+
+    def _answer(self, command: Refuse | ReplayAnswer | TellJob) -> None:
+        exchange = self.front.exchanges.get(command.request_id)
+        if not isinstance(exchange, Exchange):
+            return
+        match command:
+            case Refuse(refusal=refusal):
+                self._spawn(exchange.refuse(refusal))
+            case ReplayAnswer(answer=answer):
+                exchange.replay(answer)
+            case TellJob(job_id=job_id, state=state, accepted=accepted):
+                exchange.tell_job(job_id, state, accepted=accepted)
 
     def _spawn(self, call: Coroutine[object, object, None]) -> asyncio.Task[None]:
         task = asyncio.get_running_loop().create_task(call)
@@ -120,7 +134,7 @@
 
     def _cancelled(self, command: Dispatch) -> AttemptResult:
         exchange = self.front.exchanges.get(command.attempt.request_id)
-        if exchange is not None and exchange.gone:
+        if isinstance(exchange, Exchange) and exchange.gone:
             return AttemptResult.CALLER_GONE
         return AttemptResult.LOST
 
--- a/src/wisterialoom/http/exchange.py
+++ b/src/wisterialoom/http/exchange.py
@@ -3,8 +3,9 @@
 from __future__ import annotations
 
 import asyncio
-from typing import TYPE_CHECKING
+from typing import ClassVar, TYPE_CHECKING
 
+import orjson
 from aiohttp import web
 
 from wisterialoom.http.error_answer import (
@@ -17,10 +18,17 @@
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
+    from wisterialoom.core.notice_job import JobState
     from wisterialoom.core.request import Refusal, StoredAnswer
     from wisterialoom.http.intake import Intake
 
-__all__ = ["Exchange"]
+__all__ = ["JOB_PATH", "Exchange"]
+
+JOB_PATH = "/v1/jobs/"
+"""Job addresses begin with this."""
+
+JOB_RETRY_AFTER_S = 5
+"""When to ask for a job again, in seconds."""
 
 
 class Exchange:
@@ -32,8 +40,11 @@
         answer: Resolves to the response when the answer has ended.
         stream: The response once its headers were sent piece by piece.
         gone: The caller has left.
+        keeps_answer: The whole answer is needed by the core.
     """
 
+    keeps_answer: ClassVar[bool] = False
+
     def __init__(self, web_request: web.Request, intake: Intake) -> None:
         self.web_request = web_request
         self.intake = intake
@@ -86,6 +97,14 @@
         response.headers[OUTCOME_HEADER] = outcome
         self.answer.set_result(response)
 
+    def tell_job(self, job_id: str, state: JobState, *, accepted: bool) -> None:
+        """Answer with a job's address and state."""
+        address = f"{JOB_PATH}{job_id}"
+        headers = {"Content-Type": "application/json", "Location": address}
+        headers["Retry-After"] = str(JOB_RETRY_AFTER_S)
+        body = orjson.dumps({"id": job_id, "state": state.value, "address": address})
+        self.send_whole(202 if accepted else 200, headers, body, state.value)
+
     def replay(self, answer: StoredAnswer) -> None:
         """Answer with what an earlier request of the same key got."""
         headers = {"Content-Type": answer.content_type, "X-Replayed": "1"}
--- a/src/wisterialoom/http/front.py
+++ b/src/wisterialoom/http/front.py
@@ -9,19 +9,21 @@
 import orjson
 from aiohttp import web
 
+from wisterialoom.core.job_gate import JobPolled
 from wisterialoom.core.request import CallerGone, RequestArrived
 from wisterialoom.http.error_answer import (
     OUTCOME_HEADER,
     REASON_HEADER,
     REQUEST_ID_HEADER,
 )
-from wisterialoom.http.exchange import Exchange
-from wisterialoom.http.intake import BadRequestError, read_request
+from wisterialoom.http.exchange import Exchange, JOB_PATH
+from wisterialoom.http.intake import BadRequestError, Intake, read_request
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
     from wisterialoom.core.message import Event
+    from wisterialoom.http.job_exchange import JobExchange
 
 __all__ = ["Front"]
 
@@ -48,7 +50,7 @@
         self.deliver = deliver
         self.next_id = next_id
         self.list_models = list_models
-        self.exchanges: dict[str, Exchange] = {}
+        self.exchanges: dict[str, Exchange | JobExchange] = {}
         self.bad_requests = 0
 
     def make_app(self, max_body_bytes: int) -> web.Application:
@@ -85,7 +87,7 @@
         exchange = Exchange(web_request, intake)
         self.exchanges[request_id] = exchange
         try:
-            self.deliver(RequestArrived(intake.request))
+            self.deliver(_event_of(intake))
             return await exchange.answer
         except asyncio.CancelledError:
             exchange.gone = True
@@ -112,6 +114,15 @@
         return _json({"error": error}, status=status, headers=headers)
 
 
+def _event_of(intake: Intake) -> Event:
+    request = intake.request
+    if request.method == "GET" and request.path.startswith(JOB_PATH):
+        job_id = request.path.removeprefix(JOB_PATH)
+        return JobPolled(request.request_id, request.api_key_sha256, job_id)
+    body = intake.body if request.respond_async else b""
+    return RequestArrived(request, body)
+
+
 def _json(
     item: Any, status: int = 200, headers: dict[str, str] | None = None
 ) -> web.Response:
--- a/src/wisterialoom/http/intake.py
+++ b/src/wisterialoom/http/intake.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import hashlib
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Any, TYPE_CHECKING
 
 import orjson
@@ -13,6 +13,8 @@
 from wisterialoom.core.request import Request
 
 if TYPE_CHECKING:
+    from collections.abc import Mapping
+
     from aiohttp import web
 
 __all__ = ["BadRequestError", "Intake", "read_request"]
@@ -42,15 +44,19 @@
 
 @dataclass(frozen=True, slots=True)
 class Intake:
-    """A request as read.
+    """A request as read, and all that a backend server gets of it.
 
     Attributes:
         request: What the core gets.
         body: The body as it came.
+        target: Path and query.
+        headers: Headers as they came.
     """
 
     request: Request
     body: bytes
+    target: str
+    headers: Mapping[str, str] = field(default_factory=dict)
 
 
 async def read_request(web_request: web.Request, request_id: str) -> Intake:
@@ -82,7 +88,7 @@
         respond_async=_prefers_async(web_request),
         **fields,
     )
-    return Intake(request, body)
+    return Intake(request, body, web_request.path_qs, web_request.headers)
 
 
 def _digest_api_key(web_request: web.Request) -> str:
--- a/src/wisterialoom/http/relay.py
+++ b/src/wisterialoom/http/relay.py
@@ -28,6 +28,7 @@
 
     from wisterialoom.core.message import Event
     from wisterialoom.http.exchange import Exchange
+    from wisterialoom.http.job_exchange import JobExchange
 
 __all__ = ["Relay", "RelayTimes"]
 
@@ -112,7 +113,7 @@
     def __init__(
         self,
         command: Dispatch,
-        exchange: Exchange,
+        exchange: Exchange | JobExchange,
         address: str,
         deliver: Callable[[Event], None],
     ) -> None:
@@ -155,11 +156,11 @@
         )
 
     async def _exchange(self, session: ClientSession) -> AttemptEnded:
-        source = self.exchange.web_request
+        intake = self.exchange.intake
         async with session.request(
-            source.method,
-            f"http://{self.address}{source.path_qs}",
-            data=self.exchange.intake.body,
+            intake.request.method,
+            f"http://{self.address}{intake.target}",
+            data=intake.body,
             headers=self._request_headers(),
             allow_redirects=False,
             timeout=ClientTimeout(total=None, connect=CONNECT_TIMEOUT_S),
@@ -175,10 +176,9 @@
             return await self._relay(response)
 
     def _request_headers(self) -> dict[str, str]:
-        source = self.exchange.web_request.headers
         headers = {
             name: value
-            for name, value in source.items()
+            for name, value in self.exchange.intake.headers.items()
             if name.lower() not in _CALLER_ONLY_HEADERS
         }
         headers[REQUEST_ID_HEADER] = self.exchange.request_id
@@ -247,12 +247,16 @@
         except ConnectionError:
             self.exchange.gone = True
 
+    @property
+    def _keeps(self) -> bool:
+        return self.exchange.keeps_answer or not self.classified.idempotent
+
     def _keep(self, piece: bytes) -> None:
-        if not self.classified.idempotent and len(self.kept) <= STORED_LIMIT:
+        if self._keeps and len(self.kept) <= STORED_LIMIT:
             self.kept += piece
 
     def _stored(self, response: ClientResponse) -> StoredAnswer | None:
-        if self.classified.idempotent or len(self.kept) > STORED_LIMIT:
+        if not self._keeps or len(self.kept) > STORED_LIMIT:
             return None
         kind = response.headers.get("Content-Type", "application/octet-stream")
         return StoredAnswer(response.status, kind, bytes(self.kept))
