--- a/src/wisterialoom/cli/status.py
+++ b/src/wisterialoom/cli/status.py
@@ -90,18 +90,15 @@
     click.echo()
     echo_table(
         ["SERVER", "LEAVING", "STEWARD", "RESIDENT"],
-        [
-            (s.name, s.leaving, s.steward or "-", ", ".join(s.resident) or "-")
-            for s in state.servers
-        ],
+        [(s.name, s.leaving, s.steward or "-", len(s.resident)) for s in state.servers],
     )
     click.echo()
     echo_table(
         ["MODEL", "RESIDENT ON"],
         [(model, ", ".join(names)) for model, names in state.residence.items()],
     )
-    for model, reasons in state.unreachable.items():
-        for reason in reasons:
-            click.echo(f"UNREACHABLE: {model}: {reason}")
+    for item in state.unreachable:
+        where = ", ".join(item.instances)
+        click.echo(f"UNREACHABLE: {item.model}: {item.reason} (at {where})")
     if state.platform_problem:
         click.echo(f"NO INSTANCE LIST: {state.platform_problem}")
--- a/src/wisterialoom/operator/status.py
+++ b/src/wisterialoom/operator/status.py
@@ -4,7 +4,7 @@
 
 import asyncio
 from collections import Counter
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
 from aiohttp import ClientError, ClientTimeout
@@ -20,7 +20,13 @@
     from wisterialoom.core.instance_list import ListedInstance
     from wisterialoom.operator.platform import Platform
 
-__all__ = ["DeploymentStatus", "InstanceStatus", "ServerStatus", "read_status"]
+__all__ = [
+    "DeploymentStatus",
+    "InstanceStatus",
+    "ServerStatus",
+    "UnreachableModel",
+    "read_status",
+]
 
 ADMIN_LABEL = "admin"
 """Platform's label of entry instances that holds their admin address."""
@@ -59,10 +65,17 @@
 
 @dataclass(frozen=True, slots=True)
 class UnreachableModel:
-    """A model or adapter that an entry instance can't reach, and why."""
+    """A model or adapter that can't be reached.
+
+    Attributes:
+        model: Its name.
+        reason: Why.
+        instances: Names of the entry instances that say so.
+    """
 
     model: str
     reason: str
+    instances: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -88,14 +101,14 @@
         listed: The platform's instance list.
         instances: Entry instances, in the order in which they were asked.
         servers: Backend servers by name.
-        unreachable: Reasons by model or adapter that some instance can't reach.
+        unreachable: What some instance can't reach, by model and reason.
         platform_problem: Why there is no instance list; empty if there is one.
     """
 
     listed: tuple[ListedInstance, ...] = ()
     instances: tuple[InstanceStatus, ...] = ()
     servers: tuple[ServerStatus, ...] = ()
-    unreachable: dict[str, tuple[str, ...]] = field(default_factory=dict)
+    unreachable: tuple[UnreachableModel, ...] = ()
     platform_problem: str = ""
 
     @property
@@ -185,20 +198,23 @@
     answers: list[tuple[InstanceStatus, StatusAnswer | None]],
 ) -> DeploymentStatus:
     servers: dict[str, ServerStatus] = {}
-    unreachable: dict[str, list[str]] = {}
+    unreachable: dict[tuple[str, str], list[str]] = {}
     for _, answer in answers:
         if answer is None:
             continue
         for server in answer.servers:
             servers[server.name] = _newer(servers.get(server.name), server)
         for item in answer.unreachable:
-            reasons = unreachable.setdefault(item.model, [])
-            reasons.append(f"{item.reason} (at {answer.instance})")
+            key = (item.model, item.reason)
+            unreachable.setdefault(key, []).append(answer.instance)
     return DeploymentStatus(
         listed=listed,
         instances=tuple(instance for instance, _ in answers),
         servers=tuple(servers[name] for name in sorted(servers)),
-        unreachable={name: tuple(unreachable[name]) for name in sorted(unreachable)},
+        unreachable=tuple(
+            UnreachableModel(model, reason, tuple(names))
+            for (model, reason), names in sorted(unreachable.items())
+        ),
         platform_problem=problem,
     )
 
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -121,8 +121,10 @@
         state = json.loads(output)
         assert state["generations"] == {"7": 1}
         assert state["residence"] == {"a@1": ["w1"]}
-        assert state["unreachable"] == {"b": ["resident nowhere (at entry-1)"]}
-        assert "UNREACHABLE: b" in await platform.run("status", code=6)
+        (unreachable,) = state["unreachable"]
+        assert unreachable["instances"] == ["entry-1"]
+        output = await platform.run("status", code=6)
+        assert "UNREACHABLE: b: resident nowhere (at entry-1)" in output
         answer["unreachable"] = []
         await platform.run("status")
         output = await platform.run("status", "127.0.0.1:1", code=6)
