--- a/src/wisterialoom/cli/standin.py
+++ b/src/wisterialoom/cli/standin.py
@@ -53,7 +53,7 @@
         click.option("--availability-zone", default="", help="Where it runs."),
         click.option(
             "--incarnation",
-            default=lambda: secrets.token_hex(INCARNATION_BYTES),
+            default="",
             help="Changes with each start; made up if left out.",
         ),
         click.option(
@@ -90,14 +90,6 @@
     return labels
 
 
-def _listing(
-    platform: str, availability_zone: str, incarnation: str, labels: dict[str, str]
-) -> Listing:
-    from wisterialoom.standin.run import Listing
-
-    return Listing(platform, incarnation, availability_zone, labels)
-
-
 @standin.command()
 @_address_options
 @_seconds("--loads-per-s", 2.0, "Model loads that may start each second.")
@@ -115,40 +107,26 @@
 @_count("--memory-mb", 80_000, "Accelerator memory.")
 @_count("--slots", 8, "Requests served at once at full speed.")
 @_seconds("--load-s", 5.0, "Time of a model load at full speed.")
+@_seconds("--first-token-s", 0.1, "Time to the first token of an empty prompt.")
+@_seconds("--token-gap-s", 0.03, "Time between tokens at full speed.")
 @click.option(
     "--checks-fencing/--ignores-fencing",
     default=True,
     show_default=True,
     help="Whether orders with an old fencing number are refused.",
 )
-def engine(
-    *,
-    platform: str,
-    availability_zone: str,
-    incarnation: str,
-    labels: dict[str, str],
-    **options: Any,
-) -> None:
+def engine(**options: Any) -> None:
     """Run a stand-in of a model engine."""
     from wisterialoom.standin.run import run_engine
 
-    listing = _listing(platform, availability_zone, incarnation, labels)
-    run_engine(listing=listing, **options)
+    run_engine(**options)
 
 
 @standin.command()
 @_server_options
 @_seconds("--delay-s", 0.0, "Time of each call.")
-def service(
-    *,
-    platform: str,
-    availability_zone: str,
-    incarnation: str,
-    labels: dict[str, str],
-    **options: Any,
-) -> None:
+def service(**options: Any) -> None:
     """Run a stand-in of a plain service."""
     from wisterialoom.standin.run import run_service
 
-    listing = _listing(platform, availability_zone, incarnation, labels)
-    run_service(listing=listing, **options)
+    run_service(**options)
--- a/src/wisterialoom/core/membership.py
+++ b/src/wisterialoom/core/membership.py
@@ -84,6 +84,9 @@
 NEWS_ONLY = 0
 """Serial of an acknowledgement that answers nothing and only carries news."""
 
+MEMBER_BYTES = 400
+"""Most bytes of news of members on one heartbeat or acknowledgement."""
+
 FRAME_BYTES = 64
 """Bytes of a heartbeat besides the sender's name and news."""
 
@@ -196,7 +199,7 @@
         if now >= self.probes.next_at:
             self._probe(now)
         self._send_urgent(now)
-        self._pull_loads()
+        self._pull_loads(now)
         self._finish_leaving(now)
 
     def _expire(self, now: float) -> None:
@@ -291,7 +294,7 @@
         differs = message.digest != self.table.digest
         changed_at = self.table.changed_at
         if self.joins.should_sync(now, changed_at, differs=differs):
-            self._send(sender, self._sync(wants_reply=True))
+            self._send(sender, self._ask())
 
     def _take_load(self, load: ServerLoad | None) -> None:
         if load is not None:
@@ -302,13 +305,16 @@
             self._merge(now, update)
         for load in message.loads:
             self._take_load(self.loads.take_whole(now, load))
-        if message.members and not message.wants_reply:
-            self.loads_synced = True
         if message.wants_reply:
             self._reply_sync(sender, message)
+        if message.whole:
+            self.loads_synced = True
+            better = self.table.better_than(message.members)
+            if better:
+                self._send(sender, StateSync(members=better))
 
     def _reply_sync(self, sender: str, message: StateSync) -> None:
-        reply = self._sync()
+        reply = StateSync(members=self.table.updates(), whole=True)
         if message.wants_loads:
             reply = replace(reply, loads=self.loads.all_wholes())
         for update in message.members:
@@ -349,15 +355,13 @@
         if self.leaving_at is not None:
             return
         gone = [
-            entry.update.address
+            entry.update
             for entry in self.table.entries.values()
             if entry.update.status is MemberStatus.DEAD
         ]
         active = [update.address for update in self.table.active()]
-        for address in self.joins.contacts(now, active, gone):
-            sync = self._sync(wants_reply=True)
-            sync = replace(sync, wants_loads=not self.loads_synced)
-            self.out.append(SendPeer("", address, sync))
+        for name, address in self.joins.contacts(now, active, gone):
+            self.out.append(SendPeer(name, address, self._ask()))
 
     def _leave(self, now: float) -> None:
         if self.leaving_at is None:
@@ -371,8 +375,10 @@
             self.drained = True
             self.out.append(PartDrained(PART))
 
-    def _sync(self, *, wants_reply: bool = False) -> StateSync:
-        return StateSync(members=self.table.updates(), wants_reply=wants_reply)
+    def _ask(self) -> StateSync:
+        return StateSync(
+            members=(self.own,), wants_reply=True, wants_loads=not self.loads_synced
+        )
 
     # Sending.
 
@@ -387,8 +393,8 @@
             self.urgent_budget.spend(size)
             self._send(name, message)
 
-    def _pull_loads(self) -> None:
-        for member, servers in self.loads.take_missing().items():
+    def _pull_loads(self, now: float) -> None:
+        for member, servers in self.loads.take_missing(now).items():
             self._send(member, LoadPull(servers))
 
     def _heartbeat(self, now: float, to: str, serial: int) -> Heartbeat:
@@ -411,7 +417,8 @@
         limit = send_limit(len(self.table.entries))
         room = DATAGRAM_BYTES - FRAME_BYTES - text_size(self.own.name)
         doubt = self._doubt_about(to)
-        members, used = self.news.take(room - sum(map(_member_size, doubt)), limit)
+        budget = room if serial == NEWS_ONLY else MEMBER_BYTES
+        members, used = self.news.take(budget - sum(map(_member_size, doubt)), limit)
         used += sum(map(_member_size, doubt))
         loads = self.loads.take(now, room - used)
         message = HeartbeatAck(
