--- a/src/wisterialoom/cli/standin.py
+++ b/src/wisterialoom/cli/standin.py
@@ -13,7 +13,6 @@
 __all__ = ["standin"]
 
 LOOPBACK = "127.0.0.1"
-INCARNATION_BYTES = 4
 
 
 @click.group()
