Leave out settings that nothing reads; replace unreadable documents on request

apply and the label commands answered with the faults of the document in force if this version could not read it, which read like faults of the operator's file and left no way to replace it. The reference named five limits and a region that the daemon does not read; they come back with the code that reads them.

--- a/src/wisterialoom/cli/config.py
+++ b/src/wisterialoom/cli/config.py
@@ -70,10 +70,20 @@
     help="The generation that FILE is based on; 0 if there is none yet. "
     "A file from `config get` names it in its first line.",
 )
+@click.option(
+    "--replace-unreadable",
+    is_flag=True,
+    help="Replace a document that this version of the program can't read.",
+)
 @platform_options
 @json_option
 def apply_command(
-    file: Path, *, expect: int | None, connection: Connection, as_json: bool
+    file: Path,
+    *,
+    expect: int | None,
+    replace_unreadable: bool,
+    connection: Connection,
+    as_json: bool,
 ) -> None:
     """Put the document in FILE in force everywhere.
 
@@ -81,7 +91,11 @@
     first: take it over into FILE, and name the newer generation.
     """
     body = file.read_bytes()
-    applied = connection.run(lambda platform: apply(platform, body, expect))
+    applied = connection.run(
+        lambda platform: apply(
+            platform, body, expect, replace_unreadable=replace_unreadable
+        )
+    )
     echo_applied(applied, as_json=as_json)
 
 
--- a/src/wisterialoom/operator/apply.py
+++ b/src/wisterialoom/operator/apply.py
@@ -21,6 +21,7 @@
 from wisterialoom.platform.client import PlatformUnavailableError
 
 if TYPE_CHECKING:
+    from wisterialoom.core.document import Document
     from wisterialoom.operator.platform import Platform
 
 __all__ = ["Applied", "Edit", "apply", "change", "split_generation", "with_generation"]
@@ -68,13 +69,21 @@
     return b"# generation: %d\n%s" % (generation, body)
 
 
-async def apply(platform: Platform, body: bytes, expect: int | None = None) -> Applied:
+async def apply(
+    platform: Platform,
+    body: bytes,
+    expect: int | None = None,
+    *,
+    replace_unreadable: bool = False,
+) -> Applied:
     """Put a document in force if the generation is still the one that was seen.
 
     Args:
         platform: Where the document is.
         body: Its text; a first line as by `with_generation` stands for `expect`.
         expect: Generation that the operator saw; 0 if there was none.
+        replace_unreadable: Replace a document that can't be read here, though
+            nothing then checks what may not change.
 
     Raises:
         DocumentError: It has faults, or changes what is fixed, or nothing says on
@@ -94,7 +103,7 @@
     if expected != current.version:
         raise _conflict(expected, current, body)
     if current.version != ABSENT:
-        check_change(read_document(current.body), new)
+        _check_change(current.body, new, replace_unreadable=replace_unreadable)
     return await _write(platform, current, body)
 
 
@@ -115,7 +124,7 @@
         body = edit(current.body)
         if body == current.body:
             return Applied(current.version, changed=False)
-        check_change(read_document(current.body), read_document(body))
+        _check_change(current.body, read_document(body), replace_unreadable=False)
         try:
             return await _write(platform, current, body)
         except ConflictError:
@@ -138,6 +147,19 @@
     )
 
 
+def _check_change(body: bytes, new: Document, *, replace_unreadable: bool) -> None:
+    try:
+        old = read_document(body)
+    except DocumentError as error:
+        if replace_unreadable:
+            return
+        problem = f"can't be read by this version of the program ({error.faults[0]})"
+        remedy = "use the version that applied it, or --replace-unreadable"
+        fault = Fault("the document in force", problem, remedy)
+        raise DocumentError([fault]) from error
+    check_change(old, new)
+
+
 def _conflict(expected: int, current: StoredObject, body: bytes) -> ConflictError:
     text = difference(
         current.body,
--- a/src/wisterialoom/settings.py
+++ b/src/wisterialoom/settings.py
@@ -41,12 +41,10 @@
     Attributes:
         name: Identifier, unique in the deployment.
         availability_zone: Availability zone in which it runs.
-        region: Region of the availability zone.
     """
 
     name: str
     availability_zone: str
-    region: str = ""
 
 
 @dataclass(frozen=True, slots=True)
@@ -99,22 +97,11 @@
         max_body_bytes: Largest body of a request.
         max_header_bytes: Largest line or field of a request's head.
         max_concurrent: Requests in progress and waiting.
-        max_waiting: Requests that wait for a backend server, of these.
-        max_connections: Connections of callers.
-        header_timeout_s: Time for a request's head to arrive.
-        body_timeout_s: Time for a request's body to arrive.
-        drain_timeout_s: Time for requests in progress at a planned stop; the
-            instance reports what is left after it and goes on waiting.
     """
 
     max_body_bytes: int = 8_000_000
     max_header_bytes: int = 16_384
     max_concurrent: int = 4_096
-    max_waiting: int = 2_048
-    max_connections: int = 8_192
-    header_timeout_s: float = 10.0
-    body_timeout_s: float = 60.0
-    drain_timeout_s: float = 300.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/tests/test_operator.py
+++ b/tests/test_operator.py
@@ -69,6 +69,15 @@
     assert [key for key, _ in platform.store.history].count(CONFIG_KEY) == 1
 
 
+async def test_a_document_that_cannot_be_read_is_replaced_only_when_asked():
+    platform = FakePlatform()
+    version = platform.store.write(CONFIG_KEY, b"[later]", 0).version
+    with pytest.raises(DocumentError, match="--replace-unreadable"):
+        await apply(platform, body(), version)
+    applied = await apply(platform, body(), version, replace_unreadable=True)
+    assert applied.generation > version
+
+
 async def test_history_keeps_the_last_generations():
     platform = FakePlatform()
     applied = await apply(platform, body())
