Add the command that measures the slopes of every role

Weighed: timing whole processes on loopback (the machine is busy, the parts can't be told apart) against thread time around each part's handle on the virtual clock, kept; the shell's own cost is not in these figures.

--- a/src/wisterialoom/cli/standin.py
+++ b/src/wisterialoom/cli/standin.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import secrets
 from typing import Any, TYPE_CHECKING
 
 import click
@@ -10,7 +9,6 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from wisterialoom.standin.run import Listing
 
 __all__ = ["standin"]
 
--- /dev/null
+++ b/src/wisterialoom/slopes/site_cost.py
@@ -0,0 +1,104 @@
+"""Costs of every part of a deployment by entries, engines, models and requests."""
+
+from __future__ import annotations
+
+from dataclasses import replace
+from typing import TYPE_CHECKING
+
+from wisterialoom.slopes.fit import Slope
+from wisterialoom.slopes.site import Site, SiteSize
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+__all__ = ["measure_claims", "measure_requests", "measure_sites"]
+
+SETTLE_S = 90.0
+WINDOW_S = 30.0
+REQUESTS_PER_S = 20.0
+BASE = SiteSize()
+
+ROLES = {
+    "ConfigFollower": "configuration relay",
+    "Membership": "member",
+    "ServerDirectory": "server directory",
+    "Stewards": "server steward",
+    "ClaimKeeper": "claim home",
+    "RequestPath": "request path",
+}
+"""Roles by the class of the part that plays them; others keep their class."""
+
+
+def _settled(size: SiteSize) -> Site:
+    site = Site(size)
+    site.run(SETTLE_S)
+    site.meter.clear()
+    return site
+
+
+def measure_sites(field: str, per: str, sizes: tuple[int, ...]) -> list[Slope]:
+    """Return the slopes of idle costs over one field of `SiteSize`.
+
+    Processor time and bytes are for each entry and second; calls to the platform
+    are for the whole site.
+    """
+    cpu: dict[str, dict[float, float]] = {}
+    calls: dict[str, dict[float, float]] = {}
+    sent: dict[float, float] = {}
+    for size in sizes:
+        site = _settled(replace(BASE, **{field: size}))
+        site.run(WINDOW_S)
+        shares = WINDOW_S * site.size.entries
+        for part, seconds in site.meter.cpu_s.items():
+            cpu.setdefault(part, {})[float(size)] = seconds * 1e6 / shares
+        for call, count in site.meter.calls.items():
+            calls.setdefault(call, {})[float(size)] = count / WINDOW_S
+        sent[float(size)] = sum(site.meter.sent_bytes.values()) / shares
+    slopes = [
+        Slope.through(ROLES.get(part, part), "processor when idle", "us/s", per, points)
+        for part, points in cpu.items()
+    ]
+    slopes += [
+        Slope.through("object API", call, "calls/s of the site", per, points)
+        for call, points in calls.items()
+        if len(points) == len(sizes)
+    ]
+    return [*slopes, Slope.through("member", "sent by an entry", "bytes/s", per, sent)]
+
+
+def measure_requests(sizes: tuple[int, ...]) -> list[Slope]:
+    """Return processor time of the request path for a request, by engines."""
+    costs = {}
+    for size in sizes:
+        site = _settled(replace(BASE, engines=size))
+        site.run(WINDOW_S)
+        idle_s = site.meter.cpu_s["RequestPath"]
+        site.meter.clear()
+        site.run_under_load(WINDOW_S, REQUESTS_PER_S)
+        busy_s = site.meter.cpu_s["RequestPath"] - idle_s
+        costs[float(size)] = busy_s * 1e6 / (WINDOW_S * REQUESTS_PER_S)
+    role = ROLES["RequestPath"]
+    return [Slope.through(role, "processor of a request", "us", "engine", costs)]
+
+
+def measure_claims(rates: tuple[int, ...]) -> list[Slope]:
+    """Return the costs of claims, by claims a second at the whole site."""
+    quantities: dict[tuple[str, str], Callable[[Site], float]] = {
+        ("processor of the site", "us/s"): lambda s: s.meter.cpu_s["ClaimKeeper"] * 1e6,
+        ("bytes between entries", "bytes/s"): lambda s: (
+            s.meter.sent_bytes["ClaimRequest"] + s.meter.sent_bytes["ClaimAnswer"]
+        ),
+        ("writes", "calls/s"): lambda s: s.meter.calls["WriteObject claims"],
+        ("reads", "calls/s"): lambda s: s.meter.calls["ReadObject claims"],
+        ("bytes written", "bytes/s"): lambda s: s.meter.call_bytes["claims"],
+    }
+    points: dict[tuple[str, str], dict[float, float]] = {x: {} for x in quantities}
+    for rate in rates:
+        site = _settled(replace(BASE, services=8))
+        site.run_under_load(WINDOW_S, float(rate), claims=True)
+        for key, read in quantities.items():
+            points[key][float(rate)] = read(site) / WINDOW_S
+    return [
+        Slope.through("claim home", quantity, unit, "claim a second", values)
+        for (quantity, unit), values in points.items()
+    ]
