--- a/src/wisterialoom/core/load_gossip.py
+++ b/src/wisterialoom/core/load_gossip.py
@@ -33,7 +33,7 @@
 CHANGE_SENDS = 4
 """Times that each instance sends a change on; the next one makes a loss good."""
 
-CHANGES_PER_S = 8.0
+CHANGES_PER_S = 4.0
 """Changes of load that the whole fleet announces each second."""
 
 CONFIRM_S = 2.0
@@ -61,6 +61,12 @@
 KV_FREE_STEP = 10
 """Least change of the free share of KV cache that is announced, in percent."""
 
+FIELD_BYTES = 1
+"""Encoded head of a field, which the items of a list do without."""
+
+LISTS_AND_MARKS_BYTES = 10
+"""Encoded heads of a report's two lists, its flag and its end."""
+
 MAX_PULL = 64
 """Most servers that are asked for at once."""
 
@@ -333,9 +339,9 @@
         + text_size(load.incarnation)
         + text_size(load.steward)
         + text_size(load.steward)
-        + sum(text_size(text) for text in texts)
+        + sum(text_size(text) - FIELD_BYTES for text in texts)
         + sum(int_size(number) for number in numbers)
-        + 8
+        + LISTS_AND_MARKS_BYTES
     )
 
 
--- a/src/wisterialoom/slopes/planner_cost.py
+++ b/src/wisterialoom/slopes/planner_cost.py
@@ -12,7 +12,13 @@
 from wisterialoom.peer.codec import encode
 from wisterialoom.slopes.clock import cost_us
 from wisterialoom.slopes.fit import Slope
-from wisterialoom.slopes.site import ENGINE_MB, make_document, SiteSize, ZONES
+from wisterialoom.slopes.site import (
+    ENGINE_MB,
+    make_document,
+    POOL_MB,
+    SiteSize,
+    ZONES,
+)
 
 __all__ = ["measure_planner"]
 
@@ -49,8 +55,8 @@
             f"engine-{number:03}",
             ZONES[number % len(ZONES)],
             {"kind": "engine"},
-            budget_mb=ENGINE_MB // 10,
-            pool_mb=8_000,
+            budget_mb=ENGINE_MB - POOL_MB,
+            pool_mb=POOL_MB,
         )
         for number in range(engines)
     )
--- a/src/wisterialoom/slopes/site.py
+++ b/src/wisterialoom/slopes/site.py
@@ -29,7 +29,8 @@
 CALLER_KEY_SHA256 = hashlib.sha256(b"slopes").hexdigest()
 ZONES = tuple(f"zone-{number}" for number in range(1, 6))
 MODEL_MB = 16_000
-ENGINE_MB = 640_000
+ENGINE_MB = 64_000
+POOL_MB = 8_000
 FIRST_BYTE_S = 0.2
 SERVICE_S = 1.0
 ANSWER = StoredAnswer(200, "application/json", b'{"registration": "2026-000001"}')
@@ -57,7 +58,9 @@
 def make_document(size: SiteSize) -> bytes:
     """Return the TOML of a site."""
     parts = [
-        f'[deployment]\nname = "slopes"\n[deployment.claims]\nbuckets = {size.buckets}'
+        '[deployment]\nname = "slopes"',
+        "[deployment.store]\nloads_per_s = 20.0\nfull_speed_loads = 200",
+        f"[deployment.claims]\nbuckets = {size.buckets}",
     ]
     parts += [
         f'[[availability_zones]]\nname = "{zone}"\nregion = "region-{number % 2}"'
@@ -70,7 +73,7 @@
     ]
     parts += [
         f'[[server_groups]]\nname = "writer"\nselector = "kind=engine"\n'
-        f"memory_mb = {ENGINE_MB}\nadapter_pool_mb = 8000\nslots = 64",
+        f"memory_mb = {ENGINE_MB}\nadapter_pool_mb = {POOL_MB}\nslots = 64",
         '[[server_groups]]\nname = "filing"\nselector = "kind=service"\n'
         'kind = "service"\nslots = 64',
         '[[traffic_classes]]\nname = "urgent"\npriority = 0',
