--- a/src/wisterialoom/core/load_gossip.py
+++ b/src/wisterialoom/core/load_gossip.py
@@ -338,7 +338,6 @@
         text_size(load.server)
         + text_size(load.incarnation)
         + text_size(load.steward)
-        + text_size(load.steward)
         + sum(text_size(text) - FIELD_BYTES for text in texts)
         + sum(int_size(number) for number in numbers)
         + LISTS_AND_MARKS_BYTES
--- a/src/wisterialoom/demo.py
+++ b/src/wisterialoom/demo.py
@@ -329,7 +329,7 @@
 
 
 def _records_are_right(stage: Stage) -> bool:
-    runs = [run for run in stage.service.records.runs if run.run_once]
+    runs = [run for run in stage.service.record.runs if run.run_once]
     violations = [x for engine in stage.engines for x in engine.memory.violations]
     click.echo(f"\nthe registry ran {len(runs)} registration (1 is right)")
     click.echo(f"the engines saw {len(violations)} memory overcommitments (0 is right)")
--- a/src/wisterialoom/status.py
+++ b/src/wisterialoom/status.py
@@ -5,9 +5,11 @@
 from typing import Any, TYPE_CHECKING
 
 from wisterialoom.core.classifier import model_lane
+from wisterialoom.core.selector import Selector
 
 if TYPE_CHECKING:
     from wisterialoom.app import App
+    from wisterialoom.core.document import Document, Model
     from wisterialoom.core.server_view import ServerView
 
 __all__ = ["Status"]
@@ -38,6 +40,7 @@
             "waiting": len(path.queue),
             "members": self._members(),
             "servers": [self._server(views[name]) for name in sorted(views)],
+            "cold": self._cold(),
             "unreachable": self._unreachable(),
         }
 
@@ -59,20 +62,41 @@
             "in_flight": view.window.in_flight,
         }
 
-    def _unreachable(self) -> list[dict[str, str]]:
+    def _cold(self) -> list[str]:
+        """Return the models that are resident nowhere now, sorted."""
         path = self.app.parts.path
-        if path.classifier is None:
-            return [{"model": "*", "reason": "no configuration is in force here"}]
         served: set[str] = set()
         for view in path.router.views.values():
             if not view.closed:
                 served |= view.lanes
+        names = path.classifier.models if path.classifier is not None else ()
+        return sorted(name for name in names if model_lane(name) not in served)
+
+    def _unreachable(self) -> list[dict[str, str]]:
+        """Return the cold models that no engine could load, and why."""
+        document = self.app.parts.config.document
+        if document is None:
+            return [{"model": "*", "reason": "no configuration is in force here"}]
+        models = {model.name: model for model in document.models}
+        bases = {adapter.name: adapter.model for adapter in document.adapters}
+        reason = "no engine that takes work matches its selector and has the memory"
         return [
-            {"model": name, "reason": "resident on no backend server that takes work"}
-            for name in sorted(path.classifier.models)
-            if model_lane(name) not in served
+            {"model": name, "reason": reason}
+            for name in self._cold()
+            if not self._can_load(models[bases.get(name, name)], document)
         ]
 
+    def _can_load(self, model: Model, document: Document) -> bool:
+        selector = Selector.parse(model.servers)
+        room = {x.name: x.memory_mb - x.adapter_pool_mb for x in document.server_groups}
+        return any(
+            view.server.kind == "engine"
+            and not view.closed
+            and selector.matches(view.server.labels)
+            and room.get(view.server.group, 0) >= model.memory_mb
+            for view in self.app.parts.path.router.views.values()
+        )
+
     def refresh(self) -> None:
         """Bring the gauges and mirrored counts up to date."""
         metrics = self.app.metrics
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -175,6 +175,7 @@
                 return all(
                     item["fresh"]
                     and not item["unreachable"]
+                    and len(item["servers"]) == 4
                     and len(item["members"]) == entries
                     for item in found
                 )
