--- a/src/wisterialoom/lab/deployment.py
+++ b/src/wisterialoom/lab/deployment.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass, field, replace
 from typing import TYPE_CHECKING
 
-from wisterialoom.core.assembly import EntryParts, Identity
+from wisterialoom.core.assembly import EntryParts, Identity, Placement
 from wisterialoom.core.document_check import read_document
 from wisterialoom.core.instance_list import (
     InstanceList,
@@ -16,20 +16,27 @@
 from wisterialoom.core.notice import DrainRequested
 from wisterialoom.core.request import Request, RequestArrived
 from wisterialoom.lab.order_port import FakeEngine
+from wisterialoom.lab.serving import Serving
 from wisterialoom.lab.weight_store import LabWeightStore
 from wisterialoom.lab.world import World
 from wisterialoom.standin.engine_memory import EngineMemory
 from wisterialoom.standin.weight_store import WeightStore
 
 if TYPE_CHECKING:
+    from collections.abc import Iterable
+
     from wisterialoom.core.document import Document
     from wisterialoom.core.window import WindowPolicy
+    from wisterialoom.standin.engine_batch import BatchSettings
 
 __all__ = ["CONFIG_KEY", "Deployment", "FleetServer"]
 
 CONFIG_KEY = "config/document"
 WALL_CLOCK_START_S = 1_800_000_000.0
 
+LISTING_DELAY_S = 5.0
+"""Time for which the instance list still shows what has died, in seconds."""
+
 
 @dataclass(frozen=True, slots=True)
 class FleetServer:
@@ -41,6 +48,7 @@
         labels: The platform's labels; `kind` is `engine` or `service`.
         memory_mb: Accelerator memory, for engines.
         checks_fencing: For engines.
+        batch: Speed and limits, for engines.
     """
 
     name: str
@@ -48,6 +56,7 @@
     labels: dict[str, str]
     memory_mb: int = 0
     checks_fencing: bool = True
+    batch: BatchSettings | None = None
 
 
 @dataclass(frozen=True, slots=True)
@@ -70,10 +79,14 @@
         zones: Availability zones that entry instances are spread over.
         seed: Of every random choice.
         policy: How in-flight limits are found; `None` for the default.
+        placement: What decides which models are resident where.
+        keep_trace: Keep every event and command, to explain a failed check.
         world: The virtual clock and the fakes.
         entries: Parts of each running entry instance.
         sent: Every request sent, by id.
         boots: Count of starts by entry instance.
+        serving: Serves dispatched attempts.
+        killed: When each entry instance was killed.
         turned_away: Requests that no ready instance was there for.
     """
 
@@ -83,23 +96,29 @@
     zones: tuple[str, ...]
     seed: int = 1
     policy: WindowPolicy | None = None
+    placement: Placement = Placement.DEMAND
     keep_trace: bool = True
     world: World = field(init=False)
     entries: dict[str, EntryParts] = field(default_factory=dict)
     sent: dict[str, SentRequest] = field(default_factory=dict)
     boots: dict[str, int] = field(default_factory=dict)
+    killed: dict[str, list[float]] = field(default_factory=dict)
     turned_away: int = 0
     serial: int = 0
 
     def __post_init__(self) -> None:
         self.world = World(self.seed, keep_trace=self.keep_trace)
         self.rng = random.Random(self.seed + 1)
+        self.serving = Serving(
+            self.world.schedule, self.world.rng, self.world.order_port
+        )
+        self.world.serving = self.serving
         self.store_version = self.world.store_port.put(CONFIG_KEY, self.body)
         self._add_engines()
 
     @classmethod
     def from_toml(
-        cls, body: bytes, servers: list[FleetServer], *, seed: int = 1
+        cls, body: bytes, servers: Iterable[FleetServer], *, seed: int = 1
     ) -> Deployment:
         """Build from a document's TOML and the servers that it speaks of.
 
@@ -124,6 +143,9 @@
             if server.labels.get("kind") == "engine":
                 memory = EngineMemory(server.memory_mb, server.checks_fencing)
                 port.engines[server.name] = FakeEngine(memory)
+                self.serving.add_engine(server.name, server.batch)
+            else:
+                self.serving.add_service(server.name)
             self._list(server.name, self._listed_server(server))
 
     def _listed_server(self, server: FleetServer) -> ListedInstance:
@@ -168,7 +190,11 @@
         )
         rng = random.Random(self.rng.random())
         parts = EntryParts.from_identity(
-            identity, rng, self.wall_clock, policy=self.policy
+            identity,
+            rng,
+            self.wall_clock,
+            policy=self.policy,
+            placement=self.placement,
         )
         self.entries[name] = parts
         self.world.add(name, parts.core)
@@ -182,12 +208,18 @@
     def kill_entry(self, name: str) -> None:
         """End an instance's process at once; the list still shows it a while."""
         self.world.kill(name)
-        self.world.schedule.after(5.0, lambda: self._forget_entry(name))
+        self.killed.setdefault(name, []).append(self.world.now)
+        delay = LISTING_DELAY_S
+        self.world.schedule.after(delay, lambda: self._forget_entry(name))
 
     def _forget_entry(self, name: str) -> None:
         if not self.world.hosts[name].alive:
             self._list(name, None)
 
+    def was_killed(self, name: str, since: float) -> bool:
+        """Tell whether an instance was killed after a moment."""
+        return any(at >= since for at in self.killed.get(name, []))
+
     def stop_entry(self, name: str) -> None:
         """Ask an instance to stop; its process ends when it has drained."""
         self._relist(name, state=InstanceState.LEAVING)
@@ -218,22 +250,30 @@
     # Backend servers.
 
     def leave(self, name: str) -> None:
-        """Let the platform list a backend server as leaving."""
+        """Let a backend server leave: it says so, and the list says so later."""
+        self.serving.servers[name].fault.leaving = True
         self._relist(name, state=InstanceState.LEAVING)
 
     def kill_server(self, name: str) -> None:
         """End a backend server; the list still shows it for a while."""
-        self.world.order_port.engines[name].down = True
-        self.world.schedule.after(5.0, lambda: self._list(name, None))
+        self.serving.kill(name)
+        delay = LISTING_DELAY_S
+        self.world.schedule.after(delay, lambda: self._forget_server(name))
+
+    def _forget_server(self, name: str) -> None:
+        if self.serving.servers[name].down:
+            self._list(name, None)
 
     def restart_server(self, name: str) -> None:
         """Start a backend server anew, with empty memory."""
-        engine = self.world.order_port.engines[name]
-        incarnation = str(int(engine.memory.incarnation) + 1)
-        engine.memory.restart(incarnation)
-        engine.down = False
+        if not self.serving.servers[name].down:
+            self.serving.kill(name)
+        count = self.boots.get(name, 1) + 1
+        self.boots[name] = count
+        self.serving.revive(name, str(count))
+        self.serving.servers[name].fault.leaving = False
         listed = self._listed_server(self.servers[name])
-        self._list(name, replace(listed, incarnation=incarnation))
+        self._list(name, replace(listed, incarnation=str(count)))
 
     # Callers.
 
--- /dev/null
+++ b/src/wisterialoom/lab/scenario.py
@@ -0,0 +1,324 @@
+"""Runs a scenario on a deployment and asks what must hold."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field, replace
+from functools import partial
+from typing import TYPE_CHECKING
+
+from wisterialoom.core.request import Request
+from wisterialoom.lab.deployment import CONFIG_KEY
+from wisterialoom.lab.expectation import check, Sample
+from wisterialoom.lab.script import (
+    Apply,
+    Cut,
+    Freeze,
+    Kill,
+    Label,
+    Leave,
+    LinkQuality,
+    ListingLag,
+    Load,
+    OrderQuality,
+    Restart,
+    Start,
+    Step,
+    Stop,
+    StoreQuality,
+)
+from wisterialoom.lab.site import open_site
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from wisterialoom.lab.deployment import Deployment
+    from wisterialoom.lab.script import Script
+    from wisterialoom.lab.world import Host
+
+__all__ = ["Failure", "ScenarioRun", "run_script"]
+
+SAMPLE_INTERVAL_S = 0.5
+"""Time between two looks at what is in force where, in seconds."""
+
+OPERATOR_PAUSE_S = 0.003
+"""Time between an operator's read and its conditional update, in seconds."""
+
+OBJECT_API = "object-api"
+ONCE_PATH = "/registry/deposits"
+
+
+@dataclass(frozen=True, slots=True)
+class Failure:
+    """An expectation that did not hold.
+
+    Attributes:
+        line: Line of the scenario.
+        text: The expectation.
+        problem: What was found instead.
+    """
+
+    line: int
+    text: str
+    problem: str
+
+
+@dataclass
+class ScenarioRun:
+    """One run of one scenario.
+
+    Attributes:
+        script: The scenario.
+        deployment: Where it runs.
+        samples: What was in force where, over time.
+        left_at: When each backend server began to leave.
+        failures: Expectations that did not hold.
+    """
+
+    script: Script
+    deployment: Deployment
+    samples: list[Sample] = field(default_factory=list)
+    left_at: dict[str, float] = field(default_factory=dict)
+    failures: list[Failure] = field(default_factory=list)
+    begun_at: float = 0.0
+
+    def run(self) -> list[Failure]:
+        """Run to the end and return what did not hold."""
+        world = self.deployment.world
+        self.begun_at = world.now
+        self.deployment.start_entries(self.script.entries)
+        self._sample()
+        for happening in self.script.happenings:
+            self._at(happening.at_s, partial(self._do, happening.step))
+        for expect in self.script.expects:
+            if expect.at_s is not None:
+                self._at(expect.at_s, partial(self._ask, expect.line, expect.text))
+        world.run_for(self.script.until_s)
+        for expect in self.script.expects:
+            if expect.at_s is None:
+                self._ask(expect.line, expect.text)
+        return self.failures
+
+    def _at(self, at_s: float, call: Callable[[], None]) -> None:
+        self.deployment.world.schedule.at(self.begun_at + at_s, call)
+
+    def _ask(self, line: int, text: str) -> None:
+        problem = check(self, text)
+        if problem:
+            self.failures.append(Failure(line, text, problem))
+
+    def _sample(self) -> None:
+        deployment = self.deployment
+        world = deployment.world
+        generations = {
+            name: (deployment.boots[name], parts.config.generation)
+            for name, parts in deployment.entries.items()
+            if world.hosts[name].alive and not world.hosts[name].frozen
+        }
+        newest = world.store_port.store.read(CONFIG_KEY).version
+        watches = sum(len(x) for x in world.store_port.watches.values())
+        self.samples.append(Sample(world.now, generations, newest, watches))
+        world.schedule.after(SAMPLE_INTERVAL_S, self._sample)
+
+    # Steps.
+
+    def _do(self, step: Step) -> None:
+        deployment = self.deployment
+        match step:
+            case Freeze():
+                self._freeze(step)
+            case Kill(name=name) if name in deployment.entries:
+                deployment.kill_entry(name)
+            case Kill(name=name):
+                deployment.kill_server(name)
+            case Start(name=name):
+                deployment.start_entry(name)
+            case Restart(name=name):
+                deployment.restart_server(name)
+            case Stop(name=name):
+                deployment.stop_entry(name)
+            case Leave(name=name):
+                self.left_at[name] = deployment.world.now
+                deployment.leave(name)
+            case Load():
+                self._load(step)
+            case Apply(operators=operators):
+                for number in range(operators):
+                    self._apply(number)
+            case Label():
+                text = f'\n[[labels]]\nselector = "{step.selector}"\n'
+                text += f'key = "{step.key}"\nvalue = "{step.value}"\n'
+                self._write_document(text)
+            case _:
+                self._disturb(step)
+
+    def _freeze(self, step: Freeze) -> None:
+        world = self.deployment.world
+        world.freeze(
+            step.name, hold_sends=bool(step.how), past_checks=step.how == "sending"
+        )
+        host = world.hosts[step.name]
+        world.schedule.after(step.for_s, partial(self._thaw, host))
+
+    def _thaw(self, host: Host) -> None:
+        if host.alive:
+            self.deployment.world.thaw(host.name)
+
+    def _disturb(self, step: Step) -> None:
+        world = self.deployment.world
+        match step:
+            case Cut():
+                self._cut(step)
+            case StoreQuality(fault=fault, amount=amount, for_s=for_s):
+                names = {
+                    "down": "down",
+                    "slow": "delay_s",
+                    "lose-answers": "lose_answer",
+                    "lose-calls": "lose_call",
+                }
+                value = amount if fault != "down" else True
+                self._set(world.store_port.fault, names[fault], value, for_s)
+            case OrderQuality(server=server, fault=fault, amount=amount, for_s=for_s):
+                names = {"lose": "lose_order", "lose-answers": "lose_answer"}
+                servers = world.order_port.engines
+                for name in servers if server == "all" else [server]:
+                    target = servers[name].fault
+                    self._set(target, names.get(fault, fault), amount, for_s)
+            case LinkQuality(fault=fault, amount=amount, for_s=for_s):
+                name = "delay_s" if fault == "delay" else fault
+                self._set(world.links, name, amount, for_s)
+            case ListingLag(lag_s=lag_s, down=down, for_s=for_s):
+                self._set(world, "listing_lag_s", lag_s, for_s)
+                self._set(world, "listing_down", down, for_s)
+
+    def _set(self, target: object, name: str, value: object, for_s: float) -> None:
+        before = getattr(target, name)
+        setattr(target, name, value)
+        if for_s != float("inf"):
+            schedule = self.deployment.world.schedule
+            schedule.after(for_s, lambda: setattr(target, name, before))
+
+    def _cut(self, step: Cut) -> None:
+        world = self.deployment.world
+        left, right = self._members(step.left), self._members(step.right)
+        links = {frozenset((a, b)) for a in left for b in right if a != b}
+        world.links.cuts |= links
+        undo = [partial(world.links.cuts.difference_update, links)]
+        for side, other in ((left, right), (right, left)):
+            for cut_off in self._cut_off_sets(other):
+                cut_off |= side
+                undo.append(partial(cut_off.difference_update, side))
+        if step.for_s != float("inf"):
+            for call in undo:
+                world.schedule.after(step.for_s, call)
+
+    def _cut_off_sets(self, names: set[str]) -> list[set[str]]:
+        """Return who is cut off from each of the names that are no instances."""
+        world = self.deployment.world
+        found = [world.store_port.fault.cut_off] if OBJECT_API in names else []
+        for name in names & self.deployment.serving.servers.keys():
+            found.append(self.deployment.serving.servers[name].fault.cut_off)
+        for name in names & world.order_port.engines.keys():
+            found.append(world.order_port.engines[name].fault.cut_off)
+        return found
+
+    def _members(self, names: tuple[str, ...]) -> set[str]:
+        """Return the names, with availability zones and `others` spelled out."""
+        deployment = self.deployment
+        found: set[str] = set()
+        for name in names:
+            if name in deployment.zones:
+                found |= {
+                    item.name
+                    for item in deployment.world.listing.instances
+                    if item.availability_zone == name
+                }
+            else:
+                found.add(name)
+        return found
+
+    # Operators.
+
+    def _apply(self, operator: int) -> None:
+        """Read, change and write back by a conditional update, as operators do."""
+        store = self.deployment.world.store_port
+        seen = store.store.read(CONFIG_KEY)
+        body = seen.body + f"\n# Operator {operator} was here.\n".encode()
+        world = self.deployment.world
+        pause = OPERATOR_PAUSE_S * (1 + world.rng.random())
+        world.schedule.after(pause, lambda: self._update(body, seen.version))
+
+    def _update(self, body: bytes, expected: int) -> None:
+        store = self.deployment.world.store_port
+        if not store.fault.down and store.store.read(CONFIG_KEY).version == expected:
+            store.put(CONFIG_KEY, body)
+
+    def _write_document(self, addition: str) -> None:
+        store = self.deployment.world.store_port
+        store.put(CONFIG_KEY, store.store.read(CONFIG_KEY).body + addition.encode())
+
+    # Callers.
+
+    def _load(self, step: Load) -> None:
+        world = self.deployment.world
+        end = world.now + step.for_s
+        targets = [step.target]
+        if step.target == "any":
+            targets = [model.name for model in self.deployment.document.models]
+
+        def send(number: int) -> None:
+            if world.now > end:
+                return
+            self._send(step, targets[number % len(targets)])
+            gap = world.rng.expovariate(step.rate)
+            world.schedule.after(gap, lambda: send(number + 1))
+
+        world.schedule.after(world.rng.expovariate(step.rate), lambda: send(0))
+
+    def _send(self, step: Load, target: str) -> None:
+        deployment = self.deployment
+        caller = deployment.document.callers[0]
+        request_id = deployment.next_request_id()
+        service = target.startswith("/")
+        request = Request(
+            request_id=request_id,
+            method="POST" if step.once else ("GET" if service else "POST"),
+            path=target if service else "/v1/chat/completions",
+            api_key_sha256=caller.api_key_sha256,
+            model="" if service else target,
+            stream=not service,
+            idempotency_key=f"key-{request_id}" if step.once else "",
+            body_sha256=f"body-{request_id}" if step.once else "",
+            priority=step.traffic_class,
+            prompt_tokens=200,
+            max_tokens=40,
+        )
+        entry = deployment.send(request)
+        if step.once:
+            self._repeat(request, entry)
+
+    def _repeat(self, request: Request, first: str) -> None:
+        """Send the same operation again, soon, through another instance."""
+        deployment = self.deployment
+        delay = deployment.rng.choice([0.0, 0.002, 0.05, 1.0, 4.0])
+
+        def again() -> None:
+            others = [name for name in deployment.ready if name != first]
+            if not others:
+                return
+            request_id = deployment.next_request_id()
+            copy = replace(request, request_id=request_id)
+            deployment.send(copy, deployment.rng.choice(others))
+
+        deployment.world.schedule.after(delay, again)
+
+
+def run_script(script: Script) -> ScenarioRun:
+    """Run a scenario to its end.
+
+    Args:
+        script: The scenario.
+    """
+    deployment = open_site(script.document, seed=script.seed)
+    run = ScenarioRun(script, deployment)
+    run.run()
+    return run
