Tell the planner when an engine stops answering, instead of it guessing

Cause: load gossip announces only what changed, at least every 30 s. The planner took 5 s without a report for a fall of the engine, and each later report for a return: an idle engine 'flapped', its cooldown doubled up to 320 s, and it got no models. Ruled out: a refresh every few seconds (600 engines would take the 3 KB/s of control); pace of loads (allowance was free); memory counted for late orders. Change: the steward reports an engine as unreachable after three reads without an answer, at once; the planner's rise and fall counts go by that.

--- a/idl/peer.thrift
+++ b/idl/peer.thrift
@@ -43,6 +43,7 @@
   9: optional i64 kv_free
   10: optional i64 epoch
   11: optional string steward
+  12: optional bool unreachable
 }
 
 struct LoadChange {
--- a/src/wisterialoom/core/load_gossip.py
+++ b/src/wisterialoom/core/load_gossip.py
@@ -64,8 +64,8 @@
 FIELD_BYTES = 1
 """Encoded head of a field, which the items of a list do without."""
 
-LISTS_AND_MARKS_BYTES = 10
-"""Encoded heads of a report's two lists, its flag and its end."""
+LISTS_AND_MARKS_BYTES = 11
+"""Encoded heads of a report's two lists, its flags and its end."""
 
 MAX_PULL = 64
 """Most servers that are asked for at once."""
@@ -293,6 +293,7 @@
         load.steward,
         load.incarnation,
         load.leaving,
+        load.unreachable,
         load.resident,
         load.draining,
     )
@@ -302,6 +303,8 @@
     """Tell whether requests that fit the old report may be wrong by the new one."""
     if new.leaving and not old.leaving:
         return True
+    if new.unreachable and not old.unreachable:
+        return True
     draining = set(new.draining) - set(old.draining)
     return bool(draining or set(old.resident) - set(new.resident))
 
--- a/src/wisterialoom/core/peer.py
+++ b/src/wisterialoom/core/peer.py
@@ -94,6 +94,7 @@
         leaving: No new work may go there.
         incarnation: Of the backend server.
         kv_free: Share of KV cache that is free, in percent.
+        unreachable: It has not told its state to its steward several times.
         steward: Entry instance that read it; empty if unknown.
         epoch: Count of takeovers of the server; goes before the serial, so that
             a new steward's first report beats every report of the old one.
@@ -110,6 +111,7 @@
     kv_free: int = 100
     epoch: int = 0
     steward: str = ""
+    unreachable: bool = False
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/wisterialoom/core/planner_view.py
+++ b/src/wisterialoom/core/planner_view.py
@@ -51,7 +51,7 @@
         if self.load is not None and load.serial <= self.load.serial:
             return
         self.load = load
-        self.health.report(now, load.incarnation)
+        self.health.report(now, load.incarnation, answers=not load.unreachable)
         held = {ModelKey.parse(x) for x in (*load.resident, *load.draining)}
         for key in [x for x in self.resident_since if x not in held]:
             del self.resident_since[key]
--- a/src/wisterialoom/core/steward.py
+++ b/src/wisterialoom/core/steward.py
@@ -56,6 +56,9 @@
 RETRY_LIMIT_S = 30.0
 """Longest wait before a refused order is tried again, in seconds."""
 
+UNREACHABLE_READS = 3
+"""Reads in a row without an answer after which an engine counts as unreachable."""
+
 PAUSE_S = 1.0
 """A gap between two events that counts as a pause of the process."""
 
@@ -141,6 +144,7 @@
     draining: dict[ModelKey, float] = field(default_factory=dict)
     backoffs: dict[ModelKey, _Backoff] = field(default_factory=dict)
     read_asked_at: float | None = None
+    silent_reads: int = 0
     read_due: float = NEVER
     last_event_at: float | None = None
     woke_at: float = NEVER
@@ -235,6 +239,7 @@
                 self._take_read(now, state)
             case StateUnavailable():
                 self.read_asked_at = None
+                self.silent_reads += 1
             case OrderDone(order_id=order_id, state=state):
                 self._take_answer(now, order_id, state)
             case OrderRefused(order_id=order_id, reason=reason, state=told):
@@ -281,6 +286,7 @@
 
     def _take_read(self, now: float, state: EngineState) -> None:
         asked_at, self.read_asked_at = self.read_asked_at, None
+        self.silent_reads = 0
         if asked_at is None or asked_at < self.sampled_floor:
             self.read_due = now
             return
@@ -429,7 +435,10 @@
         outputs += self._give_orders(now)
         outputs += self._keep_lease(now)
         outputs += self._read_state(now)
-        outputs += self.report.make(now, self.state, self.draining, self.lease.epoch)
+        unreachable = self.silent_reads >= UNREACHABLE_READS
+        outputs += self.report.make(
+            now, self.state, self.draining, self.lease.epoch, unreachable=unreachable
+        )
         return outputs
 
     def _keep_lease(self, now: float) -> list[Output]:
--- a/src/wisterialoom/core/steward_report.py
+++ b/src/wisterialoom/core/steward_report.py
@@ -5,13 +5,14 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from wisterialoom.core.engine import EngineState
 from wisterialoom.core.notice import LoadReported
 from wisterialoom.core.peer import ServerLoad
 
 if TYPE_CHECKING:
     from collections.abc import Collection
 
-    from wisterialoom.core.engine import EngineState, ModelKey
+    from wisterialoom.core.engine import ModelKey
     from wisterialoom.core.message import Output
 
 __all__ = ["StateReport"]
@@ -34,6 +35,7 @@
     steward: str
     serial: int = 0
     state: EngineState | None = None
+    unreachable: bool = False
     draining: frozenset[ModelKey] = frozenset()
 
     def make(
@@ -42,12 +44,26 @@
         state: EngineState | None,
         draining: Collection[ModelKey],
         epoch: int,
+        *,
+        unreachable: bool = False,
     ) -> list[Output]:
-        """Return a report if anything is new since the last one."""
+        """Return a report if anything is new since the last one.
+
+        Args:
+            now: Monotonic time in seconds; plays no role.
+            state: As last told by the engine; `None` before the first.
+            draining: Models about to be unloaded.
+            epoch: Count of takeovers of the server.
+            unreachable: The engine did not tell its state several times.
+        """
         announced = frozenset(draining)
-        if state is None or (state is self.state and announced == self.draining):
+        if state is None and not unreachable:
+            return []
+        news = (state, announced, unreachable)
+        if news == (self.state, self.draining, self.unreachable):
             return []
-        self.state, self.draining = state, announced
+        self.state, self.draining, self.unreachable = news
+        state = state or EngineState("")
         self.serial += 1
         held = {**state.models, **state.adapters}
         usable = sorted(str(key) for key in held if key not in announced)
@@ -62,5 +78,6 @@
             incarnation=state.incarnation,
             kv_free=round(state.kv_free * 100),
             steward=self.steward,
+            unreachable=unreachable,
         )
         return [LoadReported(load, own=True)]
--- a/src/wisterialoom/peer/gen/ttypes.py
+++ b/src/wisterialoom/peer/gen/ttypes.py
@@ -188,6 +188,7 @@
      - kv_free
      - epoch
      - steward
+     - unreachable
 
     """
 
@@ -203,10 +204,11 @@
         'kv_free',
         'epoch',
         'steward',
+        'unreachable',
     )
 
 
-    def __init__(self, server=None, serial=None, running=None, waiting=None, resident=None, draining=None, leaving=None, incarnation=None, kv_free=None, epoch=None, steward=None,):
+    def __init__(self, server=None, serial=None, running=None, waiting=None, resident=None, draining=None, leaving=None, incarnation=None, kv_free=None, epoch=None, steward=None, unreachable=None,):
         self.server = server
         self.serial = serial
         self.running = running
@@ -218,6 +220,7 @@
         self.kv_free = kv_free
         self.epoch = epoch
         self.steward = steward
+        self.unreachable = unreachable
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -293,6 +296,11 @@
                     self.steward = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
                 else:
                     iprot.skip(ftype)
+            elif fid == 12:
+                if ftype == TType.BOOL:
+                    self.unreachable = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -353,6 +361,10 @@
             oprot.writeFieldBegin('steward', TType.STRING, 11)
             oprot.writeString(self.steward.encode('utf-8') if sys.version_info[0] == 2 else self.steward)
             oprot.writeFieldEnd()
+        if self.unreachable is not None:
+            oprot.writeFieldBegin('unreachable', TType.BOOL, 12)
+            oprot.writeBool(self.unreachable)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2600,6 +2612,7 @@
     (9, TType.I64, 'kv_free', None, None, ),  # 9
     (10, TType.I64, 'epoch', None, None, ),  # 10
     (11, TType.STRING, 'steward', 'UTF8', None, ),  # 11
+    (12, TType.BOOL, 'unreachable', None, None, ),  # 12
 )
 all_structs.append(LoadChange)
 LoadChange.thrift_spec = (
