--- a/src/wisterialoom/core/order_journal.py
+++ b/src/wisterialoom/core/order_journal.py
@@ -25,13 +25,11 @@
         sent_at: When this process sent it; `None` if it has not.
         closed_at: When its connection was known to be closed; `None` while it
             may still be sent, or be on its connection.
-        lost: It was closed without an answer.
     """
 
     entry: JournalEntry
     sent_at: float | None = None
     closed_at: float | None = None
-    lost: bool = False
 
     @property
     def key(self) -> ModelKey:
@@ -61,12 +59,11 @@
         if load is not None:
             load.sent_at = now
 
-    def close(self, order_id: str, now: float, *, lost: bool) -> None:
+    def close(self, order_id: str, now: float) -> None:
         """Note that an order's connection has closed."""
         load = self.loads.get(order_id)
         if load is not None and load.closed_at is None:
             load.closed_at = now
-            load.lost = lost
 
     def forget(self, order_id: str) -> None:
         """Drop a load that was never sent and never will be."""
@@ -121,21 +118,18 @@
             for load in self.loads.values()
         )
 
-    def settle(self, sampled_after: float, lifetime_s: float, *, fenced: bool) -> None:
+    def settle(self, sampled_after: float, lifetime_s: float) -> None:
         """Drop the loads that an engine's state proves to be over.
 
         Args:
             sampled_after: The state was taken after this moment.
             lifetime_s: How long after its connection closed an order may still
-                take effect; 0 on engines that check fencing.
-            fenced: The engine checks fencing, and the state came with the answer
-                to a later order, which made every earlier one void.
+                take effect; 0 on engines that check fencing, where each load
+                follows on an answered order, which made all earlier ones void.
         """
         for order_id, load in list(self.loads.items()):
-            if load.closed_at is None:
-                continue
-            void = fenced or lifetime_s > 0 or not load.lost
-            if void and load.closed_at + lifetime_s <= sampled_after:
+            closed_at = load.closed_at
+            if closed_at is not None and closed_at + lifetime_s <= sampled_after:
                 del self.loads[order_id]
 
     def entries(self) -> tuple[JournalEntry, ...]:
--- a/src/wisterialoom/core/steward.py
+++ b/src/wisterialoom/core/steward.py
@@ -296,7 +296,7 @@
         sent = self.sent.pop(order_id, None)
         if sent is None:
             return
-        self.journal.close(order_id, now, lost=False)
+        self.journal.close(order_id, now)
         key = _key_of(sent.order.action)
         if key is not None:
             self.backoffs.pop(key, None)
@@ -312,7 +312,7 @@
         sent = self.sent.pop(order_id, None)
         if sent is None:
             return
-        self.journal.close(order_id, now, lost=False)
+        self.journal.close(order_id, now)
         self._back_off(now, sent.order.action)
         if reason is OrderRefusal.STALE_FENCE:
             self.needs_proof = True
@@ -328,7 +328,7 @@
         sent = self.sent.pop(order_id, None)
         if sent is None:
             return
-        self.journal.close(order_id, now, lost=True)
+        self.journal.close(order_id, now)
         self._back_off(now, sent.order.action)
         self.needs_proof = True
         self.paused_until = now + RETRY_S
@@ -351,7 +351,7 @@
         self.sampled_floor = now
         if fenced and self.lease.is_valid(now):
             self.trusted_incarnation = state.incarnation
-        self.journal.settle(sampled_after, self.lifetime_s, fenced=fenced)
+        self.journal.settle(sampled_after, self.lifetime_s)
         gone = [key for key in self.draining if not _holds(state, key)]
         for key in gone:
             del self.draining[key]
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -209,6 +209,21 @@
                 self.start(name)
         self.refresh()
 
+    def holder(self, server):
+        """Return the running instance that holds the newest lease, or `None`."""
+        held = [
+            (steward.lease.epoch, name)
+            for name, host in self.world.hosts.items()
+            if host.alive
+            for steward in [host.core.parts[0].stewards.get(server)]
+            if steward is not None and steward.lease.holding
+        ]
+        return max(held)[1] if held else None
+
+    def load_orders(self):
+        """Return every order to load a model that was sent."""
+        return [x.message for x in self.world.trace if _is_load(x.message)]
+
     def resident(self, server):
         """Return `name@version` of what an engine holds."""
         memory = self.engines[server].memory
