--- a/src/wisterialoom/core/load_gossip.py
+++ b/src/wisterialoom/core/load_gossip.py
@@ -36,7 +36,7 @@
 CHANGES_PER_S = 4.0
 """Changes of load that the whole fleet announces each second."""
 
-CONFIRM_S = 2.0
+CONFIRM_S = 1.5
 """Time after a whole report at which a change goes after it in any case.
 
 Who missed all sends of the report learns of it from the change.
@@ -170,11 +170,12 @@
             return
         if not self._is_due(now - own.announced_at, own):
             return
+        confirms = not own.confirmed
         own.confirmed = True
         own.announced = own.latest
         own.announced_at = now
         self.known[own.latest.server] = Known(own.latest, now)
-        self._queue_change(_change(own.latest, own.base))
+        self._queue_change(_change(own.latest, own.base), urgent=confirms)
 
     def _is_due(self, passed: float, own: Own) -> bool:
         if not own.confirmed:
