Pass leaving servers on between instances, and read the configuration conditionally

Cause: scenario instance-list-lags failed: with the list 20 s behind, one instance learned of a leaving engine only by its own attempt, 3.9 s after the others. What one instance is told by X-Leaving stayed with it, and plain services have no steward whose reports would tell. Ruled out: broadcasting over reliable links (every instance at every server: N times N messages at 410 daemons); reports of stewards (services have none). Change: a third gossip queue, urgent, bounded, by name and incarnation. Also: unchanged objects are read without their body (If-None-Match), documents that cannot be read here are logged and counted, limits.max_concurrent holds.

--- a/idl/peer.thrift
+++ b/idl/peer.thrift
@@ -56,6 +56,11 @@
   7: optional i64 kv_free
 }
 
+struct LeavingServer {
+  1: optional string server
+  2: optional string incarnation
+}
+
 struct Heartbeat {
   1: optional i64 serial
   2: optional i64 generation
@@ -64,6 +69,7 @@
   5: optional list<ServerLoad> loads
   6: optional list<LoadChange> changes
   7: optional i64 digest
+  8: optional list<LeavingServer> leaving
 }
 
 struct HeartbeatAck {
@@ -74,6 +80,7 @@
   5: optional list<ServerLoad> loads
   6: optional list<LoadChange> changes
   7: optional i64 digest
+  8: optional list<LeavingServer> leaving
 }
 
 struct IndirectPing {
--- a/src/wisterialoom/app.py
+++ b/src/wisterialoom/app.py
@@ -14,6 +14,7 @@
 from aiohttp import ClientSession, DummyCookieJar, TCPConnector, web
 
 from wisterialoom.core.assembly import EntryParts, Identity
+from wisterialoom.core.config_warning import Warn
 from wisterialoom.core.engine import ReadState, SendOrder
 from wisterialoom.core.instance_list import ReadInstanceList
 from wisterialoom.core.job_gate import TellJob
@@ -165,7 +166,10 @@
             availability_zone=instance.availability_zone,
             seeds=self.settings.peers.seeds,
         )
-        return EntryParts.from_identity(identity, random.Random(), time.time)
+        parts = EntryParts.from_identity(identity, random.Random(), time.time)
+        limits = self.settings.limits
+        parts.path.admission.max_concurrent = limits.max_concurrent
+        return parts
 
     async def _serve(self, app: web.Application, listen: str) -> str:
         limits = self.settings.limits
@@ -238,6 +242,9 @@
                 | ReadInstanceList()
             ):
                 self.platform_port.carry_out(command)
+            case Warn(reason=reason, message=message):
+                self.metrics.warnings.inc({"reason": reason})
+                logger.warning(message)
             case Drained():
                 self.drained.set()
             case _:
--- a/src/wisterialoom/core/admission.py
+++ b/src/wisterialoom/core/admission.py
@@ -16,6 +16,9 @@
 
 __all__ = ["Admission"]
 
+MAX_CONCURRENT = 4_096
+"""Requests in progress and waiting in one entry instance, unless set otherwise."""
+
 MAX_WAITING = 4_096
 """Requests that may wait in one entry instance."""
 
@@ -33,6 +36,7 @@
         limits: Greatest count of requests in progress by caller.
         held: Count of requests in progress by caller.
         loads_s: Seconds to load a model by lane.
+        max_concurrent: Requests in progress and waiting, of all callers.
     """
 
     queue: RequestQueue
@@ -40,6 +44,7 @@
     limits: dict[str, int] = field(default_factory=dict)
     held: dict[str, int] = field(default_factory=dict)
     loads_s: dict[str, float] = field(default_factory=dict)
+    max_concurrent: int = MAX_CONCURRENT
 
     def configure(self, document: Document) -> None:
         """Take a document into use."""
@@ -52,6 +57,9 @@
     def check(self, now: float, classified: Classified) -> Refusal | None:
         """Return why a new request may not wait, or `None` if it may."""
         caller = classified.caller
+        if sum(self.held.values()) >= self.max_concurrent:
+            after = self.retry_after_s(now, classified)
+            return refuse(Reason.QUEUE_FULL, retry_after_s=after)
         if self.held.get(caller, 0) >= self.limits.get(caller, 0):
             after = self.router.lane_service_s(classified.lane)
             return refuse(Reason.CALLER_LIMIT, retry_after_s=after)
--- a/src/wisterialoom/core/assembly.py
+++ b/src/wisterialoom/core/assembly.py
@@ -8,6 +8,7 @@
 
 from wisterialoom.core.claim import ClaimKeeper
 from wisterialoom.core.config_follower import ConfigFollower
+from wisterialoom.core.config_warning import ConfigWarning
 from wisterialoom.core.demand import Demand
 from wisterialoom.core.entry import EntryCore
 from wisterialoom.core.job import JobKeeper
@@ -127,6 +128,7 @@
             claims,
             jobs,
             JobGate(),
+            ConfigWarning(),
             path,
         )
         core = EntryCore(parts, DRAINING_PARTS)
--- a/src/wisterialoom/core/membership.py
+++ b/src/wisterialoom/core/membership.py
@@ -15,6 +15,7 @@
     text_size,
 )
 from wisterialoom.core.instance_list import InstanceListRead
+from wisterialoom.core.leaving_gossip import LeavingGossip
 from wisterialoom.core.load_gossip import LoadGossip
 from wisterialoom.core.membership_join import JoinSchedule
 from wisterialoom.core.membership_probe import PROBE_INTERVAL_S, ProbeSchedule
@@ -27,6 +28,7 @@
     LoadReported,
     MembersChanged,
     PartDrained,
+    ServerSeenLeaving,
 )
 from wisterialoom.core.peer import (
     Heartbeat,
@@ -87,7 +89,7 @@
 MEMBER_BYTES = 400
 """Most bytes of news of members on one heartbeat or acknowledgement."""
 
-FRAME_BYTES = 64
+FRAME_BYTES = 68
 """Bytes of a heartbeat besides the sender's name and news."""
 
 
@@ -98,6 +100,7 @@
         own: This instance as it describes itself.
         table: What is believed of the others.
         loads: What is known of backend servers.
+        leaving: Backend servers that were seen leaving.
         generation: Of the configuration in force here.
         conflicts: Times that another process used this instance's name.
     """
@@ -109,6 +112,7 @@
         ConfigChanged,
         ConfigFreshness,
         LoadReported,
+        ServerSeenLeaving,
         DrainRequested,
     )
 
@@ -142,6 +146,7 @@
         self.probes = ProbeSchedule(rng)
         self.joins = JoinSchedule(address, seeds, rng)
         self.loads = LoadGossip()
+        self.leaving = LeavingGossip()
         self.generation = 0
         self.fresh_at: float | None = None
         self.conflicts = 0
@@ -172,6 +177,8 @@
                 self._take_freshness(now, event)
             case LoadReported(load=load, own=True):
                 self.loads.report(now, load)
+            case ServerSeenLeaving():
+                self.leaving.see(event)
             case DrainRequested():
                 self._leave(now)
         self._announce_members()
@@ -291,6 +298,8 @@
             self._take_load(self.loads.take_whole(now, load))
         for change in message.changes:
             self._take_load(self.loads.take_change(now, change, sender))
+        for item in self.leaving.take(message.leaving):
+            self.out.append(ServerSeenLeaving(item.server, item.incarnation))
         differs = message.digest != self.table.digest
         changed_at = self.table.changed_at
         if self.joins.should_sync(now, changed_at, differs=differs):
@@ -383,7 +392,7 @@
     # Sending.
 
     def _send_urgent(self, now: float) -> None:
-        if not (self.news.urgent or self.loads.urgent):
+        if not (self.news.urgent or self.loads.urgent or self.leaving.urgent):
             return
         names = [update.name for update in self.table.active()]
         for name in self._some(names, URGENT_FANOUT):
@@ -407,6 +416,7 @@
             loads=ack.loads,
             changes=ack.changes,
             digest=ack.digest,
+            leaving=ack.leaving,
         )
 
     def _ack(self, now: float, to: str, serial: int) -> HeartbeatAck:
@@ -420,6 +430,8 @@
         budget = room if serial == NEWS_ONLY else MEMBER_BYTES
         members, used = self.news.take(budget - sum(map(_member_size, doubt)), limit)
         used += sum(map(_member_size, doubt))
+        leaving, more = self.leaving.pick(room - used, limit)
+        used += more
         loads = self.loads.take(now, room - used)
         message = HeartbeatAck(
             serial=serial,
@@ -429,6 +441,7 @@
             loads=loads.loads,
             changes=loads.changes,
             digest=self.table.digest,
+            leaving=leaving,
         )
         return message, FRAME_BYTES + used + loads.size
 
--- a/src/wisterialoom/core/peer.py
+++ b/src/wisterialoom/core/peer.py
@@ -24,6 +24,7 @@
     "Heartbeat",
     "HeartbeatAck",
     "IndirectPing",
+    "LeavingServer",
     "LetGo",
     "LoadChange",
     "LoadPull",
@@ -138,6 +139,14 @@
     kv_free: int = 100
 
 
+@dataclass(frozen=True, slots=True)
+class LeavingServer:
+    """A backend server that gets no new work in this incarnation."""
+
+    server: str
+    incarnation: str
+
+
 @dataclass(frozen=True, slots=True)
 class Heartbeat(PeerMessage):
     """Probe of a member, with news piggybacked.
@@ -152,6 +161,7 @@
         loads: News of backend servers.
         changes: News of the load alone of backend servers.
         digest: Of the sender's member table; differing ones start a `StateSync`.
+        leaving: Backend servers that were seen leaving.
     """
 
     serial: int
@@ -161,6 +171,7 @@
     loads: tuple[ServerLoad, ...] = ()
     changes: tuple[LoadChange, ...] = ()
     digest: int = 0
+    leaving: tuple[LeavingServer, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -174,6 +185,7 @@
     loads: tuple[ServerLoad, ...] = ()
     changes: tuple[LoadChange, ...] = ()
     digest: int = 0
+    leaving: tuple[LeavingServer, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/wisterialoom/lab/store_port.py
+++ b/src/wisterialoom/lab/store_port.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING, TypeAlias
 
 from wisterialoom.core.object_store import (
+    ABSENT,
     DeleteObject,
     ListObjects,
     ObjectConflict,
@@ -98,9 +99,11 @@
 
     def _apply(self, command: StoreCommand) -> ObjectEvent:
         match command:
-            case ReadObject(op, key) | WatchObject(op, key, _):
+            case ReadObject(op, key, held) | WatchObject(op, key, held):
                 stored = self.store.read(key)
-                return ObjectRead(op, key, stored.version, stored.body)
+                known = held != ABSENT and stored.version == held
+                body = b"" if known else stored.body
+                return ObjectRead(op, key, stored.version, body)
             case ListObjects(op, prefix):
                 return ObjectsListed(op, prefix, self.store.list(prefix))
             case WriteObject(op, key, body, expected):
--- a/src/wisterialoom/metrics.py
+++ b/src/wisterialoom/metrics.py
@@ -30,6 +30,7 @@
         unknowns: Requests with an unknown outcome by reason.
         retries: Retried attempts by reason.
         dropped: Answers and events dropped by reason.
+        warnings: Warnings to operators by reason.
         waiting: Seconds from arrival to the last dispatch.
         first_token: Seconds from dispatch to the first output.
         token_gap: Mean seconds between pieces of output of one attempt.
@@ -48,6 +49,9 @@
         self.dropped = self._counter(
             "dropped_total", "Answers and events dropped by reason."
         )
+        self.warnings = self._counter(
+            "warnings_total", "Warnings to operators by reason."
+        )
         self.waiting = self._histogram(
             "waiting_seconds", "Time from arrival to dispatch.", SECONDS_BUCKETS
         )
--- a/src/wisterialoom/peer/gen/ttypes.py
+++ b/src/wisterialoom/peer/gen/ttypes.py
@@ -530,6 +530,86 @@
         return not (self == other)
 
 
+class LeavingServer(object):
+    """
+    Attributes:
+     - server
+     - incarnation
+
+    """
+
+    __slots__ = (
+        'server',
+        'incarnation',
+    )
+
+
+    def __init__(self, server=None, incarnation=None,):
+        self.server = server
+        self.incarnation = incarnation
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.server = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.incarnation = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('LeavingServer')
+        if self.server is not None:
+            oprot.writeFieldBegin('server', TType.STRING, 1)
+            oprot.writeString(self.server.encode('utf-8') if sys.version_info[0] == 2 else self.server)
+            oprot.writeFieldEnd()
+        if self.incarnation is not None:
+            oprot.writeFieldBegin('incarnation', TType.STRING, 2)
+            oprot.writeString(self.incarnation.encode('utf-8') if sys.version_info[0] == 2 else self.incarnation)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Heartbeat(object):
     """
     Attributes:
@@ -540,6 +620,7 @@
      - loads
      - changes
      - digest
+     - leaving
 
     """
 
@@ -551,10 +632,11 @@
         'loads',
         'changes',
         'digest',
+        'leaving',
     )
 
 
-    def __init__(self, serial=None, generation=None, config_age_ms=None, members=None, loads=None, changes=None, digest=None,):
+    def __init__(self, serial=None, generation=None, config_age_ms=None, members=None, loads=None, changes=None, digest=None, leaving=None,):
         self.serial = serial
         self.generation = generation
         self.config_age_ms = config_age_ms
@@ -562,6 +644,7 @@
         self.loads = loads
         self.changes = changes
         self.digest = digest
+        self.leaving = leaving
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -625,6 +708,17 @@
                     self.digest = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.LIST:
+                    self.leaving = []
+                    (_etype35, _size32) = iprot.readListBegin()
+                    for _i36 in range(_size32):
+                        _elem37 = LeavingServer()
+                        _elem37.read(iprot)
+                        self.leaving.append(_elem37)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -650,28 +744,35 @@
         if self.members is not None:
             oprot.writeFieldBegin('members', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.members))
-            for iter32 in self.members:
-                iter32.write(oprot)
+            for iter38 in self.members:
+                iter38.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.loads is not None:
             oprot.writeFieldBegin('loads', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.loads))
-            for iter33 in self.loads:
-                iter33.write(oprot)
+            for iter39 in self.loads:
+                iter39.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.changes is not None:
             oprot.writeFieldBegin('changes', TType.LIST, 6)
             oprot.writeListBegin(TType.STRUCT, len(self.changes))
-            for iter34 in self.changes:
-                iter34.write(oprot)
+            for iter40 in self.changes:
+                iter40.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.digest is not None:
             oprot.writeFieldBegin('digest', TType.I64, 7)
             oprot.writeI64(self.digest)
             oprot.writeFieldEnd()
+        if self.leaving is not None:
+            oprot.writeFieldBegin('leaving', TType.LIST, 8)
+            oprot.writeListBegin(TType.STRUCT, len(self.leaving))
+            for iter41 in self.leaving:
+                iter41.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -707,6 +808,7 @@
      - loads
      - changes
      - digest
+     - leaving
 
     """
 
@@ -718,10 +820,11 @@
         'loads',
         'changes',
         'digest',
+        'leaving',
     )
 
 
-    def __init__(self, serial=None, generation=None, config_age_ms=None, members=None, loads=None, changes=None, digest=None,):
+    def __init__(self, serial=None, generation=None, config_age_ms=None, members=None, loads=None, changes=None, digest=None, leaving=None,):
         self.serial = serial
         self.generation = generation
         self.config_age_ms = config_age_ms
@@ -729,6 +832,7 @@
         self.loads = loads
         self.changes = changes
         self.digest = digest
+        self.leaving = leaving
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -757,33 +861,33 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.members = []
-                    (_etype38, _size35) = iprot.readListBegin()
-                    for _i39 in range(_size35):
-                        _elem40 = MemberUpdate()
-                        _elem40.read(iprot)
-                        self.members.append(_elem40)
+                    (_etype45, _size42) = iprot.readListBegin()
+                    for _i46 in range(_size42):
+                        _elem47 = MemberUpdate()
+                        _elem47.read(iprot)
+                        self.members.append(_elem47)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.loads = []
-                    (_etype44, _size41) = iprot.readListBegin()
-                    for _i45 in range(_size41):
-                        _elem46 = ServerLoad()
-                        _elem46.read(iprot)
-                        self.loads.append(_elem46)
+                    (_etype51, _size48) = iprot.readListBegin()
+                    for _i52 in range(_size48):
+                        _elem53 = ServerLoad()
+                        _elem53.read(iprot)
+                        self.loads.append(_elem53)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 6:
                 if ftype == TType.LIST:
                     self.changes = []
-                    (_etype50, _size47) = iprot.readListBegin()
-                    for _i51 in range(_size47):
-                        _elem52 = LoadChange()
-                        _elem52.read(iprot)
-                        self.changes.append(_elem52)
+                    (_etype57, _size54) = iprot.readListBegin()
+                    for _i58 in range(_size54):
+                        _elem59 = LoadChange()
+                        _elem59.read(iprot)
+                        self.changes.append(_elem59)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -792,6 +896,17 @@
                     self.digest = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.LIST:
+                    self.leaving = []
+                    (_etype63, _size60) = iprot.readListBegin()
+                    for _i64 in range(_size60):
+                        _elem65 = LeavingServer()
+                        _elem65.read(iprot)
+                        self.leaving.append(_elem65)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -817,28 +932,35 @@
         if self.members is not None:
             oprot.writeFieldBegin('members', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.members))
-            for iter53 in self.members:
-                iter53.write(oprot)
+            for iter66 in self.members:
+                iter66.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.loads is not None:
             oprot.writeFieldBegin('loads', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.loads))
-            for iter54 in self.loads:
-                iter54.write(oprot)
+            for iter67 in self.loads:
+                iter67.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.changes is not None:
             oprot.writeFieldBegin('changes', TType.LIST, 6)
             oprot.writeListBegin(TType.STRUCT, len(self.changes))
-            for iter55 in self.changes:
-                iter55.write(oprot)
+            for iter68 in self.changes:
+                iter68.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.digest is not None:
             oprot.writeFieldBegin('digest', TType.I64, 7)
             oprot.writeI64(self.digest)
             oprot.writeFieldEnd()
+        if self.leaving is not None:
+            oprot.writeFieldBegin('leaving', TType.LIST, 8)
+            oprot.writeListBegin(TType.STRUCT, len(self.leaving))
+            for iter69 in self.leaving:
+                iter69.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -983,22 +1105,22 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.members = []
-                    (_etype59, _size56) = iprot.readListBegin()
-                    for _i60 in range(_size56):
-                        _elem61 = MemberUpdate()
-                        _elem61.read(iprot)
-                        self.members.append(_elem61)
+                    (_etype73, _size70) = iprot.readListBegin()
+                    for _i74 in range(_size70):
+                        _elem75 = MemberUpdate()
+                        _elem75.read(iprot)
+                        self.members.append(_elem75)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.loads = []
-                    (_etype65, _size62) = iprot.readListBegin()
-                    for _i66 in range(_size62):
-                        _elem67 = ServerLoad()
-                        _elem67.read(iprot)
-                        self.loads.append(_elem67)
+                    (_etype79, _size76) = iprot.readListBegin()
+                    for _i80 in range(_size76):
+                        _elem81 = ServerLoad()
+                        _elem81.read(iprot)
+                        self.loads.append(_elem81)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1030,15 +1152,15 @@
         if self.members is not None:
             oprot.writeFieldBegin('members', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.members))
-            for iter68 in self.members:
-                iter68.write(oprot)
+            for iter82 in self.members:
+                iter82.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.loads is not None:
             oprot.writeFieldBegin('loads', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.loads))
-            for iter69 in self.loads:
-                iter69.write(oprot)
+            for iter83 in self.loads:
+                iter83.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.wants_reply is not None:
@@ -1105,10 +1227,10 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.servers = []
-                    (_etype73, _size70) = iprot.readListBegin()
-                    for _i74 in range(_size70):
-                        _elem75 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.servers.append(_elem75)
+                    (_etype87, _size84) = iprot.readListBegin()
+                    for _i88 in range(_size84):
+                        _elem89 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.servers.append(_elem89)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1125,8 +1247,8 @@
         if self.servers is not None:
             oprot.writeFieldBegin('servers', TType.LIST, 1)
             oprot.writeListBegin(TType.STRING, len(self.servers))
-            for iter76 in self.servers:
-                oprot.writeString(iter76.encode('utf-8') if sys.version_info[0] == 2 else iter76)
+            for iter90 in self.servers:
+                oprot.writeString(iter90.encode('utf-8') if sys.version_info[0] == 2 else iter90)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1968,22 +2090,22 @@
             if fid == 1:
                 if ftype == TType.MAP:
                     self.rates = {}
-                    (_ktype78, _vtype79, _size77) = iprot.readMapBegin()
-                    for _i81 in range(_size77):
-                        _key82 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val83 = iprot.readDouble()
-                        self.rates[_key82] = _val83
+                    (_ktype92, _vtype93, _size91) = iprot.readMapBegin()
+                    for _i95 in range(_size91):
+                        _key96 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val97 = iprot.readDouble()
+                        self.rates[_key96] = _val97
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
                 if ftype == TType.MAP:
                     self.waiting = {}
-                    (_ktype85, _vtype86, _size84) = iprot.readMapBegin()
-                    for _i88 in range(_size84):
-                        _key89 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val90 = iprot.readI64()
-                        self.waiting[_key89] = _val90
+                    (_ktype99, _vtype100, _size98) = iprot.readMapBegin()
+                    for _i102 in range(_size98):
+                        _key103 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val104 = iprot.readI64()
+                        self.waiting[_key103] = _val104
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
@@ -2000,17 +2122,17 @@
         if self.rates is not None:
             oprot.writeFieldBegin('rates', TType.MAP, 1)
             oprot.writeMapBegin(TType.STRING, TType.DOUBLE, len(self.rates))
-            for kiter91, viter92 in self.rates.items():
-                oprot.writeString(kiter91.encode('utf-8') if sys.version_info[0] == 2 else kiter91)
-                oprot.writeDouble(viter92)
+            for kiter105, viter106 in self.rates.items():
+                oprot.writeString(kiter105.encode('utf-8') if sys.version_info[0] == 2 else kiter105)
+                oprot.writeDouble(viter106)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.waiting is not None:
             oprot.writeFieldBegin('waiting', TType.MAP, 2)
             oprot.writeMapBegin(TType.STRING, TType.I64, len(self.waiting))
-            for kiter93, viter94 in self.waiting.items():
-                oprot.writeString(kiter93.encode('utf-8') if sys.version_info[0] == 2 else kiter93)
-                oprot.writeI64(viter94)
+            for kiter107, viter108 in self.waiting.items():
+                oprot.writeString(kiter107.encode('utf-8') if sys.version_info[0] == 2 else kiter107)
+                oprot.writeI64(viter108)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2076,20 +2198,20 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.models = []
-                    (_etype98, _size95) = iprot.readListBegin()
-                    for _i99 in range(_size95):
-                        _elem100 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.models.append(_elem100)
+                    (_etype112, _size109) = iprot.readListBegin()
+                    for _i113 in range(_size109):
+                        _elem114 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.models.append(_elem114)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.adapters = []
-                    (_etype104, _size101) = iprot.readListBegin()
-                    for _i105 in range(_size101):
-                        _elem106 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.adapters.append(_elem106)
+                    (_etype118, _size115) = iprot.readListBegin()
+                    for _i119 in range(_size115):
+                        _elem120 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.adapters.append(_elem120)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2110,15 +2232,15 @@
         if self.models is not None:
             oprot.writeFieldBegin('models', TType.LIST, 2)
             oprot.writeListBegin(TType.STRING, len(self.models))
-            for iter107 in self.models:
-                oprot.writeString(iter107.encode('utf-8') if sys.version_info[0] == 2 else iter107)
+            for iter121 in self.models:
+                oprot.writeString(iter121.encode('utf-8') if sys.version_info[0] == 2 else iter121)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.adapters is not None:
             oprot.writeFieldBegin('adapters', TType.LIST, 3)
             oprot.writeListBegin(TType.STRING, len(self.adapters))
-            for iter108 in self.adapters:
-                oprot.writeString(iter108.encode('utf-8') if sys.version_info[0] == 2 else iter108)
+            for iter122 in self.adapters:
+                oprot.writeString(iter122.encode('utf-8') if sys.version_info[0] == 2 else iter122)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2189,11 +2311,11 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.entries = []
-                    (_etype112, _size109) = iprot.readListBegin()
-                    for _i113 in range(_size109):
-                        _elem114 = PlanEntry()
-                        _elem114.read(iprot)
-                        self.entries.append(_elem114)
+                    (_etype126, _size123) = iprot.readListBegin()
+                    for _i127 in range(_size123):
+                        _elem128 = PlanEntry()
+                        _elem128.read(iprot)
+                        self.entries.append(_elem128)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2218,8 +2340,8 @@
         if self.entries is not None:
             oprot.writeFieldBegin('entries', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.entries))
-            for iter115 in self.entries:
-                iter115.write(oprot)
+            for iter129 in self.entries:
+                iter129.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2625,6 +2747,12 @@
     (6, TType.I64, 'waiting', None, None, ),  # 6
     (7, TType.I64, 'kv_free', None, None, ),  # 7
 )
+all_structs.append(LeavingServer)
+LeavingServer.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'server', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'incarnation', 'UTF8', None, ),  # 2
+)
 all_structs.append(Heartbeat)
 Heartbeat.thrift_spec = (
     None,  # 0
@@ -2635,6 +2763,7 @@
     (5, TType.LIST, 'loads', (TType.STRUCT, [ServerLoad, None], False), None, ),  # 5
     (6, TType.LIST, 'changes', (TType.STRUCT, [LoadChange, None], False), None, ),  # 6
     (7, TType.I64, 'digest', None, None, ),  # 7
+    (8, TType.LIST, 'leaving', (TType.STRUCT, [LeavingServer, None], False), None, ),  # 8
 )
 all_structs.append(HeartbeatAck)
 HeartbeatAck.thrift_spec = (
@@ -2646,6 +2775,7 @@
     (5, TType.LIST, 'loads', (TType.STRUCT, [ServerLoad, None], False), None, ),  # 5
     (6, TType.LIST, 'changes', (TType.STRUCT, [LoadChange, None], False), None, ),  # 6
     (7, TType.I64, 'digest', None, None, ),  # 7
+    (8, TType.LIST, 'leaving', (TType.STRUCT, [LeavingServer, None], False), None, ),  # 8
 )
 all_structs.append(IndirectPing)
 IndirectPing.thrift_spec = (
--- a/src/wisterialoom/platform/client.py
+++ b/src/wisterialoom/platform/client.py
@@ -11,6 +11,7 @@
 
 from wisterialoom.core.error import WisterialoomError
 from wisterialoom.core.object_store import (
+    ABSENT,
     ObjectTooLargeError,
     StoredObject,
     VersionConflictError,
@@ -38,6 +39,7 @@
 WATCH_LIMIT_S = 30.0
 """Time after which the platform ends a waiting watch unchanged."""
 
+NOT_MODIFIED = 304
 RATE_LIMITED = 429
 
 
@@ -68,22 +70,30 @@
         self.url = url.rstrip("/")
         self.timeout_s = timeout_s
 
-    async def read(self, key: str) -> StoredObject:
+    async def read(self, key: str, unless: int = ABSENT) -> StoredObject:
         """Return an object, or one at version `ABSENT`.
 
+        Args:
+            key: Name of the object.
+            unless: Version already held; at this version the body is left out.
+
         Raises:
             PlatformUnavailableError: No usable answer came.
         """
-        return await self._get_object(self._object_url(key), self.timeout_s)
+        url = self._object_url(key)
+        return await self._get_object(url, self.timeout_s, unless=unless)
 
     async def watch(self, key: str, after: int) -> StoredObject:
         """Wait for a version above `after`; return what is there at the end.
 
+        An object still at that version comes without its body.
+
         Raises:
             PlatformUnavailableError: No usable answer came.
         """
         url = self._object_url(key).with_query(watch_after=str(after))
-        return await self._get_object(url, self.timeout_s + WATCH_LIMIT_S)
+        timeout_s = self.timeout_s + WATCH_LIMIT_S
+        return await self._get_object(url, timeout_s, unless=after)
 
     async def write(self, key: str, body: bytes, expected: int) -> int:
         """Write if the object has the expected version; return the new one.
@@ -140,10 +150,17 @@
     def _object_url(self, key: str) -> URL:
         return URL(f"{self.url}/objects/{quote(key, safe='')}", encoded=True)
 
-    async def _get_object(self, url: URL, timeout_s: float) -> StoredObject:
-        status, headers, body = await self._call("GET", url, timeout_s)
+    async def _get_object(
+        self, url: URL, timeout_s: float, *, unless: int
+    ) -> StoredObject:
+        condition = {"If-None-Match": f'"{unless}"'} if unless != ABSENT else None
+        status, headers, body = await self._call(
+            "GET", url, timeout_s, headers=condition
+        )
         if status == 404:
             return StoredObject()
+        if status == NOT_MODIFIED:
+            return StoredObject(unless)
         self._expect_ok("GET", url, status)
         return StoredObject(_read_version("GET", url, headers), body)
 
--- a/src/wisterialoom/platform/port.py
+++ b/src/wisterialoom/platform/port.py
@@ -104,8 +104,8 @@
 
     def _call(self, command: ObjectCommand) -> Coroutine[Any, Any, Event]:
         match command:
-            case ReadObject(op, key):
-                return self._read(op, key)
+            case ReadObject(op, key, unless):
+                return self._read(op, key, unless)
             case WatchObject(op, key, after):
                 return self._watch(op, key, after)
             case WriteObject(op, key, body, expected):
@@ -115,8 +115,8 @@
             case ListObjects(op, prefix):
                 return self._list(op, prefix)
 
-    async def _read(self, op: str, key: str) -> Event:
-        stored = await self.client.read(key)
+    async def _read(self, op: str, key: str, unless: int) -> Event:
+        stored = await self.client.read(key, unless)
         return ObjectRead(op, key, stored.version, stored.body)
 
     async def _watch(self, op: str, key: str, after: int) -> Event:
--- a/src/wisterialoom/standin/platform_app.py
+++ b/src/wisterialoom/standin/platform_app.py
@@ -159,7 +159,10 @@
             await self._wait(key)
             if self.fault.down:
                 return web.Response(status=503)
-        return _object_response(self.store.read(key))
+        stored = self.store.read(key)
+        if request.headers.get("If-None-Match") == f'"{stored.version}"':
+            return web.Response(status=304, headers=_version(stored.version))
+        return _object_response(stored)
 
     async def _wait(self, key: str) -> None:
         future = asyncio.get_running_loop().create_future()
--- a/src/wisterialoom/status.py
+++ b/src/wisterialoom/status.py
@@ -107,7 +107,8 @@
             "Generation of the configuration in force.",
             self.app.parts.config.generation,
         )
-        gauge("config_fresh", "1 while the configuration is current.", path.fresh)
+        fresh = int(path.fresh)
+        gauge("config_fresh", "1 while the configuration is current.", fresh)
         gauge("requests_in_progress", "Requests in progress.", len(path.flights))
         gauge("requests_waiting", "Requests that wait.", len(path.queue))
         gauge("members", "Entry instances.", len(self._members()))
