--- a/tests/processes.py
+++ b/tests/processes.py
@@ -18,6 +18,13 @@
 SOURCE = Path(wisterialoom.__file__).parents[1]
 LIMIT_S = 60.0
 API_KEY = "demo-key"
+ENGINES = (
+    ("e1", "drafting", ("--memory-mb", "40000")),
+    ("e2", "drafting", ("--memory-mb", "40000")),
+    ("e3", "filing", ("--memory-mb", "40000")),
+)
+"""Name, role and further options of each engine."""
+SPEED = ("--load-s", "0.2", "--first-token-s", "0.02", "--token-gap-s", "0.02")
 HEADERS = {"Authorization": f"Bearer {API_KEY}", "X-Deadline-Ms": "20000"}
 
 
@@ -94,7 +101,7 @@
         await until(listens)
         self.urls[name] = f"http://{child.lines[0]['address']}"
 
-    async def entry(self, name, zone="az-1", seeds=()):
+    async def entry(self, name, zone="az-1", seeds=(), *, listed=True):
         path = self.folder / f"{name}.toml"
         path.write_text(
             f'[instance]\nname = "{name}"\navailability_zone = "{zone}"\n'
@@ -113,8 +120,35 @@
         line = next(x for x in child.errors if x["message"] == "listening")
         for kind in ("callers", "peers", "admin"):
             self.urls[f"{name}/{kind}"] = f"http://{line[kind]}"
+        if listed:
+            await self.list_entry(name, zone, line["callers"])
         return line["peers"]
 
+    async def list_entry(self, name, zone, address):
+        """Have the platform list an entry instance, as it would by itself."""
+        item = {
+            "name": name,
+            "incarnation": str(self.children[name].process.pid),
+            "address": address,
+            "availability_zone": zone,
+            "labels": {"kind": "entry"},
+            "state": "live",
+        }
+        await self.change_instances(register=item)
+
+    async def change_instances(self, **change):
+        url = f"{self.urls['platform']}/instances"
+        async with (
+            aiohttp.ClientSession() as session,
+            session.post(url, json=change) as response,
+        ):
+            return response.status
+
+    async def fault(self, session, name, **changes):
+        url = f"{self.urls[name]}/faults"
+        async with session.post(url, json=changes) as response:
+            assert response.status == 200, await response.text()
+
     async def command(self, *arguments):
         child = await self.spawn("command", *arguments)
         code = await child.process.wait()
@@ -146,8 +180,8 @@
 
 
 @contextlib.asynccontextmanager
-async def open_site(folder, document, *, entries=2):
-    """Start a platform, three engines, a service and entry instances."""
+async def open_site(folder, document, *, entries=2, engines=ENGINES):
+    """Start a platform, engines, a service and entry instances."""
     site = Site(folder)
     try:
         await site.standin("platform", "platform")
@@ -156,11 +190,9 @@
         arguments = ("--platform", site.urls["platform"], "--expect", "0")
         code = await site.command("config", "apply", str(path), *arguments)
         assert code == 0, site.children["command"].errors
-        speed = ("--load-s", "0.2", "--first-token-s", "0.02", "--token-gap-s", "0.02")
-        memory = ("--memory-mb", "40000")
-        for name, role in (("e1", "drafting"), ("e2", "drafting"), ("e3", "filing")):
+        for name, role, options in engines:
             label = ("--label", f"role={role}")
-            await site.standin("engine", name, *label, *speed, *memory)
+            await site.standin("engine", name, *label, *SPEED, *options)
         await site.standin("service", "registry-1")
         seeds = []
         for number in range(1, entries + 1):
@@ -175,7 +207,7 @@
                 return all(
                     item["fresh"]
                     and not item["unreachable"]
-                    and len(item["servers"]) == 4
+                    and len(item["servers"]) == len(engines) + 1
                     and len(item["members"]) == entries
                     for item in found
                 )
