Split the request path: state, settlement, control of attempts

A claim that is done whose answer was too large to keep, or cannot be read now, is told as completed (answer_not_kept, answer_unavailable) instead of unknown: it was never unknown. Every reason now has a form, by a test that failed first (job_too_large had none).

--- /dev/null
+++ b/src/wisterialoom/core/path_state.py
@@ -0,0 +1,49 @@
+"""What the parts of the request path share."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from wisterialoom.core.admission import Admission
+from wisterialoom.core.demand_meter import DemandMeter
+from wisterialoom.core.request_queue import RequestQueue
+from wisterialoom.core.retry_budget import RetryBudget
+from wisterialoom.core.router import Router
+
+if TYPE_CHECKING:
+    from wisterialoom.core.classifier import Classifier
+    from wisterialoom.core.flight import Flight
+    from wisterialoom.core.window import WindowPolicy
+
+__all__ = ["PathState"]
+
+
+class PathState:
+    """Requests in progress and what decides about them.
+
+    Attributes:
+        classifier: Rules of the document in force; `None` before the first.
+        fresh: The configuration may be trusted to be the newest.
+        draining: The instance is stopping.
+        flights: Requests in progress by id.
+        queue: Requests that wait.
+        router: Views of the backend servers.
+        admission: Limits on what may wait.
+        budget: Budget for retries.
+        demand: Demand by model, for the planner.
+        late_events: Count of events for requests already settled.
+    """
+
+    def __init__(self, availability_zone: str, policy: WindowPolicy | None) -> None:
+        self.classifier: Classifier | None = None
+        self.fresh = False
+        self.draining = False
+        self.flights: dict[str, Flight] = {}
+        self.queue = RequestQueue()
+        self.router = Router(availability_zone)
+        if policy is not None:
+            self.router.policy = policy
+        self.admission = Admission(self.queue, self.router)
+        self.budget = RetryBudget()
+        self.demand = DemandMeter()
+        self.late_events = 0
--- a/src/wisterialoom/core/refusal.py
+++ b/src/wisterialoom/core/refusal.py
@@ -103,6 +103,19 @@
         outcome=Outcome.UNKNOWN,
         retry_after_s=CONFIG_RETRY_S,
     ),
+    Reason.ANSWER_NOT_KEPT: _Form(
+        409,
+        "The operation with this Idempotency-Key was completed; its answer was too "
+        "large to be kept. Do not repeat it with a new key.",
+        outcome=Outcome.COMPLETED,
+        retry_after_s=None,
+    ),
+    Reason.ANSWER_UNAVAILABLE: _Form(
+        503,
+        "The operation with this Idempotency-Key was completed; its answer can't be "
+        "read now. Ask again with the key.",
+        outcome=Outcome.COMPLETED,
+    ),
     Reason.CONNECT: _Form(503, "No backend server accepted it; come back later."),
     Reason.SERVER_REFUSED: _Form(
         503, "The backend servers did not start it; come back later."
--- a/src/wisterialoom/core/request.py
+++ b/src/wisterialoom/core/request.py
@@ -66,6 +66,8 @@
     # A second request with the key of an earlier one.
     IN_PROGRESS = "in_progress"
     KEY_UNKNOWN = "key_unknown"
+    ANSWER_NOT_KEPT = "answer_not_kept"
+    ANSWER_UNAVAILABLE = "answer_unavailable"
     # Ends of attempts; also the reasons of retries.
     CONNECT = "connect"
     SERVER_REFUSED = "server_refused"
--- a/src/wisterialoom/http/relay.py
+++ b/src/wisterialoom/http/relay.py
@@ -9,6 +9,7 @@
 import aiohttp
 from aiohttp import ClientTimeout
 
+from wisterialoom.core.object_store import MAX_OBJECT_BYTES
 from wisterialoom.core.request import (
     Attempt,
     AttemptEnded,
@@ -37,8 +38,12 @@
 WHOLE_LIMIT = 1_000_000
 """Answers up to this size are relayed only when they are whole, in bytes."""
 
-STORED_LIMIT = 262_144
-"""Largest answer that is kept for a repeated idempotency key, in bytes."""
+STORED_LIMIT = MAX_OBJECT_BYTES
+"""Bytes of an answer that are kept for claims and jobs.
+
+A longer answer is cut off just above it. No object holds that much, so the core
+records it as done, with an answer too large to be kept.
+"""
 
 NOT_STARTED_HEADER = "X-Not-Started"
 LEAVING_HEADER = "X-Leaving"
@@ -256,7 +261,7 @@
             self.kept += piece
 
     def _stored(self, response: ClientResponse) -> StoredAnswer | None:
-        if not self._keeps or len(self.kept) > STORED_LIMIT:
+        if not self._keeps:
             return None
         kind = response.headers.get("Content-Type", "application/octet-stream")
         return StoredAnswer(response.status, kind, bytes(self.kept))
--- a/tests/test_request_path.py
+++ b/tests/test_request_path.py
@@ -7,6 +7,7 @@
 from hypothesis import given, settings, strategies as st
 
 from tests.documents import DOCUMENT, make_load, make_server
+from wisterialoom.core.attempt_control import MAX_ATTEMPTS
 from wisterialoom.core.message import Tick
 from wisterialoom.core.notice import (
     ClaimAbandoned,
@@ -39,7 +40,7 @@
     RequestSettled,
     StoredAnswer,
 )
-from wisterialoom.core.request_path import MAX_ATTEMPTS, RequestPath
+from wisterialoom.core.request_path import RequestPath
 
 ANSWER = StoredAnswer(200, "application/json", b"{}")
 SAFE = (AttemptResult.NOT_SENT, AttemptResult.NOT_STARTED)
