Test what the mutations showed to be unproved

Change: a rule that loses calls or answers while one claims, and five direct tests. One fault is struck off the list: a refusal from an old copy is healed by asking the owner, save when the owner has died after a release.

--- a/tests/test_claim.py
+++ b/tests/test_claim.py
@@ -6,7 +6,8 @@
 import pytest
 
 from tests.claim_fleet import Fleet
-from wisterialoom.core.claim_bucket import Claim, ClaimBucket, Settle
+from wisterialoom.core.claim_bucket import Claim, ClaimBucket, Release, Settle
+from wisterialoom.core.claim_commit import BucketCommitter, PendingChange
 from wisterialoom.core.claim_entry import ClaimState
 from wisterialoom.core.notice import (
     ClaimFailed,
@@ -15,8 +16,14 @@
     ClaimHolding,
     DrainRequested,
 )
-from wisterialoom.core.object_store import MAX_OBJECT_BYTES
-from wisterialoom.core.peer import ClaimStateWire
+from wisterialoom.core.object_store import (
+    MAX_OBJECT_BYTES,
+    ObjectRead,
+    ObjectUnavailable,
+    OperationIds,
+    WriteObject,
+)
+from wisterialoom.core.peer import ClaimAnswer, ClaimStateWire, PeerReceived
 from wisterialoom.core.request import Reason, StoredAnswer
 
 
@@ -100,3 +107,67 @@
     fleet.world.run_for(1.5)
     assert len(fleet.record.runs) == 300
     assert fleet.world.store_port.calls["WriteObject"] <= 20
+
+
+@pytest.mark.parametrize("settled", [True, False])
+def test_late_answer_to_a_claim_changes_nothing_about_its_settlement(settled):
+    fleet = Fleet()
+    world = fleet.world
+    first = fleet.want("a", "k1")
+    world.run_for(0.04)
+    ((_, stored),) = list(world.store_port.store.history[:1])
+    (entry,) = ClaimBucket.decode(1, stored.body).entries.values()
+    assert entry.state is ClaimState.CLAIMED
+    world.store_port.fault.down = not settled
+    world.run_for(0.2)
+    state = ClaimStateWire.GRANTED
+    late = ClaimAnswer(entry.key, entry.nonce, state, entry.encode())
+    world.send("a", PeerReceived("b", late))
+    world.run_for(0.2)
+    world.store_port.fault.down = False
+    world.run_for(6.0)
+    again = fleet.want("b", "k1")
+    world.run_for(1.0)
+    answer = fleet.record.answers[first]
+    assert fleet.final(again) == ClaimHeld(again, ClaimHolding.DONE, answer)
+
+
+def test_claim_given_up_is_free_after_its_owner_died():
+    fleet = Fleet()
+    fleet.world.store_port.fault.lose_answer = 1.0
+    first = fleet.want("a", "k1")
+    fleet.world.run_for(3.0)
+    assert isinstance(fleet.final(first), ClaimFailed)
+    fleet.world.store_port.fault.lose_answer = 0.0
+    fleet.world.run_for(6.0)
+    fleet.world.kill("a")
+    for name in ("b", "c"):
+        fleet.see(name, ("b", "c"), gone=("a",))
+    again = fleet.want("b", "k1")
+    fleet.world.run_for(1.0)
+    assert fleet.final(again) == ClaimGranted(again)
+
+
+def test_only_the_nonce_that_was_given_up_is_replaced():
+    bucket = ClaimBucket()
+    bucket.apply(Claim("k", "a.1", "d", "a", 1))
+    taken, _ = bucket.apply(Claim("k", "b.1", "d", "b", 1, replaces="a.1"))
+    late, _ = bucket.apply(Claim("k", "c.1", "d", "c", 1, replaces="a.1"))
+    assert taken.state is ClaimStateWire.GRANTED
+    assert late.state is ClaimStateWire.HELD
+    assert bucket.entries["k"].nonce == "b.1"
+
+
+def test_release_voids_a_write_that_may_yet_come():
+    committer = BucketCommitter("claims/0", OperationIds("claims"), lambda: 0.0)
+    claim = PendingChange(Claim("k", "a.1", "d", "a", 9), "", 1.0)
+    (read,) = committer.add(0.0, claim)
+    (write,) = committer.handle(0.0, ObjectRead(read.op, read.key, 5, b""))
+    lost = ObjectUnavailable(write.op, write.key, ambiguous=True)
+    (read,) = committer.handle(0.1, lost)
+    (ended,) = committer.tick(1.0)
+    assert ended.verdict.maybe_written
+    committer.add(1.0, PendingChange(Release("k", "a.1"), "", 9.0))
+    outputs = committer.handle(1.1, ObjectRead(read.op, read.key, 5, b""))
+    outputs += committer.handle(1.2, ObjectRead(committer.op, read.key, 5, b""))
+    assert outputs[-1] == WriteObject(committer.op, "claims/0", b"", 5)
--- a/tests/test_claim_faults.py
+++ b/tests/test_claim_faults.py
@@ -97,6 +97,19 @@
         self.want(other, key, False)
         self.world.run_for(0.6)
 
+    @rule(name=names, other=names, key=keys, answers=st.booleans())
+    def lose_writes(self, name, other, key, answers):
+        """Lose every call, or every answer, while one claims."""
+        fault = self.world.store_port.fault
+        before = fault.lose_call, fault.lose_answer
+        fault.lose_call, fault.lose_answer = (0.0, 1.0) if answers else (1.0, 0.0)
+        self.want(name, key, False)
+        self.world.run_for(0.6)
+        fault.lose_call, fault.lose_answer = before
+        self.world.run_for(1.2)
+        self.want(other, key, False)
+        self.world.run_for(0.6)
+
     @rule()
     def see_deaths(self):
         alive = {name for name in NAMES if self.host(name).alive}
--- a/tests/test_job.py
+++ b/tests/test_job.py
@@ -59,6 +59,18 @@
     assert fleet.reply(request) == JobRefused(request, Reason.JOB_TOO_LARGE, None)
 
 
+def test_job_that_ends_during_a_renewal_is_run_once():
+    fleet = JobFleet(1, NAMES)
+    fleet.run_s = 20.2
+    fleet.world.store_port.fault.delay_s = 0.6
+    request = fleet.want("a", idempotent=True)
+    fleet.world.run_for(150.0)
+    asked = fleet.ask("b", fleet.reply(request).job_id)
+    fleet.world.run_for(1.0)
+    assert fleet.reply(asked).state is JobState.DONE
+    assert [len(runs) for runs in fleet.runs.values()] == [1]
+
+
 def test_ended_jobs_are_deleted_after_their_retention():
     fleet = JobFleet(1, NAMES)
     fleet.want("a", idempotent=True)
