--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 BIN := .venv/bin
 JOBS ?= 6
 
-.PHONY: demo test check format setup
+.PHONY: demo test check format setup measure slopes mutations benchmark
 
 setup: $(STAMP)
 
@@ -29,3 +29,15 @@
 format: $(STAMP)
 	$(BIN)/ruff format .
 	$(BIN)/ruff check --fix .
+
+measure: $(STAMP)
+	$(BIN)/python -m wisterialoom.measure
+
+slopes: $(STAMP)
+	$(BIN)/python -m wisterialoom.slopes
+
+mutations: $(STAMP)
+	$(BIN)/python -m wisterialoom.mutation
+
+benchmark: $(STAMP)
+	$(BIN)/python -m wisterialoom.benchmark
--- a/src/wisterialoom/app.py
+++ b/src/wisterialoom/app.py
@@ -177,13 +177,14 @@
             app,
             handler_cancellation=True,
             access_log=None,
+            shutdown_timeout=ANSWER_FLUSH_S,
             max_line_size=limits.max_header_bytes,
             max_field_size=limits.max_header_bytes,
         )
         await runner.setup()
         self.runners.append(runner)
         host, port = split_address(listen)
-        await web.TCPSite(runner, host, port, shutdown_timeout=ANSWER_FLUSH_S).start()
+        await web.TCPSite(runner, host, port).start()
         bound = runner.addresses[0]
         return f"{bound[0]}:{bound[1]}"
 
