--- a/src/wisterialoom/core/membership.py
+++ b/src/wisterialoom/core/membership.py
@@ -13,6 +13,7 @@
     int_size,
     send_limit,
     text_size,
+    URGENT_SENDS,
 )
 from wisterialoom.core.instance_list import InstanceListRead
 from wisterialoom.core.load_gossip import LoadGossip
@@ -98,7 +99,8 @@
         own: This instance as it describes itself.
         table: What is believed of the others.
         loads: What is known of backend servers.
-        generation: Of the configuration in force here.
+        generation: Highest configuration known here.
+        generation_sends: Messages that still go out at once to tell of it.
         conflicts: Times that another process used this instance's name.
     """
 
@@ -143,6 +145,7 @@
         self.joins = JoinSchedule(address, seeds, rng)
         self.loads = LoadGossip()
         self.generation = 0
+        self.generation_sends = 0
         self.fresh_at: float | None = None
         self.conflicts = 0
         self.loads_synced = False
@@ -167,7 +170,7 @@
             case InstanceListRead(listing=listing):
                 self.joins.take_listing(listing)
             case ConfigChanged(generation=generation):
-                self.generation = max(self.generation, generation)
+                self._raise_generation(generation)
             case ConfigFreshness():
                 self._take_freshness(now, event)
             case LoadReported(load=load, own=True):
@@ -178,9 +181,14 @@
         return self.out
 
     def _take_freshness(self, now: float, notice: ConfigFreshness) -> None:
-        self.generation = max(self.generation, notice.generation, notice.known)
+        self._raise_generation(max(notice.generation, notice.known))
         self.fresh_at = now - notice.age_s
 
+    def _raise_generation(self, generation: int) -> None:
+        if generation > self.generation:
+            self.generation = generation
+            self.generation_sends = URGENT_SENDS
+
     # Time.
 
     def _notice_pause(self, now: float) -> None:
@@ -383,7 +391,7 @@
     # Sending.
 
     def _send_urgent(self, now: float) -> None:
-        if not (self.news.urgent or self.loads.urgent):
+        if not (self.news.urgent or self.loads.urgent or self.generation_sends):
             return
         names = [update.name for update in self.table.active()]
         for name in self._some(names, URGENT_FANOUT):
@@ -391,6 +399,7 @@
                 return
             message, size = self._news(now, name, NEWS_ONLY)
             self.urgent_budget.spend(size)
+            self.generation_sends = max(self.generation_sends - 1, 0)
             self._send(name, message)
 
     def _pull_loads(self, now: float) -> None:
--- a/src/wisterialoom/slopes/__main__.py
+++ b/src/wisterialoom/slopes/__main__.py
@@ -15,6 +15,7 @@
     measure_claims,
     measure_requests,
     measure_sites,
+    measure_spread,
 )
 from wisterialoom.slopes.table import write_tables
 
@@ -33,6 +34,7 @@
     ("requests", lambda: measure_requests((12, 24, 48))),
     ("claims", lambda: measure_claims((5, 10, 20))),
     ("planner", measure_planner),
+    ("spread", lambda: measure_spread((6, 12, 24, 48))),
     ("memory", measure_memory),
     ("fleets", lambda: measure_fleets(FLEETS)),
 )
--- a/src/wisterialoom/slopes/object_cost.py
+++ b/src/wisterialoom/slopes/object_cost.py
@@ -10,9 +10,11 @@
 from wisterialoom.core.claim_bucket import ClaimBucket
 from wisterialoom.core.claim_entry import ClaimEntry, ClaimState
 from wisterialoom.core.document_check import read_document
+from wisterialoom.core.instance_list import InstanceList, ListedInstance
 from wisterialoom.core.rendezvous import first
 from wisterialoom.core.request import StoredAnswer
 from wisterialoom.lab.fleet import Fleet
+from wisterialoom.platform.codec import decode_instances, encode_instances
 from wisterialoom.slopes.clock import cost_us
 from wisterialoom.slopes.fit import Slope
 from wisterialoom.slopes.site import make_document, Site, SiteSize
@@ -33,7 +35,10 @@
     buckets = {float(n): _bucket(n) for n in (500, 1_000, 2_000)}
     documents = {float(n): make_document(SiteSize(models=n)) for n in (50, 100, 200)}
     names = {float(n): [f"entry-{x:04}" for x in range(n)] for n in (50, 100, 200)}
+    lists = {float(n): _list_of(n) for n in (50, 200, 800)}
     return [
+        _slope("server directory", "list", "bytes", "instance", lists, _length),
+        _slope("server directory", "reading", "us", "instance", lists, _read_list),
         _slope("claim home", "size of a bucket", "bytes", "claim", buckets, _size),
         _slope(
             "claim home", "draft and body of a commit", "us", "claim", buckets, _commit
@@ -56,6 +61,24 @@
     return Slope.through(role, quantity, unit, per, points)
 
 
+def _list_of(count: int) -> bytes:
+    instances = tuple(
+        ListedInstance(
+            f"writer-{number:04}",
+            "7f3a9c21",
+            f"10.20.{number // 250}.{number % 250}:8000",
+            "region-1-zone-2",
+            {"kind": "engine", "role": "drafting", "accelerators": "8"},
+        )
+        for number in range(count)
+    )
+    return encode_instances(InstanceList(instances))
+
+
+def _read_list(body: bytes) -> float:
+    return cost_us(partial(decode_instances, body))
+
+
 def _bucket(count: int) -> ClaimBucket:
     bucket = ClaimBucket(1)
     for number in range(count):
--- a/src/wisterialoom/slopes/site_cost.py
+++ b/src/wisterialoom/slopes/site_cost.py
@@ -5,19 +5,26 @@
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
+from wisterialoom.lab.deployment import CONFIG_KEY
 from wisterialoom.slopes.fit import Slope
 from wisterialoom.slopes.site import Site, SiteSize
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-__all__ = ["measure_claims", "measure_requests", "measure_sites"]
+__all__ = ["measure_claims", "measure_requests", "measure_sites", "measure_spread"]
 
 SETTLE_S = 90.0
 WINDOW_S = 30.0
 REQUESTS_PER_S = 20.0
 BASE = SiteSize()
 
+SPREADS = 5
+"""Changes of configuration whose slowest counts."""
+
+SPREAD_GAP_S = 7.3
+SPREAD_LIMIT_S = 60.0
+
 ROLES = {
     "ConfigFollower": "configuration relay",
     "Membership": "member",
@@ -45,6 +52,7 @@
     cpu: dict[str, dict[float, float]] = {}
     calls: dict[str, dict[float, float]] = {}
     sent: dict[float, float] = {}
+    ledgers: dict[float, float] = {}
     for size in sizes:
         site = _settled(replace(BASE, **{field: size}))
         site.run(WINDOW_S)
@@ -53,6 +61,7 @@
             cpu.setdefault(part, {})[float(size)] = seconds * 1e6 / shares
         for call, count in site.meter.calls.items():
             calls.setdefault(call, {})[float(size)] = count / WINDOW_S
+        ledgers[float(size)] = site.meter.call_bytes["ledgers"] / WINDOW_S
         sent[float(size)] = sum(site.meter.sent_bytes.values()) / shares
     slopes = [
         Slope.through(ROLES.get(part, part), "processor when idle", "us/s", per, points)
@@ -63,7 +72,11 @@
         for call, points in calls.items()
         if len(points) == len(sizes)
     ]
-    return [*slopes, Slope.through("member", "sent by an entry", "bytes/s", per, sent)]
+    return [
+        *slopes,
+        Slope.through("object API", "ledgers written", "bytes/s", per, ledgers),
+        Slope.through("member", "sent by an entry", "bytes/s", per, sent),
+    ]
 
 
 def measure_requests(sizes: tuple[int, ...]) -> list[Slope]:
@@ -102,3 +115,26 @@
         Slope.through("claim home", quantity, unit, "claim a second", values)
         for (quantity, unit), values in points.items()
     ]
+
+
+def measure_spread(sizes: tuple[int, ...]) -> list[Slope]:
+    """Return the longest time until a change is in force at every entry."""
+    longest = {}
+    for size in sizes:
+        site = _settled(replace(BASE, entries=size))
+        longest[float(size)] = max(_spread_s(site) for _ in range(SPREADS))
+    role = "configuration relay"
+    return [Slope.through(role, "change in force everywhere", "s", "entry", longest)]
+
+
+def _spread_s(site: Site) -> float:
+    world = site.deployment.world
+    world.run_for(SPREAD_GAP_S)
+    version = world.store_port.put(CONFIG_KEY, site.deployment.body)
+    begun = world.now
+    parts = site.deployment.entries.values()
+    world.run_while(
+        lambda: any(entry.config.generation < version for entry in parts),
+        SPREAD_LIMIT_S,
+    )
+    return world.now - begun
