--- a/src/wisterialoom/app.py
+++ b/src/wisterialoom/app.py
@@ -14,6 +14,7 @@
 from aiohttp import ClientSession, DummyCookieJar, TCPConnector, web
 
 from wisterialoom.core.assembly import EntryParts, Identity
+from wisterialoom.core.config_warning import Warn
 from wisterialoom.core.engine import ReadState, SendOrder
 from wisterialoom.core.instance_list import ReadInstanceList
 from wisterialoom.core.job_gate import TellJob
@@ -165,7 +166,10 @@
             availability_zone=instance.availability_zone,
             seeds=self.settings.peers.seeds,
         )
-        return EntryParts.from_identity(identity, random.Random(), time.time)
+        parts = EntryParts.from_identity(identity, random.Random(), time.time)
+        limits = self.settings.limits
+        parts.path.admission.max_concurrent = limits.max_concurrent
+        return parts
 
     async def _serve(self, app: web.Application, listen: str) -> str:
         limits = self.settings.limits
@@ -173,13 +177,14 @@
             app,
             handler_cancellation=True,
             access_log=None,
+            shutdown_timeout=ANSWER_FLUSH_S,
             max_line_size=limits.max_header_bytes,
             max_field_size=limits.max_header_bytes,
         )
         await runner.setup()
         self.runners.append(runner)
         host, port = split_address(listen)
-        await web.TCPSite(runner, host, port, shutdown_timeout=ANSWER_FLUSH_S).start()
+        await web.TCPSite(runner, host, port).start()
         bound = runner.addresses[0]
         return f"{bound[0]}:{bound[1]}"
 
@@ -238,6 +243,9 @@
                 | ReadInstanceList()
             ):
                 self.platform_port.carry_out(command)
+            case Warn(reason=reason, message=message):
+                self.metrics.warnings.inc({"reason": reason})
+                logger.warning(message)
             case Drained():
                 self.drained.set()
             case _:
--- a/src/wisterialoom/core/peer.py
+++ b/src/wisterialoom/core/peer.py
@@ -24,6 +24,7 @@
     "Heartbeat",
     "HeartbeatAck",
     "IndirectPing",
+    "LeavingServer",
     "LetGo",
     "LoadChange",
     "LoadPull",
@@ -94,6 +95,7 @@
         leaving: No new work may go there.
         incarnation: Of the backend server.
         kv_free: Share of KV cache that is free, in percent.
+        unreachable: It has not told its state to its steward several times.
         steward: Entry instance that read it; empty if unknown.
         epoch: Count of takeovers of the server; goes before the serial, so that
             a new steward's first report beats every report of the old one.
@@ -110,6 +112,7 @@
     kv_free: int = 100
     epoch: int = 0
     steward: str = ""
+    unreachable: bool = False
 
 
 @dataclass(frozen=True, slots=True)
@@ -136,6 +139,14 @@
     kv_free: int = 100
 
 
+@dataclass(frozen=True, slots=True)
+class LeavingServer:
+    """A backend server that gets no new work in this incarnation."""
+
+    server: str
+    incarnation: str
+
+
 @dataclass(frozen=True, slots=True)
 class Heartbeat(PeerMessage):
     """Probe of a member, with news piggybacked.
@@ -150,6 +161,7 @@
         loads: News of backend servers.
         changes: News of the load alone of backend servers.
         digest: Of the sender's member table; differing ones start a `StateSync`.
+        leaving: Backend servers that were seen leaving.
     """
 
     serial: int
@@ -159,6 +171,7 @@
     loads: tuple[ServerLoad, ...] = ()
     changes: tuple[LoadChange, ...] = ()
     digest: int = 0
+    leaving: tuple[LeavingServer, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -172,6 +185,7 @@
     loads: tuple[ServerLoad, ...] = ()
     changes: tuple[LoadChange, ...] = ()
     digest: int = 0
+    leaving: tuple[LeavingServer, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
