--- a/tests/test_claim.py
+++ b/tests/test_claim.py
@@ -1,10 +1,30 @@
 """Tests of `wisterialoom.core.claim`."""
 
+import itertools
+from dataclasses import replace
+
 import pytest
 
 from tests.claim_fleet import Fleet
-from wisterialoom.core.notice import ClaimFailed, ClaimGranted, ClaimHeld, ClaimHolding
-from wisterialoom.core.request import Reason
+from wisterialoom.core.claim_bucket import Claim, ClaimBucket, Release, Settle
+from wisterialoom.core.claim_commit import BucketCommitter, PendingChange
+from wisterialoom.core.claim_entry import ClaimState
+from wisterialoom.core.notice import (
+    ClaimFailed,
+    ClaimGranted,
+    ClaimHeld,
+    ClaimHolding,
+    DrainRequested,
+)
+from wisterialoom.core.object_store import (
+    MAX_OBJECT_BYTES,
+    ObjectRead,
+    ObjectUnavailable,
+    OperationIds,
+    WriteObject,
+)
+from wisterialoom.core.peer import ClaimAnswer, ClaimStateWire, PeerReceived
+from wisterialoom.core.request import Reason, StoredAnswer
 
 
 @pytest.mark.parametrize("size", [20, 5_000])
@@ -25,7 +45,7 @@
 
 
 def test_same_key_at_every_instance_at_once_runs_once():
-    fleet = Fleet()
+    fleet = Fleet(run_s=1.0)
     requests = [fleet.want(name, "k1") for name in ("a", "b", "c", "a")]
     fleet.world.run_for(3)
     finals = [fleet.final(request) for request in requests]
@@ -45,3 +65,109 @@
         assert isinstance(final, ClaimFailed)
         assert final.reason is Reason.CLAIM_UNAVAILABLE
     assert fleet.record.runs == []
+
+
+def test_full_bucket_is_refused_and_settlements_still_fit():
+    bucket = ClaimBucket()
+    entries = []
+    for number in itertools.count():
+        claim = Claim(f"{number:032x}", f"boot.{number}", "d" * 32, "a", 1)
+        verdict, _ = bucket.apply(claim)
+        if verdict.state is not ClaimStateWire.GRANTED:
+            break
+        entries.append(verdict.entry)
+    assert verdict.state is ClaimStateWire.FULL
+    answer = StoredAnswer(200, "text/plain", b"." * 330)
+    for entry in entries:
+        done = replace(entry, state=ClaimState.DONE, answer=answer)
+        bucket.apply(Settle(entry.key, entry.nonce, done))
+    assert len(bucket.encode()) == bucket.size <= MAX_OBJECT_BYTES
+    bucket.prune(wall=1)
+    assert bucket.size == 0
+
+
+def test_drain_waits_for_settlements_through_an_outage():
+    fleet = Fleet()
+    fleet.want("a", "k1")
+    fleet.world.run_for(0.03)
+    fleet.world.store_port.fault.down = True
+    fleet.world.send("a", DrainRequested())
+    fleet.world.run_for(5.0)
+    assert fleet.drained == []
+    fleet.world.store_port.fault.down = False
+    fleet.world.run_for(3.0)
+    assert fleet.drained == ["a"]
+    assert fleet.world.hosts["a"].core.keeper.remaining == 0
+
+
+def test_home_commits_a_burst_in_few_writes():
+    fleet = Fleet()
+    for number in range(300):
+        fleet.want("abc"[number % 3], f"key{number}")
+    fleet.world.run_for(1.5)
+    assert len(fleet.record.runs) == 300
+    assert fleet.world.store_port.calls["WriteObject"] <= 20
+
+
+@pytest.mark.parametrize("settled", [True, False])
+def test_late_answer_to_a_claim_changes_nothing_about_its_settlement(settled):
+    fleet = Fleet()
+    world = fleet.world
+    first = fleet.want("a", "k1")
+    world.run_for(0.04)
+    ((_, stored),) = list(world.store_port.store.history[:1])
+    (entry,) = ClaimBucket.decode(1, stored.body).entries.values()
+    assert entry.state is ClaimState.CLAIMED
+    world.store_port.fault.down = not settled
+    world.run_for(0.2)
+    state = ClaimStateWire.GRANTED
+    late = ClaimAnswer(entry.key, entry.nonce, state, entry.encode())
+    world.send("a", PeerReceived("b", late))
+    world.run_for(0.2)
+    world.store_port.fault.down = False
+    world.run_for(6.0)
+    again = fleet.want("b", "k1")
+    world.run_for(1.0)
+    answer = fleet.record.answers[first]
+    assert fleet.final(again) == ClaimHeld(again, ClaimHolding.DONE, answer)
+
+
+def test_claim_given_up_is_free_after_its_owner_died():
+    fleet = Fleet()
+    fleet.world.store_port.fault.lose_answer = 1.0
+    first = fleet.want("a", "k1")
+    fleet.world.run_for(3.0)
+    assert isinstance(fleet.final(first), ClaimFailed)
+    fleet.world.store_port.fault.lose_answer = 0.0
+    fleet.world.run_for(6.0)
+    fleet.world.kill("a")
+    for name in ("b", "c"):
+        fleet.see(name, ("b", "c"), gone=("a",))
+    again = fleet.want("b", "k1")
+    fleet.world.run_for(1.0)
+    assert fleet.final(again) == ClaimGranted(again)
+
+
+def test_only_the_nonce_that_was_given_up_is_replaced():
+    bucket = ClaimBucket()
+    bucket.apply(Claim("k", "a.1", "d", "a", 1))
+    taken, _ = bucket.apply(Claim("k", "b.1", "d", "b", 1, replaces="a.1"))
+    late, _ = bucket.apply(Claim("k", "c.1", "d", "c", 1, replaces="a.1"))
+    assert taken.state is ClaimStateWire.GRANTED
+    assert late.state is ClaimStateWire.HELD
+    assert bucket.entries["k"].nonce == "b.1"
+
+
+def test_release_voids_a_write_that_may_yet_come():
+    committer = BucketCommitter("claims/0", OperationIds("claims"), lambda: 0.0)
+    claim = PendingChange(Claim("k", "a.1", "d", "a", 9), "", 1.0)
+    (read,) = committer.add(0.0, claim)
+    (write,) = committer.handle(0.0, ObjectRead(read.op, read.key, 5, b""))
+    lost = ObjectUnavailable(write.op, write.key, ambiguous=True)
+    (read,) = committer.handle(0.1, lost)
+    (ended,) = committer.tick(1.0)
+    assert ended.verdict.maybe_written
+    committer.add(1.0, PendingChange(Release("k", "a.1"), "", 9.0))
+    outputs = committer.handle(1.1, ObjectRead(read.op, read.key, 5, b""))
+    outputs += committer.handle(1.2, ObjectRead(committer.op, read.key, 5, b""))
+    assert outputs[-1] == WriteObject(committer.op, "claims/0", b"", 5)
