Run listed faults against the tests in copies of the source

A fault counts as found only if the test passes without it and fails (not errors) with it. Shrinking is left out, since a failure is enough.

--- /dev/null
+++ b/src/wisterialoom/mutation/_no_shrinking.py
@@ -0,0 +1,12 @@
+"""A pytest plugin: a failure is enough, so hypothesis need not make it smaller."""
+
+from __future__ import annotations
+
+from hypothesis import Phase, settings
+
+__all__: list[str] = []
+
+settings.register_profile(
+    "no-shrinking", phases=(Phase.explicit, Phase.reuse, Phase.generate)
+)
+settings.load_profile("no-shrinking")
--- /dev/null
+++ b/src/wisterialoom/mutation/trial.py
@@ -0,0 +1,114 @@
+"""Runs tests against a copy of the project, with or without a fault in it."""
+
+from __future__ import annotations
+
+import asyncio
+import enum
+import os
+import shutil
+import sys
+import tempfile
+from dataclasses import dataclass
+from pathlib import Path
+from typing import TYPE_CHECKING
+
+from wisterialoom.mutation.fault import FaultFileError
+
+if TYPE_CHECKING:
+    from wisterialoom.mutation.fault import Fault
+
+__all__ = ["Trial", "Verdict"]
+
+COPIED = ("src", "tests", "examples", "docs", "pyproject.toml", "README.md")
+"""What tests need of the project."""
+
+LEFT_OUT = ("__pycache__", ".hypothesis", ".pytest_cache", "*.egg-info")
+LIMIT_S = 300.0
+"""Longest time of one run of tests, in seconds."""
+
+PASSED, FAILED = 0, 1
+"""Exit codes of pytest; others mean that the tests could not be run."""
+
+
+class Verdict(enum.Enum):
+    """What came of one run of tests."""
+
+    GREEN = "green"
+    RED = "red"
+    NOT_RUN = "not run"
+
+
+@dataclass(frozen=True, slots=True)
+class Trial:
+    """One run of tests.
+
+    Attributes:
+        verdict: Green if all passed, red if one failed.
+        detail: First failing test, or why nothing ran.
+    """
+
+    verdict: Verdict
+    detail: str = ""
+
+    @classmethod
+    async def of(cls, root: Path, test: str, fault: Fault | None = None) -> Trial:
+        """Run tests in a fresh copy of the project.
+
+        Args:
+            root: Root of the project.
+            test: Paths or test ids, separated by blanks.
+            fault: What to change in the copy; `None` leaves it as it is.
+        """
+        with tempfile.TemporaryDirectory(prefix="wisterialoom-") as folder:
+            copy = Path(folder)
+            _copy(root, copy)
+            try:
+                if fault is not None:
+                    fault.apply(copy)
+            except FaultFileError as error:
+                return cls(Verdict.NOT_RUN, str(error))
+            return cls.from_run(*await _run(copy, test.split()))
+
+    @classmethod
+    def from_run(cls, code: int | None, output: str) -> Trial:
+        """Build from pytest's exit code, `None` after a timeout, and its output."""
+        failed = [x for x in output.splitlines() if x.startswith(("FAILED", "ERROR"))]
+        first = failed[0].split(" - ")[0].partition(" ")[2] if failed else ""
+        match code:
+            case None:
+                return cls(Verdict.NOT_RUN, f"no end within {LIMIT_S:.0f} s")
+            case int() if code == PASSED:
+                return cls(Verdict.GREEN)
+            case int() if code == FAILED:
+                return cls(Verdict.RED, first)
+        return cls(Verdict.NOT_RUN, f"pytest ended with {code}: {first}")
+
+
+def _copy(root: Path, copy: Path) -> None:
+    ignore = shutil.ignore_patterns(*LEFT_OUT)
+    for name in COPIED:
+        source = root / name
+        if source.is_dir():
+            shutil.copytree(source, copy / name, ignore=ignore)
+        elif source.is_file():
+            shutil.copy(source, copy / name)
+
+
+async def _run(copy: Path, tests: list[str]) -> tuple[int | None, str]:
+    plugin = "wisterialoom.mutation._no_shrinking"
+    process = await asyncio.create_subprocess_exec(
+        *(sys.executable, "-m", "pytest", "-q", "-x", "--no-header"),
+        *("-p", "no:cacheprovider", "-p", plugin, "--tb=no", "-rfE"),
+        *tests,
+        cwd=copy,
+        env={**os.environ, "PYTHONPATH": f"{copy / 'src'}{os.pathsep}{copy}"},
+        stdout=asyncio.subprocess.PIPE,
+        stderr=asyncio.subprocess.STDOUT,
+    )
+    try:
+        output, _ = await asyncio.wait_for(process.communicate(), LIMIT_S)
+    except TimeoutError:
+        process.kill()
+        await process.wait()
+        return None, ""
+    return process.returncode, output.decode(errors="replace")
