--- /dev/null
+++ b/tests/test_relay.py
@@ -0,0 +1,88 @@
+"""Tests of `wisterialoom.http.relay` and the exchange, over real connections."""
+
+import asyncio
+import contextlib
+
+import aiohttp
+import orjson
+import pytest
+
+from wisterialoom.demo import DEMO_API_KEY, open_stage
+from wisterialoom.standin.answer import answer_text
+
+TOKENS = 12
+LIMIT_S = 30.0
+
+
+@contextlib.asynccontextmanager
+async def open_served():
+    """Open the demo's stage and wait until its models are served."""
+    async with asyncio.timeout(LIMIT_S), open_stage() as stage:
+        headers = {"Authorization": f"Bearer {DEMO_API_KEY}", "X-Deadline-Ms": "20000"}
+        async with aiohttp.ClientSession(headers=headers) as session:
+            while not stage.app.is_ready():
+                await asyncio.sleep(0.02)
+            status = 0
+            while status != 200:
+                status, *_ = await ask(stage, session, "Wake up.")
+            yield stage, session
+
+
+async def ask(stage, session, prompt, **fields):
+    body = {"model": "drafting", "prompt": prompt, "max_tokens": TOKENS, **fields}
+    url = f"{stage.urls['callers']}/v1/completions"
+    sent = orjson.dumps(body)
+    headers = {"Content-Type": "application/json"}
+    async with session.post(url, data=sent, headers=headers) as response:
+        answer = await response.read()
+    if response.status == 200 and "stream" not in fields:
+        own = answer_text(response.headers["X-Request-Id"], sent, TOKENS)
+        assert orjson.loads(answer)["choices"][0]["text"] == own
+    return response.status, response.headers, answer
+
+
+async def deposit(stage, session, key):
+    url = f"{stage.urls['callers']}/registry/deposits"
+    headers = {"Idempotency-Key": key}
+    async with session.post(url, json={}, headers=headers) as response:
+        return response.status, response.headers
+
+
+async def test_each_caller_gets_the_whole_answer_to_its_own_request():
+    async with open_served() as (stage, session):
+        engine = stage.engines[0]
+        await check_own_answers(stage, session)
+        # A whole answer that is cut was not relayed in part: it is asked for again.
+        engine.fault.cut_answers = 1
+        status, headers, _ = await ask(stage, session, "Cut.")
+        assert (status, headers["X-Outcome"]) == (200, "completed")
+        assert engine.fault.cut_answers == 0
+        # A cut stream ends without the last event and without the final chunk.
+        engine.fault.cut_answers = 1
+        with pytest.raises(aiohttp.ClientPayloadError):
+            await ask(stage, session, "Cut.", stream=True)
+        engine.fault.swap_ids = -1
+        status, headers, _ = await ask(stage, session, "Swapped.")
+        assert (status, headers["X-Outcome"]) == (502, "unknown")
+
+
+async def check_own_answers(stage, session):
+    prompts = [f"Draft note {number}." for number in range(16)]
+    answers = await asyncio.gather(*(ask(stage, session, text) for text in prompts))
+    assert {status for status, *_ in answers} == {200}
+    assert len({headers["X-Request-Id"] for _, headers, _ in answers}) == len(prompts)
+
+
+async def test_outcomes_that_callers_are_told():
+    async with open_served() as (stage, session):
+        stage.service.fault.drop_after = 1
+        status, headers = await deposit(stage, session, "lost")
+        assert (status, headers["X-Outcome"]) == (502, "unknown")
+        status, headers = await deposit(stage, session, "lost")
+        assert (status, headers["X-Outcome"]) == (409, "unknown")
+        assert len(stage.service.record.runs) == 1
+        stage.service.fault.leaving = True
+        status, headers = await deposit(stage, session, "leaving")
+        assert (status, headers["X-Outcome"]) == (503, "not_run")
+        assert float(headers["Retry-After"]) >= 1.0
+        assert len(stage.service.record.runs) == 1
