--- a/src/wisterialoom/mutation/trial.py
+++ b/src/wisterialoom/mutation/trial.py
@@ -108,7 +108,9 @@
     try:
         output, _ = await asyncio.wait_for(process.communicate(), LIMIT_S)
     except TimeoutError:
-        process.kill()
-        await process.wait()
         return None, ""
+    finally:
+        if process.returncode is None:
+            process.kill()
+            await process.wait()
     return process.returncode, output.decode(errors="replace")
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -66,6 +66,13 @@
         assert (status, headers["X-Outcome"]) == (502, "unknown")
 
 
+async def test_stream_that_ends_without_its_last_event_looks_cut(monkeypatch):
+    async with open_served() as (stage, session):
+        monkeypatch.setattr("wisterialoom.standin.completions.STREAM_END", b"")
+        with pytest.raises(aiohttp.ClientPayloadError):
+            await ask(stage, session, "Cut.", stream=True)
+
+
 async def check_own_answers(stage, session):
     prompts = [f"Draft note {number}." for number in range(16)]
     answers = await asyncio.gather(*(ask(stage, session, text) for text in prompts))
