--- /dev/null
+++ b/src/wisterialoom/benchmark/__init__.py
@@ -0,0 +1,1 @@
+"""Measures what the way through an entry instance costs a streamed request."""
