--- /dev/null
+++ b/tests/test_known_red.py
@@ -0,0 +1,53 @@
+"""Tests of the list of known failures in `conftest.py`."""
+
+from pathlib import Path
+
+import pytest
+
+pytest_plugins = ["pytester"]
+
+ENTRY = """\
+# A comment.
+test: test_it.py::test_red
+command: pytest test_it.py
+seed: none
+seen: 1 is not 2
+issue: 12
+"""
+
+
+@pytest.fixture
+def site(pytester):
+    pytester.makeconftest((Path(__file__).parent / "conftest.py").read_text())
+    (pytester.path / "KNOWN-RED.txt").write_text(ENTRY)
+    return pytester
+
+
+def run(site, **bodies):
+    tests = [f"def {name}():\n    {body}\n" for name, body in bodies.items()]
+    site.makepyfile(test_it="\n".join(tests))
+    return site.runpytest("-p", "no:xdist")
+
+
+def test_a_listed_failure_passes_and_is_printed(site):
+    result = run(site, test_red="assert 1 == 2", test_green="pass")
+    assert result.ret == 0
+    result.assert_outcomes(passed=1, xfailed=1)
+    result.stdout.fnmatch_lines(["*::test_red: failed as known; 1 is not 2 (12)"])
+
+
+def test_any_other_failure_fails_the_run(site):
+    result = run(site, test_red="assert 1 == 2", test_red_too="assert 1 == 2")
+    assert result.ret == 1
+    result.assert_outcomes(failed=1, xfailed=1)
+
+
+def test_a_listed_test_that_passes_fails_the_run(site):
+    result = run(site, test_red="pass")
+    assert result.ret == 1
+    result.stdout.fnmatch_lines(["*did not fail: remove it from KNOWN-RED.txt*"])
+
+
+def test_an_incomplete_entry_is_refused(site):
+    (site.path / "KNOWN-RED.txt").write_text("test: test_it.py::test_red\n")
+    assert run(site, test_red="pass").ret != 0
--- a/tests/test_process_failures.py
+++ b/tests/test_process_failures.py
@@ -417,3 +417,19 @@
             return True
         error = error.__cause__ or error.__context__
     return False
+
+
+async def test_start_while_the_platform_is_down(tmp_path):
+    """An instance that is ready serves, although no list can be read."""
+    async with open_site(tmp_path, SHORT_LEASE) as (site, session):
+        await until_served(site, session, "entry-1", "drafting")
+        await site.fault(session, "platform", down=True)
+        seeds = [site.urls["entry-1/peers"].removeprefix("http://")]
+        await site.entry("entry-3", seeds=seeds, listed=False)
+
+        async def ready():
+            return await site.is_ready(session, "entry-3")
+
+        await until(ready)
+        answer = await complete(site, session, "entry-3", "drafting", deadline_ms=3000)
+        assert answer[0] == 200, answer
