--- a/src/wisterialoom/core/planner.py
+++ b/src/wisterialoom/core/planner.py
@@ -40,7 +40,10 @@
 __all__ = ["Planner"]
 
 PLAN_INTERVAL_S = 1.0
-"""Time between two plans, in seconds."""
+"""Least time between two plans, in seconds."""
+
+SERVERS_A_SECOND = 125
+"""With more servers, plans are made less often, to bound the processor time."""
 
 SETTLE_S = 3.0
 """A new planner listens for this long before its first plan, in seconds."""
@@ -92,7 +95,8 @@
         """Take one event; see `Part`."""
         match event:
             case Tick() if now >= self.plan_due:
-                self.plan_due = now + PLAN_INTERVAL_S
+                wait_s = len(self.servers) / SERVERS_A_SECOND
+                self.plan_due = now + max(PLAN_INTERVAL_S, wait_s)
                 return self._plan(now)
             case ConfigChanged(generation=generation, document=document):
                 self.generation = generation
--- a/src/wisterialoom/core/planner_placement.py
+++ b/src/wisterialoom/core/planner_placement.py
@@ -2,36 +2,28 @@
 
 from __future__ import annotations
 
-from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
-from wisterialoom.core.demand import ModelDemand
 from wisterialoom.core.engine import ModelKey
+from wisterialoom.core.planner_slots import Slots
+from wisterialoom.core.planner_worth import Worth
 from wisterialoom.core.selector import Selector
 
 if TYPE_CHECKING:
     from wisterialoom.core.document import Model
     from wisterialoom.core.planner_input import PlanInput, ServerView
+    from wisterialoom.core.planner_slots import Slot
 
 __all__ = ["place"]
 
-HORIZON_S = 60.0
-"""Demand over this time is what a resident model is worth, in seconds."""
-
 HYSTERESIS = 1.25
 """A swap must gain this many times what it costs."""
 
 PATIENCE_S = 3.0
 """After waiting this long, a model without a replica displaces another."""
 
-LEAST_RESIDENCY_S = 15.0
-"""A model is not displaced before it was resident this long, in seconds."""
-
-SERVICE_S = 2.0
-"""Time that one request keeps a slot busy, for counting replicas, in seconds."""
-
-FILL = 0.8
-"""Share of its slots up to which a replica is planned to be used."""
+SWAP_TRIES = 4
+"""Models for which a plan looks for something to displace."""
 
 
 def place(given: PlanInput) -> dict[str, tuple[ModelKey, ...]]:
@@ -43,18 +35,6 @@
     return _Placement(given).work_out()
 
 
-@dataclass(slots=True)
-class _Slot:
-    """An engine and what is placed on it so far."""
-
-    view: ServerView
-    models: dict[ModelKey, int] = field(default_factory=dict)
-
-    @property
-    def free_mb(self) -> int:
-        return self.view.budget_mb - sum(self.models.values())
-
-
 class _Placement:
     """One run of the placement."""
 
@@ -63,59 +43,65 @@
         self.allowance = given.allowance
         models = given.document.models
         self.models = {ModelKey(x.name, x.version): x for x in models}
+        self.current = {key.name: key for key in self.models}
         self.selectors = {x.name: Selector.parse(x.servers) for x in models}
-        self.current = {x.name: ModelKey(x.name, x.version) for x in models}
-        self.slots = {view.name: _Slot(view) for view in given.servers}
+        self.slots = Slots(given.servers)
+        self.worth = Worth(given, self.slots, self.models)
+        self.usable = [
+            slot
+            for slot in self.slots.by_name.values()
+            if slot.view.usable and slot.view.serving
+        ]
         self.weight = given.document.deployment.moves_weight
-        self.holders: dict[ModelKey, set[str]] = {}
+        self.serving = {
+            key for view in given.servers if view.serving for key in view.resident
+        }
 
     def work_out(self) -> dict[str, tuple[ModelKey, ...]]:
-        for slot in self.slots.values():
+        slots = self.slots.by_name.values()
+        for slot in slots:
             self._keep(slot)
         self._drop_excess()
-        for key in sorted(self.models, key=self._urgency):
-            self._provide(key)
+        missing = [key for key in self.models if self.worth.missing(key) > 0]
+        for key in sorted(missing, key=self.worth.urgency):
+            self._fill(key)
+        self._swap()
         return {
-            name: tuple(sorted(slot.models, key=self._urgency))
-            for name, slot in self.slots.items()
+            slot.view.name: tuple(sorted(slot.models, key=self.worth.urgency))
+            for slot in slots
         }
 
     # What is there already.
 
-    def _keep(self, slot: _Slot) -> None:
+    def _keep(self, slot: Slot) -> None:
         view = slot.view
-        if not view.usable and not view.resident:
-            return
-        planned = [] if view.planned is None else list(view.planned)
+        planned = list(view.planned or ())
         if not view.usable:
             planned = [key for key in planned if key in view.resident]
-        kept = planned + sorted(view.resident, key=self._urgency)
-        for key in kept:
-            size = self._kept_size(key, slot)
-            if key not in slot.models and 0 < size <= slot.free_mb:
-                self._put(key, slot, size)
+        for key in planned + sorted(view.resident, key=self.worth.urgency):
+            if key in slot.models:
+                continue
+            size = self._kept_size(key, view)
+            if 0 < size <= slot.free_mb:
+                self.slots.put(key, slot, size)
 
-    def _kept_size(self, key: ModelKey, slot: _Slot) -> int:
+    def _kept_size(self, key: ModelKey, view: ServerView) -> int:
         """Return the size of what may stay, or 0 if it has to go."""
         current = self.current.get(key.name)
-        if current is None or key in slot.view.blocked:
+        if current is None or key in view.blocked:
             return 0
         model = self.models[current]
-        if not self._allows(model, slot.view):
+        if not self._allows(model, view):
             return 0
-        if key != current and not self._bridges(key, model, slot):
+        if key != current and not self._bridges(key, current, view):
             return 0
         return model.memory_mb
 
-    def _bridges(self, key: ModelKey, model: Model, slot: _Slot) -> bool:
+    def _bridges(self, key: ModelKey, current: ModelKey, view: ServerView) -> bool:
         """Tell whether an old version is needed until the new one serves."""
-        if key not in slot.view.resident or self._serves(self.current[key.name]):
+        if key not in view.resident or current in self.serving:
             return False
-        return self._wanted(model) > 0
-
-    def _serves(self, key: ModelKey) -> bool:
-        views = self.given.servers
-        return any(view.serving and key in view.resident for view in views)
+        return self.worth.wanted[current] > 0
 
     def _allows(self, model: Model, view: ServerView) -> bool:
         if model.memory_mb > view.budget_mb:
@@ -124,146 +110,118 @@
 
     def _drop_excess(self) -> None:
         """Give up loads that are not wanted any more and have not begun."""
-        for key in list(self.holders):
-            model = self.models.get(key)
-            if model is None:
+        for key in self.models:
+            excess = -self.worth.missing(key)
+            if excess <= 0:
                 continue
-            excess = len(self._replicas(key)) - self._wanted(model)
-            for name in sorted(self.holders[key], reverse=True):
-                slot = self.slots[name]
+            for name in sorted(self.slots.holders.get(key, ()), reverse=True):
+                slot = self.slots.by_name[name]
                 if excess > 0 and key not in slot.view.resident:
-                    self._take(key, slot)
+                    self.slots.take(key, slot)
                     excess -= 1
 
-    def _put(self, key: ModelKey, slot: _Slot, size: int) -> None:
-        slot.models[key] = size
-        self.holders.setdefault(key, set()).add(slot.view.name)
-
-    def _take(self, key: ModelKey, slot: _Slot) -> None:
-        del slot.models[key]
-        self.holders[key].discard(slot.view.name)
+    # What is missing.
 
-    # What is wanted.
+    def _open_slots(self, key: ModelKey, room_mb: int = 0) -> list[Slot]:
+        """Return the engines with some room that a model may be added to."""
+        model = self.models[key]
+        return [
+            slot
+            for slot in self.usable
+            if slot.free_mb >= room_mb
+            and key not in slot.models
+            and key not in slot.view.blocked
+            and self._allows(model, slot.view)
+        ]
+
+    def _fill(self, key: ModelKey) -> None:
+        """Place replicas where nothing has to give way."""
+        size = self.models[key].memory_mb
+        while self.worth.missing(key) > 0 and self.allowance > 0:
+            roomy = self._open_slots(key, size)
+            if not roomy:
+                return
+            best = min(roomy, key=lambda slot: self._spread(key, slot))
+            self._add(key, best)
 
-    def _demand(self, key: ModelKey) -> ModelDemand:
-        return self.given.demand.get(key.name, ModelDemand())
+    def _spread(self, key: ModelKey, slot: Slot) -> tuple[int, float, str]:
+        zone = slot.view.availability_zone
+        load = sum(self.worth.share(held) for held in slot.models)
+        return (self.slots.in_zone(key, zone), load, slot.view.name)
 
-    def _worth(self, key: ModelKey) -> float:
-        demand = self._demand(key)
-        return demand.rate * HORIZON_S + demand.waiting
+    def _add(self, key: ModelKey, slot: Slot) -> None:
+        self.slots.put(key, slot, self.models[key].memory_mb)
+        if key not in slot.view.resident:
+            self.allowance -= 1
 
-    def _urgency(self, key: ModelKey) -> tuple[float, float, ModelKey]:
-        return (-self._demand(key).waiting_s, -self._worth(key), key)
+    # What has to give way.
 
-    def _wanted(self, model: Model) -> int:
-        key = self.current[model.name]
-        demand = self._demand(key)
-        slots = max((view.slots for view in self.given.servers), default=1)
-        busy = demand.rate * SERVICE_S / (slots * FILL)
-        by_demand = 1 + int(busy) if demand.wanted else 0
-        return max(model.min_replicas, by_demand)
+    def _swap(self) -> None:
+        missing = [key for key in self.models if self.worth.missing(key) > 0]
+        for key in sorted(missing, key=self._swap_order)[:SWAP_TRIES]:
+            if self.allowance <= 0:
+                return
+            self._swap_in(key)
 
-    def _replicas(self, key: ModelKey) -> list[str]:
-        """Return servers that hold a key or will; the out of reach are left out."""
-        slots = self.slots
-        return [x for x in self.holders.get(key, ()) if slots[x].view.serving]
+    def _swap_order(self, key: ModelKey) -> tuple[bool, float, float, ModelKey]:
+        must = self._must_have(key)
+        waited = self.worth.waiting_s(key) if must else 0.0
+        return (not must, -waited, -self.worth.gain(key), key)
 
-    def _provide(self, key: ModelKey) -> None:
-        model = self.models[key]
-        for _ in range(self._wanted(model) - len(self._replicas(key))):
-            if self.allowance <= 0 or not self._provide_one(key, model):
-                return
+    def _must_have(self, key: ModelKey) -> bool:
+        replicas = self.slots.count(key)
+        if replicas < self.models[key].min_replicas:
+            return True
+        return replicas == 0 and self.worth.waiting_s(key) >= PATIENCE_S
 
-    def _provide_one(self, key: ModelKey, model: Model) -> bool:
+    def _swap_in(self, key: ModelKey) -> None:
+        size = self.models[key].memory_mb
         options = []
-        for slot in self.slots.values():
-            view = slot.view
-            usable = view.usable and view.serving and key not in view.blocked
-            if usable and key not in slot.models and self._allows(model, view):
-                victims = self._victims(key, slot, model.memory_mb)
-                if victims is not None:
-                    options.append(
-                        (self._order(key, slot, victims), view.name, victims)
-                    )
+        for slot in self._open_slots(key):
+            victims = self._victims(slot, size)
+            if victims is not None:
+                loss = sum(self.worth.loss(victim) for victim in victims)
+                order = (loss, len(victims), *self._spread(key, slot))
+                options.append((order, victims))
         if not options:
-            return False
-        _, name, victims = min(options)
-        if victims and not self._is_worth_it(key, victims):
-            return False
+            return
+        order, victims = min(options)
+        if not self._is_worth_it(key, victims, loss=order[0]):
+            return
+        slot = self.slots.by_name[order[-1]]
         for victim in victims:
-            self._take(victim, self.slots[name])
-        self._put(key, self.slots[name], model.memory_mb)
-        if key not in self.slots[name].view.resident:
-            self.allowance -= 1
-        return True
-
-    def _order(
-        self, key: ModelKey, slot: _Slot, victims: list[ModelKey]
-    ) -> tuple[float, int, int, float]:
-        zone = slot.view.availability_zone
-        held = [self.slots[name].view for name in self._replicas(key)]
-        same_zone = sum(1 for view in held if view.availability_zone == zone)
-        load = sum(self._share(x) for x in slot.models if x not in victims)
-        return (self._loss(victims), len(victims), same_zone, load)
-
-    def _share(self, key: ModelKey) -> float:
-        return self._worth(key) / max(1, len(self.holders.get(key, ())))
+            self.slots.take(victim, slot)
+        self._add(key, slot)
 
-    # What has to give way.
-
-    def _victims(
-        self, key: ModelKey, slot: _Slot, size_mb: int
-    ) -> list[ModelKey] | None:
+    def _victims(self, slot: Slot, size_mb: int) -> list[ModelKey] | None:
         """Return what to displace, `None` if not enough may be displaced."""
         need = size_mb - slot.free_mb
+        movable = [key for key in slot.models if self.worth.may_go(key, slot)]
+        if sum(slot.models[key] for key in movable) < need:
+            return None
         victims: list[ModelKey] = []
-        candidates = [x for x in slot.models if self._may_go(x, slot)]
-        for victim in sorted(candidates, key=lambda x: (self._loss([x]), x)):
+        for victim in sorted(movable, key=lambda key: (self.worth.loss(key), key)):
             if need <= 0:
                 break
             victims.append(victim)
             need -= slot.models[victim]
-        if need > 0:
-            return None
-        return self._spare(victims, slot, -need)
-
-    def _spare(
-        self, victims: list[ModelKey], slot: _Slot, excess_mb: int
-    ) -> list[ModelKey]:
-        """Keep those that need not go after all, the dearest first."""
-        kept = list(victims)
-        for victim in reversed(victims):
-            if slot.models[victim] <= excess_mb:
-                excess_mb -= slot.models[victim]
-                kept.remove(victim)
-        return kept
-
-    def _may_go(self, key: ModelKey, slot: _Slot) -> bool:
-        model = self.models.get(key)
-        if model is None:
-            return True
-        if len(self._replicas(key)) <= model.min_replicas:
-            return False
-        held_s = slot.view.resident.get(key)
-        return held_s is not None and held_s >= LEAST_RESIDENCY_S
+        return _without_spare(victims, slot, -need)
 
-    def _loss(self, victims: list[ModelKey]) -> float:
-        lost = 0.0
-        for victim in victims:
-            model = self.models.get(victim)
-            replicas = len(self._replicas(victim))
-            if model is not None and replicas <= self._wanted(model):
-                lost += self._worth(victim) / max(1, replicas)
-        return lost
-
-    def _is_worth_it(self, key: ModelKey, victims: list[ModelKey]) -> bool:
-        replicas = len(self._replicas(key))
-        if not any(victim in self.models for victim in victims):
-            return True
-        if replicas == 0 and self._demand(key).waiting_s >= PATIENCE_S:
-            return True
-        if replicas < self.models[key].min_replicas:
+    def _is_worth_it(self, key: ModelKey, victims: list[ModelKey], loss: float) -> bool:
+        replaces_only_old = not any(victim in self.models for victim in victims)
+        if replaces_only_old or self._must_have(key):
             return True
-        gain = self._worth(key) / (replicas + 1)
-        cost = self._loss(victims) + self.weight * (1 + len(victims))
-        return gain > HYSTERESIS * cost
+        cost = loss + self.weight * (1 + len(victims))
+        return self.worth.gain(key) > HYSTERESIS * cost
+
+
+def _without_spare(
+    victims: list[ModelKey], slot: Slot, excess_mb: int
+) -> list[ModelKey]:
+    """Return the victims without those that need not go, the dearest first."""
+    needed = list(victims)
+    for victim in reversed(victims):
+        if slot.models[victim] <= excess_mb:
+            excess_mb -= slot.models[victim]
+            needed.remove(victim)
+    return needed
--- a/src/wisterialoom/core/stewards.py
+++ b/src/wisterialoom/core/stewards.py
@@ -4,6 +4,7 @@
 
 from typing import ClassVar, TYPE_CHECKING
 
+from wisterialoom.core.demand import planner_of
 from wisterialoom.core.engine import (
     OrderDone,
     OrderLost,
@@ -58,6 +59,7 @@
         me: Identity of this process.
         stewards: One for each engine that this instance looks after.
         plans: Newest plan by server, also of servers stewarded elsewhere.
+        planner: The member whose plans are followed.
         drain_until: While stopping: when to exit without the object API.
     """
 
@@ -94,6 +96,7 @@
         self.servers: dict[str, BackendServer] = {}
         self.stewards: dict[str, Steward] = {}
         self.plans: dict[str, PlanEntry] = {}
+        self.planner = ""
         self.let_go_due = 0.0
         self.drain_until: float | None = None
         self.drained = False
@@ -142,6 +145,8 @@
                 self.duty.set_servers(self.servers)
             case MembersChanged(members=members):
                 self.presence.set_members(members)
+                planner = planner_of(members)
+                self.planner = planner.name if planner is not None else ""
                 self.duty.set_members(member.name for member in members)
             case InstanceListRead(listing=listing):
                 names = frozenset(item.name for item in listing.instances)
@@ -194,7 +199,7 @@
 
     def _take_peer(self, now: float, sender: str, message: PeerMessage) -> list[Output]:
         match message:
-            case PlanMessage(entries=entries):
+            case PlanMessage(entries=entries) if sender == self.planner:
                 for plan in entries:
                     self._take_plan(now, plan)
             case LetGo(server=server, epoch=epoch):
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -15,9 +15,10 @@
     ConfigChanged,
     Member,
     MembersChanged,
+    PlanMade,
     ServersChanged,
 )
-from wisterialoom.core.peer import MemberStatus, PeerReceived, PlanEntry, PlanMessage
+from wisterialoom.core.peer import MemberStatus, PlanEntry
 from wisterialoom.core.stewards import Stewards
 from wisterialoom.lab.fault import OrderFault, StoreFault
 from wisterialoom.lab.order_port import FakeEngine
@@ -187,8 +188,9 @@
         self.plans |= {entry.server: entry for entry in entries}
         for name, host in self.world.hosts.items():
             if host.alive:
-                message = PlanMessage(1, 1, entries)
-                self.world.send(name, PeerReceived("planner", message))
+                for entry in entries:
+                    plan = PlanMade(entry.server, entry.models, entry.adapters)
+                    self.world.send(name, plan)
 
     def set_busy(self, server, name, *, busy):
         """Let a model have a request in progress, or none."""
