--- a/src/wisterialoom/core/order_journal.py
+++ b/src/wisterialoom/core/order_journal.py
@@ -22,13 +22,11 @@
 
     Attributes:
         entry: What the ledger says of it.
-        sent_at: When this process sent it; `None` if it has not.
         closed_at: When its connection was known to be closed; `None` while it
             may still be sent, or be on its connection.
     """
 
     entry: JournalEntry
-    sent_at: float | None = None
     closed_at: float | None = None
 
     @property
@@ -53,12 +51,6 @@
         """Count a load from now on; it has not been sent yet."""
         self.loads[entry.order_id] = PossibleLoad(entry)
 
-    def mark_sent(self, order_id: str, now: float) -> None:
-        """Remember when a load was sent."""
-        load = self.loads.get(order_id)
-        if load is not None:
-            load.sent_at = now
-
     def close(self, order_id: str, now: float) -> None:
         """Note that an order's connection has closed."""
         load = self.loads.get(order_id)
--- a/src/wisterialoom/core/steward_report.py
+++ b/src/wisterialoom/core/steward_report.py
@@ -38,7 +38,6 @@
 
     def make(
         self,
-        now: float,
         state: EngineState | None,
         draining: Collection[ModelKey],
         epoch: int,
--- a/src/wisterialoom/core/stewards.py
+++ b/src/wisterialoom/core/stewards.py
@@ -203,17 +203,17 @@
                 for plan in entries:
                     self._take_plan(now, plan)
             case LetGo(server=server, epoch=epoch):
-                return self._let_go(sender, server, epoch)
+                return self._let_go(now, sender, server, epoch)
             case ConfirmLetGo(server=server, epoch=epoch):
                 steward = self.stewards.get(server)
                 if steward is not None:
                     steward.journal.close_holder(sender, epoch, now)
         return []
 
-    def _let_go(self, sender: str, server: str, epoch: int) -> list[Output]:
+    def _let_go(self, now: float, sender: str, server: str, epoch: int) -> list[Output]:
         steward = self.stewards.get(server)
         if steward is not None:
-            steward.let_go(epoch)
+            steward.let_go(now, epoch)
             if steward.journal.has_open(epoch):
                 return []
         return self._send(sender, ConfirmLetGo(server, epoch))
