--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -7,7 +7,7 @@
 
 from tests.fleet import CAPACITY_MB, Fleet, make_document
 from wisterialoom.core.demand import Demand, ModelDemand
-from wisterialoom.core.document import Adapter, Model
+from wisterialoom.core.document import Adapter, Deployment, Model
 from wisterialoom.core.engine import ModelKey
 from wisterialoom.core.notice import DemandSeen, LoadReported
 from wisterialoom.core.planner import Planner
@@ -110,6 +110,17 @@
     assert held[-1] == {"a@2"}
 
 
+@pytest.mark.parametrize(("weight", "held"), [(1.0, "b"), (100.0, "a")])
+def test_greater_weight_of_moves_keeps_what_is_resident(weight, held):
+    document = make_document({"a": 60, "b": 60})
+    document = replace(document, deployment=Deployment("d", moves_weight=weight))
+    kept = ModelKey("a", "1")
+    view = ServerView("s", "z", {}, CAPACITY_MB, 20, 8, {kept: 100.0}, (kept,))
+    demand = {"a": ModelDemand(1.0, 1.0), "b": ModelDemand(3.0, 3.0)}
+    placed = place(PlanInput(document, (view,), demand, allowance=8))
+    assert placed == {"s": (ModelKey(held, "1"),)}
+
+
 demands = st.builds(
     ModelDemand,
     fast=st.sampled_from([0.0, 0.1, 3.0, 20.0]),
