--- a/src/wisterialoom/core/steward_report.py
+++ b/src/wisterialoom/core/steward_report.py
@@ -40,7 +40,6 @@
 
     def make(
         self,
-        now: float,
         state: EngineState | None,
         draining: Collection[ModelKey],
         epoch: int,
