--- /dev/null
+++ b/tests/test_storms.py
@@ -0,0 +1,22 @@
+"""Random scenarios with fixed seeds; `python -m wisterialoom.lab storm` runs more."""
+
+import pytest
+
+from wisterialoom.lab.scenario import run_script
+from wisterialoom.lab.storm import make_storm
+
+SEEDS = (
+    1,
+    2,
+    3,
+    # A server that vanished from the list and came back while its lease was held.
+    15,
+)
+
+
+@pytest.mark.parametrize("seed", SEEDS)
+def test_storm(seed):
+    run = run_script(make_storm(seed))
+    if run.failures:
+        lines = [f"{x.text}: {x.problem}" for x in run.failures]
+        pytest.fail("\n".join([*lines, run.deployment.world.explain(last=60)]))
