--- a/src/wisterialoom/core/membership.py
+++ b/src/wisterialoom/core/membership.py
@@ -6,18 +6,8 @@
 from dataclasses import replace
 from typing import ClassVar, TYPE_CHECKING
 
-from wisterialoom.core.gossip import (
-    ByteBudget,
-    DATAGRAM_BYTES,
-    GossipQueue,
-    int_size,
-    send_limit,
-    text_size,
-    URGENT_SENDS,
-)
 from wisterialoom.core.instance_list import InstanceListRead
-from wisterialoom.core.leaving_gossip import LeavingGossip
-from wisterialoom.core.load_gossip import LoadGossip
+from wisterialoom.core.membership_heartbeat import HeartbeatWriter, NEWS_ONLY
 from wisterialoom.core.membership_join import JoinSchedule
 from wisterialoom.core.membership_probe import PROBE_INTERVAL_S, ProbeSchedule
 from wisterialoom.core.membership_table import MemberTable
@@ -42,7 +32,6 @@
     PeerReceived,
     SendPeer,
     ServerLoad,
-    STALE_AGE_MS,
     StateSync,
 )
 
@@ -72,27 +61,12 @@
 URGENT_FANOUT = 2
 """Members that urgent news is sent to with each tick."""
 
-URGENT_BYTES_PER_S = 600.0
-"""Bytes of messages for urgent news that one instance sends each second."""
-
-URGENT_BURST_BYTES = 6_000.0
-"""Bytes of them that may be sent at once after a quiet time."""
-
 LEAVE_S = 2.0
 """Time in which the news of leaving spreads before the part is drained."""
 
 EXPIRE_INTERVAL_S = 0.5
 """Time between two looks at suspicions and forgotten members."""
 
-NEWS_ONLY = 0
-"""Serial of an acknowledgement that answers nothing and only carries news."""
-
-MEMBER_BYTES = 400
-"""Most bytes of news of members on one heartbeat or acknowledgement."""
-
-FRAME_BYTES = 68
-"""Bytes of a heartbeat besides the sender's name and news."""
-
 
 class Membership:
     """Probes members in turn and spreads news of members and backend servers.
@@ -102,8 +76,7 @@
         table: What is believed of the others.
         loads: What is known of backend servers.
         leaving: Backend servers that were seen leaving.
-        generation: Highest configuration known here.
-        generation_sends: Messages that still go out at once to tell of it.
+        writer: Packs the news into heartbeats.
         conflicts: Times that another process used this instance's name.
     """
 
@@ -144,21 +117,17 @@
         )
         self.rng = rng
         self.table = MemberTable(self.own)
-        self.news: GossipQueue[MemberUpdate] = GossipQueue()
+        self.writer = HeartbeatWriter(self.table)
+        self.loads = self.writer.loads
+        self.leaving = self.writer.leaving
         self.probes = ProbeSchedule(rng)
         self.joins = JoinSchedule(address, seeds, rng)
-        self.loads = LoadGossip()
-        self.leaving = LeavingGossip()
-        self.generation = 0
-        self.generation_sends = 0
-        self.fresh_at: float | None = None
         self.conflicts = 0
         self.loads_synced = False
         self.leaving_at: float | None = None
         self.drained = False
         self.last_event: float | None = None
         self.expire_at = 0.0
-        self.urgent_budget = ByteBudget(URGENT_BYTES_PER_S, URGENT_BURST_BYTES)
         self.announced_version = 0
         self.announced: MembersChanged | None = None
         self.out: list[Output] = []
@@ -175,9 +144,9 @@
             case InstanceListRead(listing=listing):
                 self.joins.take_listing(listing)
             case ConfigChanged(generation=generation):
-                self._raise_generation(generation)
+                self.writer.raise_generation(generation)
             case ConfigFreshness():
-                self._take_freshness(now, event)
+                self.writer.take_freshness(now, event)
             case LoadReported(load=load, own=True):
                 self.loads.report(now, load)
             case ServerSeenLeaving():
@@ -187,15 +156,6 @@
         self._announce_members()
         return self.out
 
-    def _take_freshness(self, now: float, notice: ConfigFreshness) -> None:
-        self._raise_generation(max(notice.generation, notice.known))
-        self.fresh_at = now - notice.age_s
-
-    def _raise_generation(self, generation: int) -> None:
-        if generation > self.generation:
-            self.generation = generation
-            self.generation_sends = URGENT_SENDS
-
     # Time.
 
     def _notice_pause(self, now: float) -> None:
@@ -243,13 +203,13 @@
         if target is None:
             return
         probe = self.probes.begin(now, target)
-        self._send(target, self._heartbeat(now, target, probe.serial))
+        self._send(target, self.writer.heartbeat(now, target, probe.serial))
         suspects = [x.name for x in self.table.suspects()]
         told = [*doubted[1:], *self._some(suspects, SUSPECT_PROBES)]
         for name in dict.fromkeys(told):
             if name != target:
                 serial = self.probes.next_serial()
-                self._send(name, self._heartbeat(now, name, serial))
+                self._send(name, self.writer.heartbeat(now, name, serial))
 
     def _some(self, names: list[str], count: int) -> list[str]:
         return self.rng.sample(names, min(count, len(names)))
@@ -260,7 +220,7 @@
             return
         update = self.table.mark(now, name, MemberStatus.SUSPECT)
         if update is not None:
-            self._spread(update)
+            self.writer.spread(update)
 
     def _ask_for_help(self, now: float) -> None:
         probe = self.probes.wants_help(now)
@@ -276,12 +236,12 @@
         match message:
             case Heartbeat():
                 self._take_news(now, sender, message)
-                self._send(sender, self._ack(now, sender, message.serial))
+                self._send(sender, self.writer.ack(now, sender, message.serial))
             case HeartbeatAck():
                 self._take_ack(now, sender, message)
             case IndirectPing(serial=serial, target=target):
                 own = self.probes.begin_relay(now, sender, serial)
-                self._send(target, self._heartbeat(now, target, own))
+                self._send(target, self.writer.heartbeat(now, target, own))
             case StateSync():
                 self._take_sync(now, sender, message)
             case LoadPull(servers=servers):
@@ -295,7 +255,7 @@
         self.table.doubts.pop(sender, None)
         relay = self.probes.acknowledge(message.serial)
         if relay is not None:
-            self._send(relay.origin, self._ack(now, relay.origin, relay.serial))
+            self._send(relay.origin, self.writer.ack(now, relay.origin, relay.serial))
 
     def _take_news(
         self, now: float, sender: str, message: Heartbeat | HeartbeatAck
@@ -348,7 +308,7 @@
             return
         news = self.table.merge(now, update)
         if news is not None:
-            self._spread(news)
+            self.writer.spread(news)
 
     def _merge_own(self, now: float, update: MemberUpdate) -> None:
         if update.incarnation < self.own.incarnation or update == self.own:
@@ -361,10 +321,7 @@
     def _set_own(self, now: float, own: MemberUpdate) -> None:
         self.own = own
         self.table.set_own(now, own)
-        self._spread(own)
-
-    def _spread(self, update: MemberUpdate) -> None:
-        self.news.put(update.name, update, _member_size(update), urgent=True)
+        self.writer.spread(own)
 
     # Joining and leaving.
 
@@ -400,76 +357,18 @@
     # Sending.
 
     def _send_urgent(self, now: float) -> None:
-        news = (self.news.urgent, self.loads.urgent, self.leaving.urgent)
-        if not any(news) and not self.generation_sends:
+        if not self.writer.urgent:
             return
         names = [update.name for update in self.table.active()]
         for name in self._some(names, URGENT_FANOUT):
-            if self.urgent_budget.available(now) < DATAGRAM_BYTES:
-                return
-            message, size = self._news(now, name, NEWS_ONLY)
-            self.urgent_budget.spend(size)
-            self.generation_sends = max(self.generation_sends - 1, 0)
-            self._send(name, message)
+            message = self.writer.write_urgent(now, name)
+            if message is not None:
+                self._send(name, message)
 
     def _pull_loads(self, now: float) -> None:
         for member, servers in self.loads.take_missing(now).items():
             self._send(member, LoadPull(servers))
 
-    def _heartbeat(self, now: float, to: str, serial: int) -> Heartbeat:
-        ack = self._ack(now, to, serial)
-        return Heartbeat(
-            serial=serial,
-            generation=ack.generation,
-            config_age_ms=ack.config_age_ms,
-            members=ack.members,
-            loads=ack.loads,
-            changes=ack.changes,
-            digest=ack.digest,
-            leaving=ack.leaving,
-        )
-
-    def _ack(self, now: float, to: str, serial: int) -> HeartbeatAck:
-        return self._news(now, to, serial)[0]
-
-    def _news(self, now: float, to: str, serial: int) -> tuple[HeartbeatAck, int]:
-        """Return a message with news, and its size in bytes."""
-        limit = send_limit(len(self.table.entries))
-        room = DATAGRAM_BYTES - FRAME_BYTES - text_size(self.own.name)
-        doubt = self._doubt_about(to)
-        budget = room if serial == NEWS_ONLY else MEMBER_BYTES
-        members, used = self.news.take(budget - sum(map(_member_size, doubt)), limit)
-        used += sum(map(_member_size, doubt))
-        leaving, more = self.leaving.pick(room - used, limit)
-        used += more
-        loads = self.loads.take(now, room - used)
-        message = HeartbeatAck(
-            serial=serial,
-            generation=self.generation,
-            config_age_ms=self._config_age_ms(now),
-            members=(*doubt, *(x for x in members if x not in doubt)),
-            loads=loads.loads,
-            changes=loads.changes,
-            digest=self.table.digest,
-            leaving=leaving,
-        )
-        return message, FRAME_BYTES + used + loads.size
-
-    def _doubt_about(self, name: str) -> tuple[MemberUpdate, ...]:
-        """Return what the receiver itself should refute, if it lives."""
-        doubt = self.table.doubts.get(name)
-        entry = self.table.entries.get(name)
-        if doubt is not None:
-            return (doubt,)
-        if entry is not None and entry.update.status is not MemberStatus.ALIVE:
-            return (entry.update,)
-        return ()
-
-    def _config_age_ms(self, now: float) -> int:
-        if self.fresh_at is None:
-            return STALE_AGE_MS
-        return max(int((now - self.fresh_at) * 1_000), 0)
-
     def _send(self, to: str, message: PeerMessage) -> None:
         entry = self.table.entries.get(to)
         if entry is not None:
@@ -483,14 +382,3 @@
         if notice != self.announced:
             self.announced = notice
             self.out.append(notice)
-
-
-def _member_size(update: MemberUpdate) -> int:
-    return (
-        text_size(update.name)
-        + text_size(update.address)
-        + text_size(update.availability_zone)
-        + int_size(update.incarnation)
-        + int_size(update.status)
-        + 1
-    )
--- a/tests/test_load_gossip.py
+++ b/tests/test_load_gossip.py
@@ -15,7 +15,7 @@
     MIN_REFRESH_S,
     server_load_size,
 )
-from wisterialoom.core.membership import _member_size, FRAME_BYTES
+from wisterialoom.core.membership_heartbeat import FRAME_BYTES, member_size
 from wisterialoom.core.notice import LoadReported
 from wisterialoom.core.peer import (
     HeartbeatAck,
@@ -184,7 +184,7 @@
     )
     size = (
         FRAME_BYTES
-        + sum(map(_member_size, message.members))
+        + sum(map(member_size, message.members))
         + sum(map(server_load_size, message.loads))
         + sum(map(load_change_size, message.changes))
     )
