Never take up an epoch of the lease that an earlier object of this process held

Cause: a server that vanished from the instance list and came back within its lease got a new steward object, which found this process named in the ledger and went on in the same epoch with fencing numbers and report serials from the start: the engine refused its orders as stale, peers dropped its reports as old, and a late order could have met an equal number. Change: a lease is taken up only under the epoch that this very object wrote; otherwise it is taken over, which raises the epoch.

--- a/src/wisterialoom/core/lease.py
+++ b/src/wisterialoom/core/lease.py
@@ -70,6 +70,7 @@
         read_due: When to read again; infinite if nothing calls for it.
         op: Operation under way; empty if none is.
         failed_sent_at: When the last operation that failed was sent.
+        taken_epoch: Epoch of the last write by which this object asked for the lease.
         barred_epoch: This process said that it let go of epochs up to this one.
     """
 
@@ -93,6 +94,7 @@
         self.writes = 0
         self.barred_epoch = 0
         self.failed_sent_at = NEVER
+        self.taken_epoch = 0
 
     @property
     def epoch(self) -> int:
@@ -146,6 +148,7 @@
             epoch=self.epoch + 1,
             released=False,
         )
+        self.taken_epoch = ledger.epoch
         return self._write(now, ledger)
 
     def renew(
@@ -221,6 +224,9 @@
         self.version = version
         self.ledger = ledger
         mine = (ledger.holder, ledger.boot_id) == (self.me.name, self.me.boot_id)
+        # An earlier object of this process may have held an earlier epoch; its
+        # fencing numbers are unknown here, so that epoch is never taken up.
+        mine = mine and ledger.epoch == self.taken_epoch
         barred = ledger.epoch <= self.barred_epoch
         if mine and not ledger.released and not barred:
             taken, self.holding = not self.holding, True
