Keep a steward until it has released, also when its server is unlisted

A server that flapped in the listing lost its steward; the new one found its own lease in the ledger and began its fencing numbers anew in the same epoch. An absence is also counted anew when nobody has looked for a while.

--- a/src/wisterialoom/core/steward.py
+++ b/src/wisterialoom/core/steward.py
@@ -129,6 +129,11 @@
         """How long after its connection closed an order may take effect."""
         return 0.0 if self.group.checks_fencing else self.group.order_lifetime_s
 
+    @property
+    def is_done(self) -> bool:
+        """Nothing is held or under way that would be lost with this object."""
+        return not self.lease.holding and not self.lease.op and self.orders.idle
+
     def set_target(self, now: float, target: Target) -> None:
         """Take a newer plan."""
         self.target = target
--- a/src/wisterialoom/core/steward_presence.py
+++ b/src/wisterialoom/core/steward_presence.py
@@ -15,6 +15,8 @@
 ABSENCE_S = 5.0
 """An instance must be missing everywhere for this long, in seconds."""
 
+NEVER = float("-inf")
+
 
 @dataclass
 class Presence:
@@ -29,12 +31,14 @@
         members: Members by name.
         listed: Names in the platform's list; `None` before it was read.
         seen_at: When each name was last present, or first asked for.
+        asked_at: When each name was last asked for.
     """
 
     me: str
     members: dict[str, Member] = field(default_factory=dict)
     listed: frozenset[str] | None = None
     seen_at: dict[str, float] = field(default_factory=dict)
+    asked_at: dict[str, float] = field(default_factory=dict)
 
     @property
     def self_listed(self) -> bool:
@@ -48,6 +52,8 @@
     def is_gone(self, name: str, now: float) -> bool:
         """Tell whether an instance has been missing for long enough."""
         present = name in self.members or self.listed is None or name in self.listed
-        if present or name not in self.seen_at:
+        asked_before = now - self.asked_at.get(name, NEVER) <= ABSENCE_S
+        self.asked_at[name] = now
+        if present or not asked_before:
             self.seen_at[name] = now
         return now - self.seen_at[name] > ABSENCE_S
--- a/src/wisterialoom/core/stewards.py
+++ b/src/wisterialoom/core/stewards.py
@@ -162,8 +162,8 @@
             if group is None:
                 continue
             self._sort_out_one(now, name, server, group)
-        for name in [x for x in self.stewards if x not in self.servers]:
-            del self.stewards[name]
+        for name in self.stewards.keys() - self.servers.keys():
+            self.stewards[name].stopping = True
 
     def _sort_out_one(
         self, now: float, name: str, server: BackendServer, group: ServerGroup
@@ -178,6 +178,7 @@
             self.stewards[name] = steward
         steward.server = server
         steward.group = group
+        steward.stopping = self.drain_until is not None
         steward.lease.lease_s = lease_s
         steward.may_journal = self.presence.self_listed
         self._set_target(now, name)
@@ -244,6 +245,9 @@
         for name, steward in self.stewards.items():
             place = self.duty.place(name, self.me.name)
             outputs += steward.tick(now, place)
+        for name in self.stewards.keys() - self.servers.keys():
+            if self.stewards[name].is_done:
+                del self.stewards[name]
         return outputs + self._finish_drain(now)
 
     def _begin_drain(self, now: float) -> None:
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -105,6 +105,7 @@
         self.boots = 0
         self.gone = set()
         self.plans = {}
+        self.unlisted = set()
         for name, group in engines.items():
             memory = EngineMemory(
                 CAPACITY_MB + POOL_MB, checks_fencing=group == "checking"
@@ -167,11 +168,12 @@
             Member(x, "127.0.0.1:1", "zone-0", 1, MemberStatus.ALIVE)
             for x in sorted(up)
         )
+        listed = tuple(x for x in self.servers if x.name not in self.unlisted)
         gone = frozenset(self.gone | (set(names) - set(up)))
         for name in names:
             self.world.send(name, ConfigChanged(1, self.document))
             self.world.send(name, MembersChanged(members, gone))
-            self.world.send(name, ServersChanged(self.servers))
+            self.world.send(name, ServersChanged(listed))
 
     def plan(self, wanted):
         """Give every instance the same plan, most wanted first."""
@@ -198,6 +200,7 @@
 
     def heal(self, names):
         """Mend everything and run every instance."""
+        self.unlisted.clear()
         self.world.store_port.fault = StoreFault()
         self.world.links.mend()
         for engine in self.engines.values():
@@ -226,6 +229,11 @@
         """Return every order to load a model that was sent."""
         return [x.message for x in self.world.trace if _is_load(x.message)]
 
+    def fences(self):
+        """Return server and fence of every order that was sent."""
+        sent = (x.message for x in self.world.trace)
+        return [(x.server, x.order.fence) for x in sent if isinstance(x, SendOrder)]
+
     def resident(self, server):
         """Return `name@version` of what an engine holds."""
         memory = self.engines[server].memory
--- a/tests/test_memory_invariant.py
+++ b/tests/test_memory_invariant.py
@@ -144,6 +144,11 @@
     def notice_members(self):
         self.fleet.refresh()
 
+    @rule(server=engines)
+    def flap_in_listing(self, server):
+        self.fleet.unlisted ^= {server}
+        self.fleet.refresh()
+
     @rule(left=instances, right=instances)
     def cut_link(self, left, right):
         self.world.links.cut({left}, {right})
@@ -164,7 +169,7 @@
     def _do_one(self, dice):
         server = dice.choice(sorted(ENGINES))
         name = dice.choice(INSTANCES)
-        match dice.randrange(18):
+        match dice.randrange(20):
             case 0 | 1 | 2 | 3 | 4 | 5:
                 self._shuffle_plans(dice)
             case 6:
@@ -188,6 +193,8 @@
             case 16 | 17:
                 self.start(name)
                 self.notice_members()
+            case 18 | 19:
+                self.flap_in_listing(server)
 
     def _shuffle_plans(self, dice):
         for server in ENGINES:
@@ -216,6 +223,8 @@
         healed = self.world.run_while(lambda: any(missing().values()), HEALED_LIMIT_S)
         assert self.fleet.violations == [], self.world.explain()
         assert healed, (missing(), self.world.explain())
+        fences = self.fleet.fences()
+        assert len(fences) == len(set(fences))
 
 
 def test_memory_is_never_overcommitted_and_plans_are_met():
