--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -70,6 +70,18 @@
     assert fleet.violations == []
 
 
+def test_models_stay_reachable_when_an_engine_takes_no_orders():
+    fleet = Served(
+        5,
+        document=make_document({"a": 60, "b": 60, "c": 60}),
+        engines={"s0": "trusting", "s1": "checking"},
+    )
+    fleet.engines["s0"].fault.lose_order = 1.0
+    fleet.run(3 * RESIDENT_LIMIT_S, {"a": 1.0, "b": 1.0, "c": 1.0})
+    assert fleet.served == {"a", "b", "c"}
+    assert fleet.resident("s0") == set()
+
+
 def test_stable_demand_that_fits_causes_no_moves():
     sizes = dict.fromkeys(NAMES[:4], 50)
     adapters = [Adapter("x", "a", "1", 10), Adapter("y", "b", "1", 10)]
