Test a grant after a long pause, and two more one-line faults

Change: direct tests in place of chance for a claim decided after the retention, a claim given up by an owner that then dies, and the replacement of a settled claim. test_claim_given_up was green under its fault, as its write was never sent; it now checks that it was.

--- a/tests/test_claim.py
+++ b/tests/test_claim.py
@@ -8,7 +8,7 @@
 from tests.claim_fleet import Fleet
 from wisterialoom.core.claim_bucket import Claim, ClaimBucket, Release, Settle
 from wisterialoom.core.claim_commit import BucketCommitter, PendingChange
-from wisterialoom.core.claim_entry import ClaimState
+from wisterialoom.core.claim_entry import claim_key, ClaimState
 from wisterialoom.core.notice import (
     ClaimFailed,
     ClaimGranted,
@@ -134,9 +134,15 @@
 
 def test_claim_given_up_is_free_after_its_owner_died():
     fleet = Fleet()
+    fleet.see("a", ("a",))
+    for number in range(8):
+        fleet.want("a", f"earlier{number}")
+    fleet.world.run_for(2.0)
     fleet.world.store_port.fault.lose_answer = 1.0
     first = fleet.want("a", "k1")
     fleet.world.run_for(3.0)
+    written = fleet.world.store_port.store.history[-1][1].body
+    assert claim_key("caller", "k1").encode() in written
     assert isinstance(fleet.final(first), ClaimFailed)
     fleet.world.store_port.fault.lose_answer = 0.0
     fleet.world.run_for(6.0)
@@ -156,6 +162,27 @@
     assert taken.state is ClaimStateWire.GRANTED
     assert late.state is ClaimStateWire.HELD
     assert bucket.entries["k"].nonce == "b.1"
+    done = replace(bucket.entries["k"], state=ClaimState.DONE)
+    bucket.apply(Settle("k", "b.1", done))
+    late, _ = bucket.apply(Claim("k", "c.1", "d", "c", 1, replaces="b.1"))
+    assert late.state is ClaimStateWire.HELD
+
+
+def test_claim_decided_after_a_long_pause_is_refused():
+    fleet = Fleet()
+    fleet.see("a", ("a",))
+    fleet.world.run_for(0.1)
+    fleet.world.freeze("a", hold_sends=True)
+    first = fleet.want("a", "k1")
+    # Past the retention; right after a tick, so that the next comes late.
+    fleet.world.run_for(700.02)
+    fleet.world.thaw("a")
+    fleet.world.run_for(1.0)
+    second = fleet.want("b", "k1")
+    fleet.world.run_for(1.0)
+    assert isinstance(fleet.final(first), ClaimFailed)
+    assert fleet.final(second) == ClaimGranted(second)
+    assert len(fleet.record.runs) == 1
 
 
 def test_release_voids_a_write_that_may_yet_come():
