Keep copies of buckets at their homes only

Cause: an instance that commits by itself kept the decoded bucket until the members changed: 3.5 MB for a full one (tracemalloc), 64 of them.

Change: a committer forgets its copy once it is idle and not the home.

--- a/src/wisterialoom/core/claim_home.py
+++ b/src/wisterialoom/core/claim_home.py
@@ -126,6 +126,9 @@
         committer = self.committers[bucket]
         if committer.op:
             self.calls[committer.op] = bucket
+        if committer.idle and not self.is_home(bucket):
+            # Only the home keeps copies: each may take some MB.
+            committer.forget()
         routed: list[HomeOutput] = []
         for output in outputs:
             match output:
