--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 BIN := .venv/bin
 JOBS ?= 6
 
-.PHONY: demo test check format setup
+.PHONY: demo test check format setup measure
 
 setup: $(STAMP)
 
@@ -18,6 +18,9 @@
 demo: $(STAMP)
 	$(BIN)/wisterialoom demo
 
+measure: $(STAMP)
+	$(BIN)/python -m wisterialoom.measure --out docs/measurements
+
 check: $(STAMP)
 	$(BIN)/ruff format --check .
 	$(BIN)/ruff check .
--- a/src/wisterialoom/core/assembly.py
+++ b/src/wisterialoom/core/assembly.py
@@ -12,6 +12,7 @@
 from wisterialoom.core.entry import EntryCore
 from wisterialoom.core.job import JobKeeper
 from wisterialoom.core.job_gate import JobGate
+from wisterialoom.core.lru_planner import LruPlanner
 from wisterialoom.core.membership import Membership
 from wisterialoom.core.planner import Planner
 from wisterialoom.core.request_path import RequestPath
@@ -23,6 +24,7 @@
     import random
     from collections.abc import Callable
 
+    from wisterialoom.core.choice import Choice
     from wisterialoom.core.message import Part
     from wisterialoom.core.window import WindowPolicy
 
@@ -37,6 +39,7 @@
 
     DEMAND = "demand"
     STATIC = "static"
+    RECENCY = "recency"
 
 
 @dataclass(frozen=True, slots=True)
@@ -93,6 +96,7 @@
         *,
         policy: WindowPolicy | None = None,
         placement: Placement = Placement.DEMAND,
+        choice: Choice | None = None,
     ) -> EntryParts:
         """Build every part of an instance.
 
@@ -102,6 +106,7 @@
             wall_clock: Returns the wall-clock time in seconds.
             policy: How in-flight limits are found; `None` for the default.
             placement: What decides which models are resident where.
+            choice: How a server is chosen; `None` for the default.
         """
         zone = identity.availability_zone
         config = ConfigFollower(identity.name, zone, rng)
@@ -116,7 +121,7 @@
         directory = ServerDirectory(rng)
         stewards = Stewards(identity.name, identity.boot_id)
         claims = ClaimKeeper(identity.name, identity.boot_id, wall_clock)
-        path = RequestPath(zone, policy=policy)
+        path = RequestPath(zone, policy=policy, choice=choice, rng=rng)
         jobs = JobKeeper(identity.name, identity.boot_id, wall_clock)
         parts: tuple[Part, ...] = (
             config,
@@ -139,3 +144,5 @@
             return (Demand(name), Planner(name))
         case Placement.STATIC:
             return (StaticPlanner(),)
+        case Placement.RECENCY:
+            return (Demand(name), LruPlanner(name))
--- a/src/wisterialoom/core/planner.py
+++ b/src/wisterialoom/core/planner.py
@@ -161,7 +161,7 @@
 
     def _entries(self, given: PlanInput) -> list[PlanEntry]:
         given = replace(given, demand=with_adapter_demand(given))
-        placed = place(given)
+        placed = self.place(given)
         entries = []
         for view in given.servers:
             models = placed[view.name]
@@ -171,6 +171,10 @@
             )
         return entries
 
+    def place(self, given: PlanInput) -> dict[str, tuple[ModelKey, ...]]:
+        """Return the models that each engine should hold, most wanted first."""
+        return place(given)
+
     def _publish(self, now: float, entries: list[PlanEntry]) -> list[Output]:
         everything = now >= self.resend_due
         if everything:
--- a/src/wisterialoom/core/request_path.py
+++ b/src/wisterialoom/core/request_path.py
@@ -55,6 +55,9 @@
 from wisterialoom.core.router import Router
 
 if TYPE_CHECKING:
+    import random
+
+    from wisterialoom.core.choice import Choice
     from wisterialoom.core.server_view import ServerView
     from wisterialoom.core.window import WindowPolicy
 
@@ -121,7 +124,12 @@
     )
 
     def __init__(
-        self, availability_zone: str, *, policy: WindowPolicy | None = None
+        self,
+        availability_zone: str,
+        *,
+        policy: WindowPolicy | None = None,
+        choice: Choice | None = None,
+        rng: random.Random | None = None,
     ) -> None:
         self.classifier: Classifier | None = None
         self.fresh = False
@@ -133,6 +141,10 @@
         self.router = Router(availability_zone)
         if policy is not None:
             self.router.policy = policy
+        if choice is not None:
+            self.router.choice = choice
+        if rng is not None:
+            self.router.rng = rng
         self.admission = Admission(self.queue, self.router)
         self.budget = RetryBudget()
         self.demand = DemandMeter()
--- a/src/wisterialoom/core/router.py
+++ b/src/wisterialoom/core/router.py
@@ -2,9 +2,11 @@
 
 from __future__ import annotations
 
+import random
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+from wisterialoom.core.choice import Choice, LeastCost, LeastOfTwo, RandomChoice
 from wisterialoom.core.classifier import model_lane, service_lane
 from wisterialoom.core.engine import ModelKey
 from wisterialoom.core.prefix_index import PrefixIndex
@@ -44,6 +46,8 @@
     Attributes:
         availability_zone: Of this instance.
         policy: How in-flight limits are found.
+        choice: How a server is chosen among those with room.
+        rng: For choices at random.
         views: Views by server name.
         sharers: Entry instances that share the servers.
         delays_s: One-way delay to other availability zones, in seconds.
@@ -53,6 +57,8 @@
 
     availability_zone: str
     policy: WindowPolicy = field(default_factory=AdaptiveWindow)
+    choice: Choice = field(default_factory=LeastCost)
+    rng: random.Random = field(default_factory=lambda: random.Random(0))
     views: dict[str, ServerView] = field(default_factory=dict)
     sharers: int = 1
     delays_s: dict[str, float] = field(default_factory=dict)
@@ -165,10 +171,22 @@
             view for view in self.candidates(now, classified.lane) if view.has_room(now)
         ]
         fresh = [view for view in with_room if view.server.name not in avoid]
+        return self._choose(now, classified, fresh or with_room)
+
+    def _choose(
+        self, now: float, classified: Classified, views: list[ServerView]
+    ) -> ServerView | None:
+        if not views:
+            return None
+        match self.choice:
+            case RandomChoice():
+                return self.rng.choice(views)
+            case LeastOfTwo():
+                two = self.rng.sample(views, min(2, len(views)))
+                return min(two, key=lambda view: (_reported(view), view.server.name))
         return min(
-            fresh or with_room,
+            views,
             key=lambda view: (self.cost_s(now, classified, view), view.server.name),
-            default=None,
         )
 
     def adapter_of(self, classified: Classified) -> str:
@@ -225,3 +243,7 @@
             ahead += sum(ahead_of[name] for name in shared if name not in counted)
             counted.update(shared)
         return ahead / max(rate, 1e-9)
+
+
+def _reported(view: ServerView) -> int:
+    return view.load.running + view.load.waiting if view.load is not None else 0
--- a/src/wisterialoom/lab/deployment.py
+++ b/src/wisterialoom/lab/deployment.py
@@ -25,6 +25,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
+    from wisterialoom.core.choice import Choice
     from wisterialoom.core.document import Document
     from wisterialoom.core.window import WindowPolicy
     from wisterialoom.standin.engine_batch import BatchSettings
@@ -80,6 +81,7 @@
         seed: Of every random choice.
         policy: How in-flight limits are found; `None` for the default.
         placement: What decides which models are resident where.
+        choice: How a server is chosen; `None` for the default.
         keep_trace: Keep every event and command, to explain a failed check.
         world: The virtual clock and the fakes.
         entries: Parts of each running entry instance.
@@ -97,6 +99,7 @@
     seed: int = 1
     policy: WindowPolicy | None = None
     placement: Placement = Placement.DEMAND
+    choice: Choice | None = None
     keep_trace: bool = True
     world: World = field(init=False)
     entries: dict[str, EntryParts] = field(default_factory=dict)
@@ -195,6 +198,7 @@
             self.wall_clock,
             policy=self.policy,
             placement=self.placement,
+            choice=self.choice,
         )
         self.entries[name] = parts
         self.world.add(name, parts.core)
--- a/src/wisterialoom/measure/bound.py
+++ b/src/wisterialoom/measure/bound.py
@@ -2,12 +2,16 @@
 
 A planner with perfect knowledge and free moves has every model resident wherever
 it likes and every prefix cached. It still cannot make engines faster: an engine
-yields at most `slots / token_gap_s` tokens a second, whatever its batch is. The
-work of requests that arrive in a window must be done between the window's
-beginning and its end plus the longest time that a target leaves to a request.
-Within each window the cheapest requests are counted first, which maximizes their
-number. Windows are relaxed independently of each other; every window length
-gives a valid bound, and the least is taken.
+yields at most `slots / token_gap_s` steps a second, whatever its batch is, and a
+request takes one step for each token after the first and as many as the part of
+its prompt that no block covers is worth.
+
+A request that arrives in a window and meets its targets has all its work done
+between the window's beginning and its own latest end. Those whose latest end is
+more than a margin after the window are given away for free; the work of the
+others must fit between the window's beginning and its end plus the margin. The
+cheapest are counted first, which maximizes their number. Each partition of the
+time into windows with each margin gives a valid bound, and the least is taken.
 """
 
 from __future__ import annotations
@@ -20,9 +24,17 @@
 
     from wisterialoom.measure.workload import Arrival
 
-__all__ = ["Bound", "Pool", "Targets", "bound_attainment"]
+__all__ = ["EXPLANATION", "Bound", "Pool", "Targets", "bound_attainment"]
 
-WINDOWS_S = (60.0, 150.0, 300.0, 600.0)
+EXPLANATION = (
+    "The upper bound counts, for each class as if it had all engines to itself, the "
+    "cheapest requests whose decoding steps and uncovered prompt fit into what the "
+    "engines can yield while their targets last; every model is resident everywhere, "
+    "every prompt block cached, and moves are free."
+)
+
+WINDOWS_S = (30.0, 60.0, 120.0, 240.0, 600.0)
+MARGINS_S = (2.0, 5.0, 8.0, 12.0, 20.0, 30.0, 60.0, 120.0, 360.0)
 
 
 @dataclass(frozen=True, slots=True)
@@ -38,20 +50,25 @@
     """Engines that can serve the same models.
 
     Attributes:
-        tokens_per_s: Tokens that all of them yield each second at most.
-        first_token_s: Least time to a first token.
+        steps_per_s: Steps that all of them yield each second at most.
+        first_token_s: Time to the first token of an empty prompt.
         token_gap_s: Least time between tokens.
-        models: Names of models and adapters.
+        prefill_tokens_per_s: Prompt tokens computed each second.
+        block_tokens: Tokens of a prefix block.
     """
 
-    tokens_per_s: float
+    steps_per_s: float
     first_token_s: float
     token_gap_s: float
-    models: frozenset[str]
+    prefill_tokens_per_s: float
+    block_tokens: int = 64
 
     def cost(self, arrival: Arrival) -> float:
-        """Return the least work of a request, in tokens of one engine."""
-        return arrival.output_tokens + self.first_token_s / self.token_gap_s
+        """Return the least work of a request, in steps."""
+        covered = len(arrival.prefix_hashes) * self.block_tokens
+        uncovered = max(0, arrival.prompt_tokens - covered)
+        prompt_s = self.first_token_s + uncovered / self.prefill_tokens_per_s
+        return prompt_s / self.token_gap_s + arrival.output_tokens - 1
 
 
 @dataclass(frozen=True, slots=True)
@@ -69,48 +86,73 @@
 
 def bound_attainment(
     arrivals: Iterable[Arrival],
-    pools: Sequence[Pool],
+    pool: Pool,
     targets: Mapping[str, Targets],
     traffic_class: str,
+    *,
+    since_s: float = 0.0,
 ) -> Bound:
     """Return the bound for one class, as if no other class were there.
 
     Args:
         arrivals: The whole workload.
-        pools: Engines; no model is in two pools.
+        pool: The engines.
         targets: Targets by class.
         traffic_class: The class.
+        since_s: Requests that arrive earlier do not count.
     """
-    wanted = [item for item in arrivals if item.traffic_class == traffic_class]
-    served = 0
-    for pool in pools:
-        mine = [item for item in wanted if item.model in pool.models]
-        served += min(
-            (_served(mine, pool, targets[traffic_class], w) for w in WINDOWS_S),
-            default=0,
-        )
+    wanted = [
+        item
+        for item in arrivals
+        if item.traffic_class == traffic_class and item.at_s >= since_s
+    ]
+    target = targets[traffic_class]
+    served = min(
+        (_served(wanted, pool, target, window_s, since_s) for window_s in WINDOWS_S),
+        default=0,
+    )
     return Bound(len(wanted), served)
 
 
 def _served(
-    arrivals: Sequence[Arrival], pool: Pool, target: Targets, window_s: float
+    arrivals: Sequence[Arrival],
+    pool: Pool,
+    target: Targets,
+    window_s: float,
+    since_s: float,
 ) -> int:
     windows: dict[int, list[Arrival]] = {}
     for item in arrivals:
-        windows.setdefault(int(item.at_s // window_s), []).append(item)
-    return sum(_fits(items, pool, target, window_s) for items in windows.values())
+        windows.setdefault(int((item.at_s - since_s) // window_s), []).append(item)
+    return sum(
+        min(
+            _fits(items, pool, target, since_s + number * window_s, window_s, margin)
+            for margin in MARGINS_S
+        )
+        for number, items in windows.items()
+    )
 
 
 def _fits(
-    arrivals: Sequence[Arrival], pool: Pool, target: Targets, window_s: float
+    arrivals: Sequence[Arrival],
+    pool: Pool,
+    target: Targets,
+    begin_s: float,
+    window_s: float,
+    margin_s: float,
 ) -> int:
-    longest = max(item.output_tokens for item in arrivals)
-    after_s = target.first_token_s + longest * target.token_gap_s
-    work = pool.tokens_per_s * (window_s + after_s)
-    count = 0
-    for cost in sorted(pool.cost(item) for item in arrivals):
+    limit_s = begin_s + window_s + margin_s
+    bounded = [item for item in arrivals if _latest_end(item, target) <= limit_s]
+    work = pool.steps_per_s * (window_s + margin_s)
+    count = len(arrivals) - len(bounded)
+    for cost in sorted(pool.cost(item) for item in bounded):
         work -= cost
         if work < 0:
             break
         count += 1
     return count
+
+
+def _latest_end(arrival: Arrival, target: Targets) -> float:
+    decoding_s = (arrival.output_tokens - 1) * target.token_gap_s
+    return arrival.at_s + target.first_token_s + decoding_s
--- /dev/null
+++ b/src/wisterialoom/measure/report.py
@@ -0,0 +1,109 @@
+"""Tables and plots of the figures."""
+
+from __future__ import annotations
+
+import json
+from typing import TYPE_CHECKING
+
+from wisterialoom.measure.bound import EXPLANATION
+
+if TYPE_CHECKING:
+    from collections.abc import Sequence
+    from pathlib import Path
+
+    from wisterialoom.measure.score import Score
+
+__all__ = ["scene_table", "write_plot", "write_report"]
+
+_HEAD = (
+    "| policy | class | offered | met | share | of bound | first token p50/p95 s "
+    "| gap p50/p95 ms | no answer |\n|---|---|--:|--:|--:|--:|--:|--:|--:|"
+)
+
+
+def scene_table(scores: Sequence[Score]) -> str:
+    """Return the Markdown of one scene at one site, all policies."""
+    lines = [f"## {scores[0].site}: {scores[0].scene}", "", _HEAD]
+    for score in scores:
+        lines += _class_rows(score)
+    lines += [
+        "",
+        "| policy | met per engine and s | model loads/unloads "
+        "| adapter loads/unloads | no answer, by reason |\n|---|--:|--:|--:|---|",
+    ]
+    lines += [_total_row(score) for score in scores]
+    return "\n".join(lines) + "\n"
+
+
+def _class_rows(score: Score) -> list[str]:
+    rows = []
+    for name, item in score.classes.items():
+        first = f"{item.first_token_p50:.2f} / {item.first_token_p95:.2f}"
+        gap = f"{item.token_gap_p50 * 1e3:.0f} / {item.token_gap_p95 * 1e3:.0f}"
+        rows.append(
+            f"| {score.policy} | {name} | {item.offered} | {item.met} "
+            f"| {item.attainment:.3f} | {item.of_bound:.3f} | {first} | {gap} "
+            f"| {item.unfinished} |"
+        )
+    return rows
+
+
+def _total_row(score: Score) -> str:
+    moves = score.moves
+    models = f"{moves.get('load_model', 0)} / {moves.get('unload_model', 0)}"
+    adapters = f"{moves.get('load_adapter', 0)} / {moves.get('unload_adapter', 0)}"
+    reasons = ", ".join(f"{name} {count}" for name, count in score.reasons.items())
+    return (
+        f"| {score.policy} | {score.per_engine:.3f} | {models} | {adapters} "
+        f"| {reasons or '-'} |"
+    )
+
+
+def write_report(folder: Path, scenes: Sequence[Sequence[Score]], seed: int) -> None:
+    """Write the tables as Markdown and JSON.
+
+    Args:
+        folder: Where to.
+        scenes: Scores of all policies, scene by scene.
+        seed: Of the run.
+    """
+    folder.mkdir(parents=True, exist_ok=True)
+    text = f"# The policy under load\n\nWritten by `make measure`, seed {seed}.\n\n"
+    text += EXPLANATION + "\n\n" + "\n".join(scene_table(x) for x in scenes)
+    (folder / "load.md").write_text(text)
+    plain = [score.to_json() for scores in scenes for score in scores]
+    (folder / "load.json").write_text(json.dumps(plain, indent=1) + "\n")
+
+
+def write_plot(folder: Path, scenes: Sequence[Sequence[Score]]) -> None:
+    """Plot attainment and moves, one row a scene.
+
+    Args:
+        folder: Where to.
+        scenes: Scores of all policies, scene by scene.
+    """
+    import matplotlib as mpl
+
+    mpl.use("Agg")
+    from matplotlib import pyplot as plt
+
+    figure, axes = plt.subplots(
+        len(scenes), 2, figsize=(12, 2.4 * len(scenes)), squeeze=False
+    )
+    for row, scores in zip(axes, scenes, strict=True):
+        names = [score.policy for score in scores]
+        for offset, traffic_class in enumerate(scores[0].classes):
+            places = [index + 0.27 * offset for index in range(len(names))]
+            shares = [score.classes[traffic_class].attainment for score in scores]
+            row[0].bar(places, shares, width=0.25, label=traffic_class)
+        row[0].set_ylim(0, 1)
+        row[0].set_title(f"{scores[0].site}: {scores[0].scene}, attainment", size=8)
+        loads = [score.moves.get("load_model", 0) for score in scores]
+        row[1].bar(range(len(names)), loads, color="gray")
+        row[1].set_title("model loads", size=8)
+        for axis in row:
+            axis.set_xticks(range(len(names)), names, size=6)
+    axes[0][0].legend(fontsize=6)
+    figure.tight_layout()
+    figure.savefig(folder / "load.png", dpi=80)
+    plt.close(figure)
