Fill engines by class, and give up in time for the first output

Cause: with adaptive windows seven instances together kept each batch at its limit of 40, where the gap between tokens is 75 ms, and slots that lower classes held made urgent requests wait past their target.

Change: the default window is an equal share again; each class may fill its own part of the slots (1.0 for work that may wait, 1.25, and 2.0 for the first priority). A request is given up, or refused, when its first output would come too late, and not only when its dispatch would.

--- a/src/wisterialoom/core/admission.py
+++ b/src/wisterialoom/core/admission.py
@@ -61,8 +61,9 @@
         wait_s = self.wait_s(now, classified)
         if wait_s is None:
             return self._check_load(now, classified)
-        if now + wait_s > classified.deadline:
-            after = now + wait_s - classified.deadline
+        latest = self.router.latest_dispatch(classified)
+        if now + wait_s > latest:
+            after = now + wait_s - latest
             return refuse(Reason.OVERLOAD, retry_after_s=after)
         return None
 
@@ -86,7 +87,7 @@
             `None` if no server serves its lane now.
         """
         ahead = self.queue.ahead_by_lane(classified)
-        return self.router.estimate_wait_s(now, classified.lane, ahead)
+        return self.router.estimate_wait_s(now, classified, ahead)
 
     def retry_after_s(self, now: float, classified: Classified) -> float:
         """Return when a request like this would be served in time, in seconds."""
--- a/src/wisterialoom/core/request_path.py
+++ b/src/wisterialoom/core/request_path.py
@@ -53,6 +53,7 @@
 from wisterialoom.core.request_queue import RequestQueue
 from wisterialoom.core.retry_budget import RetryBudget
 from wisterialoom.core.router import Router
+from wisterialoom.core.window import FIRST_FILL
 
 if TYPE_CHECKING:
     import random
@@ -364,6 +365,8 @@
         view = self.router.views.get(attempt.server)
         if view is not None:
             view.window.first_byte(now, now - flight.dispatched_at)
+        if flight.classified.request.stream:
+            self.router.note_first(flight.classified.lane, now - flight.dispatched_at)
         return []
 
     def _attempt_ended(self, now: float, event: AttemptEnded) -> list[Output]:
@@ -526,10 +529,11 @@
 
     def _queue_limit(self, now: float, flight: Flight) -> float:
         classified = flight.classified
+        latest = self.router.latest_dispatch(classified)
         if classified.give_up <= classified.deadline:
-            return classified.deadline
+            return latest
         if self.router.candidates(now, classified.lane):
-            return classified.deadline
+            return latest
         return classified.give_up
 
     def _expire(self, now: float, flight: Flight) -> list[Output]:
@@ -566,10 +570,10 @@
 
     def _pump(self, now: float, view: ServerView) -> list[Output]:
         outputs: list[Output] = []
-        while self.queue and view.has_room(now):
+        while self.queue and view.has_room(now, FIRST_FILL):
             lanes = [lane for lane in view.lanes if view.serves(now, lane)]
             found = self.queue.head(now, lanes)
-            if found is None:
+            if found is None or not view.has_room(now, self.router.fill(found[1])):
                 break
             flight = self.flights[found[1].request.request_id]
             outputs += self._dispatch(now, flight, view)
--- a/src/wisterialoom/core/router.py
+++ b/src/wisterialoom/core/router.py
@@ -12,7 +12,14 @@
 from wisterialoom.core.prefix_index import PrefixIndex
 from wisterialoom.core.selector import Selector
 from wisterialoom.core.server_view import ServerView
-from wisterialoom.core.window import AdaptiveWindow, Window, WindowPolicy
+from wisterialoom.core.window import (
+    FIRST_FILL,
+    FixedShare,
+    OVERSUBSCRIPTION,
+    WAITING_FILL,
+    Window,
+    WindowPolicy,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -52,17 +59,21 @@
         sharers: Entry instances that share the servers.
         delays_s: One-way delay to other availability zones, in seconds.
         service_s: Smoothed time of one request by lane, in seconds.
+        first_s: Smoothed time from dispatch to first output by lane, in seconds.
+        first_priority: The best priority of any traffic class.
         prefixes: Prompt prefixes by server.
     """
 
     availability_zone: str
-    policy: WindowPolicy = field(default_factory=AdaptiveWindow)
+    policy: WindowPolicy = field(default_factory=FixedShare)
     choice: Choice = field(default_factory=LeastCost)
     rng: random.Random = field(default_factory=lambda: random.Random(0))
     views: dict[str, ServerView] = field(default_factory=dict)
     sharers: int = 1
     delays_s: dict[str, float] = field(default_factory=dict)
     service_s: dict[str, float] = field(default_factory=dict)
+    first_s: dict[str, float] = field(default_factory=dict)
+    first_priority: int = 0
     prefixes: PrefixIndex = field(default_factory=PrefixIndex)
     groups: dict[str, ServerGroup] = field(default_factory=dict)
     service_selectors: tuple[str, ...] = ()
@@ -77,6 +88,8 @@
         self.versions = {item.name: item.version for item in document.models}
         self.versions |= {item.name: item.version for item in document.adapters}
         self.bases = {item.name: item.model for item in document.adapters}
+        priorities = [item.priority for item in document.traffic_classes]
+        self.first_priority = min(priorities, default=0)
         for zone in document.availability_zones:
             if zone.name == self.availability_zone:
                 self.delays_s = {k: v / 1e3 for k, v in zone.delay_ms.items()}
@@ -168,7 +181,9 @@
             avoid: Servers that failed it before; used only if no other is left.
         """
         with_room = [
-            view for view in self.candidates(now, classified.lane) if view.has_room(now)
+            view
+            for view in self.candidates(now, classified.lane)
+            if view.has_room(now, self.fill(classified))
         ]
         fresh = [view for view in with_room if view.server.name not in avoid]
         return self._choose(now, classified, fresh or with_room)
@@ -207,6 +222,23 @@
         saved = self.prefixes.matched(view.server.name, hashes) * BLOCK_PREFILL_S
         return wait + 2 * delay - saved
 
+    def fill(self, classified: Classified) -> float:
+        """Return the share of a server's slots that a request's class may fill."""
+        if classified.may_wait:
+            return WAITING_FILL
+        if classified.priority <= self.first_priority:
+            return FIRST_FILL
+        return OVERSUBSCRIPTION
+
+    def latest_dispatch(self, classified: Classified) -> float:
+        """Return the moment after which the first output would be too late."""
+        return classified.deadline - self.first_s.get(classified.lane, 0.0)
+
+    def note_first(self, lane: str, seconds: float) -> None:
+        """Take the time from a dispatch to its first output."""
+        before = self.first_s.get(lane, seconds)
+        self.first_s[lane] = before + SERVICE_SMOOTHING * (seconds - before)
+
     def lane_service_s(self, lane: str) -> float:
         """Return the smoothed time of one request of a lane, in seconds."""
         return self.service_s.get(lane, DEFAULT_SERVICE_S)
@@ -217,28 +249,30 @@
         self.service_s[lane] = before + SERVICE_SMOOTHING * (seconds - before)
 
     def estimate_wait_s(
-        self, now: float, lane: str, ahead_of: dict[str, int]
+        self, now: float, classified: Classified, ahead_of: dict[str, int]
     ) -> float | None:
-        """Return the expected wait of a new request in a lane, in seconds.
+        """Return the expected wait of a new request, in seconds.
 
         Args:
             now: Monotonic time in seconds.
-            lane: The request's lane.
+            classified: The request.
             ahead_of: Waiting requests that go before it, by lane.
 
         Returns:
             `None` if no server serves the lane now.
         """
+        lane = classified.lane
+        fill = self.fill(classified)
         serving = self.candidates(now, lane)
         if not serving:
             return None
-        if any(view.has_room(now) for view in serving):
+        if any(view.has_room(now, fill) for view in serving):
             return 0.0
         rate = 0.0
         ahead: float = 1.0
         counted: set[str] = set()
         for view in serving:
-            rate += view.window.current_limit(now) / self.lane_service_s(lane)
+            rate += view.window.current_limit(now, fill) / self.lane_service_s(lane)
             shared = [name for name in view.lanes if name in ahead_of]
             ahead += sum(ahead_of[name] for name in shared if name not in counted)
             counted.update(shared)
--- a/src/wisterialoom/core/server_view.py
+++ b/src/wisterialoom/core/server_view.py
@@ -56,8 +56,13 @@
             NOT_RESIDENT_TRUST_S
         )
 
-    def has_room(self, now: float) -> bool:
-        """Tell whether a request may be sent there now."""
+    def has_room(self, now: float, fill: float) -> bool:
+        """Tell whether a request may be sent there now.
+
+        Args:
+            now: Monotonic time in seconds.
+            fill: Share of the slots that requests of its class may fill.
+        """
         if self.closed or not self.ejection.allows(now, self.window.in_flight):
             return False
-        return self.window.room(now) > 0
+        return self.window.room(now, fill) > 0
--- a/src/wisterialoom/core/window.py
+++ b/src/wisterialoom/core/window.py
@@ -31,6 +31,16 @@
 OVERSUBSCRIPTION = 1.25
 """Share of a server's slots that the instances may fill together."""
 
+WAITING_FILL = 1.0
+"""The same for work that may wait."""
+
+FIRST_FILL = 2.0
+"""The same for the first priority, so that it need not wait for others to end.
+
+Steps of an engine's batch take longer by this factor then, which the targets
+between tokens allow; its yield stays the same.
+"""
+
 
 @dataclass(frozen=True, slots=True)
 class WindowPolicy:
@@ -90,7 +100,11 @@
     @property
     def share(self) -> float:
         """An equal share of the server's slots, in requests."""
-        return max(1.0, math.ceil(self.slots * OVERSUBSCRIPTION / self.sharers))
+        return self.share_of(OVERSUBSCRIPTION)
+
+    def share_of(self, fill: float) -> float:
+        """Return an equal share of the slots times a factor, in requests."""
+        return max(1.0, math.ceil(self.slots * fill / self.sharers))
 
     def resize(self, slots: int, sharers: int) -> None:
         """Take a new number of slots or of sharing instances."""
@@ -100,26 +114,32 @@
         self.sharers = sharers
         self.limit = min(max(self.limit, self.share), float(slots))
 
-    def room(self, now: float) -> int:
+    def room(self, now: float, fill: float = OVERSUBSCRIPTION) -> int:
         """Return how many more requests may be sent now."""
-        return max(0, int(self.current_limit(now)) - self.in_flight)
+        return max(0, int(self.current_limit(now, fill)) - self.in_flight)
+
+    def current_limit(self, now: float, fill: float = OVERSUBSCRIPTION) -> float:
+        """Return the limit in force, in requests.
 
-    def current_limit(self, now: float) -> float:
-        """Return the limit in force, in requests."""
+        Args:
+            now: Monotonic time in seconds.
+            fill: Share of the slots that requests of this class may fill.
+        """
         match self.policy:
             case FixedShare():
-                return self.share
+                return self.share_of(fill)
             case ReportedShare():
-                return self._reported_limit(now)
+                return self._reported_limit(now, fill)
             case _:
                 return self.limit
 
-    def _reported_limit(self, now: float) -> float:
+    def _reported_limit(self, now: float, fill: float) -> float:
+        share = self.share_of(fill)
         if self.reported is None or now - self.reported_at > REPORT_TRUST_S:
-            return self.share
-        free = max(0, self.slots - self.reported)
+            return share
+        free = max(0.0, self.slots * fill - self.reported)
         extra = math.ceil(free / self.sharers)
-        return max(self.share, float(self.reported_own + extra))
+        return max(share, float(self.reported_own + extra))
 
     def report(self, now: float, running: int, waiting: int) -> None:
         """Take a load report of the server."""
