Let work that may wait go with the first priority in its last tenth

One fault was real: work that may wait could be starved, as its class may only fill the slots once and urgent work kept them fuller. In the last tenth of its time it now has the first priority and fills like it; fair shares between callers decide from there.

--- a/src/wisterialoom/core/request_path.py
+++ b/src/wisterialoom/core/request_path.py
@@ -573,7 +573,10 @@
         while self.queue and view.has_room(now, FIRST_FILL):
             lanes = [lane for lane in view.lanes if view.serves(now, lane)]
             found = self.queue.head(now, lanes)
-            if found is None or not view.has_room(now, self.router.fill(found[1])):
+            if found is None:
+                break
+            fill = self.router.fill(now, found[1])
+            if not view.has_room(now, fill):
                 break
             flight = self.flights[found[1].request.request_id]
             outputs += self._dispatch(now, flight, view)
--- a/src/wisterialoom/core/request_queue.py
+++ b/src/wisterialoom/core/request_queue.py
@@ -19,7 +19,10 @@
 
     from wisterialoom.core.request import Classified
 
-__all__ = ["QueueRank", "RequestQueue"]
+__all__ = ["QueueRank", "RequestQueue", "effective_priority"]
+
+LAST_PART = 0.1
+"""In this last part of its time, work that may wait goes with the first."""
 
 QueueRank = tuple[float, float, float]
 """Effective priority, caller's virtual time, deadline; the least goes first."""
@@ -111,11 +114,7 @@
 
     def rank(self, now: float, classified: Classified) -> QueueRank:
         """Return a request's place; work that may wait moves up as it ages."""
-        priority = float(classified.priority)
-        if classified.may_wait:
-            span = max(classified.deadline - classified.arrived, 1e-9)
-            left = max(0.0, (classified.deadline - now) / span)
-            priority *= left
+        priority = effective_priority(now, classified)
         return (priority, self.fair.of(classified.caller), classified.deadline)
 
     def dispatched(self, classified: Classified) -> None:
@@ -152,6 +151,16 @@
         return [item for item in self.waiting.values() if now >= item.deadline]
 
 
+def effective_priority(now: float, classified: Classified) -> float:
+    """Return a request's priority; that of work that may wait falls to 0 in time."""
+    priority = float(classified.priority)
+    if not classified.may_wait:
+        return priority
+    span = max(classified.deadline - classified.arrived, 1e-9)
+    left = (classified.deadline - now) / span
+    return priority * max(0.0, (left - LAST_PART) / (1.0 - LAST_PART))
+
+
 def _add(counts: dict[str, int], key: str, step: int) -> None:
     counts[key] = counts.get(key, 0) + step
     if not counts[key]:
--- a/src/wisterialoom/core/router.py
+++ b/src/wisterialoom/core/router.py
@@ -10,6 +10,7 @@
 from wisterialoom.core.classifier import model_lane, service_lane
 from wisterialoom.core.engine import ModelKey
 from wisterialoom.core.prefix_index import PrefixIndex
+from wisterialoom.core.request_queue import effective_priority
 from wisterialoom.core.selector import Selector
 from wisterialoom.core.server_view import ServerView
 from wisterialoom.core.window import (
@@ -183,7 +184,7 @@
         with_room = [
             view
             for view in self.candidates(now, classified.lane)
-            if view.has_room(now, self.fill(classified))
+            if view.has_room(now, self.fill(now, classified))
         ]
         fresh = [view for view in with_room if view.server.name not in avoid]
         return self._choose(now, classified, fresh or with_room)
@@ -222,12 +223,12 @@
         saved = self.prefixes.matched(view.server.name, hashes) * BLOCK_PREFILL_S
         return wait + 2 * delay - saved
 
-    def fill(self, classified: Classified) -> float:
+    def fill(self, now: float, classified: Classified) -> float:
         """Return the share of a server's slots that a request's class may fill."""
+        if effective_priority(now, classified) <= self.first_priority:
+            return FIRST_FILL
         if classified.may_wait:
             return WAITING_FILL
-        if classified.priority <= self.first_priority:
-            return FIRST_FILL
         return OVERSUBSCRIPTION
 
     def latest_dispatch(self, classified: Classified) -> float:
@@ -262,7 +263,7 @@
             `None` if no server serves the lane now.
         """
         lane = classified.lane
-        fill = self.fill(classified)
+        fill = self.fill(now, classified)
         serving = self.candidates(now, lane)
         if not serving:
             return None
