--- a/src/wisterialoom/core/attempt_control.py
+++ b/src/wisterialoom/core/attempt_control.py
@@ -17,6 +17,7 @@
     Reason,
     Refuse,
 )
+from wisterialoom.core.window import FIRST_FILL
 
 if TYPE_CHECKING:
     from wisterialoom.core.flight import Flight
@@ -102,6 +103,9 @@
         view = self.state.router.views.get(attempt.server)
         if view is not None:
             view.window.first_byte(now, now - flight.dispatched_at)
+        if flight.classified.request.stream:
+            first_s = now - flight.dispatched_at
+            self.state.router.note_first(flight.classified.lane, first_s)
         return []
 
     def end(self, now: float, event: AttemptEnded) -> list[Output]:
@@ -212,11 +216,14 @@
     def pump(self, now: float, view: ServerView) -> list[Output]:
         """Give one server the best waiting requests while it has room."""
         outputs: list[Output] = []
-        while self.state.queue and view.has_room(now):
+        while self.state.queue and view.has_room(now, FIRST_FILL):
             lanes = [lane for lane in view.lanes if view.serves(now, lane)]
             found = self.state.queue.head(now, lanes)
             if found is None:
                 break
+            fill = self.state.router.fill(now, found[1])
+            if not view.has_room(now, fill):
+                break
             flight = self.state.flights[found[1].request.request_id]
             outputs += self._dispatch(now, flight, view)
         return outputs
--- a/src/wisterialoom/core/path_state.py
+++ b/src/wisterialoom/core/path_state.py
@@ -8,12 +8,11 @@
 from wisterialoom.core.demand_meter import DemandMeter
 from wisterialoom.core.request_queue import RequestQueue
 from wisterialoom.core.retry_budget import RetryBudget
-from wisterialoom.core.router import Router
 
 if TYPE_CHECKING:
     from wisterialoom.core.classifier import Classifier
     from wisterialoom.core.flight import Flight
-    from wisterialoom.core.window import WindowPolicy
+    from wisterialoom.core.router import Router
 
 __all__ = ["PathState"]
 
@@ -34,15 +33,13 @@
         late_events: Count of events for requests already settled.
     """
 
-    def __init__(self, availability_zone: str, policy: WindowPolicy | None) -> None:
+    def __init__(self, router: Router) -> None:
         self.classifier: Classifier | None = None
         self.fresh = False
         self.draining = False
         self.flights: dict[str, Flight] = {}
         self.queue = RequestQueue()
-        self.router = Router(availability_zone)
-        if policy is not None:
-            self.router.policy = policy
+        self.router = router
         self.admission = Admission(self.queue, self.router)
         self.budget = RetryBudget()
         self.demand = DemandMeter()
--- a/src/wisterialoom/core/request_path.py
+++ b/src/wisterialoom/core/request_path.py
@@ -43,9 +43,13 @@
     RequestArrived,
     RequestSettled,
 )
+from wisterialoom.core.router import Router
 from wisterialoom.core.settlement import Settlement
 
 if TYPE_CHECKING:
+    import random
+
+    from wisterialoom.core.choice import Choice
     from wisterialoom.core.window import WindowPolicy
 
 __all__ = ["RequestPath"]
@@ -89,9 +93,20 @@
     )
 
     def __init__(
-        self, availability_zone: str, *, policy: WindowPolicy | None = None
+        self,
+        availability_zone: str,
+        *,
+        policy: WindowPolicy | None = None,
+        choice: Choice | None = None,
+        rng: random.Random | None = None,
     ) -> None:
-        super().__init__(availability_zone, policy)
+        super().__init__(Router(availability_zone))
+        if policy is not None:
+            self.router.policy = policy
+        if choice is not None:
+            self.router.choice = choice
+        if rng is not None:
+            self.router.rng = rng
         self.settlement = Settlement(self)
         self.attempts = AttemptControl(self, self.settlement)
         self.queue_limit = math.inf
@@ -302,10 +317,11 @@
 
     def _queue_limit(self, now: float, flight: Flight) -> float:
         classified = flight.classified
+        latest = self.router.latest_dispatch(classified)
         if classified.give_up <= classified.deadline:
-            return classified.deadline
+            return latest
         if self.router.candidates(now, classified.lane):
-            return classified.deadline
+            return latest
         return classified.give_up
 
     # Stopping.
