End a dispatch once its claim may be forgotten, and jobs as their claim says

Cause: the claim keeper says until when a grant holds (a process paused longer than the retention would run the key again), and nothing looked at it. A job's later attempt whose key is in progress elsewhere ended the job as unknown; one whose answer could not be read just then ended it without its answer. Change: the flight and the command carry the time, the shell checks it before it connects; a job's attempt ends as not run while an earlier one holds its claim.

--- a/src/wisterialoom/core/attempt_control.py
+++ b/src/wisterialoom/core/attempt_control.py
@@ -58,6 +58,9 @@
     def enqueue(self, now: float, flight: Flight) -> list[Output]:
         """Dispatch a request, or let it wait for a server with room."""
         flight.stage = Stage.QUEUED
+        if now >= flight.claim_until:
+            refusal = refuse(Reason.CLAIM_UNAVAILABLE)
+            return self.settlement.give_up(flight, refusal)
         if now >= flight.classified.deadline:
             return self.settlement.expire(now, flight)
         view = self.state.router.choose(now, flight.classified, flight.tried)
@@ -85,7 +88,7 @@
         )
         if flight.attempts == 1:
             self.state.budget.earn()
-        return [Dispatch(flight.attempt, classified)]
+        return [Dispatch(flight.attempt, classified, flight.claim_until)]
 
     def _flight_of(self, attempt: Attempt) -> Flight | None:
         flight = self.state.flights.get(attempt.request_id)
--- a/src/wisterialoom/core/flight.py
+++ b/src/wisterialoom/core/flight.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import enum
+import math
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
@@ -28,6 +29,7 @@
         classified: The request and the rules that apply to it.
         stage: Where it is on its path.
         claimed: It holds the claim of its idempotency key.
+        claim_until: Monotonic time after which the claim may be forgotten.
         attempt: The attempt in progress, if dispatched.
         attempts: Count of attempts so far.
         server: Backend server of the last attempt; empty before the first.
@@ -44,6 +46,7 @@
     classified: Classified
     stage: Stage = Stage.QUEUED
     claimed: bool = False
+    claim_until: float = math.inf
     attempt: Attempt | None = None
     attempts: int = 0
     server: str = ""
--- a/src/wisterialoom/core/refusal.py
+++ b/src/wisterialoom/core/refusal.py
@@ -71,7 +71,9 @@
         retry_after_s=None,
     ),
     Reason.CLAIM_UNAVAILABLE: _Form(
-        503, "The idempotency key could not be claimed; send it again with the key."
+        503,
+        "The idempotency key could not be claimed, and this request was not run; "
+        "an earlier one with the key may have been. Send it again with the key.",
     ),
     Reason.CLAIMS_FULL: _Form(
         503, "No more idempotency keys can be kept now; send it again with the key."
--- a/src/wisterialoom/core/request.py
+++ b/src/wisterialoom/core/request.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import enum
+import math
 from dataclasses import dataclass, field
 
 from wisterialoom.core.message import Command, Event
@@ -270,10 +271,17 @@
     """Hand a request to a backend server and relay its answer.
 
     The shell reports `AttemptFirstByte` and then `AttemptEnded`, once each.
+
+    Attributes:
+        attempt: The attempt.
+        classified: The request and its rules.
+        valid_until: Monotonic time after which no byte may be sent, because the
+            claim may be forgotten; the attempt then ends as `NOT_SENT`.
     """
 
     attempt: Attempt
     classified: Classified
+    valid_until: float = math.inf
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/wisterialoom/core/request_path.py
+++ b/src/wisterialoom/core/request_path.py
@@ -259,9 +259,14 @@
         match event:
             case ClaimGranted():
                 flight.claimed = True
+                flight.claim_until = event.valid_until
                 return self.attempts.enqueue(now, flight)
             case ClaimHeld(holding=ClaimHolding.DONE):
                 return self._replay(flight, event)
+            case ClaimHeld(holding=ClaimHolding.IN_PROGRESS) if flight.job:
+                return self.settlement.settle(
+                    flight, Outcome.NOT_RUN, Reason.IN_PROGRESS
+                )
             case ClaimHeld(holding=holding):
                 return self.settlement.give_up(flight, refuse(_HELD_REASONS[holding]))
             case ClaimFailed(reason=reason, retry_after_s=retry_after_s):
@@ -269,6 +274,9 @@
                 return self.settlement.give_up(flight, refusal)
 
     def _replay(self, flight: Flight, held: ClaimHeld) -> list[Output]:
+        if held.answer is None and held.answer_kept and flight.job:
+            reason = Reason.ANSWER_UNAVAILABLE
+            return self.settlement.settle(flight, Outcome.NOT_RUN, reason)
         if held.answer is None:
             lost = (
                 Reason.ANSWER_UNAVAILABLE
--- a/src/wisterialoom/core/settlement.py
+++ b/src/wisterialoom/core/settlement.py
@@ -19,6 +19,9 @@
 
 __all__ = ["Settlement"]
 
+_HELD_ELSEWHERE = (Reason.IN_PROGRESS, Reason.ANSWER_UNAVAILABLE)
+"""Reasons why a job's attempt ends while an earlier one holds its claim."""
+
 
 class Settlement:
     """Ends requests, and what hangs on them: claims, jobs, limits.
@@ -75,16 +78,22 @@
             attempts=flight.attempts,
             retries=tuple(flight.retries),
         )
-        outputs = [settled, *self._settle_claim(flight, outcome, answer)]
+        outputs = [settled, *self._settle_claim(flight, outcome, reason, answer)]
         if flight.job:
             outputs.append(JobEnded(flight.request_id, outcome, answer))
         return outputs
 
     def _settle_claim(
-        self, flight: Flight, outcome: Outcome, answer: StoredAnswer | None
+        self,
+        flight: Flight,
+        outcome: Outcome,
+        reason: Reason | None,
+        answer: StoredAnswer | None,
     ) -> list[Output]:
         if not flight.claimed:
-            if flight.stage is Stage.CLAIMING and outcome is Outcome.NOT_RUN:
+            held = reason in _HELD_ELSEWHERE
+            claiming = flight.stage is Stage.CLAIMING and not held
+            if claiming and outcome is Outcome.NOT_RUN:
                 return [ClaimAbandoned(flight.request_id)]
             return []
         if outcome is Outcome.NOT_RUN:
--- a/src/wisterialoom/http/relay.py
+++ b/src/wisterialoom/http/relay.py
@@ -112,6 +112,7 @@
         address: `IP:port` of the backend server.
         deliver: Takes the events of the attempt.
         times: Moments, for metrics.
+        valid_until: Monotonic time after which no byte may be sent.
         mismatched: The answer carried another request's id and was dropped.
     """
 
@@ -128,6 +129,7 @@
         self.address = address
         self.deliver = deliver
         self.times = RelayTimes()
+        self.valid_until = command.valid_until
         self.mismatched = False
         self.leaving = False
         self.tail = b""
@@ -142,6 +144,8 @@
                 for one that had carried nothing.
         """
         self.times.sent = time.monotonic()
+        if self.times.sent > self.valid_until - CONNECT_TIMEOUT_S:
+            return self._ended(AttemptResult.NOT_SENT)
         try:
             return await self._exchange(session)
         except (aiohttp.ClientError, TimeoutError, OSError, _CutError) as error:
--- a/src/wisterialoom/lab/world.py
+++ b/src/wisterialoom/lab/world.py
@@ -24,6 +24,8 @@
 )
 from wisterialoom.core.peer import PeerReceived, SendPeer
 from wisterialoom.core.request import (
+    AttemptEnded,
+    AttemptResult,
     CancelAttempt,
     Dispatch,
     Refuse,
@@ -274,6 +276,9 @@
 
     def _carry_out_request(self, host: Host, command: Command) -> None:
         match command:
+            case Dispatch() if self.now + host.skew_s > command.valid_until:
+                ended = AttemptEnded(command.attempt, AttemptResult.NOT_SENT)
+                self._deliver(host, ended)
             case Dispatch() if self.serving is not None:
                 self.serving.dispatch(host.name, command, self._reply_to(host))
             case CancelAttempt() if self.serving is not None:
--- a/tests/test_request_path.py
+++ b/tests/test_request_path.py
@@ -24,6 +24,7 @@
     PartDrained,
     ServersChanged,
 )
+from wisterialoom.core.notice_job import JobDue, JobEnded
 from wisterialoom.core.request import (
     AttemptEnded,
     AttemptFirstByte,
@@ -193,6 +194,43 @@
     assert only(outputs, PartDrained)
 
 
+def test_request_is_not_dispatched_once_its_claim_may_be_forgotten():
+    path = make_path()
+    arrive(path, 1.0, registration(1))
+    granted = ClaimGranted("r1", valid_until=100.0)
+    dispatch = only(path.handle(1.1, granted), Dispatch)
+    assert dispatch.valid_until == 100.0
+    late = AttemptEnded(dispatch.attempt, AttemptResult.NOT_SENT)
+    outputs = path.handle(101.0, late)
+    assert not any(isinstance(item, Dispatch) for item in outputs)
+    assert only(outputs, Refuse).refusal.outcome is Outcome.NOT_RUN
+    assert only(outputs, ClaimAbandoned)
+
+
+def due_job(path, now):
+    request = registration(1, idempotency_key="job")
+    due = JobDue("j1", request, "desk", "deferred", False, 0.0, 600.0)
+    return only(path.handle(now, due), ClaimWanted)
+
+
+@pytest.mark.parametrize(
+    ("held", "outcome"),
+    [
+        (ClaimHeld("r1", ClaimHolding.IN_PROGRESS), Outcome.NOT_RUN),
+        (ClaimHeld("r1", ClaimHolding.DONE), Outcome.NOT_RUN),
+        (ClaimHeld("r1", ClaimHolding.DONE, answer_kept=False), Outcome.COMPLETED),
+        (ClaimHeld("r1", ClaimHolding.DONE, ANSWER), Outcome.COMPLETED),
+        (ClaimHeld("r1", ClaimHolding.UNKNOWN), Outcome.UNKNOWN),
+    ],
+)
+def test_job_whose_key_an_earlier_attempt_holds_ends_as_that_one_did(held, outcome):
+    path = make_path()
+    due_job(path, 1.0)
+    outputs = path.handle(1.1, held)
+    assert only(outputs, JobEnded).outcome is outcome
+    assert not any(isinstance(item, Refuse | ClaimAbandoned) for item in outputs)
+
+
 class Exchanges:
     """Plays shell, claims and backend servers with random ends, and keeps count."""
 
