--- a/src/wisterialoom/core/assembly.py
+++ b/src/wisterialoom/core/assembly.py
@@ -13,6 +13,7 @@
 from wisterialoom.core.entry import EntryCore
 from wisterialoom.core.job import JobKeeper
 from wisterialoom.core.job_gate import JobGate
+from wisterialoom.core.lru_planner import LruPlanner
 from wisterialoom.core.membership import Membership
 from wisterialoom.core.planner import Planner
 from wisterialoom.core.request_path import RequestPath
@@ -24,6 +25,7 @@
     import random
     from collections.abc import Callable
 
+    from wisterialoom.core.choice import Choice
     from wisterialoom.core.message import Part
     from wisterialoom.core.window import WindowPolicy
 
@@ -38,6 +40,7 @@
 
     DEMAND = "demand"
     STATIC = "static"
+    RECENCY = "recency"
 
 
 @dataclass(frozen=True, slots=True)
@@ -94,6 +97,7 @@
         *,
         policy: WindowPolicy | None = None,
         placement: Placement = Placement.DEMAND,
+        choice: Choice | None = None,
     ) -> EntryParts:
         """Build every part of an instance.
 
@@ -103,6 +107,7 @@
             wall_clock: Returns the wall-clock time in seconds.
             policy: How in-flight limits are found; `None` for the default.
             placement: What decides which models are resident where.
+            choice: How a server is chosen; `None` for the default.
         """
         zone = identity.availability_zone
         config = ConfigFollower(identity.name, zone, rng)
@@ -117,7 +122,7 @@
         directory = ServerDirectory(rng)
         stewards = Stewards(identity.name, identity.boot_id)
         claims = ClaimKeeper(identity.name, identity.boot_id, wall_clock)
-        path = RequestPath(zone, policy=policy)
+        path = RequestPath(zone, policy=policy, choice=choice, rng=rng)
         jobs = JobKeeper(identity.name, identity.boot_id, wall_clock)
         parts: tuple[Part, ...] = (
             config,
@@ -141,3 +146,5 @@
             return (Demand(name), Planner(name))
         case Placement.STATIC:
             return (StaticPlanner(),)
+        case Placement.RECENCY:
+            return (Demand(name), LruPlanner(name))
--- a/src/wisterialoom/core/attempt_control.py
+++ b/src/wisterialoom/core/attempt_control.py
@@ -17,6 +17,7 @@
     Reason,
     Refuse,
 )
+from wisterialoom.core.window import FIRST_FILL
 
 if TYPE_CHECKING:
     from wisterialoom.core.flight import Flight
@@ -57,6 +58,9 @@
     def enqueue(self, now: float, flight: Flight) -> list[Output]:
         """Dispatch a request, or let it wait for a server with room."""
         flight.stage = Stage.QUEUED
+        if now >= flight.claim_until:
+            refusal = refuse(Reason.CLAIM_UNAVAILABLE)
+            return self.settlement.give_up(flight, refusal)
         if now >= flight.classified.deadline:
             return self.settlement.expire(now, flight)
         view = self.state.router.choose(now, flight.classified, flight.tried)
@@ -84,7 +88,7 @@
         )
         if flight.attempts == 1:
             self.state.budget.earn()
-        return [Dispatch(flight.attempt, classified)]
+        return [Dispatch(flight.attempt, classified, flight.claim_until)]
 
     def _flight_of(self, attempt: Attempt) -> Flight | None:
         flight = self.state.flights.get(attempt.request_id)
@@ -102,6 +106,9 @@
         view = self.state.router.views.get(attempt.server)
         if view is not None:
             view.window.first_byte(now, now - flight.dispatched_at)
+        if flight.classified.request.stream:
+            first_s = now - flight.dispatched_at
+            self.state.router.note_first(flight.classified.lane, first_s)
         return []
 
     def end(self, now: float, event: AttemptEnded) -> list[Output]:
@@ -212,11 +219,14 @@
     def pump(self, now: float, view: ServerView) -> list[Output]:
         """Give one server the best waiting requests while it has room."""
         outputs: list[Output] = []
-        while self.state.queue and view.has_room(now):
+        while self.state.queue and view.has_room(now, FIRST_FILL):
             lanes = [lane for lane in view.lanes if view.serves(now, lane)]
             found = self.state.queue.head(now, lanes)
             if found is None:
                 break
+            fill = self.state.router.fill(now, found[1])
+            if not view.has_room(now, fill):
+                break
             flight = self.state.flights[found[1].request.request_id]
             outputs += self._dispatch(now, flight, view)
         return outputs
--- a/src/wisterialoom/core/request_path.py
+++ b/src/wisterialoom/core/request_path.py
@@ -43,9 +43,13 @@
     RequestArrived,
     RequestSettled,
 )
+from wisterialoom.core.router import Router
 from wisterialoom.core.settlement import Settlement
 
 if TYPE_CHECKING:
+    import random
+
+    from wisterialoom.core.choice import Choice
     from wisterialoom.core.window import WindowPolicy
 
 __all__ = ["RequestPath"]
@@ -89,9 +93,20 @@
     )
 
     def __init__(
-        self, availability_zone: str, *, policy: WindowPolicy | None = None
+        self,
+        availability_zone: str,
+        *,
+        policy: WindowPolicy | None = None,
+        choice: Choice | None = None,
+        rng: random.Random | None = None,
     ) -> None:
-        super().__init__(availability_zone, policy)
+        super().__init__(Router(availability_zone))
+        if policy is not None:
+            self.router.policy = policy
+        if choice is not None:
+            self.router.choice = choice
+        if rng is not None:
+            self.router.rng = rng
         self.settlement = Settlement(self)
         self.attempts = AttemptControl(self, self.settlement)
         self.queue_limit = math.inf
@@ -244,9 +259,14 @@
         match event:
             case ClaimGranted():
                 flight.claimed = True
+                flight.claim_until = event.valid_until
                 return self.attempts.enqueue(now, flight)
             case ClaimHeld(holding=ClaimHolding.DONE):
                 return self._replay(flight, event)
+            case ClaimHeld(holding=ClaimHolding.IN_PROGRESS) if flight.job:
+                return self.settlement.settle(
+                    flight, Outcome.NOT_RUN, Reason.IN_PROGRESS
+                )
             case ClaimHeld(holding=holding):
                 return self.settlement.give_up(flight, refuse(_HELD_REASONS[holding]))
             case ClaimFailed(reason=reason, retry_after_s=retry_after_s):
@@ -254,6 +274,9 @@
                 return self.settlement.give_up(flight, refusal)
 
     def _replay(self, flight: Flight, held: ClaimHeld) -> list[Output]:
+        if held.answer is None and held.answer_kept and flight.job:
+            reason = Reason.ANSWER_UNAVAILABLE
+            return self.settlement.settle(flight, Outcome.NOT_RUN, reason)
         if held.answer is None:
             lost = (
                 Reason.ANSWER_UNAVAILABLE
@@ -302,10 +325,11 @@
 
     def _queue_limit(self, now: float, flight: Flight) -> float:
         classified = flight.classified
+        latest = self.router.latest_dispatch(classified)
         if classified.give_up <= classified.deadline:
-            return classified.deadline
+            return latest
         if self.router.candidates(now, classified.lane):
-            return classified.deadline
+            return latest
         return classified.give_up
 
     # Stopping.
--- a/src/wisterialoom/core/router.py
+++ b/src/wisterialoom/core/router.py
@@ -2,15 +2,25 @@
 
 from __future__ import annotations
 
+import random
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+from wisterialoom.core.choice import Choice, LeastCost, LeastOfTwo, RandomChoice
 from wisterialoom.core.classifier import model_lane, service_lane
 from wisterialoom.core.engine import ModelKey
 from wisterialoom.core.prefix_index import PrefixIndex
+from wisterialoom.core.request_queue import effective_priority
 from wisterialoom.core.selector import Selector
 from wisterialoom.core.server_view import ServerView
-from wisterialoom.core.window import AdaptiveWindow, Window, WindowPolicy
+from wisterialoom.core.window import (
+    FIRST_FILL,
+    FixedShare,
+    OVERSUBSCRIPTION,
+    WAITING_FILL,
+    Window,
+    WindowPolicy,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -44,19 +54,27 @@
     Attributes:
         availability_zone: Of this instance.
         policy: How in-flight limits are found.
+        choice: How a server is chosen among those with room.
+        rng: For choices at random.
         views: Views by server name.
         sharers: Entry instances that share the servers.
         delays_s: One-way delay to other availability zones, in seconds.
         service_s: Smoothed time of one request by lane, in seconds.
+        first_s: Smoothed time from dispatch to first output by lane, in seconds.
+        first_priority: The best priority of any traffic class.
         prefixes: Prompt prefixes by server.
     """
 
     availability_zone: str
-    policy: WindowPolicy = field(default_factory=AdaptiveWindow)
+    policy: WindowPolicy = field(default_factory=FixedShare)
+    choice: Choice = field(default_factory=LeastCost)
+    rng: random.Random = field(default_factory=lambda: random.Random(0))
     views: dict[str, ServerView] = field(default_factory=dict)
     sharers: int = 1
     delays_s: dict[str, float] = field(default_factory=dict)
     service_s: dict[str, float] = field(default_factory=dict)
+    first_s: dict[str, float] = field(default_factory=dict)
+    first_priority: int = 0
     prefixes: PrefixIndex = field(default_factory=PrefixIndex)
     groups: dict[str, ServerGroup] = field(default_factory=dict)
     service_selectors: tuple[str, ...] = ()
@@ -71,6 +89,8 @@
         self.versions = {item.name: item.version for item in document.models}
         self.versions |= {item.name: item.version for item in document.adapters}
         self.bases = {item.name: item.model for item in document.adapters}
+        priorities = [item.priority for item in document.traffic_classes]
+        self.first_priority = min(priorities, default=0)
         for zone in document.availability_zones:
             if zone.name == self.availability_zone:
                 self.delays_s = {k: v / 1e3 for k, v in zone.delay_ms.items()}
@@ -162,13 +182,27 @@
             avoid: Servers that failed it before; used only if no other is left.
         """
         with_room = [
-            view for view in self.candidates(now, classified.lane) if view.has_room(now)
+            view
+            for view in self.candidates(now, classified.lane)
+            if view.has_room(now, self.fill(now, classified))
         ]
         fresh = [view for view in with_room if view.server.name not in avoid]
+        return self._choose(now, classified, fresh or with_room)
+
+    def _choose(
+        self, now: float, classified: Classified, views: list[ServerView]
+    ) -> ServerView | None:
+        if not views:
+            return None
+        match self.choice:
+            case RandomChoice():
+                return self.rng.choice(views)
+            case LeastOfTwo():
+                two = self.rng.sample(views, min(2, len(views)))
+                return min(two, key=lambda view: (_reported(view), view.server.name))
         return min(
-            fresh or with_room,
+            views,
             key=lambda view: (self.cost_s(now, classified, view), view.server.name),
-            default=None,
         )
 
     def adapter_of(self, classified: Classified) -> str:
@@ -189,6 +223,23 @@
         saved = self.prefixes.matched(view.server.name, hashes) * BLOCK_PREFILL_S
         return wait + 2 * delay - saved
 
+    def fill(self, now: float, classified: Classified) -> float:
+        """Return the share of a server's slots that a request's class may fill."""
+        if effective_priority(now, classified) <= self.first_priority:
+            return FIRST_FILL
+        if classified.may_wait:
+            return WAITING_FILL
+        return OVERSUBSCRIPTION
+
+    def latest_dispatch(self, classified: Classified) -> float:
+        """Return the moment after which the first output would be too late."""
+        return classified.deadline - self.first_s.get(classified.lane, 0.0)
+
+    def note_first(self, lane: str, seconds: float) -> None:
+        """Take the time from a dispatch to its first output."""
+        before = self.first_s.get(lane, seconds)
+        self.first_s[lane] = before + SERVICE_SMOOTHING * (seconds - before)
+
     def lane_service_s(self, lane: str) -> float:
         """Return the smoothed time of one request of a lane, in seconds."""
         return self.service_s.get(lane, DEFAULT_SERVICE_S)
@@ -199,29 +250,35 @@
         self.service_s[lane] = before + SERVICE_SMOOTHING * (seconds - before)
 
     def estimate_wait_s(
-        self, now: float, lane: str, ahead_of: dict[str, int]
+        self, now: float, classified: Classified, ahead_of: dict[str, int]
     ) -> float | None:
-        """Return the expected wait of a new request in a lane, in seconds.
+        """Return the expected wait of a new request, in seconds.
 
         Args:
             now: Monotonic time in seconds.
-            lane: The request's lane.
+            classified: The request.
             ahead_of: Waiting requests that go before it, by lane.
 
         Returns:
             `None` if no server serves the lane now.
         """
+        lane = classified.lane
+        fill = self.fill(now, classified)
         serving = self.candidates(now, lane)
         if not serving:
             return None
-        if any(view.has_room(now) for view in serving):
+        if any(view.has_room(now, fill) for view in serving):
             return 0.0
         rate = 0.0
         ahead: float = 1.0
         counted: set[str] = set()
         for view in serving:
-            rate += view.window.current_limit(now) / self.lane_service_s(lane)
+            rate += view.window.current_limit(now, fill) / self.lane_service_s(lane)
             shared = [name for name in view.lanes if name in ahead_of]
             ahead += sum(ahead_of[name] for name in shared if name not in counted)
             counted.update(shared)
         return ahead / max(rate, 1e-9)
+
+
+def _reported(view: ServerView) -> int:
+    return view.load.running + view.load.waiting if view.load is not None else 0
--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -7,7 +7,7 @@
 
 from tests.fleet import CAPACITY_MB, Fleet, make_document
 from wisterialoom.core.demand import Demand, ModelDemand
-from wisterialoom.core.document import Adapter, Model
+from wisterialoom.core.document import Adapter, Deployment, Model
 from wisterialoom.core.engine import ModelKey
 from wisterialoom.core.notice import DemandSeen, LoadReported
 from wisterialoom.core.planner import Planner
@@ -70,6 +70,18 @@
     assert fleet.violations == []
 
 
+def test_models_stay_reachable_when_an_engine_takes_no_orders():
+    fleet = Served(
+        5,
+        document=make_document({"a": 60, "b": 60, "c": 60}),
+        engines={"s0": "trusting", "s1": "checking"},
+    )
+    fleet.engines["s0"].fault.lose_order = 1.0
+    fleet.run(3 * RESIDENT_LIMIT_S, {"a": 1.0, "b": 1.0, "c": 1.0})
+    assert fleet.served == {"a", "b", "c"}
+    assert fleet.resident("s0") == set()
+
+
 def test_stable_demand_that_fits_causes_no_moves():
     sizes = dict.fromkeys(NAMES[:4], 50)
     adapters = [Adapter("x", "a", "1", 10), Adapter("y", "b", "1", 10)]
@@ -110,6 +122,17 @@
     assert held[-1] == {"a@2"}
 
 
+@pytest.mark.parametrize(("weight", "held"), [(1.0, "b"), (100.0, "a")])
+def test_greater_weight_of_moves_keeps_what_is_resident(weight, held):
+    document = make_document({"a": 60, "b": 60})
+    document = replace(document, deployment=Deployment("d", moves_weight=weight))
+    kept = ModelKey("a", "1")
+    view = ServerView("s", "z", {}, CAPACITY_MB, 20, 8, {kept: 100.0}, (kept,))
+    demand = {"a": ModelDemand(1.0, 1.0), "b": ModelDemand(3.0, 3.0)}
+    placed = place(PlanInput(document, (view,), demand, allowance=8))
+    assert placed == {"s": (ModelKey(held, "1"),)}
+
+
 demands = st.builds(
     ModelDemand,
     fast=st.sampled_from([0.0, 0.1, 3.0, 20.0]),
