Pass the list of backend servers between peers, and keep loads told early

Cause: an instance started while the platform was down took its configuration from peers, was ready, and refused each request at its deadline: it knew no backend server, and the loads that peers had told it were dropped because their servers were not listed yet (also at an ordinary start, until the next refresh 30 s later, and after a restart of an engine). Change: without a list it asks a peer for theirs, leaving marks included, and is not ready before it has one; the router keeps reports of servers not listed yet and applies one of the same incarnation. Ruled out: passing the whole list on by gossip (a list of 1,010 instances is 196 kB).

--- a/idl/peer.thrift
+++ b/idl/peer.thrift
@@ -100,6 +100,22 @@
   1: optional list<string> servers
 }
 
+struct ListingPull {
+}
+
+struct ListedServer {
+  1: optional string name
+  2: optional string incarnation
+  3: optional string address
+  4: optional string availability_zone
+  5: optional map<string, string> labels
+  6: optional bool leaving
+}
+
+struct ListingPush {
+  1: optional list<ListedServer> servers
+}
+
 struct ConfigPull {
   1: optional i64 generation
   2: optional i64 serial
@@ -186,6 +202,8 @@
   13: PlanMessage as_PlanMessage
   14: StateSync as_StateSync
   15: LoadPull as_LoadPull
+  16: ListingPull as_ListingPull
+  17: ListingPush as_ListingPush
 }
 
 struct Envelope {
--- a/src/wisterialoom/app.py
+++ b/src/wisterialoom/app.py
@@ -295,7 +295,8 @@
     def is_ready(self) -> bool:
         """Tell whether the balancer may send work."""
         path = self.parts.path
-        return path.classifier is not None and path.fresh and not path.draining
+        configured = path.classifier is not None and path.fresh
+        return configured and self.parts.directory.listed and not path.draining
 
     def addresses(self) -> dict[str, str]:
         """Return every address that listens, by its name in the settings."""
--- a/src/wisterialoom/core/assembly.py
+++ b/src/wisterialoom/core/assembly.py
@@ -119,7 +119,7 @@
             rng=rng,
             incarnation=identity.boot_number,
         )
-        directory = ServerDirectory(rng)
+        directory = ServerDirectory(rng, identity.name)
         stewards = Stewards(identity.name, identity.boot_id)
         claims = ClaimKeeper(identity.name, identity.boot_id, wall_clock)
         path = RequestPath(zone, policy=policy, choice=choice, rng=rng)
--- a/src/wisterialoom/core/peer.py
+++ b/src/wisterialoom/core/peer.py
@@ -27,6 +27,9 @@
     "LeavingServer",
     "LetGo",
     "LoadChange",
+    "ListedServer",
+    "ListingPull",
+    "ListingPush",
     "LoadPull",
     "MemberStatus",
     "MemberUpdate",
@@ -227,6 +230,42 @@
     servers: tuple[str, ...] = ()
 
 
+@dataclass(frozen=True, slots=True)
+class ListingPull(PeerMessage):
+    """Ask a peer for the backend servers, while the platform does not list them."""
+
+    reliable: ClassVar[bool] = True
+
+
+@dataclass(frozen=True, slots=True)
+class ListedServer:
+    """A backend server as a peer knows it from the platform's list.
+
+    Attributes:
+        name: Identifier of the backend server.
+        incarnation: As listed.
+        address: `IP:port`.
+        availability_zone: Name of the availability zone.
+        labels: The platform's labels.
+        leaving: No new work may go there.
+    """
+
+    name: str
+    incarnation: str
+    address: str
+    availability_zone: str
+    labels: dict[str, str] = field(default_factory=dict)
+    leaving: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class ListingPush(PeerMessage):
+    """Answer to a `ListingPull`."""
+
+    reliable: ClassVar[bool] = True
+    servers: tuple[ListedServer, ...] = ()
+
+
 @dataclass(frozen=True, slots=True)
 class ConfigPull(PeerMessage):
     """Ask a peer for a configuration above the generation known.
--- a/src/wisterialoom/core/router.py
+++ b/src/wisterialoom/core/router.py
@@ -44,6 +44,9 @@
 SERVICE_SLOTS = 64
 """Requests at once at a plain service whose group names no slots."""
 
+MAX_REPORTS = 4_096
+"""Load reports that are kept, of servers not listed yet among others."""
+
 REPORTED_TRUST_S = 3.0
 
 
@@ -62,6 +65,7 @@
         service_s: Smoothed time of one request by lane, in seconds.
         first_s: Smoothed time from dispatch to first output by lane, in seconds.
         first_priority: The best priority of any traffic class.
+        reports: Last load report by server, listed or not, and when it came.
         prefixes: Prompt prefixes by server.
     """
 
@@ -75,6 +79,7 @@
     service_s: dict[str, float] = field(default_factory=dict)
     first_s: dict[str, float] = field(default_factory=dict)
     first_priority: int = 0
+    reports: dict[str, tuple[float, ServerLoad]] = field(default_factory=dict)
     prefixes: PrefixIndex = field(default_factory=PrefixIndex)
     groups: dict[str, ServerGroup] = field(default_factory=dict)
     service_selectors: tuple[str, ...] = ()
@@ -123,8 +128,19 @@
             self.views[server.name] = view
             self.prefixes.forget(server.name)
         view.server = server
+        self._apply_report(view)
         self._refresh(view)
 
+    def _apply_report(self, view: ServerView) -> None:
+        """Take a report over that came before its server was listed."""
+        found = self.reports.get(view.server.name)
+        if found is None or view.load is not None:
+            return
+        at, load = found
+        if load.incarnation in ("", view.server.incarnation):
+            view.load = load
+            view.load_at = at
+
     def _slots(self, server: BackendServer) -> int:
         group = self.groups.get(server.group)
         return group.slots if group is not None else SERVICE_SLOTS
@@ -159,6 +175,9 @@
     def report(self, now: float, load: ServerLoad) -> ServerView | None:
         """Take a load report; return the view that it changed."""
         view = self.views.get(load.server)
+        self.reports[load.server] = (now, load)
+        while len(self.reports) > MAX_REPORTS:
+            del self.reports[next(iter(self.reports))]
         if view is None:
             return None
         view.load = load
--- a/src/wisterialoom/core/server_directory.py
+++ b/src/wisterialoom/core/server_directory.py
@@ -6,8 +6,11 @@
 
 from wisterialoom.core._server_record import ServerRecord
 from wisterialoom.core.instance_list import (
+    InstanceList,
     InstanceListRead,
     InstanceListUnavailable,
+    InstanceState,
+    ListedInstance,
     ReadInstanceList,
 )
 from wisterialoom.core.message import Event, Tick
@@ -19,14 +22,22 @@
     ServersChanged,
     ServerSeenLeaving,
 )
+from wisterialoom.core.peer import (
+    ListedServer,
+    ListingPull,
+    ListingPush,
+    PeerReceived,
+    SendPeer,
+)
 from wisterialoom.core.selector import Selector
 
 if TYPE_CHECKING:
     import random
 
     from wisterialoom.core.document import Document, Label, ServerGroup
-    from wisterialoom.core.instance_list import InstanceList, ListedInstance
     from wisterialoom.core.message import Output
+    from wisterialoom.core.notice import Member
+    from wisterialoom.core.peer import PeerMessage
 
 __all__ = ["DRAIN_LABEL", "ServerDirectory"]
 
@@ -41,6 +52,9 @@
 FIRST_READ_S = 0.2
 """Time over which the first reads of instances started together are spread."""
 
+PULL_INTERVAL_S = 1.0
+"""Least time between two questions to peers, in seconds."""
+
 ANSWER_LIMIT_S = 10.0
 """A read without an answer is given up after this time."""
 
@@ -49,8 +63,10 @@
     """Part of the core that knows the backend servers.
 
     Attributes:
+        name: Name of this instance.
+        peers: The other entry instances.
         configured: A document is in force.
-        listed: The list was read.
+        listed: The list was read, or a peer told of it.
         groups: Server groups of the document with their selectors.
         labels: Operators' labels with their selectors.
         records: What is known of each listed name.
@@ -68,12 +84,16 @@
         InstanceListUnavailable,
         ConfigChanged,
         MembersChanged,
+        PeerReceived,
         ServerSeenLeaving,
         LoadReported,
     )
 
-    def __init__(self, rng: random.Random) -> None:
+    def __init__(self, rng: random.Random, name: str = "") -> None:
         self.rng = rng
+        self.name = name
+        self.peers: tuple[Member, ...] = ()
+        self.pull_due = 0.0
         self.configured = False
         self.listed = False
         self.groups: list[tuple[ServerGroup, Selector]] = []
@@ -95,9 +115,12 @@
                 self._take_listing(now, listing)
             case InstanceListUnavailable():
                 self.read_at = None
-                return []
+                return self._ask_peer(now)
+            case PeerReceived(sender=sender, message=message):
+                return self._take_peer(now, sender, message)
             case MembersChanged(members=members):
                 self.fleet = max(1, len(members))
+                self.peers = tuple(x for x in members if x.name != self.name)
                 return []
             case ConfigChanged(document=document):
                 self._take_document(document)
@@ -147,6 +170,41 @@
     def _record(self, now: float, name: str) -> ServerRecord:
         return self.records.setdefault(name, ServerRecord(name, now))
 
+    # The list from peers, for an instance that has never read it.
+
+    def _ask_peer(self, now: float) -> list[Output]:
+        if self.listed or not self.peers or now < self.pull_due:
+            return []
+        self.pull_due = now + PULL_INTERVAL_S
+        peer = self.rng.choice(self.peers)
+        return [SendPeer(peer.name, peer.address, ListingPull())]
+
+    def _take_peer(self, now: float, sender: str, message: PeerMessage) -> list[Output]:
+        match message:
+            case ListingPull() if self.listed:
+                peers = [item for item in self.peers if item.name == sender]
+                push = ListingPush(self._listed_servers())
+                return [SendPeer(item.name, item.address, push) for item in peers]
+            case ListingPush(servers=servers) if not self.listed:
+                instances = tuple(_instance(item) for item in servers)
+                self._take_listing(now, InstanceList(instances))
+                return self._tell()
+        return []
+
+    def _listed_servers(self) -> tuple[ListedServer, ...]:
+        return tuple(
+            ListedServer(
+                name=item.name,
+                incarnation=item.incarnation,
+                address=item.address,
+                availability_zone=item.availability_zone,
+                labels=item.labels,
+                leaving=record.is_leaving(),
+            )
+            for record in self.records.values()
+            if (item := record.listed) is not None and record.is_present()
+        )
+
     # The document.
 
     def _take_document(self, document: Document) -> None:
@@ -209,5 +267,17 @@
         return None
 
 
+def _instance(item: ListedServer) -> ListedInstance:
+    state = InstanceState.LEAVING if item.leaving else InstanceState.LIVE
+    return ListedInstance(
+        name=item.name,
+        incarnation=item.incarnation,
+        address=item.address,
+        availability_zone=item.availability_zone,
+        labels=item.labels,
+        state=state,
+    )
+
+
 def _is_entry(listed: ListedInstance) -> bool:
     return listed.labels.get("kind") == ENTRY_KIND
--- a/src/wisterialoom/lab/deployment.py
+++ b/src/wisterialoom/lab/deployment.py
@@ -248,6 +248,7 @@
             if hosts[name].alive
             and parts.path.classifier is not None
             and parts.path.fresh
+            and parts.directory.listed
             and not parts.path.draining
         )
 
--- a/src/wisterialoom/peer/codec.py
+++ b/src/wisterialoom/peer/codec.py
@@ -46,6 +46,8 @@
     peer.PlanMessage,
     peer.StateSync,
     peer.LoadPull,
+    peer.ListingPull,
+    peer.ListingPush,
 )
 """Every class that the codec knows."""
 
--- a/src/wisterialoom/peer/gen/ttypes.py
+++ b/src/wisterialoom/peer/gen/ttypes.py
@@ -1276,6 +1276,271 @@
         return not (self == other)
 
 
+class ListingPull(object):
+
+    __slots__ = (
+    )
+
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ListingPull')
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class ListedServer(object):
+    """
+    Attributes:
+     - name
+     - incarnation
+     - address
+     - availability_zone
+     - labels
+     - leaving
+
+    """
+
+    __slots__ = (
+        'name',
+        'incarnation',
+        'address',
+        'availability_zone',
+        'labels',
+        'leaving',
+    )
+
+
+    def __init__(self, name=None, incarnation=None, address=None, availability_zone=None, labels=None, leaving=None,):
+        self.name = name
+        self.incarnation = incarnation
+        self.address = address
+        self.availability_zone = availability_zone
+        self.labels = labels
+        self.leaving = leaving
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.incarnation = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.address = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.STRING:
+                    self.availability_zone = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.MAP:
+                    self.labels = {}
+                    (_ktype92, _vtype93, _size91) = iprot.readMapBegin()
+                    for _i95 in range(_size91):
+                        _key96 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val97 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.labels[_key96] = _val97
+                    iprot.readMapEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.BOOL:
+                    self.leaving = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ListedServer')
+        if self.name is not None:
+            oprot.writeFieldBegin('name', TType.STRING, 1)
+            oprot.writeString(self.name.encode('utf-8') if sys.version_info[0] == 2 else self.name)
+            oprot.writeFieldEnd()
+        if self.incarnation is not None:
+            oprot.writeFieldBegin('incarnation', TType.STRING, 2)
+            oprot.writeString(self.incarnation.encode('utf-8') if sys.version_info[0] == 2 else self.incarnation)
+            oprot.writeFieldEnd()
+        if self.address is not None:
+            oprot.writeFieldBegin('address', TType.STRING, 3)
+            oprot.writeString(self.address.encode('utf-8') if sys.version_info[0] == 2 else self.address)
+            oprot.writeFieldEnd()
+        if self.availability_zone is not None:
+            oprot.writeFieldBegin('availability_zone', TType.STRING, 4)
+            oprot.writeString(self.availability_zone.encode('utf-8') if sys.version_info[0] == 2 else self.availability_zone)
+            oprot.writeFieldEnd()
+        if self.labels is not None:
+            oprot.writeFieldBegin('labels', TType.MAP, 5)
+            oprot.writeMapBegin(TType.STRING, TType.STRING, len(self.labels))
+            for kiter98, viter99 in self.labels.items():
+                oprot.writeString(kiter98.encode('utf-8') if sys.version_info[0] == 2 else kiter98)
+                oprot.writeString(viter99.encode('utf-8') if sys.version_info[0] == 2 else viter99)
+            oprot.writeMapEnd()
+            oprot.writeFieldEnd()
+        if self.leaving is not None:
+            oprot.writeFieldBegin('leaving', TType.BOOL, 6)
+            oprot.writeBool(self.leaving)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class ListingPush(object):
+    """
+    Attributes:
+     - servers
+
+    """
+
+    __slots__ = (
+        'servers',
+    )
+
+
+    def __init__(self, servers=None,):
+        self.servers = servers
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.LIST:
+                    self.servers = []
+                    (_etype103, _size100) = iprot.readListBegin()
+                    for _i104 in range(_size100):
+                        _elem105 = ListedServer()
+                        _elem105.read(iprot)
+                        self.servers.append(_elem105)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ListingPush')
+        if self.servers is not None:
+            oprot.writeFieldBegin('servers', TType.LIST, 1)
+            oprot.writeListBegin(TType.STRUCT, len(self.servers))
+            for iter106 in self.servers:
+                iter106.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class ConfigPull(object):
     """
     Attributes:
@@ -2090,22 +2355,22 @@
             if fid == 1:
                 if ftype == TType.MAP:
                     self.rates = {}
-                    (_ktype92, _vtype93, _size91) = iprot.readMapBegin()
-                    for _i95 in range(_size91):
-                        _key96 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val97 = iprot.readDouble()
-                        self.rates[_key96] = _val97
+                    (_ktype108, _vtype109, _size107) = iprot.readMapBegin()
+                    for _i111 in range(_size107):
+                        _key112 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val113 = iprot.readDouble()
+                        self.rates[_key112] = _val113
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
                 if ftype == TType.MAP:
                     self.waiting = {}
-                    (_ktype99, _vtype100, _size98) = iprot.readMapBegin()
-                    for _i102 in range(_size98):
-                        _key103 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val104 = iprot.readI64()
-                        self.waiting[_key103] = _val104
+                    (_ktype115, _vtype116, _size114) = iprot.readMapBegin()
+                    for _i118 in range(_size114):
+                        _key119 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val120 = iprot.readI64()
+                        self.waiting[_key119] = _val120
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
@@ -2122,17 +2387,17 @@
         if self.rates is not None:
             oprot.writeFieldBegin('rates', TType.MAP, 1)
             oprot.writeMapBegin(TType.STRING, TType.DOUBLE, len(self.rates))
-            for kiter105, viter106 in self.rates.items():
-                oprot.writeString(kiter105.encode('utf-8') if sys.version_info[0] == 2 else kiter105)
-                oprot.writeDouble(viter106)
+            for kiter121, viter122 in self.rates.items():
+                oprot.writeString(kiter121.encode('utf-8') if sys.version_info[0] == 2 else kiter121)
+                oprot.writeDouble(viter122)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.waiting is not None:
             oprot.writeFieldBegin('waiting', TType.MAP, 2)
             oprot.writeMapBegin(TType.STRING, TType.I64, len(self.waiting))
-            for kiter107, viter108 in self.waiting.items():
-                oprot.writeString(kiter107.encode('utf-8') if sys.version_info[0] == 2 else kiter107)
-                oprot.writeI64(viter108)
+            for kiter123, viter124 in self.waiting.items():
+                oprot.writeString(kiter123.encode('utf-8') if sys.version_info[0] == 2 else kiter123)
+                oprot.writeI64(viter124)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2198,20 +2463,20 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.models = []
-                    (_etype112, _size109) = iprot.readListBegin()
-                    for _i113 in range(_size109):
-                        _elem114 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.models.append(_elem114)
+                    (_etype128, _size125) = iprot.readListBegin()
+                    for _i129 in range(_size125):
+                        _elem130 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.models.append(_elem130)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.adapters = []
-                    (_etype118, _size115) = iprot.readListBegin()
-                    for _i119 in range(_size115):
-                        _elem120 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.adapters.append(_elem120)
+                    (_etype134, _size131) = iprot.readListBegin()
+                    for _i135 in range(_size131):
+                        _elem136 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.adapters.append(_elem136)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2232,15 +2497,15 @@
         if self.models is not None:
             oprot.writeFieldBegin('models', TType.LIST, 2)
             oprot.writeListBegin(TType.STRING, len(self.models))
-            for iter121 in self.models:
-                oprot.writeString(iter121.encode('utf-8') if sys.version_info[0] == 2 else iter121)
+            for iter137 in self.models:
+                oprot.writeString(iter137.encode('utf-8') if sys.version_info[0] == 2 else iter137)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.adapters is not None:
             oprot.writeFieldBegin('adapters', TType.LIST, 3)
             oprot.writeListBegin(TType.STRING, len(self.adapters))
-            for iter122 in self.adapters:
-                oprot.writeString(iter122.encode('utf-8') if sys.version_info[0] == 2 else iter122)
+            for iter138 in self.adapters:
+                oprot.writeString(iter138.encode('utf-8') if sys.version_info[0] == 2 else iter138)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2311,11 +2576,11 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.entries = []
-                    (_etype126, _size123) = iprot.readListBegin()
-                    for _i127 in range(_size123):
-                        _elem128 = PlanEntry()
-                        _elem128.read(iprot)
-                        self.entries.append(_elem128)
+                    (_etype142, _size139) = iprot.readListBegin()
+                    for _i143 in range(_size139):
+                        _elem144 = PlanEntry()
+                        _elem144.read(iprot)
+                        self.entries.append(_elem144)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2340,8 +2605,8 @@
         if self.entries is not None:
             oprot.writeFieldBegin('entries', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.entries))
-            for iter129 in self.entries:
-                iter129.write(oprot)
+            for iter145 in self.entries:
+                iter145.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2387,6 +2652,8 @@
      - as_PlanMessage
      - as_StateSync
      - as_LoadPull
+     - as_ListingPull
+     - as_ListingPush
 
     """
 
@@ -2406,10 +2673,12 @@
         'as_PlanMessage',
         'as_StateSync',
         'as_LoadPull',
+        'as_ListingPull',
+        'as_ListingPush',
     )
 
 
-    def __init__(self, as_Heartbeat=None, as_HeartbeatAck=None, as_IndirectPing=None, as_ConfigPull=None, as_ConfigPush=None, as_ClaimRequest=None, as_ClaimAnswer=None, as_NonceQuery=None, as_NonceAnswer=None, as_LetGo=None, as_ConfirmLetGo=None, as_DemandReport=None, as_PlanMessage=None, as_StateSync=None, as_LoadPull=None,):
+    def __init__(self, as_Heartbeat=None, as_HeartbeatAck=None, as_IndirectPing=None, as_ConfigPull=None, as_ConfigPush=None, as_ClaimRequest=None, as_ClaimAnswer=None, as_NonceQuery=None, as_NonceAnswer=None, as_LetGo=None, as_ConfirmLetGo=None, as_DemandReport=None, as_PlanMessage=None, as_StateSync=None, as_LoadPull=None, as_ListingPull=None, as_ListingPush=None,):
         self.as_Heartbeat = as_Heartbeat
         self.as_HeartbeatAck = as_HeartbeatAck
         self.as_IndirectPing = as_IndirectPing
@@ -2425,6 +2694,8 @@
         self.as_PlanMessage = as_PlanMessage
         self.as_StateSync = as_StateSync
         self.as_LoadPull = as_LoadPull
+        self.as_ListingPull = as_ListingPull
+        self.as_ListingPush = as_ListingPush
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2525,6 +2796,18 @@
                     self.as_LoadPull.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 16:
+                if ftype == TType.STRUCT:
+                    self.as_ListingPull = ListingPull()
+                    self.as_ListingPull.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 17:
+                if ftype == TType.STRUCT:
+                    self.as_ListingPush = ListingPush()
+                    self.as_ListingPush.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2595,6 +2878,14 @@
             oprot.writeFieldBegin('as_LoadPull', TType.STRUCT, 15)
             self.as_LoadPull.write(oprot)
             oprot.writeFieldEnd()
+        if self.as_ListingPull is not None:
+            oprot.writeFieldBegin('as_ListingPull', TType.STRUCT, 16)
+            self.as_ListingPull.write(oprot)
+            oprot.writeFieldEnd()
+        if self.as_ListingPush is not None:
+            oprot.writeFieldBegin('as_ListingPush', TType.STRUCT, 17)
+            self.as_ListingPush.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2797,6 +3088,24 @@
     None,  # 0
     (1, TType.LIST, 'servers', (TType.STRING, 'UTF8', False), None, ),  # 1
 )
+all_structs.append(ListingPull)
+ListingPull.thrift_spec = (
+)
+all_structs.append(ListedServer)
+ListedServer.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'name', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'incarnation', 'UTF8', None, ),  # 2
+    (3, TType.STRING, 'address', 'UTF8', None, ),  # 3
+    (4, TType.STRING, 'availability_zone', 'UTF8', None, ),  # 4
+    (5, TType.MAP, 'labels', (TType.STRING, 'UTF8', TType.STRING, 'UTF8', False), None, ),  # 5
+    (6, TType.BOOL, 'leaving', None, None, ),  # 6
+)
+all_structs.append(ListingPush)
+ListingPush.thrift_spec = (
+    None,  # 0
+    (1, TType.LIST, 'servers', (TType.STRUCT, [ListedServer, None], False), None, ),  # 1
+)
 all_structs.append(ConfigPull)
 ConfigPull.thrift_spec = (
     None,  # 0
@@ -2895,6 +3204,8 @@
     (13, TType.STRUCT, 'as_PlanMessage', [PlanMessage, None], None, ),  # 13
     (14, TType.STRUCT, 'as_StateSync', [StateSync, None], None, ),  # 14
     (15, TType.STRUCT, 'as_LoadPull', [LoadPull, None], None, ),  # 15
+    (16, TType.STRUCT, 'as_ListingPull', [ListingPull, None], None, ),  # 16
+    (17, TType.STRUCT, 'as_ListingPush', [ListingPush, None], None, ),  # 17
 )
 all_structs.append(Envelope)
 Envelope.thrift_spec = (
--- a/tests/test_request_path.py
+++ b/tests/test_request_path.py
@@ -2,6 +2,7 @@
 
 import itertools
 import random
+from dataclasses import replace
 
 import pytest
 from hypothesis import given, settings, strategies as st
@@ -194,6 +195,24 @@
     assert only(outputs, PartDrained)
 
 
+def test_load_told_before_the_server_is_listed_counts():
+    path = RequestPath("az-1")
+    path.handle(0.0, ConfigChanged(1, DOCUMENT))
+    path.handle(0.0, ConfigFreshness(1, fresh=True, age_s=0.0))
+    path.handle(0.0, LoadReported(make_load("e1", "drafting"), own=False))
+    path.handle(0.5, ServersChanged((make_server("e1"),)))
+    assert only(arrive(path, 1.0, chat(1)), Dispatch)
+
+
+def test_load_of_a_new_incarnation_told_before_it_is_listed_counts():
+    path = make_path(make_load("e1", "drafting", incarnation="1"))
+    load = make_load("e1", "review", incarnation="2")
+    path.handle(0.5, LoadReported(load, own=False))
+    server = replace(make_server("e1"), incarnation="2")
+    path.handle(1.0, ServersChanged((server,)))
+    assert only(arrive(path, 1.1, chat(1, "review")), Dispatch)
+
+
 def test_request_is_not_dispatched_once_its_claim_may_be_forgotten():
     path = make_path()
     arrive(path, 1.0, registration(1))
