Place the copies with the greatest gain first, and keep them longer

Change: missing copies are provided by gain (worth over copies, plus age for a model without any). A further copy displaces something only if requests wait. Displacement on engines that do not check comes last. A request keeps a slot busy for 4 s, not 2. PATIENCE_S 3 -> 10, LEAST_RESIDENCY_S 15 -> 40.

The measurement writes one file for each site and scene.

--- a/src/wisterialoom/core/planner_input.py
+++ b/src/wisterialoom/core/planner_input.py
@@ -29,6 +29,7 @@
         usable: It may be given models.
         serving: What it holds counts as reachable.
         blocked: Models that it failed to load lately.
+        settle_s: For how long an unloaded model's memory may stay counted.
     """
 
     name: str
@@ -42,6 +43,7 @@
     usable: bool = True
     serving: bool = True
     blocked: frozenset[ModelKey] = frozenset()
+    settle_s: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/wisterialoom/core/planner_placement.py
+++ b/src/wisterialoom/core/planner_placement.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
@@ -21,13 +22,16 @@
 HYSTERESIS = 1.25
 """A swap must gain this many times what it costs."""
 
-PATIENCE_S = 3.0
+PATIENCE_S = 10.0
 """After waiting this long, a model without a replica displaces another."""
 
-LEAST_RESIDENCY_S = 15.0
+LEAST_RESIDENCY_S = 40.0
 """A model is not displaced before it was resident this long, in seconds."""
 
-SERVICE_S = 2.0
+AGE_WORTH = 10.0
+"""Worth of each second that a model without a replica is waited for, in requests."""
+
+SERVICE_S = 4.0
 """Time that one request keeps a slot busy, for counting replicas, in seconds."""
 
 FILL = 0.8
@@ -73,8 +77,7 @@
         for slot in self.slots.values():
             self._keep(slot)
         self._drop_excess()
-        for key in sorted(self.models, key=self._urgency):
-            self._provide(key)
+        self._provide_all()
         return {
             name: tuple(sorted(slot.models, key=self._urgency))
             for name, slot in self.slots.items()
@@ -168,11 +171,25 @@
         slots = self.slots
         return [x for x in self.holders.get(key, ()) if slots[x].view.serving]
 
-    def _provide(self, key: ModelKey) -> None:
-        model = self.models[key]
-        for _ in range(self._wanted(model) - len(self._replicas(key))):
-            if self.allowance <= 0 or not self._provide_one(key, model):
+    def _provide_all(self) -> None:
+        """Provide missing copies, those of the greatest gain first."""
+        missing = []
+        for key, model in self.models.items():
+            for held in range(len(self._replicas(key)), self._wanted(model)):
+                missing.append((-self._gain(key, held), key))
+        failed: set[ModelKey] = set()
+        for _, key in sorted(missing):
+            if self.allowance <= 0:
                 return
+            if key not in failed and not self._provide_one(key, self.models[key]):
+                failed.add(key)
+
+    def _gain(self, key: ModelKey, held: int) -> float:
+        """Return what one more copy is worth beside those that are held."""
+        if held < self.models[key].min_replicas:
+            return math.inf
+        aged = 0.0 if held else self._demand(key).waiting_s * AGE_WORTH
+        return self._worth(key) / (held + 1) + aged
 
     def _provide_one(self, key: ModelKey, model: Model) -> bool:
         options = []
@@ -199,12 +216,14 @@
 
     def _order(
         self, key: ModelKey, slot: _Slot, victims: list[ModelKey]
-    ) -> tuple[float, int, int, float]:
+    ) -> tuple[bool, float, int, int, float]:
         zone = slot.view.availability_zone
         held = [self.slots[name].view for name in self._replicas(key)]
         same_zone = sum(1 for view in held if view.availability_zone == zone)
         load = sum(self._share(x) for x in slot.models if x not in victims)
-        return (self._loss(victims), len(victims), same_zone, load)
+        # Memory that is freed there can be used only much later.
+        late = bool(victims) and slot.view.settle_s > 0
+        return (late, self._loss(victims), len(victims), same_zone, load)
 
     def _share(self, key: ModelKey) -> float:
         return self._worth(key) / max(1, len(self.holders.get(key, ())))
@@ -264,6 +283,8 @@
             return True
         if replicas < self.models[key].min_replicas:
             return True
+        if replicas and not self._demand(key).waiting:
+            return False
         gain = self._worth(key) / (replicas + 1)
         cost = self._loss(victims) + self.weight * (1 + len(victims))
         return gain > HYSTERESIS * cost
--- a/src/wisterialoom/core/planner_view.py
+++ b/src/wisterialoom/core/planner_view.py
@@ -101,4 +101,5 @@
             usable=not out and self.health.is_usable(now),
             serving=not out and self.health.is_serving(now),
             blocked=frozenset(self.blocked_until),
+            settle_s=0.0 if group.checks_fencing else group.order_lifetime_s,
         )
--- a/src/wisterialoom/measure/__main__.py
+++ b/src/wisterialoom/measure/__main__.py
@@ -30,17 +30,15 @@
 ) -> None:
     """Measure policies on the virtual clock and write tables and a plot."""
     policies = [POLICIES[name] for name in names]
-    found = []
     for site in sites:
         for scene in scenes:
             began = time.monotonic()
             scores = list(Measurement.from_names(site, scene, seed).run(policies))
-            found.append(scores)
             click.echo(scene_table(scores))
+            if out is not None:
+                write_report(out, scores, seed)
+                write_plot(out, scores)
             click.echo(f"{time.monotonic() - began:.0f} s", err=True)
-    if out is not None:
-        write_report(out, found, seed)
-        write_plot(out, found)
 
 
 if __name__ == "__main__":
--- a/src/wisterialoom/measure/report.py
+++ b/src/wisterialoom/measure/report.py
@@ -59,51 +59,52 @@
     )
 
 
-def write_report(folder: Path, scenes: Sequence[Sequence[Score]], seed: int) -> None:
-    """Write the tables as Markdown and JSON.
+def write_report(folder: Path, scores: Sequence[Score], seed: int) -> None:
+    """Write the tables of one scene at one site as Markdown and JSON.
 
     Args:
         folder: Where to.
-        scenes: Scores of all policies, scene by scene.
+        scores: Scores of all policies.
         seed: Of the run.
     """
     folder.mkdir(parents=True, exist_ok=True)
     text = f"# The policy under load\n\nWritten by `make measure`, seed {seed}.\n\n"
-    text += EXPLANATION + "\n\n" + "\n".join(scene_table(x) for x in scenes)
-    (folder / "load.md").write_text(text)
-    plain = [score.to_json() for scores in scenes for score in scores]
-    (folder / "load.json").write_text(json.dumps(plain, indent=1) + "\n")
+    text += EXPLANATION + "\n\n" + scene_table(scores)
+    _path(folder, scores, "md").write_text(text)
+    plain = [score.to_json() for score in scores]
+    _path(folder, scores, "json").write_text(json.dumps(plain, indent=1) + "\n")
 
 
-def write_plot(folder: Path, scenes: Sequence[Sequence[Score]]) -> None:
-    """Plot attainment and moves, one row a scene.
+def _path(folder: Path, scores: Sequence[Score], suffix: str) -> Path:
+    return folder / f"{scores[0].site}.{scores[0].scene}.{suffix}"
+
+
+def write_plot(folder: Path, scores: Sequence[Score]) -> None:
+    """Plot attainment and model loads of one scene at one site.
 
     Args:
         folder: Where to.
-        scenes: Scores of all policies, scene by scene.
+        scores: Scores of all policies.
     """
     import matplotlib as mpl
 
     mpl.use("Agg")
     from matplotlib import pyplot as plt
 
-    figure, axes = plt.subplots(
-        len(scenes), 2, figsize=(12, 2.4 * len(scenes)), squeeze=False
-    )
-    for row, scores in zip(axes, scenes, strict=True):
-        names = [score.policy for score in scores]
-        for offset, traffic_class in enumerate(scores[0].classes):
-            places = [index + 0.27 * offset for index in range(len(names))]
-            shares = [score.classes[traffic_class].attainment for score in scores]
-            row[0].bar(places, shares, width=0.25, label=traffic_class)
-        row[0].set_ylim(0, 1)
-        row[0].set_title(f"{scores[0].site}: {scores[0].scene}, attainment", size=8)
-        loads = [score.moves.get("load_model", 0) for score in scores]
-        row[1].bar(range(len(names)), loads, color="gray")
-        row[1].set_title("model loads", size=8)
-        for axis in row:
-            axis.set_xticks(range(len(names)), names, size=6)
-    axes[0][0].legend(fontsize=6)
+    figure, (shares_axis, loads_axis) = plt.subplots(1, 2, figsize=(12, 3))
+    names = [score.policy for score in scores]
+    for offset, traffic_class in enumerate(scores[0].classes):
+        places = [index + 0.27 * offset for index in range(len(names))]
+        shares = [score.classes[traffic_class].attainment for score in scores]
+        shares_axis.bar(places, shares, width=0.25, label=traffic_class)
+    shares_axis.set_ylim(0, 1)
+    shares_axis.set_title(f"{scores[0].site}: {scores[0].scene}, attainment", size=8)
+    shares_axis.legend(fontsize=6)
+    loads = [score.moves.get("load_model", 0) for score in scores]
+    loads_axis.bar(range(len(names)), loads, color="gray")
+    loads_axis.set_title("model loads", size=8)
+    for axis in (shares_axis, loads_axis):
+        axis.set_xticks(range(len(names)), names, size=6)
     figure.tight_layout()
-    figure.savefig(folder / "load.png", dpi=80)
+    figure.savefig(_path(folder, scores, "png"), dpi=80)
     plt.close(figure)
