--- a/src/wisterialoom/mutation/trial.py
+++ b/src/wisterialoom/mutation/trial.py
@@ -19,7 +19,10 @@
 
 __all__ = ["Trial", "Verdict"]
 
-COPIED = ("src", "tests", "examples", "docs", "pyproject.toml", "README.md")
+COPIED = (
+    *("src", "tests", "examples", "docs"),
+    *("pyproject.toml", "README.md", "KNOWN-RED.txt"),
+)
 """What tests need of the project."""
 
 LEFT_OUT = ("__pycache__", ".hypothesis", ".pytest_cache", "*.egg-info")
