--- a/src/wisterialoom/core/planner_placement.py
+++ b/src/wisterialoom/core/planner_placement.py
@@ -19,7 +19,7 @@
 HYSTERESIS = 1.25
 """A swap must gain this many times what it costs."""
 
-PATIENCE_S = 3.0
+PATIENCE_S = 10.0
 """After waiting this long, a model without a replica displaces another."""
 
 SWAP_TRIES = 4
--- a/src/wisterialoom/core/planner_worth.py
+++ b/src/wisterialoom/core/planner_worth.py
@@ -17,10 +17,10 @@
 HORIZON_S = 60.0
 """Demand over this time is what a resident model is worth, in seconds."""
 
-LEAST_RESIDENCY_S = 15.0
+LEAST_RESIDENCY_S = 40.0
 """A model is not displaced before it was resident this long, in seconds."""
 
-SERVICE_S = 2.0
+SERVICE_S = 4.0
 """Time that one request keeps a slot busy, for counting replicas, in seconds."""
 
 FILL = 0.8
