--- a/idl/peer.thrift
+++ b/idl/peer.thrift
@@ -56,6 +56,11 @@
   7: optional i64 kv_free
 }
 
+struct LeavingServer {
+  1: optional string server
+  2: optional string incarnation
+}
+
 struct Heartbeat {
   1: optional i64 serial
   2: optional i64 generation
@@ -64,6 +69,7 @@
   5: optional list<ServerLoad> loads
   6: optional list<LoadChange> changes
   7: optional i64 digest
+  8: optional list<LeavingServer> leaving
 }
 
 struct HeartbeatAck {
@@ -74,6 +80,7 @@
   5: optional list<ServerLoad> loads
   6: optional list<LoadChange> changes
   7: optional i64 digest
+  8: optional list<LeavingServer> leaving
 }
 
 struct IndirectPing {
@@ -93,6 +100,22 @@
   1: optional list<string> servers
 }
 
+struct ListingPull {
+}
+
+struct ListedServer {
+  1: optional string name
+  2: optional string incarnation
+  3: optional string address
+  4: optional string availability_zone
+  5: optional map<string, string> labels
+  6: optional bool leaving
+}
+
+struct ListingPush {
+  1: optional list<ListedServer> servers
+}
+
 struct ConfigPull {
   1: optional i64 generation
   2: optional i64 serial
@@ -179,6 +202,8 @@
   13: PlanMessage as_PlanMessage
   14: StateSync as_StateSync
   15: LoadPull as_LoadPull
+  16: ListingPull as_ListingPull
+  17: ListingPush as_ListingPush
 }
 
 struct Envelope {
--- a/src/wisterialoom/core/assembly.py
+++ b/src/wisterialoom/core/assembly.py
@@ -8,6 +8,7 @@
 
 from wisterialoom.core.claim import ClaimKeeper
 from wisterialoom.core.config_follower import ConfigFollower
+from wisterialoom.core.config_warning import ConfigWarning
 from wisterialoom.core.demand import Demand
 from wisterialoom.core.entry import EntryCore
 from wisterialoom.core.job import JobKeeper
@@ -118,7 +119,7 @@
             rng=rng,
             incarnation=identity.boot_number,
         )
-        directory = ServerDirectory(rng)
+        directory = ServerDirectory(rng, identity.name)
         stewards = Stewards(identity.name, identity.boot_id)
         claims = ClaimKeeper(identity.name, identity.boot_id, wall_clock)
         path = RequestPath(zone, policy=policy, choice=choice, rng=rng)
@@ -132,6 +133,7 @@
             claims,
             jobs,
             JobGate(),
+            ConfigWarning(),
             path,
         )
         core = EntryCore(parts, DRAINING_PARTS)
--- a/src/wisterialoom/core/peer.py
+++ b/src/wisterialoom/core/peer.py
@@ -24,8 +24,12 @@
     "Heartbeat",
     "HeartbeatAck",
     "IndirectPing",
+    "LeavingServer",
     "LetGo",
     "LoadChange",
+    "ListedServer",
+    "ListingPull",
+    "ListingPush",
     "LoadPull",
     "MemberStatus",
     "MemberUpdate",
@@ -138,6 +142,14 @@
     kv_free: int = 100
 
 
+@dataclass(frozen=True, slots=True)
+class LeavingServer:
+    """A backend server that gets no new work in this incarnation."""
+
+    server: str
+    incarnation: str
+
+
 @dataclass(frozen=True, slots=True)
 class Heartbeat(PeerMessage):
     """Probe of a member, with news piggybacked.
@@ -152,6 +164,7 @@
         loads: News of backend servers.
         changes: News of the load alone of backend servers.
         digest: Of the sender's member table; differing ones start a `StateSync`.
+        leaving: Backend servers that were seen leaving.
     """
 
     serial: int
@@ -161,6 +174,7 @@
     loads: tuple[ServerLoad, ...] = ()
     changes: tuple[LoadChange, ...] = ()
     digest: int = 0
+    leaving: tuple[LeavingServer, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -174,6 +188,7 @@
     loads: tuple[ServerLoad, ...] = ()
     changes: tuple[LoadChange, ...] = ()
     digest: int = 0
+    leaving: tuple[LeavingServer, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -215,6 +230,42 @@
     servers: tuple[str, ...] = ()
 
 
+@dataclass(frozen=True, slots=True)
+class ListingPull(PeerMessage):
+    """Ask a peer for the backend servers, while the platform does not list them."""
+
+    reliable: ClassVar[bool] = True
+
+
+@dataclass(frozen=True, slots=True)
+class ListedServer:
+    """A backend server as a peer knows it from the platform's list.
+
+    Attributes:
+        name: Identifier of the backend server.
+        incarnation: As listed.
+        address: `IP:port`.
+        availability_zone: Name of the availability zone.
+        labels: The platform's labels.
+        leaving: No new work may go there.
+    """
+
+    name: str
+    incarnation: str
+    address: str
+    availability_zone: str
+    labels: dict[str, str] = field(default_factory=dict)
+    leaving: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class ListingPush(PeerMessage):
+    """Answer to a `ListingPull`."""
+
+    reliable: ClassVar[bool] = True
+    servers: tuple[ListedServer, ...] = ()
+
+
 @dataclass(frozen=True, slots=True)
 class ConfigPull(PeerMessage):
     """Ask a peer for a configuration above the generation known.
--- a/src/wisterialoom/core/refusal.py
+++ b/src/wisterialoom/core/refusal.py
@@ -71,7 +71,9 @@
         retry_after_s=None,
     ),
     Reason.CLAIM_UNAVAILABLE: _Form(
-        503, "The idempotency key could not be claimed; send it again with the key."
+        503,
+        "The idempotency key could not be claimed, and this request was not run; "
+        "an earlier one with the key may have been. Send it again with the key.",
     ),
     Reason.CLAIMS_FULL: _Form(
         503, "No more idempotency keys can be kept now; send it again with the key."
@@ -103,6 +105,19 @@
         outcome=Outcome.UNKNOWN,
         retry_after_s=CONFIG_RETRY_S,
     ),
+    Reason.ANSWER_NOT_KEPT: _Form(
+        409,
+        "The operation with this Idempotency-Key was completed; its answer was too "
+        "large to be kept. Do not repeat it with a new key.",
+        outcome=Outcome.COMPLETED,
+        retry_after_s=None,
+    ),
+    Reason.ANSWER_UNAVAILABLE: _Form(
+        503,
+        "The operation with this Idempotency-Key was completed; its answer can't be "
+        "read now. Ask again with the key.",
+        outcome=Outcome.COMPLETED,
+    ),
     Reason.CONNECT: _Form(503, "No backend server accepted it; come back later."),
     Reason.SERVER_REFUSED: _Form(
         503, "The backend servers did not start it; come back later."
--- a/src/wisterialoom/core/request.py
+++ b/src/wisterialoom/core/request.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import enum
+import math
 from dataclasses import dataclass, field
 
 from wisterialoom.core.message import Command, Event
@@ -66,6 +67,8 @@
     # A second request with the key of an earlier one.
     IN_PROGRESS = "in_progress"
     KEY_UNKNOWN = "key_unknown"
+    ANSWER_NOT_KEPT = "answer_not_kept"
+    ANSWER_UNAVAILABLE = "answer_unavailable"
     # Ends of attempts; also the reasons of retries.
     CONNECT = "connect"
     SERVER_REFUSED = "server_refused"
@@ -268,10 +271,17 @@
     """Hand a request to a backend server and relay its answer.
 
     The shell reports `AttemptFirstByte` and then `AttemptEnded`, once each.
+
+    Attributes:
+        attempt: The attempt.
+        classified: The request and its rules.
+        valid_until: Monotonic time after which no byte may be sent, because the
+            claim may be forgotten; the attempt then ends as `NOT_SENT`.
     """
 
     attempt: Attempt
     classified: Classified
+    valid_until: float = math.inf
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/wisterialoom/core/stewards.py
+++ b/src/wisterialoom/core/stewards.py
@@ -4,6 +4,7 @@
 
 from typing import ClassVar, TYPE_CHECKING
 
+from wisterialoom.core.demand import planner_of
 from wisterialoom.core.engine import (
     OrderDone,
     OrderLost,
@@ -58,6 +59,7 @@
         me: Identity of this process.
         stewards: One for each engine that this instance looks after.
         plans: Newest plan by server, also of servers stewarded elsewhere.
+        planner: The member whose plans are followed.
         drain_until: While stopping: when to exit without the object API.
     """
 
@@ -94,6 +96,7 @@
         self.servers: dict[str, BackendServer] = {}
         self.stewards: dict[str, Steward] = {}
         self.plans: dict[str, PlanEntry] = {}
+        self.planner = ""
         self.let_go_due = 0.0
         self.drain_until: float | None = None
         self.drained = False
@@ -142,6 +145,8 @@
                 self.duty.set_servers(self.servers)
             case MembersChanged(members=members):
                 self.presence.set_members(members)
+                planner = planner_of(members)
+                self.planner = planner.name if planner is not None else ""
                 self.duty.set_members(member.name for member in members)
             case InstanceListRead(listing=listing):
                 names = frozenset(item.name for item in listing.instances)
@@ -157,8 +162,8 @@
             if group is None:
                 continue
             self._sort_out_one(now, name, server, group)
-        for name in [x for x in self.stewards if x not in self.servers]:
-            del self.stewards[name]
+        for name in self.stewards.keys() - self.servers.keys():
+            self.stewards[name].stopping = True
 
     def _sort_out_one(
         self, now: float, name: str, server: BackendServer, group: ServerGroup
@@ -173,6 +178,7 @@
             self.stewards[name] = steward
         steward.server = server
         steward.group = group
+        steward.stopping = self.drain_until is not None
         steward.lease.lease_s = lease_s
         steward.may_journal = self.presence.self_listed
         self._set_target(now, name)
@@ -194,21 +200,21 @@
 
     def _take_peer(self, now: float, sender: str, message: PeerMessage) -> list[Output]:
         match message:
-            case PlanMessage(entries=entries):
+            case PlanMessage(entries=entries) if sender == self.planner:
                 for plan in entries:
                     self._take_plan(now, plan)
             case LetGo(server=server, epoch=epoch):
-                return self._let_go(sender, server, epoch)
+                return self._let_go(now, sender, server, epoch)
             case ConfirmLetGo(server=server, epoch=epoch):
                 steward = self.stewards.get(server)
                 if steward is not None:
                     steward.journal.close_holder(sender, epoch, now)
         return []
 
-    def _let_go(self, sender: str, server: str, epoch: int) -> list[Output]:
+    def _let_go(self, now: float, sender: str, server: str, epoch: int) -> list[Output]:
         steward = self.stewards.get(server)
         if steward is not None:
-            steward.let_go(epoch)
+            steward.let_go(now, epoch)
             if steward.journal.has_open(epoch):
                 return []
         return self._send(sender, ConfirmLetGo(server, epoch))
@@ -239,6 +245,9 @@
         for name, steward in self.stewards.items():
             place = self.duty.place(name, self.me.name)
             outputs += steward.tick(now, place)
+        for name in self.stewards.keys() - self.servers.keys():
+            if self.stewards[name].is_done:
+                del self.stewards[name]
         return outputs + self._finish_drain(now)
 
     def _begin_drain(self, now: float) -> None:
--- a/src/wisterialoom/http/relay.py
+++ b/src/wisterialoom/http/relay.py
@@ -9,6 +9,7 @@
 import aiohttp
 from aiohttp import ClientTimeout
 
+from wisterialoom.core.object_store import MAX_OBJECT_BYTES
 from wisterialoom.core.request import (
     Attempt,
     AttemptEnded,
@@ -37,8 +38,12 @@
 WHOLE_LIMIT = 1_000_000
 """Answers up to this size are relayed only when they are whole, in bytes."""
 
-STORED_LIMIT = 262_144
-"""Largest answer that is kept for a repeated idempotency key, in bytes."""
+STORED_LIMIT = MAX_OBJECT_BYTES
+"""Bytes of an answer that are kept for claims and jobs.
+
+A longer answer is cut off just above it. No object holds that much, so the core
+records it as done, with an answer too large to be kept.
+"""
 
 NOT_STARTED_HEADER = "X-Not-Started"
 LEAVING_HEADER = "X-Leaving"
@@ -107,6 +112,7 @@
         address: `IP:port` of the backend server.
         deliver: Takes the events of the attempt.
         times: Moments, for metrics.
+        valid_until: Monotonic time after which no byte may be sent.
         mismatched: The answer carried another request's id and was dropped.
     """
 
@@ -123,6 +129,7 @@
         self.address = address
         self.deliver = deliver
         self.times = RelayTimes()
+        self.valid_until = command.valid_until
         self.mismatched = False
         self.leaving = False
         self.tail = b""
@@ -137,6 +144,8 @@
                 for one that had carried nothing.
         """
         self.times.sent = time.monotonic()
+        if self.times.sent > self.valid_until - CONNECT_TIMEOUT_S:
+            return self._ended(AttemptResult.NOT_SENT)
         try:
             return await self._exchange(session)
         except (aiohttp.ClientError, TimeoutError, OSError, _CutError) as error:
@@ -256,7 +265,7 @@
             self.kept += piece
 
     def _stored(self, response: ClientResponse) -> StoredAnswer | None:
-        if not self._keeps or len(self.kept) > STORED_LIMIT:
+        if not self._keeps:
             return None
         kind = response.headers.get("Content-Type", "application/octet-stream")
         return StoredAnswer(response.status, kind, bytes(self.kept))
--- a/src/wisterialoom/peer/gen/ttypes.py
+++ b/src/wisterialoom/peer/gen/ttypes.py
@@ -530,6 +530,86 @@
         return not (self == other)
 
 
+class LeavingServer(object):
+    """
+    Attributes:
+     - server
+     - incarnation
+
+    """
+
+    __slots__ = (
+        'server',
+        'incarnation',
+    )
+
+
+    def __init__(self, server=None, incarnation=None,):
+        self.server = server
+        self.incarnation = incarnation
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.server = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.incarnation = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('LeavingServer')
+        if self.server is not None:
+            oprot.writeFieldBegin('server', TType.STRING, 1)
+            oprot.writeString(self.server.encode('utf-8') if sys.version_info[0] == 2 else self.server)
+            oprot.writeFieldEnd()
+        if self.incarnation is not None:
+            oprot.writeFieldBegin('incarnation', TType.STRING, 2)
+            oprot.writeString(self.incarnation.encode('utf-8') if sys.version_info[0] == 2 else self.incarnation)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
 class Heartbeat(object):
     """
     Attributes:
@@ -540,6 +620,7 @@
      - loads
      - changes
      - digest
+     - leaving
 
     """
 
@@ -551,10 +632,11 @@
         'loads',
         'changes',
         'digest',
+        'leaving',
     )
 
 
-    def __init__(self, serial=None, generation=None, config_age_ms=None, members=None, loads=None, changes=None, digest=None,):
+    def __init__(self, serial=None, generation=None, config_age_ms=None, members=None, loads=None, changes=None, digest=None, leaving=None,):
         self.serial = serial
         self.generation = generation
         self.config_age_ms = config_age_ms
@@ -562,6 +644,7 @@
         self.loads = loads
         self.changes = changes
         self.digest = digest
+        self.leaving = leaving
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -625,6 +708,17 @@
                     self.digest = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.LIST:
+                    self.leaving = []
+                    (_etype35, _size32) = iprot.readListBegin()
+                    for _i36 in range(_size32):
+                        _elem37 = LeavingServer()
+                        _elem37.read(iprot)
+                        self.leaving.append(_elem37)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -650,28 +744,35 @@
         if self.members is not None:
             oprot.writeFieldBegin('members', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.members))
-            for iter32 in self.members:
-                iter32.write(oprot)
+            for iter38 in self.members:
+                iter38.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.loads is not None:
             oprot.writeFieldBegin('loads', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.loads))
-            for iter33 in self.loads:
-                iter33.write(oprot)
+            for iter39 in self.loads:
+                iter39.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.changes is not None:
             oprot.writeFieldBegin('changes', TType.LIST, 6)
             oprot.writeListBegin(TType.STRUCT, len(self.changes))
-            for iter34 in self.changes:
-                iter34.write(oprot)
+            for iter40 in self.changes:
+                iter40.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.digest is not None:
             oprot.writeFieldBegin('digest', TType.I64, 7)
             oprot.writeI64(self.digest)
             oprot.writeFieldEnd()
+        if self.leaving is not None:
+            oprot.writeFieldBegin('leaving', TType.LIST, 8)
+            oprot.writeListBegin(TType.STRUCT, len(self.leaving))
+            for iter41 in self.leaving:
+                iter41.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -707,6 +808,7 @@
      - loads
      - changes
      - digest
+     - leaving
 
     """
 
@@ -718,10 +820,11 @@
         'loads',
         'changes',
         'digest',
+        'leaving',
     )
 
 
-    def __init__(self, serial=None, generation=None, config_age_ms=None, members=None, loads=None, changes=None, digest=None,):
+    def __init__(self, serial=None, generation=None, config_age_ms=None, members=None, loads=None, changes=None, digest=None, leaving=None,):
         self.serial = serial
         self.generation = generation
         self.config_age_ms = config_age_ms
@@ -729,6 +832,7 @@
         self.loads = loads
         self.changes = changes
         self.digest = digest
+        self.leaving = leaving
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -757,33 +861,33 @@
             elif fid == 4:
                 if ftype == TType.LIST:
                     self.members = []
-                    (_etype38, _size35) = iprot.readListBegin()
-                    for _i39 in range(_size35):
-                        _elem40 = MemberUpdate()
-                        _elem40.read(iprot)
-                        self.members.append(_elem40)
+                    (_etype45, _size42) = iprot.readListBegin()
+                    for _i46 in range(_size42):
+                        _elem47 = MemberUpdate()
+                        _elem47.read(iprot)
+                        self.members.append(_elem47)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 5:
                 if ftype == TType.LIST:
                     self.loads = []
-                    (_etype44, _size41) = iprot.readListBegin()
-                    for _i45 in range(_size41):
-                        _elem46 = ServerLoad()
-                        _elem46.read(iprot)
-                        self.loads.append(_elem46)
+                    (_etype51, _size48) = iprot.readListBegin()
+                    for _i52 in range(_size48):
+                        _elem53 = ServerLoad()
+                        _elem53.read(iprot)
+                        self.loads.append(_elem53)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 6:
                 if ftype == TType.LIST:
                     self.changes = []
-                    (_etype50, _size47) = iprot.readListBegin()
-                    for _i51 in range(_size47):
-                        _elem52 = LoadChange()
-                        _elem52.read(iprot)
-                        self.changes.append(_elem52)
+                    (_etype57, _size54) = iprot.readListBegin()
+                    for _i58 in range(_size54):
+                        _elem59 = LoadChange()
+                        _elem59.read(iprot)
+                        self.changes.append(_elem59)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -792,6 +896,17 @@
                     self.digest = iprot.readI64()
                 else:
                     iprot.skip(ftype)
+            elif fid == 8:
+                if ftype == TType.LIST:
+                    self.leaving = []
+                    (_etype63, _size60) = iprot.readListBegin()
+                    for _i64 in range(_size60):
+                        _elem65 = LeavingServer()
+                        _elem65.read(iprot)
+                        self.leaving.append(_elem65)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -817,28 +932,35 @@
         if self.members is not None:
             oprot.writeFieldBegin('members', TType.LIST, 4)
             oprot.writeListBegin(TType.STRUCT, len(self.members))
-            for iter53 in self.members:
-                iter53.write(oprot)
+            for iter66 in self.members:
+                iter66.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.loads is not None:
             oprot.writeFieldBegin('loads', TType.LIST, 5)
             oprot.writeListBegin(TType.STRUCT, len(self.loads))
-            for iter54 in self.loads:
-                iter54.write(oprot)
+            for iter67 in self.loads:
+                iter67.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.changes is not None:
             oprot.writeFieldBegin('changes', TType.LIST, 6)
             oprot.writeListBegin(TType.STRUCT, len(self.changes))
-            for iter55 in self.changes:
-                iter55.write(oprot)
+            for iter68 in self.changes:
+                iter68.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.digest is not None:
             oprot.writeFieldBegin('digest', TType.I64, 7)
             oprot.writeI64(self.digest)
             oprot.writeFieldEnd()
+        if self.leaving is not None:
+            oprot.writeFieldBegin('leaving', TType.LIST, 8)
+            oprot.writeListBegin(TType.STRUCT, len(self.leaving))
+            for iter69 in self.leaving:
+                iter69.write(oprot)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -983,22 +1105,22 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.members = []
-                    (_etype59, _size56) = iprot.readListBegin()
-                    for _i60 in range(_size56):
-                        _elem61 = MemberUpdate()
-                        _elem61.read(iprot)
-                        self.members.append(_elem61)
+                    (_etype73, _size70) = iprot.readListBegin()
+                    for _i74 in range(_size70):
+                        _elem75 = MemberUpdate()
+                        _elem75.read(iprot)
+                        self.members.append(_elem75)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.loads = []
-                    (_etype65, _size62) = iprot.readListBegin()
-                    for _i66 in range(_size62):
-                        _elem67 = ServerLoad()
-                        _elem67.read(iprot)
-                        self.loads.append(_elem67)
+                    (_etype79, _size76) = iprot.readListBegin()
+                    for _i80 in range(_size76):
+                        _elem81 = ServerLoad()
+                        _elem81.read(iprot)
+                        self.loads.append(_elem81)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1030,15 +1152,15 @@
         if self.members is not None:
             oprot.writeFieldBegin('members', TType.LIST, 1)
             oprot.writeListBegin(TType.STRUCT, len(self.members))
-            for iter68 in self.members:
-                iter68.write(oprot)
+            for iter82 in self.members:
+                iter82.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.loads is not None:
             oprot.writeFieldBegin('loads', TType.LIST, 2)
             oprot.writeListBegin(TType.STRUCT, len(self.loads))
-            for iter69 in self.loads:
-                iter69.write(oprot)
+            for iter83 in self.loads:
+                iter83.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.wants_reply is not None:
@@ -1105,10 +1227,10 @@
             if fid == 1:
                 if ftype == TType.LIST:
                     self.servers = []
-                    (_etype73, _size70) = iprot.readListBegin()
-                    for _i74 in range(_size70):
-                        _elem75 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.servers.append(_elem75)
+                    (_etype87, _size84) = iprot.readListBegin()
+                    for _i88 in range(_size84):
+                        _elem89 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.servers.append(_elem89)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -1125,8 +1247,273 @@
         if self.servers is not None:
             oprot.writeFieldBegin('servers', TType.LIST, 1)
             oprot.writeListBegin(TType.STRING, len(self.servers))
-            for iter76 in self.servers:
-                oprot.writeString(iter76.encode('utf-8') if sys.version_info[0] == 2 else iter76)
+            for iter90 in self.servers:
+                oprot.writeString(iter90.encode('utf-8') if sys.version_info[0] == 2 else iter90)
+            oprot.writeListEnd()
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class ListingPull(object):
+
+    __slots__ = (
+    )
+
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ListingPull')
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class ListedServer(object):
+    """
+    Attributes:
+     - name
+     - incarnation
+     - address
+     - availability_zone
+     - labels
+     - leaving
+
+    """
+
+    __slots__ = (
+        'name',
+        'incarnation',
+        'address',
+        'availability_zone',
+        'labels',
+        'leaving',
+    )
+
+
+    def __init__(self, name=None, incarnation=None, address=None, availability_zone=None, labels=None, leaving=None,):
+        self.name = name
+        self.incarnation = incarnation
+        self.address = address
+        self.availability_zone = availability_zone
+        self.labels = labels
+        self.leaving = leaving
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.STRING:
+                    self.name = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 2:
+                if ftype == TType.STRING:
+                    self.incarnation = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 3:
+                if ftype == TType.STRING:
+                    self.address = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 4:
+                if ftype == TType.STRING:
+                    self.availability_zone = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 5:
+                if ftype == TType.MAP:
+                    self.labels = {}
+                    (_ktype92, _vtype93, _size91) = iprot.readMapBegin()
+                    for _i95 in range(_size91):
+                        _key96 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val97 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.labels[_key96] = _val97
+                    iprot.readMapEnd()
+                else:
+                    iprot.skip(ftype)
+            elif fid == 6:
+                if ftype == TType.BOOL:
+                    self.leaving = iprot.readBool()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ListedServer')
+        if self.name is not None:
+            oprot.writeFieldBegin('name', TType.STRING, 1)
+            oprot.writeString(self.name.encode('utf-8') if sys.version_info[0] == 2 else self.name)
+            oprot.writeFieldEnd()
+        if self.incarnation is not None:
+            oprot.writeFieldBegin('incarnation', TType.STRING, 2)
+            oprot.writeString(self.incarnation.encode('utf-8') if sys.version_info[0] == 2 else self.incarnation)
+            oprot.writeFieldEnd()
+        if self.address is not None:
+            oprot.writeFieldBegin('address', TType.STRING, 3)
+            oprot.writeString(self.address.encode('utf-8') if sys.version_info[0] == 2 else self.address)
+            oprot.writeFieldEnd()
+        if self.availability_zone is not None:
+            oprot.writeFieldBegin('availability_zone', TType.STRING, 4)
+            oprot.writeString(self.availability_zone.encode('utf-8') if sys.version_info[0] == 2 else self.availability_zone)
+            oprot.writeFieldEnd()
+        if self.labels is not None:
+            oprot.writeFieldBegin('labels', TType.MAP, 5)
+            oprot.writeMapBegin(TType.STRING, TType.STRING, len(self.labels))
+            for kiter98, viter99 in self.labels.items():
+                oprot.writeString(kiter98.encode('utf-8') if sys.version_info[0] == 2 else kiter98)
+                oprot.writeString(viter99.encode('utf-8') if sys.version_info[0] == 2 else viter99)
+            oprot.writeMapEnd()
+            oprot.writeFieldEnd()
+        if self.leaving is not None:
+            oprot.writeFieldBegin('leaving', TType.BOOL, 6)
+            oprot.writeBool(self.leaving)
+            oprot.writeFieldEnd()
+        oprot.writeFieldStop()
+        oprot.writeStructEnd()
+
+    def validate(self):
+        return
+
+    def __repr__(self):
+        L = ['%s=%r' % (key, getattr(self, key))
+             for key in self.__slots__]
+        return '%s(%s)' % (self.__class__.__name__, ', '.join(L))
+
+    def __eq__(self, other):
+        if not isinstance(other, self.__class__):
+            return False
+        for attr in self.__slots__:
+            my_val = getattr(self, attr)
+            other_val = getattr(other, attr)
+            if my_val != other_val:
+                return False
+        return True
+
+    def __ne__(self, other):
+        return not (self == other)
+
+
+class ListingPush(object):
+    """
+    Attributes:
+     - servers
+
+    """
+
+    __slots__ = (
+        'servers',
+    )
+
+
+    def __init__(self, servers=None,):
+        self.servers = servers
+
+    def read(self, iprot):
+        if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
+            iprot._fast_decode(self, iprot, [self.__class__, self.thrift_spec])
+            return
+        iprot.readStructBegin()
+        while True:
+            (fname, ftype, fid) = iprot.readFieldBegin()
+            if ftype == TType.STOP:
+                break
+            if fid == 1:
+                if ftype == TType.LIST:
+                    self.servers = []
+                    (_etype103, _size100) = iprot.readListBegin()
+                    for _i104 in range(_size100):
+                        _elem105 = ListedServer()
+                        _elem105.read(iprot)
+                        self.servers.append(_elem105)
+                    iprot.readListEnd()
+                else:
+                    iprot.skip(ftype)
+            else:
+                iprot.skip(ftype)
+            iprot.readFieldEnd()
+        iprot.readStructEnd()
+
+    def write(self, oprot):
+        if oprot._fast_encode is not None and self.thrift_spec is not None:
+            oprot.trans.write(oprot._fast_encode(self, [self.__class__, self.thrift_spec]))
+            return
+        oprot.writeStructBegin('ListingPush')
+        if self.servers is not None:
+            oprot.writeFieldBegin('servers', TType.LIST, 1)
+            oprot.writeListBegin(TType.STRUCT, len(self.servers))
+            for iter106 in self.servers:
+                iter106.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -1968,22 +2355,22 @@
             if fid == 1:
                 if ftype == TType.MAP:
                     self.rates = {}
-                    (_ktype78, _vtype79, _size77) = iprot.readMapBegin()
-                    for _i81 in range(_size77):
-                        _key82 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val83 = iprot.readDouble()
-                        self.rates[_key82] = _val83
+                    (_ktype108, _vtype109, _size107) = iprot.readMapBegin()
+                    for _i111 in range(_size107):
+                        _key112 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val113 = iprot.readDouble()
+                        self.rates[_key112] = _val113
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 2:
                 if ftype == TType.MAP:
                     self.waiting = {}
-                    (_ktype85, _vtype86, _size84) = iprot.readMapBegin()
-                    for _i88 in range(_size84):
-                        _key89 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        _val90 = iprot.readI64()
-                        self.waiting[_key89] = _val90
+                    (_ktype115, _vtype116, _size114) = iprot.readMapBegin()
+                    for _i118 in range(_size114):
+                        _key119 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        _val120 = iprot.readI64()
+                        self.waiting[_key119] = _val120
                     iprot.readMapEnd()
                 else:
                     iprot.skip(ftype)
@@ -2000,17 +2387,17 @@
         if self.rates is not None:
             oprot.writeFieldBegin('rates', TType.MAP, 1)
             oprot.writeMapBegin(TType.STRING, TType.DOUBLE, len(self.rates))
-            for kiter91, viter92 in self.rates.items():
-                oprot.writeString(kiter91.encode('utf-8') if sys.version_info[0] == 2 else kiter91)
-                oprot.writeDouble(viter92)
+            for kiter121, viter122 in self.rates.items():
+                oprot.writeString(kiter121.encode('utf-8') if sys.version_info[0] == 2 else kiter121)
+                oprot.writeDouble(viter122)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         if self.waiting is not None:
             oprot.writeFieldBegin('waiting', TType.MAP, 2)
             oprot.writeMapBegin(TType.STRING, TType.I64, len(self.waiting))
-            for kiter93, viter94 in self.waiting.items():
-                oprot.writeString(kiter93.encode('utf-8') if sys.version_info[0] == 2 else kiter93)
-                oprot.writeI64(viter94)
+            for kiter123, viter124 in self.waiting.items():
+                oprot.writeString(kiter123.encode('utf-8') if sys.version_info[0] == 2 else kiter123)
+                oprot.writeI64(viter124)
             oprot.writeMapEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2076,20 +2463,20 @@
             elif fid == 2:
                 if ftype == TType.LIST:
                     self.models = []
-                    (_etype98, _size95) = iprot.readListBegin()
-                    for _i99 in range(_size95):
-                        _elem100 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.models.append(_elem100)
+                    (_etype128, _size125) = iprot.readListBegin()
+                    for _i129 in range(_size125):
+                        _elem130 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.models.append(_elem130)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.adapters = []
-                    (_etype104, _size101) = iprot.readListBegin()
-                    for _i105 in range(_size101):
-                        _elem106 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
-                        self.adapters.append(_elem106)
+                    (_etype134, _size131) = iprot.readListBegin()
+                    for _i135 in range(_size131):
+                        _elem136 = iprot.readString().decode('utf-8', errors='replace') if sys.version_info[0] == 2 else iprot.readString()
+                        self.adapters.append(_elem136)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2110,15 +2497,15 @@
         if self.models is not None:
             oprot.writeFieldBegin('models', TType.LIST, 2)
             oprot.writeListBegin(TType.STRING, len(self.models))
-            for iter107 in self.models:
-                oprot.writeString(iter107.encode('utf-8') if sys.version_info[0] == 2 else iter107)
+            for iter137 in self.models:
+                oprot.writeString(iter137.encode('utf-8') if sys.version_info[0] == 2 else iter137)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         if self.adapters is not None:
             oprot.writeFieldBegin('adapters', TType.LIST, 3)
             oprot.writeListBegin(TType.STRING, len(self.adapters))
-            for iter108 in self.adapters:
-                oprot.writeString(iter108.encode('utf-8') if sys.version_info[0] == 2 else iter108)
+            for iter138 in self.adapters:
+                oprot.writeString(iter138.encode('utf-8') if sys.version_info[0] == 2 else iter138)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2189,11 +2576,11 @@
             elif fid == 3:
                 if ftype == TType.LIST:
                     self.entries = []
-                    (_etype112, _size109) = iprot.readListBegin()
-                    for _i113 in range(_size109):
-                        _elem114 = PlanEntry()
-                        _elem114.read(iprot)
-                        self.entries.append(_elem114)
+                    (_etype142, _size139) = iprot.readListBegin()
+                    for _i143 in range(_size139):
+                        _elem144 = PlanEntry()
+                        _elem144.read(iprot)
+                        self.entries.append(_elem144)
                     iprot.readListEnd()
                 else:
                     iprot.skip(ftype)
@@ -2218,8 +2605,8 @@
         if self.entries is not None:
             oprot.writeFieldBegin('entries', TType.LIST, 3)
             oprot.writeListBegin(TType.STRUCT, len(self.entries))
-            for iter115 in self.entries:
-                iter115.write(oprot)
+            for iter145 in self.entries:
+                iter145.write(oprot)
             oprot.writeListEnd()
             oprot.writeFieldEnd()
         oprot.writeFieldStop()
@@ -2265,6 +2652,8 @@
      - as_PlanMessage
      - as_StateSync
      - as_LoadPull
+     - as_ListingPull
+     - as_ListingPush
 
     """
 
@@ -2284,10 +2673,12 @@
         'as_PlanMessage',
         'as_StateSync',
         'as_LoadPull',
+        'as_ListingPull',
+        'as_ListingPush',
     )
 
 
-    def __init__(self, as_Heartbeat=None, as_HeartbeatAck=None, as_IndirectPing=None, as_ConfigPull=None, as_ConfigPush=None, as_ClaimRequest=None, as_ClaimAnswer=None, as_NonceQuery=None, as_NonceAnswer=None, as_LetGo=None, as_ConfirmLetGo=None, as_DemandReport=None, as_PlanMessage=None, as_StateSync=None, as_LoadPull=None,):
+    def __init__(self, as_Heartbeat=None, as_HeartbeatAck=None, as_IndirectPing=None, as_ConfigPull=None, as_ConfigPush=None, as_ClaimRequest=None, as_ClaimAnswer=None, as_NonceQuery=None, as_NonceAnswer=None, as_LetGo=None, as_ConfirmLetGo=None, as_DemandReport=None, as_PlanMessage=None, as_StateSync=None, as_LoadPull=None, as_ListingPull=None, as_ListingPush=None,):
         self.as_Heartbeat = as_Heartbeat
         self.as_HeartbeatAck = as_HeartbeatAck
         self.as_IndirectPing = as_IndirectPing
@@ -2303,6 +2694,8 @@
         self.as_PlanMessage = as_PlanMessage
         self.as_StateSync = as_StateSync
         self.as_LoadPull = as_LoadPull
+        self.as_ListingPull = as_ListingPull
+        self.as_ListingPush = as_ListingPush
 
     def read(self, iprot):
         if iprot._fast_decode is not None and isinstance(iprot.trans, TTransport.CReadableTransport) and self.thrift_spec is not None:
@@ -2403,6 +2796,18 @@
                     self.as_LoadPull.read(iprot)
                 else:
                     iprot.skip(ftype)
+            elif fid == 16:
+                if ftype == TType.STRUCT:
+                    self.as_ListingPull = ListingPull()
+                    self.as_ListingPull.read(iprot)
+                else:
+                    iprot.skip(ftype)
+            elif fid == 17:
+                if ftype == TType.STRUCT:
+                    self.as_ListingPush = ListingPush()
+                    self.as_ListingPush.read(iprot)
+                else:
+                    iprot.skip(ftype)
             else:
                 iprot.skip(ftype)
             iprot.readFieldEnd()
@@ -2473,6 +2878,14 @@
             oprot.writeFieldBegin('as_LoadPull', TType.STRUCT, 15)
             self.as_LoadPull.write(oprot)
             oprot.writeFieldEnd()
+        if self.as_ListingPull is not None:
+            oprot.writeFieldBegin('as_ListingPull', TType.STRUCT, 16)
+            self.as_ListingPull.write(oprot)
+            oprot.writeFieldEnd()
+        if self.as_ListingPush is not None:
+            oprot.writeFieldBegin('as_ListingPush', TType.STRUCT, 17)
+            self.as_ListingPush.write(oprot)
+            oprot.writeFieldEnd()
         oprot.writeFieldStop()
         oprot.writeStructEnd()
 
@@ -2625,6 +3038,12 @@
     (6, TType.I64, 'waiting', None, None, ),  # 6
     (7, TType.I64, 'kv_free', None, None, ),  # 7
 )
+all_structs.append(LeavingServer)
+LeavingServer.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'server', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'incarnation', 'UTF8', None, ),  # 2
+)
 all_structs.append(Heartbeat)
 Heartbeat.thrift_spec = (
     None,  # 0
@@ -2635,6 +3054,7 @@
     (5, TType.LIST, 'loads', (TType.STRUCT, [ServerLoad, None], False), None, ),  # 5
     (6, TType.LIST, 'changes', (TType.STRUCT, [LoadChange, None], False), None, ),  # 6
     (7, TType.I64, 'digest', None, None, ),  # 7
+    (8, TType.LIST, 'leaving', (TType.STRUCT, [LeavingServer, None], False), None, ),  # 8
 )
 all_structs.append(HeartbeatAck)
 HeartbeatAck.thrift_spec = (
@@ -2646,6 +3066,7 @@
     (5, TType.LIST, 'loads', (TType.STRUCT, [ServerLoad, None], False), None, ),  # 5
     (6, TType.LIST, 'changes', (TType.STRUCT, [LoadChange, None], False), None, ),  # 6
     (7, TType.I64, 'digest', None, None, ),  # 7
+    (8, TType.LIST, 'leaving', (TType.STRUCT, [LeavingServer, None], False), None, ),  # 8
 )
 all_structs.append(IndirectPing)
 IndirectPing.thrift_spec = (
@@ -2667,6 +3088,24 @@
     None,  # 0
     (1, TType.LIST, 'servers', (TType.STRING, 'UTF8', False), None, ),  # 1
 )
+all_structs.append(ListingPull)
+ListingPull.thrift_spec = (
+)
+all_structs.append(ListedServer)
+ListedServer.thrift_spec = (
+    None,  # 0
+    (1, TType.STRING, 'name', 'UTF8', None, ),  # 1
+    (2, TType.STRING, 'incarnation', 'UTF8', None, ),  # 2
+    (3, TType.STRING, 'address', 'UTF8', None, ),  # 3
+    (4, TType.STRING, 'availability_zone', 'UTF8', None, ),  # 4
+    (5, TType.MAP, 'labels', (TType.STRING, 'UTF8', TType.STRING, 'UTF8', False), None, ),  # 5
+    (6, TType.BOOL, 'leaving', None, None, ),  # 6
+)
+all_structs.append(ListingPush)
+ListingPush.thrift_spec = (
+    None,  # 0
+    (1, TType.LIST, 'servers', (TType.STRUCT, [ListedServer, None], False), None, ),  # 1
+)
 all_structs.append(ConfigPull)
 ConfigPull.thrift_spec = (
     None,  # 0
@@ -2765,6 +3204,8 @@
     (13, TType.STRUCT, 'as_PlanMessage', [PlanMessage, None], None, ),  # 13
     (14, TType.STRUCT, 'as_StateSync', [StateSync, None], None, ),  # 14
     (15, TType.STRUCT, 'as_LoadPull', [LoadPull, None], None, ),  # 15
+    (16, TType.STRUCT, 'as_ListingPull', [ListingPull, None], None, ),  # 16
+    (17, TType.STRUCT, 'as_ListingPush', [ListingPush, None], None, ),  # 17
 )
 all_structs.append(Envelope)
 Envelope.thrift_spec = (
--- a/tests/test_request_path.py
+++ b/tests/test_request_path.py
@@ -2,11 +2,13 @@
 
 import itertools
 import random
+from dataclasses import replace
 
 import pytest
 from hypothesis import given, settings, strategies as st
 
 from tests.documents import DOCUMENT, make_load, make_server
+from wisterialoom.core.attempt_control import MAX_ATTEMPTS
 from wisterialoom.core.message import Tick
 from wisterialoom.core.notice import (
     ClaimAbandoned,
@@ -23,6 +25,7 @@
     PartDrained,
     ServersChanged,
 )
+from wisterialoom.core.notice_job import JobDue, JobEnded
 from wisterialoom.core.request import (
     AttemptEnded,
     AttemptFirstByte,
@@ -39,7 +42,7 @@
     RequestSettled,
     StoredAnswer,
 )
-from wisterialoom.core.request_path import MAX_ATTEMPTS, RequestPath
+from wisterialoom.core.request_path import RequestPath
 
 ANSWER = StoredAnswer(200, "application/json", b"{}")
 SAFE = (AttemptResult.NOT_SENT, AttemptResult.NOT_STARTED)
@@ -192,6 +195,61 @@
     assert only(outputs, PartDrained)
 
 
+def test_load_told_before_the_server_is_listed_counts():
+    path = RequestPath("az-1")
+    path.handle(0.0, ConfigChanged(1, DOCUMENT))
+    path.handle(0.0, ConfigFreshness(1, fresh=True, age_s=0.0))
+    path.handle(0.0, LoadReported(make_load("e1", "drafting"), own=False))
+    path.handle(0.5, ServersChanged((make_server("e1"),)))
+    assert only(arrive(path, 1.0, chat(1)), Dispatch)
+
+
+def test_load_of_a_new_incarnation_told_before_it_is_listed_counts():
+    path = make_path(make_load("e1", "drafting", incarnation="1"))
+    load = make_load("e1", "review", incarnation="2")
+    path.handle(0.5, LoadReported(load, own=False))
+    server = replace(make_server("e1"), incarnation="2")
+    path.handle(1.0, ServersChanged((server,)))
+    assert only(arrive(path, 1.1, chat(1, "review")), Dispatch)
+
+
+def test_request_is_not_dispatched_once_its_claim_may_be_forgotten():
+    path = make_path()
+    arrive(path, 1.0, registration(1))
+    granted = ClaimGranted("r1", valid_until=100.0)
+    dispatch = only(path.handle(1.1, granted), Dispatch)
+    assert dispatch.valid_until == 100.0
+    late = AttemptEnded(dispatch.attempt, AttemptResult.NOT_SENT)
+    outputs = path.handle(101.0, late)
+    assert not any(isinstance(item, Dispatch) for item in outputs)
+    assert only(outputs, Refuse).refusal.outcome is Outcome.NOT_RUN
+    assert only(outputs, ClaimAbandoned)
+
+
+def due_job(path, now):
+    request = registration(1, idempotency_key="job")
+    due = JobDue("j1", request, "desk", "deferred", False, 0.0, 600.0)
+    return only(path.handle(now, due), ClaimWanted)
+
+
+@pytest.mark.parametrize(
+    ("held", "outcome"),
+    [
+        (ClaimHeld("r1", ClaimHolding.IN_PROGRESS), Outcome.NOT_RUN),
+        (ClaimHeld("r1", ClaimHolding.DONE), Outcome.NOT_RUN),
+        (ClaimHeld("r1", ClaimHolding.DONE, answer_kept=False), Outcome.COMPLETED),
+        (ClaimHeld("r1", ClaimHolding.DONE, ANSWER), Outcome.COMPLETED),
+        (ClaimHeld("r1", ClaimHolding.UNKNOWN), Outcome.UNKNOWN),
+    ],
+)
+def test_job_whose_key_an_earlier_attempt_holds_ends_as_that_one_did(held, outcome):
+    path = make_path()
+    due_job(path, 1.0)
+    outputs = path.handle(1.1, held)
+    assert only(outputs, JobEnded).outcome is outcome
+    assert not any(isinstance(item, Refuse | ClaimAbandoned) for item in outputs)
+
+
 class Exchanges:
     """Plays shell, claims and backend servers with random ends, and keeps count."""
 
