--- a/src/wisterialoom/core/admission.py
+++ b/src/wisterialoom/core/admission.py
@@ -88,6 +88,12 @@
             return refuse(Reason.UNREACHABLE, retry_after_s=load_s)
         return None
 
+    def is_hopeless(self, now: float, classified: Classified) -> bool:
+        """Tell whether nothing serves a request's lane, nor could be loaded."""
+        if classified.lane in self.loads_s:
+            return False
+        return not self.router.candidates(now, classified.lane)
+
     def wait_s(self, now: float, classified: Classified) -> float | None:
         """Return the expected wait of a new request, in seconds.
 
--- a/src/wisterialoom/core/attempt_control.py
+++ b/src/wisterialoom/core/attempt_control.py
@@ -66,6 +66,8 @@
         view = self.state.router.choose(now, flight.classified, flight.tried)
         if view is not None:
             return self._dispatch(now, flight, view)
+        if self.state.admission.is_hopeless(now, flight.classified):
+            return self.settlement.give_up(flight, refuse(Reason.UNREACHABLE))
         self.state.queue.push(flight.classified)
         return self.state.demand.waits(now, self.state.queue, flight.classified)
 
--- a/src/wisterialoom/core/request_path.py
+++ b/src/wisterialoom/core/request_path.py
@@ -317,6 +317,8 @@
         if now >= self.queue_limit:
             return self.settlement.give_up(flight, refuse(Reason.DRAINING))
         match flight.stage:
+            case Stage.QUEUED if self.admission.is_hopeless(now, flight.classified):
+                return self.settlement.give_up(flight, refuse(Reason.UNREACHABLE))
             case Stage.QUEUED if now >= self._queue_limit(now, flight):
                 return self.settlement.expire(now, flight)
             case Stage.CLAIMING if now >= flight.classified.deadline:
--- a/src/wisterialoom/standin/engine_batch.py
+++ b/src/wisterialoom/standin/engine_batch.py
@@ -263,7 +263,8 @@
     def _start(self, serial: int, job: Job) -> None:
         self.kv_used += job.kv_tokens
         first = self.steps + self._prompt_s(job) / self.settings.token_gap_s
-        last = first + job.output_tokens - 1
+        # In this order rounding never puts the last token before the first.
+        last = first + (job.output_tokens - 1)
         self.runs[job.job_id] = Run(job, serial, first, last)
         heapq.heappush(self.marks, (first, serial, job.job_id, False))
         heapq.heappush(self.marks, (last, serial, job.job_id, True))
--- a/tests/test_engine_batch.py
+++ b/tests/test_engine_batch.py
@@ -115,3 +115,17 @@
     for event in batch.cache.events:
         assert event.serial == len(stored) + 1
         stored[event.serial] = event.stored
+
+
+@given(st.floats(0.0, 1e6), st.floats(0.001, 0.1), st.floats(0.001, 0.2))
+@settings(derandomize=True, deadline=None, max_examples=300)
+def test_first_token_comes_before_the_last_of_a_single_token_job(at, gap_s, first_s):
+    batch = EngineBatch(BatchSettings(token_gap_s=gap_s, first_token_s=first_s), at=at)
+    batch.join(at, Job("a", output_tokens=1))
+    events = []
+    for _ in range(5):
+        due = batch.next_at()
+        if due is None:
+            break
+        events += batch.advance(due)
+    assert [type(event) for event in events] == [FirstToken, LastToken]
--- a/tests/test_request_path.py
+++ b/tests/test_request_path.py
@@ -195,6 +195,28 @@
     assert only(outputs, PartDrained)
 
 
+def test_request_whose_only_service_leaves_is_given_up_at_once():
+    path = make_path()
+    request = Request("r1", "GET", "/registry/deposits", "d", deadline_s=20.0)
+    attempt = only(arrive(path, 1.0, request), Dispatch).attempt
+    ended = AttemptEnded(attempt, AttemptResult.NOT_STARTED, leaving=True)
+    refusal = only(path.handle(1.1, ended), Refuse).refusal
+    assert (refusal.outcome, refusal.reason) == (Outcome.NOT_RUN, Reason.UNREACHABLE)
+
+
+def test_request_that_waits_for_a_service_is_given_up_when_none_is_left():
+    path = make_path()
+    for serial in range(8):
+        fields = {"api_key_sha256": "d", "deadline_s": 20.0}
+        arrive(path, 1.0, Request(f"r{serial}", "GET", "/registry/x", **fields))
+    waiting = set(path.queue.waiting)
+    assert waiting
+    path.handle(1.1, ServersChanged((make_server("e1"),)))
+    refused = [x for x in path.handle(1.2, Tick()) if isinstance(x, Refuse)]
+    assert {item.request_id for item in refused} == waiting
+    assert {item.refusal.reason for item in refused} == {Reason.UNREACHABLE}
+
+
 def test_load_told_before_the_server_is_listed_counts():
     path = RequestPath("az-1")
     path.handle(0.0, ConfigChanged(1, DOCUMENT))
