Read the object API before doubt begins when nobody is heard

Cause: the survivor of two instances refused new work as config_stale for a moment after the relay was killed (seen in a process test): a follower reads the object API rarely while it hears peers, and doubt began 5 s after the last word, before the first read. Ruled out: a longer limit before doubt (an instance that is cut off would serve an old document for longer). Change: after two seconds without any word it reads every two seconds.

--- a/src/wisterialoom/core/_config_freshness.py
+++ b/src/wisterialoom/core/_config_freshness.py
@@ -14,6 +14,9 @@
 ISOLATION_S = 5.0
 """Time without the object API and any fresh peer, after which doubt begins."""
 
+LONELY_S = 2.0
+"""The same, after which the object API is read in time to have no doubt."""
+
 HOP_ALLOWANCE_S = 0.25
 """Added to an age for its way here, so that ages never shrink by travelling."""
 
@@ -50,6 +53,10 @@
             self.doubt_since = now
         return paused
 
+    def is_lonely(self, now: float) -> bool:
+        """Tell whether doubt would soon begin for want of any word."""
+        return now - self.contact_at > LONELY_S
+
     def hear(self, now: float) -> None:
         """Note a word of the object API or of a fresh peer."""
         self.contact_at = now
--- a/src/wisterialoom/core/config_follower.py
+++ b/src/wisterialoom/core/config_follower.py
@@ -152,7 +152,8 @@
     def _tick(self, now: float) -> list[Output]:
         self._note_behind(now)
         outputs: list[Output] = []
-        if self.behind_since is not None or self.freshness.doubt_since is not None:
+        in_doubt = self.freshness.doubt_since is not None
+        if self.behind_since is not None or in_doubt:
             outputs += self._pull(now)
         outputs += self.object.due(
             now,
@@ -160,7 +161,7 @@
             interval_s=read_interval_s(
                 fleet=len(self.peers.members) + 1,
                 relay=self.relay,
-                doubt=self.freshness.doubt_since is not None,
+                doubt=in_doubt or self.freshness.is_lonely(now),
                 age_s=self.freshness.age_s(now),
             ),
             watching=self.relay,
--- a/src/wisterialoom/lab/expectation.py
+++ b/src/wisterialoom/lab/expectation.py
@@ -187,6 +187,13 @@
     return "" if count >= int(found["count"]) else f"only {count}"
 
 
+def _none_of(run: ScenarioRun, found: re.Match[str]) -> str:
+    for name, settled in run.deployment.world.settled:
+        if settled.reason is not None and settled.reason.value == found["reason"]:
+            return f"{settled.request_id} at {name}"
+    return ""
+
+
 Ask: TypeAlias = "Callable[[ScenarioRun, re.Match[str]], str]"
 
 _EXPECTATIONS: tuple[tuple[str, Ask], ...] = (
@@ -204,4 +211,5 @@
     ("every model served in the last minute", _reachable),
     (r"(?P<name>\S+) has stopped", _stopped),
     (r"at least (?P<count>\d+) refused as (?P<reason>\w+)", _count_of),
+    (r"none refused as (?P<reason>\w+)", _none_of),
 )
