Let operators set the secrets that peer messages are sealed with

The links could seal and check messages already, and nothing set the keys. Several may be given, so that a key is changed without a stop; the process tests run with one.

--- a/src/wisterialoom/app.py
+++ b/src/wisterialoom/app.py
@@ -90,6 +90,7 @@
             settings.instance.name,
             self.deliver,
             address=settings.peers.advertise,
+            keys=tuple(key.encode() for key in settings.peers.keys),
         )
         self.front = Front(self.deliver, self.next_id, self.list_models)
         self.dispatcher = Dispatcher(
--- a/src/wisterialoom/settings.py
+++ b/src/wisterialoom/settings.py
@@ -27,6 +27,9 @@
 ]
 
 MAX_PORT = 65_535
+MIN_KEY_LENGTH = 16
+"""Least length of a secret, in characters."""
+
 LOG_LEVELS = ("debug", "info", "warning", "error")
 
 
@@ -83,10 +86,14 @@
         seeds: Peer addresses as `IP:port`; may contain this instance's own.
         advertise: `IP:port` at which peers reach this instance; empty for
             `listen.peers`.
+        keys: Secrets shared by all entry instances, at least 16 characters each;
+            messages are sealed with the first and accepted with any. Without
+            one, peer messages are not authenticated.
     """
 
     seeds: tuple[str, ...] = ()
     advertise: str = ""
+    keys: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -188,6 +195,11 @@
         yield from _address_faults("peers.advertise", settings.peers.advertise)
     for index, seed in enumerate(settings.peers.seeds):
         yield from _address_faults(f"peers.seeds[{index}]", seed)
+    for index, key in enumerate(settings.peers.keys):
+        if len(key) < MIN_KEY_LENGTH:
+            problem = f"has {len(key)} characters"
+            remedy = f"use a random secret of {MIN_KEY_LENGTH} or more"
+            yield Fault(f"peers.keys[{index}]", problem, remedy)
     yield from _positive_faults("platform.timeout_s", settings.platform.timeout_s)
     for name in Limits.__dataclass_fields__:
         yield from _positive_faults(f"limits.{name}", getattr(settings.limits, name))
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -109,6 +109,7 @@
             'admin = "127.0.0.1:0"\n'
             f'[platform]\nurl = "{self.urls["platform"]}"\n'
             f"[peers]\nseeds = {json.dumps(list(seeds))}\n"
+            'keys = ["a secret of the tests"]\n'
         )
         child = await self.spawn(name, "entry", "--config", str(path))
 
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -33,6 +33,7 @@
     ("before", "after", "place"),
     [
         ('"127.0.0.1:0"', '"localhost:80"', "listen.callers"),
+        ("[peers]", '[peers]\nkeys = ["too short"]', "peers.keys[0]"),
         ('"127.0.0.1:0"', '"127.0.0.1"', "listen.callers"),
         ('"127.0.0.1:0"', '"127.0.0.1:70000"', "listen.callers"),
         ('"127.0.0.1:0"', '"::1:80"', "listen.callers"),
