--- a/src/wisterialoom/lab/deployment.py
+++ b/src/wisterialoom/lab/deployment.py
@@ -259,6 +259,10 @@
         self.serving.servers[name].fault.leaving = True
         self._relist(name, state=InstanceState.LEAVING)
 
+    def unlist(self, name: str) -> None:
+        """Let the list lose a backend server that goes on running."""
+        self._list(name, None)
+
     def kill_server(self, name: str) -> None:
         """End a backend server; the list still shows it for a while."""
         self.serving.kill(name)
--- a/tests/test_lease.py
+++ b/tests/test_lease.py
@@ -61,3 +61,13 @@
     lease.bar(lease.epoch)
     lease.handle(3.0, ObjectWritten(lease.op, KEY, 2))
     assert not lease.holding
+
+
+def test_epoch_of_an_earlier_object_of_this_process_is_not_taken_up():
+    lease = make_lease()
+    body = Ledger(holder="me", boot_id="boot", epoch=3, released=False).encode()
+    lease.read(0.0)
+    change = lease.handle(0.0, ObjectRead(lease.op, KEY, 7, body))
+    assert change is LeaseChange.NONE
+    assert not lease.holding
+    assert Ledger.decode(lease.take(0.1).body).epoch == 4
