--- a/src/wisterialoom/http/front.py
+++ b/src/wisterialoom/http/front.py
@@ -80,9 +80,7 @@
         except BadRequestError as error:
             return self._bad_request(400, str(error), request_id)
         except web.HTTPRequestEntityTooLarge as error:
-            message = f"the body is above {error.args[0]}; send a smaller one"
-            if isinstance(error.args[0], int):
-                message += " (bytes)"
+            message = f"{error.text}; send a smaller body"
             return self._bad_request(413, message, request_id)
         exchange = Exchange(web_request, intake)
         self.exchanges[request_id] = exchange
