Remove dead code, and smooth times and pick shares in one place

Read over the whole change: RequestQueue.expired and two constants had no caller left; two moving averages of the router stood twice; the share of a class was worked out for each server instead of once for each request.

--- a/src/wisterialoom/core/_document_values.py
+++ b/src/wisterialoom/core/_document_values.py
@@ -18,7 +18,6 @@
 SHA256_HEX = re.compile(r"[0-9a-f]{64}")
 METHOD = re.compile(r"[A-Z]+")
 LABEL_KEY = re.compile(r"[A-Za-z0-9][A-Za-z0-9._/-]*")
-KINDS = ("engine", "service")
 PLATFORM_KEYS = ("name", "kind")
 """Label keys that belong to the platform."""
 MIN_LEASE_S = 2.0
--- a/src/wisterialoom/core/request_path.py
+++ b/src/wisterialoom/core/request_path.py
@@ -278,12 +278,9 @@
             reason = Reason.ANSWER_UNAVAILABLE
             return self.settlement.settle(flight, Outcome.NOT_RUN, reason)
         if held.answer is None:
-            lost = (
-                Reason.ANSWER_UNAVAILABLE
-                if held.answer_kept
-                else (Reason.ANSWER_NOT_KEPT)
-            )
-            return self.settlement.give_up(flight, refuse(lost))
+            kept = held.answer_kept
+            reason = Reason.ANSWER_UNAVAILABLE if kept else Reason.ANSWER_NOT_KEPT
+            return self.settlement.give_up(flight, refuse(reason))
         settled = self.settlement.settle(flight, Outcome.COMPLETED, answer=held.answer)
         if flight.job:
             return settled
--- a/src/wisterialoom/core/request_queue.py
+++ b/src/wisterialoom/core/request_queue.py
@@ -146,10 +146,6 @@
                 counts[lane] = ahead
         return counts
 
-    def expired(self, now: float) -> list[Classified]:
-        """Return the requests whose deadline has passed."""
-        return [item for item in self.waiting.values() if now >= item.deadline]
-
 
 def effective_priority(now: float, classified: Classified) -> float:
     """Return a request's priority; that of work that may wait falls to 0 in time."""
--- a/src/wisterialoom/core/router.py
+++ b/src/wisterialoom/core/router.py
@@ -200,10 +200,11 @@
             classified: The request.
             avoid: Servers that failed it before; used only if no other is left.
         """
+        fill = self.fill(now, classified)
         with_room = [
             view
             for view in self.candidates(now, classified.lane)
-            if view.has_room(now, self.fill(now, classified))
+            if view.has_room(now, fill)
         ]
         fresh = [view for view in with_room if view.server.name not in avoid]
         return self._choose(now, classified, fresh or with_room)
@@ -256,8 +257,7 @@
 
     def note_first(self, lane: str, seconds: float) -> None:
         """Take the time from a dispatch to its first output."""
-        before = self.first_s.get(lane, seconds)
-        self.first_s[lane] = before + SERVICE_SMOOTHING * (seconds - before)
+        _smooth(self.first_s, lane, seconds)
 
     def lane_service_s(self, lane: str) -> float:
         """Return the smoothed time of one request of a lane, in seconds."""
@@ -265,8 +265,7 @@
 
     def note_service(self, lane: str, seconds: float) -> None:
         """Take the time that one request of a lane took."""
-        before = self.service_s.get(lane, seconds)
-        self.service_s[lane] = before + SERVICE_SMOOTHING * (seconds - before)
+        _smooth(self.service_s, lane, seconds)
 
     def estimate_wait_s(
         self, now: float, classified: Classified, ahead_of: dict[str, int]
@@ -301,3 +300,8 @@
 
 def _reported(view: ServerView) -> int:
     return view.load.running + view.load.waiting if view.load is not None else 0
+
+
+def _smooth(times: dict[str, float], lane: str, seconds: float) -> None:
+    before = times.get(lane, seconds)
+    times[lane] = before + SERVICE_SMOOTHING * (seconds - before)
--- a/src/wisterialoom/lab/scenario.py
+++ b/src/wisterialoom/lab/scenario.py
@@ -44,7 +44,6 @@
 """Time between an operator's read and its conditional update, in seconds."""
 
 OBJECT_API = "object-api"
-ONCE_PATH = "/registry/deposits"
 
 
 @dataclass(frozen=True, slots=True)
