--- a/src/wisterialoom/app.py
+++ b/src/wisterialoom/app.py
@@ -44,9 +44,9 @@
 from wisterialoom.http.front import Front
 from wisterialoom.log import set_up_logs
 from wisterialoom.metrics import Metrics
+from wisterialoom.object_api.client import PlatformClient
+from wisterialoom.object_api.port import PlatformPort
 from wisterialoom.peer.link import PeerLinks
-from wisterialoom.platform.client import PlatformClient
-from wisterialoom.platform.port import PlatformPort
 from wisterialoom.settings import Settings, split_address
 from wisterialoom.status import Status
 
--- a/src/wisterialoom/benchmark/site.py
+++ b/src/wisterialoom/benchmark/site.py
@@ -15,7 +15,7 @@
 import aiohttp
 import orjson
 
-from wisterialoom.platform.client import PlatformClient
+from wisterialoom.object_api.client import PlatformClient
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
--- a/src/wisterialoom/cli/connection.py
+++ b/src/wisterialoom/cli/connection.py
@@ -13,7 +13,7 @@
 
     from aiohttp import ClientSession
 
-    from wisterialoom.platform.client import PlatformClient
+    from wisterialoom.object_api.client import PlatformClient
 
 __all__ = ["PLATFORM_VARIABLE", "Connection", "platform_options"]
 
@@ -49,7 +49,7 @@
 
     def client(self, session: ClientSession) -> PlatformClient:
         """Return a client of the platform."""
-        from wisterialoom.platform.client import PlatformClient
+        from wisterialoom.object_api.client import PlatformClient
 
         return PlatformClient(session, self.url, self.timeout_s)
 
--- /dev/null
+++ b/src/wisterialoom/core/serving/dispatcher.py
@@ -0,0 +1,290 @@
+"""Decides each next step of a request: send, wait, or give up.
+
+Load patterns that it answers: a burst on one or all kinds (requests wait at the
+servers, ordered by urgency), rare models (requests wait here while the model is
+loaded), servers that vanish (other servers are tried within the shared budget).
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from wisterialoom.core.serving.backend import BackendServer, BackendView
+from wisterialoom.core.serving.request_flow import (
+    AttemptResult,
+    AttemptVerdict,
+    GiveUp,
+    GiveUpReason,
+    RequestFlow,
+    Send,
+    Step,
+    Wait,
+)
+from wisterialoom.core.serving.retry_allowance import RetryAllowance, RetryLimits
+
+if TYPE_CHECKING:
+    from wisterialoom.core.serving.balancer import Balancer
+    from wisterialoom.core.serving.routing import Deployment, EngineProfile
+
+__all__ = ["Dispatcher", "PlacementOutlook"]
+
+ABSENT_BACKOFF_S = 0.3
+"""Time a server is passed over after it lacked a model; one lag of its reports."""
+
+MIN_RUN_S = 0.05
+"""Least time that a backend server needs to begin an answer."""
+
+NO_SERVER_RETRY_S = 1.0
+"""When to come back if a service has no server; half of a server's return time."""
+
+LOST_SERVERS_WAIT_S = 0.5
+"""Longest wait for any server to be free of an ejection or a full queue."""
+
+MAX_URGENCY = 9
+
+
+@dataclass
+class PlacementOutlook:
+    """What is known of loads in progress.
+
+    Attributes:
+        ready_at: Monotonic time at which a wanted model or adapter will be ready.
+        steward_seen: Monotonic time at which the placement leader was last heard.
+    """
+
+    ready_at: dict[str, float] = field(default_factory=dict)
+    steward_seen: float = float("-inf")
+
+
+@dataclass
+class Dispatcher:
+    """Backend servers of every service, and the decisions that need them.
+
+    Attributes:
+        balancer: Chooses among servers.
+        retry_limits: What all instances may repeat at one service.
+        deployment: Declared routes and services; `None` before the first.
+        views: Backend servers by id.
+        allowances: Repeats left, by service.
+        sharers: Instances that share the fixed part of the repeats.
+        outlook: Loads in progress.
+        waiting: Flows that wait, by model and adapter they want.
+        arrivals: Count of requests by model and adapter since the start.
+    """
+
+    balancer: Balancer
+    retry_limits: RetryLimits
+    deployment: Deployment | None = None
+    views: dict[str, BackendView] = field(default_factory=dict)
+    allowances: dict[str, RetryAllowance] = field(default_factory=dict)
+    sharers: int = 8
+    outlook: PlacementOutlook = field(default_factory=PlacementOutlook)
+    waiting: dict[str, int] = field(default_factory=dict)
+    arrivals: dict[str, int] = field(default_factory=dict)
+
+    # What changes around requests.
+
+    def set_servers(self, servers: dict[str, BackendServer]) -> bool:
+        """Take the listed servers; tell whether requests may be affected."""
+        changed = False
+        for server_id in list(self.views):
+            if server_id not in servers:
+                del self.views[server_id]
+                changed = True
+        for server_id, server in servers.items():
+            changed |= self.set_server(server_id, server)
+        return changed
+
+    def set_server(self, server_id: str, server: BackendServer) -> bool:
+        """Take what one server told; tell whether requests may be affected."""
+        view = self.views.get(server_id)
+        if view is None or view.server.born_ms != server.born_ms:
+            view = BackendView(server)
+            self.views[server_id] = view
+        changed = view.server != server
+        view.server = server
+        models = {model.name: frozenset(model.adapters) for model in server.models}
+        # A server tells of adapters only with its next change of models.
+        for name, adapters in models.items():
+            if view.placement_count > server.order_count:
+                models[name] = adapters | view.models.get(name, frozenset())
+        return view.set_placement(server.order_count, models) or changed
+
+    def set_sharers(self, count: int) -> None:
+        """Take the count of instances that share the fixed part of the repeats."""
+        self.sharers = max(1, count)
+        for allowance in self.allowances.values():
+            allowance.sharers = self.sharers
+
+    def allowance(self, service: str) -> RetryAllowance:
+        """Return the repeats of a service."""
+        found = self.allowances.get(service)
+        if found is None:
+            found = RetryAllowance(self.retry_limits, self.sharers)
+            self.allowances[service] = found
+        return found
+
+    # One request.
+
+    def arrive(self, now: float, flow: RequestFlow) -> None:
+        """Count a request that has just arrived."""
+        profile = flow.profile
+        self.allowance(profile.service).note_request(now)
+        if profile.model:
+            wanted = profile.wanted
+            self.arrivals[wanted] = self.arrivals.get(wanted, 0) + 1
+
+    def next_step(self, now: float, flow: RequestFlow) -> Step:
+        """Decide what to do with a request now."""
+        profile = flow.profile
+        if now >= profile.answer_by - MIN_RUN_S / 2:
+            return self.give_up(now, flow, GiveUpReason.DEADLINE)
+        if flow.last is not None:
+            ended = self.after_failure(now, flow, flow.last)
+            if ended is not None:
+                return ended
+        engine = self.engine_of(profile.service)
+        if engine is not None and profile.model not in engine.models:
+            return self.give_up(now, flow, GiveUpReason.UNKNOWN_MODEL)
+        pool = self.pool(flow)
+        if not pool:
+            return self.give_up(now, flow, GiveUpReason.NO_SERVER)
+        if engine is not None:
+            holders = [
+                view for view in pool if view.holds(now, profile.model, profile.adapter)
+            ]
+            if not holders:
+                return self.await_model(now, flow, engine)
+            pool = holders
+        free = [
+            view
+            for view in pool
+            if now >= view.full_until and view.ejection.allows(now, view.in_flight)
+        ]
+        if not free:
+            return self.await_room(now, flow, pool)
+        return self.send(now, flow, free)
+
+    def engine_of(self, service: str) -> EngineProfile | None:
+        """Return the engine of a service; `None` if it runs no models."""
+        if self.deployment is None:
+            return None
+        found = self.deployment.services.get(service)
+        return found.engine if found else None
+
+    def pool(self, flow: RequestFlow) -> list[BackendView]:
+        """Return the servers that a request may still be sent to."""
+        service = flow.profile.service
+        views = [
+            view
+            for view in self.views.values()
+            if view.server.service == service and not view.server.draining
+        ]
+        tried = set(flow.servers)
+        fresh = [view for view in views if view.server.id not in tried]
+        if len(tried) >= flow.profile.route.max_attempts:
+            # A server that refused may be asked again; others may not.
+            return [view for view in views if view.server.id in tried]
+        return fresh or [view for view in views if view.server.id in tried]
+
+    def send(self, now: float, flow: RequestFlow, free: list[BackendView]) -> Step:
+        """Send a request to the best of some servers, if the budget allows it."""
+        profile = flow.profile
+        if flow.servers and not self.allowance(profile.service).spend(now):
+            return self.give_up(now, flow, GiveUpReason.RETRY_BUDGET)
+        view = self.balancer.choose(now, profile, free)
+        assert view is not None
+        self.balancer.note_sent(profile, view.server.id)
+        view.in_flight += 1
+        flow.in_flight_at = view.server.id
+        if view.server.id not in flow.servers:
+            flow.servers.append(view.server.id)
+        urgency = min(MAX_URGENCY, max(0, profile.route.priority))
+        return Send(view.server.id, view.server.address, urgency)
+
+    def await_model(self, now: float, flow: RequestFlow, engine: EngineProfile) -> Step:
+        """Let a request wait while its model or adapter is brought in."""
+        profile = flow.profile
+        ready_at = self.outlook.ready_at.get(profile.wanted)
+        model = engine.models[profile.model]
+        at_best = now + (0.01 if profile.adapter else min(model.warm_load_s, 1.0))
+        expected = ready_at if ready_at is not None else at_best
+        if expected + MIN_RUN_S > profile.answer_by:
+            return self.give_up(now, flow, GiveUpReason.NO_MODEL)
+        return Wait(min(profile.answer_by, now + 1.0))
+
+    def await_room(
+        self, now: float, flow: RequestFlow, pool: list[BackendView]
+    ) -> Step:
+        """Let a request wait for a server that was full or failing."""
+        again = min(max(view.full_until, view.ejection.until) for view in pool)
+        again = max(again, now + 0.02)
+        if again - now > LOST_SERVERS_WAIT_S or again > flow.profile.answer_by:
+            return self.give_up(now, flow, GiveUpReason.FULL)
+        return Wait(again)
+
+    def after_failure(
+        self, now: float, flow: RequestFlow, last: AttemptResult
+    ) -> GiveUp | None:
+        """Return the end of a request that may not be sent again, if so."""
+        route = flow.profile.route
+        if not flow.may_have_run:
+            return None
+        if not (route.idempotent or route.resumable):
+            return self.give_up(now, flow, GiveUpReason.LOST)
+        if len(flow.servers) >= route.max_attempts:
+            return self.give_up(now, flow, GiveUpReason.ATTEMPTS)
+        return None
+
+    def end_attempt(self, now: float, flow: RequestFlow, result: AttemptResult) -> None:
+        """Take the end of an attempt."""
+        flow.last = result
+        flow.in_flight_at = ""
+        view = self.views.get(result.server_id)
+        if view is not None:
+            view.in_flight = max(0, view.in_flight - 1)
+        match result.verdict:
+            case AttemptVerdict.ANSWERED | AttemptVerdict.FAILED:
+                if view is not None:
+                    view.ejection.succeed(now)
+            case AttemptVerdict.REFUSED_FULL:
+                if view is not None:
+                    view.note_full(now)
+            case AttemptVerdict.REFUSED_ABSENT:
+                if view is not None:
+                    profile = flow.profile
+                    view.note_absent(
+                        now, profile.model, profile.adapter, ABSENT_BACKOFF_S
+                    )
+            case AttemptVerdict.REFUSED_IDENTITY | AttemptVerdict.NOT_SENT:
+                if view is not None:
+                    view.ejection.fail(now)
+            case AttemptVerdict.LOST | AttemptVerdict.SILENT:
+                flow.may_have_run = True
+                if view is not None:
+                    view.ejection.fail(now)
+
+    def give_up(self, now: float, flow: RequestFlow, reason: GiveUpReason) -> GiveUp:
+        """End a request without an answer of a backend server."""
+        not_run = not flow.may_have_run
+        if reason is GiveUpReason.UNKNOWN_MODEL:
+            return GiveUp(reason, not_run=not_run)
+        return GiveUp(reason, not_run, self.retry_after_s(now, flow, reason))
+
+    def retry_after_s(
+        self, now: float, flow: RequestFlow, reason: GiveUpReason
+    ) -> float:
+        """Return when a place is likely for a request that is refused now."""
+        match reason:
+            case GiveUpReason.NO_SERVER:
+                return NO_SERVER_RETRY_S
+            case GiveUpReason.NO_MODEL:
+                ready_at = self.outlook.ready_at.get(flow.profile.wanted)
+                return max(0.1, ready_at - now) if ready_at is not None else 0.5
+            case _:
+                return REFUSED_RETRY_S
+
+
+REFUSED_RETRY_S = 0.3
+"""When to come back after a refusal for lack of room, in seconds."""
--- a/src/wisterialoom/demo.py
+++ b/src/wisterialoom/demo.py
@@ -18,7 +18,7 @@
 
 from wisterialoom.app import App
 from wisterialoom.core.instance_list import ListedInstance
-from wisterialoom.platform.client import PlatformClient
+from wisterialoom.object_api.client import PlatformClient
 from wisterialoom.settings import Instance, Listen, Platform, Settings
 from wisterialoom.standin.engine_app import EngineApp
 from wisterialoom.standin.engine_batch import BatchSettings
--- /dev/null
+++ b/src/wisterialoom/object_api/__init__.py
@@ -0,0 +1,8 @@
+"""The platform as the daemon meets it: object API and instance list."""
+
+from __future__ import annotations
+
+from wisterialoom.object_api.client import PlatformClient, PlatformUnavailableError
+from wisterialoom.object_api.port import PlatformPort
+
+__all__ = ["PlatformClient", "PlatformPort", "PlatformUnavailableError"]
--- a/src/wisterialoom/platform/client.py
+++ b/src/wisterialoom/object_api/client.py
@@ -17,7 +17,7 @@
     VersionConflictError,
 )
 from wisterialoom.no_resend import no_resend, was_never_sent
-from wisterialoom.platform.codec import decode_instances
+from wisterialoom.object_api.codec import decode_instances
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
--- a/src/wisterialoom/platform/port.py
+++ b/src/wisterialoom/object_api/port.py
@@ -24,13 +24,13 @@
     WatchObject,
     WriteObject,
 )
-from wisterialoom.platform.client import PlatformUnavailableError
+from wisterialoom.object_api.client import PlatformUnavailableError
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Coroutine
 
     from wisterialoom.core.message import Event
-    from wisterialoom.platform.client import PlatformClient
+    from wisterialoom.object_api.client import PlatformClient
 
 __all__ = ["PlatformCommand", "PlatformPort"]
 
--- a/src/wisterialoom/operator/apply.py
+++ b/src/wisterialoom/operator/apply.py
@@ -15,10 +15,10 @@
     read_document,
 )
 from wisterialoom.core.object_store import ABSENT, StoredObject, VersionConflictError
+from wisterialoom.object_api.client import PlatformUnavailableError
 from wisterialoom.operator.difference import difference
 from wisterialoom.operator.error import ConflictError, OutcomeUnknownError
 from wisterialoom.operator.history import History
-from wisterialoom.platform.client import PlatformUnavailableError
 
 if TYPE_CHECKING:
     from wisterialoom.core.document import Document
--- a/src/wisterialoom/operator/status.py
+++ b/src/wisterialoom/operator/status.py
@@ -10,7 +10,7 @@
 from aiohttp import ClientError, ClientTimeout
 from pydantic import TypeAdapter, ValidationError
 
-from wisterialoom.platform.client import PlatformUnavailableError
+from wisterialoom.object_api.client import PlatformUnavailableError
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
--- a/src/wisterialoom/platform/__init__.py
+++ b/src/wisterialoom/platform/__init__.py
@@ -1,8 +1,5 @@
-"""The platform as the daemon meets it: object API and instance list."""
+"""Adapter to the users' platform: translates its messages, decides nothing."""
 
 from __future__ import annotations
 
-from wisterialoom.platform.client import PlatformClient, PlatformUnavailableError
-from wisterialoom.platform.port import PlatformPort
-
-__all__ = ["PlatformClient", "PlatformPort", "PlatformUnavailableError"]
+__all__: list[str] = []
--- /dev/null
+++ b/src/wisterialoom/platform/app.py
@@ -0,0 +1,175 @@
+"""The instance as the platform runs it: one process on each front machine."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import signal
+import time
+from typing import TYPE_CHECKING
+
+from aiohttp import ClientSession, DummyCookieJar, TCPConnector, web
+
+from wisterialoom.core.serving.balancer import Balancer
+from wisterialoom.core.serving.dispatcher import Dispatcher
+from wisterialoom.core.serving.retry_allowance import RetryLimits
+from wisterialoom.platform.catalog import Catalog
+from wisterialoom.platform.ingress import Ingress, Signal
+from wisterialoom.platform.settings import PlatformSettings, SettingsError
+from wisterialoom.platform.store import StoreClient
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
+
+__all__ = ["PlatformApp"]
+
+logger = logging.getLogger(__name__)
+
+KEEPALIVE_S = 75.0
+"""Idle time of a caller's connection; above every declared idle timeout."""
+
+SERVER_KEEPALIVE_S = 2.0
+"""Idle time after which a connection to a backend server is not used again."""
+
+TICK_S = 0.25
+"""Time between two looks at what only time changes."""
+
+STOP_MARGIN_S = 0.6
+"""Part of the grace period that is left for closing what remains."""
+
+
+class PlatformApp:
+    """Owns everything that lives in the process.
+
+    Attributes:
+        settings: Settings of the process.
+        dispatcher: Decides about requests.
+        ingress: Serves callers.
+        catalog: Follows the store.
+        stopping: Set once the process shall stop.
+    """
+
+    def __init__(self, settings: PlatformSettings) -> None:
+        self.settings = settings
+        bounds = settings.bounds
+        self.dispatcher = Dispatcher(
+            Balancer(settings.availability_zone),
+            RetryLimits(bounds.retry_ratio, bounds.retry_fixed, bounds.retry_window_s),
+        )
+        self.signal = Signal()
+        self.stopping = asyncio.Event()
+        self.runners: list[web.ServerRunner] = []
+        self.sessions: list[ClientSession] = []
+        self.tasks: list[asyncio.Task[None]] = []
+        self.catalog: Catalog
+        self.ingress: Ingress
+
+    @classmethod
+    def from_environment(cls) -> PlatformApp:
+        """Build the application from the settings file.
+
+        Raises:
+            SettingsError: The settings cannot be used.
+        """
+        return cls(PlatformSettings.from_environment())
+
+    async def run(self) -> None:
+        """Start, serve until told to stop, and stop."""
+        loop = asyncio.get_running_loop()
+        loop.add_signal_handler(signal.SIGTERM, self.stopping.set)
+        loop.add_signal_handler(signal.SIGHUP, self.on_reload)
+        await self.on_start()
+        await self.stopping.wait()
+        await self.on_drain()
+        await self.on_stop()
+
+    async def on_start(self) -> None:
+        """Open sessions and listeners, and begin to follow the store."""
+        settings = self.settings
+        store = StoreClient(settings.store, self._session(TCPConnector(limit=0)))
+        self.catalog = Catalog(store, self.dispatcher, self.signal.wake)
+        self.ingress = Ingress(
+            self.dispatcher,
+            self.signal,
+            lambda: self.catalog.config.checked_at,
+            lambda: None,
+        )
+        self.ingress.pooled = self._session(
+            TCPConnector(limit=0, keepalive_timeout=SERVER_KEEPALIVE_S)
+        )
+        self.ingress.single = self._session(TCPConnector(limit=0, force_close=True))
+        await self._listen(settings.ready, self.answer_ready)
+        await self._listen(settings.front, self.ingress.handle)
+        self.catalog.start()
+        loop = asyncio.get_running_loop()
+        self.tasks.append(loop.create_task(self._tick()))
+        logger.info("started", extra={"front": settings.front})
+
+    async def answer_ready(self, _: web.BaseRequest) -> web.StreamResponse:
+        """Tell the platform whether this instance can serve."""
+        ready = self.catalog.known and not self.ingress.draining
+        return web.Response(status=200 if ready else 503)
+
+    def on_reload(self) -> None:
+        """Read the settings file again; what it cannot change keeps its value."""
+        try:
+            settings = PlatformSettings.from_environment()
+        except SettingsError as error:
+            logger.error("settings not reloaded", extra={"error": str(error)})
+            return
+        changed = settings != self.settings
+        bounds = settings.bounds
+        self.dispatcher.retry_limits = RetryLimits(
+            bounds.retry_ratio, bounds.retry_fixed, bounds.retry_window_s
+        )
+        logger.info("settings reloaded", extra={"changed": changed})
+
+    async def on_drain(self) -> None:
+        """Take no new connections and let requests in progress end."""
+        self.ingress.draining = True
+        limit = time.monotonic() + self.settings.bounds.grace_s - STOP_MARGIN_S
+        logger.info("draining", extra={"active": self.ingress.active})
+        while time.monotonic() < limit:
+            await asyncio.sleep(0.1)
+            if not self.ingress.active and time.monotonic() > limit - 5.0:
+                break
+
+    async def on_stop(self) -> None:
+        """Close everything."""
+        logger.info("stopping", extra={"active": self.ingress.active})
+        for task in self.tasks:
+            task.cancel()
+        await self.catalog.stop()
+        for runner in self.runners:
+            await runner.cleanup()
+        for session in self.sessions:
+            await session.close()
+
+    async def _tick(self) -> None:
+        while True:
+            await asyncio.sleep(TICK_S)
+            self.catalog.give_up_missing(time.monotonic())
+
+    async def _listen(
+        self,
+        address: str,
+        handler: Callable[[web.BaseRequest], Awaitable[web.StreamResponse]],
+    ) -> None:
+        host, _, port = address.rpartition(":")
+        server = web.Server(
+            handler,
+            handler_cancellation=True,
+            keepalive_timeout=KEEPALIVE_S,
+            access_log=None,
+        )
+        runner = web.ServerRunner(server, shutdown_timeout=0.1)
+        await runner.setup()
+        await web.TCPSite(runner, host, int(port), backlog=1024).start()
+        self.runners.append(runner)
+
+    def _session(self, connector: TCPConnector) -> ClientSession:
+        session = ClientSession(
+            connector=connector, cookie_jar=DummyCookieJar(), auto_decompress=False
+        )
+        self.sessions.append(session)
+        return session
--- /dev/null
+++ b/src/wisterialoom/platform/attempt.py
@@ -0,0 +1,201 @@
+"""One attempt of a request at one backend server."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+import aiohttp
+from aiohttp import ClientOSError, ClientTimeout
+from yarl import URL
+
+from wisterialoom.core.serving.request_flow import AttemptResult, AttemptVerdict
+from wisterialoom.no_resend import no_resend, was_never_sent
+from wisterialoom.platform.headers import (
+    answer_headers,
+    ATTEMPT_ID,
+    NOT_RUN,
+    read_load,
+    request_headers,
+    SERVER_ID,
+)
+
+if TYPE_CHECKING:
+    from aiohttp import ClientResponse, ClientSession
+
+    from wisterialoom.core.serving.request_flow import RequestProfile, Send
+    from wisterialoom.platform.exchange import Exchange
+    from wisterialoom.platform.headers import ServerLoad
+
+__all__ = ["Attempt", "WholeAnswer"]
+
+CONNECT_TIMEOUT_S = 0.4
+"""Longest wait for a connection; some thirty round trips between zones."""
+
+WHOLE_LIMIT = 1_000_000
+"""Answers up to this size are passed on only when they are whole, in bytes."""
+
+
+@dataclass(frozen=True, slots=True)
+class WholeAnswer:
+    """A backend server's answer, read to its end."""
+
+    status: int
+    headers: list[tuple[str, str]]
+    body: bytes
+
+
+class Attempt:
+    """Sends a request once and passes the answer on.
+
+    Attributes:
+        exchange: The caller's side.
+        profile: What the request asks for.
+        step: Where it is sent.
+        silence_s: Longest wait for the next bytes of the answer.
+        answer: The answer, if it was read whole and not yet passed on.
+        load: Load that the server reported, if it did.
+        closing: The server announced that it closes the connection.
+    """
+
+    def __init__(
+        self, exchange: Exchange, profile: RequestProfile, step: Send, silence_s: float
+    ) -> None:
+        self.exchange = exchange
+        self.profile = profile
+        self.step = step
+        self.silence_s = silence_s
+        self.answer: WholeAnswer | None = None
+        self.load: ServerLoad | None = None
+        self.closing = False
+
+    async def run(self, session: ClientSession) -> AttemptResult:
+        """Carry the attempt out and return how it ended."""
+        try:
+            return await self._exchange(session)
+        except (aiohttp.ClientError, OSError) as error:
+            if was_never_sent(error):
+                return self._ended(AttemptVerdict.NOT_SENT, repr(error))
+            return self._ended(AttemptVerdict.LOST, repr(error))
+        except TimeoutError:
+            return self._ended(AttemptVerdict.SILENT, "no bytes for too long")
+
+    def _ended(self, verdict: AttemptVerdict, detail: str = "") -> AttemptResult:
+        return AttemptResult(self.step.server_id, verdict, detail)
+
+    async def _exchange(self, session: ClientSession) -> AttemptResult:
+        exchange = self.exchange
+        profile = self.profile
+        headers = request_headers(
+            exchange.request.headers,
+            server_id=self.step.server_id,
+            left_s=profile.caller_by - time.monotonic(),
+            urgency=self.step.urgency if profile.model else None,
+            last_event_id=exchange.cutter.last_id if exchange.begun else None,
+        )
+        url = URL(f"http://{self.step.address}{exchange.target}", encoded=True)
+        request = session.request(
+            exchange.request.method,
+            url,
+            data=exchange.body or None,
+            headers=headers,
+            allow_redirects=False,
+            skip_auto_headers=("User-Agent", "Accept", "Accept-Encoding"),
+            timeout=ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S),
+            middlewares=(no_resend,),
+        )
+        async with asyncio.timeout(self.silence_s + CONNECT_TIMEOUT_S):
+            response = await request
+        try:
+            return await self._take(response)
+        finally:
+            # Closes the connection unless the answer was read to its end.
+            response.close()
+
+    async def _take(self, response: ClientResponse) -> AttemptResult:
+        self.load = read_load(response.headers)
+        self.closing = response.headers.get("Connection", "").lower() == "close"
+        if response.headers.get(ATTEMPT_ID) not in (None, self.profile.request_id):
+            return self._ended(AttemptVerdict.LOST, "answer to another request")
+        if response.headers.get(NOT_RUN) or response.status == 421:
+            async with asyncio.timeout(self.silence_s):
+                await response.read()
+            return self._refused(response)
+        if self.profile.route.stream and response.status == 200:
+            return await self._take_stream(response)
+        return await self._take_whole(response)
+
+    def _refused(self, response: ClientResponse) -> AttemptResult:
+        detail = str(response.status)
+        if response.status != 421:
+            return self._ended(AttemptVerdict.REFUSED_FULL, detail)
+        if response.headers.get(SERVER_ID) not in (None, self.step.server_id):
+            return self._ended(AttemptVerdict.REFUSED_IDENTITY, detail)
+        return self._ended(AttemptVerdict.REFUSED_ABSENT, detail)
+
+    async def _take_whole(self, response: ClientResponse) -> AttemptResult:
+        connection = response.connection
+        protocol = connection.protocol if connection is not None else None
+        body = bytearray()
+        while True:
+            async with asyncio.timeout(self.silence_s):
+                data = await response.content.readany()
+            if not data:
+                break
+            body += data
+            if len(body) > WHOLE_LIMIT:
+                return await self._pass_on_large(response, bytes(body))
+        if protocol is not None and isinstance(protocol.exception(), ClientOSError):
+            # An answer without a length ends with its connection; a reset is no end.
+            return self._ended(AttemptVerdict.LOST, "reset while answering")
+        headers = answer_headers(response.headers)
+        self.answer = WholeAnswer(response.status, headers, bytes(body))
+        if response.status >= 500:
+            return self._ended(AttemptVerdict.FAILED, str(response.status))
+        return self._ended(AttemptVerdict.ANSWERED, str(response.status))
+
+    async def _pass_on_large(
+        self, response: ClientResponse, begun: bytes
+    ) -> AttemptResult:
+        exchange = self.exchange
+        await exchange.begin(response.status, answer_headers(response.headers))
+        length = response.headers.get("Content-Length")
+        if length is not None and exchange.stream is not None:
+            exchange.stream.content_length = int(length)
+        await exchange.write(begun)
+        while True:
+            async with asyncio.timeout(self.silence_s):
+                data = await response.content.readany()
+            if not data:
+                break
+            await exchange.write(data)
+        await exchange.finish()
+        return self._ended(AttemptVerdict.ANSWERED, str(response.status))
+
+    async def _take_stream(self, response: ClientResponse) -> AttemptResult:
+        exchange = self.exchange
+        cutter = exchange.cutter
+        connection = response.connection
+        protocol = connection.protocol if connection is not None else None
+        while True:
+            async with asyncio.timeout(self.silence_s):
+                data = await response.content.readany()
+            if not data:
+                break
+            whole = cutter.feed(data) if exchange.resumable else data
+            if not whole:
+                continue
+            if not exchange.begun:
+                await exchange.begin(response.status, answer_headers(response.headers))
+            await exchange.write(whole)
+        if protocol is not None and isinstance(protocol.exception(), ClientOSError):
+            return self._ended(AttemptVerdict.LOST, "reset while streaming")
+        if not exchange.begun:
+            await exchange.begin(response.status, answer_headers(response.headers))
+        if cutter.partial:
+            await exchange.write(cutter.partial)
+            cutter.drop_partial()
+        await exchange.finish()
+        return self._ended(AttemptVerdict.ANSWERED, str(response.status))
--- /dev/null
+++ b/src/wisterialoom/platform/catalog.py
@@ -0,0 +1,169 @@
+"""The configuration and the backend servers, as the store has them."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import time
+from typing import TYPE_CHECKING
+
+from wisterialoom.platform.decode import (
+    decode_deployment,
+    decode_server,
+    DecodeError,
+)
+from wisterialoom.platform.watcher import KindWatcher
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from wisterialoom.core.serving.backend import BackendServer
+    from wisterialoom.core.serving.dispatcher import Dispatcher
+    from wisterialoom.platform.store import (
+        StoreClient,
+        StoreListing,
+        StoreObject,
+        WatchAnswer,
+    )
+
+__all__ = ["Catalog"]
+
+logger = logging.getLogger(__name__)
+
+CONFIG_KIND = "config"
+CONFIG_NAME = "main"
+SERVER_KIND = "servers"
+
+RETURN_S = 2.0
+"""Time that a living server may take to be listed again after an outage."""
+
+
+class Catalog:
+    """Keeps the dispatcher's deployment and servers current.
+
+    Attributes:
+        dispatcher: Takes what is learned.
+        changed: Called when requests may be affected.
+        servers: Backend servers that are listed or not yet given up.
+        missing: Servers that were not listed after an outage, with the moment at
+            which they are given up.
+    """
+
+    def __init__(
+        self,
+        store: StoreClient,
+        dispatcher: Dispatcher,
+        changed: Callable[[], None],
+    ) -> None:
+        self.dispatcher = dispatcher
+        self.changed = changed
+        self.servers: dict[str, BackendServer] = {}
+        self.missing: dict[str, float] = {}
+        self.config = KindWatcher(
+            CONFIG_KIND, store, self._list_config, self._change_config
+        )
+        self.workers = KindWatcher(
+            SERVER_KIND, store, self._list_servers, self._change_servers
+        )
+        self.tasks: list[asyncio.Task[None]] = []
+
+    @property
+    def known(self) -> bool:
+        """Both the configuration and the servers have been read."""
+        return self.dispatcher.deployment is not None and self.workers.revision > 0
+
+    def start(self) -> None:
+        """Begin to follow the store."""
+        loop = asyncio.get_running_loop()
+        self.tasks = [
+            loop.create_task(self.config.run()),
+            loop.create_task(self.workers.run()),
+        ]
+
+    async def stop(self) -> None:
+        """Stop following the store."""
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+
+    # Configuration.
+
+    def _list_config(self, listing: StoreListing, _: float | None) -> None:
+        for found in listing.objects:
+            self._take_config(found)
+
+    def _change_config(self, answer: WatchAnswer) -> None:
+        for found in answer.changed:
+            self._take_config(found)
+
+    def _take_config(self, found: StoreObject) -> None:
+        if found.name != CONFIG_NAME:
+            return
+        try:
+            deployment = decode_deployment(found.spec)
+        except DecodeError as error:
+            logger.error("configuration refused", extra={"error": str(error)})
+            return
+        current = self.dispatcher.deployment
+        if current is not None and deployment.version <= current.version:
+            return
+        self.dispatcher.deployment = deployment
+        logger.info(
+            "configuration in force",
+            extra={"version": deployment.version, "revision": found.revision},
+        )
+        self.changed()
+
+    # Backend servers.
+
+    def _list_servers(self, listing: StoreListing, lost_since: float | None) -> None:
+        now = time.monotonic()
+        listed = {}
+        for found in listing.objects:
+            server = self._decode(found)
+            if server is not None:
+                listed[server.id] = server
+        if lost_since is not None:
+            for server_id in self.servers.keys() - listed.keys():
+                self.missing.setdefault(server_id, now + RETURN_S)
+                listed[server_id] = self.servers[server_id]
+        for server_id in listed.keys() & {found.name for found in listing.objects}:
+            self.missing.pop(server_id, None)
+        self.servers = listed
+        self._apply()
+
+    def _change_servers(self, answer: WatchAnswer) -> None:
+        for found in answer.changed:
+            server = self._decode(found)
+            if server is None:
+                self.servers.pop(found.name, None)
+                continue
+            self.missing.pop(server.id, None)
+            self.servers[server.id] = server
+        for server_id in answer.removed:
+            self.servers.pop(server_id, None)
+            self.missing.pop(server_id, None)
+        self._apply()
+
+    def give_up_missing(self, now: float) -> None:
+        """Drop servers that were not listed again in time after an outage."""
+        if self.workers.lost_since is not None:
+            return
+        for server_id, until in list(self.missing.items()):
+            if now < until:
+                continue
+            del self.missing[server_id]
+            if self.servers.pop(server_id, None) is not None:
+                logger.info("server not listed again", extra={"server": server_id})
+                self._apply()
+
+    def _apply(self) -> None:
+        if self.dispatcher.set_servers(self.servers):
+            self.changed()
+
+    def _decode(self, found: StoreObject) -> BackendServer | None:
+        try:
+            return decode_server(found.name, found.spec)
+        except DecodeError as error:
+            logger.warning("server entry passed over", extra={"error": str(error)})
+            return None
--- /dev/null
+++ b/src/wisterialoom/platform/decode.py
@@ -0,0 +1,193 @@
+"""Decodes the platform's objects into the product's own types."""
+
+from __future__ import annotations
+
+from typing import Any, TYPE_CHECKING
+
+from wisterialoom.core.error import WisterialoomError
+from wisterialoom.core.serving.backend import BackendServer, ResidentModel
+from wisterialoom.core.serving.routing import (
+    Deployment,
+    EngineProfile,
+    IngressLimits,
+    ModelProfile,
+    Repeat,
+    Route,
+    Service,
+    WeightedService,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+__all__ = [
+    "DecodeError",
+    "decode_deployment",
+    "decode_models",
+    "decode_server",
+]
+
+SERVER_STATES = ("ready", "draining")
+
+
+class DecodeError(WisterialoomError):
+    """Raised when an object of the platform has fields that cannot be used."""
+
+
+def decode_deployment(spec: Any) -> Deployment:
+    """Decode a whole configuration.
+
+    Raises:
+        DecodeError: A field is missing or of another type.
+    """
+    try:
+        services = {
+            str(item["name"]): _decode_service(item) for item in spec["services"]
+        }
+        return Deployment.from_routes(
+            int(spec["version"]),
+            [_decode_route(item) for item in spec["routes"]],
+            services,
+            _decode_limits(spec.get("limits", {})),
+        )
+    except (KeyError, TypeError, ValueError, AttributeError) as error:
+        raise DecodeError(
+            f"the configuration cannot be decoded: {error!r}; "
+            "the version in force is kept until a valid one comes"
+        ) from error
+
+
+def _decode_route(item: Mapping[str, Any]) -> Route:
+    kind = str(item["kind"])
+    stream = kind == "streaming"
+    resumable = bool(item.get("resumable", False))
+    idempotent = kind == "safe" or (stream and resumable)
+    branches = tuple(
+        WeightedService(str(branch["service"]), float(branch["weight"]))
+        for branch in item.get("split") or ()
+    )
+    if not branches:
+        branches = (WeightedService(str(item["service"]), 1.0),)
+    timeout_ms = float(item["timeoutMs"])
+    return Route(
+        name=str(item["name"]),
+        host=str(item["host"]).lower(),
+        prefix=str(item["pathPrefix"]),
+        repeat=Repeat.IDEMPOTENT if idempotent else Repeat.ONCE,
+        stream=stream,
+        resumable=resumable,
+        timeout_s=timeout_ms / 1e3,
+        target_s=float(item.get("targetLatencyMs", timeout_ms)) / 1e3,
+        gap_s=float(item.get("gapAimMs", timeout_ms)) / 1e3,
+        priority=int(item.get("priority", 5)),
+        max_attempts=max(1, int(item.get("maxAttempts", 1))),
+        services=branches,
+    )
+
+
+def _decode_service(item: Mapping[str, Any]) -> Service:
+    engine = item.get("engine")
+    return Service(
+        name=str(item["name"]),
+        health_path=str(item.get("healthPath", "/health")),
+        max_connections=int(item.get("maxConnections", 0)),
+        engine=_decode_engine(engine) if engine else None,
+    )
+
+
+def _decode_engine(item: Mapping[str, Any]) -> EngineProfile:
+    models = {str(model["name"]): _decode_model(model) for model in item["models"]}
+    return EngineProfile(
+        slots=int(item["slots"]),
+        kv_tokens=int(item.get("kvCapacity", 0)),
+        # At the top of an engine, `weightsMb` is the memory of a backend server;
+        # in a model, it is the size of that model's weights.
+        weights_mb=float(item["weightsMb"]),
+        adapter_slots=int(item.get("adapterSlots", 0)),
+        loads_per_s=float(item.get("loadsPerS", 1.0)),
+        models=models,
+    )
+
+
+def _decode_model(item: Mapping[str, Any]) -> ModelProfile:
+    load_s = float(item["loadTimeS"])
+    return ModelProfile(
+        name=str(item["name"]),
+        weights_mb=float(item["weightsMb"]),
+        adapter_mb=float(item.get("adapterMb", 0.0)),
+        adapters=int(item.get("adapters", 0)),
+        load_s=load_s,
+        warm_load_s=float(item.get("warmS", load_s)),
+        disk_load_s=float(item.get("diskS", load_s)),
+    )
+
+
+def _decode_limits(item: Mapping[str, Any]) -> IngressLimits:
+    base = IngressLimits()
+    header_ms = item.get("headerTimeoutMs", base.header_timeout_s * 1e3)
+    idle_ms = item.get("idleTimeoutMs", base.idle_timeout_s * 1e3)
+    return IngressLimits(
+        max_header_bytes=int(item.get("maxHeaderBytes", base.max_header_bytes)),
+        max_body_bytes=int(item.get("maxBodyBytes", base.max_body_bytes)),
+        header_timeout_s=float(header_ms) / 1e3,
+        idle_timeout_s=float(idle_ms) / 1e3,
+    )
+
+
+def decode_server(server_id: str, spec: Any) -> BackendServer:
+    """Decode what a backend server wrote about itself.
+
+    Raises:
+        DecodeError: A field is missing or of another type.
+    """
+    try:
+        state = spec["state"]
+        if state not in SERVER_STATES:
+            raise ValueError(f"state is {state!r}")
+        host, _, port = _string(spec["address"]).rpartition(":")
+        if not host or not 0 < int(port) < 65536:
+            raise ValueError(f"address is {spec['address']!r}")
+        remaining_ms = spec.get("remainingMs")
+        return BackendServer(
+            id=server_id,
+            born_ms=_integer(spec.get("born", 0)),
+            service=_string(spec["service"]),
+            address=spec["address"],
+            availability_zone=_string(spec["zone"]),
+            slots=max(1, _integer(spec["slots"])),
+            draining=state == "draining",
+            # Counts accepted orders; it also advances with other changes of the
+            # server's own, never backwards within one incarnation.
+            order_count=_integer(spec.get("sequence", 0)),
+            models=decode_models(spec.get("models") or ()),
+            gone_in_s=remaining_ms / 1e3 if remaining_ms is not None else None,
+        )
+    except (KeyError, TypeError, ValueError, AttributeError) as error:
+        raise DecodeError(
+            f"entry {server_id!r} names no usable backend server: {error!r}; "
+            "it is passed over until it changes"
+        ) from error
+
+
+def decode_models(items: Any) -> tuple[ResidentModel, ...]:
+    """Decode the models that a backend server holds."""
+    return tuple(
+        ResidentModel(
+            name=_string(item["name"]),
+            version=_integer(item.get("version", 0)),
+            adapters=tuple(_string(name) for name in item.get("adapters") or ()),
+        )
+        for item in items
+    )
+
+
+def _string(value: Any) -> str:
+    if not isinstance(value, str) or not value:
+        raise TypeError(f"{value!r} is no text")
+    return value
+
+
+def _integer(value: Any) -> int:
+    if isinstance(value, bool) or not isinstance(value, int):
+        raise TypeError(f"{value!r} is no whole number")
+    return value
--- /dev/null
+++ b/src/wisterialoom/platform/ingress.py
@@ -0,0 +1,265 @@
+"""Takes callers' requests and carries out what the dispatcher decides."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import time
+from typing import TYPE_CHECKING
+
+from wisterialoom.core.serving.request_flow import (
+    AttemptResult,
+    AttemptVerdict,
+    GiveUp,
+    GiveUpReason,
+    RequestFlow,
+    Send,
+    Wait,
+)
+from wisterialoom.platform.attempt import Attempt
+from wisterialoom.platform.exchange import Exchange
+from wisterialoom.platform.headers import ATTEMPT_ID, read_profile
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from aiohttp import ClientSession, web
+
+    from wisterialoom.core.serving.dispatcher import Dispatcher
+    from wisterialoom.core.serving.request_flow import RequestProfile
+    from wisterialoom.platform.attempt import WholeAnswer
+
+__all__ = ["Ingress", "Signal"]
+
+logger = logging.getLogger(__name__)
+
+CONFIG_DOUBT_S = 4.0
+"""Age of the configuration above which an unknown route may just be a new one."""
+
+FRESH_INSTANCE_RETRY_S = 0.5
+"""When to come back to an instance that has no configuration yet."""
+
+PLAIN_SILENCE_FACTOR = 6.0
+"""Silence of a plain server, in latency targets, after which it is given up."""
+
+STREAM_SILENCE_S = 1.6
+"""Silence of a stream after which it goes on elsewhere; callers leave after two."""
+
+
+class Signal:
+    """Wakes every request that waits for something to change."""
+
+    def __init__(self) -> None:
+        self.waiters: set[asyncio.Future[None]] = set()
+
+    def wake(self) -> None:
+        """Wake all that wait."""
+        waiters, self.waiters = self.waiters, set()
+        for waiter in waiters:
+            if not waiter.done():
+                waiter.set_result(None)
+
+    async def wait(self, timeout_s: float) -> None:
+        """Return when woken, or after a time."""
+        waiter = asyncio.get_running_loop().create_future()
+        self.waiters.add(waiter)
+        try:
+            async with asyncio.timeout(timeout_s):
+                await waiter
+        except TimeoutError:
+            pass
+        finally:
+            self.waiters.discard(waiter)
+
+
+class Ingress:
+    """Serves callers.
+
+    Attributes:
+        dispatcher: Decides each next step.
+        signal: Wakes waiting requests.
+        pooled: Session for what may be repeated.
+        single: Session that opens a connection for each other request.
+        config_checked: Returns when the configuration was last known to be current.
+        wanted_changed: Called when a request begins to wait for a model.
+        draining: This instance is stopping.
+        active: Requests in progress.
+    """
+
+    def __init__(
+        self,
+        dispatcher: Dispatcher,
+        signal: Signal,
+        config_checked: Callable[[], float],
+        wanted_changed: Callable[[], None],
+    ) -> None:
+        self.dispatcher = dispatcher
+        self.signal = signal
+        self.config_checked = config_checked
+        self.wanted_changed = wanted_changed
+        self.pooled: ClientSession | None = None
+        self.single: ClientSession | None = None
+        self.draining = False
+        self.active = 0
+        self.counts: dict[str, int] = {}
+
+    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        """Carry one request to its answer."""
+        self.active += 1
+        try:
+            return await self._handle(request)
+        finally:
+            self.active -= 1
+
+    async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
+        arrived = time.monotonic()
+        deployment = self.dispatcher.deployment
+        exchange = Exchange(request, b"")
+        exchange.closing = self.draining
+        if deployment is None:
+            exchange.respond(503, "no_configuration", FRESH_INSTANCE_RETRY_S)
+            return self._final(exchange)
+        host = request.headers.get("Host", "").partition(":")[0]
+        path = request.raw_path.partition("?")[0]
+        route = deployment.find_route(host, path)
+        if route is None:
+            if arrived - self.config_checked() > CONFIG_DOUBT_S:
+                exchange.respond(503, "configuration_in_doubt", FRESH_INSTANCE_RETRY_S)
+            else:
+                exchange.respond(404, "no_route")
+            return self._final(exchange)
+        exchange.body = await request.read() if request.can_read_body else b""
+        exchange.resumable = route.resumable
+        profile = read_profile(request.headers, route, arrived)
+        if not profile.request_id:
+            exchange.respond(400, f"the header {ATTEMPT_ID} is missing; send one")
+            return self._final(exchange)
+        await self._carry(exchange, profile)
+        return self._final(exchange)
+
+    def _final(self, exchange: Exchange) -> web.StreamResponse:
+        assert exchange.response is not None
+        return exchange.response
+
+    async def _carry(self, exchange: Exchange, profile: RequestProfile) -> None:
+        flow = RequestFlow(profile)
+        self.dispatcher.arrive(profile.arrived, flow)
+        limit_s = profile.answer_by - time.monotonic()
+        try:
+            async with asyncio.timeout(limit_s):
+                await self._steps(exchange, flow)
+        except TimeoutError:
+            not_run = not flow.servers or not (flow.may_have_run or flow.in_flight_at)
+            self._expire(flow)
+            exchange.refuse(profile, GiveUp(GiveUpReason.DEADLINE, not_run, 0.3))
+            self._count("deadline")
+        except ConnectionError:
+            self._expire(flow)
+            exchange.cut()
+        finally:
+            self._expire(flow)
+            self._stop_waiting(flow)
+
+    def _expire(self, flow: RequestFlow) -> None:
+        if flow.in_flight_at:
+            view = self.dispatcher.views.get(flow.in_flight_at)
+            if view is not None:
+                view.in_flight = max(0, view.in_flight - 1)
+            flow.in_flight_at = ""
+
+    async def _steps(self, exchange: Exchange, flow: RequestFlow) -> None:
+        failure: WholeAnswer | None = None
+        while True:
+            step = self.dispatcher.next_step(time.monotonic(), flow)
+            match step:
+                case Send():
+                    self._stop_waiting(flow)
+                    attempt, result = await self._attempt(exchange, flow, step)
+                    if result.verdict is AttemptVerdict.ANSWERED:
+                        self._count("answered")
+                        if attempt.answer is not None:
+                            exchange.send_whole(attempt.answer)
+                        return
+                    if result.verdict is AttemptVerdict.FAILED:
+                        failure = attempt.answer
+                        if not flow.profile.route.idempotent:
+                            assert failure is not None
+                            exchange.send_whole(failure)
+                            return
+                        flow.may_have_run = True
+                case Wait(until=until):
+                    self._start_waiting(flow)
+                    await self.signal.wait(max(0.005, until - time.monotonic()))
+                case GiveUp() if failure is not None and not exchange.begun:
+                    exchange.send_whole(failure)
+                    return
+                case GiveUp(reason=reason):
+                    self._count(reason.value)
+                    exchange.refuse(flow.profile, step)
+                    return
+
+    async def _attempt(
+        self, exchange: Exchange, flow: RequestFlow, step: Send
+    ) -> tuple[Attempt, AttemptResult]:
+        profile = flow.profile
+        route = profile.route
+        session = self.pooled if route.idempotent else self.single
+        assert session is not None
+        left_s = profile.answer_by - time.monotonic()
+        silence_s = left_s
+        if route.idempotent:
+            silence_s = STREAM_SILENCE_S
+            if not route.stream:
+                silence_s = PLAIN_SILENCE_FACTOR * route.target_s
+            silence_s = min(left_s, silence_s)
+        attempt = Attempt(exchange, profile, step, silence_s)
+        result = AttemptResult(step.server_id, AttemptVerdict.LOST, "cancelled")
+        try:
+            result = await attempt.run(session)
+        finally:
+            now = time.monotonic()
+            cancelled = result.detail == "cancelled"
+            if flow.in_flight_at and not cancelled:
+                self.dispatcher.end_attempt(now, flow, result)
+            elif flow.in_flight_at:
+                flow.may_have_run = True
+        exchange.cutter.drop_partial()
+        view = self.dispatcher.views.get(step.server_id)
+        if view is not None and attempt.load is not None:
+            view.note_report(now, attempt.load.running, attempt.load.waiting)
+        if result.verdict is not AttemptVerdict.ANSWERED:
+            self._count(result.verdict.value)
+            logger.info(
+                "attempt failed",
+                extra={
+                    "request_id": profile.request_id,
+                    "route": route.name,
+                    "server": step.server_id,
+                    "verdict": result.verdict.value,
+                    "detail": result.detail,
+                },
+            )
+        return attempt, result
+
+    def _start_waiting(self, flow: RequestFlow) -> None:
+        if flow.waiting:
+            return
+        flow.waiting = True
+        wanted = flow.profile.wanted
+        waiting = self.dispatcher.waiting
+        waiting[wanted] = waiting.get(wanted, 0) + 1
+        if waiting[wanted] == 1:
+            self.wanted_changed()
+
+    def _stop_waiting(self, flow: RequestFlow) -> None:
+        if not flow.waiting:
+            return
+        flow.waiting = False
+        wanted = flow.profile.wanted
+        waiting = self.dispatcher.waiting
+        waiting[wanted] -= 1
+        if waiting[wanted] <= 0:
+            del waiting[wanted]
+
+    def _count(self, outcome: str) -> None:
+        self.counts[outcome] = self.counts.get(outcome, 0) + 1
--- /dev/null
+++ b/src/wisterialoom/platform/settings.py
@@ -0,0 +1,148 @@
+"""The settings file that the platform writes for each process."""
+
+from __future__ import annotations
+
+import os
+import tomllib
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any, TYPE_CHECKING
+
+from wisterialoom.core.error import WisterialoomError
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+__all__ = ["Bounds", "PlatformSettings", "SettingsError"]
+
+CONFIG_VARIABLE = "WISTERIALOOM_CONFIG"
+DEFAULT_PATH = "/etc/wisterialoom/boot.toml"
+
+
+class SettingsError(WisterialoomError):
+    """Raised when the settings file cannot be used."""
+
+
+@dataclass(frozen=True, slots=True)
+class Bounds:
+    """Time limits and shares that the platform's operators set.
+
+    Attributes:
+        drain_s: A leaving backend server gets no new request after this time.
+        grace_s: Time between the signal to stop and the kill.
+        config_apply_s: A change of configuration is in force after this time.
+        retry_ratio: Repeats for each request, over all instances.
+        retry_fixed: Repeats besides, in each window.
+        retry_window_s: Length of that window.
+        lease_s: Two holders' orders lie further apart than this.
+        fenced: Backend servers refuse orders with an old fencing number.
+        load_window_s: Window in which loads from the weight store are counted.
+    """
+
+    drain_s: float = 2.0
+    grace_s: float = 8.0
+    config_apply_s: float = 2.0
+    retry_ratio: float = 0.2
+    retry_fixed: float = 50.0
+    retry_window_s: float = 10.0
+    lease_s: float = 3.0
+    fenced: bool = False
+    load_window_s: float = 5.0
+
+    @classmethod
+    def from_table(cls, table: Mapping[str, Any]) -> Bounds:
+        """Decode the `bounds` table; missing entries keep their defaults."""
+        base = cls()
+        return cls(
+            drain_s=table.get("drainMs", base.drain_s * 1e3) / 1e3,
+            grace_s=float(table.get("graceS", base.grace_s)),
+            config_apply_s=table.get("configApplyMs", base.config_apply_s * 1e3) / 1e3,
+            retry_ratio=float(table.get("retryBudgetRatio", base.retry_ratio)),
+            retry_fixed=float(table.get("retryBudgetSlack", base.retry_fixed)),
+            retry_window_s=float(table.get("budgetWindowS", base.retry_window_s)),
+            lease_s=table.get("leaseMs", base.lease_s * 1e3) / 1e3,
+            fenced=bool(table.get("fencingEnforced", base.fenced)),
+            load_window_s=float(table.get("ceilingWindowS", base.load_window_s)),
+        )
+
+
+@dataclass(frozen=True, slots=True)
+class PlatformSettings:
+    """Settings of one process.
+
+    Attributes:
+        instance: Name of this instance.
+        ip: Address of this machine.
+        availability_zone: Zone of this machine.
+        front: `IP:port` for callers.
+        ready: `IP:port` for the readiness check.
+        store: `IP:port` of the platform's store.
+        peer_port: Port for datagrams between instances, the same on all machines.
+        metrics_port: Port on which metrics are served.
+        bounds: Time limits and shares.
+        memory_mb: Memory that this process may use.
+    """
+
+    instance: str
+    ip: str
+    availability_zone: str
+    front: str
+    ready: str
+    store: str
+    peer_port: int
+    metrics_port: int
+    bounds: Bounds
+    memory_mb: float
+
+    @classmethod
+    def from_environment(cls) -> PlatformSettings:
+        """Read the file that the environment names.
+
+        Raises:
+            SettingsError: The file cannot be read, or lacks a field.
+        """
+        return cls.from_file(Path(os.environ.get(CONFIG_VARIABLE, DEFAULT_PATH)))
+
+    @classmethod
+    def from_file(cls, path: Path) -> PlatformSettings:
+        """Read a settings file.
+
+        Raises:
+            SettingsError: The file cannot be read, or lacks a field.
+        """
+        try:
+            table = tomllib.loads(path.read_text())
+        except (OSError, tomllib.TOMLDecodeError) as error:
+            raise SettingsError(
+                f"cannot read {path}: {error}; check the file and {CONFIG_VARIABLE}"
+            ) from error
+        return cls.from_table(table)
+
+    @classmethod
+    def from_table(cls, table: Mapping[str, Any]) -> PlatformSettings:
+        """Decode a settings table.
+
+        Raises:
+            SettingsError: A field is missing or of another type.
+        """
+        try:
+            listen = table["listen"]
+            # Free ports between `first` and `last`, both included.
+            first, last = table["internalPorts"][0], table["internalPorts"][-1]
+            return cls(
+                instance=str(table["nodeName"]),
+                ip=str(table["ip"]),
+                availability_zone=str(table["zone"]),
+                front=str(listen["front"]),
+                ready=str(listen["ready"]),
+                store=str(table["platform"]["address"]),
+                peer_port=int(first),
+                metrics_port=int(last),
+                bounds=Bounds.from_table(table.get("bounds", {})),
+                memory_mb=float(table.get("limits", {}).get("memoryMb", 300)),
+            )
+        except (KeyError, IndexError, TypeError, ValueError) as error:
+            raise SettingsError(
+                f"the settings lack a usable field: {error!r}; "
+                "compare the file with docs/reference-platform.md"
+            ) from error
--- /dev/null
+++ b/src/wisterialoom/platform/watcher.py
@@ -0,0 +1,108 @@
+"""Follows a kind of objects in the store: list, then watch from its revision."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import time
+from typing import TYPE_CHECKING
+
+from wisterialoom.platform.store import HistoryGoneError, StoreUnavailableError
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from wisterialoom.platform.store import (
+        StoreClient,
+        StoreListing,
+        WatchAnswer,
+    )
+
+__all__ = ["KindWatcher"]
+
+logger = logging.getLogger(__name__)
+
+WATCH_S = 3.0
+"""Length of one watch; bounds how long a silent connection goes unnoticed."""
+
+FIRST_RETRY_S = 0.1
+MAX_RETRY_S = 1.0
+"""Bounds of the pause after a failed call."""
+
+
+class KindWatcher:
+    """Keeps a view of one kind current.
+
+    Attributes:
+        kind: Kind of the objects.
+        store: Client of the store.
+        take_listing: Takes a whole list.
+        take_changes: Takes changes after a list.
+        checked_at: Monotonic time at which the view was last known to be current.
+        lost_since: Monotonic time since which the store does not answer, if so.
+        revision: Revision of the view; 0 before the first list.
+    """
+
+    def __init__(
+        self,
+        kind: str,
+        store: StoreClient,
+        take_listing: Callable[[StoreListing, float | None], None],
+        take_changes: Callable[[WatchAnswer], None],
+    ) -> None:
+        self.kind = kind
+        self.store = store
+        self.take_listing = take_listing
+        self.take_changes = take_changes
+        self.checked_at = float("-inf")
+        self.lost_since: float | None = None
+        self.revision = 0
+        self.listed = False
+
+    async def run(self) -> None:
+        """Follow the kind until cancelled."""
+        pause_s = FIRST_RETRY_S
+        while True:
+            try:
+                await self._step()
+                pause_s = FIRST_RETRY_S
+                self._note_answer()
+            except HistoryGoneError:
+                self.listed = False
+                logger.info("history gone, listing again", extra={"kind": self.kind})
+            except StoreUnavailableError as error:
+                self._note_failure(error)
+                await asyncio.sleep(pause_s)
+                pause_s = min(MAX_RETRY_S, pause_s * 2)
+
+    async def _step(self) -> None:
+        started = time.monotonic()
+        if not self.listed:
+            listing = await self.store.list(self.kind)
+            self.revision = listing.revision
+            self.listed = True
+            self.take_listing(listing, self.lost_since)
+        else:
+            answer = await self.store.watch(self.kind, self.revision, WATCH_S)
+            self.revision = answer.revision
+            self.take_changes(answer)
+        self.checked_at = started
+
+    def _note_answer(self) -> None:
+        if self.lost_since is None:
+            return
+        lost_s = time.monotonic() - self.lost_since
+        self.lost_since = None
+        logger.warning(
+            "store regained",
+            extra={"kind": self.kind, "lost_s": lost_s, "revision": self.revision},
+        )
+
+    def _note_failure(self, error: StoreUnavailableError) -> None:
+        if self.lost_since is not None:
+            return
+        self.lost_since = time.monotonic()
+        logger.warning(
+            "store lost",
+            extra={"kind": self.kind, "error": str(error), "revision": self.revision},
+        )
--- a/src/wisterialoom/slopes/object_cost.py
+++ b/src/wisterialoom/slopes/object_cost.py
@@ -14,7 +14,7 @@
 from wisterialoom.core.rendezvous import first
 from wisterialoom.core.request import StoredAnswer
 from wisterialoom.lab.fleet import Fleet
-from wisterialoom.platform.codec import decode_instances, encode_instances
+from wisterialoom.object_api.codec import decode_instances, encode_instances
 from wisterialoom.slopes.clock import cost_us
 from wisterialoom.slopes.fit import Slope
 from wisterialoom.slopes.site import make_document, Site, SiteSize
--- a/src/wisterialoom/standin/platform_app.py
+++ b/src/wisterialoom/standin/platform_app.py
@@ -31,8 +31,8 @@
     ObjectTooLargeError,
     VersionConflictError,
 )
-from wisterialoom.platform.client import VERSION_HEADER, WATCH_LIMIT_S
-from wisterialoom.platform.codec import encode_instances, instance_from_json
+from wisterialoom.object_api.client import VERSION_HEADER, WATCH_LIMIT_S
+from wisterialoom.object_api.codec import encode_instances, instance_from_json
 from wisterialoom.standin.fault_switch import abort, FaultSwitch, json_response
 from wisterialoom.standin.instance_registry import InstanceRegistry
 from wisterialoom.standin.object_store import ObjectStore
--- a/tests/test_platform_client.py
+++ b/tests/test_object_api_client.py
@@ -1,4 +1,4 @@
-"""Tests of `wisterialoom.platform` against the stand-in platform."""
+"""Tests of `wisterialoom.object_api` against the stand-in platform."""
 
 import asyncio
 from contextlib import asynccontextmanager
@@ -25,7 +25,7 @@
     WatchObject,
     WriteObject,
 )
-from wisterialoom.platform import (
+from wisterialoom.object_api import (
     PlatformClient,
     PlatformPort,
     PlatformUnavailableError,
--- a/tests/test_operator.py
+++ b/tests/test_operator.py
@@ -9,6 +9,7 @@
 from tests.fake_platform import FakePlatform
 from wisterialoom.core.config_follower import CONFIG_KEY
 from wisterialoom.core.document_check import DocumentError
+from wisterialoom.object_api.client import PlatformUnavailableError
 from wisterialoom.operator import (
     apply,
     change,
@@ -19,7 +20,6 @@
 )
 from wisterialoom.operator.apply import with_generation
 from wisterialoom.operator.history import KEPT
-from wisterialoom.platform.client import PlatformUnavailableError
 
 GOOD = """# The desk.
 [deployment]
--- a/tests/test_standin_run.py
+++ b/tests/test_standin_run.py
@@ -12,7 +12,7 @@
 
 import wisterialoom
 from wisterialoom.core.instance_list import InstanceState
-from wisterialoom.platform import PlatformClient
+from wisterialoom.object_api import PlatformClient
 
 SOURCE = str(pathlib.Path(wisterialoom.__file__).parents[1])
 
