--- /dev/null
+++ b/src/wisterialoom/core/placement/planner.py
@@ -0,0 +1,383 @@
+"""Decides which model server loads and unloads what.
+
+Load patterns that it answers: rare models asked for at once (each is brought in where
+that displaces least), demand that moves to other models (copies follow the rates
+within seconds), servers that vanish (what only they held is brought in elsewhere).
+"""
+
+from __future__ import annotations
+
+import zlib
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from wisterialoom.core.placement.load_pacer import LoadPacer
+from wisterialoom.core.placement.order import Action, Order
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable
+
+    from wisterialoom.core.placement.fleet_demand import FleetDemand
+    from wisterialoom.core.placement.server_state import ServerState
+    from wisterialoom.core.serving.routing import EngineProfile
+
+__all__ = ["PlacementPlanner", "PlannerWeights"]
+
+RESERVATION_S = 12.0
+"""Longest time that freed memory is kept for the model it was freed for."""
+
+ADAPTER_IDLE_S = 0.5
+"""Age below which an adapter does not make way; its first requests still come."""
+
+
+@dataclass(frozen=True, slots=True)
+class PlannerWeights:
+    """Weights of the planner, in requests a second unless noted.
+
+    Attributes:
+        reload_s: Time that a request for a model without a copy loses, in seconds.
+        crowd: Weight of a copy among several, beside their fill.
+        running: Cost of displacing a copy for each request that it runs.
+        young_s: Age below which a copy is not displaced by a mere spread, in seconds.
+        spread_gain: A spread must gain this many times what it displaces.
+        spread_cost: Fixed cost of a spread.
+        load_time: Weight of a second of load time in the choice of a server.
+        fill: Weight of a server's fill in that choice.
+    """
+
+    reload_s: float = 1.5
+    crowd: float = 0.2
+    running: float = 0.15
+    young_s: float = 3.0
+    spread_gain: float = 1.5
+    spread_cost: float = 0.4
+    load_time: float = 0.3
+    fill: float = 0.5
+
+
+@dataclass(frozen=True, slots=True)
+class _Spot:
+    """A place for a model: a server, and what must leave it first."""
+
+    state: ServerState
+    victims: tuple[str, ...]
+    cost: float
+
+
+@dataclass
+class PlacementPlanner:
+    """Plans for the model servers of one service.
+
+    Attributes:
+        engine: What each server has, and the models declared.
+        pacer: Keeps loads under the weight store's rate.
+        weights: Weights of the choices.
+        reserved: Model that a server's freed memory is kept for, with its expiry.
+    """
+
+    engine: EngineProfile
+    pacer: LoadPacer
+    weights: PlannerWeights = field(default_factory=PlannerWeights)
+    reserved: dict[str, tuple[str, float]] = field(default_factory=dict)
+
+    @classmethod
+    def from_engine(cls, engine: EngineProfile) -> PlacementPlanner:
+        """Build a planner for a service's engine."""
+        return cls(engine, LoadPacer(engine.loads_per_s))
+
+    def decide(
+        self, now: float, states: Iterable[ServerState], demand: FleetDemand
+    ) -> list[Order]:
+        """Return the orders to send now, at most one for each server.
+
+        Args:
+            now: Monotonic time in seconds.
+            states: Servers that are not leaving.
+            demand: What all instances ask for.
+        """
+        round_ = _Round(self, now, list(states), demand)
+        round_.place_adapters()
+        round_.place_reserved()
+        round_.place_waiting()
+        round_.spread()
+        return round_.orders
+
+    def takes_s(self, state: ServerState, model: str) -> float:
+        """Return the expected duration of a load."""
+        profile = self.engine.models[model]
+        if model in state.in_memory:
+            return profile.warm_load_s
+        if model in state.on_disk:
+            return profile.disk_load_s
+        return profile.load_s
+
+    def at_hand(self, state: ServerState, model: str) -> bool:
+        """Tell whether a load needs no access to the weight store."""
+        return model in state.in_memory or model in state.on_disk
+
+
+class _Round:
+    """One look at all servers; gathers the orders of this moment."""
+
+    def __init__(
+        self,
+        planner: PlacementPlanner,
+        now: float,
+        states: list[ServerState],
+        demand: FleetDemand,
+    ) -> None:
+        self.planner = planner
+        self.engine = planner.engine
+        self.weights = planner.weights
+        self.now = now
+        self.states = states
+        self.orders: list[Order] = []
+        self.ordered: set[str] = set()
+        self.demand = demand
+        self.waiting = demand.waiting(now)
+        self.rates = demand.model_rates(now)
+        self.running = demand.running(now)
+        self.copies: dict[str, int] = {}
+        for state in states:
+            for model in self.held(state) | {state.loading}:
+                self.copies[model] = self.copies.get(model, 0) + 1
+        self._drop_reservations()
+
+    def _drop_reservations(self) -> None:
+        ids = {state.server_id for state in self.states}
+        reserved = self.planner.reserved
+        for server_id, (_, until) in list(reserved.items()):
+            if self.now >= until or server_id not in ids:
+                del reserved[server_id]
+        for model, _ in reserved.values():
+            self.copies[model] = self.copies.get(model, 0) + 1
+
+    # What servers have.
+
+    def held(self, state: ServerState) -> set[str]:
+        """Return the models that a server holds and keeps."""
+        return {name for name in state.models if name != state.unloading}
+
+    def free_mb(self, state: ServerState) -> float:
+        """Return the memory for weights that is free, all adapter places filled."""
+        used = 0.0
+        for name in set(state.models) | ({state.loading} - {""}):
+            profile = self.engine.models.get(name)
+            # A model that is not declared any more is taken for the largest.
+            used += profile.weights_mb if profile else self.largest_mb()
+        return self.engine.weights_mb - used - self.adapters_mb()
+
+    def largest_mb(self) -> float:
+        """Return the size of the largest model."""
+        return max(profile.weights_mb for profile in self.engine.models.values())
+
+    def adapters_mb(self) -> float:
+        """Return the memory of all adapter places, filled with the largest."""
+        sizes = [profile.adapter_mb for profile in self.engine.models.values()]
+        return self.engine.adapter_slots * max(sizes, default=0.0)
+
+    def fill(self, state: ServerState) -> float:
+        """Return the requests at a server in shares of its slots."""
+        counts = self.running.get(state.server_id, {})
+        return sum(counts.values()) / max(1, self.engine.slots)
+
+    def running_on(self, state: ServerState, model: str) -> int:
+        """Return the requests for a model, adapters included, at a server."""
+        counts = self.running.get(state.server_id, {})
+        return sum(
+            count
+            for wanted, count in counts.items()
+            if wanted.partition("/")[0] == model
+        )
+
+    def crowding(self, model: str) -> float:
+        """Return how full the servers that hold a model are, on average."""
+        fills = [self.fill(state) for state in self.states if model in state.models]
+        return self.weights.crowd + sum(fills) / max(1, len(fills))
+
+    def may_order(self, state: ServerState) -> bool:
+        """Tell whether a server can take an order in this round."""
+        return state.server_id not in self.ordered and state.may_order(self.now)
+
+    # Orders.
+
+    def add(self, state: ServerState, action: Action, model: str, adapter: str) -> None:
+        """Add an order to a server."""
+        from_store = (
+            action is Action.LOAD
+            and not adapter
+            and not self.planner.at_hand(state, model)
+        )
+        if from_store:
+            self.planner.pacer.spend()
+        self.ordered.add(state.server_id)
+        order = Order(state.server_id, action, model, adapter, state.count, from_store)
+        self.orders.append(order)
+
+    def place_adapters(self) -> None:
+        """Bring in adapters that requests wait for."""
+        for wanted, _ in sorted(self.waiting.items(), key=lambda item: -item[1]):
+            model, _, adapter = wanted.partition("/")
+            if not adapter or model not in self.engine.models:
+                continue
+            if any(adapter in state.models.get(model, ()) for state in self.states):
+                continue
+            holders = [
+                state
+                for state in self.states
+                if model in self.held(state) and self.may_order(state)
+            ]
+            if holders:
+                best = min(holders, key=lambda state: self.adapter_rank(state, wanted))
+                self.place_adapter(best, model, adapter)
+
+    def adapter_rank(self, state: ServerState, wanted: str) -> tuple[float, int]:
+        """Return how badly a server suits one more adapter."""
+        count = sum(len(adapters) for adapters in state.models.values())
+        full = 0.3 if count >= self.engine.adapter_slots else 0.0
+        draw = zlib.crc32(f"{wanted}{state.server_id}".encode())
+        return (round(self.fill(state) + full, 1), draw)
+
+    def place_adapter(self, state: ServerState, model: str, adapter: str) -> None:
+        """Load an adapter, or first let one go that is not in use."""
+        held = [
+            (name, other) for name, others in state.models.items() for other in others
+        ]
+        if len(held) < self.engine.adapter_slots:
+            self.add(state, Action.LOAD, model, adapter)
+            return
+        in_use = self.running.get(state.server_id, {})
+        idle = [
+            (self.demand.last_arrival.get(f"{name}/{other}", 0.0), name, other)
+            for name, other in held
+            if not in_use.get(f"{name}/{other}")
+            and not self.waiting.get(f"{name}/{other}")
+            and self.now - state.loaded_at.get(f"{name}/{other}", 0.0) > ADAPTER_IDLE_S
+        ]
+        if idle:
+            _, name, other = min(idle)
+            self.add(state, Action.UNLOAD, name, other)
+
+    def place_reserved(self) -> None:
+        """Load the models that memory was freed for."""
+        for state in self.states:
+            reserved = self.planner.reserved.get(state.server_id)
+            if reserved is None or not self.may_order(state):
+                continue
+            model = reserved[0]
+            profile = self.engine.models.get(model)
+            if profile is None or model in state.models:
+                del self.planner.reserved[state.server_id]
+            elif self.free_mb(state) >= profile.weights_mb:
+                if self.start_load(state, model):
+                    del self.planner.reserved[state.server_id]
+            else:
+                self.displace_one(state, model)
+
+    def displace_one(self, state: ServerState, model: str) -> None:
+        """Unload the cheapest model of a server that another one needs room on."""
+        spot = self.spot(state, model, spread=False)
+        if spot is not None and spot.victims:
+            self.add(state, Action.UNLOAD, spot.victims[0], "")
+
+    def start_load(self, state: ServerState, model: str) -> bool:
+        """Load a model that fits, if the weight store's rate allows it."""
+        at_hand = self.planner.at_hand(state, model)
+        if not at_hand and not self.planner.pacer.ready(self.now):
+            return False
+        self.add(state, Action.LOAD, model, "")
+        return True
+
+    def place_waiting(self) -> None:
+        """Bring in models that requests wait for and no server holds."""
+        missing: dict[str, int] = {}
+        for wanted, count in self.waiting.items():
+            model = wanted.partition("/")[0]
+            if model in self.engine.models and not self.copies.get(model):
+                missing[model] = missing.get(model, 0) + count
+        for model in sorted(missing, key=lambda name: -missing[name]):
+            self.place(model, self.best_spot(model, spread=False))
+
+    def best_spot(self, model: str, *, spread: bool) -> _Spot | None:
+        """Return the place for a model that costs least."""
+        spots = [
+            spot
+            for state in self.states
+            if self.may_order(state)
+            and model not in state.models
+            and state.server_id not in self.planner.reserved
+            and (spot := self.spot(state, model, spread=spread)) is not None
+        ]
+        return min(spots, key=lambda spot: spot.cost, default=None)
+
+    def spot(self, state: ServerState, model: str, *, spread: bool) -> _Spot | None:
+        """Return what a place for a model on a server costs, if there is one."""
+        need = self.engine.models[model].weights_mb - self.free_mb(state)
+        cost = self.weights.load_time * self.planner.takes_s(state, model)
+        cost += self.weights.fill * self.fill(state)
+        victims: list[str] = []
+        priced = [
+            (price, name)
+            for name in self.held(state)
+            if (price := self.victim_cost(state, name, spread=spread)) is not None
+        ]
+        for price, name in sorted(priced):
+            if need <= 0:
+                break
+            profile = self.engine.models.get(name)
+            need -= profile.weights_mb if profile else self.largest_mb()
+            cost += price
+            victims.append(name)
+        if need > 0:
+            return None
+        return _Spot(state, tuple(victims), cost)
+
+    def victim_cost(
+        self, state: ServerState, model: str, *, spread: bool
+    ) -> float | None:
+        """Return what a copy's loss costs, or `None` if it must stay."""
+        rate = self.rates.get(model, 0.0)
+        copies = self.copies.get(model, 0)
+        busy = self.running_on(state, model)
+        young = self.now - state.loaded_at.get(model, float("-inf"))
+        if copies <= 1:
+            waits = any(wanted.partition("/")[0] == model for wanted in self.waiting)
+            if waits or busy or (spread and young < self.weights.young_s):
+                return None
+            return rate * self.weights.reload_s + 0.02
+        if spread and young < self.weights.young_s:
+            return None
+        share = rate / (copies * (copies - 1))
+        return share * self.crowding(model) + busy * self.weights.running
+
+    def place(self, model: str, spot: _Spot | None) -> None:
+        """Start to bring a model to a place."""
+        if spot is None:
+            return
+        state = spot.state
+        if spot.victims:
+            until = self.now + RESERVATION_S
+            self.planner.reserved[state.server_id] = (model, until)
+            self.add(state, Action.UNLOAD, spot.victims[0], "")
+        elif not self.start_load(state, model):
+            return
+        self.copies[model] = self.copies.get(model, 0) + 1
+        for victim in spot.victims:
+            self.copies[victim] = max(0, self.copies.get(victim, 0) - 1)
+
+    def spread(self) -> None:
+        """Add copies of models whose servers are crowded."""
+        busiest = sorted(self.rates, key=lambda name: -self.rates[name])
+        for model in busiest:
+            copies = self.copies.get(model, 0)
+            if model not in self.engine.models or not copies:
+                continue
+            gain = self.rates[model] / (copies * (copies + 1)) * self.crowding(model)
+            if gain <= self.weights.spread_cost:
+                continue
+            spot = self.best_spot(model, spread=True)
+            if spot is None:
+                continue
+            cost = self.weights.spread_gain * spot.cost + self.weights.spread_cost
+            if gain > cost:
+                self.place(model, spot)
--- a/src/wisterialoom/core/serving/backend.py
+++ b/src/wisterialoom/core/serving/backend.py
@@ -11,6 +11,9 @@
 LOAD_MAX_AGE_S = 2.0
 """Age after which a reported load is no longer used; some four server reports."""
 
+FLEET_LOAD_AFTER_S = 0.3
+"""Age of a server's own report above which the count of instances is better."""
+
 REFUSAL_BACKOFF_S = 0.15
 """Pause after a server refused a request because it is full; one step of its queue."""
 
@@ -68,7 +71,8 @@
         unloading: Models that are being unloaded.
         placement_count: Order count that `models` belongs to.
         full_until: Monotonic time until which it gets no request, as it was full.
-        closing: It announced that it closes its connections.
+        absent_until: Monotonic time until which a model or adapter is passed over
+            here, as the server refused it.
     """
 
     server: BackendServer
@@ -89,6 +93,11 @@
         self.reported_at = now
         self.in_flight_at_report = self.in_flight
 
+    def note_fleet_busy(self, now: float, busy: int) -> None:
+        """Take the requests of all instances, unless the server told lately."""
+        if now - self.reported_at > FLEET_LOAD_AFTER_S:
+            self.note_report(now, busy, 0)
+
     def busy(self, now: float) -> float:
         """Estimate the requests at this server, those of other instances included."""
         if now - self.reported_at > LOAD_MAX_AGE_S:
--- a/src/wisterialoom/core/serving/dispatcher.py
+++ b/src/wisterialoom/core/serving/dispatcher.py
@@ -71,6 +71,7 @@
         outlook: Loads in progress.
         waiting: Flows that wait, by model and adapter they want.
         arrivals: Count of requests by model and adapter since the start.
+        running_counts: Attempts in progress, by server, then model and adapter.
     """
 
     balancer: Balancer
@@ -82,6 +83,7 @@
     outlook: PlacementOutlook = field(default_factory=PlacementOutlook)
     waiting: dict[str, int] = field(default_factory=dict)
     arrivals: dict[str, int] = field(default_factory=dict)
+    running_counts: dict[str, dict[str, int]] = field(default_factory=dict)
 
     # What changes around requests.
 
@@ -105,10 +107,6 @@
         changed = view.server != server
         view.server = server
         models = {model.name: frozenset(model.adapters) for model in server.models}
-        # A server tells of adapters only with its next change of models.
-        for name, adapters in models.items():
-            if view.placement_count > server.order_count:
-                models[name] = adapters | view.models.get(name, frozenset())
         return view.set_placement(server.order_count, models) or changed
 
     def set_sharers(self, count: int) -> None:
@@ -196,8 +194,7 @@
         view = self.balancer.choose(now, profile, free)
         assert view is not None
         self.balancer.note_sent(profile, view.server.id)
-        view.in_flight += 1
-        flow.in_flight_at = view.server.id
+        self.begin_attempt(flow, view)
         if view.server.id not in flow.servers:
             flow.servers.append(view.server.id)
         urgency = min(MAX_URGENCY, max(0, profile.route.priority))
@@ -237,13 +234,50 @@
             return self.give_up(now, flow, GiveUpReason.ATTEMPTS)
         return None
 
+    def begin_attempt(self, flow: RequestFlow, view: BackendView) -> None:
+        """Count an attempt as in progress."""
+        view.in_flight += 1
+        flow.in_flight_at = view.server.id
+        counts = self.running_counts.setdefault(view.server.id, {})
+        wanted = flow.profile.wanted
+        counts[wanted] = counts.get(wanted, 0) + 1
+
+    def leave_server(self, flow: RequestFlow) -> None:
+        """Count the attempt of a request, if any, as no longer in progress."""
+        server_id, flow.in_flight_at = flow.in_flight_at, ""
+        if not server_id:
+            return
+        view = self.views.get(server_id)
+        if view is not None:
+            view.in_flight = max(0, view.in_flight - 1)
+        counts = self.running_counts.get(server_id, {})
+        wanted = flow.profile.wanted
+        counts[wanted] = counts.get(wanted, 0) - 1
+        if counts[wanted] <= 0:
+            counts.pop(wanted)
+        if not counts:
+            self.running_counts.pop(server_id, None)
+
+    def running(self) -> dict[str, dict[str, int]]:
+        """Return the attempts in progress at model servers."""
+        return {
+            server_id: dict(counts)
+            for server_id, counts in self.running_counts.items()
+            if server_id in self.views and "" not in counts
+        }
+
+    def take_placement(self, now: float, ready_in_s: dict[str, float]) -> None:
+        """Take the loads in progress, as the holder of the placement lease told."""
+        self.outlook.steward_seen = now
+        self.outlook.ready_at = {
+            wanted: now + left_s for wanted, left_s in ready_in_s.items()
+        }
+
     def end_attempt(self, now: float, flow: RequestFlow, result: AttemptResult) -> None:
         """Take the end of an attempt."""
         flow.last = result
-        flow.in_flight_at = ""
+        self.leave_server(flow)
         view = self.views.get(result.server_id)
-        if view is not None:
-            view.in_flight = max(0, view.in_flight - 1)
         match result.verdict:
             case AttemptVerdict.ANSWERED | AttemptVerdict.FAILED:
                 if view is not None:
--- /dev/null
+++ b/src/wisterialoom/platform/_tasks.py
@@ -0,0 +1,44 @@
+"""Tasks whose failure shows in the log."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Coroutine
+
+__all__ = ["TaskGroup"]
+
+logger = logging.getLogger(__name__)
+
+
+class TaskGroup:
+    """Tasks that belong to one owner, who cancels what is left of them.
+
+    Attributes:
+        tasks: Tasks in progress.
+    """
+
+    def __init__(self) -> None:
+        self.tasks: set[asyncio.Task[None]] = set()
+
+    def spawn(self, call: Coroutine[object, object, None]) -> None:
+        """Start a task."""
+        task = asyncio.get_running_loop().create_task(call)
+        self.tasks.add(task)
+        task.add_done_callback(self.note_done)
+
+    def note_done(self, task: asyncio.Task[None]) -> None:
+        """Forget a task that has ended, and log its failure."""
+        self.tasks.discard(task)
+        if not task.cancelled() and task.exception() is not None:
+            logger.error("task failed; report this as a bug", exc_info=task.exception())
+
+    async def stop(self) -> None:
+        """Cancel what is left and wait for its end."""
+        tasks = tuple(self.tasks)
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
--- a/src/wisterialoom/platform/app.py
+++ b/src/wisterialoom/platform/app.py
@@ -4,18 +4,25 @@
 
 import asyncio
 import logging
+import os
 import signal
 import time
 from typing import TYPE_CHECKING
 
 from aiohttp import ClientSession, DummyCookieJar, TCPConnector, web
 
+from wisterialoom.core.fleet import PlacementLease
 from wisterialoom.core.serving.balancer import Balancer
 from wisterialoom.core.serving.dispatcher import Dispatcher
 from wisterialoom.core.serving.retry_allowance import RetryLimits
+from wisterialoom.platform._tasks import TaskGroup
 from wisterialoom.platform.catalog import Catalog
+from wisterialoom.platform.fleet import Fleet
 from wisterialoom.platform.ingress import Ingress, Signal
+from wisterialoom.platform.orders import OrderClient
+from wisterialoom.platform.peers import PeerLink
 from wisterialoom.platform.settings import PlatformSettings, SettingsError
+from wisterialoom.platform.steward import Steward
 from wisterialoom.platform.store import StoreClient
 
 if TYPE_CHECKING:
@@ -46,6 +53,9 @@
         dispatcher: Decides about requests.
         ingress: Serves callers.
         catalog: Follows the store.
+        steward: Holds the placement lease when it can.
+        fleet: Members, demand and placement.
+        peers: Datagrams between instances.
         stopping: Set once the process shall stop.
     """
 
@@ -60,8 +70,11 @@
         self.stopping = asyncio.Event()
         self.runners: list[web.ServerRunner] = []
         self.sessions: list[ClientSession] = []
-        self.tasks: list[asyncio.Task[None]] = []
+        self.tasks = TaskGroup()
         self.catalog: Catalog
+        self.steward: Steward
+        self.fleet: Fleet
+        self.peers: PeerLink
         self.ingress: Ingress
 
     @classmethod
@@ -92,19 +105,58 @@
             self.dispatcher,
             self.signal,
             lambda: self.catalog.config.checked_at,
-            lambda: None,
+            self._wanted_changed,
         )
         self.ingress.pooled = self._session(
             TCPConnector(limit=0, keepalive_timeout=SERVER_KEEPALIVE_S)
         )
         self.ingress.single = self._session(TCPConnector(limit=0, force_close=True))
+        await self._start_fleet(store)
         await self._listen(settings.ready, self.answer_ready)
         await self._listen(settings.front, self.ingress.handle)
         self.catalog.start()
-        loop = asyncio.get_running_loop()
-        self.tasks.append(loop.create_task(self._tick()))
+        self.tasks.spawn(self._tick())
         logger.info("started", extra={"front": settings.front})
 
+    async def _start_fleet(self, store: StoreClient) -> None:
+        settings = self.settings
+        boot = os.urandom(8).hex()
+        peers = PeerLink(settings.peer_port, lambda hint, ip: fleet.take(hint, ip))
+        fleet = Fleet(
+            settings.instance,
+            boot,
+            settings.ip,
+            store,
+            peers,
+            self.dispatcher,
+            self.signal,
+        )
+        orders = OrderClient(settings.instance, self._session(TCPConnector(limit=0)))
+        self.steward = Steward(
+            PlacementLease(
+                settings.instance,
+                boot,
+                settings.ip,
+                settings.bounds.lease_s,
+                fenced=settings.bounds.fenced,
+            ),
+            store,
+            orders,
+            peers,
+            self.dispatcher,
+            fleet.take_placement,
+            fleet.note_holder,
+        )
+        fleet.steward = self.steward
+        self.peers = peers
+        self.fleet = fleet
+        await peers.start(settings.ip)
+        fleet.start()
+        self.steward.start()
+
+    def _wanted_changed(self) -> None:
+        self.fleet.wanted_changed()
+
     async def answer_ready(self, _: web.BaseRequest) -> web.StreamResponse:
         """Tell the platform whether this instance can serve."""
         ready = self.catalog.known and not self.ingress.draining
@@ -127,6 +179,7 @@
     async def on_drain(self) -> None:
         """Take no new connections and let requests in progress end."""
         self.ingress.draining = True
+        await self.steward.stop()
         limit = time.monotonic() + self.settings.bounds.grace_s - STOP_MARGIN_S
         logger.info("draining", extra={"active": self.ingress.active})
         while time.monotonic() < limit:
@@ -137,8 +190,10 @@
     async def on_stop(self) -> None:
         """Close everything."""
         logger.info("stopping", extra={"active": self.ingress.active})
-        for task in self.tasks:
-            task.cancel()
+        await self.tasks.stop()
+        await self.steward.stop()
+        await self.fleet.stop()
+        self.peers.stop()
         await self.catalog.stop()
         for runner in self.runners:
             await runner.cleanup()
@@ -148,7 +203,9 @@
     async def _tick(self) -> None:
         while True:
             await asyncio.sleep(TICK_S)
-            self.catalog.give_up_missing(time.monotonic())
+            now = time.monotonic()
+            self.catalog.give_up_missing(now)
+            self.fleet.forget_silent(now)
 
     async def _listen(
         self,
--- a/src/wisterialoom/platform/catalog.py
+++ b/src/wisterialoom/platform/catalog.py
@@ -2,11 +2,11 @@
 
 from __future__ import annotations
 
-import asyncio
 import logging
 import time
 from typing import TYPE_CHECKING
 
+from wisterialoom.platform._tasks import TaskGroup
 from wisterialoom.platform.decode import (
     decode_deployment,
     decode_server,
@@ -65,7 +65,7 @@
         self.workers = KindWatcher(
             SERVER_KIND, store, self._list_servers, self._change_servers
         )
-        self.tasks: list[asyncio.Task[None]] = []
+        self.tasks = TaskGroup()
 
     @property
     def known(self) -> bool:
@@ -74,17 +74,12 @@
 
     def start(self) -> None:
         """Begin to follow the store."""
-        loop = asyncio.get_running_loop()
-        self.tasks = [
-            loop.create_task(self.config.run()),
-            loop.create_task(self.workers.run()),
-        ]
+        self.tasks.spawn(self.config.run())
+        self.tasks.spawn(self.workers.run())
 
     async def stop(self) -> None:
         """Stop following the store."""
-        for task in self.tasks:
-            task.cancel()
-        await asyncio.gather(*self.tasks, return_exceptions=True)
+        await self.tasks.stop()
 
     # Configuration.
 
--- /dev/null
+++ b/src/wisterialoom/platform/fleet.py
@@ -0,0 +1,237 @@
+"""This instance among the others: who is there, who holds the placement lease."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import time
+from typing import TYPE_CHECKING
+
+from wisterialoom.core.placement.fleet_demand import DemandReport
+from wisterialoom.platform._tasks import TaskGroup
+from wisterialoom.platform.hints import Hello, PlacementHint
+from wisterialoom.platform.steward import lease_clock
+from wisterialoom.platform.store import ObjectExistsError, StoreUnavailableError
+
+if TYPE_CHECKING:
+    from wisterialoom.core.serving.dispatcher import Dispatcher
+    from wisterialoom.platform.hints import Hint
+    from wisterialoom.platform.ingress import Ingress, Signal
+    from wisterialoom.platform.peers import PeerLink
+    from wisterialoom.platform.steward import Steward
+    from wisterialoom.platform.store import StoreClient
+
+__all__ = ["Fleet"]
+
+logger = logging.getLogger(__name__)
+
+MEMBER_KIND = "wisterialoom-members"
+
+REPORT_S = 0.25
+"""Time between two demand reports while demand changes."""
+
+IDLE_REPORT_S = 1.0
+"""Time between two demand reports while nothing changes."""
+
+RECENT_S = 1.5
+"""Arrival counts that changed within this time are sent again, against losses."""
+
+MEMBER_SILENCE_S = 6.0
+"""Silence after which an instance no longer counts as a member."""
+
+
+class Fleet:
+    """Keeps members known, sends demand, and takes placement.
+
+    Attributes:
+        instance: Name of this instance.
+        boot: Identity of this process.
+        holder_address: Address of the holder of the placement lease, if heard.
+        epoch: Its fencing number.
+        serial: Serial of its last hint.
+    """
+
+    def __init__(
+        self,
+        instance: str,
+        boot: str,
+        address: str,
+        store: StoreClient,
+        peers: PeerLink,
+        dispatcher: Dispatcher,
+        signal: Signal,
+    ) -> None:
+        self.instance = instance
+        self.boot = boot
+        self.address = address
+        self.store = store
+        self.peers = peers
+        self.dispatcher = dispatcher
+        self.signal = signal
+        self.steward: Steward
+        self.ingress: Ingress
+        self.holder_address = ""
+        self.epoch = 0
+        self.serial = 0
+        self.heard: dict[str, float] = {}
+        self.kick = asyncio.Event()
+        self.arrivals_sent: dict[str, int] = {}
+        self.arrivals_changed: dict[str, float] = {}
+        self.tasks = TaskGroup()
+
+    def start(self) -> None:
+        """Begin to announce this instance and to send demand."""
+        self.peers.members[self.instance] = self.address
+        self.tasks.spawn(self._announce())
+        self.tasks.spawn(self._send_demand())
+
+    async def stop(self) -> None:
+        """Stop sending."""
+        await self.tasks.stop()
+
+    async def _announce(self) -> None:
+        spec = {"address": self.address}
+        pause_s = 0.1
+        while True:
+            try:
+                await self._register(spec)
+                listing = await self.store.list(MEMBER_KIND)
+                break
+            except StoreUnavailableError as error:
+                logger.info("not registered yet", extra={"error": str(error)})
+                await asyncio.sleep(pause_s)
+                pause_s = min(1.0, 2 * pause_s)
+        for found in listing.objects:
+            if isinstance(found.spec, dict) and found.name != self.instance:
+                address = found.spec.get("address")
+                if isinstance(address, str):
+                    self.peers.members.setdefault(found.name, address)
+                    self.heard.setdefault(found.name, time.monotonic())
+        self._note_members()
+        self.peers.send_all(Hello(self.instance, self.address), self._others())
+
+    async def _register(self, spec: dict[str, str]) -> None:
+        try:
+            await self.store.create(MEMBER_KIND, self.instance, spec)
+        except ObjectExistsError as error:
+            if error.current is None or error.current.spec != spec:
+                await self.store.replace(MEMBER_KIND, self.instance, spec)
+
+    def _others(self) -> list[str]:
+        return [
+            address
+            for name, address in self.peers.members.items()
+            if name != self.instance
+        ]
+
+    def _note_members(self) -> None:
+        self.dispatcher.set_sharers(len(self.peers.members))
+
+    def take(self, hint: Hint, address: str) -> None:
+        """Take a hint of another instance."""
+        now = time.monotonic()
+        match hint:
+            case Hello(instance=name):
+                self._heard(now, name, hint.address)
+            case DemandReport(instance=name):
+                self._heard(now, name, address)
+                self.steward.take_demand(hint)
+            case PlacementHint():
+                self._heard(now, hint.holder, hint.address)
+                self.take_placement(hint)
+
+    def _heard(self, now: float, name: str, address: str) -> None:
+        self.heard[name] = now
+        if self.peers.members.get(name) != address:
+            self.peers.members[name] = address
+            self._note_members()
+
+    def forget_silent(self, now: float) -> None:
+        """Drop members that were not heard for long; the holder hears all."""
+        if not self.steward.was_valid:
+            return
+        for name, heard in list(self.heard.items()):
+            if now - heard > MEMBER_SILENCE_S:
+                del self.heard[name]
+                if self.peers.members.pop(name, None) is not None:
+                    logger.info("member silent", extra={"member": name})
+                    self._note_members()
+
+    def take_placement(self, hint: PlacementHint) -> None:
+        """Take what the holder of the placement lease knows."""
+        if (hint.epoch, hint.serial) <= (self.epoch, self.serial):
+            return
+        if hint.epoch != self.epoch:
+            logger.info(
+                "placement holder", extra={"holder": hint.holder, "epoch": hint.epoch}
+            )
+        now = time.monotonic()
+        self.epoch, self.serial = hint.epoch, hint.serial
+        self.holder_address = hint.address
+        if hint.holder != self.instance:
+            self.steward.lease.heard(lease_clock(), hint.epoch, hint.renewal)
+            self.peers.members = {**hint.members, self.instance: self.address}
+            self._note_members()
+        self.dispatcher.take_placement(now, hint.ready_in_s)
+        changed = False
+        for server_id, server in hint.servers.items():
+            view = self.dispatcher.views.get(server_id)
+            if view is None:
+                continue
+            view.note_fleet_busy(now, server.busy)
+            changed |= view.set_placement(server.count, server.models, server.unloading)
+        if changed:
+            self.signal.wake()
+
+    def note_holder(self, name: str, address: str) -> None:
+        """Note who holds the placement lease, as the store has it."""
+        self.holder_address = address
+        if name == self.instance:
+            now = time.monotonic()
+            self.heard = dict.fromkeys(self.peers.members.keys() - {name}, now)
+
+    def wanted_changed(self) -> None:
+        """Send demand at once, as a request waits for something new."""
+        self.kick.set()
+
+    async def _send_demand(self) -> None:
+        last: DemandReport | None = None
+        sent_at = float("-inf")
+        while True:
+            try:
+                async with asyncio.timeout(REPORT_S):
+                    await self.kick.wait()
+            except TimeoutError:
+                pass
+            if self.kick.is_set():
+                self.kick.clear()
+                # Requests that come in the same moment go into one datagram.
+                await asyncio.sleep(0.002)
+            now = time.monotonic()
+            report = self._report(now)
+            if report == last and now - sent_at < IDLE_REPORT_S:
+                continue
+            last, sent_at = report, now
+            self.steward.take_demand(report)
+            if self.steward.was_valid:
+                continue
+            if self.holder_address:
+                self.peers.send(report, self.holder_address)
+
+    def _report(self, now: float) -> DemandReport:
+        for wanted, count in self.dispatcher.arrivals.items():
+            if self.arrivals_sent.get(wanted) != count:
+                self.arrivals_sent[wanted] = count
+                self.arrivals_changed[wanted] = now
+        recent = {
+            wanted: self.arrivals_sent[wanted]
+            for wanted, at in self.arrivals_changed.items()
+            if now - at < RECENT_S
+        }
+        return DemandReport(
+            instance=self.instance,
+            boot=self.boot,
+            waiting=dict(self.dispatcher.waiting),
+            arrivals=recent,
+            running=self.dispatcher.running(),
+        )
--- a/src/wisterialoom/platform/ingress.py
+++ b/src/wisterialoom/platform/ingress.py
@@ -150,23 +150,16 @@
                 await self._steps(exchange, flow)
         except TimeoutError:
             not_run = not flow.servers or not (flow.may_have_run or flow.in_flight_at)
-            self._expire(flow)
+            self.dispatcher.leave_server(flow)
             exchange.refuse(profile, GiveUp(GiveUpReason.DEADLINE, not_run, 0.3))
             self._count("deadline")
         except ConnectionError:
-            self._expire(flow)
+            self.dispatcher.leave_server(flow)
             exchange.cut()
         finally:
-            self._expire(flow)
+            self.dispatcher.leave_server(flow)
             self._stop_waiting(flow)
 
-    def _expire(self, flow: RequestFlow) -> None:
-        if flow.in_flight_at:
-            view = self.dispatcher.views.get(flow.in_flight_at)
-            if view is not None:
-                view.in_flight = max(0, view.in_flight - 1)
-            flow.in_flight_at = ""
-
     async def _steps(self, exchange: Exchange, flow: RequestFlow) -> None:
         failure: WholeAnswer | None = None
         while True:
--- /dev/null
+++ b/src/wisterialoom/platform/peers.py
@@ -0,0 +1,84 @@
+"""The datagram socket between instances, and the addresses of the others."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from typing import cast, TYPE_CHECKING
+
+from wisterialoom.platform.hints import decode_hint, encode_hint, HintError
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from wisterialoom.platform.hints import Hint
+
+__all__ = ["PeerLink"]
+
+logger = logging.getLogger(__name__)
+
+MAX_DATAGRAM = 60_000
+"""Largest hint that is sent, in bytes; UDP over IPv4 carries 65,507."""
+
+
+class PeerLink(asyncio.DatagramProtocol):
+    """Sends and takes hints.
+
+    Attributes:
+        port: Port of every instance.
+        take: Takes each hint with the sender's address.
+        members: Address by instance, this one included.
+        dropped: Datagrams that could not be read or sent.
+    """
+
+    def __init__(self, port: int, take: Callable[[Hint, str], None]) -> None:
+        self.port = port
+        self.take = take
+        self.members: dict[str, str] = {}
+        self.transport: asyncio.DatagramTransport | None = None
+        self.dropped = 0
+
+    async def start(self, ip: str) -> None:
+        """Open the socket."""
+        loop = asyncio.get_running_loop()
+        await loop.create_datagram_endpoint(lambda: self, local_addr=(ip, self.port))
+
+    def stop(self) -> None:
+        """Close the socket."""
+        if self.transport is not None:
+            self.transport.close()
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Keep the transport."""
+        # uvloop's transport does not inherit from asyncio's class.
+        self.transport = cast("asyncio.DatagramTransport", transport)
+
+    def datagram_received(self, data: bytes, addr: tuple[str, int]) -> None:
+        """Decode a datagram and hand it on."""
+        try:
+            hint = decode_hint(data)
+        except HintError as error:
+            self.dropped += 1
+            logger.warning("hint dropped", extra={"from": addr[0], "error": str(error)})
+            return
+        self.take(hint, addr[0])
+
+    def error_received(self, exc: Exception) -> None:
+        """Count a datagram that could not be delivered."""
+        self.dropped += 1
+
+    def send(self, hint: Hint, address: str) -> None:
+        """Send a hint to one instance."""
+        self.send_all(hint, [address])
+
+    def send_all(self, hint: Hint, addresses: list[str]) -> None:
+        """Send a hint to some instances."""
+        if self.transport is None or not addresses:
+            return
+        data = encode_hint(hint)
+        if len(data) > MAX_DATAGRAM:
+            self.dropped += 1
+            logger.error("hint too large", extra={"bytes": len(data)})
+            return
+        for address in addresses:
+            self.transport.sendto(data, (address, self.port))
--- /dev/null
+++ b/src/wisterialoom/platform/steward.py
@@ -0,0 +1,359 @@
+"""Holds the placement lease when it can, and then gives all orders."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import time
+from typing import TYPE_CHECKING
+
+from wisterialoom.core.fleet import (
+    LeaseRecord,
+    PlacementLease,
+    ReadLease,
+    TakeLease,
+)
+from wisterialoom.core.placement.fleet_demand import FleetDemand
+from wisterialoom.core.placement.order import Action, Order, OrderOutcome
+from wisterialoom.core.placement.planner import PlacementPlanner
+from wisterialoom.core.placement.server_state import ServerState
+from wisterialoom.platform._tasks import TaskGroup
+from wisterialoom.platform.hints import PlacementHint, ServerHint
+from wisterialoom.platform.store import (
+    ObjectExistsError,
+    StoreUnavailableError,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from wisterialoom.core.placement.fleet_demand import DemandReport
+    from wisterialoom.core.serving.dispatcher import Dispatcher
+    from wisterialoom.platform.orders import OrderClient
+    from wisterialoom.platform.peers import PeerLink
+    from wisterialoom.platform.store import StoreClient, StoreObject
+
+__all__ = ["Steward", "lease_clock"]
+
+logger = logging.getLogger(__name__)
+
+LEASE_KIND = "wisterialoom-leases"
+LEASE_NAME = "placement"
+
+RENEWAL_TIMEOUT_S = 0.5
+"""Longest wait for a renewal, so that another can be sent before the lease ends."""
+
+PLAN_S = 0.1
+"""Time between two plans; what waits anew causes one at once."""
+
+BROADCAST_S = 0.4
+"""Longest time between two hints of the holder."""
+
+BUSY_BROADCAST_S = 0.2
+"""Time between two hints if only loads have changed."""
+
+ADAPTER_READY_S = 0.015
+"""Time after which an adapter that was ordered can serve; its load takes less."""
+
+
+def lease_clock() -> float:
+    """Return a monotonic time that counts suspends, in seconds."""
+    return time.clock_gettime(time.CLOCK_BOOTTIME)
+
+
+class Steward:
+    """Runs the lease, the planner and the orders.
+
+    Attributes:
+        lease: Decides about the lease.
+        demand: What all instances ask for.
+        states: Model servers by id.
+        planners: Planner by service.
+        take_placement: Takes each hint that this instance sends to the others.
+        note_holder: Told the name and address of the holder of the lease.
+    """
+
+    def __init__(
+        self,
+        lease: PlacementLease,
+        store: StoreClient,
+        orders: OrderClient,
+        peers: PeerLink,
+        dispatcher: Dispatcher,
+        take_placement: Callable[[PlacementHint], None],
+        note_holder: Callable[[str, str], None],
+    ) -> None:
+        self.lease = lease
+        self.store = store
+        self.orders = orders
+        self.peers = peers
+        self.dispatcher = dispatcher
+        self.take_placement = take_placement
+        self.note_holder = note_holder
+        self.demand = FleetDemand()
+        self.states: dict[str, ServerState] = {}
+        self.planners: dict[str, PlacementPlanner] = {}
+        self.tasks = TaskGroup()
+        self.reporting: set[str] = set()
+        self.kick = asyncio.Event()
+        self.serial = 0
+        self.sent_at = float("-inf")
+        self.sent: tuple[object, ...] = ()
+        self.was_valid = False
+
+    def start(self) -> None:
+        """Begin to run."""
+        self.tasks.spawn(self._run_lease())
+        self.tasks.spawn(self._run_planner())
+
+    async def stop(self) -> None:
+        """Release the lease and cancel what runs."""
+        release = self.lease.release()
+        await self.tasks.stop()
+        if release is None:
+            return
+        try:
+            await self._write(release.record, release.revision)
+            logger.info("lease released", extra={"epoch": release.record.epoch})
+        except (StoreUnavailableError, ObjectExistsError) as error:
+            logger.warning("lease not released", extra={"error": str(error)})
+
+    # The lease.
+
+    async def _run_lease(self) -> None:
+        while True:
+            step = self.lease.step(lease_clock())
+            if step is None:
+                await asyncio.sleep(0.05)
+                continue
+            sent_at = lease_clock()
+            try:
+                if isinstance(step, ReadLease):
+                    found = await self.store.read(LEASE_KIND, LEASE_NAME)
+                    self._saw(found)
+                    continue
+                written = await self._write(step.record, step.revision)
+            except ObjectExistsError:
+                self.lease.conflict(lease_clock())
+                continue
+            except StoreUnavailableError as error:
+                self.lease.failed(lease_clock())
+                logger.info("lease call failed", extra={"error": str(error)})
+                await asyncio.sleep(0.1)
+                continue
+            self.lease.wrote(sent_at, lease_clock(), step.record, written.revision)
+            if isinstance(step, TakeLease):
+                self._on_taken()
+
+    def _saw(self, found: StoreObject | None) -> None:
+        record = _decode_record(found) if found is not None else None
+        revision = found.revision if found is not None else 0
+        self.lease.saw(lease_clock(), record, revision)
+        if record is not None and not record.released:
+            self.note_holder(record.holder, record.address)
+
+    async def _write(self, record: LeaseRecord, revision: int) -> StoreObject:
+        spec = {
+            "holder": record.holder,
+            "boot": record.boot,
+            "epoch": record.epoch,
+            "address": record.address,
+            "serial": record.serial,
+            "released": record.released,
+        }
+        if revision == 0:
+            return await self.store.create(LEASE_KIND, LEASE_NAME, spec)
+        return await self.store.replace(
+            LEASE_KIND, LEASE_NAME, spec, revision, timeout_s=RENEWAL_TIMEOUT_S
+        )
+
+    def _on_taken(self) -> None:
+        logger.info("lease taken", extra={"epoch": self.lease.epoch})
+        self.states.clear()
+        self.planners.clear()
+        self.serial = 0
+        self.note_holder(self.lease.me, self.lease.address)
+
+    # Planning.
+
+    def take_demand(self, report: DemandReport) -> None:
+        """Take an instance's report; plan at once if something waits anew."""
+        before = self.demand.instances.get(report.instance)
+        known = before.report.waiting.keys() if before is not None else set()
+        self.demand.take(time.monotonic(), report)
+        if report.waiting.keys() - known:
+            self.kick.set()
+
+    async def _run_planner(self) -> None:
+        while True:
+            try:
+                async with asyncio.timeout(PLAN_S):
+                    await self.kick.wait()
+            except TimeoutError:
+                pass
+            self.kick.clear()
+            valid = self.lease.is_valid(lease_clock())
+            if valid != self.was_valid:
+                self.was_valid = valid
+                logger.info(
+                    "placement duty", extra={"held": valid, "epoch": self.lease.epoch}
+                )
+            if valid:
+                self._plan()
+
+    def _plan(self) -> None:
+        now = time.monotonic()
+        self.demand.forget_old(now)
+        self._follow_servers(now)
+        for service, planner in self._planners().items():
+            states = [
+                self.states[server_id]
+                for server_id, view in self.dispatcher.views.items()
+                if view.server.service == service
+                and not view.server.draining
+                and server_id in self.states
+            ]
+            for order in planner.decide(now, states, self.demand):
+                self._send(now, planner, order)
+        self._broadcast(now)
+
+    def _planners(self) -> dict[str, PlacementPlanner]:
+        deployment = self.dispatcher.deployment
+        services = deployment.services if deployment is not None else {}
+        for name, service in services.items():
+            if service.engine is None:
+                continue
+            planner = self.planners.get(name)
+            if planner is None:
+                self.planners[name] = PlacementPlanner.from_engine(service.engine)
+            else:
+                planner.engine = service.engine
+        for name in self.planners.keys() - services.keys():
+            del self.planners[name]
+        return self.planners
+
+    def _follow_servers(self, now: float) -> None:
+        engines = {
+            server_id: view
+            for server_id, view in self.dispatcher.views.items()
+            if self.dispatcher.engine_of(view.server.service) is not None
+        }
+        for server_id in self.states.keys() - engines.keys():
+            del self.states[server_id]
+        for server_id, view in engines.items():
+            state = self.states.get(server_id)
+            if state is None or state.born_ms != view.server.born_ms:
+                state = ServerState(server_id, view.server.born_ms)
+                self.states[server_id] = state
+            waits = state.needs_report or state.occupied
+            if waits and now >= state.report_due and server_id not in self.reporting:
+                self.reporting.add(server_id)
+                self.tasks.spawn(self._report(state, view.server.address))
+
+    async def _report(self, state: ServerState, address: str) -> None:
+        try:
+            report = await self.orders.report(address, state.server_id)
+        finally:
+            self.reporting.discard(state.server_id)
+        now = time.monotonic()
+        if report is None:
+            state.report_due = now + 0.5
+            return
+        state.take_report(now, report)
+        self.kick.set()
+
+    def _send(self, now: float, planner: PlacementPlanner, order: Order) -> None:
+        state = self.states[order.server_id]
+        view = self.dispatcher.views[order.server_id]
+        state.sent(now, order)
+        self.tasks.spawn(self._order(planner, state, order, view.server.address))
+
+    async def _order(
+        self, planner: PlacementPlanner, state: ServerState, order: Order, address: str
+    ) -> None:
+        if not self.lease.is_valid(lease_clock()):
+            state.order = None
+            return
+        outcome = await self.orders.send(order, address, self.lease.epoch)
+        takes_s = 0.0
+        idle = False
+        if not order.adapter and order.action is Action.LOAD:
+            takes_s = planner.takes_s(state, order.model)
+        if order.action is Action.UNLOAD:
+            running = self.demand.running(time.monotonic())
+            idle = not any(
+                wanted.partition("/")[0] == order.model
+                for wanted in running.get(order.server_id, {})
+            )
+        state.answered(time.monotonic(), order, outcome, takes_s, idle=idle)
+        if outcome is OrderOutcome.FENCED:
+            self.lease.drop(lease_clock())
+        if order.adapter and outcome is OrderOutcome.ACCEPTED:
+            await asyncio.sleep(ADAPTER_READY_S)
+        self.kick.set()
+
+    # Hints.
+
+    def _broadcast(self, now: float) -> None:
+        running = self.demand.running(now)
+        servers = {
+            server_id: ServerHint(
+                count=state.count,
+                models=state.models,
+                unloading=frozenset({state.unloading} - {""}),
+                busy=sum(running.get(server_id, {}).values()),
+            )
+            for server_id, state in self.states.items()
+            if not (state.needs_report and not state.models)
+        }
+        ready = {
+            state.loading: max(0.0, state.done_at - now)
+            for state in self.states.values()
+            if state.loading
+        }
+        shown = (
+            [(key, hint.models, hint.unloading) for key, hint in servers.items()],
+            sorted(ready),
+            dict(self.peers.members),
+        )
+        loads = [hint.busy for hint in servers.values()]
+        changed = self.sent[:1] != (shown,)
+        busier = self.sent[1:] != (loads,) and now - self.sent_at >= BUSY_BROADCAST_S
+        if not (changed or busier or now - self.sent_at >= BROADCAST_S):
+            return
+        self.sent = (shown, loads)
+        self.sent_at = now
+        self.serial += 1
+        hint = PlacementHint(
+            holder=self.lease.me,
+            address=self.lease.address,
+            epoch=self.lease.epoch,
+            serial=self.serial,
+            renewal=self.lease.record.serial if self.lease.record else 0,
+            members=dict(self.peers.members),
+            servers=servers,
+            ready_in_s=ready,
+        )
+        others = [
+            address
+            for name, address in self.peers.members.items()
+            if name != self.lease.me
+        ]
+        self.peers.send_all(hint, others)
+        self.take_placement(hint)
+
+
+def _decode_record(found: StoreObject) -> LeaseRecord | None:
+    spec = found.spec
+    try:
+        return LeaseRecord(
+            holder=str(spec["holder"]),
+            boot=str(spec["boot"]),
+            epoch=int(spec["epoch"]),
+            address=str(spec["address"]),
+            serial=int(spec["serial"]),
+            released=bool(spec["released"]),
+        )
+    except (KeyError, TypeError, ValueError) as error:
+        logger.error("lease record unreadable", extra={"error": repr(error)})
+        return None
--- a/src/wisterialoom/platform/store.py
+++ b/src/wisterialoom/platform/store.py
@@ -182,7 +182,13 @@
         return self._object(status, item)
 
     async def replace(
-        self, kind: str, name: str, spec: Any, revision: int | None = None
+        self,
+        kind: str,
+        name: str,
+        spec: Any,
+        revision: int | None = None,
+        *,
+        timeout_s: float = CALL_TIMEOUT_S,
     ) -> StoreObject:
         """Replace an object, if it still has a revision.
 
@@ -194,7 +200,9 @@
         if revision is not None:
             meta["revision"] = revision
         body = {"metadata": meta, "spec": spec}
-        status, item = await self._call("replace", "PUT", f"{kind}/{name}", body)
+        status, item = await self._call(
+            "replace", "PUT", f"{kind}/{name}", body, timeout_s=timeout_s
+        )
         return self._object(status, item)
 
     async def delete(self, kind: str, name: str) -> None:
