--- a/src/wisterialoom/core/serving/request_flow.py
+++ b/src/wisterialoom/core/serving/request_flow.py
@@ -55,6 +55,7 @@
     ATTEMPTS = "attempts"
     LOST = "lost"
     OVERLOAD = "overload"
+    STOPPING = "stopping"
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/wisterialoom/platform/app.py
+++ b/src/wisterialoom/platform/app.py
@@ -41,8 +41,15 @@
 TICK_S = 0.25
 """Time between two looks at what only time changes."""
 
-STOP_MARGIN_S = 0.6
-"""Part of the grace period that is left for closing what remains."""
+REFUSE_AFTER_S = 2.6
+"""Time after the signal to stop until which requests are served; the platform sends
+new connections elsewhere after two readiness checks a second apart."""
+
+REFUSE_SHARE = 0.33
+"""That time is at most this part of the grace period."""
+
+END_SHARE = 0.88
+"""Part of the grace period after which requests in progress get their final answer."""
 
 
 class PlatformApp:
@@ -180,12 +187,17 @@
         """Take no new connections and let requests in progress end."""
         self.ingress.draining = True
         await self.steward.stop()
-        limit = time.monotonic() + self.settings.bounds.grace_s - STOP_MARGIN_S
+        started = time.monotonic()
+        grace_s = self.settings.bounds.grace_s
         logger.info("draining", extra={"active": self.ingress.active})
-        while time.monotonic() < limit:
-            await asyncio.sleep(0.1)
-            if not self.ingress.active and time.monotonic() > limit - 5.0:
-                break
+        await asyncio.sleep(min(REFUSE_AFTER_S, REFUSE_SHARE * grace_s))
+        self.ingress.refuse_new()
+        limit = started + END_SHARE * grace_s
+        while self.ingress.active and time.monotonic() < limit:
+            await asyncio.sleep(0.05)
+        logger.info("ending requests", extra={"active": self.ingress.active})
+        self.ingress.end_all()
+        await asyncio.sleep(0.1)
 
     async def on_stop(self) -> None:
         """Close everything."""
--- a/src/wisterialoom/platform/ingress.py
+++ b/src/wisterialoom/platform/ingress.py
@@ -82,8 +82,10 @@
         single: Session that opens a connection for each other request.
         config_checked: Returns when the configuration was last known to be current.
         wanted_changed: Called when a request begins to wait for a model.
-        draining: This instance is stopping.
+        draining: This instance is stopping; answers close their connections.
+        refusing: New and waiting requests are refused, as the instance stops soon.
         active: Requests in progress.
+        limits: Time limits of the requests in progress.
     """
 
     def __init__(
@@ -100,7 +102,9 @@
         self.pooled: ClientSession | None = None
         self.single: ClientSession | None = None
         self.draining = False
+        self.refusing = False
         self.active = 0
+        self.limits: set[asyncio.Timeout] = set()
         self.counts: dict[str, int] = {}
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
@@ -119,6 +123,9 @@
         if deployment is None:
             exchange.respond(503, "no_configuration", FRESH_INSTANCE_RETRY_S)
             return self._final(exchange)
+        if self.refusing:
+            exchange.respond(503, "stopping", 0.0)
+            return self._final(exchange)
         host = request.headers.get("Host", "").partition(":")[0]
         path = request.raw_path.partition("?")[0]
         route = deployment.find_route(host, path)
@@ -146,8 +153,12 @@
         self.dispatcher.arrive(profile.arrived, flow)
         limit_s = profile.answer_by - time.monotonic()
         try:
-            async with asyncio.timeout(limit_s):
-                await self._steps(exchange, flow)
+            async with asyncio.timeout(limit_s) as limit:
+                self.limits.add(limit)
+                try:
+                    await self._steps(exchange, flow)
+                finally:
+                    self.limits.discard(limit)
         except TimeoutError:
             not_run = not flow.servers or not (flow.may_have_run or flow.in_flight_at)
             self.dispatcher.leave_server(flow)
@@ -180,6 +191,12 @@
                             exchange.send_whole(failure)
                             return
                         flow.may_have_run = True
+                case Wait() if self.refusing:
+                    not_run = not flow.may_have_run
+                    stopping = GiveUp(GiveUpReason.STOPPING, not_run, 0.0)
+                    exchange.refuse(flow.profile, stopping)
+                    self._count(GiveUpReason.STOPPING.value)
+                    return
                 case Wait(until=until):
                     self._start_waiting(flow)
                     await self.signal.wait(max(0.005, until - time.monotonic()))
@@ -234,6 +251,17 @@
             )
         return attempt, result
 
+    def refuse_new(self) -> None:
+        """Refuse new and waiting requests from now on."""
+        self.refusing = True
+        self.signal.wake()
+
+    def end_all(self) -> None:
+        """Give every request in progress its final answer now."""
+        now = asyncio.get_running_loop().time()
+        for limit in tuple(self.limits):
+            limit.reschedule(now)
+
     def _start_waiting(self, flow: RequestFlow) -> None:
         if flow.waiting:
             return
