Plan copies by requests in progress, and keep wanted copies of busy models

Ruled out: adapter orders while a model loads (a trial: all are refused as conflicts). Change: wanted copies from requests in progress and waiting, which sink slowly; at most two thirds of the places.

--- a/src/wisterialoom/core/placement/planner.py
+++ b/src/wisterialoom/core/placement/planner.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import math
 import zlib
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
@@ -32,26 +33,31 @@
 
 @dataclass(frozen=True, slots=True)
 class PlannerWeights:
-    """Weights of the planner, in requests a second unless noted.
+    """Weights of the planner.
 
     Attributes:
-        reload_s: Time that a request for a model without a copy loses, in seconds.
-        crowd: Weight of a copy among several, beside their fill.
-        running: Cost of displacing a copy for each request that it runs.
-        young_s: Age below which a copy is not displaced by a mere spread, in seconds.
-        spread_gain: A spread must gain this many times what it displaces.
-        spread_cost: Fixed cost of a spread.
-        load_time: Weight of a second of load time in the choice of a server.
-        fill: Weight of a server's fill in that choice.
+        target_fill: Requests for a model at each of its copies, in shares of a
+            server's slots, that a copy more is wanted above.
+        twice_rate: Requests a second from which a model gets two copies.
+        hot_share: Part of all places that models with several copies may take.
+        calm_s: Time constant in which a model's wanted copies shrink, in seconds.
+        young_s: Age below which a copy is not displaced, in seconds.
+        reload_s: Cost of a request for a model without a copy, in seconds.
+        surplus: Cost of a copy beyond those wanted.
+        running: Cost of displacing a copy, for each request that it runs.
+        load_time: Cost of a second of load time.
+        fill: Cost of a server that is full.
     """
 
+    target_fill: float = 0.2
+    twice_rate: float = 2.0
+    hot_share: float = 0.67
+    calm_s: float = 4.0
+    young_s: float = 1.0
     reload_s: float = 1.5
-    crowd: float = 0.2
+    surplus: float = 0.05
     running: float = 0.15
-    young_s: float = 3.0
-    spread_gain: float = 1.5
-    spread_cost: float = 0.4
-    load_time: float = 0.3
+    load_time: float = 1.0
     fill: float = 0.5
 
 
@@ -73,12 +79,16 @@
         pacer: Keeps loads under the weight store's rate.
         weights: Weights of the choices.
         reserved: Model that a server's freed memory is kept for, with its expiry.
+        loads: Requests in progress and waiting by model, which sink slowly.
+        decided_at: Monotonic time of the last decision.
     """
 
     engine: EngineProfile
     pacer: LoadPacer
     weights: PlannerWeights = field(default_factory=PlannerWeights)
     reserved: dict[str, tuple[str, float]] = field(default_factory=dict)
+    loads: dict[str, float] = field(default_factory=dict)
+    decided_at: float = 0.0
 
     @classmethod
     def from_engine(cls, engine: EngineProfile) -> PlacementPlanner:
@@ -142,6 +152,50 @@
             for model in self.held(state) | {state.loading}:
                 self.copies[model] = self.copies.get(model, 0) + 1
         self._drop_reservations()
+        self._follow_loads()
+        self.wanted = self._wanted_copies()
+
+    def _follow_loads(self) -> None:
+        planner = self.planner
+        sink = math.exp((planner.decided_at - self.now) / self.weights.calm_s)
+        planner.decided_at = self.now
+        current: dict[str, float] = {}
+        for counts in (self.waiting, *self.running.values()):
+            for wanted, count in counts.items():
+                model = wanted.partition("/")[0]
+                current[model] = current.get(model, 0.0) + count
+        for model in planner.loads.keys() | current.keys():
+            load = max(current.get(model, 0.0), planner.loads.get(model, 0.0) * sink)
+            planner.loads[model] = load
+
+    def _wanted_copies(self) -> dict[str, int]:
+        per_copy = max(1.0, self.weights.target_fill * self.engine.slots)
+        wanted: dict[str, int] = {}
+        for model, load in self.planner.loads.items():
+            if model not in self.engine.models:
+                continue
+            copies = math.ceil(load / per_copy)
+            if self.rates.get(model, 0.0) >= self.weights.twice_rate:
+                copies = max(2, copies)
+            wanted[model] = min(copies, len(self.states))
+        return self._fit_places(wanted)
+
+    def _fit_places(self, wanted: dict[str, int]) -> dict[str, int]:
+        """Cut down the copies of busy models to their part of all places."""
+        sizes = [profile.weights_mb for profile in self.engine.models.values()]
+        mean_mb = sum(sizes) / max(1, len(sizes))
+        places = len(self.states) * int(self.engine.weights_mb // max(1.0, mean_mb))
+        hot = {model: copies for model, copies in wanted.items() if copies > 1}
+        limit = self.weights.hot_share * places
+        while sum(hot.values()) > max(limit, len(hot)):
+            # The model with the least load for each copy gives one back.
+            loads = self.planner.loads
+            model = min(hot, key=lambda name: loads[name] / hot[name])
+            hot[model] -= 1
+            if hot[model] <= 1:
+                del hot[model]
+                wanted[model] = 1
+        return {**wanted, **hot}
 
     def _drop_reservations(self) -> None:
         ids = {state.server_id for state in self.states}
@@ -190,11 +244,6 @@
             if wanted.partition("/")[0] == model
         )
 
-    def crowding(self, model: str) -> float:
-        """Return how full the servers that hold a model are, on average."""
-        fills = [self.fill(state) for state in self.states if model in state.models]
-        return self.weights.crowd + sum(fills) / max(1, len(fills))
-
     def may_order(self, state: ServerState) -> bool:
         """Tell whether a server can take an order in this round."""
         return state.server_id not in self.ordered and state.may_order(self.now)
@@ -276,7 +325,7 @@
 
     def displace_one(self, state: ServerState, model: str) -> None:
         """Unload the cheapest model of a server that another one needs room on."""
-        spot = self.spot(state, model, spread=False)
+        spot = self.spot(state, model)
         if spot is not None and spot.victims:
             self.add(state, Action.UNLOAD, spot.victims[0], "")
 
@@ -296,9 +345,9 @@
             if model in self.engine.models and not self.copies.get(model):
                 missing[model] = missing.get(model, 0) + count
         for model in sorted(missing, key=lambda name: -missing[name]):
-            self.place(model, self.best_spot(model, spread=False))
+            self.place(model, self.best_spot(model))
 
-    def best_spot(self, model: str, *, spread: bool) -> _Spot | None:
+    def best_spot(self, model: str) -> _Spot | None:
         """Return the place for a model that costs least."""
         spots = [
             spot
@@ -306,11 +355,11 @@
             if self.may_order(state)
             and model not in state.models
             and state.server_id not in self.planner.reserved
-            and (spot := self.spot(state, model, spread=spread)) is not None
+            and (spot := self.spot(state, model)) is not None
         ]
         return min(spots, key=lambda spot: spot.cost, default=None)
 
-    def spot(self, state: ServerState, model: str, *, spread: bool) -> _Spot | None:
+    def spot(self, state: ServerState, model: str) -> _Spot | None:
         """Return what a place for a model on a server costs, if there is one."""
         need = self.engine.models[model].weights_mb - self.free_mb(state)
         cost = self.weights.load_time * self.planner.takes_s(state, model)
@@ -319,7 +368,7 @@
         priced = [
             (price, name)
             for name in self.held(state)
-            if (price := self.victim_cost(state, name, spread=spread)) is not None
+            if (price := self.victim_cost(state, name)) is not None
         ]
         for price, name in sorted(priced):
             if need <= 0:
@@ -332,23 +381,23 @@
             return None
         return _Spot(state, tuple(victims), cost)
 
-    def victim_cost(
-        self, state: ServerState, model: str, *, spread: bool
-    ) -> float | None:
+    def victim_cost(self, state: ServerState, model: str) -> float | None:
         """Return what a copy's loss costs, or `None` if it must stay."""
-        rate = self.rates.get(model, 0.0)
         copies = self.copies.get(model, 0)
+        needed = self.wanted.get(model, 0)
         busy = self.running_on(state, model)
-        young = self.now - state.loaded_at.get(model, float("-inf"))
-        if copies <= 1:
-            waits = any(wanted.partition("/")[0] == model for wanted in self.waiting)
-            if waits or busy or (spread and young < self.weights.young_s):
-                return None
-            return rate * self.weights.reload_s + 0.02
-        if spread and young < self.weights.young_s:
+        age = self.now - state.loaded_at.get(model, float("-inf"))
+        if age < self.weights.young_s:
             return None
-        share = rate / (copies * (copies - 1))
-        return share * self.crowding(model) + busy * self.weights.running
+        if copies > max(1, needed):
+            return self.weights.surplus + busy * self.weights.running
+        if needed > 1 or busy or self.is_waited_for(model):
+            return None
+        return self.rates.get(model, 0.0) * self.weights.reload_s + 0.02
+
+    def is_waited_for(self, model: str) -> bool:
+        """Tell whether requests wait for a model or one of its adapters."""
+        return any(wanted.partition("/")[0] == model for wanted in self.waiting)
 
     def place(self, model: str, spot: _Spot | None) -> None:
         """Start to bring a model to a place."""
@@ -366,18 +415,16 @@
             self.copies[victim] = max(0, self.copies.get(victim, 0) - 1)
 
     def spread(self) -> None:
-        """Add copies of models whose servers are crowded."""
-        busiest = sorted(self.rates, key=lambda name: -self.rates[name])
-        for model in busiest:
-            copies = self.copies.get(model, 0)
-            if model not in self.engine.models or not copies:
-                continue
-            gain = self.rates[model] / (copies * (copies + 1)) * self.crowding(model)
-            if gain <= self.weights.spread_cost:
-                continue
-            spot = self.best_spot(model, spread=True)
-            if spot is None:
-                continue
-            cost = self.weights.spread_gain * spot.cost + self.weights.spread_cost
-            if gain > cost:
-                self.place(model, spot)
+        """Add copies of models that have fewer than they need."""
+        short = [
+            model
+            for model, needed in self.wanted.items()
+            if 0 < self.copies.get(model, 0) < needed
+        ]
+        loads = self.planner.loads
+        for model in sorted(short, key=lambda name: -loads[name] / self.copies[name]):
+            while self.copies[model] < self.wanted[model]:
+                before = self.copies[model]
+                self.place(model, self.best_spot(model))
+                if self.copies[model] == before:
+                    break
--- a/src/wisterialoom/platform/steward.py
+++ b/src/wisterialoom/platform/steward.py
@@ -52,6 +52,12 @@
 BUSY_BROADCAST_S = 0.2
 """Time between two hints if only loads have changed."""
 
+STATE_LOG_S = 2.0
+"""Time between two log lines that show what all model servers hold."""
+
+STATE_LOG_MODELS = 8
+"""Models whose rate is shown in them."""
+
 ADAPTER_READY_S = 0.015
 """Time after which an adapter that was ordered can serve; its load takes less."""
 
@@ -100,6 +106,7 @@
         self.sent_at = float("-inf")
         self.sent: tuple[object, ...] = ()
         self.was_valid = False
+        self.told_at = float("-inf")
 
     def start(self) -> None:
         """Begin to run."""
@@ -216,6 +223,31 @@
             for order in planner.decide(now, states, self.demand):
                 self._send(now, planner, order)
         self._broadcast(now)
+        if now - self.told_at >= STATE_LOG_S:
+            self.told_at = now
+            self._log_state(now)
+
+    def _log_state(self, now: float) -> None:
+        rates = self.demand.model_rates(now)
+        running = self.demand.running(now)
+        busiest = sorted(rates, key=lambda name: -rates[name])[:STATE_LOG_MODELS]
+        logger.info(
+            "placement state",
+            extra={
+                "epoch": self.lease.epoch,
+                "rates": {name: round(rates[name], 1) for name in busiest},
+                "waiting": self.demand.waiting(now),
+                "servers": {
+                    server_id: {
+                        "busy": sum(running.get(server_id, {}).values()),
+                        "models": sorted(state.models),
+                        "loading": state.loading,
+                        "unloading": state.unloading,
+                    }
+                    for server_id, state in self.states.items()
+                },
+            },
+        )
 
     def _planners(self) -> dict[str, PlacementPlanner]:
         deployment = self.dispatcher.deployment
