Bring copies of crowded models in before rare ones

Cause: one server with 110 requests for 64 places while loads for rare models occupied the others. Kept: it bounds how long a crowd lasts.

--- a/src/wisterialoom/core/placement/planner.py
+++ b/src/wisterialoom/core/placement/planner.py
@@ -108,6 +108,7 @@
         round_ = _Round(self, now, list(states), demand)
         round_.place_adapters()
         round_.place_reserved()
+        round_.spread(crowded_only=True)
         round_.place_waiting()
         round_.spread()
         return round_.orders
@@ -414,12 +415,16 @@
         for victim in spot.victims:
             self.copies[victim] = max(0, self.copies.get(victim, 0) - 1)
 
-    def spread(self) -> None:
-        """Add copies of models that have fewer than they need."""
+    def spread(self, *, crowded_only: bool = False) -> None:
+        """Add copies of models that have fewer than they need.
+
+        Args:
+            crowded_only: Only for models whose copies have twice their load.
+        """
         short = [
             model
             for model, needed in self.wanted.items()
-            if 0 < self.copies.get(model, 0) < needed
+            if 0 < self.copies.get(model, 0) * (2 if crowded_only else 1) < needed
         ]
         loads = self.planner.loads
         for model in sorted(short, key=lambda name: -loads[name] / self.copies[name]):
