--- a/src/wisterialoom/core/placement/server_state.py
+++ b/src/wisterialoom/core/placement/server_state.py
@@ -61,6 +61,7 @@
         needs_report: The state must be confirmed before the next order.
         loaded_at: Monotonic time at which each model or adapter was loaded.
         conflicts: Conflicts in a row.
+        short_load: The load in progress comes from the server's memory or disk.
     """
 
     server_id: str
@@ -79,6 +80,7 @@
     report_due: float = 0.0
     loaded_at: dict[str, float] = field(default_factory=dict)
     conflicts: int = 0
+    short_load: bool = False
 
     @property
     def occupied(self) -> bool:
@@ -94,6 +96,19 @@
             and now >= self.hold_until
         )
 
+    def settle(self, now: float) -> bool:
+        """Take a short load as done when its time is over; tell whether it is.
+
+        Requests and orders that come too early are refused without harm, while a
+        report would tell some hundred milliseconds late.
+        """
+        if not (self.loading and self.short_load and now >= self.done_at):
+            return False
+        self.models[self.loading] = frozenset()
+        self.loaded_at[self.loading] = now
+        self.loading = ""
+        return True
+
     def sent(self, now: float, order: Order) -> None:
         """Note an order that is being sent."""
         self.order = order
@@ -155,6 +170,7 @@
                 self.models[order.model] = held - {order.adapter}
             return
         self.done_at = now + takes_s
+        self.short_load = not order.from_store
         self.report_due = self.done_at
         if order.action is Action.LOAD:
             self.loading = order.model
--- a/src/wisterialoom/core/serving/dispatcher.py
+++ b/src/wisterialoom/core/serving/dispatcher.py
@@ -17,6 +17,7 @@
     GiveUp,
     GiveUpReason,
     RequestFlow,
+    RequestProfile,
     Send,
     Step,
     Wait,
@@ -32,6 +33,9 @@
 ABSENT_BACKOFF_S = 0.3
 """Time a server is passed over after it lacked a model; one lag of its reports."""
 
+ORDER_BACKOFF_S = 0.08
+"""Time a server is passed over for a model that an order is about."""
+
 MIN_RUN_S = 0.05
 """Least time that a backend server needs to begin an answer."""
 
@@ -238,6 +242,7 @@
         """Count an attempt as in progress."""
         view.in_flight += 1
         flow.in_flight_at = view.server.id
+        flow.sends += 1
         counts = self.running_counts.setdefault(view.server.id, {})
         wanted = flow.profile.wanted
         counts[wanted] = counts.get(wanted, 0) + 1
@@ -276,28 +281,34 @@
     def end_attempt(self, now: float, flow: RequestFlow, result: AttemptResult) -> None:
         """Take the end of an attempt."""
         flow.last = result
+        profile = flow.profile
         self.leave_server(flow)
         view = self.views.get(result.server_id)
+        if result.verdict in (AttemptVerdict.LOST, AttemptVerdict.SILENT):
+            flow.may_have_run = True
+        if view is not None:
+            self.note_verdict(now, profile, view, result)
+
+    def note_verdict(
+        self,
+        now: float,
+        profile: RequestProfile,
+        view: BackendView,
+        result: AttemptResult,
+    ) -> None:
+        """Remember what the end of an attempt says about its server."""
         match result.verdict:
             case AttemptVerdict.ANSWERED | AttemptVerdict.FAILED:
-                if view is not None:
-                    view.ejection.succeed(now)
+                view.ejection.succeed(now)
+            case AttemptVerdict.REFUSED_FULL if result.crowded or not profile.model:
+                view.note_full(now)
             case AttemptVerdict.REFUSED_FULL:
-                if view is not None:
-                    view.note_full(now)
+                # An order about this model is in progress; others are served.
+                view.note_absent(now, profile.model, profile.adapter, ORDER_BACKOFF_S)
             case AttemptVerdict.REFUSED_ABSENT:
-                if view is not None:
-                    profile = flow.profile
-                    view.note_absent(
-                        now, profile.model, profile.adapter, ABSENT_BACKOFF_S
-                    )
-            case AttemptVerdict.REFUSED_IDENTITY | AttemptVerdict.NOT_SENT:
-                if view is not None:
-                    view.ejection.fail(now)
-            case AttemptVerdict.LOST | AttemptVerdict.SILENT:
-                flow.may_have_run = True
-                if view is not None:
-                    view.ejection.fail(now)
+                view.note_absent(now, profile.model, profile.adapter, ABSENT_BACKOFF_S)
+            case _:
+                view.ejection.fail(now)
 
     def give_up(self, now: float, flow: RequestFlow, reason: GiveUpReason) -> GiveUp:
         """End a request without an answer of a backend server."""
--- a/src/wisterialoom/core/serving/request_flow.py
+++ b/src/wisterialoom/core/serving/request_flow.py
@@ -102,11 +102,13 @@
         server_id: Backend server of the attempt.
         verdict: What the end says.
         detail: Error or status, for the log.
+        crowded: The server reported that all its places are taken.
     """
 
     server_id: str
     verdict: AttemptVerdict
     detail: str = ""
+    crowded: bool = False
 
 
 @dataclass
@@ -121,6 +123,9 @@
         begun: The caller has got the beginning of a stream.
         waiting: It waits for a server or for a model.
         in_flight_at: Backend server of the attempt in progress; empty if none.
+        waited_s: Time that it has waited for a server or a model.
+        sends: Count of attempts.
+        outcome: How it ended, for the log.
     """
 
     profile: RequestProfile
@@ -130,6 +135,9 @@
     begun: bool = False
     waiting: bool = False
     in_flight_at: str = ""
+    waited_s: float = 0.0
+    sends: int = 0
+    outcome: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/wisterialoom/platform/attempt.py
+++ b/src/wisterialoom/platform/attempt.py
@@ -130,7 +130,11 @@
     def _refused(self, response: ClientResponse) -> AttemptResult:
         detail = str(response.status)
         if response.status != 421:
-            return self._ended(AttemptVerdict.REFUSED_FULL, detail)
+            load = self.load
+            crowded = load is None or load.running + load.waiting >= load.slots
+            return AttemptResult(
+                self.step.server_id, AttemptVerdict.REFUSED_FULL, detail, crowded
+            )
         if response.headers.get(SERVER_ID) not in (None, self.step.server_id):
             return self._ended(AttemptVerdict.REFUSED_IDENTITY, detail)
         return self._ended(AttemptVerdict.REFUSED_ABSENT, detail)
--- a/src/wisterialoom/platform/catalog.py
+++ b/src/wisterialoom/platform/catalog.py
@@ -63,7 +63,11 @@
             CONFIG_KIND, store, self._list_config, self._change_config
         )
         self.workers = KindWatcher(
-            SERVER_KIND, store, self._list_servers, self._change_servers
+            SERVER_KIND,
+            store,
+            self._list_servers,
+            self._change_servers,
+            gathers=True,
         )
         self.tasks = TaskGroup()
 
--- a/src/wisterialoom/platform/exchange.py
+++ b/src/wisterialoom/platform/exchange.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import time
 from typing import TYPE_CHECKING
 
 import orjson
@@ -36,7 +37,9 @@
         resumable: A broken stream may go on at another server.
         cutter: Finds the events of a stream.
         stream: The response once its head was sent.
+        begun_at: Monotonic time at which the head was sent; 0 before.
         response: The final response.
+        closing: The caller's connection is closed after the answer.
     """
 
     def __init__(self, request: web.BaseRequest, body: bytes) -> None:
@@ -46,6 +49,7 @@
         self.resumable = False
         self.cutter = EventCutter(request.headers.get(LAST_EVENT_ID))
         self.stream: web.StreamResponse | None = None
+        self.begun_at = 0.0
         self.response: web.StreamResponse | None = None
         self.closing = False
 
@@ -60,6 +64,7 @@
         stream.headers.extend(headers)
         if self.closing:
             stream.force_close()
+        self.begun_at = time.monotonic()
         await stream.prepare(self.request)
         self.stream = stream
 
--- a/src/wisterialoom/platform/ingress.py
+++ b/src/wisterialoom/platform/ingress.py
@@ -163,13 +163,42 @@
             not_run = not flow.servers or not (flow.may_have_run or flow.in_flight_at)
             self.dispatcher.leave_server(flow)
             exchange.refuse(profile, GiveUp(GiveUpReason.DEADLINE, not_run, 0.3))
-            self._count("deadline")
+            flow.outcome = GiveUpReason.DEADLINE.value
         except ConnectionError:
-            self.dispatcher.leave_server(flow)
             exchange.cut()
+            flow.outcome = "caller_gone"
         finally:
             self.dispatcher.leave_server(flow)
             self._stop_waiting(flow)
+            self._tell_end(exchange, flow)
+
+    def _tell_end(self, exchange: Exchange, flow: RequestFlow) -> None:
+        """Count and log the end of a request."""
+        profile = flow.profile
+        outcome = flow.outcome or "caller_gone"
+        self.counts[outcome] = self.counts.get(outcome, 0) + 1
+        now = time.monotonic()
+        deployment = self.dispatcher.deployment
+        begun_at = exchange.begun_at
+        logger.info(
+            "request",
+            extra={
+                "request_id": profile.request_id,
+                "route": profile.route.name,
+                "wanted": profile.wanted,
+                "outcome": outcome,
+                "servers": flow.servers,
+                "sends": flow.sends,
+                "waited_ms": int(flow.waited_s * 1e3),
+                "first_ms": int((begun_at - profile.arrived) * 1e3) if begun_at else -1,
+                "total_ms": int((now - profile.arrived) * 1e3),
+                "left_ms": int((profile.answer_by - now) * 1e3),
+                "config_version": deployment.version if deployment else 0,
+                "placement_age_ms": int(
+                    min(1e6, (now - self.dispatcher.outlook.steward_seen) * 1e3)
+                ),
+            },
+        )
 
     async def _steps(self, exchange: Exchange, flow: RequestFlow) -> None:
         failure: WholeAnswer | None = None
@@ -180,7 +209,7 @@
                     self._stop_waiting(flow)
                     attempt, result = await self._attempt(exchange, flow, step)
                     if result.verdict is AttemptVerdict.ANSWERED:
-                        self._count("answered")
+                        flow.outcome = "answered"
                         if attempt.answer is not None:
                             exchange.send_whole(attempt.answer)
                         return
@@ -188,6 +217,7 @@
                         failure = attempt.answer
                         if not flow.profile.route.idempotent:
                             assert failure is not None
+                            flow.outcome = "server_error"
                             exchange.send_whole(failure)
                             return
                         flow.may_have_run = True
@@ -195,16 +225,19 @@
                     not_run = not flow.may_have_run
                     stopping = GiveUp(GiveUpReason.STOPPING, not_run, 0.0)
                     exchange.refuse(flow.profile, stopping)
-                    self._count(GiveUpReason.STOPPING.value)
+                    flow.outcome = GiveUpReason.STOPPING.value
                     return
                 case Wait(until=until):
                     self._start_waiting(flow)
-                    await self.signal.wait(max(0.005, until - time.monotonic()))
+                    began = time.monotonic()
+                    await self.signal.wait(max(0.005, until - began))
+                    flow.waited_s += time.monotonic() - began
                 case GiveUp() if failure is not None and not exchange.begun:
+                    flow.outcome = "server_error"
                     exchange.send_whole(failure)
                     return
                 case GiveUp(reason=reason):
-                    self._count(reason.value)
+                    flow.outcome = reason.value
                     exchange.refuse(flow.profile, step)
                     return
 
@@ -238,7 +271,6 @@
         if view is not None and attempt.load is not None:
             view.note_report(now, attempt.load.running, attempt.load.waiting)
         if result.verdict is not AttemptVerdict.ANSWERED:
-            self._count(result.verdict.value)
             logger.info(
                 "attempt failed",
                 extra={
@@ -281,6 +313,3 @@
         waiting[wanted] -= 1
         if waiting[wanted] <= 0:
             del waiting[wanted]
-
-    def _count(self, outcome: str) -> None:
-        self.counts[outcome] = self.counts.get(outcome, 0) + 1
--- a/src/wisterialoom/platform/steward.py
+++ b/src/wisterialoom/platform/steward.py
@@ -194,7 +194,7 @@
     async def _run_planner(self) -> None:
         while True:
             try:
-                async with asyncio.timeout(PLAN_S):
+                async with asyncio.timeout(self._plan_pause_s()):
                     await self.kick.wait()
             except TimeoutError:
                 pass
@@ -208,6 +208,16 @@
             if valid:
                 self._plan()
 
+    def _plan_pause_s(self) -> float:
+        """Return the time to the next plan: the end of a load, or a while."""
+        now = time.monotonic()
+        ends = [
+            state.done_at - now
+            for state in self.states.values()
+            if state.loading and state.short_load
+        ]
+        return max(0.005, min([PLAN_S, *ends])) if ends else PLAN_S
+
     def _plan(self) -> None:
         now = time.monotonic()
         self.demand.forget_old(now)
@@ -277,6 +287,7 @@
             if state is None or state.born_ms != view.server.born_ms:
                 state = ServerState(server_id, view.server.born_ms)
                 self.states[server_id] = state
+            state.settle(now)
             waits = state.needs_report or state.occupied
             if waits and now >= state.report_due and server_id not in self.reporting:
                 self.reporting.add(server_id)
--- a/src/wisterialoom/platform/watcher.py
+++ b/src/wisterialoom/platform/watcher.py
@@ -25,6 +25,10 @@
 WATCH_S = 3.0
 """Length of one watch; bounds how long a silent connection goes unnoticed."""
 
+GATHER_S = 0.6
+"""Pause after changes in which more of them gather; each call to the store counts.
+A server's leaving is acted on within a third of the usual bound."""
+
 FIRST_RETRY_S = 0.1
 MAX_RETRY_S = 1.0
 """Bounds of the pause after a failed call."""
@@ -38,6 +42,7 @@
         store: Client of the store.
         take_listing: Takes a whole list.
         take_changes: Takes changes after a list.
+        gathers: Changes are frequent, and may be taken some tenths of a second late.
         checked_at: Monotonic time at which the view was last known to be current.
         lost_since: Monotonic time since which the store does not answer, if so.
         revision: Revision of the view; 0 before the first list.
@@ -49,8 +54,11 @@
         store: StoreClient,
         take_listing: Callable[[StoreListing, float | None], None],
         take_changes: Callable[[WatchAnswer], None],
+        *,
+        gathers: bool = False,
     ) -> None:
         self.kind = kind
+        self.gathers = gathers
         self.store = store
         self.take_listing = take_listing
         self.take_changes = take_changes
@@ -86,6 +94,8 @@
             answer = await self.store.watch(self.kind, self.revision, WATCH_S)
             self.revision = answer.revision
             self.take_changes(answer)
+            if self.gathers and (answer.changed or answer.removed):
+                await asyncio.sleep(GATHER_S)
         self.checked_at = started
 
     def _note_answer(self) -> None:
