--- a/src/wisterialoom/platform/exchange.py
+++ b/src/wisterialoom/platform/exchange.py
@@ -38,6 +38,8 @@
         cutter: Finds the events of a stream.
         stream: The response once its head was sent.
         begun_at: Monotonic time at which the head was sent; 0 before.
+        wrote_at: Monotonic time of the last piece of a stream; 0 before.
+        max_gap_s: Longest pause between two pieces.
         response: The final response.
         closing: The caller's connection is closed after the answer.
     """
@@ -50,6 +52,8 @@
         self.cutter = EventCutter(request.headers.get(LAST_EVENT_ID))
         self.stream: web.StreamResponse | None = None
         self.begun_at = 0.0
+        self.wrote_at = 0.0
+        self.max_gap_s = 0.0
         self.response: web.StreamResponse | None = None
         self.closing = False
 
@@ -71,6 +75,10 @@
     async def write(self, data: bytes) -> None:
         """Send a piece of the answer; waits while the caller does not read."""
         assert self.stream is not None
+        now = time.monotonic()
+        if self.wrote_at:
+            self.max_gap_s = max(self.max_gap_s, now - self.wrote_at)
+        self.wrote_at = now
         await self.stream.write(data)
 
     async def finish(self) -> None:
--- a/src/wisterialoom/platform/ingress.py
+++ b/src/wisterialoom/platform/ingress.py
@@ -191,6 +191,7 @@
                 "sends": flow.sends,
                 "waited_ms": int(flow.waited_s * 1e3),
                 "first_ms": int((begun_at - profile.arrived) * 1e3) if begun_at else -1,
+                "max_gap_ms": int(exchange.max_gap_s * 1e3),
                 "total_ms": int((now - profile.arrived) * 1e3),
                 "left_ms": int((profile.answer_by - now) * 1e3),
                 "config_version": deployment.version if deployment else 0,
