--- /dev/null
+++ b/tests/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of the adapter to the users' platform."""
--- /dev/null
+++ b/tests/platform/standin.py
@@ -0,0 +1,439 @@
+"""Stand-ins of the users' platform: its store, a model server and a plain server."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from dataclasses import dataclass, field
+from typing import Any, TYPE_CHECKING
+
+import orjson
+from aiohttp import web
+
+if TYPE_CHECKING:
+    from collections.abc import Mapping
+
+
+class StandinStore:
+    """Objects by kind and name with one revision counter, conditions and watches.
+
+    Attributes:
+        mode: `ok`, `down` (503), `silent`, or `lose` (writes done, not answered).
+        calls: Count of calls by method and kind.
+    """
+
+    def __init__(self) -> None:
+        self.revision = 1
+        self.objects: dict[str, dict[str, dict[str, Any]]] = {}
+        self.history: list[tuple[int, str, dict[str, Any], bool]] = []
+        self.oldest = 0
+        self.changed = asyncio.Condition()
+        self.mode = "ok"
+        self.calls: dict[str, int] = {}
+        self.address = ""
+        self.runner: web.AppRunner | None = None
+
+    async def start(self) -> None:
+        app = web.Application()
+        app.router.add_route("*", "/v1/objects/{kind}", self.on_kind)
+        app.router.add_route("*", "/v1/objects/{kind}/{name}", self.on_object)
+        self.runner, self.address = await serve(app)
+
+    async def stop(self) -> None:
+        assert self.runner is not None
+        await self.runner.cleanup()
+
+    async def put(self, kind: str, name: str, spec: Any) -> dict[str, Any]:
+        """Write as the operator or a server does."""
+        async with self.changed:
+            self.revision += 1
+            old = self.objects.setdefault(kind, {}).get(name)
+            created = old["metadata"]["createRevision"] if old else self.revision
+            meta: dict[str, Any] = {
+                "name": name,
+                "revision": self.revision,
+                "createRevision": created,
+                "finalizers": [],
+                "deleting": False,
+            }
+            item = {"metadata": meta, "spec": spec, "status": None}
+            self.objects[kind][name] = item
+            self.history.append((self.revision, kind, item, False))
+            self.changed.notify_all()
+            return item
+
+    async def remove(self, kind: str, name: str) -> None:
+        async with self.changed:
+            item = self.objects.get(kind, {}).pop(name, None)
+            if item is None:
+                return
+            self.revision += 1
+            self.history.append((self.revision, kind, item, True))
+            self.changed.notify_all()
+
+    async def forget_history(self) -> None:
+        async with self.changed:
+            self.oldest = self.revision + 1
+            self.history.clear()
+            self.revision += 1
+            self.changed.notify_all()
+
+    async def refuse(self) -> web.Response | None:
+        if self.mode == "down":
+            return web.Response(status=503)
+        if self.mode == "silent":
+            await asyncio.sleep(3600)
+        return None
+
+    async def on_kind(self, request: web.Request) -> web.StreamResponse:
+        kind = request.match_info["kind"]
+        watch = request.query.get("watch")
+        name = f"{request.method} {kind}" + ("?watch" if watch else "")
+        self.calls[name] = self.calls.get(name, 0) + 1
+        refused = await self.refuse()
+        if refused is not None:
+            return refused
+        if request.method == "POST":
+            body = orjson.loads(await request.read())
+            object_name = body["metadata"]["name"]
+            known = self.objects.get(kind, {}).get(object_name)
+            if known is not None:
+                return answer(known, 409)
+            return await self.written(kind, object_name, body["spec"], request)
+        if watch is not None:
+            wait_s = int(request.query.get("waitMs", "0")) / 1e3
+            return await self.watch(kind, int(watch), wait_s)
+        items = [
+            item
+            for name, item in sorted(self.objects.get(kind, {}).items())
+            if name > request.query.get("after", "")
+        ]
+        page = items[:50]
+        truncated = len(items) > len(page)
+        return answer({"items": page, "truncated": truncated, "at": self.revision})
+
+    async def watch(self, kind: str, since: int, wait_s: float) -> web.Response:
+        def events() -> list[dict[str, Any]]:
+            return [
+                {"removed": removed, "object": item}
+                for revision, of_kind, item, removed in self.history
+                if revision > since and of_kind == kind
+            ]
+
+        async with self.changed:
+            try:
+                async with asyncio.timeout(wait_s):
+                    while not events() and since >= self.oldest:
+                        await self.changed.wait()
+            except TimeoutError:
+                pass
+        if self.mode == "down":
+            return web.Response(status=503)
+        if since < self.oldest:
+            return web.Response(status=410)
+        return answer({"events": events(), "at": self.revision})
+
+    async def on_object(self, request: web.Request) -> web.StreamResponse:
+        kind, name = request.match_info["kind"], request.match_info["name"]
+        key = f"{request.method} {kind}"
+        self.calls[key] = self.calls.get(key, 0) + 1
+        refused = await self.refuse()
+        if refused is not None:
+            return refused
+        known = self.objects.get(kind, {}).get(name)
+        if request.method == "DELETE":
+            await self.remove(kind, name)
+            return web.Response(status=200)
+        if known is None:
+            return web.Response(status=404)
+        if request.method == "GET":
+            return answer(known)
+        body = orjson.loads(await request.read())
+        expected = body["metadata"].get("revision")
+        if expected is not None and expected != known["metadata"]["revision"]:
+            return answer(known, 409)
+        return await self.written(kind, name, body["spec"], request)
+
+    async def written(
+        self, kind: str, name: str, spec: Any, request: web.Request
+    ) -> web.StreamResponse:
+        item = await self.put(kind, name, spec)
+        if self.mode == "lose":
+            assert request.transport is not None
+            request.transport.close()
+            await asyncio.sleep(3600)
+        return answer(item)
+
+
+@dataclass
+class StandinModelServer:
+    """A model server: orders, reports, and streams of numbered events.
+
+    Attributes:
+        events: Events of each stream.
+        step_s: Time between events.
+        break_after: Streams break off after this many events, if set.
+        runs: Ids of the requests that began to run.
+        orders: Bodies of the orders that came.
+    """
+
+    server_id: str
+    service: str = "scribe"
+    zone: str = "zone-a"
+    slots: int = 8
+    events: int = 5
+    step_s: float = 0.005
+    load_s: float = 0.05
+    break_after: int | None = None
+    refuse_all: bool = False
+    models: dict[str, list[str]] = field(default_factory=dict)
+    sequence: int = 0
+    fence: int = 0
+    busy: bool = False
+    runs: list[str] = field(default_factory=list)
+    seen: list[Mapping[str, str]] = field(default_factory=list)
+    orders: list[dict[str, Any]] = field(default_factory=list)
+    address: str = ""
+    running: int = 0
+
+    async def start(self) -> None:
+        app = web.Application()
+        app.router.add_post("/v1/order", self.on_order)
+        app.router.add_get("/v1/report", self.on_report)
+        app.router.add_route("*", "/{path:.*}", self.on_request)
+        self.runner, self.address = await serve(app)
+
+    async def stop(self) -> None:
+        await self.runner.cleanup()
+
+    def entry(self, state: str = "ready") -> dict[str, Any]:
+        return {
+            "service": self.service,
+            "address": self.address,
+            "zone": self.zone,
+            "version": "v1",
+            "slots": self.slots,
+            "state": state,
+            "coldRemainingMs": 0,
+            "models": self.model_list(),
+            "sequence": self.sequence,
+            "born": 1,
+        }
+
+    def model_list(self) -> list[dict[str, Any]]:
+        return [
+            {"name": name, "version": 1, "adapters": adapters}
+            for name, adapters in self.models.items()
+        ]
+
+    async def on_report(self, _: web.Request) -> web.Response:
+        return answer(
+            {
+                "stage": "colocated",
+                "models": self.model_list(),
+                "busy": self.busy,
+                "sequence": self.sequence,
+                "waiting": 0,
+                "running": self.running,
+                "born": 1,
+            }
+        )
+
+    async def on_order(self, request: web.Request) -> web.Response:
+        body = orjson.loads(await request.read())
+        self.orders.append(body)
+        if self.fence > body["fence"]:
+            return web.Response(status=412)
+        self.fence = body["fence"]
+        if self.busy or body.get("expected", self.sequence) != self.sequence:
+            return web.Response(status=409)
+        self.sequence += 1
+        model, adapter = body["model"], body.get("adapter")
+        load = body["operation"] == "model_load"
+        if adapter:
+            adapters = self.models[model]
+            adapters.append(adapter) if load else adapters.remove(adapter)
+            return web.Response(status=202 if load else 200)
+        if not load:
+            self.models.pop(model, None)
+            return web.Response(status=202)
+        self.busy = True
+        asyncio.get_running_loop().call_later(self.load_s, self.loaded, model)
+        return web.Response(status=202)
+
+    def loaded(self, model: str) -> None:
+        self.busy = False
+        self.models[model] = []
+
+    async def on_request(self, request: web.Request) -> web.StreamResponse:
+        headers = request.headers
+        self.seen.append(headers)
+        request_id = headers["Attempt-Id"]
+        common = {"Attempt-Id": request_id, "Server-Load": f"{self.running},0,8"}
+        if headers["Expect-Instance"] != self.server_id:
+            return web.Response(status=421, headers={"Instance-Id": self.server_id})
+        model, _, adapter = headers["Model"].partition("/")
+        if model not in self.models or (adapter and adapter not in self.models[model]):
+            return web.Response(status=421, headers=common)
+        if self.refuse_all:
+            common["Not-Executed"] = "1"
+            return web.Response(status=503, headers=common)
+        self.runs.append(request_id)
+        response = web.StreamResponse(
+            headers={
+                **common,
+                "Response-Stamp": f"{self.server_id}.{request_id}",
+                "Content-Type": "text/event-stream",
+            }
+        )
+        await response.prepare(request)
+        first = int(headers.get("Last-Event-Id", "0")) + 1
+        self.running += 1
+        try:
+            for number in range(first, self.events + 1):
+                if self.break_after is not None and number > self.break_after:
+                    await response.write(b"id: %d\nda" % number)
+                    assert request.transport is not None
+                    request.transport.close()
+                    return response
+                await response.write(b"id: %d\ndata: %d\n\n" % (number, number))
+                await asyncio.sleep(self.step_s)
+        finally:
+            self.running -= 1
+        return response
+
+
+@dataclass
+class StandinPlainServer:
+    """A plain server.
+
+    Attributes:
+        status: Status of its answers.
+        hang: It reads requests and never answers.
+        runs: Ids of the requests that began to run.
+        bodies: Bodies as they came.
+    """
+
+    server_id: str
+    service: str = "registry"
+    zone: str = "zone-a"
+    status: int = 200
+    refuse_all: bool = False
+    hang: bool = False
+    runs: list[str] = field(default_factory=list)
+    seen: list[Mapping[str, str]] = field(default_factory=list)
+    bodies: list[bytes] = field(default_factory=list)
+    address: str = ""
+
+    async def start(self) -> None:
+        app = web.Application()
+        app.router.add_route("*", "/{path:.*}", self.on_request)
+        self.runner, self.address = await serve(app)
+
+    async def stop(self) -> None:
+        await self.runner.cleanup()
+
+    def entry(self, state: str = "ready") -> dict[str, Any]:
+        return {
+            "service": self.service,
+            "address": self.address,
+            "zone": self.zone,
+            "version": "v1",
+            "slots": 6,
+            "state": state,
+            "coldRemainingMs": 0,
+            "sequence": 1,
+            "born": 1,
+        }
+
+    async def on_request(self, request: web.Request) -> web.StreamResponse:
+        headers = request.headers
+        self.seen.append(headers)
+        common = {"Attempt-Id": headers["Attempt-Id"]}
+        if self.refuse_all:
+            return web.Response(status=503, headers={**common, "Not-Executed": "1"})
+        self.runs.append(headers["Attempt-Id"])
+        self.bodies.append(await request.read())
+        if self.hang:
+            await asyncio.sleep(3600)
+        return web.Response(
+            status=self.status,
+            headers={**common, "Response-Stamp": f"stamp.{self.server_id}"},
+            body=f"{request.method} {request.path_qs}".encode(),
+        )
+
+
+def answer(item: Any, status: int = 200) -> web.Response:
+    return web.Response(
+        status=status, body=orjson.dumps(item), content_type="application/json"
+    )
+
+
+async def serve(app: web.Application) -> tuple[web.AppRunner, str]:
+    """Serve on an ephemeral port of the loopback address."""
+    runner = web.AppRunner(app, handler_cancellation=True, shutdown_timeout=0.1)
+    await runner.setup()
+    site = web.TCPSite(runner, "127.0.0.1", 0)
+    await site.start()
+    port = runner.addresses[0][1]
+    return runner, f"127.0.0.1:{port}"
+
+
+def free_port(kind: socket.SocketKind = socket.SOCK_STREAM) -> int:
+    """Return a port that is free now."""
+    with socket.socket(socket.AF_INET, kind) as probe:
+        probe.bind(("127.0.0.1", 0))
+        return int(probe.getsockname()[1])
+
+
+def config(version: int = 1, **changes: Any) -> dict[str, Any]:
+    """Return a configuration with a streaming, an unsafe and a safe route."""
+    model = {
+        "weightsMb": 70000.0,
+        "loadTimeS": 0.05,
+        "adapters": 4,
+        "adapterMb": 50.0,
+        "warmS": 0.05,
+        "diskS": 0.05,
+    }
+    spec = {
+        "version": version,
+        "routes": [
+            route("draft", "streaming", "scribe", resumable=True, maxAttempts=2),
+            route("once", "streaming", "scribe", resumable=False, maxAttempts=1),
+            route("deposit", "unsafe", "registry", maxAttempts=1),
+            route("look", "safe", "registry", maxAttempts=2),
+        ],
+        "services": [
+            {
+                "name": "scribe",
+                "healthPath": "/health",
+                "maxConnections": 100,
+                "engine": {
+                    "slots": 8,
+                    "kvCapacity": 10000,
+                    "models": [{"name": f"m{index}", **model} for index in range(5)],
+                    "weightsMb": 220000.0,
+                    "adapterSlots": 2,
+                    "loadsPerS": 50.0,
+                },
+            },
+            {"name": "registry", "healthPath": "/health", "maxConnections": 100},
+        ],
+        "limits": {"maxBodyBytes": 4194304, "idleTimeoutMs": 15000},
+    }
+    return {**spec, **changes}
+
+
+def route(name: str, kind: str, service: str, **more: Any) -> dict[str, Any]:
+    return {
+        "name": name,
+        "host": "desk.example",
+        "pathPrefix": f"/{name}/",
+        "kind": kind,
+        "timeoutMs": 3000,
+        "targetLatencyMs": 300,
+        "priority": 0,
+        "service": service,
+        **more,
+    }
--- /dev/null
+++ b/tests/platform/test_app.py
@@ -0,0 +1,354 @@
+"""One instance over real sockets, against stand-ins of the users' platform."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import time
+from contextlib import asynccontextmanager
+from dataclasses import dataclass
+from typing import Any, TYPE_CHECKING
+
+import aiohttp
+import pytest
+
+from tests.platform.standin import (
+    config,
+    free_port,
+    route,
+    StandinModelServer,
+    StandinPlainServer,
+    StandinStore,
+)
+from wisterialoom.platform.app import PlatformApp
+from wisterialoom.platform.settings import Bounds, PlatformSettings
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator, Callable
+
+
+@dataclass
+class World:
+    """An instance with its surroundings."""
+
+    store: StandinStore
+    app: PlatformApp
+    session: aiohttp.ClientSession
+
+    async def call(
+        self, path: str, method: str = "POST", **headers: str
+    ) -> tuple[int, dict[str, str], bytes]:
+        url = f"http://{self.app.settings.front}{path}"
+        sent = {"Host": "desk.example", "Attempt-Id": "a1", "Deadline-Ms": "3000"}
+        sent |= {name.replace("_", "-"): value for name, value in headers.items()}
+        async with self.session.request(method, url, headers=sent, data=b"") as got:
+            return got.status, dict(got.headers), await got.read()
+
+
+async def until(condition: Callable[[], object], limit_s: float = 10.0) -> None:
+    """Wait for a condition."""
+    end = time.monotonic() + limit_s
+    while not condition():
+        assert time.monotonic() < end, "the condition did not come true in time"
+        await asyncio.sleep(0.005)
+
+
+def settings(store: str, **changes: Any) -> PlatformSettings:
+    values = {
+        "instance": "front-1",
+        "ip": "127.0.0.1",
+        "availability_zone": "zone-a",
+        "front": f"127.0.0.1:{free_port()}",
+        "ready": f"127.0.0.1:{free_port()}",
+        "store": store,
+        "peer_port": free_port(socket.SOCK_DGRAM),
+        "metrics_port": free_port(),
+        "bounds": Bounds(fenced=True, lease_s=1.0, grace_s=3.0),
+        "memory_mb": 300.0,
+    }
+    return PlatformSettings(**(values | changes))  # type: ignore[arg-type]
+
+
+@asynccontextmanager
+async def world(*servers: Any, **changes: Any) -> AsyncIterator[World]:
+    store = StandinStore()
+    await store.start()
+    await store.put("config", "main", config())
+    for server in servers:
+        await server.start()
+        await store.put("servers", server.server_id, server.entry())
+    app = PlatformApp(settings(store.address, **changes))
+    await app.on_start()
+    try:
+        await until(lambda: app.catalog.known)
+        async with aiohttp.ClientSession() as session:
+            yield World(store, app, session)
+    finally:
+        await app.on_stop()
+        for server in servers:
+            await server.stop()
+        await store.stop()
+
+
+async def test_plain_request_is_relayed_unchanged():
+    server = StandinPlainServer("i-1")
+    async with world(server) as w:
+        status, headers, body = await w.call("/deposit/x?y=%20z")
+        assert (status, body) == (200, b"POST /deposit/x?y=%20z")
+        assert headers["Response-Stamp"] == "stamp.i-1"
+        seen = server.seen[0]
+        assert seen["Expect-Instance"] == "i-1"
+        assert 0 < int(seen["Deadline-Ms"]) <= 3000
+
+
+async def test_headers_that_the_system_sets_are_not_passed_on():
+    server = StandinPlainServer("i-1")
+    async with world(server) as w:
+        forged = {"Hold": "h", "Pin_Ms": "9", "Request_Urgency": "0", "Kv_From": "x"}
+        status, _, _ = await w.call(
+            "/look/", "GET", Expect_Instance="i-9", Connection="X-Hop", **forged
+        )
+        assert status == 200
+        seen = server.seen[0]
+        assert seen["Expect-Instance"] == "i-1"
+        assert not {"Hold", "Pin-Ms", "Request-Urgency", "Kv-From"} & seen.keys()
+
+
+async def test_unknown_route_gets_404_and_missing_configuration_503():
+    server = StandinPlainServer("i-1")
+    async with world(server) as w:
+        assert (await w.call("/none/"))[0] == 404
+        w.app.dispatcher.deployment = None
+        assert (await w.call("/deposit/"))[0] == 503
+
+
+async def test_unknown_route_gets_503_while_the_configuration_is_in_doubt():
+    server = StandinPlainServer("i-1")
+    async with world(server) as w:
+        w.app.ingress.config_checked = lambda: time.monotonic() - 60.0
+        assert (await w.call("/none/"))[0] == 503
+
+
+async def test_unsafe_request_runs_once_although_its_answer_is_lost():
+    first = StandinPlainServer("i-1", hang=True)
+    second = StandinPlainServer("i-2", hang=True)
+    async with world(first, second) as w:
+        await w.store.put(
+            "config",
+            "main",
+            config(2, routes=[route("deposit", "unsafe", "registry", timeoutMs=300)]),
+        )
+        await until(lambda: w.app.dispatcher.deployment.version == 2)
+        status, _, _ = await w.call("/deposit/")
+        assert status == 502
+        assert len(first.runs + second.runs) == 1
+
+
+async def test_safe_request_is_tried_elsewhere_after_a_failure():
+    first = StandinPlainServer("i-1", status=500)
+    second = StandinPlainServer("i-2", status=500)
+    async with world(first, second) as w:
+        status, headers, _ = await w.call("/look/", "GET")
+        assert status == 500
+        assert headers["Response-Stamp"].startswith("stamp.")
+        assert len(first.runs) == len(second.runs) == 1
+
+
+async def test_refusal_says_not_run_and_when_to_come_back():
+    server = StandinPlainServer("i-1", refuse_all=True)
+    async with world(server) as w:
+        status, headers, _ = await w.call("/deposit/", Deadline_Ms="400")
+        assert status == 503
+        assert float(headers["Retry-After"]) > 0
+        assert server.runs == []
+
+
+async def test_stream_goes_on_at_another_server_from_the_last_whole_event():
+    first = StandinModelServer("i-1", models={"m0": []}, break_after=2)
+    second = StandinModelServer("i-2", models={"m0": []}, break_after=2)
+    async with world(first, second) as w:
+        broken = asyncio.get_running_loop().create_task(
+            w.call("/draft/", Model="m0", Token_Count="10,30")
+        )
+        await until(lambda: first.runs or second.runs)
+        other = second if first.runs else first
+        other.break_after = None
+        status, headers, body = await broken
+        assert status == 200
+        numbers = [int(line[4:]) for line in body.split(b"\n") if line[:3] == b"id:"]
+        assert numbers == [1, 2, 3, 4, 5]
+        assert b"da" + b"id:" not in body
+        assert headers["Response-Stamp"].startswith(("i-1", "i-2"))
+
+
+async def test_stream_that_may_not_be_repeated_looks_cut():
+    server = StandinModelServer("i-1", models={"m0": []}, break_after=2)
+    async with world(server) as w:
+        with pytest.raises(aiohttp.ClientPayloadError):
+            await w.call("/once/", Model="m0")
+        assert server.runs == ["a1"]
+
+
+async def test_model_that_no_server_holds_is_loaded_when_asked_for():
+    server = StandinModelServer("i-1", models={"m0": []})
+    async with world(server) as w:
+        await until(lambda: w.app.steward.was_valid)
+        status, _, _ = await w.call("/draft/", Model="m1")
+        assert status == 200
+        loads = [order for order in server.orders if order["model"] == "m1"]
+        assert loads[0]["operation"] == "model_load"
+        assert loads[0]["expected"] == 0
+        assert loads[0]["fence"] >= 1
+
+
+async def test_adapter_is_loaded_when_asked_for():
+    server = StandinModelServer("i-1", models={"m0": []})
+    async with world(server) as w:
+        await until(lambda: w.app.steward.was_valid)
+        status, _, _ = await w.call("/draft/", Model="m0/a2")
+        assert status == 200
+        assert server.models["m0"] == ["a2"]
+
+
+async def test_idle_model_makes_way_when_memory_is_full():
+    server = StandinModelServer("i-1", models={"m0": [], "m1": [], "m2": []})
+    async with world(server) as w:
+        await until(lambda: w.app.steward.was_valid)
+        status, _, _ = await w.call("/draft/", Model="m3")
+        assert status == 200
+        assert len(server.models) == 3
+        operations = [order["operation"] for order in server.orders]
+        assert operations[0] == "model_unload"
+
+
+async def test_undeclared_model_is_refused_at_once():
+    server = StandinModelServer("i-1", models={"m0": []})
+    async with world(server) as w:
+        began = time.monotonic()
+        status, _, _ = await w.call("/draft/", Model="none")
+        assert status == 503
+        assert time.monotonic() - began < 1.0
+
+
+async def test_leaving_server_gets_no_request_after_it_is_listed():
+    first, second = StandinPlainServer("i-1"), StandinPlainServer("i-2")
+    async with world(first, second) as w:
+        await w.store.put("servers", "i-1", first.entry("draining"))
+        await until(lambda: w.app.dispatcher.views["i-1"].server.draining)
+        for number in range(10):
+            assert (await w.call("/deposit/", Attempt_Id=f"b{number}"))[0] == 200
+        assert first.runs == []
+
+
+async def test_foreign_entries_name_no_server():
+    server = StandinPlainServer("i-1")
+    async with world(server) as w:
+        await w.store.put("servers", "i-bad", {"service": "registry", "state": 7})
+        await w.store.put("servers", "i-odd", "no table")
+        await w.store.put("servers", "i-2", {**server.entry(), "slots": 7})
+        await until(lambda: "i-2" in w.app.dispatcher.views)
+        assert set(w.app.dispatcher.views) == {"i-1", "i-2"}
+
+
+async def test_entries_that_lapsed_in_an_outage_are_kept_for_a_while():
+    server = StandinPlainServer("i-1")
+    async with world(server) as w:
+        w.store.mode = "down"
+        await w.store.remove("servers", "i-1")
+        await w.store.forget_history()
+        await until(lambda: w.app.catalog.workers.lost_since is not None)
+        assert (await w.call("/deposit/"))[0] == 200
+        w.store.mode = "ok"
+        await until(lambda: w.app.catalog.workers.lost_since is None)
+        assert "i-1" in w.app.dispatcher.views
+        await until(lambda: "i-1" not in w.app.dispatcher.views)
+
+
+async def test_configuration_never_goes_back():
+    server = StandinPlainServer("i-1")
+    async with world(server) as w:
+        await w.store.put("config", "main", config(5))
+        await until(lambda: w.app.dispatcher.deployment.version == 5)
+        await w.store.put("config", "main", config(4))
+        await w.store.put("servers", "i-2", server.entry())
+        await until(lambda: "i-2" in w.app.dispatcher.views)
+        assert w.app.dispatcher.deployment.version == 5
+
+
+async def test_broken_configuration_leaves_the_one_in_force():
+    server = StandinPlainServer("i-1")
+    async with world(server) as w:
+        await w.store.put("config", "main", {"version": 9, "routes": [{}]})
+        await w.store.put("config", "main", config(10))
+        await until(lambda: w.app.dispatcher.deployment.version == 10)
+
+
+async def test_lost_history_is_read_anew():
+    server = StandinPlainServer("i-1")
+    async with world(server) as w:
+        await w.store.put("config", "main", config(3))
+        await w.store.forget_history()
+        await until(lambda: w.app.dispatcher.deployment.version == 3)
+
+
+async def test_stop_answers_requests_that_wait_for_a_model():
+    """A stopping instance used to exit while requests waited, without an answer."""
+    server = StandinModelServer("i-1", models={"m0": []}, load_s=30.0)
+    async with world(server) as w:
+        waiting = asyncio.get_running_loop().create_task(
+            w.call("/draft/", Model="m1", Deadline_Ms="30000")
+        )
+        await until(lambda: w.app.dispatcher.waiting)
+        began = time.monotonic()
+        await w.app.on_drain()
+        status, headers, _ = await waiting
+        assert status == 503
+        assert "Retry-After" in headers
+        assert time.monotonic() - began < w.app.settings.bounds.grace_s
+        assert (await w.call("/draft/", Model="m0"))[0] == 503
+
+
+async def test_stop_answers_requests_that_a_server_holds():
+    server = StandinPlainServer("i-1", hang=True)
+    async with world(server) as w:
+        hanging = asyncio.get_running_loop().create_task(w.call("/deposit/"))
+        await until(lambda: server.runs)
+        await w.app.on_drain()
+        assert (await hanging)[0] == 502
+
+
+async def test_not_ready_before_the_store_answered():
+    store = StandinStore()
+    await store.start()
+    store.mode = "down"
+    app = PlatformApp(settings(store.address))
+    await app.on_start()
+    url = f"http://{app.settings.ready}/v1/ready"
+    async with aiohttp.ClientSession() as session:
+        async with session.get(url) as got:
+            assert got.status == 503
+        store.mode = "ok"
+        await store.put("config", "main", config())
+        await until(lambda: app.catalog.known)
+        async with session.get(url) as got:
+            assert got.status == 200
+    await app.on_stop()
+    await store.stop()
+
+
+async def test_caller_that_leaves_ends_the_attempt():
+    server = StandinModelServer("i-1", models={"m0": []}, events=1000, step_s=0.01)
+    async with world(server) as w:
+        task = asyncio.get_running_loop().create_task(w.call("/draft/", Model="m0"))
+        await until(lambda: server.running == 1)
+        task.cancel()
+        await until(lambda: server.running == 0, limit_s=1.0)
+
+
+async def test_request_over_its_route_timeout_gets_its_final_answer():
+    server = StandinModelServer("i-1", models={"m0": []}, events=1000, step_s=0.01)
+    async with world(server) as w:
+        began = time.monotonic()
+        with pytest.raises(aiohttp.ClientPayloadError):
+            await w.call("/draft/", Model="m0", Deadline_Ms="300")
+        assert time.monotonic() - began < 0.8
--- /dev/null
+++ b/tests/platform/test_wire.py
@@ -0,0 +1,202 @@
+"""Decoding of the platform's objects, headers, events and hints."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import socket
+
+import pytest
+import uvloop
+from hypothesis import given, strategies as st
+from multidict import CIMultiDict, CIMultiDictProxy
+
+from tests.platform.standin import config, free_port
+from wisterialoom.core.placement.fleet_demand import DemandReport
+from wisterialoom.platform.decode import (
+    decode_deployment,
+    decode_server,
+    DecodeError,
+)
+from wisterialoom.platform.event_stream import EventCutter
+from wisterialoom.platform.headers import read_load, read_profile, request_headers
+from wisterialoom.platform.hints import (
+    decode_hint,
+    encode_hint,
+    Hello,
+    Hint,
+    HintError,
+    PlacementHint,
+    ServerHint,
+)
+from wisterialoom.platform.peers import PeerLink
+from wisterialoom.platform.settings import PlatformSettings, SettingsError
+
+ENTRY = {
+    "service": "scribe",
+    "address": "10.0.0.9:80",
+    "zone": "a",
+    "version": "v1",
+    "slots": 64,
+    "state": "ready",
+    "coldRemainingMs": 0,
+    "models": [{"name": "m0", "version": 1, "adapters": ["a1"]}],
+    "sequence": 4,
+}
+
+json_values = st.recursive(
+    st.none() | st.booleans() | st.integers() | st.text(max_size=5),
+    lambda inner: (
+        st.lists(inner, max_size=3)
+        | st.dictionaries(st.text(max_size=8), inner, max_size=4)
+    ),
+    max_leaves=8,
+)
+
+
+def test_server_entry_is_decoded():
+    server = decode_server("i-1", {**ENTRY, "born": 99, "remainingMs": 1500})
+    assert (server.born_ms, server.order_count, server.gone_in_s) == (99, 4, 1.5)
+    assert server.models[0].adapters == ("a1",)
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        {"state": "odd"},
+        {"slots": "64"},
+        {"slots": True},
+        {"address": "10.0.0.9"},
+        {"address": None},
+        {"models": [{"name": 7}]},
+        {"sequence": 1.5},
+        {"service": ""},
+    ],
+)
+def test_foreign_server_entry_is_refused(change):
+    with pytest.raises(DecodeError):
+        decode_server("i-1", {**ENTRY, **change})
+
+
+@given(json_values)
+def test_no_entry_breaks_the_decoder(spec):
+    with pytest.raises(DecodeError):
+        decode_server("i-1", spec)
+
+
+@given(json_values)
+def test_no_configuration_breaks_the_decoder(spec):
+    with pytest.raises(DecodeError):
+        decode_deployment(spec)
+
+
+def test_configuration_is_decoded():
+    deployment = decode_deployment(config(7))
+    route = deployment.find_route("desk.example", "/once/x")
+    assert route is not None
+    assert not route.idempotent
+    engine = deployment.services["scribe"].engine
+    assert engine is not None
+    assert engine.weights_mb == 220000.0
+    assert engine.models["m0"].weights_mb == 70000.0
+
+
+def test_profile_and_headers():
+    route = decode_deployment(config()).find_route("desk.example", "/draft/")
+    assert route is not None
+    headers = CIMultiDictProxy(
+        CIMultiDict(
+            {
+                "Attempt-Id": "q",
+                "Model": "m0/a3",
+                "Token-Count": "100,20",
+                "Prompt-Prefix": "aa:10,bb:20",
+                "Deadline-Ms": "1200",
+                "Last-Event-Id": "3",
+            }
+        )
+    )
+    profile = read_profile(headers, route, 50.0)
+    assert (profile.model, profile.adapter, profile.wanted) == ("m0", "a3", "m0/a3")
+    assert profile.prefix == ("aa", "bb")
+    assert profile.answer_by == pytest.approx(51.2)
+    sent = request_headers(
+        headers, server_id="i-1", left_s=0.5, urgency=0, last_event_id="9"
+    )
+    assert [value for name, value in sent if name.lower() == "last-event-id"] == ["9"]
+    assert ("Deadline-Ms", "500") in sent
+
+
+def test_unreadable_load_counts_as_absent():
+    assert read_load({"Server-Load": "3,x,8"}) is None
+    load = read_load({"Server-Load": "3,1,8"})
+    assert load is not None
+    assert (load.running, load.waiting, load.slots) == (3, 1, 8)
+
+
+@given(st.lists(st.integers(1, 30), min_size=1, max_size=40), st.integers(0, 60))
+def test_cutter_passes_whole_events_only(cuts, lost):
+    data = b"".join(b"id: %d\ndata: x%d\n\n" % (n, n) for n in range(1, 12))
+    data = data[: len(data) - lost]
+    cutter = EventCutter()
+    passed = b""
+    at = 0
+    for size in [*cuts, len(data)]:
+        passed += cutter.feed(data[at : at + size])
+        at += size
+    assert data.startswith(passed)
+    assert not passed or passed.endswith(b"\n\n")
+    whole = data[: data.rfind(b"\n\n") + 2] if b"\n\n" in data else b""
+    assert passed == whole
+    assert cutter.last_id == (str(whole.count(b"id:")) if whole else None)
+
+
+HINTS: list[Hint] = [
+    Hello("front-1", "10.0.0.1"),
+    DemandReport("front-1", "b", {"m0": 2}, {"m0": 9}, {"i-1": {"m0/a1": 1}}),
+    PlacementHint(
+        holder="front-1",
+        address="10.0.0.1",
+        epoch=3,
+        serial=8,
+        renewal=5,
+        members={"front-1": "10.0.0.1"},
+        servers={"i-1": ServerHint(4, {"m0": frozenset({"a1"})}, frozenset({"m0"}), 7)},
+        ready_in_s={"m1": 0.25},
+    ),
+]
+
+
+@pytest.mark.parametrize("hint", HINTS)
+def test_hints_survive_the_wire(hint):
+    assert decode_hint(encode_hint(hint)) == hint
+
+
+@given(st.binary(max_size=60) | json_values.map(lambda v: str(v).encode()))
+def test_no_datagram_breaks_the_decoder(data):
+    with contextlib.suppress(HintError):
+        decode_hint(data)
+
+
+def test_datagrams_pass_on_uvloop():
+    """Uvloop's transport is no subclass of asyncio's; an assertion lost them all."""
+
+    async def exchange() -> list[Hint]:
+        taken: list[Hint] = []
+        link = PeerLink(
+            free_port(socket.SOCK_DGRAM), lambda hint, _: taken.append(hint)
+        )
+        await link.start("127.0.0.1")
+        link.send(HINTS[0], "127.0.0.1")
+        async with asyncio.timeout(5.0):
+            while not taken:
+                await asyncio.sleep(0.005)
+        link.stop()
+        return taken
+
+    assert uvloop.run(exchange()) == [HINTS[0]]
+
+
+def test_settings_name_what_is_missing():
+    with pytest.raises(SettingsError, match="nodeName"):
+        PlatformSettings.from_table({"listen": {}, "internalPorts": [1, 2]})
--- /dev/null
+++ b/tests/test_dispatcher.py
@@ -0,0 +1,233 @@
+"""Decisions about requests under load and failures."""
+
+from __future__ import annotations
+
+from wisterialoom.core.serving.backend import BackendServer, ResidentModel
+from wisterialoom.core.serving.balancer import Balancer
+from wisterialoom.core.serving.dispatcher import Dispatcher
+from wisterialoom.core.serving.request_flow import (
+    AttemptResult,
+    AttemptVerdict,
+    GiveUp,
+    GiveUpReason,
+    RequestFlow,
+    RequestProfile,
+    Send,
+    Wait,
+)
+from wisterialoom.core.serving.retry_allowance import RetryAllowance, RetryLimits
+from wisterialoom.core.serving.routing import (
+    Deployment,
+    EngineProfile,
+    IngressLimits,
+    ModelProfile,
+    Repeat,
+    Route,
+    Service,
+    WeightedService,
+)
+
+
+def make_route(name: str = "r", prefix: str = "/a/", **changes: object) -> Route:
+    values: dict[str, object] = {
+        "name": name,
+        "host": "desk.example",
+        "prefix": prefix,
+        "repeat": Repeat.IDEMPOTENT,
+        "stream": False,
+        "resumable": False,
+        "timeout_s": 1.0,
+        "target_s": 0.1,
+        "gap_s": 1.0,
+        "priority": 2,
+        "max_attempts": 2,
+        "services": (WeightedService("app", 1.0),),
+    }
+    return Route(**(values | changes))  # type: ignore[arg-type]
+
+
+def server(server_id: str, zone: str = "a", **changes: object) -> BackendServer:
+    values: dict[str, object] = {
+        "id": server_id,
+        "born_ms": 1,
+        "service": "app",
+        "address": "10.0.0.1:80",
+        "availability_zone": zone,
+        "slots": 10,
+        "draining": False,
+        "order_count": 0,
+    }
+    return BackendServer(**(values | changes))  # type: ignore[arg-type]
+
+
+def make(*servers: BackendServer, models: bool = False) -> Dispatcher:
+    profile = ModelProfile("m0", 70000.0, 50.0, 4, 4.0, 0.4, 0.8)
+    engine = EngineProfile(10, 1000, 220000.0, 8, 2.0, {"m0": profile})
+    service = Service("app", "/health", 100, engine if models else None)
+    dispatcher = Dispatcher(Balancer("a"), RetryLimits(0.2, 50.0, 10.0), sharers=5)
+    dispatcher.deployment = Deployment.from_routes(
+        1, [make_route()], {"app": service}, IngressLimits()
+    )
+    dispatcher.set_servers({item.id: item for item in servers})
+    return dispatcher
+
+
+def flow(route: Route | None = None, model: str = "", **changes: object) -> RequestFlow:
+    values: dict[str, object] = {
+        "request_id": "q1",
+        "route": route or make_route(),
+        "service": "app",
+        "model": model,
+        "adapter": "",
+        "prompt_tokens": 10,
+        "output_tokens": 10,
+        "prefix": (),
+        "arrived": 0.0,
+        "answer_by": 1.0,
+        "caller_by": 1.0,
+    }
+    return RequestFlow(RequestProfile(**(values | changes)))  # type: ignore[arg-type]
+
+
+def end(d: Dispatcher, f: RequestFlow, verdict: AttemptVerdict, now: float) -> None:
+    d.end_attempt(now, f, AttemptResult(f.in_flight_at, verdict))
+
+
+def test_longest_prefix_of_the_host_wins():
+    routes = [make_route("short", "/a/"), make_route("long", "/a/b/")]
+    deployment = Deployment.from_routes(1, routes, {}, IngressLimits())
+    found = deployment.find_route("Desk.example", "/a/b/c")
+    assert found is not None
+    assert found.name == "long"
+    assert deployment.find_route("desk.example", "/a") is None
+    assert deployment.find_route("other.example", "/a/") is None
+
+
+def test_split_gives_each_service_about_its_share():
+    route = make_route(services=(WeightedService("x", 90), WeightedService("y", 10)))
+    chosen = [route.service_for(f"id-{index}") for index in range(2000)]
+    assert 140 < chosen.count("y") < 260
+
+
+def test_idle_server_in_the_same_zone_is_chosen():
+    d = make(server("near"), server("far", "b"))
+    step = d.next_step(0.0, flow())
+    assert isinstance(step, Send)
+    assert step.server_id == "near"
+
+
+def test_burst_spills_over_to_the_other_zone():
+    d = make(server("near"), server("far", "b"))
+    chosen = [d.next_step(0.0, flow(request_id=f"q{n}")) for n in range(12)]
+    assert {step.server_id for step in chosen if isinstance(step, Send)} == {
+        "near",
+        "far",
+    }
+
+
+def test_unsafe_request_that_may_have_run_is_not_sent_again():
+    d = make(server("one"), server("two"))
+    f = flow(make_route(repeat=Repeat.ONCE))
+    assert isinstance(d.next_step(0.0, f), Send)
+    end(d, f, AttemptVerdict.LOST, 0.1)
+    step = d.next_step(0.1, f)
+    assert step == GiveUp(GiveUpReason.LOST, False, step.retry_after_s)
+
+
+def test_refused_request_is_tried_at_another_server():
+    d = make(server("one"), server("two"))
+    f = flow(make_route(repeat=Repeat.ONCE, max_attempts=2))
+    first = d.next_step(0.0, f)
+    end(d, f, AttemptVerdict.REFUSED_FULL, 0.1)
+    second = d.next_step(0.1, f)
+    assert isinstance(first, Send)
+    assert isinstance(second, Send)
+    assert first.server_id != second.server_id
+
+
+def test_no_more_servers_than_the_route_allows():
+    d = make(*(server(f"s{n}") for n in range(4)))
+    f = flow(make_route(max_attempts=2))
+    for now in (0.0, 0.1):
+        assert isinstance(d.next_step(now, f), Send)
+        end(d, f, AttemptVerdict.LOST, now)
+    step = d.next_step(0.2, f)
+    assert isinstance(step, GiveUp)
+    assert not step.not_run
+
+
+def test_clients_that_fail_often_cannot_exceed_the_retry_budget():
+    """A service fails everything; repeats stay under this instance's share."""
+    d = make(*(server(f"s{n}") for n in range(30)))
+    repeats = 0
+    for number in range(200):
+        now = number * 0.01
+        f = flow(request_id=f"q{number}", answer_by=now + 1.0)
+        d.arrive(now, f)
+        while isinstance(d.next_step(now, f), Send):
+            end(d, f, AttemptVerdict.NOT_SENT, now)
+        repeats += max(0, f.sends - 1)
+    assert repeats <= 0.2 * 200 + 50 / 5
+
+
+def test_retry_allowance_slides():
+    allowance = RetryAllowance(RetryLimits(0.2, 10.0, 10.0), sharers=1)
+    taken = [allowance.spend(0.0) for _ in range(20)]
+    assert taken.count(True) == 8
+    assert not allowance.spend(5.0)
+    assert allowance.spend(10.1)
+
+
+def test_draining_server_gets_nothing():
+    d = make(server("one", draining=True))
+    step = d.next_step(0.0, flow())
+    assert isinstance(step, GiveUp)
+    assert step.reason is GiveUpReason.NO_SERVER
+    assert step.not_run
+
+
+def test_request_waits_for_a_model_that_is_being_loaded():
+    d = make(server("one"), models=True)
+    f = flow(model="m0", answer_by=10.0)
+    assert isinstance(d.next_step(0.0, f), Wait)
+    d.take_placement(0.0, {"m0": 0.5})
+    d.set_server("one", server("one", order_count=1, models=(ResidentModel("m0"),)))
+    assert isinstance(d.next_step(0.5, f), Send)
+
+
+def test_model_that_cannot_come_in_time_is_refused_at_once():
+    d = make(server("one"), models=True)
+    d.take_placement(0.0, {"m0": 5.0})
+    step = d.next_step(0.0, flow(model="m0", answer_by=1.0))
+    assert isinstance(step, GiveUp)
+    assert step.reason is GiveUpReason.NO_MODEL
+    assert step.retry_after_s == 5.0
+
+
+def test_unloading_model_gets_no_new_requests():
+    d = make(server("one", models=(ResidentModel("m0"),)), models=True)
+    d.views["one"].set_placement(1, {"m0": frozenset()}, frozenset({"m0"}))
+    assert isinstance(d.next_step(0.0, flow(model="m0")), Wait)
+
+
+def test_refusal_about_one_model_does_not_block_its_server():
+    held = (ResidentModel("m0"),)
+    d = make(server("one", models=held), models=True)
+    f = flow(model="m0")
+    assert isinstance(d.next_step(0.0, f), Send)
+    d.end_attempt(0.0, f, AttemptResult("one", AttemptVerdict.REFUSED_FULL))
+    assert d.views["one"].full_until < 0.0
+    assert isinstance(d.next_step(0.01, flow(model="m0")), Wait)
+
+
+def test_older_listing_does_not_undo_newer_placement():
+    d = make(server("one", order_count=3, models=(ResidentModel("m0"),)), models=True)
+    d.views["one"].set_placement(5, {"m0": frozenset({"a1"})})
+    d.set_servers({"one": server("one", order_count=4, models=())})
+    assert d.views["one"].models == {"m0": frozenset({"a1"})}
+
+
+def test_restarted_server_is_a_new_one():
+    d = make(server("one", order_count=9, models=(ResidentModel("m0"),)), models=True)
+    d.set_servers({"one": server("one", born_ms=2, order_count=0)})
+    assert d.views["one"].models == {}
--- /dev/null
+++ b/tests/test_placement_lease.py
@@ -0,0 +1,198 @@
+"""The placement lease on a virtual clock."""
+
+from __future__ import annotations
+
+from hypothesis import given, strategies as st
+
+from wisterialoom.core.fleet import (
+    LeaseRecord,
+    PlacementLease,
+    ReadLease,
+    TakeLease,
+    WriteLease,
+)
+
+LEASE_S = 3.0
+
+
+class Store:
+    """The one record, with conditional writes."""
+
+    def __init__(self) -> None:
+        self.record: LeaseRecord | None = None
+        self.revision = 0
+
+    def write(self, record: LeaseRecord, revision: int) -> bool:
+        if revision != self.revision:
+            return False
+        self.record = record
+        self.revision += 1
+        return True
+
+
+def make(name: str, *, fenced: bool = True, boot: str = "b1") -> PlacementLease:
+    return PlacementLease(name, boot, "10.0.0.1", LEASE_S, fenced=fenced)
+
+
+def play(lease: PlacementLease, store: Store, now: float) -> None:
+    """Carry out one step with a store that answers at once."""
+    step = lease.step(now)
+    match step:
+        case ReadLease():
+            lease.saw(now, store.record, store.revision)
+        case (
+            TakeLease(record=record, revision=revision)
+            | WriteLease(record=record, revision=revision)
+        ):
+            if store.write(record, revision):
+                lease.wrote(now, now, record, store.revision)
+            else:
+                lease.conflict(now)
+
+
+def test_first_instance_reads_then_takes():
+    lease, store = make("one"), Store()
+    play(lease, store, 0.0)
+    play(lease, store, 0.05)
+    assert lease.is_valid(0.1)
+    assert lease.epoch == 1
+
+
+def test_conflict_reads_before_it_takes_again():
+    """A lost race used to be tried again without a read, thousands of times."""
+    lease, store = make("two"), Store()
+    play(lease, store, 0.0)
+    store.write(LeaseRecord("one", "b1", 1, "10.0.0.2"), 0)
+    play(lease, store, 0.05)
+    assert isinstance(lease.step(0.1), ReadLease)
+    lease.saw(0.1, store.record, store.revision)
+    assert lease.step(0.15) is None
+
+
+def test_lease_that_is_not_renewed_is_taken_with_a_higher_epoch():
+    one, two, store = make("one"), make("two"), Store()
+    for now in (0.0, 0.05):
+        play(one, store, now)
+    now = 0.1
+    while not two.holding:
+        play(two, store, now)
+        now += 0.05
+        assert now < 3 * LEASE_S
+    assert two.epoch == 2
+    assert now > 0.05 + 0.55 * LEASE_S
+
+
+def test_told_renewals_count_from_when_they_were_heard():
+    one, two, store = make("one"), make("two"), Store()
+    for now in (0.0, 0.05):
+        play(one, store, now)
+    two.heard(0.1, 1, 0)
+    two.heard(1.7, 1, 0)
+    now = 1.75
+    while not two.holding:
+        play(two, store, now)
+        now += 0.05
+        assert now < 1.75 + LEASE_S
+    assert now < 0.1 + LEASE_S + 0.3
+
+
+def test_fenced_holder_goes_on_without_renewals_until_another_is_heard():
+    one, store = make("one"), Store()
+    for now in (0.0, 0.05):
+        play(one, store, now)
+    for tick in range(200):
+        one.step(0.1 + tick * 0.05)
+        one.failed(0.1 + tick * 0.05)
+    assert one.is_valid(10.1)
+    one.heard(10.1, 2, 0)
+    assert not one.is_valid(10.1)
+
+
+def test_suspended_holder_gives_no_order_when_it_wakes():
+    one, store = make("one"), Store()
+    for now in (0.0, 0.05):
+        play(one, store, now)
+    one.step(0.1)
+    assert not one.is_valid(7.0)
+    one.step(7.0)
+    assert not one.is_valid(7.05)
+
+
+def test_unfenced_holder_stops_when_its_lease_ends():
+    one, store = make("one", fenced=False), Store()
+    for now in (0.0, 0.05):
+        play(one, store, now)
+    for tick in range(60):
+        one.step(0.1 + tick * 0.05)
+        one.failed(0.1 + tick * 0.05)
+    assert not one.is_valid(0.05 + 0.56 * LEASE_S)
+
+
+def test_restarted_holder_takes_its_own_lease_at_once_with_a_new_epoch():
+    one, store = make("one"), Store()
+    for now in (0.0, 0.05):
+        play(one, store, now)
+    again = make("one", boot="b2")
+    for now in (1.0, 1.05):
+        play(again, store, now)
+    assert again.is_valid(1.1)
+    assert again.epoch == 2
+
+
+def test_write_whose_answer_was_lost_is_recognized():
+    one, store = make("one"), Store()
+    play(one, store, 0.0)
+    step = one.step(0.05)
+    assert isinstance(step, TakeLease)
+    store.write(step.record, step.revision)
+    one.failed(0.05)
+    now = 0.1
+    while not one.is_valid(now):
+        play(one, store, now)
+        now += 0.05
+        assert now < LEASE_S
+    assert one.epoch == 1
+
+
+def test_released_lease_is_taken_soon():
+    one, two, store = make("one"), make("two"), Store()
+    for now in (0.0, 0.05):
+        play(one, store, now)
+    release = one.release()
+    assert release is not None
+    assert not one.is_valid(0.1)
+    store.write(release.record, release.revision)
+    now = 0.1
+    while not two.holding:
+        play(two, store, now)
+        now += 0.05
+        assert now < LEASE_S
+
+
+@given(
+    st.lists(
+        st.tuples(st.sampled_from(["one", "two", "three"]), st.booleans()),
+        min_size=20,
+        max_size=300,
+    )
+)
+def test_unfenced_holders_never_give_orders_close_together(steps):
+    """Instances step in any order; a step may lose its answer or be missed."""
+    store = Store()
+    leases = {name: make(name, fenced=False) for name in ("one", "two", "three")}
+    last_order: dict[str, float] = {}
+    now = 0.0
+    for name, answered in steps:
+        now += 0.1
+        lease = leases[name]
+        if answered:
+            play(lease, store, now)
+        else:
+            step = lease.step(now)
+            if isinstance(step, TakeLease | WriteLease):
+                store.write(step.record, step.revision)
+            lease.failed(now)
+        if lease.is_valid(now):
+            for other, at in last_order.items():
+                assert other == name or now - at >= LEASE_S
+            last_order[name] = now
--- /dev/null
+++ b/tests/test_placement_planner.py
@@ -0,0 +1,247 @@
+"""Replays of load patterns against the planner, on the virtual clock."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from hypothesis import given, strategies as st
+
+from wisterialoom.core.placement.fleet_demand import DemandReport, FleetDemand
+from wisterialoom.core.placement.order import Action, Order, OrderOutcome
+from wisterialoom.core.placement.planner import PlacementPlanner
+from wisterialoom.core.placement.server_state import ServerReport, ServerState
+from wisterialoom.core.serving.routing import EngineProfile, ModelProfile
+
+SLOTS = 64
+LOAD_S = 4.0
+DISK_S = 0.8
+
+
+def engine(models: int = 12, adapter_slots: int = 8) -> EngineProfile:
+    profiles = {
+        f"m{index}": ModelProfile(f"m{index}", 70000.0, 50.0, 8, LOAD_S, 0.4, DISK_S)
+        for index in range(models)
+    }
+    return EngineProfile(SLOTS, 170000, 220000.0, adapter_slots, 2.1, profiles)
+
+
+@dataclass
+class Site:
+    """Model servers that carry orders out, and the demand that the planner sees."""
+
+    planner: PlacementPlanner
+    states: list[ServerState]
+    demand: FleetDemand = field(default_factory=FleetDemand)
+    now: float = 100.0
+    arrivals: dict[str, int] = field(default_factory=dict)
+    orders: list[Order] = field(default_factory=list)
+    cold: list[float] = field(default_factory=list)
+
+    @classmethod
+    def of(cls, *held: list[str], adapter_slots: int = 8) -> Site:
+        states = []
+        for index, models in enumerate(held):
+            state = ServerState(f"s{index}", 1, needs_report=False)
+            state.models = {model: frozenset() for model in models}
+            states.append(state)
+        site = cls(PlacementPlanner.from_engine(engine(12, adapter_slots)), states)
+        # A holder that has just taken the lease begins loads slowly; this one has not.
+        site.planner.pacer.ready(site.now - 10.0)
+        return site
+
+    def tell(
+        self,
+        waiting: dict[str, int] | None = None,
+        running: dict[str, dict[str, int]] | None = None,
+        arrivals: dict[str, int] | None = None,
+    ) -> None:
+        for wanted, count in (arrivals or {}).items():
+            self.arrivals[wanted] = self.arrivals.get(wanted, 0) + count
+        report = DemandReport(
+            "front-1", "b1", waiting or {}, dict(self.arrivals), running or {}
+        )
+        self.demand.take(self.now, report)
+
+    def step(self, dt: float = 0.1) -> list[Order]:
+        self.now += dt
+        for state in self.states:
+            if state.loading and self.now >= state.done_at:
+                state.models[state.loading] = frozenset()
+                state.in_memory |= {state.loading}
+                state.on_disk |= {state.loading}
+                state.loaded_at[state.loading] = self.now
+                state.loading = ""
+        orders = self.planner.decide(self.now, self.states, self.demand)
+        for order in orders:
+            state = next(s for s in self.states if s.server_id == order.server_id)
+            if order.from_store:
+                self.cold.append(self.now)
+            state.sent(self.now, order)
+            takes_s = self.planner.takes_s(state, order.model)
+            accepted = OrderOutcome.ACCEPTED
+            if order.adapter and order.action is Action.UNLOAD:
+                accepted = OrderOutcome.HOLDS
+            state.answered(self.now, order, accepted, takes_s, idle=True)
+            used = len(state.models) + bool(state.loading)
+            assert used * 70000.0 + 8 * 50.0 <= 220000.0
+        self.orders += orders
+        return orders
+
+    def copies(self, model: str) -> int:
+        return sum(model in s.models or s.loading == model for s in self.states)
+
+
+def test_rare_model_is_loaded_when_asked_for():
+    site = Site.of(["m0", "m1"], ["m0", "m1", "m2"])
+    site.tell(waiting={"m5": 1}, arrivals={"m5": 1})
+    orders = site.step(1.0)
+    assert [(o.server_id, o.action, o.model) for o in orders] == [
+        ("s0", Action.LOAD, "m5")
+    ]
+
+
+def test_rare_models_at_once_do_not_displace_a_busy_one():
+    """Six rare models are asked for while two models fill the servers.
+
+    Copies of the busy models used to be unloaded for them, which left one server
+    with all their requests.
+    """
+    site = Site.of(*[["m0", "m1", f"m{index + 2}"] for index in range(6)])
+    running = {f"s{index}": {"m0": 18, "m1": 12} for index in range(6)}
+    for _ in range(50):
+        site.tell(
+            waiting={"m8": 2, "m9": 1, "m10": 3, "m11": 1},
+            running=running,
+            arrivals={"m0": 3, "m1": 2},
+        )
+        site.step()
+    assert site.copies("m0") >= 5
+    assert site.copies("m1") >= 5
+    assert {order.model for order in site.orders if order.action is Action.LOAD} >= {
+        "m8",
+        "m9",
+        "m10",
+        "m11",
+    }
+
+
+def test_demand_that_moves_to_another_model_gets_copies_within_seconds():
+    site = Site.of(*[["m0", "m1", f"m{index + 2}"] for index in range(6)])
+    for _ in range(100):
+        running = {
+            state.server_id: {"m2": 70 // site.copies("m2")}
+            for state in site.states
+            if "m2" in state.models
+        }
+        site.tell(running=running, arrivals={"m2": 4})
+        site.step()
+    assert site.copies("m2") >= 5
+
+
+def test_what_only_a_lost_server_held_is_loaded_elsewhere():
+    site = Site.of(["m0", "m1", "m2"], ["m0", "m3", "m4"], ["m0", "m5", "m6"])
+    del site.states[0]
+    site.tell(waiting={"m2": 1}, arrivals={"m2": 1})
+    for _ in range(70):
+        site.tell(waiting={"m2": 1} if site.copies("m2") == 0 else {})
+        site.step()
+    assert site.copies("m2") == 1
+
+
+def test_loads_keep_under_the_rate_of_the_weight_store():
+    site = Site.of(*[[] for _ in range(12)])
+    for _ in range(100):
+        waiting = {
+            f"m{index}": 3 for index in range(12) if not site.copies(f"m{index}")
+        }
+        site.tell(waiting=waiting)
+        site.step()
+    for start in site.cold:
+        window = [at for at in site.cold if start <= at < start + 5.0]
+        assert len(window) <= 2.1 * 5 + 3
+
+
+def test_model_on_a_servers_disk_is_loaded_there():
+    site = Site.of(["m0"], ["m1"], ["m2"])
+    site.states[2].on_disk = frozenset({"m7"})
+    site.tell(waiting={"m7": 1})
+    assert site.step(1.0)[0].server_id == "s2"
+
+
+def test_server_with_an_order_in_progress_gets_no_other():
+    site = Site.of(["m0", "m1"])
+    site.tell(waiting={"m5": 1, "m6": 1})
+    assert len(site.step(1.0)) == 1
+    assert site.step() == []
+
+
+def test_adapter_goes_to_a_server_that_holds_its_model():
+    site = Site.of(["m0"], ["m1"])
+    site.tell(waiting={"m1/a3": 1}, arrivals={"m1/a3": 1})
+    order = site.step()[0]
+    assert (order.server_id, order.model, order.adapter) == ("s1", "m1", "a3")
+
+
+def test_adapter_that_was_just_loaded_does_not_make_way():
+    """Two waiting adapters used to displace each other without serving anyone."""
+    site = Site.of(["m0"], adapter_slots=1)
+    site.tell(waiting={"m0/a1": 1, "m0/a2": 1}, arrivals={"m0/a1": 1, "m0/a2": 1})
+    first = site.step()[0]
+    assert first.action is Action.LOAD
+    assert site.step() == []
+
+
+def test_adapter_in_use_does_not_make_way():
+    site = Site.of(["m0"], adapter_slots=1)
+    site.states[0].models["m0"] = frozenset({"a1"})
+    site.tell(waiting={"m0/a2": 1}, running={"s0": {"m0/a1": 1}})
+    assert site.step(2.0) == []
+    site.tell(waiting={"m0/a2": 1})
+    assert site.step(2.0)[0].action is Action.UNLOAD
+    assert site.step(0.1)[0].action is Action.LOAD
+
+
+def test_first_report_of_counts_is_no_burst():
+    site = Site.of(["m0"])
+    site.tell(arrivals={"m0": 500})
+    assert site.demand.rate(site.now, "m0") == 0.0
+    site.tell(arrivals={"m0": 3})
+    assert 0.9 < site.demand.rate(site.now, "m0") < 1.1
+
+
+def test_stale_report_does_not_undo_an_order():
+    state = ServerState("s0", 1, needs_report=False)
+    order = Order("s0", Action.LOAD, "m0", "", 0, from_store=True)
+    state.sent(10.0, order)
+    state.answered(10.0, order, OrderOutcome.ACCEPTED, 4.0)
+    state.take_report(10.1, ServerReport(1, 0, busy=False, models={}))
+    assert (state.count, state.loading) == (1, "m0")
+    state.take_report(14.3, ServerReport(1, 1, busy=False, models={"m0": frozenset()}))
+    assert state.loading == ""
+    assert state.may_order(14.3)
+
+
+def test_restarted_server_starts_from_its_report():
+    state = ServerState("s0", 1, count=7, needs_report=False)
+    state.models = {"m0": frozenset()}
+    state.take_report(10.0, ServerReport(2, 0, busy=False, models={}))
+    assert (state.count, state.models) == (0, {})
+
+
+@given(
+    st.lists(
+        st.dictionaries(
+            st.sampled_from([f"m{index}" for index in range(12)]),
+            st.integers(1, 40),
+            max_size=6,
+        ),
+        min_size=5,
+        max_size=60,
+    )
+)
+def test_memory_is_never_overcommitted(waves):
+    """Whatever waits, no server is ordered beyond its memory (checked by `step`)."""
+    site = Site.of(["m0", "m1", "m2"], ["m3"], [], ["m0", "m4"])
+    for waiting in waves:
+        site.tell(waiting=waiting, arrivals=waiting)
+        site.step(0.3)
