--- a/deploy/run_instance.py
+++ b/deploy/run_instance.py
@@ -8,4 +8,4 @@
 from wisterialoom.platform.__main__ import main
 
 if __name__ == "__main__":
-    sys.exit(main())
+    main()
--- a/src/wisterialoom/platform/__main__.py
+++ b/src/wisterialoom/platform/__main__.py
@@ -2,30 +2,34 @@
 
 from __future__ import annotations
 
-import sys
-
+import click
 import uvloop
 
 from wisterialoom.platform.app import PlatformApp
 from wisterialoom.platform.log import set_up_platform_logs
-from wisterialoom.platform.settings import SettingsError
-
-
-def main() -> int:
-    """Run until told to stop; return the exit code."""
+from wisterialoom.platform.settings import PlatformSettings, SettingsError
 
-    async def serve() -> None:
-        app = PlatformApp.from_environment()
-        set_up_platform_logs(app.settings.instance)
-        await app.run()
 
+@click.command()
+@click.option("--metrics-port", default=0, help="Port of the metrics; 0 for none.")
+@click.option("--check-settings", is_flag=True, help="Check the settings and exit.")
+def main(metrics_port: int, *, check_settings: bool) -> None:
+    """Run one instance on the platform until told to stop."""
     try:
-        uvloop.run(serve())
+        settings = PlatformSettings.from_environment(metrics_port)
     except SettingsError as error:
-        print(error, file=sys.stderr)
-        return 2
-    return 0
+        raise click.ClickException(str(error)) from error
+    if check_settings:
+        click.echo(settings)
+        return
+    set_up_platform_logs(settings.instance)
+    uvloop.run(serve(settings))
+
+
+async def serve(settings: PlatformSettings) -> None:
+    """Run the application."""
+    await PlatformApp(settings).run()
 
 
 if __name__ == "__main__":
-    sys.exit(main())
+    main()
--- a/src/wisterialoom/platform/app.py
+++ b/src/wisterialoom/platform/app.py
@@ -19,6 +19,8 @@
 from wisterialoom.platform.catalog import Catalog
 from wisterialoom.platform.fleet import Fleet
 from wisterialoom.platform.ingress import Ingress, Signal
+from wisterialoom.platform.log import lines_left_out
+from wisterialoom.platform.metrics import PlatformMetrics
 from wisterialoom.platform.orders import OrderClient
 from wisterialoom.platform.peers import PeerLink
 from wisterialoom.platform.settings import PlatformSettings, SettingsError
@@ -63,6 +65,8 @@
         steward: Holds the placement lease when it can.
         fleet: Members, demand and placement.
         peers: Datagrams between instances.
+        orders: Calls to model servers.
+        metrics: Counters and histograms.
         stopping: Set once the process shall stop.
     """
 
@@ -74,6 +78,7 @@
             RetryLimits(bounds.retry_ratio, bounds.retry_fixed, bounds.retry_window_s),
         )
         self.signal = Signal()
+        self.metrics = PlatformMetrics()
         self.stopping = asyncio.Event()
         self.runners: list[web.ServerRunner] = []
         self.sessions: list[ClientSession] = []
@@ -82,16 +87,20 @@
         self.steward: Steward
         self.fleet: Fleet
         self.peers: PeerLink
+        self.orders: OrderClient
         self.ingress: Ingress
 
     @classmethod
-    def from_environment(cls) -> PlatformApp:
+    def from_environment(cls, metrics_port: int = 0) -> PlatformApp:
         """Build the application from the settings file.
 
+        Args:
+            metrics_port: Port on which metrics are served; none if 0.
+
         Raises:
             SettingsError: The settings cannot be used.
         """
-        return cls(PlatformSettings.from_environment())
+        return cls(PlatformSettings.from_environment(metrics_port))
 
     async def run(self) -> None:
         """Start, serve until told to stop, and stop."""
@@ -113,12 +122,18 @@
             self.signal,
             lambda: self.catalog.config.checked_at,
             self._wanted_changed,
+            self.metrics,
         )
         self.ingress.pooled = self._session(
             TCPConnector(limit=0, keepalive_timeout=SERVER_KEEPALIVE_S)
         )
         self.ingress.single = self._session(TCPConnector(limit=0, force_close=True))
         await self._start_fleet(store)
+        self._show_metrics(store)
+        if settings.metrics_port:
+            await self._listen(
+                f"{settings.ip}:{settings.metrics_port}", self.metrics.answer
+            )
         await self._listen(settings.ready, self.answer_ready)
         await self._listen(settings.front, self.ingress.handle)
         self.catalog.start()
@@ -139,6 +154,7 @@
             self.signal,
         )
         orders = OrderClient(settings.instance, self._session(TCPConnector(limit=0)))
+        self.orders = orders
         self.steward = Steward(
             PlacementLease(
                 settings.instance,
@@ -161,6 +177,48 @@
         fleet.start()
         self.steward.start()
 
+    def _show_metrics(self, store: StoreClient) -> None:
+        metrics = self.metrics
+        metrics.mirror("store_calls_total", "Calls.", "purpose", lambda: store.calls)
+        metrics.mirror(
+            "orders_total", "Orders and reports.", "outcome", lambda: self.orders.counts
+        )
+        metrics.mirror(
+            "hints_dropped_total",
+            "Datagrams that could not be read or sent.",
+            "reason",
+            lambda: {"unreadable": self.peers.dropped},
+        )
+        metrics.mirror(
+            "log_lines_left_out_total",
+            "Log lines beyond the bound.",
+            "reason",
+            lambda: {"rate": lines_left_out()},
+        )
+        metrics.gauge("active_requests", "In progress.", lambda: self.ingress.active)
+        metrics.gauge("members", "Instances.", lambda: len(self.peers.members))
+        metrics.gauge("servers", "Servers.", lambda: len(self.dispatcher.views))
+        metrics.gauge(
+            "placement_held",
+            "Holds the placement lease.",
+            lambda: self.steward.was_valid,
+        )
+        metrics.gauge(
+            "waiting_requests",
+            "Waiting.",
+            lambda: sum(self.dispatcher.waiting.values()),
+        )
+        metrics.gauge(
+            "config_version",
+            "Configuration in force.",
+            lambda: getattr(self.dispatcher.deployment, "version", 0),
+        )
+        metrics.gauge(
+            "config_age_seconds",
+            "Since the configuration was known to be current.",
+            lambda: time.monotonic() - self.catalog.config.checked_at,
+        )
+
     def _wanted_changed(self) -> None:
         self.fleet.wanted_changed()
 
@@ -172,7 +230,7 @@
     def on_reload(self) -> None:
         """Read the settings file again; what it cannot change keeps its value."""
         try:
-            settings = PlatformSettings.from_environment()
+            settings = PlatformSettings.from_environment(self.settings.metrics_port)
         except SettingsError as error:
             logger.error("settings not reloaded", extra={"error": str(error)})
             return
--- a/src/wisterialoom/platform/ingress.py
+++ b/src/wisterialoom/platform/ingress.py
@@ -28,6 +28,7 @@
     from wisterialoom.core.serving.dispatcher import Dispatcher
     from wisterialoom.core.serving.request_flow import RequestProfile
     from wisterialoom.platform.attempt import WholeAnswer
+    from wisterialoom.platform.metrics import PlatformMetrics
 
 __all__ = ["Ingress", "Signal"]
 
@@ -82,6 +83,7 @@
         single: Session that opens a connection for each other request.
         config_checked: Returns when the configuration was last known to be current.
         wanted_changed: Called when a request begins to wait for a model.
+        metrics: Counters and histograms.
         draining: This instance is stopping; answers close their connections.
         refusing: New and waiting requests are refused, as the instance stops soon.
         active: Requests in progress.
@@ -94,18 +96,19 @@
         signal: Signal,
         config_checked: Callable[[], float],
         wanted_changed: Callable[[], None],
+        metrics: PlatformMetrics,
     ) -> None:
         self.dispatcher = dispatcher
         self.signal = signal
         self.config_checked = config_checked
         self.wanted_changed = wanted_changed
+        self.metrics = metrics
         self.pooled: ClientSession | None = None
         self.single: ClientSession | None = None
         self.draining = False
         self.refusing = False
         self.active = 0
         self.limits: set[asyncio.Timeout] = set()
-        self.counts: dict[str, int] = {}
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Carry one request to its answer."""
@@ -175,24 +178,26 @@
     def _tell_end(self, exchange: Exchange, flow: RequestFlow) -> None:
         """Count and log the end of a request."""
         profile = flow.profile
-        outcome = flow.outcome or "caller_gone"
-        self.counts[outcome] = self.counts.get(outcome, 0) + 1
+        flow.outcome = flow.outcome or "caller_gone"
         now = time.monotonic()
         deployment = self.dispatcher.deployment
         begun_at = exchange.begun_at
+        first_s = begun_at - profile.arrived if begun_at else 0.0
+        total_s = now - profile.arrived
+        self.metrics.note_request(flow, first_s, total_s, exchange.max_gap_s)
         logger.info(
             "request",
             extra={
                 "request_id": profile.request_id,
                 "route": profile.route.name,
                 "wanted": profile.wanted,
-                "outcome": outcome,
+                "outcome": flow.outcome,
                 "servers": flow.servers,
                 "sends": flow.sends,
                 "waited_ms": int(flow.waited_s * 1e3),
-                "first_ms": int((begun_at - profile.arrived) * 1e3) if begun_at else -1,
+                "first_ms": int(first_s * 1e3) if begun_at else -1,
                 "max_gap_ms": int(exchange.max_gap_s * 1e3),
-                "total_ms": int((now - profile.arrived) * 1e3),
+                "total_ms": int(total_s * 1e3),
                 "left_ms": int((profile.answer_by - now) * 1e3),
                 "config_version": deployment.version if deployment else 0,
                 "placement_age_ms": int(
@@ -271,6 +276,7 @@
         view = self.dispatcher.views.get(step.server_id)
         if view is not None and attempt.load is not None:
             view.note_report(now, attempt.load.running, attempt.load.waiting)
+        self.metrics.note_attempt(result)
         if result.verdict is not AttemptVerdict.ANSWERED:
             logger.info(
                 "attempt failed",
--- a/src/wisterialoom/platform/log.py
+++ b/src/wisterialoom/platform/log.py
@@ -12,7 +12,7 @@
 if TYPE_CHECKING:
     from typing import TextIO
 
-__all__ = ["BoundedHandler", "set_up_platform_logs"]
+__all__ = ["BoundedHandler", "lines_left_out", "set_up_platform_logs"]
 
 LINES_PER_S = 150.0
 """Sustained lines a second; some 50 KB a second at most."""
@@ -28,6 +28,7 @@
         tokens: Lines that may be written now.
         refilled_at: Monotonic time of the last refill.
         left_out: Lines left out since the last one written.
+        left_out_total: Lines left out since the start.
     """
 
     def __init__(self, stream: TextIO) -> None:
@@ -35,6 +36,7 @@
         self.tokens = BURST_LINES
         self.refilled_at = time.monotonic()
         self.left_out = 0
+        self.left_out_total = 0
 
     def emit(self, record: logging.LogRecord) -> None:
         """Write a record if the bound allows it."""
@@ -44,6 +46,7 @@
         self.refilled_at = now
         if self.tokens < 1.0 and record.levelno < logging.ERROR:
             self.left_out += 1
+            self.left_out_total += 1
             return
         self.tokens -= 1.0
         if self.left_out:
@@ -70,3 +73,12 @@
     root.handlers[:] = [handler]
     root.setLevel(logging.INFO)
     logging.getLogger("aiohttp").setLevel(logging.ERROR)
+
+
+def lines_left_out() -> int:
+    """Return the log lines that were left out since the start."""
+    return sum(
+        handler.left_out_total
+        for handler in logging.getLogger().handlers
+        if isinstance(handler, BoundedHandler)
+    )
--- a/src/wisterialoom/platform/settings.py
+++ b/src/wisterialoom/platform/settings.py
@@ -4,7 +4,7 @@
 
 import os
 import tomllib
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from pathlib import Path
 from typing import Any, TYPE_CHECKING
 
@@ -78,7 +78,7 @@
         ready: `IP:port` for the readiness check.
         store: `IP:port` of the platform's store.
         peer_port: Port for datagrams between instances, the same on all machines.
-        metrics_port: Port on which metrics are served.
+        metrics_port: Port on which metrics are served; none if 0.
         bounds: Time limits and shares.
         memory_mb: Memory that this process may use.
     """
@@ -95,13 +95,17 @@
     memory_mb: float
 
     @classmethod
-    def from_environment(cls) -> PlatformSettings:
+    def from_environment(cls, metrics_port: int = 0) -> PlatformSettings:
         """Read the file that the environment names.
 
+        Args:
+            metrics_port: Port on which metrics are served; none if 0.
+
         Raises:
             SettingsError: The file cannot be read, or lacks a field.
         """
-        return cls.from_file(Path(os.environ.get(CONFIG_VARIABLE, DEFAULT_PATH)))
+        path = Path(os.environ.get(CONFIG_VARIABLE, DEFAULT_PATH))
+        return replace(cls.from_file(path), metrics_port=metrics_port)
 
     @classmethod
     def from_file(cls, path: Path) -> PlatformSettings:
@@ -127,8 +131,8 @@
         """
         try:
             listen = table["listen"]
-            # Free ports between `first` and `last`, both included.
-            first, last = table["internalPorts"][0], table["internalPorts"][-1]
+            # The first and the last of a range of ports that are free for instances.
+            first_port = table["internalPorts"][0]
             return cls(
                 instance=str(table["nodeName"]),
                 ip=str(table["ip"]),
@@ -136,8 +140,8 @@
                 front=str(listen["front"]),
                 ready=str(listen["ready"]),
                 store=str(table["platform"]["address"]),
-                peer_port=int(first),
-                metrics_port=int(last),
+                peer_port=int(first_port),
+                metrics_port=0,
                 bounds=Bounds.from_table(table.get("bounds", {})),
                 memory_mb=float(table.get("limits", {}).get("memoryMb", 300)),
             )
