--- a/src/wisterialoom/core/placement/planner.py
+++ b/src/wisterialoom/core/placement/planner.py
@@ -47,6 +47,9 @@
         running: Cost of displacing a copy, for each request that it runs.
         load_time: Cost of a second of load time.
         fill: Cost of a server that is full.
+        adapters: Cost of an adapter request a second on a server's models.
+        prefetch_rate: Adapter requests a second from which a model's adapters are
+            brought in before they are asked for.
     """
 
     target_fill: float = 0.2
@@ -59,6 +62,8 @@
     running: float = 0.15
     load_time: float = 1.0
     fill: float = 0.5
+    adapters: float = 0.5
+    prefetch_rate: float = 0.3
 
 
 @dataclass(frozen=True, slots=True)
@@ -111,6 +116,7 @@
         round_.spread(crowded_only=True)
         round_.place_waiting()
         round_.spread()
+        round_.prefetch_adapters()
         return round_.orders
 
     def takes_s(self, state: ServerState, model: str) -> float:
@@ -152,6 +158,12 @@
         for state in states:
             for model in self.held(state) | {state.loading}:
                 self.copies[model] = self.copies.get(model, 0) + 1
+        self.adapter_rates: dict[str, float] = {}
+        for wanted in demand.rates:
+            model, _, adapter = wanted.partition("/")
+            if adapter:
+                rate = demand.rate(now, wanted)
+                self.adapter_rates[model] = self.adapter_rates.get(model, 0.0) + rate
         self._drop_reservations()
         self._follow_loads()
         self.wanted = self._wanted_copies()
@@ -236,6 +248,16 @@
         counts = self.running.get(state.server_id, {})
         return sum(counts.values()) / max(1, self.engine.slots)
 
+    def adapter_share(self, state: ServerState) -> float:
+        """Return the adapter requests a second that fall on a server's models.
+
+        While a model is loaded, its server takes no order about adapters.
+        """
+        return sum(
+            self.adapter_rates.get(model, 0.0) / max(1, self.copies.get(model, 1))
+            for model in self.held(state)
+        )
+
     def running_on(self, state: ServerState, model: str) -> int:
         """Return the requests for a model, adapters included, at a server."""
         counts = self.running.get(state.server_id, {})
@@ -281,6 +303,35 @@
                 best = min(holders, key=lambda state: self.adapter_rank(state, wanted))
                 self.place_adapter(best, model, adapter)
 
+    def prefetch_adapters(self) -> None:
+        """Bring adapters of models that are asked for by adapter to free places.
+
+        Adapters that were asked for go first; one that any server holds is not
+        brought to another.
+        """
+        rates = self.adapter_rates
+        for model in sorted(rates, key=lambda name: -rates[name]):
+            profile = self.engine.models.get(model)
+            if profile is None or rates[model] < self.weights.prefetch_rate:
+                continue
+            held: set[str] = set()
+            for state in self.states:
+                held |= state.models.get(model, frozenset())
+            names = [f"a{number}" for number in range(1, profile.adapters + 1)]
+            missing = [name for name in names if name not in held]
+            last = self.demand.last_arrival
+            missing.sort(key=lambda name: -last.get(f"{model}/{name}", 0.0))
+            for state in sorted(self.states, key=self.fill):
+                if missing and self.may_prefetch(state, model):
+                    self.add(state, Action.LOAD, model, missing.pop(0))
+
+    def may_prefetch(self, state: ServerState, model: str) -> bool:
+        """Tell whether a server has a free place for an adapter of a model."""
+        if model not in self.held(state) or not self.may_order(state):
+            return False
+        count = sum(len(adapters) for adapters in state.models.values())
+        return count < self.engine.adapter_slots
+
     def adapter_rank(self, state: ServerState, wanted: str) -> tuple[float, int]:
         """Return how badly a server suits one more adapter."""
         count = sum(len(adapters) for adapters in state.models.values())
@@ -365,6 +416,7 @@
         need = self.engine.models[model].weights_mb - self.free_mb(state)
         cost = self.weights.load_time * self.planner.takes_s(state, model)
         cost += self.weights.fill * self.fill(state)
+        cost += self.weights.adapters * self.adapter_share(state)
         victims: list[str] = []
         priced = [
             (price, name)
--- a/tests/test_placement_planner.py
+++ b/tests/test_placement_planner.py
@@ -201,6 +201,28 @@
     assert site.step(0.1)[0].action is Action.LOAD
 
 
+def test_adapters_of_a_model_asked_for_by_adapter_are_brought_in_ahead():
+    """Half of the requests for a model name adapters that no one asked for before."""
+    site = Site.of(["m0"], ["m0"], ["m1"])
+    for number in range(1, 30):
+        site.tell(arrivals={f"m0/a{number % 2 + 1}": 1})
+        site.step()
+    held = [state.models.get("m0", frozenset()) for state in site.states]
+    assert held[0] | held[1] == {f"a{number}" for number in range(1, 9)}
+    assert not held[0] & held[1]
+    assert not site.states[2].models["m1"]
+
+
+def test_rare_model_is_loaded_where_no_adapters_are_asked_for():
+    site = Site.of(["m0"], ["m1"])
+    for _ in range(10):
+        site.tell(arrivals={"m0/a1": 1})
+        site.step()
+    site.tell(waiting={"m5": 1})
+    loads = [order for order in site.step() if not order.adapter]
+    assert [order.server_id for order in loads] == ["s1"]
+
+
 def test_first_report_of_counts_is_no_burst():
     site = Site.of(["m0"])
     site.tell(arrivals={"m0": 500})
