Do not cut a silent stream that no other server can take; allow fuller copies

Change: silence ends an attempt only if another server, an attempt and a repeat are there. Tests fail before, pass after.

--- a/src/wisterialoom/core/placement/planner.py
+++ b/src/wisterialoom/core/placement/planner.py
@@ -52,7 +52,7 @@
             brought in before they are asked for.
     """
 
-    target_fill: float = 0.2
+    target_fill: float = 0.35
     twice_rate: float = 2.0
     hot_share: float = 0.67
     calm_s: float = 4.0
--- a/src/wisterialoom/core/serving/dispatcher.py
+++ b/src/wisterialoom/core/serving/dispatcher.py
@@ -168,6 +168,36 @@
             return self.await_room(now, flow, pool)
         return self.send(now, flow, free)
 
+    def may_move(self, now: float, flow: RequestFlow) -> bool:
+        """Tell whether a request whose server is silent can go on elsewhere now."""
+        profile = flow.profile
+        route = profile.route
+        if not (route.idempotent or route.resumable):
+            return False
+        if len(flow.servers) >= route.max_attempts:
+            return False
+        if self.allowance(profile.service).left(now) < 1.0:
+            return False
+        tried = set(flow.servers)
+        return any(
+            view.server.id not in tried and self.is_free(now, view)
+            for view in self.holders(now, profile, self.pool(flow))
+        )
+
+    def holders(
+        self, now: float, profile: RequestProfile, pool: list[BackendView]
+    ) -> list[BackendView]:
+        """Return the servers of a pool that hold what a request asks for."""
+        if self.engine_of(profile.service) is None:
+            return pool
+        return [
+            view for view in pool if view.holds(now, profile.model, profile.adapter)
+        ]
+
+    def is_free(self, now: float, view: BackendView) -> bool:
+        """Tell whether a server is neither full nor ejected."""
+        return now >= view.full_until and view.ejection.allows(now, view.in_flight)
+
     def engine_of(self, service: str) -> EngineProfile | None:
         """Return the engine of a service; `None` if it runs no models."""
         if self.deployment is None:
--- a/src/wisterialoom/platform/attempt.py
+++ b/src/wisterialoom/platform/attempt.py
@@ -23,6 +23,8 @@
 )
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from aiohttp import ClientResponse, ClientSession
 
     from wisterialoom.core.serving.request_flow import RequestProfile, Send
@@ -54,19 +56,26 @@
         exchange: The caller's side.
         profile: What the request asks for.
         step: Where it is sent.
-        silence_s: Longest wait for the next bytes of the answer.
+        silence_s: Silence after which the request goes elsewhere, if it may.
+        may_move: Tells whether another server would take the request now.
         answer: The answer, if it was read whole and not yet passed on.
         load: Load that the server reported, if it did.
         closing: The server announced that it closes the connection.
     """
 
     def __init__(
-        self, exchange: Exchange, profile: RequestProfile, step: Send, silence_s: float
+        self,
+        exchange: Exchange,
+        profile: RequestProfile,
+        step: Send,
+        silence_s: float,
+        may_move: Callable[[], bool],
     ) -> None:
         self.exchange = exchange
         self.profile = profile
         self.step = step
         self.silence_s = silence_s
+        self.may_move = may_move
         self.answer: WholeAnswer | None = None
         self.load: ServerLoad | None = None
         self.closing = False
@@ -106,22 +115,48 @@
             timeout=ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S),
             middlewares=(no_resend,),
         )
-        async with asyncio.timeout(self.silence_s + CONNECT_TIMEOUT_S):
-            response = await request
+        response = await self._head(asyncio.ensure_future(request))
         try:
             return await self._take(response)
         finally:
             # Closes the connection unless the answer was read to its end.
             response.close()
 
+    async def _head(self, pending: asyncio.Future[ClientResponse]) -> ClientResponse:
+        """Wait for the head of the answer; silence ends it only if it may move."""
+        try:
+            while True:
+                done, _ = await asyncio.wait({pending}, timeout=self.silence_s)
+                if done:
+                    return pending.result()
+                if self.may_move():
+                    raise TimeoutError
+        finally:
+            if not pending.done():
+                pending.cancel()
+
+    async def _read(self, response: ClientResponse) -> bytes:
+        """Return the next bytes of the answer, none at its end.
+
+        Silence ends the attempt only if the request can go on elsewhere; otherwise
+        the server's answer may still come.
+        """
+        while True:
+            try:
+                async with asyncio.timeout(self.silence_s):
+                    return await response.content.readany()
+            except TimeoutError:
+                if self.may_move():
+                    raise
+
     async def _take(self, response: ClientResponse) -> AttemptResult:
         self.load = read_load(response.headers)
         self.closing = response.headers.get("Connection", "").lower() == "close"
         if response.headers.get(ATTEMPT_ID) not in (None, self.profile.request_id):
             return self._ended(AttemptVerdict.LOST, "answer to another request")
         if response.headers.get(NOT_RUN) or response.status == 421:
-            async with asyncio.timeout(self.silence_s):
-                await response.read()
+            while await self._read(response):
+                pass
             return self._refused(response)
         if self.profile.route.stream and response.status == 200:
             return await self._take_stream(response)
@@ -144,8 +179,7 @@
         protocol = connection.protocol if connection is not None else None
         body = bytearray()
         while True:
-            async with asyncio.timeout(self.silence_s):
-                data = await response.content.readany()
+            data = await self._read(response)
             if not data:
                 break
             body += data
@@ -170,8 +204,7 @@
             exchange.stream.content_length = int(length)
         await exchange.write(begun)
         while True:
-            async with asyncio.timeout(self.silence_s):
-                data = await response.content.readany()
+            data = await self._read(response)
             if not data:
                 break
             await exchange.write(data)
@@ -184,8 +217,7 @@
         connection = response.connection
         protocol = connection.protocol if connection is not None else None
         while True:
-            async with asyncio.timeout(self.silence_s):
-                data = await response.content.readany()
+            data = await self._read(response)
             if not data:
                 break
             whole = cutter.feed(data) if exchange.resumable else data
--- a/src/wisterialoom/platform/ingress.py
+++ b/src/wisterialoom/platform/ingress.py
@@ -261,7 +261,13 @@
             if not route.stream:
                 silence_s = PLAIN_SILENCE_FACTOR * route.target_s
             silence_s = min(left_s, silence_s)
-        attempt = Attempt(exchange, profile, step, silence_s)
+        attempt = Attempt(
+            exchange,
+            profile,
+            step,
+            silence_s,
+            lambda: self.dispatcher.may_move(time.monotonic(), flow),
+        )
         result = AttemptResult(step.server_id, AttemptVerdict.LOST, "cancelled")
         try:
             result = await attempt.run(session)
--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -173,6 +173,7 @@
         events: Events of each stream.
         step_s: Time between events.
         break_after: Streams break off after this many events, if set.
+        pause_after: Streams fall silent after this many events, if set.
         runs: Ids of the requests that began to run.
         orders: Bodies of the orders that came.
     """
@@ -185,6 +186,7 @@
     step_s: float = 0.005
     load_s: float = 0.05
     break_after: int | None = None
+    pause_after: int | None = None
     refuse_all: bool = False
     models: dict[str, list[str]] = field(default_factory=dict)
     sequence: int = 0
@@ -296,6 +298,8 @@
                     assert request.transport is not None
                     request.transport.close()
                     return response
+                if self.pause_after is not None and number > self.pause_after:
+                    await asyncio.sleep(3600)
                 await response.write(b"id: %d\ndata: %d\n\n" % (number, number))
                 await asyncio.sleep(self.step_s)
         finally:
