Bring in idle what no server has at hand; leave servers free for a model that demand moves to

A holder that stopped left 2.5 s without orders. Change: while servers idle, models that none has at hand are loaded once; few waiting requests start no cold load while half of the servers load; a release is told to all. Plain requests that may be repeated go elsewhere after 2.5 targets of silence instead of 6.

--- a/src/wisterialoom/core/fleet/placement_lease.py
+++ b/src/wisterialoom/core/fleet/placement_lease.py
@@ -189,7 +189,7 @@
         unseen_s -= STAGGER_S * draw
         gap = FENCED_GAP_SHARE if self.fenced else GAP_SHARE
         if self.record.released:
-            return unseen_s > gap * self.lease_s
+            return unseen_s > (0.0 if self.fenced else gap * self.lease_s)
         return unseen_s > (HOLD_SHARE + gap) * self.lease_s
 
     def saw(self, now: float, record: LeaseRecord | None, revision: int) -> None:
@@ -258,6 +258,12 @@
             self.heard_serial = (epoch, serial)
             self.serial_heard_at = now
 
+    def heard_release(self, now: float, epoch: int) -> None:
+        """Note that the holder has let the lease go; read the record at once."""
+        if epoch >= self.epoch and not self.holding:
+            self.heard_at = float("-inf")
+            self.next_read = now
+
     def release(self) -> WriteLease | None:
         """Return the write that lets others take the lease sooner."""
         if not self.holding or self.record is None:
--- a/src/wisterialoom/core/placement/planner.py
+++ b/src/wisterialoom/core/placement/planner.py
@@ -50,6 +50,11 @@
         adapters: Cost of an adapter request a second on a server's models.
         prefetch_rate: Adapter requests a second from which a model's adapters are
             brought in before they are asked for.
+        few_waiting: Requests below which a model without a copy waits while many
+            servers load from the weight store.
+        cold_share: Part of the servers that is many.
+        idle_fill: Mean fill of the servers below which models that no server has at
+            hand are brought in.
     """
 
     target_fill: float = 0.35
@@ -64,6 +69,9 @@
     fill: float = 0.5
     adapters: float = 0.5
     prefetch_rate: float = 0.3
+    few_waiting: int = 3
+    cold_share: float = 0.5
+    idle_fill: float = 0.05
 
 
 @dataclass(frozen=True, slots=True)
@@ -117,6 +125,7 @@
         round_.place_waiting()
         round_.spread()
         round_.prefetch_adapters()
+        round_.prefetch_models()
         return round_.orders
 
     def takes_s(self, state: ServerState, model: str) -> float:
@@ -397,15 +406,47 @@
             if model in self.engine.models and not self.copies.get(model):
                 missing[model] = missing.get(model, 0) + count
         for model in sorted(missing, key=lambda name: -missing[name]):
-            self.place(model, self.best_spot(model))
+            few = missing[model] < self.weights.few_waiting
+            self.place(model, self.best_spot(model, warm_only=few and self.many_cold()))
 
-    def best_spot(self, model: str) -> _Spot | None:
-        """Return the place for a model that costs least."""
+    def many_cold(self) -> bool:
+        """Tell whether many servers are loading from the weight store."""
+        cold = sum(bool(s.loading) and not s.short_load for s in self.states)
+        return cold >= self.weights.cold_share * len(self.states)
+
+    def prefetch_models(self) -> None:
+        """While servers idle, bring in models that no server has at hand.
+
+        A later load then takes less than a second, and none of the weight store's
+        rate.
+        """
+        fills = [self.fill(state) for state in self.states]
+        if self.waiting or not fills:
+            return
+        if sum(fills) > self.weights.idle_fill * len(fills) or self.many_cold():
+            return
+        at_hand: set[str] = {model for model, _ in self.planner.reserved.values()}
+        for state in self.states:
+            at_hand |= state.in_memory | state.on_disk | set(state.models)
+            at_hand.add(state.loading)
+        for model in self.engine.models:
+            if model not in at_hand:
+                self.place(model, self.best_spot(model))
+                return
+
+    def best_spot(self, model: str, *, warm_only: bool = False) -> _Spot | None:
+        """Return the place for a model that costs least.
+
+        Args:
+            model: The model.
+            warm_only: Only servers that have it at hand.
+        """
         spots = [
             spot
             for state in self.states
             if self.may_order(state)
             and model not in state.models
+            and (not warm_only or self.planner.at_hand(state, model))
             and state.server_id not in self.planner.reserved
             and (spot := self.spot(state, model)) is not None
         ]
--- a/src/wisterialoom/platform/attempt.py
+++ b/src/wisterialoom/platform/attempt.py
@@ -33,8 +33,8 @@
 
 __all__ = ["Attempt", "WholeAnswer"]
 
-CONNECT_TIMEOUT_S = 0.4
-"""Longest wait for a connection; some thirty round trips between zones."""
+CONNECT_TIMEOUT_S = 0.25
+"""Longest wait for a connection; some twenty round trips between zones."""
 
 WHOLE_LIMIT = 1_000_000
 """Answers up to this size are passed on only when they are whole, in bytes."""
--- a/src/wisterialoom/platform/fleet.py
+++ b/src/wisterialoom/platform/fleet.py
@@ -9,7 +9,7 @@
 
 from wisterialoom.core.placement.fleet_demand import DemandReport
 from wisterialoom.platform._tasks import TaskGroup
-from wisterialoom.platform.hints import Hello, PlacementHint
+from wisterialoom.platform.hints import Hello, PlacementHint, Released
 from wisterialoom.platform.steward import lease_clock
 from wisterialoom.platform.store import ObjectExistsError, StoreUnavailableError
 
@@ -136,6 +136,8 @@
             case DemandReport(instance=name):
                 self._heard(now, name, address)
                 self.steward.take_demand(hint)
+            case Released(epoch=epoch):
+                self.steward.lease.heard_release(lease_clock(), epoch)
             case PlacementHint():
                 self._heard(now, hint.holder, hint.address)
                 self.take_placement(hint)
--- a/src/wisterialoom/platform/hints.py
+++ b/src/wisterialoom/platform/hints.py
@@ -18,6 +18,7 @@
     "Hint",
     "HintError",
     "PlacementHint",
+    "Released",
     "ServerHint",
     "decode_hint",
     "encode_hint",
@@ -36,6 +37,14 @@
     address: str
 
 
+@dataclass(frozen=True, slots=True)
+class Released:
+    """Tells that the holder of the placement lease has let it go."""
+
+    holder: str
+    epoch: int
+
+
 @dataclass(frozen=True, slots=True)
 class ServerHint:
     """What a model server holds and how busy it is.
@@ -78,7 +87,7 @@
     ready_in_s: dict[str, float]
 
 
-Hint = Hello | DemandReport | PlacementHint
+Hint = Hello | DemandReport | PlacementHint | Released
 
 
 def encode_hint(hint: Hint) -> bytes:
@@ -87,6 +96,8 @@
     match hint:
         case Hello():
             item = ["h", hint.instance, hint.address]
+        case Released():
+            item = ["r", hint.holder, hint.epoch]
         case DemandReport():
             item = [
                 "d",
@@ -131,6 +142,8 @@
         match item:
             case ["h", str(instance), str(address)]:
                 return Hello(instance, address)
+            case ["r", str(holder), int(epoch)]:
+                return Released(holder, epoch)
             case ["d", str(instance), str(boot), dict(w), dict(a), dict(r)]:
                 return DemandReport(instance, boot, w, a, r)
             case ["p", str(holder), str(address), int(epoch), int(serial), *rest]:
--- a/src/wisterialoom/platform/ingress.py
+++ b/src/wisterialoom/platform/ingress.py
@@ -40,7 +40,7 @@
 FRESH_INSTANCE_RETRY_S = 0.5
 """When to come back to an instance that has no configuration yet."""
 
-PLAIN_SILENCE_FACTOR = 6.0
+PLAIN_SILENCE_FACTOR = 2.5
 """Silence of a plain server, in latency targets, after which it is given up."""
 
 STREAM_SILENCE_S = 1.6
--- a/src/wisterialoom/platform/steward.py
+++ b/src/wisterialoom/platform/steward.py
@@ -18,7 +18,7 @@
 from wisterialoom.core.placement.planner import PlacementPlanner
 from wisterialoom.core.placement.server_state import ServerState
 from wisterialoom.platform._tasks import TaskGroup
-from wisterialoom.platform.hints import PlacementHint, ServerHint
+from wisterialoom.platform.hints import PlacementHint, Released, ServerHint
 from wisterialoom.platform.store import (
     ObjectExistsError,
     StoreUnavailableError,
@@ -121,7 +121,9 @@
             return
         try:
             await self._write(release.record, release.revision)
-            logger.info("lease released", extra={"epoch": release.record.epoch})
+            epoch = release.record.epoch
+            logger.info("lease released", extra={"epoch": epoch})
+            self.peers.send_all(Released(self.lease.me, epoch), self._others())
         except (StoreUnavailableError, ObjectExistsError) as error:
             logger.warning("lease not released", extra={"error": str(error)})
 
@@ -377,13 +379,15 @@
             servers=servers,
             ready_in_s=ready,
         )
-        others = [
+        self.peers.send_all(hint, self._others())
+        self.take_placement(hint)
+
+    def _others(self) -> list[str]:
+        return [
             address
             for name, address in self.peers.members.items()
             if name != self.lease.me
         ]
-        self.peers.send_all(hint, others)
-        self.take_placement(hint)
 
 
 def _decode_record(found: StoreObject) -> LeaseRecord | None:
--- a/tests/platform/test_wire.py
+++ b/tests/platform/test_wire.py
@@ -27,6 +27,7 @@
     Hint,
     HintError,
     PlacementHint,
+    Released,
     ServerHint,
 )
 from wisterialoom.platform.peers import PeerLink
@@ -153,6 +154,7 @@
 
 HINTS: list[Hint] = [
     Hello("front-1", "10.0.0.1"),
+    Released("front-1", 4),
     DemandReport("front-1", "b", {"m0": 2}, {"m0": 9}, {"i-1": {"m0/a1": 1}}),
     PlacementHint(
         holder="front-1",
--- a/tests/test_placement_planner.py
+++ b/tests/test_placement_planner.py
@@ -216,14 +216,38 @@
 
 def test_rare_model_is_loaded_where_no_adapters_are_asked_for():
     site = Site.of(["m0"], ["m1"])
+    running = {"s0": {"m0": 20}, "s1": {"m1": 20}}
     for _ in range(10):
-        site.tell(arrivals={"m0/a1": 1})
+        site.tell(arrivals={"m0/a1": 1}, running=running)
         site.step()
-    site.tell(waiting={"m5": 1})
+    site.tell(waiting={"m5": 1}, running=running)
     loads = [order for order in site.step() if not order.adapter]
     assert [order.server_id for order in loads] == ["s1"]
 
 
+def test_idle_servers_bring_in_models_that_none_has_at_hand():
+    site = Site.of(*[[f"m{index}", f"m{index + 4}"] for index in range(4)])
+    for _ in range(200):
+        site.step()
+    at_hand = set()
+    for state in site.states:
+        at_hand |= state.models.keys() | state.in_memory
+    assert at_hand == {f"m{index}" for index in range(12)}
+    assert len([order for order in site.orders if order.from_store]) == 4
+
+
+def test_few_waiting_for_rare_models_leave_servers_for_a_new_busy_one():
+    """Cold loads for rare models used to occupy all servers when demand moved."""
+    site = Site.of(*[["m0", "m1"] for _ in range(6)])
+    site.planner.pacer.rate = 50.0
+    rare = {f"m{index}": 1 for index in range(3, 12)}
+    for _ in range(5):
+        site.tell(waiting=rare)
+        site.step()
+    site.tell(waiting={**rare, "m2": 20})
+    assert [order.model for order in site.step()] == ["m2"]
+
+
 def test_first_report_of_counts_is_no_burst():
     site = Site.of(["m0"])
     site.tell(arrivals={"m0": 500})
