See a reset of an answer without a length although it came with the answer; refuse after the only attempt

Change: answers keep their connection's protocol. Besides: a route with one attempt held requests whose server had refused them until their deadline; they are refused at once. Unloads are told to all 12 ms before they are ordered.

--- a/src/wisterialoom/core/placement/server_state.py
+++ b/src/wisterialoom/core/placement/server_state.py
@@ -55,6 +55,7 @@
         order: Order that was sent and has no answer yet.
         loading: Model that is being loaded; empty if none.
         unloading: Model that is being unloaded; empty if none.
+        announced: Model whose unload is about to be ordered; empty if none.
         done_at: Expected end of the load or unload in progress.
         hold_until: No order is sent before this time.
         last_order_at: Monotonic time of the last order.
@@ -73,6 +74,7 @@
     order: Order | None = None
     loading: str = ""
     unloading: str = ""
+    announced: str = ""
     done_at: float = 0.0
     hold_until: float = 0.0
     last_order_at: float = float("-inf")
--- a/src/wisterialoom/core/serving/dispatcher.py
+++ b/src/wisterialoom/core/serving/dispatcher.py
@@ -152,18 +152,12 @@
         pool = self.pool(flow)
         if not pool:
             return self.give_up(now, flow, GiveUpReason.NO_SERVER)
-        if engine is not None:
-            holders = [
-                view for view in pool if view.holds(now, profile.model, profile.adapter)
-            ]
-            if not holders:
-                return self.await_model(now, flow, engine)
-            pool = holders
-        free = [
-            view
-            for view in pool
-            if now >= view.full_until and view.ejection.allows(now, view.in_flight)
-        ]
+        pool = self.holders(now, profile, pool)
+        if not pool and engine is not None:
+            if flow.reached >= profile.route.max_attempts:
+                return self.give_up(now, flow, GiveUpReason.ATTEMPTS)
+            return self.await_model(now, flow, engine)
+        free = [view for view in pool if self.is_free(now, view)]
         if not free:
             return self.await_room(now, flow, pool)
         return self.send(now, flow, free)
@@ -174,7 +168,7 @@
         route = profile.route
         if not (route.idempotent or route.resumable):
             return False
-        if len(flow.servers) >= route.max_attempts:
+        if flow.reached >= route.max_attempts:
             return False
         if self.allowance(profile.service).left(now) < 1.0:
             return False
@@ -214,11 +208,11 @@
             if view.server.service == service and not view.server.draining
         ]
         tried = set(flow.servers)
-        fresh = [view for view in views if view.server.id not in tried]
-        if len(tried) >= flow.profile.route.max_attempts:
+        again = [view for view in views if view.server.id in tried]
+        if flow.reached >= flow.profile.route.max_attempts:
             # A server that refused may be asked again; others may not.
-            return [view for view in views if view.server.id in tried]
-        return fresh or [view for view in views if view.server.id in tried]
+            return again
+        return [view for view in views if view.server.id not in tried] or again
 
     def send(self, now: float, flow: RequestFlow, free: list[BackendView]) -> Step:
         """Send a request to the best of some servers, if the budget allows it."""
@@ -264,7 +258,7 @@
             return None
         if not (route.idempotent or route.resumable):
             return self.give_up(now, flow, GiveUpReason.LOST)
-        if len(flow.servers) >= route.max_attempts:
+        if flow.reached >= route.max_attempts:
             return self.give_up(now, flow, GiveUpReason.ATTEMPTS)
         return None
 
@@ -316,6 +310,8 @@
         view = self.views.get(result.server_id)
         if result.verdict in (AttemptVerdict.LOST, AttemptVerdict.SILENT):
             flow.may_have_run = True
+        if result.verdict is AttemptVerdict.NOT_SENT:
+            flow.unreached.add(result.server_id)
         if view is not None:
             self.note_verdict(now, profile, view, result)
 
--- a/src/wisterialoom/core/serving/request_flow.py
+++ b/src/wisterialoom/core/serving/request_flow.py
@@ -118,6 +118,7 @@
     Attributes:
         profile: What it asks for.
         servers: Backend servers that it was sent to, in order.
+        unreached: Those of them that no byte of it reached.
         may_have_run: An attempt ended without proof that nothing ran.
         last: How the last attempt ended.
         begun: The caller has got the beginning of a stream.
@@ -130,6 +131,7 @@
 
     profile: RequestProfile
     servers: list[str] = field(default_factory=list)
+    unreached: set[str] = field(default_factory=set)
     may_have_run: bool = False
     last: AttemptResult | None = None
     begun: bool = False
@@ -139,6 +141,11 @@
     sends: int = 0
     outcome: str = ""
 
+    @property
+    def reached(self) -> int:
+        """Count of backend servers that the request was sent to."""
+        return len(set(self.servers) - self.unreached)
+
 
 @dataclass(frozen=True, slots=True)
 class Send:
--- a/src/wisterialoom/platform/app.py
+++ b/src/wisterialoom/platform/app.py
@@ -16,6 +16,7 @@
 from wisterialoom.core.serving.dispatcher import Dispatcher
 from wisterialoom.core.serving.retry_allowance import RetryLimits
 from wisterialoom.platform._tasks import TaskGroup
+from wisterialoom.platform.attempt import TrackedResponse
 from wisterialoom.platform.catalog import Catalog
 from wisterialoom.platform.fleet import Fleet
 from wisterialoom.platform.ingress import Ingress, Signal
@@ -296,7 +297,10 @@
 
     def _session(self, connector: TCPConnector) -> ClientSession:
         session = ClientSession(
-            connector=connector, cookie_jar=DummyCookieJar(), auto_decompress=False
+            connector=connector,
+            cookie_jar=DummyCookieJar(),
+            auto_decompress=False,
+            response_class=TrackedResponse,
         )
         self.sessions.append(session)
         return session
--- a/src/wisterialoom/platform/attempt.py
+++ b/src/wisterialoom/platform/attempt.py
@@ -8,7 +8,7 @@
 from typing import TYPE_CHECKING
 
 import aiohttp
-from aiohttp import ClientOSError, ClientTimeout
+from aiohttp import ClientOSError, ClientResponse, ClientTimeout
 from yarl import URL
 
 from wisterialoom.core.serving.request_flow import AttemptResult, AttemptVerdict
@@ -25,13 +25,15 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from aiohttp import ClientResponse, ClientSession
+    from aiohttp import ClientSession
+    from aiohttp.client_proto import ResponseHandler
+    from aiohttp.connector import Connection
 
     from wisterialoom.core.serving.request_flow import RequestProfile, Send
     from wisterialoom.platform.exchange import Exchange
     from wisterialoom.platform.headers import ServerLoad
 
-__all__ = ["Attempt", "WholeAnswer"]
+__all__ = ["Attempt", "TrackedResponse", "WholeAnswer"]
 
 CONNECT_TIMEOUT_S = 0.25
 """Longest wait for a connection; some twenty round trips between zones."""
@@ -40,6 +42,21 @@
 """Answers up to this size are passed on only when they are whole, in bytes."""
 
 
+class TrackedResponse(ClientResponse):
+    """An answer that keeps its connection's protocol in view to the end.
+
+    Attributes:
+        protocol: Protocol of the connection that the answer comes on.
+    """
+
+    protocol: ResponseHandler | None = None
+
+    async def start(self, connection: Connection) -> ClientResponse:
+        """Begin to read the answer."""
+        self.protocol = connection.protocol
+        return await super().start(connection)
+
+
 @dataclass(frozen=True, slots=True)
 class WholeAnswer:
     """A backend server's answer, read to its end."""
@@ -175,8 +192,6 @@
         return self._ended(AttemptVerdict.REFUSED_ABSENT, detail)
 
     async def _take_whole(self, response: ClientResponse) -> AttemptResult:
-        connection = response.connection
-        protocol = connection.protocol if connection is not None else None
         body = bytearray()
         while True:
             data = await self._read(response)
@@ -185,8 +200,7 @@
             body += data
             if len(body) > WHOLE_LIMIT:
                 return await self._pass_on_large(response, bytes(body))
-        if protocol is not None and isinstance(protocol.exception(), ClientOSError):
-            # An answer without a length ends with its connection; a reset is no end.
+        if _was_reset(response):
             return self._ended(AttemptVerdict.LOST, "reset while answering")
         headers = answer_headers(response.headers)
         self.answer = WholeAnswer(response.status, headers, bytes(body))
@@ -214,8 +228,6 @@
     async def _take_stream(self, response: ClientResponse) -> AttemptResult:
         exchange = self.exchange
         cutter = exchange.cutter
-        connection = response.connection
-        protocol = connection.protocol if connection is not None else None
         while True:
             data = await self._read(response)
             if not data:
@@ -226,7 +238,7 @@
             if not exchange.begun:
                 await exchange.begin(response.status, answer_headers(response.headers))
             await exchange.write(whole)
-        if protocol is not None and isinstance(protocol.exception(), ClientOSError):
+        if _was_reset(response):
             return self._ended(AttemptVerdict.LOST, "reset while streaming")
         if not exchange.begun:
             await exchange.begin(response.status, answer_headers(response.headers))
@@ -235,3 +247,17 @@
             cutter.drop_partial()
         await exchange.finish()
         return self._ended(AttemptVerdict.ANSWERED, str(response.status))
+
+
+def _was_reset(response: ClientResponse) -> bool:
+    """Tell whether an answer without a length ended by a reset, not by its end.
+
+    Such an answer ends with its connection, so aiohttp takes a reset for the end.
+    """
+    framed = "Content-Length" in response.headers or (
+        response.headers.get("Transfer-Encoding", "").lower() == "chunked"
+    )
+    protocol = response.protocol if isinstance(response, TrackedResponse) else None
+    if framed or protocol is None:
+        return False
+    return isinstance(protocol.exception(), ClientOSError)
--- a/src/wisterialoom/platform/steward.py
+++ b/src/wisterialoom/platform/steward.py
@@ -52,6 +52,9 @@
 BUSY_BROADCAST_S = 0.2
 """Time between two hints if only loads have changed."""
 
+UNLOAD_NOTICE_S = 0.012
+"""Time between telling all of an unload and ordering it; two hops between zones."""
+
 STATE_LOG_S = 2.0
 """Time between two log lines that show what all model servers hold."""
 
@@ -319,6 +322,12 @@
         if not self.lease.is_valid(lease_clock()):
             state.order = None
             return
+        if order.action is Action.UNLOAD and not order.adapter:
+            # Requests that are on their way would be refused.
+            state.announced = order.model
+            self._broadcast(time.monotonic())
+            await asyncio.sleep(UNLOAD_NOTICE_S)
+            state.announced = ""
         outcome = await self.orders.send(order, address, self.lease.epoch)
         takes_s = 0.0
         idle = False
@@ -345,7 +354,7 @@
             server_id: ServerHint(
                 count=state.count,
                 models=state.models,
-                unloading=frozenset({state.unloading} - {""}),
+                unloading=frozenset({state.unloading, state.announced} - {""}),
                 busy=sum(running.get(server_id, {}).values()),
             )
             for server_id, state in self.states.items()
--- a/tests/platform/test_app.py
+++ b/tests/platform/test_app.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import socket
+import struct
 import time
 from contextlib import asynccontextmanager
 from dataclasses import dataclass
@@ -21,6 +22,7 @@
     StandinStore,
 )
 from wisterialoom.platform.app import PlatformApp
+from wisterialoom.platform.attempt import Attempt
 from wisterialoom.platform.settings import Bounds, PlatformSettings
 
 if TYPE_CHECKING:
@@ -380,3 +382,45 @@
         with pytest.raises(aiohttp.ClientPayloadError):
             await w.call("/draft/", Model="m0", Deadline_Ms="300")
         assert time.monotonic() - began < 0.8
+
+
+@pytest.mark.parametrize("late", [True, False])
+@pytest.mark.parametrize("reset", [True, False])
+async def test_answer_without_a_length_that_is_reset_is_not_whole(
+    reset, late, monkeypatch
+):
+    """An answer whose connection is lost before it is taken up looked whole."""
+    take = Attempt._take
+
+    async def take_late(attempt: Attempt, response: aiohttp.ClientResponse) -> Any:
+        await until(lambda: response.connection is None)
+        return await take(attempt, response)
+
+    if late:
+        monkeypatch.setattr(Attempt, "_take", take_late)
+
+    async def answer_once(
+        reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+    ) -> None:
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(b"HTTP/1.1 200 OK\r\nResponse-Stamp: s\r\n\r\nhalf")
+        if reset:
+            await asyncio.sleep(0.05)
+            raw = writer.get_extra_info("socket")
+            linger = struct.pack("ii", 1, 0)
+            raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+            writer.transport.abort()
+        writer.close()
+
+    listener = await asyncio.start_server(answer_once, "127.0.0.1", 0)
+    server = StandinPlainServer("i-1")
+    async with world(server) as w:
+        host, port = listener.sockets[0].getsockname()
+        entry = {**server.entry(), "address": f"{host}:{port}", "born": 2}
+        await w.store.put("servers", "i-1", entry)
+        await until(
+            lambda: w.app.dispatcher.views["i-1"].server.address == f"{host}:{port}"
+        )
+        status, _, body = await w.call("/deposit/")
+        assert (status, body[:4]) == ((502, b'{"er') if reset else (200, b"half"))
+    listener.close()
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -231,3 +231,23 @@
     d = make(server("one", order_count=9, models=(ResidentModel("m0"),)), models=True)
     d.set_servers({"one": server("one", born_ms=2, order_count=0)})
     assert d.views["one"].models == {}
+
+
+def test_request_refused_by_its_only_server_does_not_wait_for_its_deadline():
+    """A route with one attempt used to hold such requests until they expired."""
+    d = make(server("one", models=(ResidentModel("m0"),)), server("two"), models=True)
+    f = flow(make_route(max_attempts=1), model="m0", answer_by=20.0)
+    assert isinstance(d.next_step(0.0, f), Send)
+    end(d, f, AttemptVerdict.REFUSED_ABSENT, 0.1)
+    step = d.next_step(0.1, f)
+    assert isinstance(step, GiveUp)
+    assert step.not_run
+    assert step.retry_after_s is not None
+
+
+def test_server_that_was_not_reached_is_no_attempt():
+    d = make(server("one"), server("two"))
+    f = flow(make_route(max_attempts=1, repeat=Repeat.ONCE))
+    assert isinstance(d.next_step(0.0, f), Send)
+    end(d, f, AttemptVerdict.NOT_SENT, 0.1)
+    assert isinstance(d.next_step(0.1, f), Send)
