Take a server's load when its answer begins; keep lapsed servers that the history names; larger bodies

Cause, read from the code while checking the outage rules: a stream's reported load was counted from its end; a server's removal in an outage was applied at once when the watch still had its history; bodies over 1 MB got 413 although the configuration allows 4 MB; connections that failed spent the retry budget. Settings that change without a signal are read within a second.

--- a/src/wisterialoom/core/placement/planner.py
+++ b/src/wisterialoom/core/placement/planner.py
@@ -53,6 +53,8 @@
         few_waiting: Requests below which a model without a copy waits while many
             servers load from the weight store.
         cold_share: Part of the servers that is many.
+        home_wait_s: Longest wait for a server that has a model at hand, in seconds.
+        cold: Cost of a load from the weight store, whose rate all share.
         idle_fill: Mean fill of the servers below which models that no server has at
             hand are brought in.
     """
@@ -71,6 +73,8 @@
     prefetch_rate: float = 0.3
     few_waiting: int = 3
     cold_share: float = 0.5
+    home_wait_s: float = 1.0
+    cold: float = 1.0
     idle_fill: float = 0.05
 
 
@@ -407,7 +411,17 @@
                 missing[model] = missing.get(model, 0) + count
         for model in sorted(missing, key=lambda name: -missing[name]):
             few = missing[model] < self.weights.few_waiting
-            self.place(model, self.best_spot(model, warm_only=few and self.many_cold()))
+            warm_only = few and (self.many_cold() or self.soon_at_hand(model))
+            self.place(model, self.best_spot(model, warm_only=warm_only))
+
+    def soon_at_hand(self, model: str) -> bool:
+        """Tell whether a server that has a model at hand takes orders again soon."""
+        return any(
+            self.planner.at_hand(state, model)
+            and state.done_at - self.now < self.weights.home_wait_s
+            for state in self.states
+            if not self.may_order(state)
+        )
 
     def many_cold(self) -> bool:
         """Tell whether many servers are loading from the weight store."""
@@ -456,6 +470,8 @@
         """Return what a place for a model on a server costs, if there is one."""
         need = self.engine.models[model].weights_mb - self.free_mb(state)
         cost = self.weights.load_time * self.planner.takes_s(state, model)
+        if not self.planner.at_hand(state, model):
+            cost += self.weights.cold
         cost += self.weights.fill * self.fill(state)
         cost += self.weights.adapters * self.adapter_share(state)
         victims: list[str] = []
--- a/src/wisterialoom/core/serving/dispatcher.py
+++ b/src/wisterialoom/core/serving/dispatcher.py
@@ -42,8 +42,12 @@
 NO_SERVER_RETRY_S = 1.0
 """When to come back if a service has no server; half of a server's return time."""
 
-LOST_SERVERS_WAIT_S = 0.5
-"""Longest wait for any server to be free of an ejection or a full queue."""
+UNPLANNED_SHARE = 0.5
+"""Part of a caller's patience after which a model that no load is planned for is
+refused, so that its next attempt comes when the model may be there."""
+
+ROOM_SHARE = 0.5
+"""Part of a caller's patience that a request waits for room at a server."""
 
 MAX_URGENCY = 9
 
@@ -119,6 +123,12 @@
         for allowance in self.allowances.values():
             allowance.sharers = self.sharers
 
+    def set_retry_limits(self, limits: RetryLimits) -> None:
+        """Take new limits on what all instances may repeat."""
+        self.retry_limits = limits
+        for allowance in self.allowances.values():
+            allowance.limits = limits
+
     def allowance(self, service: str) -> RetryAllowance:
         """Return the repeats of a service."""
         found = self.allowances.get(service)
@@ -217,7 +227,7 @@
     def send(self, now: float, flow: RequestFlow, free: list[BackendView]) -> Step:
         """Send a request to the best of some servers, if the budget allows it."""
         profile = flow.profile
-        if flow.servers and not self.allowance(profile.service).spend(now):
+        if flow.reached and not self.allowance(profile.service).spend(now):
             return self.give_up(now, flow, GiveUpReason.RETRY_BUDGET)
         view = self.balancer.choose(now, profile, free)
         assert view is not None
@@ -229,25 +239,42 @@
         return Send(view.server.id, view.server.address, urgency)
 
     def await_model(self, now: float, flow: RequestFlow, engine: EngineProfile) -> Step:
-        """Let a request wait while its model or adapter is brought in."""
+        """Let a request wait for its model or adapter, or refuse it at once.
+
+        A request waits only while it can still begin before its caller leaves. One
+        that cannot is told when the model will be there.
+        """
         profile = flow.profile
         ready_at = self.outlook.ready_at.get(profile.wanted)
-        model = engine.models[profile.model]
-        at_best = now + (0.01 if profile.adapter else min(model.warm_load_s, 1.0))
-        expected = ready_at if ready_at is not None else at_best
-        if expected + MIN_RUN_S > profile.answer_by:
+        if ready_at is None and profile.adapter:
+            ready_at = self.outlook.ready_at.get(profile.model)
+        if ready_at is not None:
+            if ready_at + MIN_RUN_S > profile.first_by:
+                return self.give_up(now, flow, GiveUpReason.NO_MODEL)
+        elif now - profile.arrived > self.unplanned_wait_s(profile, engine):
             return self.give_up(now, flow, GiveUpReason.NO_MODEL)
-        return Wait(min(profile.answer_by, now + 1.0))
+        return Wait(min(profile.answer_by, now + 0.25))
+
+    def unplanned_wait_s(self, profile: RequestProfile, engine: EngineProfile) -> float:
+        """Return how long a request waits for a model whose load is not yet planned."""
+        model = engine.models[profile.model]
+        patience_s = profile.first_by - profile.arrived
+        return max(UNPLANNED_SHARE * patience_s, patience_s - model.warm_load_s - 1.0)
 
     def await_room(
         self, now: float, flow: RequestFlow, pool: list[BackendView]
     ) -> Step:
         """Let a request wait for a server that was full or failing."""
+        profile = flow.profile
         again = min(max(view.full_until, view.ejection.until) for view in pool)
         again = max(again, now + 0.02)
-        if again - now > LOST_SERVERS_WAIT_S or again > flow.profile.answer_by:
+        patience_s = ROOM_SHARE * (profile.first_by - profile.arrived)
+        if now - profile.arrived > patience_s:
+            return self.give_up(now, flow, GiveUpReason.FULL)
+        if not profile.model and again > profile.arrived + patience_s:
             return self.give_up(now, flow, GiveUpReason.FULL)
-        return Wait(again)
+        # Of model servers, another may get the model meanwhile.
+        return Wait(min(again, now + 0.25, profile.answer_by))
 
     def after_failure(
         self, now: float, flow: RequestFlow, last: AttemptResult
@@ -302,6 +329,17 @@
             wanted: now + left_s for wanted, left_s in ready_in_s.items()
         }
 
+    def note_head(
+        self, now: float, server_id: str, running: int, waiting: int, *, told: bool
+    ) -> None:
+        """Take the head of an answer: its server is alive, and may tell its load."""
+        view = self.views.get(server_id)
+        if view is None:
+            return
+        view.ejection.succeed(now)
+        if told:
+            view.note_report(now, running, waiting)
+
     def end_attempt(self, now: float, flow: RequestFlow, result: AttemptResult) -> None:
         """Take the end of an attempt."""
         flow.last = result
@@ -351,11 +389,16 @@
             case GiveUpReason.NO_SERVER:
                 return NO_SERVER_RETRY_S
             case GiveUpReason.NO_MODEL:
-                ready_at = self.outlook.ready_at.get(flow.profile.wanted)
-                return max(0.1, ready_at - now) if ready_at is not None else 0.5
+                ready_at = self.outlook.ready_at.get(flow.profile.model)
+                if ready_at is None:
+                    return UNPLANNED_RETRY_S
+                return max(REFUSED_RETRY_S, ready_at - now)
             case _:
                 return REFUSED_RETRY_S
 
 
+UNPLANNED_RETRY_S = 1.0
+"""When to come back for a model that no load is planned for; a load from disk."""
+
 REFUSED_RETRY_S = 0.3
 """When to come back after a refusal for lack of room, in seconds."""
--- a/src/wisterialoom/core/serving/request_flow.py
+++ b/src/wisterialoom/core/serving/request_flow.py
@@ -74,6 +74,7 @@
         arrived: Monotonic time of its arrival.
         answer_by: Monotonic time of its final answer at the latest.
         caller_by: Monotonic time until which its caller waits.
+        first_by: Monotonic time by which its caller leaves without a first output.
     """
 
     request_id: str
@@ -87,6 +88,7 @@
     arrived: float
     answer_by: float
     caller_by: float
+    first_by: float
 
     @property
     def wanted(self) -> str:
--- a/src/wisterialoom/platform/app.py
+++ b/src/wisterialoom/platform/app.py
@@ -7,6 +7,7 @@
 import os
 import signal
 import time
+from dataclasses import replace
 from typing import TYPE_CHECKING
 
 from aiohttp import ClientSession, DummyCookieJar, TCPConnector, web
@@ -24,7 +25,11 @@
 from wisterialoom.platform.metrics import PlatformMetrics
 from wisterialoom.platform.orders import OrderClient
 from wisterialoom.platform.peers import PeerLink
-from wisterialoom.platform.settings import PlatformSettings, SettingsError
+from wisterialoom.platform.settings import (
+    PlatformSettings,
+    settings_path,
+    SettingsError,
+)
 from wisterialoom.platform.steward import Steward
 from wisterialoom.platform.store import StoreClient
 
@@ -41,6 +46,9 @@
 SERVER_KEEPALIVE_S = 2.0
 """Idle time after which a connection to a backend server is not used again."""
 
+SETTINGS_S = 1.0
+"""Time between two looks at the settings file; changes are rare and not urgent."""
+
 TICK_S = 0.25
 """Time between two looks at what only time changes."""
 
@@ -69,6 +77,9 @@
         orders: Calls to model servers.
         metrics: Counters and histograms.
         stopping: Set once the process shall stop.
+        watch_settings: The settings come from a file that may change.
+        settings_changed_at: Time of the file's last change, in nanoseconds.
+        settings_due: Monotonic time of the next look at the file.
     """
 
     def __init__(self, settings: PlatformSettings) -> None:
@@ -81,6 +92,9 @@
         self.signal = Signal()
         self.metrics = PlatformMetrics()
         self.stopping = asyncio.Event()
+        self.watch_settings = False
+        self.settings_changed_at = 0
+        self.settings_due = 0.0
         self.runners: list[web.ServerRunner] = []
         self.sessions: list[ClientSession] = []
         self.tasks = TaskGroup()
@@ -108,6 +122,7 @@
         loop = asyncio.get_running_loop()
         loop.add_signal_handler(signal.SIGTERM, self.stopping.set)
         loop.add_signal_handler(signal.SIGHUP, self.on_reload)
+        self.watch_settings = True
         await self.on_start()
         await self.stopping.wait()
         await self.on_drain()
@@ -236,12 +251,27 @@
             logger.error("settings not reloaded", extra={"error": str(error)})
             return
         changed = settings != self.settings
+        self.settings = replace(self.settings, bounds=settings.bounds)
         bounds = settings.bounds
-        self.dispatcher.retry_limits = RetryLimits(
-            bounds.retry_ratio, bounds.retry_fixed, bounds.retry_window_s
+        self.dispatcher.set_retry_limits(
+            RetryLimits(bounds.retry_ratio, bounds.retry_fixed, bounds.retry_window_s)
         )
         logger.info("settings reloaded", extra={"changed": changed})
 
+    def look_at_settings(self, now: float) -> None:
+        """Reload settings whose file has changed without a signal."""
+        if now < self.settings_due:
+            return
+        self.settings_due = now + SETTINGS_S
+        try:
+            changed_at = settings_path().stat().st_mtime_ns
+        except OSError as error:
+            logger.warning("no settings file", extra={"error": str(error)})
+            return
+        if self.settings_changed_at not in (0, changed_at):
+            self.on_reload()
+        self.settings_changed_at = changed_at
+
     async def on_drain(self) -> None:
         """Take no new connections and let requests in progress end."""
         self.ingress.draining = True
@@ -277,6 +307,8 @@
             now = time.monotonic()
             self.catalog.give_up_missing(now)
             self.fleet.forget_silent(now)
+            if self.watch_settings:
+                self.look_at_settings(now)
 
     async def _listen(
         self,
--- a/src/wisterialoom/platform/attempt.py
+++ b/src/wisterialoom/platform/attempt.py
@@ -75,6 +75,7 @@
         step: Where it is sent.
         silence_s: Silence after which the request goes elsewhere, if it may.
         may_move: Tells whether another server would take the request now.
+        note_head: Takes the reported load when the head of an answer comes.
         answer: The answer, if it was read whole and not yet passed on.
         load: Load that the server reported, if it did.
         closing: The server announced that it closes the connection.
@@ -87,12 +88,14 @@
         step: Send,
         silence_s: float,
         may_move: Callable[[], bool],
+        note_head: Callable[[ServerLoad | None], None],
     ) -> None:
         self.exchange = exchange
         self.profile = profile
         self.step = step
         self.silence_s = silence_s
         self.may_move = may_move
+        self.note_head = note_head
         self.answer: WholeAnswer | None = None
         self.load: ServerLoad | None = None
         self.closing = False
@@ -168,6 +171,7 @@
 
     async def _take(self, response: ClientResponse) -> AttemptResult:
         self.load = read_load(response.headers)
+        self.note_head(self.load)
         self.closing = response.headers.get("Connection", "").lower() == "close"
         if response.headers.get(ATTEMPT_ID) not in (None, self.profile.request_id):
             return self._ended(AttemptVerdict.LOST, "answer to another request")
--- a/src/wisterialoom/platform/catalog.py
+++ b/src/wisterialoom/platform/catalog.py
@@ -47,6 +47,7 @@
         servers: Backend servers that are listed or not yet given up.
         missing: Servers that were not listed after an outage, with the moment at
             which they are given up.
+        settled_at: Monotonic time until which servers may be missing after an outage.
     """
 
     def __init__(
@@ -59,6 +60,7 @@
         self.changed = changed
         self.servers: dict[str, BackendServer] = {}
         self.missing: dict[str, float] = {}
+        self.settled_at = float("-inf")
         self.config = KindWatcher(
             CONFIG_KIND, store, self._list_config, self._change_config
         )
@@ -124,7 +126,8 @@
                 listed[server.id] = server
         if lost_since is not None:
             for server_id in self.servers.keys() - listed.keys():
-                self.missing.setdefault(server_id, now + RETURN_S)
+                self.settled_at = now + RETURN_S
+                self.missing.setdefault(server_id, self.settled_at)
                 listed[server_id] = self.servers[server_id]
         for server_id in listed.keys() & {found.name for found in listing.objects}:
             self.missing.pop(server_id, None)
@@ -139,7 +142,15 @@
                 continue
             self.missing.pop(server.id, None)
             self.servers[server.id] = server
+        now = time.monotonic()
+        if self.workers.lost_since is not None:
+            self.settled_at = now + RETURN_S
         for server_id in answer.removed:
+            known = self.servers.get(server_id)
+            if known is not None and not known.draining and now < self.settled_at:
+                # It may have lapsed with the store; a living server is back soon.
+                self.missing.setdefault(server_id, self.settled_at)
+                continue
             self.servers.pop(server_id, None)
             self.missing.pop(server_id, None)
         self._apply()
--- a/src/wisterialoom/platform/headers.py
+++ b/src/wisterialoom/platform/headers.py
@@ -48,6 +48,12 @@
 URGENCY = "Request-Urgency"
 """Rank at the server; 0 goes first, 5 if absent."""
 
+STREAM_PATIENCE_S = 2.0
+STREAM_PATIENCE_TARGETS = 4.0
+STREAM_PATIENCE_GAPS = 8.0
+"""Callers leave a stream after a pause of the longest of these: seconds, latency
+targets, allowed pauses; the platform documents it for all callers."""
+
 HOP_HEADERS = frozenset(
     {
         "connection",
@@ -113,6 +119,10 @@
     caller_by = now + wait_s if wait_s > 0 else now + route.timeout_s
     parts = headers.get(PREFIX, "")
     prefix = tuple(part.partition(":")[0] for part in parts.split(",")) if parts else ()
+    answer_by = min(caller_by, now + route.timeout_s)
+    first_by = answer_by
+    if route.stream:
+        first_by = min(answer_by, now + _stream_patience_s(route))
     return RequestProfile(
         request_id=request_id,
         route=route,
@@ -123,8 +133,18 @@
         output_tokens=int(_number(output)),
         prefix=prefix,
         arrived=now,
-        answer_by=min(caller_by, now + route.timeout_s),
+        answer_by=answer_by,
         caller_by=caller_by,
+        first_by=first_by,
+    )
+
+
+def _stream_patience_s(route: Route) -> float:
+    """Return how long callers wait for a stream's next event before they leave."""
+    return max(
+        STREAM_PATIENCE_S,
+        STREAM_PATIENCE_TARGETS * route.target_s,
+        STREAM_PATIENCE_GAPS * route.gap_s,
     )
 
 
--- a/src/wisterialoom/platform/ingress.py
+++ b/src/wisterialoom/platform/ingress.py
@@ -28,6 +28,7 @@
     from wisterialoom.core.serving.dispatcher import Dispatcher
     from wisterialoom.core.serving.request_flow import RequestProfile
     from wisterialoom.platform.attempt import WholeAnswer
+    from wisterialoom.platform.headers import ServerLoad
     from wisterialoom.platform.metrics import PlatformMetrics
 
 __all__ = ["Ingress", "Signal"]
@@ -138,7 +139,11 @@
             else:
                 exchange.respond(404, "no_route")
             return self._final(exchange)
-        exchange.body = await request.read() if request.can_read_body else b""
+        body = await _read_body(request, deployment.limits.max_body_bytes)
+        if body is None:
+            exchange.respond(413, "the body is too large; send a smaller one")
+            return self._final(exchange)
+        exchange.body = body
         exchange.resumable = route.resumable
         profile = read_profile(request.headers, route, arrived)
         if not profile.request_id:
@@ -267,6 +272,7 @@
             step,
             silence_s,
             lambda: self.dispatcher.may_move(time.monotonic(), flow),
+            lambda load: self._note_head(step.server_id, load),
         )
         result = AttemptResult(step.server_id, AttemptVerdict.LOST, "cancelled")
         try:
@@ -279,9 +285,6 @@
             elif flow.in_flight_at:
                 flow.may_have_run = True
         exchange.cutter.drop_partial()
-        view = self.dispatcher.views.get(step.server_id)
-        if view is not None and attempt.load is not None:
-            view.note_report(now, attempt.load.running, attempt.load.waiting)
         self.metrics.note_attempt(result)
         if result.verdict is not AttemptVerdict.ANSWERED:
             logger.info(
@@ -296,6 +299,13 @@
             )
         return attempt, result
 
+    def _note_head(self, server_id: str, load: ServerLoad | None) -> None:
+        now = time.monotonic()
+        running, waiting = (load.running, load.waiting) if load else (0, 0)
+        self.dispatcher.note_head(
+            now, server_id, running, waiting, told=load is not None
+        )
+
     def refuse_new(self) -> None:
         """Refuse new and waiting requests from now on."""
         self.refusing = True
@@ -326,3 +336,15 @@
         waiting[wanted] -= 1
         if waiting[wanted] <= 0:
             del waiting[wanted]
+
+
+async def _read_body(request: web.BaseRequest, limit: int) -> bytes | None:
+    """Return a request's body, or `None` if it is larger than a limit in bytes."""
+    if not request.can_read_body:
+        return b""
+    body = bytearray()
+    async for piece in request.content.iter_any():
+        body += piece
+        if len(body) > limit:
+            return None
+    return bytes(body)
--- a/src/wisterialoom/platform/settings.py
+++ b/src/wisterialoom/platform/settings.py
@@ -13,7 +13,7 @@
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
-__all__ = ["Bounds", "PlatformSettings", "SettingsError"]
+__all__ = ["Bounds", "PlatformSettings", "SettingsError", "settings_path"]
 
 CONFIG_VARIABLE = "WISTERIALOOM_CONFIG"
 DEFAULT_PATH = "/etc/wisterialoom/boot.toml"
@@ -23,6 +23,11 @@
     """Raised when the settings file cannot be used."""
 
 
+def settings_path() -> Path:
+    """Return the path of the settings file."""
+    return Path(os.environ.get(CONFIG_VARIABLE, DEFAULT_PATH))
+
+
 @dataclass(frozen=True, slots=True)
 class Bounds:
     """Time limits and shares that the platform's operators set.
@@ -104,8 +109,7 @@
         Raises:
             SettingsError: The file cannot be read, or lacks a field.
         """
-        path = Path(os.environ.get(CONFIG_VARIABLE, DEFAULT_PATH))
-        return replace(cls.from_file(path), metrics_port=metrics_port)
+        return replace(cls.from_file(settings_path()), metrics_port=metrics_port)
 
     @classmethod
     def from_file(cls, path: Path) -> PlatformSettings:
--- a/src/wisterialoom/platform/steward.py
+++ b/src/wisterialoom/platform/steward.py
@@ -52,6 +52,9 @@
 BUSY_BROADCAST_S = 0.2
 """Time between two hints if only loads have changed."""
 
+UNLOAD_S = 0.3
+"""Expected time until memory is free for a model that waits for an unload."""
+
 UNLOAD_NOTICE_S = 0.012
 """Time between telling all of an unload and ordering it; two hops between zones."""
 
@@ -233,6 +236,7 @@
                 for server_id, view in self.dispatcher.views.items()
                 if view.server.service == service
                 and not view.server.draining
+                and now >= view.ejection.until
                 and server_id in self.states
             ]
             for order in planner.decide(now, states, self.demand):
@@ -365,6 +369,12 @@
             for state in self.states.values()
             if state.loading
         }
+        for planner in self._planners().values():
+            for server_id, (model, _) in planner.reserved.items():
+                state = self.states.get(server_id)
+                if state is not None and model in planner.engine.models:
+                    takes_s = planner.takes_s(state, model) + UNLOAD_S
+                    ready.setdefault(model, takes_s)
         shown = (
             [(key, hint.models, hint.unloading) for key, hint in servers.items()],
             sorted(ready),
--- a/tests/platform/test_app.py
+++ b/tests/platform/test_app.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import os
 import socket
 import struct
 import time
@@ -267,6 +268,43 @@
         await until(lambda: "i-1" not in w.app.dispatcher.views)
 
 
+async def test_entries_that_lapsed_are_kept_also_if_the_history_tells_of_them():
+    server = StandinPlainServer("i-1")
+    async with world(server) as w:
+        w.store.mode = "down"
+        await w.store.remove("servers", "i-1")
+        await until(lambda: w.app.catalog.workers.lost_since is not None)
+        w.store.mode = "ok"
+        await until(lambda: w.app.catalog.missing)
+        assert (await w.call("/deposit/"))[0] == 200
+        await until(lambda: "i-1" not in w.app.dispatcher.views)
+
+
+async def test_load_is_taken_when_an_answer_begins():
+    """A stream's report used to count from its end, seconds after it was made."""
+    server = StandinModelServer("i-1", models={"m0": []}, events=1000, step_s=0.01)
+    async with world(server) as w:
+        task = asyncio.get_running_loop().create_task(w.call("/draft/", Model="m0"))
+        view = w.app.dispatcher.views["i-1"]
+        await until(lambda: view.reported_at > 0.0)
+        assert not task.done()
+        task.cancel()
+
+
+async def test_body_over_the_limit_is_refused_and_a_large_one_is_not():
+    server = StandinPlainServer("i-1")
+    async with world(server) as w:
+        url = f"http://{w.app.settings.front}/deposit/"
+        headers = {"Host": "desk.example", "Attempt-Id": "b", "Deadline-Ms": "3000"}
+        large = b"x" * 2_000_000
+        async with w.session.post(url, headers=headers, data=large) as got:
+            assert got.status == 200
+        assert server.bodies == [large]
+        huge = b"x" * 4_300_000
+        async with w.session.post(url, headers=headers, data=huge) as got:
+            assert got.status == 413
+
+
 async def test_configuration_never_goes_back():
     server = StandinPlainServer("i-1")
     async with world(server) as w:
@@ -424,3 +462,50 @@
         status, _, body = await w.call("/deposit/")
         assert (status, body[:4]) == ((502, b'{"er') if reset else (200, b"half"))
     listener.close()
+
+
+SETTINGS = """
+nodeName = "front-1"
+ip = "127.0.0.1"
+zone = "a"
+internalPorts = [7380, 7395]
+[listen]
+front = "127.0.0.1:1"
+ready = "127.0.0.1:2"
+[platform]
+address = "127.0.0.1:3"
+[bounds]
+retryBudgetSlack = 52
+"""
+
+
+async def test_changed_settings_file_is_taken_up_without_a_signal(
+    tmp_path, monkeypatch
+):
+    path = tmp_path / "boot.toml"
+    path.write_text(SETTINGS)
+    monkeypatch.setenv("WISTERIALOOM_CONFIG", str(path))
+    app = PlatformApp.from_environment()
+    app.look_at_settings(0.0)
+    path.write_text(SETTINGS.replace("52", "9"))
+    os.utime(path, (1e9, 1e9))
+    app.look_at_settings(2.0)
+    assert app.dispatcher.retry_limits.fixed == 9.0
+    path.write_text("no settings")
+    os.utime(path, (2e9, 2e9))
+    app.look_at_settings(4.0)
+    assert app.dispatcher.retry_limits.fixed == 9.0
+
+
+async def test_metrics_show_what_happened():
+    server = StandinPlainServer("i-1")
+    async with world(server, metrics_port=free_port()) as w:
+        await w.call("/deposit/")
+        url = f"http://127.0.0.1:{w.app.settings.metrics_port}/metrics"
+        async with w.session.get(url) as got:
+            text = await got.text()
+        assert (
+            'wisterialoom_requests_total{outcome="answered",route="deposit"} 1' in text
+        )
+        assert "wisterialoom_request_seconds_bucket" in text
+        assert "wisterialoom_store_calls_total" in text
