--- a/src/wisterialoom/platform/catalog.py
+++ b/src/wisterialoom/platform/catalog.py
@@ -47,6 +47,7 @@
         servers: Backend servers that are listed or not yet given up.
         missing: Servers that were not listed after an outage, with the moment at
             which they are given up.
+        told: State and start of each server, as last logged.
         settled_at: Monotonic time until which servers may be missing after an outage.
     """
 
@@ -61,6 +62,7 @@
         self.servers: dict[str, BackendServer] = {}
         self.missing: dict[str, float] = {}
         self.settled_at = float("-inf")
+        self.told: dict[str, tuple[bool, int]] = {}
         self.config = KindWatcher(
             CONFIG_KIND, store, self._list_config, self._change_config
         )
@@ -168,9 +170,32 @@
                 self._apply()
 
     def _apply(self) -> None:
+        self._log_changes()
         if self.dispatcher.set_servers(self.servers):
             self.changed()
 
+    def _log_changes(self) -> None:
+        before = self.told
+        now = {
+            server_id: (server.draining, server.born_ms)
+            for server_id, server in self.servers.items()
+        }
+        for server_id in before.keys() | now.keys():
+            if before.get(server_id) == now.get(server_id):
+                continue
+            state = "gone"
+            if server_id in now:
+                state = "draining" if now[server_id][0] else "ready"
+            logger.info(
+                "server",
+                extra={
+                    "server": server_id,
+                    "state": state,
+                    "revision": self.workers.revision,
+                },
+            )
+        self.told = now
+
     def _decode(self, found: StoreObject) -> BackendServer | None:
         try:
             return decode_server(found.name, found.spec)
--- a/src/wisterialoom/platform/fleet.py
+++ b/src/wisterialoom/platform/fleet.py
@@ -27,7 +27,7 @@
 
 MEMBER_KIND = "wisterialoom-members"
 
-REPORT_S = 0.25
+REPORT_S = 0.4
 """Time between two demand reports while demand changes."""
 
 IDLE_REPORT_S = 1.0
@@ -172,8 +172,9 @@
         self.holder_address = hint.address
         if hint.holder != self.instance:
             self.steward.lease.heard(lease_clock(), hint.epoch, hint.renewal)
-            self.peers.members = {**hint.members, self.instance: self.address}
-            self._note_members()
+            if hint.members:
+                self.peers.members = {**hint.members, self.instance: self.address}
+                self._note_members()
         self.dispatcher.take_placement(now, hint.ready_in_s)
         changed = False
         for server_id, server in hint.servers.items():
--- a/src/wisterialoom/platform/hints.py
+++ b/src/wisterialoom/platform/hints.py
@@ -72,8 +72,8 @@
         epoch: Its fencing number.
         serial: Increases with each hint of an epoch.
         renewal: Serial of the last renewal of the lease.
-        members: Address by instance.
-        servers: Model servers by id.
+        members: Address by instance; empty if they are not told this time.
+        servers: Model servers by id; only those that have changed, at most times.
         ready_in_s: Time until models and adapters that are being loaded can serve.
     """
 
--- a/src/wisterialoom/platform/ingress.py
+++ b/src/wisterialoom/platform/ingress.py
@@ -41,6 +41,9 @@
 FRESH_INSTANCE_RETRY_S = 0.5
 """When to come back to an instance that has no configuration yet."""
 
+OUTAGE_RETRY_S = 3.0
+"""That time at most, while the store stays away; outages last some seconds."""
+
 PLAIN_SILENCE_FACTOR = 2.5
 """Silence of a plain server, in latency targets, after which it is given up."""
 
@@ -85,6 +88,7 @@
         config_checked: Returns when the configuration was last known to be current.
         wanted_changed: Called when a request begins to wait for a model.
         metrics: Counters and histograms.
+        created: Monotonic time at which this instance started.
         draining: This instance is stopping; answers close their connections.
         refusing: New and waiting requests are refused, as the instance stops soon.
         active: Requests in progress.
@@ -106,6 +110,7 @@
         self.metrics = metrics
         self.pooled: ClientSession | None = None
         self.single: ClientSession | None = None
+        self.created = time.monotonic()
         self.draining = False
         self.refusing = False
         self.active = 0
@@ -125,7 +130,7 @@
         exchange = Exchange(request, b"")
         exchange.closing = self.draining
         if deployment is None:
-            exchange.respond(503, "no_configuration", FRESH_INSTANCE_RETRY_S)
+            exchange.respond(503, "no_configuration", self._start_retry_s())
             return self._final(exchange)
         if self.refusing:
             exchange.respond(503, "stopping", 0.0)
@@ -281,7 +286,7 @@
             now = time.monotonic()
             cancelled = result.detail == "cancelled"
             if flow.in_flight_at and not cancelled:
-                self.dispatcher.end_attempt(now, flow, result)
+                self._end_attempt(now, flow, result)
             elif flow.in_flight_at:
                 flow.may_have_run = True
         exchange.cutter.drop_partial()
@@ -299,6 +304,28 @@
             )
         return attempt, result
 
+    def _start_retry_s(self) -> float:
+        """Return when to come back to an instance that has no configuration yet."""
+        waited_s = time.monotonic() - self.created
+        return max(FRESH_INSTANCE_RETRY_S, min(waited_s, OUTAGE_RETRY_S))
+
+    def _end_attempt(
+        self, now: float, flow: RequestFlow, result: AttemptResult
+    ) -> None:
+        view = self.dispatcher.views.get(result.server_id)
+        until = view.ejection.until if view is not None else 0.0
+        self.dispatcher.end_attempt(now, flow, result)
+        if view is not None and view.ejection.until != until:
+            logger.warning(
+                "server ejected",
+                extra={
+                    "server": result.server_id,
+                    "for_ms": int((view.ejection.until - now) * 1e3),
+                    "verdict": result.verdict.value,
+                    "request_id": flow.profile.request_id,
+                },
+            )
+
     def _note_head(self, flow: RequestFlow, load: ServerLoad | None) -> None:
         now = time.monotonic()
         running, waiting = (load.running, load.waiting) if load else (0, 0)
--- a/src/wisterialoom/platform/steward.py
+++ b/src/wisterialoom/platform/steward.py
@@ -49,8 +49,9 @@
 BROADCAST_S = 0.4
 """Longest time between two hints of the holder."""
 
-BUSY_BROADCAST_S = 0.2
-"""Time between two hints if only loads have changed."""
+FULL_BROADCAST_S = 1.2
+"""Time between two hints about all servers; those between tell what has changed. One
+that is lost costs this long at most."""
 
 UNLOAD_S = 0.3
 """Expected time until memory is free for a model that waits for an unload."""
@@ -110,7 +111,10 @@
         self.kick = asyncio.Event()
         self.serial = 0
         self.sent_at = float("-inf")
-        self.sent: tuple[object, ...] = ()
+        self.full_at = float("-inf")
+        self.sent: dict[str, tuple[object, object]] = {}
+        self.sent_ready: set[str] = set()
+        self.sent_to: tuple[str, ...] = ()
         self.was_valid = False
         self.told_at = float("-inf")
 
@@ -375,18 +379,25 @@
                 if state is not None and model in planner.engine.models:
                     takes_s = planner.takes_s(state, model) + UNLOAD_S
                     ready.setdefault(model, takes_s)
-        shown = (
-            [(key, hint.models, hint.unloading) for key, hint in servers.items()],
-            sorted(ready),
-            dict(self.peers.members),
-        )
-        loads = [hint.busy for hint in servers.values()]
-        changed = self.sent[:1] != (shown,)
-        busier = self.sent[1:] != (loads,) and now - self.sent_at >= BUSY_BROADCAST_S
-        if not (changed or busier or now - self.sent_at >= BROADCAST_S):
+        others = tuple(sorted(self._others()))
+        full = now - self.full_at >= FULL_BROADCAST_S or others != self.sent_to
+        changed = {
+            server_id: server
+            for server_id, server in servers.items()
+            if self.sent.get(server_id) != (server.models, server.unloading)
+        }
+        silent = now - self.sent_at >= BROADCAST_S
+        if not (full or changed or silent or set(ready) != self.sent_ready):
             return
-        self.sent = (shown, loads)
+        self.sent = {
+            server_id: (server.models, server.unloading)
+            for server_id, server in servers.items()
+        }
+        self.sent_ready = set(ready)
         self.sent_at = now
+        self.sent_to = others
+        if full:
+            self.full_at = now
         self.serial += 1
         hint = PlacementHint(
             holder=self.lease.me,
@@ -394,11 +405,11 @@
             epoch=self.lease.epoch,
             serial=self.serial,
             renewal=self.lease.record.serial if self.lease.record else 0,
-            members=dict(self.peers.members),
-            servers=servers,
+            members=dict(self.peers.members) if full else {},
+            servers=servers if full else changed,
             ready_in_s=ready,
         )
-        self.peers.send_all(hint, self._others())
+        self.peers.send_all(hint, list(others))
         self.take_placement(hint)
 
     def _others(self) -> list[str]:
--- a/src/wisterialoom/platform/store.py
+++ b/src/wisterialoom/platform/store.py
@@ -16,6 +16,7 @@
     from aiohttp import ClientSession
 
 __all__ = [
+    "CALL_TIMEOUT_S",
     "HistoryGoneError",
     "ObjectExistsError",
     "StoreClient",
@@ -123,16 +124,24 @@
             return None
         return self._object(status, item)
 
-    async def list(self, kind: str) -> StoreListing:
+    async def list(
+        self, kind: str, *, timeout_s: float = CALL_TIMEOUT_S
+    ) -> StoreListing:
         """Return all objects of a kind.
 
+        Args:
+            kind: The kind.
+            timeout_s: Longest wait for each page.
+
         Raises:
             StoreUnavailableError: No answer, or turned away.
         """
         found: list[StoreObject] = []
         query = ""
         while True:
-            status, item = await self._call("list", "GET", f"{kind}{query}")
+            status, item = await self._call(
+                "list", "GET", f"{kind}{query}", timeout_s=timeout_s
+            )
             if status != 200:
                 raise StoreUnavailableError(f"list got {status}", ambiguous=False)
             page = [StoreObject.from_wire(entry) for entry in item["items"]]
--- a/src/wisterialoom/platform/watcher.py
+++ b/src/wisterialoom/platform/watcher.py
@@ -7,7 +7,11 @@
 import time
 from typing import TYPE_CHECKING
 
-from wisterialoom.platform.store import HistoryGoneError, StoreUnavailableError
+from wisterialoom.platform.store import (
+    CALL_TIMEOUT_S,
+    HistoryGoneError,
+    StoreUnavailableError,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -29,6 +33,9 @@
 """Pause after changes in which more of them gather; each call to the store counts.
 A server's leaving is acted on within a third of the usual bound."""
 
+FIRST_TIMEOUT_S = 0.4
+"""Longest wait for the first list; without it the instance cannot serve at all."""
+
 FIRST_RETRY_S = 0.1
 MAX_RETRY_S = 1.0
 """Bounds of the pause after a failed call."""
@@ -81,12 +88,14 @@
             except StoreUnavailableError as error:
                 self._note_failure(error)
                 await asyncio.sleep(pause_s)
-                pause_s = min(MAX_RETRY_S, pause_s * 2)
+                if self.revision:
+                    pause_s = min(MAX_RETRY_S, pause_s * 2)
 
     async def _step(self) -> None:
         started = time.monotonic()
         if not self.listed:
-            listing = await self.store.list(self.kind)
+            timeout_s = CALL_TIMEOUT_S if self.revision else FIRST_TIMEOUT_S
+            listing = await self.store.list(self.kind, timeout_s=timeout_s)
             self.revision = listing.revision
             self.listed = True
             self.take_listing(listing, self.lost_since)
