Let the requests of a surplus copy end before it is unloaded

Change: such a copy first gets no new requests, and is unloaded once idle; it serves again if it is asked for and no other copy is left.

--- a/src/wisterialoom/core/placement/planner.py
+++ b/src/wisterialoom/core/placement/planner.py
@@ -231,12 +231,21 @@
                 del reserved[server_id]
         for model, _ in reserved.values():
             self.copies[model] = self.copies.get(model, 0) + 1
+        for state in self.states:
+            if state.retiring and state.server_id not in reserved:
+                self.keep(state)
+
+    def keep(self, state: ServerState) -> None:
+        """Let a server's retiring copies take requests again."""
+        for model in state.retiring & state.models.keys():
+            self.copies[model] = self.copies.get(model, 0) + 1
+        state.retiring = frozenset()
 
     # What servers have.
 
     def held(self, state: ServerState) -> set[str]:
         """Return the models that a server holds and keeps."""
-        return {name for name in state.models if name != state.unloading}
+        return set(state.models) - {state.unloading} - state.retiring
 
     def free_mb(self, state: ServerState) -> float:
         """Return the memory for weights that is free, all adapter places filled."""
@@ -382,6 +391,7 @@
             profile = self.engine.models.get(model)
             if profile is None or model in state.models:
                 del self.planner.reserved[state.server_id]
+                self.keep(state)
             elif self.free_mb(state) >= profile.weights_mb:
                 if self.start_load(state, model):
                     del self.planner.reserved[state.server_id]
@@ -392,7 +402,19 @@
         """Unload the cheapest model of a server that another one needs room on."""
         spot = self.spot(state, model)
         if spot is not None and spot.victims:
-            self.add(state, Action.UNLOAD, spot.victims[0], "")
+            self.displace(state, spot.victims[0])
+
+    def displace(self, state: ServerState, victim: str) -> None:
+        """Unload a model, or let its requests end first.
+
+        An unload waits for them and takes no other order meanwhile, so a copy that
+        runs requests only gets no new ones for now.
+        """
+        if self.running_on(state, victim):
+            state.retiring |= {victim}
+        else:
+            state.retiring -= {victim}
+            self.add(state, Action.UNLOAD, victim, "")
 
     def start_load(self, state: ServerState, model: str) -> bool:
         """Load a model that fits, if the weight store's rate allows it."""
@@ -404,6 +426,12 @@
 
     def place_waiting(self) -> None:
         """Bring in models that requests wait for and no server holds."""
+        for state in self.states:
+            if any(self.is_waited_for(model) for model in state.retiring):
+                alone = [m for m in state.retiring if not self.copies.get(m)]
+                if alone:
+                    self.planner.reserved.pop(state.server_id, None)
+                    self.keep(state)
         missing: dict[str, int] = {}
         for wanted, count in self.waiting.items():
             model = wanted.partition("/")[0]
@@ -475,7 +503,8 @@
         cost += self.weights.fill * self.fill(state)
         cost += self.weights.adapters * self.adapter_share(state)
         victims: list[str] = []
-        priced = [
+        priced = [(0.0, name) for name in state.retiring & state.models.keys()]
+        priced += [
             (price, name)
             for name in self.held(state)
             if (price := self.victim_cost(state, name)) is not None
@@ -517,7 +546,7 @@
         if spot.victims:
             until = self.now + RESERVATION_S
             self.planner.reserved[state.server_id] = (model, until)
-            self.add(state, Action.UNLOAD, spot.victims[0], "")
+            self.displace(state, spot.victims[0])
         elif not self.start_load(state, model):
             return
         self.copies[model] = self.copies.get(model, 0) + 1
--- a/src/wisterialoom/core/placement/server_state.py
+++ b/src/wisterialoom/core/placement/server_state.py
@@ -56,6 +56,7 @@
         loading: Model that is being loaded; empty if none.
         unloading: Model that is being unloaded; empty if none.
         announced: Model whose unload is about to be ordered; empty if none.
+        retiring: Models that get no new requests and are unloaded once they are idle.
         done_at: Expected end of the load or unload in progress.
         hold_until: No order is sent before this time.
         last_order_at: Monotonic time of the last order.
@@ -75,6 +76,7 @@
     loading: str = ""
     unloading: str = ""
     announced: str = ""
+    retiring: frozenset[str] = frozenset()
     done_at: float = 0.0
     hold_until: float = 0.0
     last_order_at: float = float("-inf")
@@ -89,6 +91,11 @@
         """A load or unload of a model is in progress."""
         return bool(self.loading or self.unloading)
 
+    @property
+    def leaving_models(self) -> frozenset[str]:
+        """Models that get no new requests."""
+        return self.retiring | ({self.unloading, self.announced} - {""})
+
     def may_order(self, now: float) -> bool:
         """Tell whether an order may be sent now."""
         return (
--- a/src/wisterialoom/platform/steward.py
+++ b/src/wisterialoom/platform/steward.py
@@ -116,6 +116,7 @@
         self.sent_ready: set[str] = set()
         self.sent_to: tuple[str, ...] = ()
         self.was_valid = False
+        self.failures = 0
         self.told_at = float("-inf")
 
     def start(self) -> None:
@@ -157,10 +158,15 @@
                 continue
             except StoreUnavailableError as error:
                 self.lease.failed(lease_clock())
-                logger.info("lease call failed", extra={"error": str(error)})
+                self.failures += 1
+                if self.failures == 1:
+                    logger.warning("lease call failed", extra={"error": str(error)})
                 await asyncio.sleep(0.1)
                 continue
             self.lease.wrote(sent_at, lease_clock(), step.record, written.revision)
+            if self.failures:
+                logger.info("lease calls answered", extra={"failed": self.failures})
+                self.failures = 0
             if isinstance(step, TakeLease):
                 self._on_taken()
 
@@ -362,7 +368,7 @@
             server_id: ServerHint(
                 count=state.count,
                 models=state.models,
-                unloading=frozenset({state.unloading, state.announced} - {""}),
+                unloading=state.leaving_models,
                 busy=sum(running.get(server_id, {}).values()),
             )
             for server_id, state in self.states.items()
--- a/tests/test_placement_planner.py
+++ b/tests/test_placement_planner.py
@@ -248,6 +248,39 @@
     assert [order.model for order in site.step()] == ["m2"]
 
 
+def test_busy_surplus_copy_ends_its_requests_before_it_is_unloaded():
+    """Unloads of busy copies used to block their servers for seconds."""
+    site = Site.of(["m0", "m1", "m2"], ["m0", "m1", "m2"])
+    running = {"s0": {"m0": 2, "m1": 2, "m2": 2}, "s1": {"m0": 2, "m1": 2, "m2": 2}}
+    site.tell(waiting={"m5": 1}, running=running)
+    assert site.step(1.0) == []
+    retiring = [state for state in site.states if state.retiring]
+    assert len(retiring) == 1
+    state = retiring[0]
+    (victim,) = state.retiring
+    assert state.leaving_models == {victim}
+    assert state.may_order(site.now)
+    del running[state.server_id][victim]
+    site.tell(waiting={"m5": 1}, running=running)
+    assert [(o.action, o.model) for o in site.step()] == [(Action.UNLOAD, victim)]
+    assert [(o.action, o.model) for o in site.step()] == [(Action.LOAD, "m5")]
+    assert not state.retiring
+
+
+def test_copy_that_is_asked_for_again_does_not_retire():
+    site = Site.of(["m0", "m1", "m2"], ["m0", "m1", "m2"])
+    running = {"s0": {"m0": 2, "m1": 2, "m2": 2}, "s1": {"m0": 2, "m1": 2, "m2": 2}}
+    site.tell(waiting={"m5": 1}, running=running)
+    site.step(1.0)
+    state = next(state for state in site.states if state.retiring)
+    (victim,) = state.retiring
+    other = next(state_ for state_ in site.states if state_ is not state)
+    del other.models[victim]
+    site.tell(waiting={"m5": 1, victim: 3}, running=running)
+    site.step()
+    assert victim not in state.retiring
+
+
 def test_first_report_of_counts_is_no_burst():
     site = Site.of(["m0"])
     site.tell(arrivals={"m0": 500})
