--- a/src/wisterialoom/core/serving/dispatcher.py
+++ b/src/wisterialoom/core/serving/dispatcher.py
@@ -245,10 +245,14 @@
         that cannot is told when the model will be there.
         """
         profile = flow.profile
-        ready_at = self.outlook.ready_at.get(profile.wanted)
-        if ready_at is None and profile.adapter:
-            ready_at = self.outlook.ready_at.get(profile.model)
-        if ready_at is not None:
+        ready_at = self.outlook.ready_at.get(profile.model)
+        resident = any(
+            profile.model in view.models and profile.model not in view.unloading
+            for view in self.pool(flow)
+        )
+        # A copy that is being loaded besides others tells nothing: an adapter takes
+        # some hundredths of a second, and so does an order that is in progress.
+        if ready_at is not None and not resident:
             if ready_at + MIN_RUN_S > profile.first_by:
                 return self.give_up(now, flow, GiveUpReason.NO_MODEL)
         elif now - profile.arrived > self.unplanned_wait_s(profile, engine):
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -306,3 +306,11 @@
     end(d, f, AttemptVerdict.ANSWERED, 0.2)
     assert d.views["one"].unread_tokens == 0
     assert d.views["one"].in_flight == 0
+
+
+def test_further_copy_that_is_being_loaded_refuses_no_adapter():
+    """An adapter of a resident model was refused until a further copy was loaded."""
+    d = make(server("one", models=(ResidentModel("m0"),)), server("two"), models=True)
+    d.take_placement(0.0, {"m0": 4.0})
+    f = flow(model="m0", adapter="a1", answer_by=12.0, first_by=2.4)
+    assert isinstance(d.next_step(0.0, f), Wait)
