--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 BIN := .venv/bin
 JOBS ?= 6
 
-.PHONY: demo test check format setup measure slopes mutations benchmark
+.PHONY: demo test check format setup measure slopes mutations benchmark startup
 
 setup: $(STAMP)
 
@@ -41,3 +41,7 @@
 
 benchmark: $(STAMP)
 	$(BIN)/python -m wisterialoom.benchmark
+
+startup: $(STAMP)
+	$(BIN)/python -m wisterialoom.benchmark.startup wisterialoom.app
+	$(BIN)/python -m wisterialoom.benchmark.startup wisterialoom.platform.app
--- /dev/null
+++ b/tests/platform/test_process.py
@@ -0,0 +1,162 @@
+"""The program of the deploy file as a process of its own, with kills and a stop."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import signal
+import socket
+import sys
+from contextlib import asynccontextmanager
+from pathlib import Path
+from typing import TYPE_CHECKING
+
+import aiohttp
+import pytest
+
+from tests.platform.standin import (
+    config,
+    free_port,
+    StandinModelServer,
+    StandinPlainServer,
+    StandinStore,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+ROOT = Path(__file__).resolve().parents[2]
+
+pytestmark = pytest.mark.processes
+
+SETTINGS = """
+nodeName = "{name}"
+ip = "127.0.0.1"
+zone = "zone-a"
+internalPorts = [{peer}, {peer}]
+[listen]
+front = "127.0.0.1:{front}"
+ready = "127.0.0.1:{ready}"
+[platform]
+address = "{store}"
+[bounds]
+graceS = 4
+leaseMs = 1000
+fencingEnforced = true
+"""
+
+
+class Instance:
+    """One process of the role."""
+
+    def __init__(self, name: str, store: str, folder: Path) -> None:
+        self.front, self.ready = free_port(), free_port()
+        self.path = folder / f"{name}.toml"
+        self.path.write_text(
+            SETTINGS.format(
+                name=name,
+                peer=free_port(socket.SOCK_DGRAM),
+                front=self.front,
+                ready=self.ready,
+                store=store,
+            )
+        )
+        self.process: asyncio.subprocess.Process
+
+    async def start(self, session: aiohttp.ClientSession) -> None:
+        self.process = await asyncio.create_subprocess_exec(
+            sys.executable,
+            str(ROOT / "deploy" / "run_instance.py"),
+            env={**os.environ, "WISTERIALOOM_CONFIG": str(self.path)},
+            stdout=asyncio.subprocess.DEVNULL,
+        )
+        async with asyncio.timeout(30.0):
+            while not await self.is_ready(session):
+                assert self.process.returncode is None
+                await asyncio.sleep(0.02)
+
+    async def is_ready(self, session: aiohttp.ClientSession) -> bool:
+        try:
+            async with session.get(f"http://127.0.0.1:{self.ready}/v1/ready") as got:
+                return got.status == 200
+        except aiohttp.ClientConnectionError:
+            return False
+
+    async def call(self, session: aiohttp.ClientSession, path: str, **headers: str):
+        sent = {"Host": "desk.example", "Attempt-Id": "p1", "Deadline-Ms": "5000"}
+        url = f"http://127.0.0.1:{self.front}{path}"
+        async with session.post(url, headers={**sent, **headers}) as got:
+            return got.status, await got.read()
+
+    async def end(self, how: signal.Signals) -> int:
+        if self.process.returncode is None:
+            self.process.send_signal(how)
+        async with asyncio.timeout(30.0):
+            return await self.process.wait()
+
+
+@asynccontextmanager
+async def site(tmp_path: Path, *servers) -> AsyncIterator[StandinStore]:
+    store = StandinStore()
+    await store.start()
+    await store.put("config", "main", config())
+    for server in servers:
+        await server.start()
+        await store.put("servers", server.server_id, server.entry())
+    yield store
+    for server in servers:
+        await server.stop()
+    await store.stop()
+
+
+async def test_instance_serves_again_after_a_kill(tmp_path):
+    model = StandinModelServer("i-1", models={"m0": []})
+    plain = StandinPlainServer("i-2")
+    async with (
+        site(tmp_path, model, plain) as store,
+        aiohttp.ClientSession() as session,
+    ):
+        instance = Instance("front-1", store.address, tmp_path)
+        await instance.start(session)
+        assert (await instance.call(session, "/deposit/"))[0] == 200
+        assert (await instance.call(session, "/draft/", Model="m3"))[0] == 200
+        assert await instance.end(signal.SIGKILL) == -signal.SIGKILL
+        first_epoch = store.objects["wisterialoom-leases"]["placement"]["spec"]["epoch"]
+        await instance.start(session)
+        assert (await instance.call(session, "/draft/", Model="m4"))[0] == 200
+        spec = store.objects["wisterialoom-leases"]["placement"]["spec"]
+        assert spec["epoch"] > first_epoch
+        assert await instance.end(signal.SIGTERM) == 0
+
+
+async def test_stop_lets_a_stream_end_and_releases_the_lease(tmp_path):
+    model = StandinModelServer("i-1", models={"m0": []}, events=40, step_s=0.02)
+    async with site(tmp_path, model) as store, aiohttp.ClientSession() as session:
+        instance = Instance("front-1", store.address, tmp_path)
+        await instance.start(session)
+        task = asyncio.get_running_loop().create_task(
+            instance.call(session, "/draft/", Model="m0")
+        )
+        async with asyncio.timeout(10.0):
+            while not model.runs:
+                await asyncio.sleep(0.005)
+        assert await instance.end(signal.SIGTERM) == 0
+        status, body = await task
+        assert status == 200
+        assert body.count(b"id:") == 40
+        spec = store.objects["wisterialoom-leases"]["placement"]["spec"]
+        assert spec["released"]
+
+
+async def test_unusable_settings_end_the_process_with_a_remedy(tmp_path):
+    path = tmp_path / "boot.toml"
+    path.write_text("nodeName = 'x'")
+    process = await asyncio.create_subprocess_exec(
+        sys.executable,
+        str(ROOT / "deploy" / "run_instance.py"),
+        env={**os.environ, "WISTERIALOOM_CONFIG": str(path)},
+        stderr=asyncio.subprocess.PIPE,
+    )
+    _, errors = await process.communicate()
+    assert process.returncode == 1
+    assert b"docs/reference-platform.md" in errors
