Never begin a second answer where one has begun

Found by reading: a safe request whose large answer broke off midway was sent again and its second answer would have followed the first; a resumed stream whose next server answered otherwise got a second head. Both now look cut; both tests fail before. Fields and constants that nothing used are removed.

--- a/src/wisterialoom/core/serving/request_flow.py
+++ b/src/wisterialoom/core/serving/request_flow.py
@@ -54,7 +54,6 @@
     RETRY_BUDGET = "retry_budget"
     ATTEMPTS = "attempts"
     LOST = "lost"
-    OVERLOAD = "overload"
     STOPPING = "stopping"
 
 
@@ -123,7 +122,6 @@
         unreached: Those of them that no byte of it reached.
         may_have_run: An attempt ended without proof that nothing ran.
         last: How the last attempt ended.
-        begun: The caller has got the beginning of a stream.
         waiting: It waits for a server or for a model.
         in_flight_at: Backend server of the attempt in progress; empty if none.
         waited_s: Time that it has waited for a server or a model.
@@ -137,7 +135,6 @@
     unreached: set[str] = field(default_factory=set)
     may_have_run: bool = False
     last: AttemptResult | None = None
-    begun: bool = False
     waiting: bool = False
     in_flight_at: str = ""
     waited_s: float = 0.0
--- a/src/wisterialoom/platform/attempt.py
+++ b/src/wisterialoom/platform/attempt.py
@@ -78,7 +78,6 @@
         note_head: Takes the reported load when the head of an answer comes.
         answer: The answer, if it was read whole and not yet passed on.
         load: Load that the server reported, if it did.
-        closing: The server announced that it closes the connection.
     """
 
     def __init__(
@@ -98,7 +97,6 @@
         self.note_head = note_head
         self.answer: WholeAnswer | None = None
         self.load: ServerLoad | None = None
-        self.closing = False
 
     async def run(self, session: ClientSession) -> AttemptResult:
         """Carry the attempt out and return how it ended."""
@@ -172,7 +170,6 @@
     async def _take(self, response: ClientResponse) -> AttemptResult:
         self.load = read_load(response.headers)
         self.note_head(self.load)
-        self.closing = response.headers.get("Connection", "").lower() == "close"
         if response.headers.get(ATTEMPT_ID) not in (None, self.profile.request_id):
             return self._ended(AttemptVerdict.LOST, "answer to another request")
         if response.headers.get(NOT_RUN) or response.status == 421:
@@ -217,9 +214,6 @@
     ) -> AttemptResult:
         exchange = self.exchange
         await exchange.begin(response.status, answer_headers(response.headers))
-        length = response.headers.get("Content-Length")
-        if length is not None and exchange.stream is not None:
-            exchange.stream.content_length = int(length)
         await exchange.write(begun)
         while True:
             data = await self._read(response)
--- a/src/wisterialoom/platform/exchange.py
+++ b/src/wisterialoom/platform/exchange.py
@@ -19,12 +19,6 @@
 
 BAD_GATEWAY = 502
 UNAVAILABLE = 503
-GATEWAY_TIMEOUT = 504
-NOT_FOUND = 404
-
-
-class CallerGoneError(ConnectionError):
-    """Raised when the caller's connection is closed while an answer is sent."""
 
 
 class Exchange:
@@ -88,7 +82,10 @@
         self.response = self.stream
 
     def send_whole(self, answer: WholeAnswer) -> None:
-        """Answer with a backend server's whole answer."""
+        """Answer with a backend server's whole answer, unless one has begun."""
+        if self.stream is not None:
+            self.cut()
+            return
         response = web.Response(status=answer.status, body=answer.body)
         response.headers.extend(answer.headers)
         if self.closing:
--- a/src/wisterialoom/platform/ingress.py
+++ b/src/wisterialoom/platform/ingress.py
@@ -229,6 +229,10 @@
                         if attempt.answer is not None:
                             exchange.send_whole(attempt.answer)
                         return
+                    if exchange.begun and not exchange.resumable:
+                        flow.outcome = result.verdict.value
+                        exchange.cut()
+                        return
                     if result.verdict is AttemptVerdict.FAILED:
                         failure = attempt.answer
                         if not flow.profile.route.idempotent:
--- a/src/wisterialoom/platform/settings.py
+++ b/src/wisterialoom/platform/settings.py
@@ -33,41 +33,32 @@
     """Time limits and shares that the platform's operators set.
 
     Attributes:
-        drain_s: A leaving backend server gets no new request after this time.
         grace_s: Time between the signal to stop and the kill.
-        config_apply_s: A change of configuration is in force after this time.
         retry_ratio: Repeats for each request, over all instances.
         retry_fixed: Repeats besides, in each window.
         retry_window_s: Length of that window.
         lease_s: Two holders' orders lie further apart than this.
         fenced: Backend servers refuse orders with an old fencing number.
-        load_window_s: Window in which loads from the weight store are counted.
     """
 
-    drain_s: float = 2.0
     grace_s: float = 8.0
-    config_apply_s: float = 2.0
     retry_ratio: float = 0.2
     retry_fixed: float = 50.0
     retry_window_s: float = 10.0
     lease_s: float = 3.0
     fenced: bool = False
-    load_window_s: float = 5.0
 
     @classmethod
     def from_table(cls, table: Mapping[str, Any]) -> Bounds:
         """Decode the `bounds` table; missing entries keep their defaults."""
         base = cls()
         return cls(
-            drain_s=table.get("drainMs", base.drain_s * 1e3) / 1e3,
             grace_s=float(table.get("graceS", base.grace_s)),
-            config_apply_s=table.get("configApplyMs", base.config_apply_s * 1e3) / 1e3,
             retry_ratio=float(table.get("retryBudgetRatio", base.retry_ratio)),
             retry_fixed=float(table.get("retryBudgetSlack", base.retry_fixed)),
             retry_window_s=float(table.get("budgetWindowS", base.retry_window_s)),
             lease_s=table.get("leaseMs", base.lease_s * 1e3) / 1e3,
             fenced=bool(table.get("fencingEnforced", base.fenced)),
-            load_window_s=float(table.get("ceilingWindowS", base.load_window_s)),
         )
 
 
@@ -85,7 +76,6 @@
         peer_port: Port for datagrams between instances, the same on all machines.
         metrics_port: Port on which metrics are served; none if 0.
         bounds: Time limits and shares.
-        memory_mb: Memory that this process may use.
     """
 
     instance: str
@@ -97,7 +87,6 @@
     peer_port: int
     metrics_port: int
     bounds: Bounds
-    memory_mb: float
 
     @classmethod
     def from_environment(cls, metrics_port: int = 0) -> PlatformSettings:
@@ -147,7 +136,6 @@
                 peer_port=int(first_port),
                 metrics_port=0,
                 bounds=Bounds.from_table(table.get("bounds", {})),
-                memory_mb=float(table.get("limits", {}).get("memoryMb", 300)),
             )
         except (KeyError, IndexError, TypeError, ValueError) as error:
             raise SettingsError(
--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -190,6 +190,7 @@
     load_s: float = 0.05
     break_after: int | None = None
     pause_after: int | None = None
+    status: int = 200
     refuse_all: bool = False
     models: dict[str, list[str]] = field(default_factory=dict)
     sequence: int = 0
@@ -284,6 +285,8 @@
             common["Not-Executed"] = "1"
             return web.Response(status=503, headers=common)
         self.runs.append(request_id)
+        if self.status != 200:
+            return web.Response(status=self.status, headers=common)
         response = web.StreamResponse(
             headers={
                 **common,
@@ -317,6 +320,7 @@
     Attributes:
         status: Status of its answers.
         hang: It reads requests and never answers.
+        break_at: It breaks off after this many bytes of a longer answer, if set.
         runs: Ids of the requests that began to run.
         bodies: Bodies as they came.
     """
@@ -327,6 +331,7 @@
     status: int = 200
     refuse_all: bool = False
     hang: bool = False
+    break_at: int | None = None
     runs: list[str] = field(default_factory=list)
     seen: list[Mapping[str, str]] = field(default_factory=list)
     bodies: list[bytes] = field(default_factory=list)
@@ -363,6 +368,14 @@
         self.bodies.append(await request.read())
         if self.hang:
             await asyncio.sleep(3600)
+        if self.break_at is not None:
+            long = web.StreamResponse(headers=common)
+            long.content_length = 2 * self.break_at
+            await long.prepare(request)
+            await long.write(b"x" * self.break_at)
+            assert request.transport is not None
+            request.transport.close()
+            return long
         return web.Response(
             status=self.status,
             headers={**common, "Response-Stamp": f"stamp.{self.server_id}"},
--- a/tests/platform/test_app.py
+++ b/tests/platform/test_app.py
@@ -67,7 +67,6 @@
         "peer_port": free_port(socket.SOCK_DGRAM),
         "metrics_port": free_port(),
         "bounds": Bounds(fenced=True, lease_s=1.0, grace_s=3.0),
-        "memory_mb": 300.0,
     }
     return PlatformSettings(**(values | changes))  # type: ignore[arg-type]
 
@@ -523,3 +522,25 @@
         )
         assert "wisterialoom_request_seconds_bucket" in text
         assert "wisterialoom_store_calls_total" in text
+
+
+async def test_large_answer_that_breaks_off_is_not_begun_again():
+    """A safe request was sent again after a part of its answer had been passed on."""
+    first = StandinPlainServer("i-1", break_at=1_500_000)
+    second = StandinPlainServer("i-2", break_at=1_500_000)
+    async with world(first, second) as w:
+        with pytest.raises(aiohttp.ClientPayloadError):
+            await w.call("/look/", "GET")
+        assert len(first.runs + second.runs) == 1
+
+
+async def test_stream_whose_next_server_answers_otherwise_looks_cut():
+    first = StandinModelServer("i-1", models={"m0": []}, break_after=2)
+    second = StandinModelServer("i-2", models={"m0": []}, break_after=2)
+    async with world(first, second) as w:
+        task = asyncio.get_running_loop().create_task(w.call("/draft/", Model="m0"))
+        await until(lambda: first.runs or second.runs)
+        other = second if first.runs else first
+        other.status = 404
+        with pytest.raises(aiohttp.ClientPayloadError):
+            await task
