Remove twins, dead parameters and bare numbers from the platform's path

The addresses of the others belong to PeerLink, the JSON formatter to log.py, waiting for an event or a time to _tasks; an attempt that this instance stopped has a verdict of its own instead of a text that is compared.

--- a/src/wisterialoom/core/placement/model_placing.py
+++ b/src/wisterialoom/core/placement/model_placing.py
@@ -16,6 +16,10 @@
 RESERVATION_S = 12.0
 """Longest time that freed memory is kept for the model it was freed for."""
 
+LAST_COPY_COST = 0.02
+"""Cost of unloading the last copy of a model that nothing asks for, in requests that
+wait; of two spots that cost nothing else, the one that keeps more models wins."""
+
 
 @dataclass(frozen=True, slots=True)
 class _Spot:
@@ -187,7 +191,8 @@
             return self.view.weights.surplus + busy * self.view.weights.running
         if needed > 1 or busy or self.view.is_waited_for(model):
             return None
-        return self.view.rates.get(model, 0.0) * self.view.weights.reload_s + 0.02
+        rate = self.view.rates.get(model, 0.0)
+        return rate * self.view.weights.reload_s + LAST_COPY_COST
 
     def place(self, model: str, spot: _Spot | None) -> None:
         """Start to bring a model to a place."""
--- a/src/wisterialoom/core/serving/dispatcher.py
+++ b/src/wisterialoom/core/serving/dispatcher.py
@@ -49,6 +49,12 @@
 ROOM_SHARE = 0.5
 """Part of a caller's patience that a request waits for room at a server."""
 
+LOOK_AGAIN_S = 0.25
+"""Longest time that a request waits without a look at the servers; changes wake it."""
+
+LOOK_SOON_S = 0.02
+"""Shortest wait for a place that is about to be free; one step of a server's queue."""
+
 MAX_URGENCY = 9
 
 
@@ -152,21 +158,20 @@
         profile = flow.profile
         if now >= profile.answer_by - MIN_RUN_S / 2:
             return self.give_up(now, flow, GiveUpReason.DEADLINE)
-        if flow.last is not None:
-            ended = self.after_failure(now, flow, flow.last)
-            if ended is not None:
-                return ended
+        ended = self.after_failure(now, flow)
+        if ended is not None:
+            return ended
         engine = self.engine_of(profile.service)
         if engine is not None and profile.model not in engine.models:
             return self.give_up(now, flow, GiveUpReason.UNKNOWN_MODEL)
         pool = self.pool(flow)
         if not pool:
             return self.give_up(now, flow, GiveUpReason.NO_SERVER)
-        pool = self.holders(now, profile, pool)
+        candidates, pool = pool, self.holders(now, profile, pool)
         if not pool and engine is not None:
             if flow.reached >= profile.route.max_attempts:
                 return self.give_up(now, flow, GiveUpReason.ATTEMPTS)
-            return self.await_model(now, flow, engine)
+            return self.await_model(now, flow, engine, candidates)
         free = [view for view in pool if self.is_free(now, view)]
         if not free:
             return self.await_room(now, flow, pool)
@@ -176,7 +181,7 @@
         """Tell whether a request whose server is silent can go on elsewhere now."""
         profile = flow.profile
         route = profile.route
-        if not (route.idempotent or route.resumable):
+        if not route.idempotent:
             return False
         if flow.reached >= route.max_attempts:
             return False
@@ -238,7 +243,13 @@
         urgency = min(MAX_URGENCY, max(0, profile.route.priority))
         return Send(view.server.id, view.server.address, urgency)
 
-    def await_model(self, now: float, flow: RequestFlow, engine: EngineProfile) -> Step:
+    def await_model(
+        self,
+        now: float,
+        flow: RequestFlow,
+        engine: EngineProfile,
+        candidates: list[BackendView],
+    ) -> Step:
         """Let a request wait for its model or adapter, or refuse it at once.
 
         A request waits only while it can still begin before its caller leaves. One
@@ -248,7 +259,7 @@
         ready_at = self.outlook.ready_at.get(profile.model)
         resident = any(
             profile.model in view.models and profile.model not in view.unloading
-            for view in self.pool(flow)
+            for view in candidates
         )
         # A copy that is being loaded besides others tells nothing: an adapter takes
         # some hundredths of a second, and so does an order that is in progress.
@@ -257,7 +268,7 @@
                 return self.give_up(now, flow, GiveUpReason.NO_MODEL)
         elif now - profile.arrived > self.unplanned_wait_s(profile, engine):
             return self.give_up(now, flow, GiveUpReason.NO_MODEL)
-        return Wait(min(profile.answer_by, now + 0.25))
+        return Wait(min(profile.answer_by, now + LOOK_AGAIN_S))
 
     def unplanned_wait_s(self, profile: RequestProfile, engine: EngineProfile) -> float:
         """Return how long a request waits for a model whose load is not yet planned."""
@@ -271,23 +282,21 @@
         """Let a request wait for a server that was full or failing."""
         profile = flow.profile
         again = min(max(view.full_until, view.ejection.until) for view in pool)
-        again = max(again, now + 0.02)
+        again = max(again, now + LOOK_SOON_S)
         patience_s = ROOM_SHARE * (profile.first_by - profile.arrived)
         if now - profile.arrived > patience_s:
             return self.give_up(now, flow, GiveUpReason.FULL)
         if not profile.model and again > profile.arrived + patience_s:
             return self.give_up(now, flow, GiveUpReason.FULL)
         # Of model servers, another may get the model meanwhile.
-        return Wait(min(again, now + 0.25, profile.answer_by))
+        return Wait(min(again, now + LOOK_AGAIN_S, profile.answer_by))
 
-    def after_failure(
-        self, now: float, flow: RequestFlow, last: AttemptResult
-    ) -> GiveUp | None:
+    def after_failure(self, now: float, flow: RequestFlow) -> GiveUp | None:
         """Return the end of a request that may not be sent again, if so."""
         route = flow.profile.route
         if not flow.may_have_run:
             return None
-        if not (route.idempotent or route.resumable):
+        if not route.idempotent:
             return self.give_up(now, flow, GiveUpReason.LOST)
         if flow.reached >= route.max_attempts:
             return self.give_up(now, flow, GiveUpReason.ATTEMPTS)
--- a/src/wisterialoom/core/serving/request_flow.py
+++ b/src/wisterialoom/core/serving/request_flow.py
@@ -41,6 +41,8 @@
     """Nothing came for too long; it may have run, and was aborted."""
     FAILED = "failed"
     """The server ran it and answered with an error."""
+    CANCELLED = "cancelled"
+    """This instance stopped the attempt: the caller left, or the time was over."""
 
 
 class GiveUpReason(enum.Enum):
--- a/src/wisterialoom/log.py
+++ b/src/wisterialoom/log.py
@@ -7,7 +7,16 @@
 
 from pythonjsonlogger.json import JsonFormatter
 
-__all__ = ["set_up_logs"]
+__all__ = ["json_formatter", "set_up_logs"]
+
+
+def json_formatter(instance: str) -> JsonFormatter:
+    """Return the formatter of every log line of an instance."""
+    return JsonFormatter(
+        "%(asctime)s %(levelname)s %(name)s %(message)s",
+        rename_fields={"asctime": "at", "levelname": "level", "name": "logger"},
+        static_fields={"instance": instance},
+    )
 
 
 def set_up_logs(level: str, instance: str) -> None:
@@ -18,13 +27,7 @@
         instance: Name of the entry instance, put on each line.
     """
     handler = logging.StreamHandler(sys.stderr)
-    handler.setFormatter(
-        JsonFormatter(
-            "%(asctime)s %(levelname)s %(name)s %(message)s",
-            rename_fields={"asctime": "at", "levelname": "level", "name": "logger"},
-            static_fields={"instance": instance},
-        )
-    )
+    handler.setFormatter(json_formatter(instance))
     root = logging.getLogger()
     root.handlers[:] = [handler]
     root.setLevel(level.upper())
--- a/src/wisterialoom/platform/_tasks.py
+++ b/src/wisterialoom/platform/_tasks.py
@@ -9,11 +9,21 @@
 if TYPE_CHECKING:
     from collections.abc import Coroutine
 
-__all__ = ["TaskGroup"]
+__all__ = ["TaskGroup", "wait_for"]
 
 logger = logging.getLogger(__name__)
 
 
+async def wait_for(event: asyncio.Event, timeout_s: float) -> bool:
+    """Wait until an event is set, or for a time; tell whether it is set."""
+    try:
+        async with asyncio.timeout(timeout_s):
+            await event.wait()
+    except TimeoutError:
+        return event.is_set()
+    return True
+
+
 class TaskGroup:
     """Tasks that belong to one owner, who cancels what is left of them.
 
--- a/src/wisterialoom/platform/app.py
+++ b/src/wisterialoom/platform/app.py
@@ -137,7 +137,7 @@
             self.dispatcher,
             self.signal,
             lambda: self.catalog.config.checked_at,
-            self._wanted_changed,
+            lambda: self.fleet.wanted_changed(),
             self.metrics,
         )
         self.ingress.pooled = self._session(
@@ -235,9 +235,6 @@
             lambda: time.monotonic() - self.catalog.config.checked_at,
         )
 
-    def _wanted_changed(self) -> None:
-        self.fleet.wanted_changed()
-
     async def answer_ready(self, _: web.BaseRequest) -> web.StreamResponse:
         """Tell the platform whether this instance can serve."""
         ready = self.catalog.known and not self.ingress.draining
--- a/src/wisterialoom/platform/fleet.py
+++ b/src/wisterialoom/platform/fleet.py
@@ -8,7 +8,7 @@
 from typing import TYPE_CHECKING
 
 from wisterialoom.core.placement.fleet_demand import DemandReport
-from wisterialoom.platform._tasks import TaskGroup
+from wisterialoom.platform._tasks import TaskGroup, wait_for
 from wisterialoom.platform.hints import Hello, PlacementHint, Released
 from wisterialoom.platform.steward import lease_clock
 from wisterialoom.platform.store import ObjectExistsError, StoreUnavailableError
@@ -16,7 +16,7 @@
 if TYPE_CHECKING:
     from wisterialoom.core.serving.dispatcher import Dispatcher
     from wisterialoom.platform.hints import Hint
-    from wisterialoom.platform.ingress import Ingress, Signal
+    from wisterialoom.platform.ingress import Signal
     from wisterialoom.platform.peers import PeerLink
     from wisterialoom.platform.steward import Steward
     from wisterialoom.platform.store import StoreClient
@@ -36,6 +36,9 @@
 RECENT_S = 1.5
 """Arrival counts that changed within this time are sent again, against losses."""
 
+JOIN_S = 0.002
+"""Time in which requests that begin to wait share one report; one step of the loop."""
+
 MEMBER_SILENCE_S = 6.0
 """Silence after which an instance no longer counts as a member."""
 
@@ -69,7 +72,6 @@
         self.dispatcher = dispatcher
         self.signal = signal
         self.steward: Steward
-        self.ingress: Ingress
         self.holder_address = ""
         self.epoch = 0
         self.serial = 0
@@ -108,7 +110,9 @@
                     self.peers.members.setdefault(found.name, address)
                     self.heard.setdefault(found.name, time.monotonic())
         self._note_members()
-        self.peers.send_all(Hello(self.instance, self.address), self._others())
+        self.peers.send_all(
+            Hello(self.instance, self.address), self.peers.others(self.instance)
+        )
 
     async def _register(self, spec: dict[str, str]) -> None:
         try:
@@ -117,13 +121,6 @@
             if error.current is None or error.current.spec != spec:
                 await self.store.replace(MEMBER_KIND, self.instance, spec)
 
-    def _others(self) -> list[str]:
-        return [
-            address
-            for name, address in self.peers.members.items()
-            if name != self.instance
-        ]
-
     def _note_members(self) -> None:
         self.dispatcher.set_sharers(len(self.peers.members))
 
@@ -201,15 +198,9 @@
         last: DemandReport | None = None
         sent_at = float("-inf")
         while True:
-            try:
-                async with asyncio.timeout(REPORT_S):
-                    await self.kick.wait()
-            except TimeoutError:
-                pass
-            if self.kick.is_set():
+            if await wait_for(self.kick, REPORT_S):
                 self.kick.clear()
-                # Requests that come in the same moment go into one datagram.
-                await asyncio.sleep(0.002)
+                await asyncio.sleep(JOIN_S)
             now = time.monotonic()
             report = self._report(now)
             if report == last and now - sent_at < IDLE_REPORT_S:
--- a/src/wisterialoom/platform/ingress.py
+++ b/src/wisterialoom/platform/ingress.py
@@ -283,12 +283,12 @@
             lambda: self.dispatcher.may_move(time.monotonic(), flow),
             lambda load: self._note_head(flow, load),
         )
-        result = AttemptResult(step.server_id, AttemptVerdict.LOST, "cancelled")
+        result = AttemptResult(step.server_id, AttemptVerdict.CANCELLED)
         try:
             result = await attempt.run(session)
         finally:
             now = time.monotonic()
-            cancelled = result.detail == "cancelled"
+            cancelled = result.verdict is AttemptVerdict.CANCELLED
             if flow.in_flight_at and not cancelled:
                 self._end_attempt(now, flow, result)
             elif flow.in_flight_at:
--- a/src/wisterialoom/platform/log.py
+++ b/src/wisterialoom/platform/log.py
@@ -7,7 +7,7 @@
 import time
 from typing import TYPE_CHECKING
 
-from pythonjsonlogger.json import JsonFormatter
+from wisterialoom.log import json_formatter
 
 if TYPE_CHECKING:
     from typing import TextIO
@@ -62,13 +62,7 @@
         instance: Name of this instance, put on each line.
     """
     handler = BoundedHandler(sys.stdout)
-    handler.setFormatter(
-        JsonFormatter(
-            "%(asctime)s %(levelname)s %(name)s %(message)s",
-            rename_fields={"asctime": "at", "levelname": "level", "name": "logger"},
-            static_fields={"instance": instance},
-        )
-    )
+    handler.setFormatter(json_formatter(instance))
     root = logging.getLogger()
     root.handlers[:] = [handler]
     root.setLevel(logging.INFO)
--- a/src/wisterialoom/platform/peers.py
+++ b/src/wisterialoom/platform/peers.py
@@ -67,6 +67,10 @@
         """Count a datagram that could not be delivered."""
         self.dropped += 1
 
+    def others(self, me: str) -> list[str]:
+        """Return the addresses of all instances but one."""
+        return [address for name, address in self.members.items() if name != me]
+
     def send(self, hint: Hint, address: str) -> None:
         """Send a hint to one instance."""
         self.send_all(hint, [address])
--- a/src/wisterialoom/platform/steward.py
+++ b/src/wisterialoom/platform/steward.py
@@ -17,7 +17,7 @@
 from wisterialoom.core.placement.order import Action, Order, OrderOutcome
 from wisterialoom.core.placement.planner import PlacementPlanner
 from wisterialoom.core.placement.server_state import ServerState
-from wisterialoom.platform._tasks import TaskGroup
+from wisterialoom.platform._tasks import TaskGroup, wait_for
 from wisterialoom.platform.hints import PlacementHint, Released, ServerHint
 from wisterialoom.platform.store import (
     ObjectExistsError,
@@ -134,7 +134,9 @@
             await self._write(release.record, release.revision)
             epoch = release.record.epoch
             logger.info("lease released", extra={"epoch": epoch})
-            self.peers.send_all(Released(self.lease.me, epoch), self._others())
+            self.peers.send_all(
+                Released(self.lease.me, epoch), self.peers.others(self.lease.me)
+            )
         except (StoreUnavailableError, ObjectExistsError) as error:
             logger.warning("lease not released", extra={"error": str(error)})
 
@@ -211,11 +213,7 @@
 
     async def _run_planner(self) -> None:
         while True:
-            try:
-                async with asyncio.timeout(self._plan_pause_s()):
-                    await self.kick.wait()
-            except TimeoutError:
-                pass
+            await wait_for(self.kick, self._plan_pause_s())
             self.kick.clear()
             valid = self.lease.is_valid(lease_clock())
             if valid != self.was_valid:
@@ -385,7 +383,7 @@
                 if state is not None and model in planner.engine.models:
                     takes_s = planner.takes_s(state, model) + UNLOAD_S
                     ready.setdefault(model, takes_s)
-        others = tuple(sorted(self._others()))
+        others = tuple(sorted(self.peers.others(self.lease.me)))
         full = now - self.full_at >= FULL_BROADCAST_S or others != self.sent_to
         changed = {
             server_id: server
@@ -418,13 +416,6 @@
         self.peers.send_all(hint, list(others))
         self.take_placement(hint)
 
-    def _others(self) -> list[str]:
-        return [
-            address
-            for name, address in self.peers.members.items()
-            if name != self.lease.me
-        ]
-
 
 def _decode_record(found: StoreObject) -> LeaseRecord | None:
     spec = found.spec
