Let three instances follow the store, and pass its news on to all others

Ruled out: longer watches (changes, not time, end most of them), stale reads (they may be seconds old; a configuration has 2 to 3 s).

Change: a rank by name decides which three instances watch (WatchDuty); they tell all others by datagram, at each change and each 0.3 s, what they know and how old it is. Entries carry the store's revision, a digest shows what was missed, and a copy is asked for. Who hears too few watchers that are current follows the store itself, so an instance that starts while the store is away learns from the others, too.

--- a/src/wisterialoom/core/fleet/__init__.py
+++ b/src/wisterialoom/core/fleet/__init__.py
@@ -10,12 +10,17 @@
     TakeLease,
     WriteLease,
 )
+from wisterialoom.core.fleet.server_table import ServerTable, TableEntry
+from wisterialoom.core.fleet.watch_duty import WatchDuty
 
 __all__ = [
     "LeaseRecord",
     "LeaseStep",
     "PlacementLease",
     "ReadLease",
+    "ServerTable",
+    "TableEntry",
     "TakeLease",
+    "WatchDuty",
     "WriteLease",
 ]
--- a/src/wisterialoom/core/serving/backend.py
+++ b/src/wisterialoom/core/serving/backend.py
@@ -6,7 +6,10 @@
 
 from wisterialoom.core.ejection import Ejection
 
-__all__ = ["BackendServer", "BackendView", "ResidentModel"]
+__all__ = ["NOT_TOLD", "BackendServer", "BackendView", "ResidentModel"]
+
+NOT_TOLD = -1
+"""Order count of an entry that does not tell what its server holds."""
 
 LOAD_MAX_AGE_S = 2.0
 """Age after which a reported load is no longer used; some four server reports."""
@@ -39,8 +42,8 @@
         availability_zone: Where it runs.
         slots: Requests that it runs at once.
         draining: It is leaving and takes no new work.
-        order_count: Orders that it has accepted since its start.
-        models: Models that it holds.
+        order_count: Orders that it has accepted since its start, or `NOT_TOLD`.
+        models: Models that it holds, if `order_count` is told.
         gone_in_s: Time until it is taken away, if it told.
     """
 
--- a/src/wisterialoom/platform/app.py
+++ b/src/wisterialoom/platform/app.py
@@ -25,6 +25,7 @@
 from wisterialoom.platform.metrics import PlatformMetrics
 from wisterialoom.platform.orders import OrderClient
 from wisterialoom.platform.peers import PeerLink
+from wisterialoom.platform.relay import Relay
 from wisterialoom.platform.settings import (
     PlatformSettings,
     settings_path,
@@ -73,6 +74,7 @@
         catalog: Follows the store.
         steward: Holds the placement lease when it can.
         fleet: Members, demand and placement.
+        relay: Tells other instances what the store has told.
         peers: Datagrams between instances.
         orders: Calls to model servers.
         metrics: Counters and histograms.
@@ -101,6 +103,7 @@
         self.catalog: Catalog
         self.steward: Steward
         self.fleet: Fleet
+        self.relay: Relay
         self.peers: PeerLink
         self.orders: OrderClient
         self.ingress: Ingress
@@ -136,7 +139,7 @@
         self.ingress = Ingress(
             self.dispatcher,
             self.signal,
-            lambda: self.catalog.config.checked_at,
+            lambda: self.catalog.config_current_at,
             lambda: self.fleet.wanted_changed(),
             self.metrics,
         )
@@ -187,10 +190,13 @@
             fleet.note_holder,
         )
         fleet.steward = self.steward
+        self.relay = Relay(settings.instance, self.catalog, peers)
+        fleet.relay = self.relay
         self.peers = peers
         self.fleet = fleet
         await peers.start(settings.ip)
         fleet.start()
+        self.relay.start()
         self.steward.start()
 
     def _show_metrics(self, store: StoreClient) -> None:
@@ -211,6 +217,9 @@
             "reason",
             lambda: {"rate": lines_left_out()},
         )
+        metrics.gauge(
+            "watches_store", "Follows the store itself.", lambda: self.relay.duty.on
+        )
         metrics.gauge("active_requests", "In progress.", lambda: self.ingress.active)
         metrics.gauge("members", "Instances.", lambda: len(self.peers.members))
         metrics.gauge("servers", "Servers.", lambda: len(self.dispatcher.views))
@@ -227,12 +236,12 @@
         metrics.gauge(
             "config_version",
             "Configuration in force.",
-            lambda: getattr(self.dispatcher.deployment, "version", 0),
+            lambda: self.catalog.config_version,
         )
         metrics.gauge(
             "config_age_seconds",
             "Since the configuration was known to be current.",
-            lambda: time.monotonic() - self.catalog.config.checked_at,
+            lambda: time.monotonic() - self.catalog.config_current_at,
         )
 
     async def answer_ready(self, _: web.BaseRequest) -> web.StreamResponse:
@@ -291,6 +300,7 @@
         await self.tasks.stop()
         await self.steward.stop()
         await self.fleet.stop()
+        await self.relay.stop()
         self.peers.stop()
         await self.catalog.stop()
         for runner in self.runners:
--- a/src/wisterialoom/platform/catalog.py
+++ b/src/wisterialoom/platform/catalog.py
@@ -4,8 +4,9 @@
 
 import logging
 import time
-from typing import TYPE_CHECKING
+from typing import Any, TYPE_CHECKING
 
+from wisterialoom.core.fleet import ServerTable
 from wisterialoom.platform._tasks import TaskGroup
 from wisterialoom.platform.decode import (
     decode_deployment,
@@ -17,6 +18,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from wisterialoom.core.fleet import TableEntry
     from wisterialoom.core.serving.backend import BackendServer
     from wisterialoom.core.serving.dispatcher import Dispatcher
     from wisterialoom.platform.store import (
@@ -44,11 +46,15 @@
     Attributes:
         dispatcher: Takes what is learned.
         changed: Called when requests may be affected.
-        servers: Backend servers that are listed or not yet given up.
+        told_others: Called when other instances should learn of a change.
+        table: Backend servers that are listed or not yet given up.
         missing: Servers that were not listed after an outage, with the moment at
             which they are given up.
         told: State and start of each server, as last logged.
         settled_at: Monotonic time until which servers may be missing after an outage.
+        config_spec: The configuration in force as the store has it.
+        vouched_at: Monotonic time at which another instance last knew that the
+            configuration in force here was current.
     """
 
     def __init__(
@@ -59,10 +65,13 @@
     ) -> None:
         self.dispatcher = dispatcher
         self.changed = changed
-        self.servers: dict[str, BackendServer] = {}
+        self.told_others: Callable[[], None] = lambda: None
+        self.table = ServerTable()
         self.missing: dict[str, float] = {}
         self.settled_at = float("-inf")
         self.told: dict[str, tuple[bool, int]] = {}
+        self.config_spec: Any = None
+        self.vouched_at = float("-inf")
         self.config = KindWatcher(
             CONFIG_KIND, store, self._list_config, self._change_config
         )
@@ -80,6 +89,17 @@
         """Both the configuration and the servers have been read."""
         return self.dispatcher.deployment is not None and self.workers.revision > 0
 
+    @property
+    def config_version(self) -> int:
+        """Version of the configuration in force; 0 before the first."""
+        deployment = self.dispatcher.deployment
+        return deployment.version if deployment is not None else 0
+
+    @property
+    def config_current_at(self) -> float:
+        """Monotonic time at which the configuration was known to be current."""
+        return max(self.config.checked_at, self.vouched_at)
+
     def start(self) -> None:
         """Begin to follow the store."""
         self.tasks.spawn(self.config.run())
@@ -89,96 +109,151 @@
         """Stop following the store."""
         await self.tasks.stop()
 
-    # Configuration.
+    # What other instances know.
 
-    def _list_config(self, listing: StoreListing, _: float | None) -> None:
-        for found in listing.objects:
-            self._take_config(found)
+    def set_duty(self, *, on: bool) -> None:
+        """Follow the store itself, or leave that to others."""
+        self.config.set_duty(on=on)
+        self.workers.set_duty(on=on)
 
-    def _change_config(self, answer: WatchAnswer) -> None:
-        for found in answer.changed:
-            self._take_config(found)
+    def vouch(self, config_at: float, config_revision: int, revision: int) -> None:
+        """Take another instance's word that what is known here is current."""
+        self.vouched_at = max(self.vouched_at, config_at)
+        self.config.confirm(config_revision)
+        self.workers.confirm(revision)
 
-    def _take_config(self, found: StoreObject) -> None:
-        if found.name != CONFIG_NAME:
-            return
+    def take_config(self, spec: Any) -> None:
+        """Take a configuration, from the store or from another instance."""
         try:
-            deployment = decode_deployment(found.spec)
+            deployment = decode_deployment(spec)
         except DecodeError as error:
             logger.error("configuration refused", extra={"error": str(error)})
             return
-        current = self.dispatcher.deployment
-        if current is not None and deployment.version <= current.version:
+        if deployment.version <= self.config_version:
             return
         self.dispatcher.deployment = deployment
+        self.config_spec = spec
         logger.info(
             "configuration in force",
-            extra={"version": deployment.version, "revision": found.revision},
+            extra={
+                "version": deployment.version,
+                "revision": self.config.revision,
+                "watches": self.config.on_duty.is_set(),
+            },
         )
         self.changed()
+        self.told_others()
+
+    def take_entries(self, entries: dict[str, TableEntry]) -> None:
+        """Take changes that another instance told of."""
+        now = time.monotonic()
+        taken = False
+        for server_id, entry in entries.items():
+            known = self.table.entries.get(server_id)
+            if known is not None and known.revision >= entry.revision:
+                continue
+            if entry.server is None:
+                self.table.remove(now, entry.revision, server_id)
+            else:
+                self.table.put(now, entry.revision, entry.server)
+            self.missing.pop(server_id, None)
+            taken = True
+        if taken:
+            self._apply()
+
+    def take_table(self, revision: int, entries: dict[str, TableEntry]) -> None:
+        """Take all servers that another instance knows, as of a revision."""
+        if revision < self.workers.revision:
+            return
+        now = time.monotonic()
+        for server_id in self.table.servers.keys() - entries.keys():
+            self.table.remove(now, revision, server_id)
+            self.missing.pop(server_id, None)
+        self.workers.confirm(revision)
+        self.take_entries(entries)
+        self._apply()
+
+    # Configuration.
+
+    def _list_config(self, listing: StoreListing, _: float | None) -> None:
+        for found in listing.objects:
+            self._take_config(found)
+
+    def _change_config(self, answer: WatchAnswer) -> None:
+        for found in answer.changed:
+            self._take_config(found)
+
+    def _take_config(self, found: StoreObject) -> None:
+        if found.name == CONFIG_NAME:
+            self.take_config(found.spec)
 
     # Backend servers.
 
     def _list_servers(self, listing: StoreListing, lost_since: float | None) -> None:
         now = time.monotonic()
-        listed = {}
+        listed = set()
         for found in listing.objects:
             server = self._decode(found)
             if server is not None:
-                listed[server.id] = server
-        if lost_since is not None:
-            for server_id in self.servers.keys() - listed.keys():
+                self.table.put(now, found.revision, server)
+                listed.add(server.id)
+        for server_id in self.table.servers.keys() - listed:
+            if lost_since is None:
+                self.table.remove(now, listing.revision, server_id)
+            else:
                 self.settled_at = now + RETURN_S
                 self.missing.setdefault(server_id, self.settled_at)
-                listed[server_id] = self.servers[server_id]
-        for server_id in listed.keys() & {found.name for found in listing.objects}:
+        for server_id in listed:
             self.missing.pop(server_id, None)
-        self.servers = listed
         self._apply()
 
     def _change_servers(self, answer: WatchAnswer) -> None:
+        now = time.monotonic()
         for found in answer.changed:
             server = self._decode(found)
             if server is None:
-                self.servers.pop(found.name, None)
+                self.table.remove(now, found.revision, found.name)
                 continue
             self.missing.pop(server.id, None)
-            self.servers[server.id] = server
-        now = time.monotonic()
+            self.table.put(now, found.revision, server)
         if self.workers.lost_since is not None:
             self.settled_at = now + RETURN_S
+        servers = self.table.servers
         for server_id in answer.removed:
-            known = self.servers.get(server_id)
+            known = servers.get(server_id)
             if known is not None and not known.draining and now < self.settled_at:
                 # It may have lapsed with the store; a living server is back soon.
                 self.missing.setdefault(server_id, self.settled_at)
                 continue
-            self.servers.pop(server_id, None)
+            self.table.remove(now, answer.revision, server_id)
             self.missing.pop(server_id, None)
         self._apply()
 
     def give_up_missing(self, now: float) -> None:
         """Drop servers that were not listed again in time after an outage."""
+        self.table.forget_removed(now)
         if self.workers.lost_since is not None:
             return
         for server_id, until in list(self.missing.items()):
             if now < until:
                 continue
             del self.missing[server_id]
-            if self.servers.pop(server_id, None) is not None:
+            if self.table.remove(now, self.workers.revision, server_id):
                 logger.info("server not listed again", extra={"server": server_id})
                 self._apply()
 
     def _apply(self) -> None:
-        self._log_changes()
-        if self.dispatcher.set_servers(self.servers):
+        servers = self.table.servers
+        if self._log_changes(servers):
+            self.told_others()
+        if self.dispatcher.set_servers(servers):
             self.changed()
 
-    def _log_changes(self) -> None:
+    def _log_changes(self, servers: dict[str, BackendServer]) -> bool:
         before = self.told
         now = {
             server_id: (server.draining, server.born_ms)
-            for server_id, server in self.servers.items()
+            for server_id, server in servers.items()
         }
         for server_id in before.keys() | now.keys():
             if before.get(server_id) == now.get(server_id):
@@ -192,9 +267,11 @@
                     "server": server_id,
                     "state": state,
                     "revision": self.workers.revision,
+                    "watches": self.workers.on_duty.is_set(),
                 },
             )
         self.told = now
+        return now != before
 
     def _decode(self, found: StoreObject) -> BackendServer | None:
         try:
--- a/src/wisterialoom/platform/fleet.py
+++ b/src/wisterialoom/platform/fleet.py
@@ -9,7 +9,15 @@
 
 from wisterialoom.core.placement.fleet_demand import DemandReport
 from wisterialoom.platform._tasks import TaskGroup, wait_for
-from wisterialoom.platform.hints import Hello, PlacementHint, Released
+from wisterialoom.platform.hints import (
+    ConfigCopy,
+    CopyWanted,
+    Hello,
+    News,
+    PlacementHint,
+    Released,
+    ServersCopy,
+)
 from wisterialoom.platform.steward import lease_clock
 from wisterialoom.platform.store import ObjectExistsError, StoreUnavailableError
 
@@ -18,6 +26,7 @@
     from wisterialoom.platform.hints import Hint
     from wisterialoom.platform.ingress import Signal
     from wisterialoom.platform.peers import PeerLink
+    from wisterialoom.platform.relay import Relay
     from wisterialoom.platform.steward import Steward
     from wisterialoom.platform.store import StoreClient
 
@@ -72,6 +81,7 @@
         self.dispatcher = dispatcher
         self.signal = signal
         self.steward: Steward
+        self.relay: Relay
         self.holder_address = ""
         self.epoch = 0
         self.serial = 0
@@ -138,6 +148,16 @@
             case PlacementHint():
                 self._heard(now, hint.holder, hint.address)
                 self.take_placement(hint)
+            case News():
+                self._heard(now, hint.watcher, address)
+                self.relay.take_news(hint, address)
+            case CopyWanted(instance=name):
+                self._heard(now, name, address)
+                self.relay.answer(hint, address)
+            case ConfigCopy():
+                self.relay.take_config(hint)
+            case ServersCopy():
+                self.relay.take_servers(hint)
 
     def _heard(self, now: float, name: str, address: str) -> None:
         self.heard[name] = now
--- a/src/wisterialoom/platform/hints.py
+++ b/src/wisterialoom/platform/hints.py
@@ -1,29 +1,40 @@
-"""Datagrams between instances: demand to the lease holder, placement to all.
+"""Datagrams between instances: demand, placement, and what the store has told.
 
-Both are hints: a lost, late or repeated one costs time, never correctness.
+All are hints: a lost, late or repeated one costs time, never correctness.
 """
 
 from __future__ import annotations
 
+import base64
+import zlib
 from dataclasses import dataclass
 from typing import Any
 
 import orjson
 
 from wisterialoom.core.error import WisterialoomError
+from wisterialoom.core.fleet import TableEntry
 from wisterialoom.core.placement.fleet_demand import DemandReport
+from wisterialoom.core.serving.backend import BackendServer, NOT_TOLD
 
 __all__ = [
+    "ConfigCopy",
+    "CopyWanted",
     "Hello",
     "Hint",
     "HintError",
+    "News",
     "PlacementHint",
     "Released",
     "ServerHint",
+    "ServersCopy",
     "decode_hint",
     "encode_hint",
 ]
 
+PACK_LEVEL = 6
+"""Effort of packing a configuration; names and figures in it repeat."""
+
 
 class HintError(WisterialoomError):
     """Raised when a datagram is not one of an instance of this version."""
@@ -87,7 +98,85 @@
     ready_in_s: dict[str, float]
 
 
-Hint = Hello | DemandReport | PlacementHint | Released
+@dataclass(frozen=True, slots=True)
+class News:
+    """What a watcher of the store knows.
+
+    Attributes:
+        watcher: Name of the instance.
+        config_age_s: Time since it last knew that the configuration is current.
+        age_s: Time since it last knew that the servers are current.
+        config_version: Version of the configuration.
+        config_revision: Revision of the store up to which that is known.
+        revision: Revision of the store up to which the servers are known.
+        digest: Checksum over the servers.
+        changes: Servers that have changed lately.
+    """
+
+    watcher: str
+    config_age_s: float
+    age_s: float
+    config_version: int
+    config_revision: int
+    revision: int
+    digest: int
+    changes: dict[str, TableEntry]
+
+
+@dataclass(frozen=True, slots=True)
+class CopyWanted:
+    """Asks for what is newer than this configuration, or differs from these servers."""
+
+    instance: str
+    config_version: int
+    digest: int
+
+
+@dataclass(frozen=True, slots=True)
+class ConfigCopy:
+    """The whole configuration, as the store has it, packed into text."""
+
+    packed: str
+
+    @classmethod
+    def from_spec(cls, spec: Any) -> ConfigCopy:
+        """Pack a configuration."""
+        data = zlib.compress(orjson.dumps(spec), PACK_LEVEL)
+        return cls(base64.b85encode(data).decode())
+
+    def unpack(self) -> Any:
+        """Return the configuration.
+
+        Raises:
+            HintError: It was damaged on the way.
+        """
+        try:
+            return orjson.loads(zlib.decompress(base64.b85decode(self.packed)))
+        except (ValueError, zlib.error) as error:
+            raise HintError(f"copy of a configuration dropped: {error!r}") from error
+
+
+@dataclass(frozen=True, slots=True)
+class ServersCopy:
+    """One part of all servers, as of a revision of the store."""
+
+    watcher: str
+    revision: int
+    part: int
+    parts: int
+    entries: dict[str, TableEntry]
+
+
+Hint = (
+    Hello
+    | DemandReport
+    | PlacementHint
+    | Released
+    | News
+    | CopyWanted
+    | ConfigCopy
+    | ServersCopy
+)
 
 
 def encode_hint(hint: Hint) -> bytes:
@@ -107,6 +196,31 @@
                 hint.arrivals,
                 hint.running,
             ]
+        case News():
+            item = [
+                "n",
+                hint.watcher,
+                round(hint.config_age_s, 3),
+                round(hint.age_s, 3),
+                hint.config_version,
+                hint.config_revision,
+                hint.revision,
+                hint.digest,
+                _encode_entries(hint.changes),
+            ]
+        case CopyWanted():
+            item = ["w", hint.instance, hint.config_version, hint.digest]
+        case ConfigCopy():
+            item = ["c", hint.packed]
+        case ServersCopy():
+            item = [
+                "s",
+                hint.watcher,
+                hint.revision,
+                hint.part,
+                hint.parts,
+                _encode_entries(hint.entries),
+            ]
         case PlacementHint():
             servers = {
                 server_id: [
@@ -146,6 +260,26 @@
                 return Released(holder, epoch)
             case ["d", str(instance), str(boot), dict(w), dict(a), dict(r)]:
                 return DemandReport(instance, boot, w, a, r)
+            case ["n", str(watcher), config_age_s, age_s, int(version), *rest]:
+                config_revision, revision, digest, changes = rest
+                return News(
+                    watcher=watcher,
+                    config_age_s=float(config_age_s),
+                    age_s=float(age_s),
+                    config_version=version,
+                    config_revision=int(config_revision),
+                    revision=int(revision),
+                    digest=int(digest),
+                    changes=_decode_entries(changes),
+                )
+            case ["w", str(instance), int(version), int(digest)]:
+                return CopyWanted(instance, version, digest)
+            case ["c", str(packed)]:
+                return ConfigCopy(packed)
+            case ["s", str(watcher), int(revision), int(part), int(parts), entries]:
+                return ServersCopy(
+                    watcher, revision, part, parts, _decode_entries(entries)
+                )
             case ["p", str(holder), str(address), int(epoch), int(serial), *rest]:
                 renewal, members, servers, ready = rest
                 return PlacementHint(
@@ -168,6 +302,46 @@
     raise HintError("datagram dropped: unknown kind; check versions of instances")
 
 
+def _encode_entries(entries: dict[str, TableEntry]) -> dict[str, list[Any]]:
+    return {
+        server_id: [entry.revision, *_encode_server(entry.server)]
+        for server_id, entry in entries.items()
+    }
+
+
+def _encode_server(server: BackendServer | None) -> list[Any]:
+    if server is None:
+        return []
+    return [
+        server.born_ms,
+        server.service,
+        server.address,
+        server.availability_zone,
+        server.slots,
+        server.draining,
+    ]
+
+
+def _decode_entries(items: dict[str, list[Any]]) -> dict[str, TableEntry]:
+    entries = {}
+    for server_id, (revision, *told) in items.items():
+        server = None
+        if told:
+            born_ms, service, address, availability_zone, slots, draining = told
+            server = BackendServer(
+                id=server_id,
+                born_ms=int(born_ms),
+                service=str(service),
+                address=str(address),
+                availability_zone=str(availability_zone),
+                slots=int(slots),
+                draining=bool(draining),
+                order_count=NOT_TOLD,
+            )
+        entries[server_id] = TableEntry(int(revision), server, changed_at=0.0)
+    return entries
+
+
 def _decode_server(entry: list[Any]) -> ServerHint:
     count, models, unloading, busy = entry
     return ServerHint(
--- a/src/wisterialoom/platform/watcher.py
+++ b/src/wisterialoom/platform/watcher.py
@@ -26,7 +26,7 @@
 
 logger = logging.getLogger(__name__)
 
-WATCH_S = 3.0
+WATCH_S = 2.0
 """Length of one watch; bounds how long a silent connection goes unnoticed."""
 
 GATHER_S = 0.6
@@ -56,6 +56,7 @@
         lost_since: Monotonic time since which the store does not answer, if so.
         revision: Revision of the view; 0 before the first list.
         silence_s: Silence after which a list is asked for again.
+        on_duty: Set while this instance follows the store itself.
     """
 
     def __init__(
@@ -77,11 +78,14 @@
         self.revision = 0
         self.silence_s = FIRST_SILENCE_S
         self.listed = False
+        self.on_duty = asyncio.Event()
+        self.on_duty.set()
 
     async def run(self) -> None:
         """Follow the kind until cancelled."""
         pause_s = FIRST_RETRY_S
         while True:
+            await self.on_duty.wait()
             try:
                 await self._step()
                 pause_s = FIRST_RETRY_S
@@ -97,6 +101,19 @@
                     pause_s = min(MAX_RETRY_S, pause_s * 2)
                 self.silence_s = min(MAX_SILENCE_S, 2 * self.silence_s)
 
+    def set_duty(self, *, on: bool) -> None:
+        """Begin to follow the store, or leave it to others after the next answer."""
+        if on:
+            self.on_duty.set()
+        else:
+            self.on_duty.clear()
+            # Others vouch for the view; what this instance missed does not count.
+            self.lost_since = None
+
+    def confirm(self, revision: int) -> None:
+        """Take another instance's word that the view is current at a revision."""
+        self.revision = max(self.revision, revision)
+
     async def _step(self) -> None:
         started = time.monotonic()
         if not self.listed:
@@ -106,10 +123,14 @@
             self.take_listing(listing, self.lost_since)
         else:
             answer = await self.store.watch(self.kind, self.revision, WATCH_S)
-            self.revision = answer.revision
+            self.revision = max(self.revision, answer.revision)
             self.take_changes(answer)
-            if self.gathers and (answer.changed or answer.removed):
-                await asyncio.sleep(GATHER_S)
+            if answer.changed or answer.removed:
+                if self.gathers:
+                    await asyncio.sleep(GATHER_S)
+            elif time.monotonic() - started >= WATCH_S:
+                # The store saw no change until the wait was over.
+                started += WATCH_S
         self.checked_at = started
 
     def _note_answer(self) -> None:
--- /dev/null
+++ b/tests/platform/test_relay.py
@@ -0,0 +1,136 @@
+"""Several instances over real sockets: few follow the store, all know what it told."""
+
+from __future__ import annotations
+
+import socket
+from contextlib import asynccontextmanager
+from typing import Any, TYPE_CHECKING
+
+from tests.platform.standin import config, free_port, StandinPlainServer, StandinStore
+from tests.platform.test_app import settings, until
+from wisterialoom.platform.app import PlatformApp
+from wisterialoom.platform.hints import (
+    ConfigCopy,
+    CopyWanted,
+    decode_hint,
+    encode_hint,
+    News,
+    ServersCopy,
+)
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+COUNT = 6
+
+
+def make(store: StandinStore, number: int, peer_port: int) -> PlatformApp:
+    ip = f"127.0.0.{number + 1}"
+    values: dict[str, Any] = {
+        "instance": f"front-{number}",
+        "ip": ip,
+        "front": f"{ip}:{free_port()}",
+        "ready": f"{ip}:{free_port()}",
+        "peer_port": peer_port,
+    }
+    return PlatformApp(settings(store.address, **values))
+
+
+def watchers(apps: list[PlatformApp]) -> list[PlatformApp]:
+    return [app for app in apps if app.relay.duty.on]
+
+
+@asynccontextmanager
+async def fleet() -> AsyncIterator[tuple[StandinStore, list[PlatformApp]]]:
+    """Run instances until only three of them follow the store."""
+    store = StandinStore()
+    await store.start()
+    await store.put("config", "main", config())
+    await store.put("servers", "i-1", StandinPlainServer("i-1").entry() | ADDRESS)
+    peer_port = free_port(socket.SOCK_DGRAM)
+    apps = [make(store, number, peer_port) for number in range(COUNT)]
+    for app in apps:
+        await app.on_start()
+    try:
+        await until(lambda: all(app.catalog.known for app in apps))
+        await until(lambda: len(watchers(apps)) == 3)
+        yield store, apps
+    finally:
+        for app in apps:
+            await app.on_stop()
+        await store.stop()
+
+
+ADDRESS = {"address": "127.0.0.1:9"}
+
+
+async def test_followers_learn_of_changes_without_calls_of_their_own():
+    async with fleet() as (store, apps):
+        followers = [app for app in apps if not app.relay.duty.on]
+        assert len(followers) == COUNT - 3
+        # A watch that was under way when the duty was given up may still end.
+        await until(
+            lambda: all(
+                app.catalog.vouched_at > app.catalog.config.checked_at
+                for app in followers
+            )
+        )
+        await store.put("config", "main", config(version=2))
+        await store.put("servers", "i-2", StandinPlainServer("i-2").entry() | ADDRESS)
+        draining = StandinPlainServer("i-1").entry("draining") | ADDRESS
+        await store.put("servers", "i-1", draining)
+        await until(lambda: all(app.catalog.config_version == 2 for app in apps))
+        await until(lambda: all("i-2" in app.dispatcher.views for app in apps))
+        await until(
+            lambda: all(app.dispatcher.views["i-1"].server.draining for app in apps)
+        )
+        await store.remove("servers", "i-1")
+        await until(lambda: all("i-1" not in app.dispatcher.views for app in apps))
+        assert not any(app.relay.duty.on for app in followers)
+
+
+async def test_followers_follow_the_store_once_its_watchers_are_gone():
+    async with fleet() as (store, apps):
+        for app in watchers(apps):
+            await app.on_stop()
+            apps.remove(app)
+        await store.put("config", "main", config(version=2))
+        await until(
+            lambda: all(app.catalog.config_version == 2 for app in apps), limit_s=3.0
+        )
+
+
+async def test_an_instance_that_starts_in_an_outage_learns_from_the_others():
+    async with fleet() as (store, apps):
+        last = apps.pop()
+        old = last.settings
+        await last.on_stop()
+        store.mode = "down"
+        again = PlatformApp(old)
+        apps.append(again)
+        await again.on_start()
+        await until(lambda: again.catalog.known)
+        assert again.catalog.config_version == 1
+        assert set(again.dispatcher.views) == {"i-1"}
+
+
+async def test_a_lost_message_is_made_up_for_by_a_copy():
+    async with fleet() as (_, apps):
+        follower = next(app for app in apps if not app.relay.duty.on)
+        follower.catalog.table.remove(0.0, 0, "none")
+        follower.catalog.table.entries.clear()
+        follower.catalog.table.kept_digest = None
+        await until(lambda: set(follower.catalog.table.servers) == {"i-1"})
+        assert not follower.relay.duty.on
+
+
+def test_messages_survive_the_wire():
+    entries: dict[str, Any] = {}
+    for hint in (
+        News("front-1", 0.25, 0.5, 3, 8, 9, 77, entries),
+        CopyWanted("front-1", 3, 77),
+        ConfigCopy.from_spec(config()),
+        ServersCopy("front-1", 9, 0, 1, entries),
+    ):
+        assert decode_hint(encode_hint(hint)) == hint
+    assert ConfigCopy.from_spec(config()).unpack() == config()
--- /dev/null
+++ b/tests/test_watch_duty.py
@@ -0,0 +1,142 @@
+"""Which instances follow the store, on a virtual clock."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+
+from hypothesis import given, strategies as st
+
+from wisterialoom.core.fleet import WatchDuty
+
+STEP_S = 0.15
+NEWS_STEPS = 2
+BOUND_S = 2.0
+"""Longest time that the platform gives a configuration to be in force."""
+
+
+@dataclass
+class Fleet:
+    """Instances that hear each other unless a link is cut."""
+
+    names: list[str]
+    now: float = 0.0
+    stopped: set[str] = field(default_factory=set)
+    blind: set[str] = field(default_factory=set)
+    cut: set[tuple[str, str]] = field(default_factory=set)
+
+    def __post_init__(self) -> None:
+        self.duties = {name: WatchDuty(name) for name in self.names}
+        self.current = dict.fromkeys(self.names, 0.0)
+        self.steps = 0
+
+    def play(self, for_s: float) -> None:
+        end = self.now + for_s
+        while self.now < end:
+            self.now += STEP_S
+            self.steps += 1
+            for name in self.names:
+                if name not in self.stopped:
+                    self.step(name)
+
+    def step(self, name: str) -> None:
+        duty = self.duties[name]
+        duty.step(self.now)
+        if not duty.on:
+            return
+        if name not in self.blind:
+            self.current[name] = self.now
+        if self.steps % NEWS_STEPS:
+            return
+        for other in self.names:
+            if other != name and (name, other) not in self.cut:
+                self.duties[other].note_agreed(self.now, name, self.current[name])
+
+    def watchers(self) -> set[str]:
+        return {
+            name
+            for name, duty in self.duties.items()
+            if duty.on and name not in self.stopped
+        }
+
+
+def fleet(count: int) -> Fleet:
+    return Fleet([f"front-{number}" for number in range(count)])
+
+
+def test_few_follow_the_store_however_large_the_fleet_is():
+    for count in (5, 77, 410):
+        world = fleet(count)
+        world.play(6.0)
+        assert len(world.watchers()) == 3
+
+
+def test_small_fleets_all_follow_the_store():
+    world = fleet(3)
+    world.play(6.0)
+    assert len(world.watchers()) == 3
+
+
+def test_one_alone_follows_the_store():
+    duty = WatchDuty("front-1")
+    assert not duty.step(0.0)
+    assert duty.on
+
+
+def test_lost_watchers_are_replaced_within_the_bound():
+    world = fleet(40)
+    world.play(6.0)
+    world.stopped |= world.watchers()
+    world.play(BOUND_S)
+    assert world.watchers()
+    world.play(6.0)
+    assert len(world.watchers()) == 3
+
+
+def test_watchers_that_the_store_does_not_answer_are_joined_by_others():
+    world = fleet(40)
+    world.play(6.0)
+    world.blind |= world.watchers()
+    world.play(6.0)
+    assert world.watchers() - world.blind
+
+
+def test_instances_that_hear_nobody_follow_the_store_themselves():
+    world = fleet(20)
+    world.play(6.0)
+    alone = max(world.names, key=lambda name: name not in world.watchers())
+    world.cut |= {(other, alone) for other in world.names}
+    world.play(BOUND_S)
+    assert world.duties[alone].on
+
+
+def test_a_watcher_that_disagrees_does_not_count():
+    duty = WatchDuty("front-0")
+    lower = [f"w{number}" for number in range(200)]
+    for step in range(40):
+        for name in lower:
+            duty.note_heard(step * STEP_S, name)
+        duty.step(step * STEP_S)
+    assert duty.on
+
+
+def test_duty_is_given_up_only_after_a_while():
+    world = fleet(40)
+    world.play(6.0)
+    gone = sorted(world.watchers())[0]
+    world.stopped.add(gone)
+    world.play(6.0)
+    replacement = world.watchers()
+    world.stopped.remove(gone)
+    world.play(1.0)
+    assert replacement <= world.watchers()
+    world.play(6.0)
+    assert len(world.watchers()) == 3
+
+
+@given(st.lists(st.sampled_from(range(12)), max_size=9, unique=True))
+def test_any_losses_leave_a_watcher(lost: list[int]):
+    world = fleet(12)
+    world.play(5.0)
+    world.stopped |= {f"front-{number}" for number in lost}
+    world.play(BOUND_S)
+    assert world.watchers()
