Keep a start of 77 instances from telling all others all servers

Change: a list is no news, instances begin to watch in the order of their ranks, and those with slow links come last for the watch and for the lease.

--- a/src/wisterialoom/core/fleet/__init__.py
+++ b/src/wisterialoom/core/fleet/__init__.py
@@ -11,9 +11,10 @@
     WriteLease,
 )
 from wisterialoom.core.fleet.server_table import ServerTable, TableEntry
-from wisterialoom.core.fleet.watch_duty import WatchDuty
+from wisterialoom.core.fleet.watch_duty import MAX_RANK, WatchDuty
 
 __all__ = [
+    "MAX_RANK",
     "LeaseRecord",
     "LeaseStep",
     "PlacementLease",
--- a/src/wisterialoom/core/fleet/placement_lease.py
+++ b/src/wisterialoom/core/fleet/placement_lease.py
@@ -48,6 +48,10 @@
 READ_SHARE = 0.25
 """Time between two reads of the record, in lease lengths."""
 
+SLOW_LINK_S = 0.6
+"""Time that an instance with a slow link leaves the lease to others; their stagger and
+two looks at the record."""
+
 STAGGER_S = 0.3
 """Largest delay before a take, so that instances do not race for it."""
 
@@ -117,10 +121,19 @@
         fenced: Backend servers refuse orders with an old fencing number.
         extended_until: Time until which a fenced holder goes on without renewals.
         stepped_at: When the last step was asked for.
+        reluctance_s: Time for which the lease is left to others.
+        read_at: When the record was first read.
     """
 
     def __init__(
-        self, me: str, boot: str, address: str, lease_s: float, *, fenced: bool
+        self,
+        me: str,
+        boot: str,
+        address: str,
+        lease_s: float,
+        *,
+        fenced: bool,
+        slow_link: bool = False,
     ) -> None:
         self.me = me
         self.boot = boot
@@ -140,6 +153,8 @@
         self.stepped_at = float("-inf")
         self.next_read = float("-inf")
         self.next_renewal = float("-inf")
+        self.reluctance_s = SLOW_LINK_S if slow_link else 0.0
+        self.read_at = float("-inf")
 
     def is_valid(self, now: float) -> bool:
         """Tell whether this process may give an order now."""
@@ -178,7 +193,7 @@
     def is_open(self, now: float) -> bool:
         """Tell whether this process may take the lease."""
         if self.record is None:
-            return True
+            return now - self.read_at >= self.reluctance_s
         if self.record.holder == self.me:
             # An earlier process of this instance; it has ended.
             return True
@@ -186,7 +201,7 @@
             return False
         unseen_s = now - self.seen_at
         draw = zlib.crc32(f"{self.me}{self.epoch}".encode()) / 2**32
-        unseen_s -= STAGGER_S * draw
+        unseen_s -= STAGGER_S * draw + self.reluctance_s
         gap = FENCED_GAP_SHARE if self.fenced else GAP_SHARE
         if self.record.released:
             return unseen_s > (0.0 if self.fenced else gap * self.lease_s)
@@ -198,6 +213,8 @@
             self.seen_at = now
         if record is not None and (record.epoch, record.serial) == self.heard_serial:
             self.seen_at = min(self.seen_at, self.serial_heard_at)
+        if not self.read:
+            self.read_at = now
         self.read = True
         self.record = record
         self.revision = revision
--- a/src/wisterialoom/core/fleet/server_table.py
+++ b/src/wisterialoom/core/fleet/server_table.py
@@ -62,10 +62,20 @@
             self.kept_digest = zlib.crc32(repr(known).encode())
         return self.kept_digest
 
-    def put(self, now: float, revision: int, server: BackendServer) -> bool:
-        """Take an entry unless a newer one is known; tell whether it was taken."""
+    def put(
+        self, now: float, revision: int, server: BackendServer, *, listed: bool = False
+    ) -> bool:
+        """Take an entry unless a newer one is known; tell whether it was taken.
+
+        Args:
+            now: Monotonic time.
+            revision: Revision of the entry.
+            server: The entry.
+            listed: It is from a list. A list shows what is, not what has changed;
+                others that lack it see that from the digest.
+        """
         known = self.entries.get(server.id)
-        changed_at = now
+        changed_at = float("-inf") if listed else now
         if known is not None:
             if revision < known.revision:
                 return False
--- a/src/wisterialoom/core/fleet/watch_duty.py
+++ b/src/wisterialoom/core/fleet/watch_duty.py
@@ -9,10 +9,9 @@
 
 from __future__ import annotations
 
-import zlib
 from dataclasses import dataclass
 
-__all__ = ["WatchDuty"]
+__all__ = ["MAX_RANK", "WatchDuty"]
 
 WATCHERS = 3
 """Instances that follow the store at once; two may be lost without a delay."""
@@ -28,8 +27,14 @@
 A watch that brings news proves no more than its start."""
 
 STAGGER_S = 0.4
-"""Longest delay before an instance of the highest rank takes up the duty, so that not
-all do at once."""
+"""Delay before an instance of the highest rank takes up the duty, so that not all do
+at once; lower ranks wait in proportion."""
+
+FIRST_STAGGER_S = 1.5
+"""That delay after a start. The list has just been read, and all start together."""
+
+MAX_RANK = 2**32
+"""Ranks are below this."""
 
 RELEASE_S = 2.0
 """Time with enough other watchers after which the duty is given up."""
@@ -39,6 +44,7 @@
 class _Watcher:
     """What was heard of a watcher, as monotonic times."""
 
+    rank: int
     heard_at: float
     agreed_at: float = float("-inf")
     current_at: float = float("-inf")
@@ -55,48 +61,48 @@
     """Whether this instance follows the store itself.
 
     Attributes:
-        me: Name of this instance.
+        rank: Rank of this instance, below `MAX_RANK`; the lowest ranks watch.
         on: This instance follows the store.
         heard: Watchers that were heard, by name.
         enough_since: Time since which enough watchers of lower rank are heard.
         short_since: Time since which too few are heard.
+        stagger_s: Delay of the highest rank.
     """
 
-    def __init__(self, me: str) -> None:
-        self.me = me
-        self.on = True
+    def __init__(self, rank: int) -> None:
+        self.rank = rank
+        self.on = False
+        self.stagger_s = FIRST_STAGGER_S
         self.heard: dict[str, _Watcher] = {}
         self.enough_since: float | None = None
         self.short_since: float | None = None
 
-    def note_heard(self, now: float, watcher: str) -> None:
+    def note_heard(self, now: float, watcher: str, rank: int) -> None:
         """Note a message of a watcher."""
         known = self.heard.get(watcher)
         if known is None:
-            self.heard[watcher] = _Watcher(now)
+            self.heard[watcher] = _Watcher(rank, now)
         else:
-            known.heard_at = now
+            known.rank, known.heard_at = rank, now
 
     def note_agreed(self, now: float, watcher: str, current_at: float) -> None:
-        """Note that a watcher knows nothing that this instance lacks.
+        """Note that a watcher just heard knows nothing that this instance lacks.
 
         Args:
             now: Monotonic time.
             watcher: Its name.
             current_at: Time at which its knowledge was last known to be current.
         """
-        self.note_heard(now, watcher)
         known = self.heard[watcher]
         known.agreed_at = now
         known.current_at = max(known.current_at, current_at)
 
     def counted(self, now: float) -> list[str]:
         """Return the watchers of lower rank that count now."""
-        mine = _rank(self.me)
         return [
             name
             for name, watcher in self.heard.items()
-            if _rank(name) < mine and watcher.counts(now)
+            if watcher.rank < self.rank and watcher.counts(now)
         ]
 
     def step(self, now: float) -> bool:
@@ -108,6 +114,7 @@
         }
         if len(self.counted(now)) >= WATCHERS:
             self.short_since = None
+            self.stagger_s = STAGGER_S
             if self.enough_since is None:
                 self.enough_since = now
             wanted = now - self.enough_since < RELEASE_S and self.on
@@ -115,13 +122,8 @@
             self.enough_since = None
             if self.short_since is None:
                 self.short_since = now
-            delay_s = STAGGER_S * _rank(self.me)[0] / 2**32
+            delay_s = self.stagger_s * self.rank / MAX_RANK
             wanted = self.on or now - self.short_since >= delay_s
         changed = wanted != self.on
         self.on = wanted
         return changed
-
-
-def _rank(name: str) -> tuple[int, str]:
-    """Return the rank of an instance; names alone decide, so that all agree."""
-    return zlib.crc32(name.encode()), name
--- a/src/wisterialoom/platform/app.py
+++ b/src/wisterialoom/platform/app.py
@@ -181,6 +181,7 @@
                 settings.ip,
                 settings.bounds.lease_s,
                 fenced=settings.bounds.fenced,
+                slow_link=settings.slow_link,
             ),
             store,
             orders,
@@ -190,7 +191,9 @@
             fleet.note_holder,
         )
         fleet.steward = self.steward
-        self.relay = Relay(settings.instance, self.catalog, peers)
+        self.relay = Relay(
+            settings.instance, self.catalog, peers, slow_link=settings.slow_link
+        )
         fleet.relay = self.relay
         self.peers = peers
         self.fleet = fleet
@@ -211,6 +214,12 @@
             "reason",
             lambda: {"unreadable": self.peers.dropped},
         )
+        metrics.mirror(
+            "hint_bytes_total",
+            "Bytes of datagrams sent to other instances.",
+            "kind",
+            lambda: self.peers.sent_bytes,
+        )
         metrics.mirror(
             "log_lines_left_out_total",
             "Log lines beyond the bound.",
--- a/src/wisterialoom/platform/catalog.py
+++ b/src/wisterialoom/platform/catalog.py
@@ -195,7 +195,7 @@
         for found in listing.objects:
             server = self._decode(found)
             if server is not None:
-                self.table.put(now, found.revision, server)
+                self.table.put(now, found.revision, server, listed=True)
                 listed.add(server.id)
         for server_id in self.table.servers.keys() - listed:
             if lost_since is None:
--- a/src/wisterialoom/platform/hints.py
+++ b/src/wisterialoom/platform/hints.py
@@ -104,6 +104,7 @@
 
     Attributes:
         watcher: Name of the instance.
+        rank: Its rank for the watch.
         config_age_s: Time since it last knew that the configuration is current.
         age_s: Time since it last knew that the servers are current.
         config_version: Version of the configuration.
@@ -114,6 +115,7 @@
     """
 
     watcher: str
+    rank: int
     config_age_s: float
     age_s: float
     config_version: int
@@ -200,6 +202,7 @@
             item = [
                 "n",
                 hint.watcher,
+                hint.rank,
                 round(hint.config_age_s, 3),
                 round(hint.age_s, 3),
                 hint.config_version,
@@ -260,13 +263,14 @@
                 return Released(holder, epoch)
             case ["d", str(instance), str(boot), dict(w), dict(a), dict(r)]:
                 return DemandReport(instance, boot, w, a, r)
-            case ["n", str(watcher), config_age_s, age_s, int(version), *rest]:
-                config_revision, revision, digest, changes = rest
+            case ["n", str(watcher), int(rank), config_age_s, age_s, *rest]:
+                version, config_revision, revision, digest, changes = rest
                 return News(
                     watcher=watcher,
+                    rank=rank,
                     config_age_s=float(config_age_s),
                     age_s=float(age_s),
-                    config_version=version,
+                    config_version=int(version),
                     config_revision=int(config_revision),
                     revision=int(revision),
                     digest=int(digest),
--- a/src/wisterialoom/platform/peers.py
+++ b/src/wisterialoom/platform/peers.py
@@ -29,6 +29,7 @@
         take: Takes each hint with the sender's address.
         members: Address by instance, this one included.
         dropped: Datagrams that could not be read or sent.
+        sent_bytes: Bytes sent, by kind of hint.
     """
 
     def __init__(self, port: int, take: Callable[[Hint, str], None]) -> None:
@@ -37,6 +38,7 @@
         self.members: dict[str, str] = {}
         self.transport: asyncio.DatagramTransport | None = None
         self.dropped = 0
+        self.sent_bytes: dict[str, int] = {}
 
     async def start(self, ip: str) -> None:
         """Open the socket."""
@@ -84,5 +86,8 @@
             self.dropped += 1
             logger.error("hint too large", extra={"bytes": len(data)})
             return
+        kind = type(hint).__name__
+        sent = len(data) * len(addresses)
+        self.sent_bytes[kind] = self.sent_bytes.get(kind, 0) + sent
         for address in addresses:
             self.transport.sendto(data, (address, self.port))
--- a/src/wisterialoom/platform/relay.py
+++ b/src/wisterialoom/platform/relay.py
@@ -10,10 +10,11 @@
 import asyncio
 import logging
 import time
+import zlib
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
-from wisterialoom.core.fleet import WatchDuty
+from wisterialoom.core.fleet import MAX_RANK, WatchDuty
 from wisterialoom.platform._tasks import TaskGroup, wait_for
 from wisterialoom.platform.hints import (
     ConfigCopy,
@@ -65,11 +66,13 @@
         parts: Parts of a copy that has not come whole, by watcher and revision.
     """
 
-    def __init__(self, me: str, catalog: Catalog, peers: PeerLink) -> None:
+    def __init__(
+        self, me: str, catalog: Catalog, peers: PeerLink, *, slow_link: bool = False
+    ) -> None:
         self.me = me
         self.catalog = catalog
         self.peers = peers
-        self.duty = WatchDuty(me)
+        self.duty = WatchDuty(_rank(me, slow_link=slow_link))
         self.asked_at = float("-inf")
         self.sent_at = float("-inf")
         self.packed: tuple[int, ConfigCopy] | None = None
@@ -87,17 +90,22 @@
         await self.tasks.stop()
 
     async def _run(self) -> None:
+        while not self.catalog.known:
+            await wait_for(self.kick, STEP_S)
+            self.kick.clear()
+        # The first list has been read; who reads on is decided from here.
+        self.catalog.set_duty(on=self.duty.on)
         while True:
             changed = await wait_for(self.kick, STEP_S)
             self.kick.clear()
             now = time.monotonic()
-            if self.catalog.known and self.duty.step(now):
+            if self.duty.step(now):
                 self.catalog.set_duty(on=self.duty.on)
                 logger.info(
                     "watch duty",
                     extra={
                         "on": self.duty.on,
-                        "watchers": self.duty.counted(now),
+                        "heard": len(self.duty.counted(now)),
                         "revision": self.catalog.workers.revision,
                     },
                 )
@@ -107,11 +115,12 @@
     def _tell(self, now: float) -> None:
         config_age_s = now - self.catalog.config.checked_at
         age_s = now - self.catalog.workers.checked_at
-        if not self.catalog.known or max(config_age_s, age_s) > STALE_S:
+        if max(config_age_s, age_s) > STALE_S:
             return
         self.sent_at = now
         news = News(
             watcher=self.me,
+            rank=self.duty.rank,
             config_age_s=config_age_s,
             age_s=age_s,
             config_version=self.catalog.config_version,
@@ -126,7 +135,7 @@
         """Take what a watcher knows; ask for a copy if that is more."""
         now = time.monotonic()
         catalog = self.catalog
-        self.duty.note_heard(now, news.watcher)
+        self.duty.note_heard(now, news.watcher, news.rank)
         if news.changes:
             catalog.take_entries(news.changes)
         differs = news.digest != catalog.table.digest
@@ -201,3 +210,9 @@
             for server_id, entry in part.items()
         }
         self.catalog.take_table(copy.revision, entries)
+
+
+def _rank(name: str, *, slow_link: bool) -> int:
+    """Return the rank for the watch: by name, slow links after all others."""
+    by_name = zlib.crc32(name.encode()) // 2
+    return by_name + (MAX_RANK // 2 if slow_link else 0)
--- a/src/wisterialoom/platform/settings.py
+++ b/src/wisterialoom/platform/settings.py
@@ -28,6 +28,10 @@
     return Path(os.environ.get(CONFIG_VARIABLE, DEFAULT_PATH))
 
 
+FAST_LINK_MBPS = 20.0
+"""Rate of a link on which a duty's messages to 77 instances take under a tenth."""
+
+
 @dataclass(frozen=True, slots=True)
 class Bounds:
     """Time limits and shares that the platform's operators set.
@@ -76,6 +80,7 @@
         peer_port: Port for datagrams between instances, the same on all machines.
         metrics_port: Port on which metrics are served; none if 0.
         bounds: Time limits and shares.
+        link_mbps: Rate of this machine's network link in Mbit/s.
     """
 
     instance: str
@@ -87,6 +92,12 @@
     peer_port: int
     metrics_port: int
     bounds: Bounds
+    link_mbps: float = 1000.0
+
+    @property
+    def slow_link(self) -> bool:
+        """This machine should leave duties that tell all others something to them."""
+        return self.link_mbps < FAST_LINK_MBPS
 
     @classmethod
     def from_environment(cls, metrics_port: int = 0) -> PlatformSettings:
@@ -136,6 +147,7 @@
                 peer_port=int(first_port),
                 metrics_port=0,
                 bounds=Bounds.from_table(table.get("bounds", {})),
+                link_mbps=float(table.get("limits", {}).get("linkMbps", 1000.0)),
             )
         except (KeyError, IndexError, TypeError, ValueError) as error:
             raise SettingsError(
--- a/tests/test_placement_lease.py
+++ b/tests/test_placement_lease.py
@@ -196,3 +196,27 @@
             for other, at in last_order.items():
                 assert other == name or now - at >= LEASE_S
             last_order[name] = now
+
+
+def test_an_instance_with_a_slow_link_leaves_the_lease_to_others():
+    """Its messages to 77 instances delayed its own renewals, and the lease moved."""
+    slow = PlacementLease("s", "b1", "10.0.0.1", LEASE_S, fenced=True, slow_link=True)
+    store = Store()
+    play(slow, store, 0.0)
+    assert isinstance(slow.step(0.5), ReadLease) or slow.step(0.5) is None
+    assert store.record is None
+    fast = make("f")
+    play(fast, store, 0.55)
+    play(fast, store, 0.6)
+    assert store.record is not None
+    assert store.record.holder == "f"
+
+
+def test_an_instance_with_a_slow_link_takes_the_lease_if_no_other_does():
+    slow = PlacementLease("s", "b1", "10.0.0.1", LEASE_S, fenced=True, slow_link=True)
+    store = Store()
+    now = 0.0
+    while store.record is None and now < 2.0:
+        play(slow, store, now)
+        now += 0.05
+    assert store.record is not None
--- a/tests/test_server_table.py
+++ b/tests/test_server_table.py
@@ -62,6 +62,15 @@
     assert set(table.changed_since(5.0)) == {"i-1"}
 
 
+def test_a_list_is_no_news():
+    """After a start of 77 instances, each told all others of each server."""
+    table = ServerTable()
+    table.put(1.0, 5, SERVER, listed=True)
+    assert table.changed_since(0.0) == {}
+    table.put(2.0, 6, replace(SERVER, draining=True))
+    assert set(table.changed_since(0.0)) == {"i-1"}
+
+
 @given(st.permutations(range(5)))
 def test_the_order_of_arrival_does_not_matter(order: list[int]):
     def play(steps: list[int]) -> ServerTable:
