--- a/src/wisterialoom/core/fleet/__init__.py
+++ b/src/wisterialoom/core/fleet/__init__.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from wisterialoom.core.fleet.change_feed import ChangeFeed
 from wisterialoom.core.fleet.placement_lease import (
     LeaseRecord,
     LeaseStep,
@@ -15,6 +16,7 @@
 
 __all__ = [
     "MAX_RANK",
+    "ChangeFeed",
     "LeaseRecord",
     "LeaseStep",
     "PlacementLease",
--- a/src/wisterialoom/core/placement/fleet_demand.py
+++ b/src/wisterialoom/core/placement/fleet_demand.py
@@ -110,6 +110,14 @@
                 found[wanted] = found.get(wanted, 0) + count
         return found
 
+    def waiting_instances(self, now: float) -> list[str]:
+        """Return the instances whose requests wait."""
+        return [
+            name
+            for name, known in self.instances.items()
+            if known.report.waiting and now - known.at <= REPORT_MAX_AGE_S
+        ]
+
     def running(self, now: float) -> dict[str, dict[str, int]]:
         """Return the requests in progress, by server, then model and adapter."""
         found: dict[str, dict[str, int]] = {}
--- a/src/wisterialoom/platform/app.py
+++ b/src/wisterialoom/platform/app.py
@@ -25,6 +25,7 @@
 from wisterialoom.platform.metrics import PlatformMetrics
 from wisterialoom.platform.orders import OrderClient
 from wisterialoom.platform.peers import PeerLink
+from wisterialoom.platform.placement_view import PlacementView
 from wisterialoom.platform.relay import Relay
 from wisterialoom.platform.settings import (
     PlatformSettings,
@@ -163,6 +164,7 @@
         settings = self.settings
         boot = os.urandom(8).hex()
         peers = PeerLink(settings.peer_port, lambda hint, ip: fleet.take(hint, ip))
+        placement = PlacementView(self.dispatcher, self.signal.wake)
         fleet = Fleet(
             settings.instance,
             boot,
@@ -170,7 +172,7 @@
             store,
             peers,
             self.dispatcher,
-            self.signal,
+            placement,
         )
         orders = OrderClient(settings.instance, self._session(TCPConnector(limit=0)))
         self.orders = orders
@@ -187,7 +189,7 @@
             orders,
             peers,
             self.dispatcher,
-            fleet.take_placement,
+            placement,
             fleet.note_holder,
         )
         fleet.steward = self.steward
--- a/src/wisterialoom/platform/fleet.py
+++ b/src/wisterialoom/platform/fleet.py
@@ -15,17 +15,20 @@
     Hello,
     News,
     PlacementHint,
+    PlacementWanted,
     Released,
     ServersCopy,
 )
+from wisterialoom.platform.placement_feed import members_digest
+from wisterialoom.platform.placement_view import Disagreement
 from wisterialoom.platform.steward import lease_clock
 from wisterialoom.platform.store import ObjectExistsError, StoreUnavailableError
 
 if TYPE_CHECKING:
     from wisterialoom.core.serving.dispatcher import Dispatcher
     from wisterialoom.platform.hints import Hint
-    from wisterialoom.platform.ingress import Signal
     from wisterialoom.platform.peers import PeerLink
+    from wisterialoom.platform.placement_view import PlacementView
     from wisterialoom.platform.relay import Relay
     from wisterialoom.platform.steward import Steward
     from wisterialoom.platform.store import StoreClient
@@ -61,6 +64,8 @@
         holder_address: Address of the holder of the placement lease, if heard.
         epoch: Its fencing number.
         serial: Serial of its last hint.
+        placement: What the model servers hold, as the holder told.
+        disagreement: Tells when what is known here differs for too long.
     """
 
     def __init__(
@@ -71,7 +76,7 @@
         store: StoreClient,
         peers: PeerLink,
         dispatcher: Dispatcher,
-        signal: Signal,
+        placement: PlacementView,
     ) -> None:
         self.instance = instance
         self.boot = boot
@@ -79,7 +84,8 @@
         self.store = store
         self.peers = peers
         self.dispatcher = dispatcher
-        self.signal = signal
+        self.placement = placement
+        self.disagreement = Disagreement()
         self.steward: Steward
         self.relay: Relay
         self.holder_address = ""
@@ -148,6 +154,10 @@
             case PlacementHint():
                 self._heard(now, hint.holder, hint.address)
                 self.take_placement(hint)
+            case PlacementWanted(instance=name):
+                self._heard(now, name, address)
+                if self.steward.was_valid:
+                    self.steward.feed.answer(address)
             case News():
                 self._heard(now, hint.watcher, address)
                 self.relay.take_news(hint, address)
@@ -189,19 +199,24 @@
         self.holder_address = hint.address
         if hint.holder != self.instance:
             self.steward.lease.heard(lease_clock(), hint.epoch, hint.renewal)
-            if hint.members:
-                self.peers.members = {**hint.members, self.instance: self.address}
-                self._note_members()
-        self.dispatcher.take_placement(now, hint.ready_in_s)
-        changed = False
-        for server_id, server in hint.servers.items():
-            view = self.dispatcher.views.get(server_id)
-            if view is None:
-                continue
-            view.note_fleet_busy(now, server.busy)
-            changed |= view.set_placement(server.count, server.models, server.unloading)
-        if changed:
-            self.signal.wake()
+            self._take_members(hint)
+            agreed = self.placement.take_hint(
+                now, hint, members_digest(self.peers.members)
+            )
+            if self.disagreement.lasts(now, agreed=agreed):
+                self.peers.send(PlacementWanted(self.instance), hint.address)
+
+    def _take_members(self, hint: PlacementHint) -> None:
+        if not (hint.members or hint.members_whole):
+            return
+        members = {} if hint.members_whole else dict(self.peers.members)
+        for name, address in hint.members.items():
+            if address:
+                members[name] = address
+            else:
+                members.pop(name, None)
+        self.peers.members = members | {self.instance: self.address}
+        self._note_members()
 
     def note_holder(self, name: str, address: str) -> None:
         """Note who holds the placement lease, as the store has it."""
--- a/src/wisterialoom/platform/hints.py
+++ b/src/wisterialoom/platform/hints.py
@@ -15,6 +15,7 @@
 from wisterialoom.core.error import WisterialoomError
 from wisterialoom.core.fleet import TableEntry
 from wisterialoom.core.placement.fleet_demand import DemandReport
+from wisterialoom.core.placement.placement_table import Holding
 from wisterialoom.core.serving.backend import BackendServer, NOT_TOLD
 
 __all__ = [
@@ -25,15 +26,18 @@
     "HintError",
     "News",
     "PlacementHint",
+    "PlacementWanted",
     "Released",
-    "ServerHint",
     "ServersCopy",
     "decode_hint",
     "encode_hint",
 ]
 
-PACK_LEVEL = 6
-"""Effort of packing a configuration; names and figures in it repeat."""
+PACK_LEVEL = 2
+"""Effort of packing; names repeat, so that more effort gains little."""
+
+PACK_ABOVE = 400
+"""Size in bytes above which a datagram is packed; to a third, in some 50 us."""
 
 
 class HintError(WisterialoomError):
@@ -56,23 +60,6 @@
     epoch: int
 
 
-@dataclass(frozen=True, slots=True)
-class ServerHint:
-    """What a model server holds and how busy it is.
-
-    Attributes:
-        count: Orders that it has accepted.
-        models: Adapters by resident model.
-        unloading: Models that take no new requests.
-        busy: Requests of all instances in progress at it.
-    """
-
-    count: int
-    models: dict[str, frozenset[str]]
-    unloading: frozenset[str]
-    busy: int
-
-
 @dataclass(frozen=True, slots=True)
 class PlacementHint:
     """What the holder of the placement lease knows.
@@ -83,9 +70,13 @@
         epoch: Its fencing number.
         serial: Increases with each hint of an epoch.
         renewal: Serial of the last renewal of the lease.
-        members: Address by instance; empty if they are not told this time.
-        servers: Model servers by id; only those that have changed, at most times.
+        members: Address by instance of those that have changed; empty if gone.
+        members_whole: All instances are in `members`.
+        servers: What has changed at model servers, by id; `None` if one is gone.
+        busy: Requests of all instances in progress at each model server, in the order
+            of the ids.
         ready_in_s: Time until models and adapters that are being loaded can serve.
+        digest: Checksum over the instances and what the model servers hold.
     """
 
     holder: str
@@ -94,8 +85,18 @@
     serial: int
     renewal: int
     members: dict[str, str]
-    servers: dict[str, ServerHint]
+    members_whole: bool
+    servers: dict[str, Holding | None]
+    busy: tuple[int, ...]
     ready_in_s: dict[str, float]
+    digest: int
+
+
+@dataclass(frozen=True, slots=True)
+class PlacementWanted:
+    """Asks the holder of the placement lease for everything that it tells."""
+
+    instance: str
 
 
 @dataclass(frozen=True, slots=True)
@@ -173,6 +174,7 @@
     Hello
     | DemandReport
     | PlacementHint
+    | PlacementWanted
     | Released
     | News
     | CopyWanted
@@ -224,16 +226,9 @@
                 hint.parts,
                 _encode_entries(hint.entries),
             ]
+        case PlacementWanted():
+            item = ["q", hint.instance]
         case PlacementHint():
-            servers = {
-                server_id: [
-                    server.count,
-                    {name: sorted(held) for name, held in server.models.items()},
-                    sorted(server.unloading),
-                    server.busy,
-                ]
-                for server_id, server in hint.servers.items()
-            }
             item = [
                 "p",
                 hint.holder,
@@ -242,10 +237,17 @@
                 hint.serial,
                 hint.renewal,
                 hint.members,
-                servers,
+                hint.members_whole,
+                {
+                    server_id: _encode_holding(holding)
+                    for server_id, holding in hint.servers.items()
+                },
+                hint.busy,
                 {name: round(left, 3) for name, left in hint.ready_in_s.items()},
+                hint.digest,
             ]
-    return orjson.dumps(item)
+    data = orjson.dumps(item)
+    return zlib.compress(data, PACK_LEVEL) if len(data) > PACK_ABOVE else data
 
 
 def decode_hint(data: bytes) -> Hint:
@@ -255,7 +257,7 @@
         HintError: It is none of an instance of this version.
     """
     try:
-        item = orjson.loads(data)
+        item = orjson.loads(data if data[:1] == b"[" else zlib.decompress(data))
         match item:
             case ["h", str(instance), str(address)]:
                 return Hello(instance, address)
@@ -284,8 +286,10 @@
                 return ServersCopy(
                     watcher, revision, part, parts, _decode_entries(entries)
                 )
+            case ["q", str(instance)]:
+                return PlacementWanted(instance)
             case ["p", str(holder), str(address), int(epoch), int(serial), *rest]:
-                renewal, members, servers, ready = rest
+                renewal, members, members_whole, servers, busy, ready, digest = rest
                 return PlacementHint(
                     holder=holder,
                     address=address,
@@ -293,13 +297,16 @@
                     serial=serial,
                     renewal=int(renewal),
                     members=members,
+                    members_whole=bool(members_whole),
                     servers={
-                        server_id: _decode_server(entry)
+                        server_id: _decode_holding(entry)
                         for server_id, entry in servers.items()
                     },
+                    busy=tuple(busy),
                     ready_in_s=ready,
+                    digest=int(digest),
                 )
-    except (ValueError, TypeError, AttributeError) as error:
+    except (ValueError, TypeError, AttributeError, zlib.error) as error:
         raise HintError(
             f"datagram dropped: {error!r}; check what else sends to the inner ports"
         ) from error
@@ -346,11 +353,19 @@
     return entries
 
 
-def _decode_server(entry: list[Any]) -> ServerHint:
-    count, models, unloading, busy = entry
-    return ServerHint(
-        count=int(count),
+def _encode_holding(holding: Holding | None) -> list[Any]:
+    if holding is None:
+        return []
+    models = {name: sorted(held) for name, held in holding.models.items()}
+    return [holding.count, models, sorted(holding.unloading)]
+
+
+def _decode_holding(entry: list[Any]) -> Holding | None:
+    if not entry:
+        return None
+    count, models, unloading = entry
+    return Holding(
         models={name: frozenset(held) for name, held in models.items()},
         unloading=frozenset(unloading),
-        busy=int(busy),
+        count=int(count),
     )
--- /dev/null
+++ b/src/wisterialoom/platform/placement_view.py
@@ -0,0 +1,120 @@
+"""What the model servers hold, as this instance knows it from the lease holder."""
+
+from __future__ import annotations
+
+from typing import TYPE_CHECKING
+
+from wisterialoom.core.placement.placement_table import PlacementTable
+
+if TYPE_CHECKING:
+    from collections.abc import Callable
+
+    from wisterialoom.core.placement.placement_table import Holding
+    from wisterialoom.core.serving.dispatcher import Dispatcher
+    from wisterialoom.platform.hints import PlacementHint
+
+__all__ = ["Disagreement", "PlacementView"]
+
+DISAGREE_S = 0.5
+"""Time for which what is known here may differ from what the holder tells; two of its
+messages to all."""
+
+ASK_S = 0.6
+"""Least time between two requests for everything."""
+
+
+class PlacementView:
+    """Keeps the dispatcher's placement current.
+
+    Attributes:
+        dispatcher: Takes what the servers hold.
+        changed: Called when requests may be affected.
+        table: What the servers hold.
+    """
+
+    def __init__(self, dispatcher: Dispatcher, changed: Callable[[], None]) -> None:
+        self.dispatcher = dispatcher
+        self.changed = changed
+        self.table = PlacementTable()
+
+    def take_hint(self, now: float, hint: PlacementHint, members_digest: int) -> bool:
+        """Take a hint; tell whether all is known that its sender knows."""
+        views = self.dispatcher.views
+        changed = set()
+        for server_id, holding in hint.servers.items():
+            if holding is None:
+                self.table.remove(server_id)
+            else:
+                self.table.put(server_id, holding)
+                changed.add(server_id)
+        known = sorted(self.table.holdings.keys() & views.keys())
+        agreed = self.table.digest(known) ^ members_digest == hint.digest
+        if agreed:
+            for server_id, busy in zip(known, hint.busy, strict=False):
+                views[server_id].note_fleet_busy(now, busy)
+        self._apply(now, changed, hint.ready_in_s)
+        return agreed
+
+    def take(
+        self,
+        now: float,
+        holdings: dict[str, Holding],
+        busy: dict[str, int],
+        ready_in_s: dict[str, float],
+    ) -> None:
+        """Take what this instance knows as the holder of the lease."""
+        views = self.dispatcher.views
+        changed = {
+            server_id
+            for server_id, holding in holdings.items()
+            if self.table.holdings.get(server_id) != holding
+        }
+        for server_id in self.table.holdings.keys() - holdings.keys():
+            self.table.remove(server_id)
+        for server_id in changed:
+            self.table.put(server_id, holdings[server_id])
+        for server_id in holdings.keys() & views.keys():
+            views[server_id].note_fleet_busy(now, busy[server_id])
+        self._apply(now, changed, ready_in_s)
+
+    def _apply(
+        self, now: float, changed: set[str], ready_in_s: dict[str, float]
+    ) -> None:
+        self.dispatcher.take_placement(now, ready_in_s)
+        wake = False
+        for server_id, holding in self.table.holdings.items():
+            view = self.dispatcher.views.get(server_id)
+            if view is None:
+                continue
+            # A server that was listed after it was told of has no placement yet.
+            if server_id in changed or view.placement_count < holding.count:
+                wake |= view.set_placement(
+                    holding.count, holding.models, holding.unloading
+                )
+        if wake:
+            self.changed()
+
+
+class Disagreement:
+    """Tells when to ask the holder for everything.
+
+    Attributes:
+        since: Monotonic time since which what is known here differs, if it does.
+        asked_at: Monotonic time of the last request.
+    """
+
+    def __init__(self) -> None:
+        self.since: float | None = None
+        self.asked_at = float("-inf")
+
+    def lasts(self, now: float, *, agreed: bool) -> bool:
+        """Note a hint; tell whether to ask now."""
+        if agreed:
+            self.since = None
+            return False
+        if self.since is None:
+            self.since = now
+        if now - self.since < DISAGREE_S or now - self.asked_at < ASK_S:
+            return False
+        self.asked_at = now
+        return True
--- a/src/wisterialoom/platform/steward.py
+++ b/src/wisterialoom/platform/steward.py
@@ -15,10 +15,12 @@
 )
 from wisterialoom.core.placement.fleet_demand import FleetDemand
 from wisterialoom.core.placement.order import Action, Order, OrderOutcome
+from wisterialoom.core.placement.placement_table import Holding
 from wisterialoom.core.placement.planner import PlacementPlanner
 from wisterialoom.core.placement.server_state import ServerState
 from wisterialoom.platform._tasks import TaskGroup, wait_for
-from wisterialoom.platform.hints import PlacementHint, Released, ServerHint
+from wisterialoom.platform.hints import Released
+from wisterialoom.platform.placement_feed import PlacementFeed
 from wisterialoom.platform.store import (
     ObjectExistsError,
     StoreUnavailableError,
@@ -31,6 +33,7 @@
     from wisterialoom.core.serving.dispatcher import Dispatcher
     from wisterialoom.platform.orders import OrderClient
     from wisterialoom.platform.peers import PeerLink
+    from wisterialoom.platform.placement_view import PlacementView
     from wisterialoom.platform.store import StoreClient, StoreObject
 
 __all__ = ["Steward", "lease_clock"]
@@ -46,13 +49,6 @@
 PLAN_S = 0.1
 """Time between two plans; what waits anew causes one at once."""
 
-BROADCAST_S = 0.4
-"""Longest time between two hints of the holder."""
-
-FULL_BROADCAST_S = 1.2
-"""Time between two hints about all servers; those between tell what has changed. One
-that is lost costs this long at most."""
-
 UNLOAD_S = 0.3
 """Expected time until memory is free for a model that waits for an unload."""
 
@@ -82,7 +78,8 @@
         demand: What all instances ask for.
         states: Model servers by id.
         planners: Planner by service.
-        take_placement: Takes each hint that this instance sends to the others.
+        feed: Tells the others what the servers hold.
+        placement: What the servers hold, as this instance knows it.
         note_holder: Told the name and address of the holder of the lease.
     """
 
@@ -93,7 +90,7 @@
         orders: OrderClient,
         peers: PeerLink,
         dispatcher: Dispatcher,
-        take_placement: Callable[[PlacementHint], None],
+        placement: PlacementView,
         note_holder: Callable[[str, str], None],
     ) -> None:
         self.lease = lease
@@ -101,7 +98,8 @@
         self.orders = orders
         self.peers = peers
         self.dispatcher = dispatcher
-        self.take_placement = take_placement
+        self.feed = PlacementFeed(lease, peers)
+        self.placement = placement
         self.note_holder = note_holder
         self.demand = FleetDemand()
         self.states: dict[str, ServerState] = {}
@@ -109,12 +107,6 @@
         self.tasks = TaskGroup()
         self.reporting: set[str] = set()
         self.kick = asyncio.Event()
-        self.serial = 0
-        self.sent_at = float("-inf")
-        self.full_at = float("-inf")
-        self.sent: dict[str, tuple[object, object]] = {}
-        self.sent_ready: set[str] = set()
-        self.sent_to: tuple[str, ...] = ()
         self.was_valid = False
         self.failures = 0
         self.told_at = float("-inf")
@@ -198,7 +190,7 @@
         logger.info("lease taken", extra={"epoch": self.lease.epoch})
         self.states.clear()
         self.planners.clear()
-        self.serial = 0
+        self.feed.restart(self.placement.table.holdings)
         self.note_holder(self.lease.me, self.lease.address)
 
     # Planning.
@@ -249,7 +241,7 @@
             ]
             for order in planner.decide(now, states, self.demand):
                 self._send(now, planner, order)
-        self._broadcast(now)
+        self._tell(now)
         if now - self.told_at >= STATE_LOG_S:
             self.told_at = now
             self._log_state(now)
@@ -337,7 +329,7 @@
         if order.action is Action.UNLOAD and not order.adapter:
             # Requests that are on their way would be refused.
             state.announced = order.model
-            self._broadcast(time.monotonic())
+            self._tell(time.monotonic(), urgent=True)
             await asyncio.sleep(UNLOAD_NOTICE_S)
             state.announced = ""
         outcome = await self.orders.send(order, address, self.lease.epoch)
@@ -360,18 +352,32 @@
 
     # Hints.
 
-    def _broadcast(self, now: float) -> None:
+    def _tell(self, now: float, *, urgent: bool = False) -> None:
         running = self.demand.running(now)
-        servers = {
-            server_id: ServerHint(
-                count=state.count,
-                models=state.models,
-                unloading=state.leaving_models,
-                busy=sum(running.get(server_id, {}).values()),
-            )
+        known = {
+            server_id: state
             for server_id, state in self.states.items()
             if not (state.needs_report and not state.models)
         }
+        holdings = {
+            server_id: Holding(state.models, state.leaving_models, state.count)
+            for server_id, state in known.items()
+        }
+        busy = {
+            server_id: sum(running.get(server_id, {}).values()) for server_id in known
+        }
+        ready = self._ready_in_s(now)
+        members = self.peers.members
+        waiting = [
+            members[name]
+            for name in self.demand.waiting_instances(now)
+            if name in members and name != self.lease.me
+        ]
+        self.feed.tell(now, holdings, busy, ready, waiting, urgent=urgent)
+        self.placement.take(now, holdings, busy, ready)
+
+    def _ready_in_s(self, now: float) -> dict[str, float]:
+        """Return the time until models that are being loaded can serve."""
         ready = {
             state.loading: max(0.0, state.done_at - now)
             for state in self.states.values()
@@ -383,38 +389,7 @@
                 if state is not None and model in planner.engine.models:
                     takes_s = planner.takes_s(state, model) + UNLOAD_S
                     ready.setdefault(model, takes_s)
-        others = tuple(sorted(self.peers.others(self.lease.me)))
-        full = now - self.full_at >= FULL_BROADCAST_S or others != self.sent_to
-        changed = {
-            server_id: server
-            for server_id, server in servers.items()
-            if self.sent.get(server_id) != (server.models, server.unloading)
-        }
-        silent = now - self.sent_at >= BROADCAST_S
-        if not (full or changed or silent or set(ready) != self.sent_ready):
-            return
-        self.sent = {
-            server_id: (server.models, server.unloading)
-            for server_id, server in servers.items()
-        }
-        self.sent_ready = set(ready)
-        self.sent_at = now
-        self.sent_to = others
-        if full:
-            self.full_at = now
-        self.serial += 1
-        hint = PlacementHint(
-            holder=self.lease.me,
-            address=self.lease.address,
-            epoch=self.lease.epoch,
-            serial=self.serial,
-            renewal=self.lease.record.serial if self.lease.record else 0,
-            members=dict(self.peers.members) if full else {},
-            servers=servers if full else changed,
-            ready_in_s=ready,
-        )
-        self.peers.send_all(hint, list(others))
-        self.take_placement(hint)
+        return ready
 
 
 def _decode_record(found: StoreObject) -> LeaseRecord | None:
--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -226,6 +226,9 @@
             "born": 1,
         }
 
+    def note_run(self, request_id: str) -> None:
+        self.runs.append(request_id)
+
     def model_list(self) -> list[dict[str, Any]]:
         return [
             {"name": name, "version": 1, "adapters": adapters}
@@ -284,7 +287,7 @@
         if self.refuse_all:
             common["Not-Executed"] = "1"
             return web.Response(status=503, headers=common)
-        self.runs.append(request_id)
+        self.note_run(request_id)
         if self.status != 200:
             return web.Response(status=self.status, headers=common)
         response = web.StreamResponse(
@@ -358,13 +361,16 @@
             "born": 1,
         }
 
+    def note_run(self, request_id: str) -> None:
+        self.runs.append(request_id)
+
     async def on_request(self, request: web.Request) -> web.StreamResponse:
         headers = request.headers
         self.seen.append(headers)
         common = {"Attempt-Id": headers["Attempt-Id"]}
         if self.refuse_all:
             return web.Response(status=503, headers={**common, "Not-Executed": "1"})
-        self.runs.append(headers["Attempt-Id"])
+        self.note_run(headers["Attempt-Id"])
         self.bodies.append(await request.read())
         if self.hang:
             await asyncio.sleep(3600)
--- a/tests/platform/test_wire.py
+++ b/tests/platform/test_wire.py
@@ -13,6 +13,7 @@
 
 from tests.platform.standin import config, free_port
 from wisterialoom.core.placement.fleet_demand import DemandReport
+from wisterialoom.core.placement.placement_table import Holding
 from wisterialoom.platform.decode import (
     decode_deployment,
     decode_server,
@@ -27,8 +28,8 @@
     Hint,
     HintError,
     PlacementHint,
+    PlacementWanted,
     Released,
-    ServerHint,
 )
 from wisterialoom.platform.peers import PeerLink
 from wisterialoom.platform.settings import PlatformSettings, SettingsError
@@ -162,10 +163,17 @@
         epoch=3,
         serial=8,
         renewal=5,
-        members={"front-1": "10.0.0.1"},
-        servers={"i-1": ServerHint(4, {"m0": frozenset({"a1"})}, frozenset({"m0"}), 7)},
+        members={"front-1": "10.0.0.1", "front-2": ""},
+        members_whole=True,
+        servers={
+            "i-1": Holding({"m0": frozenset({"a1"})}, frozenset({"m0"}), 4),
+            "i-2": None,
+        },
+        busy=(7,),
         ready_in_s={"m1": 0.25},
+        digest=99,
     ),
+    PlacementWanted("front-1"),
 ]
 
 
