--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -27,6 +27,8 @@
 
 ROOT = Path(__file__).resolve().parents[2]
 
+Server = JudgedModelServer | JudgedPlainServer
+
 CALLERS = 8
 CALL_PAUSE_S = 0.02
 DEADLINE_MS = 3000
@@ -107,7 +109,11 @@
 
     Attributes:
         judge: Checks what callers and servers see.
-        callers: Requests that were begun, for their ids.
+        numbers: Counts requests and servers, for their ids.
+        servers: Backend servers by place.
+        doors: The proxy before each.
+        retired: Servers that were replaced.
+        harms: Count of harms done to each proxy.
     """
 
     def __init__(self, seed: int, folder: Path) -> None:
@@ -118,9 +124,9 @@
         self.rng = random.Random(seed)
         self.numbers: Iterator[int] = itertools.count()
         self.version = 1
-        self.servers: list[JudgedModelServer | JudgedPlainServer] = []
-        self.doors: list[ChaosProxy] = []
-        self.retired: list[JudgedModelServer | JudgedPlainServer] = []
+        self.servers: dict[int, Server] = {}
+        self.doors: dict[int, ChaosProxy] = {}
+        self.retired: list[tuple[Server, ChaosProxy]] = []
         self.instances: list[Instance] = []
         self.harms: dict[ChaosProxy, int] = {}
 
@@ -158,10 +164,10 @@
             if instance.process is not None:
                 await instance.process.wait()
             await instance.proxy.stop()
-        for server in (*self.servers, *self.retired):
-            await server.stop()
-        for door in self.doors:
+        places = [(self.servers[place], self.doors[place]) for place in self.servers]
+        for server, door in (*places, *self.retired):
             await door.stop()
+            await server.stop()
         await self.store.stop()
 
     # Backend servers.
@@ -169,7 +175,7 @@
     async def add_server(self, place: int) -> None:
         """Start a server at a place, and list it."""
         server_id = f"i-{place}-{next(self.numbers)}"
-        server: JudgedModelServer | JudgedPlainServer
+        server: Server
         if place < f.MODEL_SERVERS:
             server = JudgedModelServer(
                 server_id, judge=self.judge, events=EVENTS, step_s=0.01
@@ -181,13 +187,14 @@
         door = ChaosProxy(server.address)
         await door.start()
         server.address = door.address
-        self.servers.insert(place, server)
-        self.doors.insert(place, door)
+        self.servers[place] = server
+        self.doors[place] = door
         await self.store.put("servers", server_id, server.entry())
 
     async def replace_server(self, place: int, *, announced: bool) -> None:
         """Let a server leave, and another one come."""
-        server, door = self.servers.pop(place), self.doors.pop(place)
+        server, door = self.servers[place], self.doors[place]
+        self.retired.append((server, door))
         if announced:
             await self.store.put("servers", server.server_id, server.entry("draining"))
         else:
@@ -197,7 +204,6 @@
         await self.store.remove("servers", server.server_id)
         await asyncio.sleep(1.0)
         await door.stop()
-        self.retired.append(server)
 
     # Faults.
 
@@ -329,7 +335,9 @@
 
     async def check_work_ends(self) -> None:
         """No server is at work for callers that are gone."""
-        models = [one for one in self.servers if isinstance(one, JudgedModelServer)]
+        models = [
+            one for one in self.servers.values() if isinstance(one, JudgedModelServer)
+        ]
         for _ in range(100):
             if not any(server.running for server in models):
                 return
