--- a/idl/peer.thrift
+++ b/idl/peer.thrift
@@ -1,4 +1,4 @@
-// Messages between entry instances; mirrors src/wisterialoom/core/peer.py.
+// Messages between entry instances; mirrors src/wisterialoom/core/fleet/peer.py.
 // Every field is optional on the wire: a field that has its default is left out.
 // Never reuse or renumber a field; raise VERSION when old readers must refuse.
 //
--- a/src/wisterialoom/cli/config.py
+++ b/src/wisterialoom/cli/config.py
@@ -11,8 +11,8 @@
 from wisterialoom.cli.connection import platform_options
 from wisterialoom.cli.exit_code import ExitCode
 from wisterialoom.cli.output import echo_json, echo_table, json_option
-from wisterialoom.core.config_follower import CONFIG_KEY
-from wisterialoom.core.document_check import DocumentError, read_document
+from wisterialoom.core.configuration.config_follower import CONFIG_KEY
+from wisterialoom.core.configuration.document_check import DocumentError, read_document
 from wisterialoom.core.object_store import ABSENT
 from wisterialoom.operator.apply import apply, split_generation, with_generation
 from wisterialoom.operator.difference import difference
--- a/src/wisterialoom/cli/label.py
+++ b/src/wisterialoom/cli/label.py
@@ -9,7 +9,7 @@
 from wisterialoom.cli.config import echo_applied
 from wisterialoom.cli.connection import platform_options
 from wisterialoom.cli.output import json_option
-from wisterialoom.core.server_directory import DRAIN_LABEL
+from wisterialoom.core.requests.server_directory import DRAIN_LABEL
 from wisterialoom.operator.apply import change
 from wisterialoom.operator.label import LabelEdit
 
--- a/src/wisterialoom/core/assembly.py
+++ b/src/wisterialoom/core/assembly.py
@@ -6,27 +6,27 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from wisterialoom.core.claim import ClaimKeeper
-from wisterialoom.core.config_follower import ConfigFollower
-from wisterialoom.core.config_warning import ConfigWarning
-from wisterialoom.core.demand import Demand
+from wisterialoom.core.claims.claim import ClaimKeeper
+from wisterialoom.core.configuration.config_follower import ConfigFollower
+from wisterialoom.core.configuration.config_warning import ConfigWarning
 from wisterialoom.core.entry import EntryCore
-from wisterialoom.core.job import JobKeeper
-from wisterialoom.core.job_gate import JobGate
-from wisterialoom.core.lru_planner import LruPlanner
-from wisterialoom.core.membership import Membership
-from wisterialoom.core.planner import Planner
-from wisterialoom.core.request_path import RequestPath
-from wisterialoom.core.server_directory import ServerDirectory
-from wisterialoom.core.static_planner import StaticPlanner
-from wisterialoom.core.stewards import Stewards
+from wisterialoom.core.fleet.membership import Membership
+from wisterialoom.core.jobs.job import JobKeeper
+from wisterialoom.core.jobs.job_gate import JobGate
+from wisterialoom.core.requests.request_path import RequestPath
+from wisterialoom.core.requests.server_directory import ServerDirectory
+from wisterialoom.core.stewards.demand import Demand
+from wisterialoom.core.stewards.lru_planner import LruPlanner
+from wisterialoom.core.stewards.planner import Planner
+from wisterialoom.core.stewards.static_planner import StaticPlanner
+from wisterialoom.core.stewards.stewards import Stewards
 
 if TYPE_CHECKING:
     import random
     from collections.abc import Callable
 
-    from wisterialoom.core.choice import Choice
     from wisterialoom.core.message import Part
+    from wisterialoom.core.requests.choice import Choice
     from wisterialoom.core.window import WindowPolicy
 
 __all__ = ["EntryParts", "Identity", "Placement"]
--- /dev/null
+++ b/src/wisterialoom/core/claims/__init__.py
@@ -0,0 +1,1 @@
+"""Claims of idempotency keys over instances; no I/O."""
--- a/src/wisterialoom/core/claim.py
+++ b/src/wisterialoom/core/claims/claim.py
@@ -4,17 +4,30 @@
 
 from typing import ClassVar, TYPE_CHECKING
 
-from wisterialoom.core.claim_answer import AnswerLoaded, AnswerStore, AnswerStored
-from wisterialoom.core.claim_bucket import Claim, Verdict
-from wisterialoom.core.claim_commit import AnswersDropped, ChangeEnded
-from wisterialoom.core.claim_entry import (
+from wisterialoom.core.claims.claim_answer import (
+    AnswerLoaded,
+    AnswerStore,
+    AnswerStored,
+)
+from wisterialoom.core.claims.claim_bucket import Claim, Verdict
+from wisterialoom.core.claims.claim_commit import AnswersDropped, ChangeEnded
+from wisterialoom.core.claims.claim_entry import (
     bucket_of,
     ClaimEntry,
     ClaimState,
 )
-from wisterialoom.core.claim_home import ClaimHome
-from wisterialoom.core.claim_pursuit import Stage
-from wisterialoom.core.claim_seek import ClaimSeeker, SeekOutput
+from wisterialoom.core.claims.claim_home import ClaimHome
+from wisterialoom.core.claims.claim_pursuit import Stage
+from wisterialoom.core.claims.claim_seek import ClaimSeeker, SeekOutput
+from wisterialoom.core.fleet.peer import (
+    ClaimAnswer,
+    ClaimRequest,
+    ClaimStateWire,
+    NonceAnswer,
+    NonceQuery,
+    PeerMessage,
+    PeerReceived,
+)
 from wisterialoom.core.message import Command, Event, Notice, Output, Tick
 from wisterialoom.core.notice import (
     ClaimAbandoned,
@@ -26,15 +39,6 @@
     PartDrained,
 )
 from wisterialoom.core.object_store import ObjectEvent, OperationIds
-from wisterialoom.core.peer import (
-    ClaimAnswer,
-    ClaimRequest,
-    ClaimStateWire,
-    NonceAnswer,
-    NonceQuery,
-    PeerMessage,
-    PeerReceived,
-)
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Sequence
--- a/src/wisterialoom/core/claim_answer.py
+++ b/src/wisterialoom/core/claims/claim_answer.py
@@ -20,7 +20,7 @@
     ReadObject,
     WriteObject,
 )
-from wisterialoom.core.request import StoredAnswer
+from wisterialoom.core.requests.request import StoredAnswer
 
 __all__ = [
     "AnswerLoaded",
--- a/src/wisterialoom/core/claim_bucket.py
+++ b/src/wisterialoom/core/claims/claim_bucket.py
@@ -4,9 +4,9 @@
 
 from dataclasses import dataclass, field, replace
 
-from wisterialoom.core.claim_entry import ClaimEntry, ClaimState
+from wisterialoom.core.claims.claim_entry import ClaimEntry, ClaimState
+from wisterialoom.core.fleet.peer import ClaimStateWire
 from wisterialoom.core.object_store import ABSENT, MAX_OBJECT_BYTES
-from wisterialoom.core.peer import ClaimStateWire
 
 __all__ = [
     "INLINE_ANSWER_BYTES",
--- a/src/wisterialoom/core/claim_commit.py
+++ b/src/wisterialoom/core/claims/claim_commit.py
@@ -5,7 +5,8 @@
 from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING, TypeAlias
 
-from wisterialoom.core.claim_bucket import Change, ClaimBucket, Release, Verdict
+from wisterialoom.core.claims.claim_bucket import Change, ClaimBucket, Release, Verdict
+from wisterialoom.core.fleet.peer import ClaimStateWire
 from wisterialoom.core.message import Command, WakeAt
 from wisterialoom.core.object_store import (
     ObjectConflict,
@@ -17,7 +18,6 @@
     ReadObject,
     WriteObject,
 )
-from wisterialoom.core.peer import ClaimStateWire
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/src/wisterialoom/core/claim_entry.py
+++ b/src/wisterialoom/core/claims/claim_entry.py
@@ -8,7 +8,7 @@
 import json
 from dataclasses import dataclass
 
-from wisterialoom.core.request import StoredAnswer
+from wisterialoom.core.requests.request import StoredAnswer
 
 __all__ = ["ClaimEntry", "ClaimState", "bucket_of", "claim_key", "short_hash"]
 
--- a/src/wisterialoom/core/claim_home.py
+++ b/src/wisterialoom/core/claims/claim_home.py
@@ -4,16 +4,21 @@
 
 from typing import TYPE_CHECKING, TypeAlias
 
-from wisterialoom.core.claim_bucket import Change, Claim, Settle, Verdict
-from wisterialoom.core.claim_commit import (
+from wisterialoom.core.claims.claim_bucket import Change, Claim, Settle, Verdict
+from wisterialoom.core.claims.claim_commit import (
     BucketCommitter,
     ChangeEnded,
     CommitOutput,
     PendingChange,
 )
-from wisterialoom.core.claim_entry import ClaimEntry
-from wisterialoom.core.peer import ClaimAnswer, ClaimRequest, PeerMessage, SendPeer
-from wisterialoom.core.rendezvous import first
+from wisterialoom.core.claims.claim_entry import ClaimEntry
+from wisterialoom.core.fleet.peer import (
+    ClaimAnswer,
+    ClaimRequest,
+    PeerMessage,
+    SendPeer,
+)
+from wisterialoom.core.fleet.rendezvous import first
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/src/wisterialoom/core/claim_pursuit.py
+++ b/src/wisterialoom/core/claims/claim_pursuit.py
@@ -7,7 +7,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from wisterialoom.core.claim_entry import ClaimEntry
+    from wisterialoom.core.claims.claim_entry import ClaimEntry
 
 __all__ = ["Pursuit", "Stage"]
 
--- a/src/wisterialoom/core/claim_seek.py
+++ b/src/wisterialoom/core/claims/claim_seek.py
@@ -4,16 +4,22 @@
 
 from typing import TYPE_CHECKING, TypeAlias
 
-from wisterialoom.core.claim_bucket import Claim, Verdict
-from wisterialoom.core.claim_entry import (
+from wisterialoom.core.claims.claim_bucket import Claim, Verdict
+from wisterialoom.core.claims.claim_entry import (
     bucket_of,
     claim_key,
     ClaimEntry,
     ClaimState,
     short_hash,
 )
-from wisterialoom.core.claim_pursuit import Pursuit, Stage
-from wisterialoom.core.claim_settle import ClaimSettler, SettleOutput
+from wisterialoom.core.claims.claim_pursuit import Pursuit, Stage
+from wisterialoom.core.claims.claim_settle import ClaimSettler, SettleOutput
+from wisterialoom.core.fleet.peer import (
+    ClaimRequest,
+    ClaimStateWire,
+    NonceAnswer,
+    NonceQuery,
+)
 from wisterialoom.core.message import Notice
 from wisterialoom.core.notice import (
     ClaimFailed,
@@ -23,20 +29,14 @@
     ClaimSettled,
     ClaimWanted,
 )
-from wisterialoom.core.peer import (
-    ClaimRequest,
-    ClaimStateWire,
-    NonceAnswer,
-    NonceQuery,
-)
-from wisterialoom.core.request import Reason
+from wisterialoom.core.requests.request import Reason
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from wisterialoom.core.claim_answer import AnswerLoaded, AnswerStore
-    from wisterialoom.core.claim_home import ClaimHome
-    from wisterialoom.core.document import ClaimSettings
+    from wisterialoom.core.claims.claim_answer import AnswerLoaded, AnswerStore
+    from wisterialoom.core.claims.claim_home import ClaimHome
+    from wisterialoom.core.configuration.document import ClaimSettings
 
 __all__ = ["ClaimSeeker", "SeekOutput"]
 
--- a/src/wisterialoom/core/claim_settle.py
+++ b/src/wisterialoom/core/claims/claim_settle.py
@@ -5,25 +5,25 @@
 from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING, TypeAlias
 
-from wisterialoom.core.claim_answer import (
+from wisterialoom.core.claims.claim_answer import (
     AnswerOutput,
     AnswerStore,
     AnswerStored,
     fits_object,
 )
-from wisterialoom.core.claim_bucket import (
+from wisterialoom.core.claims.claim_bucket import (
     Change,
     INLINE_ANSWER_BYTES,
     Release,
     Settle,
     Verdict,
 )
-from wisterialoom.core.claim_entry import ClaimEntry, ClaimState
-from wisterialoom.core.claim_home import ClaimHome, HomeOutput
-from wisterialoom.core.peer import ClaimAnswer, ClaimRequest, ClaimStateWire
+from wisterialoom.core.claims.claim_entry import ClaimEntry, ClaimState
+from wisterialoom.core.claims.claim_home import ClaimHome, HomeOutput
+from wisterialoom.core.fleet.peer import ClaimAnswer, ClaimRequest, ClaimStateWire
 
 if TYPE_CHECKING:
-    from wisterialoom.core.request import StoredAnswer
+    from wisterialoom.core.requests.request import StoredAnswer
 
 __all__ = ["ClaimSettler", "Settlement", "SettleOutput"]
 
--- /dev/null
+++ b/src/wisterialoom/core/configuration/__init__.py
@@ -0,0 +1,1 @@
+"""Documents of the configuration: reading, checking, following and relaying; no I/O."""
--- a/src/wisterialoom/core/_config_freshness.py
+++ b/src/wisterialoom/core/configuration/_config_freshness.py
@@ -4,7 +4,7 @@
 
 import math
 
-from wisterialoom.core.peer import STALE_AGE_MS
+from wisterialoom.core.fleet.peer import STALE_AGE_MS
 
 __all__ = ["Freshness"]
 
--- a/src/wisterialoom/core/_config_pull.py
+++ b/src/wisterialoom/core/configuration/_config_pull.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from wisterialoom.core.peer import ConfigPull, ConfigPush, SendPeer
+from wisterialoom.core.fleet.peer import ConfigPull, ConfigPush, SendPeer
 
 if TYPE_CHECKING:
     import random
--- a/src/wisterialoom/core/_document_memory.py
+++ b/src/wisterialoom/core/configuration/_document_memory.py
@@ -5,12 +5,12 @@
 from typing import TYPE_CHECKING
 
 from wisterialoom.core.fault import Fault
-from wisterialoom.core.selector import Selector, SelectorError
+from wisterialoom.core.requests.selector import Selector, SelectorError
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
-    from wisterialoom.core.document import Document, Model, ServerGroup
+    from wisterialoom.core.configuration.document import Document, Model, ServerGroup
 
 __all__ = ["memory_faults"]
 
--- a/src/wisterialoom/core/_document_names.py
+++ b/src/wisterialoom/core/configuration/_document_names.py
@@ -11,7 +11,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable, Iterator
 
-    from wisterialoom.core.document import Document
+    from wisterialoom.core.configuration.document import Document
 
 __all__ = ["name_faults"]
 
--- a/src/wisterialoom/core/_document_values.py
+++ b/src/wisterialoom/core/configuration/_document_values.py
@@ -6,12 +6,12 @@
 from typing import TYPE_CHECKING
 
 from wisterialoom.core.fault import Fault
-from wisterialoom.core.selector import Selector, SelectorError
+from wisterialoom.core.requests.selector import Selector, SelectorError
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
-    from wisterialoom.core.document import Document, Label, Traffic
+    from wisterialoom.core.configuration.document import Document, Label, Traffic
 
 __all__ = ["value_faults"]
 
--- a/src/wisterialoom/core/config_follower.py
+++ b/src/wisterialoom/core/configuration/config_follower.py
@@ -17,26 +17,18 @@
 
 from typing import ClassVar, TYPE_CHECKING
 
-from wisterialoom.core import rendezvous
-from wisterialoom.core._config_body import pack, unpack
-from wisterialoom.core._config_freshness import Freshness
-from wisterialoom.core._config_object import (
+from wisterialoom.core.configuration._config_body import pack, unpack
+from wisterialoom.core.configuration._config_freshness import Freshness
+from wisterialoom.core.configuration._config_object import (
     CONFIG_KEY,
     ConfigObject,
     read_interval_s,
 )
-from wisterialoom.core._config_peers import ConfigPeers
-from wisterialoom.core._config_pull import ConfigPuller
-from wisterialoom.core.document_check import DocumentError, read_document
-from wisterialoom.core.message import Event, Tick
-from wisterialoom.core.notice import (
-    ConfigChanged,
-    ConfigFreshness,
-    ConfigRefused,
-    MembersChanged,
-)
-from wisterialoom.core.object_store import ObjectRead, ObjectUnavailable
-from wisterialoom.core.peer import (
+from wisterialoom.core.configuration._config_peers import ConfigPeers
+from wisterialoom.core.configuration._config_pull import ConfigPuller
+from wisterialoom.core.configuration.document_check import DocumentError, read_document
+from wisterialoom.core.fleet import rendezvous
+from wisterialoom.core.fleet.peer import (
     ConfigPull,
     ConfigPush,
     Heartbeat,
@@ -45,11 +37,19 @@
     SendPeer,
     STALE_AGE_MS,
 )
+from wisterialoom.core.message import Event, Tick
+from wisterialoom.core.notice import (
+    ConfigChanged,
+    ConfigFreshness,
+    ConfigRefused,
+    MembersChanged,
+)
+from wisterialoom.core.object_store import ObjectRead, ObjectUnavailable
 
 if TYPE_CHECKING:
     import random
 
-    from wisterialoom.core.document import Document
+    from wisterialoom.core.configuration.document import Document
     from wisterialoom.core.message import Output
     from wisterialoom.core.notice import Member
 
--- a/src/wisterialoom/core/document.py
+++ b/src/wisterialoom/core/configuration/document.py
@@ -1,6 +1,6 @@
 """The deployment's document: what operators declare, held in the object API.
 
-These are plain data; `wisterialoom.core.document_check` reads and checks the
+These are plain data; `document_check` beside this module reads and checks the
 TOML. Memory is in MB (10^6 bytes), durations in seconds unless named otherwise.
 """
 
--- a/src/wisterialoom/core/document_check.py
+++ b/src/wisterialoom/core/configuration/document_check.py
@@ -4,11 +4,11 @@
 
 from typing import TYPE_CHECKING
 
-from wisterialoom.core._document_memory import memory_faults
-from wisterialoom.core._document_names import name_faults
-from wisterialoom.core._document_values import value_faults
-from wisterialoom.core._toml_reader import read_toml
-from wisterialoom.core.document import Document
+from wisterialoom.core.configuration._document_memory import memory_faults
+from wisterialoom.core.configuration._document_names import name_faults
+from wisterialoom.core.configuration._document_values import value_faults
+from wisterialoom.core.configuration._toml_reader import read_toml
+from wisterialoom.core.configuration.document import Document
 from wisterialoom.core.fault import Fault, FaultyInputError
 from wisterialoom.core.object_store import MAX_OBJECT_BYTES
 
--- a/src/wisterialoom/core/leaving_gossip.py
+++ b/src/wisterialoom/core/fleet/leaving_gossip.py
@@ -4,8 +4,8 @@
 
 from typing import TYPE_CHECKING
 
-from wisterialoom.core.gossip import GossipQueue, text_size
-from wisterialoom.core.peer import LeavingServer
+from wisterialoom.core.fleet.gossip import GossipQueue, text_size
+from wisterialoom.core.fleet.peer import LeavingServer
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
--- a/src/wisterialoom/core/load_gossip.py
+++ b/src/wisterialoom/core/fleet/load_gossip.py
@@ -4,8 +4,8 @@
 
 from dataclasses import dataclass, replace
 
-from wisterialoom.core.gossip import ByteBudget, GossipQueue, int_size, text_size
-from wisterialoom.core.peer import LoadChange, ServerLoad
+from wisterialoom.core.fleet.gossip import ByteBudget, GossipQueue, int_size, text_size
+from wisterialoom.core.fleet.peer import LoadChange, ServerLoad
 
 __all__ = [
     "LOAD_BYTES_PER_S",
--- a/src/wisterialoom/core/membership.py
+++ b/src/wisterialoom/core/fleet/membership.py
@@ -6,22 +6,12 @@
 from dataclasses import replace
 from typing import ClassVar, TYPE_CHECKING
 
-from wisterialoom.core.instance_list import InstanceListRead
-from wisterialoom.core.membership_heartbeat import HeartbeatWriter, NEWS_ONLY
-from wisterialoom.core.membership_join import JoinSchedule
-from wisterialoom.core.membership_probe import PROBE_INTERVAL_S, ProbeSchedule
-from wisterialoom.core.membership_table import MemberTable
-from wisterialoom.core.message import Event, Output, Tick
-from wisterialoom.core.notice import (
-    ConfigChanged,
-    ConfigFreshness,
-    DrainRequested,
-    LoadReported,
-    MembersChanged,
-    PartDrained,
-    ServerSeenLeaving,
-)
-from wisterialoom.core.peer import (
+from wisterialoom.core.fleet.instance_list import InstanceListRead
+from wisterialoom.core.fleet.membership_heartbeat import HeartbeatWriter, NEWS_ONLY
+from wisterialoom.core.fleet.membership_join import JoinSchedule
+from wisterialoom.core.fleet.membership_probe import PROBE_INTERVAL_S, ProbeSchedule
+from wisterialoom.core.fleet.membership_table import MemberTable
+from wisterialoom.core.fleet.peer import (
     Heartbeat,
     HeartbeatAck,
     IndirectPing,
@@ -34,6 +24,16 @@
     ServerLoad,
     StateSync,
 )
+from wisterialoom.core.message import Event, Output, Tick
+from wisterialoom.core.notice import (
+    ConfigChanged,
+    ConfigFreshness,
+    DrainRequested,
+    LoadReported,
+    MembersChanged,
+    PartDrained,
+    ServerSeenLeaving,
+)
 
 if TYPE_CHECKING:
     import random
--- a/src/wisterialoom/core/membership_heartbeat.py
+++ b/src/wisterialoom/core/fleet/membership_heartbeat.py
@@ -4,7 +4,7 @@
 
 from typing import TYPE_CHECKING
 
-from wisterialoom.core.gossip import (
+from wisterialoom.core.fleet.gossip import (
     ByteBudget,
     DATAGRAM_BYTES,
     GossipQueue,
@@ -13,9 +13,9 @@
     text_size,
     URGENT_SENDS,
 )
-from wisterialoom.core.leaving_gossip import LeavingGossip
-from wisterialoom.core.load_gossip import LoadGossip
-from wisterialoom.core.peer import (
+from wisterialoom.core.fleet.leaving_gossip import LeavingGossip
+from wisterialoom.core.fleet.load_gossip import LoadGossip
+from wisterialoom.core.fleet.peer import (
     Heartbeat,
     HeartbeatAck,
     MemberStatus,
@@ -24,7 +24,7 @@
 )
 
 if TYPE_CHECKING:
-    from wisterialoom.core.membership_table import MemberTable
+    from wisterialoom.core.fleet.membership_table import MemberTable
     from wisterialoom.core.notice import ConfigFreshness
 
 __all__ = ["FRAME_BYTES", "NEWS_ONLY", "HeartbeatWriter", "member_size"]
--- a/src/wisterialoom/core/membership_join.py
+++ b/src/wisterialoom/core/fleet/membership_join.py
@@ -8,8 +8,8 @@
     import random
     from collections.abc import Iterable
 
-    from wisterialoom.core.instance_list import InstanceList
-    from wisterialoom.core.peer import MemberUpdate
+    from wisterialoom.core.fleet.instance_list import InstanceList
+    from wisterialoom.core.fleet.peer import MemberUpdate
 
 __all__ = ["JoinSchedule"]
 
--- a/src/wisterialoom/core/membership_table.py
+++ b/src/wisterialoom/core/fleet/membership_table.py
@@ -7,8 +7,8 @@
 from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING
 
+from wisterialoom.core.fleet.peer import MemberStatus, MemberUpdate
 from wisterialoom.core.notice import Member
-from wisterialoom.core.peer import MemberStatus, MemberUpdate
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
--- /dev/null
+++ b/src/wisterialoom/core/jobs/__init__.py
@@ -0,0 +1,1 @@
+"""Deferred jobs; no I/O."""
--- a/src/wisterialoom/core/job.py
+++ b/src/wisterialoom/core/jobs/job.py
@@ -5,10 +5,17 @@
 from dataclasses import dataclass, replace
 from typing import ClassVar, TYPE_CHECKING
 
-from wisterialoom.core.job_accept import JobAccepter
-from wisterialoom.core.job_record import job_key, JobRecord
-from wisterialoom.core.job_run import JobRun, RunStage
-from wisterialoom.core.job_shard import JobShards, LEASE_S
+from wisterialoom.core.jobs.job_accept import JobAccepter
+from wisterialoom.core.jobs.job_record import job_key, JobRecord
+from wisterialoom.core.jobs.job_run import JobRun, RunStage
+from wisterialoom.core.jobs.job_shard import JobShards, LEASE_S
+from wisterialoom.core.jobs.notice_job import (
+    JobAsked,
+    JobDue,
+    JobEnded,
+    JobWanted,
+    KeepBody,
+)
 from wisterialoom.core.message import Event, Output, Tick
 from wisterialoom.core.notice import (
     ConfigChanged,
@@ -16,13 +23,6 @@
     MembersChanged,
     PartDrained,
 )
-from wisterialoom.core.notice_job import (
-    JobAsked,
-    JobDue,
-    JobEnded,
-    JobWanted,
-    KeepBody,
-)
 from wisterialoom.core.object_store import (
     ABSENT,
     ObjectEvent,
@@ -30,7 +30,7 @@
     OperationIds,
     ReadObject,
 )
-from wisterialoom.core.request import Outcome
+from wisterialoom.core.requests.request import Outcome
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/src/wisterialoom/core/job_accept.py
+++ b/src/wisterialoom/core/jobs/job_accept.py
@@ -5,9 +5,9 @@
 from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING
 
-from wisterialoom.core.claim_entry import short_hash
-from wisterialoom.core.job_record import job_key, JobRecord
-from wisterialoom.core.notice_job import (
+from wisterialoom.core.claims.claim_entry import short_hash
+from wisterialoom.core.jobs.job_record import job_key, JobRecord
+from wisterialoom.core.jobs.notice_job import (
     JobAccepted,
     JobAsked,
     JobFound,
@@ -27,7 +27,7 @@
     ReadObject,
     WriteObject,
 )
-from wisterialoom.core.request import Reason
+from wisterialoom.core.requests.request import Reason
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/src/wisterialoom/core/job_gate.py
+++ b/src/wisterialoom/core/jobs/job_gate.py
@@ -5,9 +5,7 @@
 from dataclasses import dataclass
 from typing import ClassVar, TYPE_CHECKING
 
-from wisterialoom.core.message import Command, Event, Output
-from wisterialoom.core.notice import ConfigChanged
-from wisterialoom.core.notice_job import (
+from wisterialoom.core.jobs.notice_job import (
     JobAccepted,
     JobAsked,
     JobFound,
@@ -16,8 +14,10 @@
     JobState,
     JobUnreadable,
 )
-from wisterialoom.core.refusal import refuse
-from wisterialoom.core.request import (
+from wisterialoom.core.message import Command, Event, Output
+from wisterialoom.core.notice import ConfigChanged
+from wisterialoom.core.requests.refusal import refuse
+from wisterialoom.core.requests.request import (
     Outcome,
     Reason,
     Refusal,
@@ -27,7 +27,7 @@
 )
 
 if TYPE_CHECKING:
-    from wisterialoom.core.document import Caller
+    from wisterialoom.core.configuration.document import Caller
 
 __all__ = ["JobGate", "JobPolled", "TellJob"]
 
--- a/src/wisterialoom/core/job_record.py
+++ b/src/wisterialoom/core/jobs/job_record.py
@@ -5,11 +5,11 @@
 import json
 from dataclasses import asdict, dataclass, replace
 
-from wisterialoom.core.claim_answer import decode_answer, encode_answer
-from wisterialoom.core.claim_entry import short_hash
-from wisterialoom.core.notice_job import JobState
+from wisterialoom.core.claims.claim_answer import decode_answer, encode_answer
+from wisterialoom.core.claims.claim_entry import short_hash
+from wisterialoom.core.jobs.notice_job import JobState
 from wisterialoom.core.object_store import MAX_OBJECT_BYTES
-from wisterialoom.core.request import Request, StoredAnswer
+from wisterialoom.core.requests.request import Request, StoredAnswer
 
 __all__ = ["JOB_SHARDS", "JobRecord", "job_key", "job_shard"]
 
--- a/src/wisterialoom/core/job_run.py
+++ b/src/wisterialoom/core/jobs/job_run.py
@@ -6,8 +6,8 @@
 from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING
 
-from wisterialoom.core.job_record import job_key, JobRecord
-from wisterialoom.core.notice_job import JobEnded, JobState
+from wisterialoom.core.jobs.job_record import job_key, JobRecord
+from wisterialoom.core.jobs.notice_job import JobEnded, JobState
 from wisterialoom.core.object_store import (
     ABSENT,
     ObjectConflict,
@@ -19,7 +19,7 @@
     ReadObject,
     WriteObject,
 )
-from wisterialoom.core.request import Outcome
+from wisterialoom.core.requests.request import Outcome
 
 if TYPE_CHECKING:
     from wisterialoom.core.message import Command
--- a/src/wisterialoom/core/job_shard.py
+++ b/src/wisterialoom/core/jobs/job_shard.py
@@ -5,8 +5,9 @@
 from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING
 
-from wisterialoom.core.job_record import JOB_SHARDS, JobRecord
-from wisterialoom.core.notice_job import JobState
+from wisterialoom.core.fleet.rendezvous import first
+from wisterialoom.core.jobs.job_record import JOB_SHARDS, JobRecord
+from wisterialoom.core.jobs.notice_job import JobState
 from wisterialoom.core.object_store import (
     ABSENT,
     DeleteObject,
@@ -17,7 +18,6 @@
     OperationIds,
     ReadObject,
 )
-from wisterialoom.core.rendezvous import first
 
 if TYPE_CHECKING:
     from collections.abc import Callable
--- a/src/wisterialoom/core/notice_job.py
+++ b/src/wisterialoom/core/jobs/notice_job.py
@@ -16,7 +16,12 @@
 from wisterialoom.core.message import Command, Notice
 
 if TYPE_CHECKING:
-    from wisterialoom.core.request import Outcome, Reason, Request, StoredAnswer
+    from wisterialoom.core.requests.request import (
+        Outcome,
+        Reason,
+        Request,
+        StoredAnswer,
+    )
 
 __all__ = [
     "JobAccepted",
--- a/src/wisterialoom/core/notice.py
+++ b/src/wisterialoom/core/notice.py
@@ -10,9 +10,9 @@
 from wisterialoom.core.message import Command, Event, Notice
 
 if TYPE_CHECKING:
-    from wisterialoom.core.document import Document
-    from wisterialoom.core.peer import MemberStatus, ServerLoad
-    from wisterialoom.core.request import Reason, StoredAnswer
+    from wisterialoom.core.configuration.document import Document
+    from wisterialoom.core.fleet.peer import MemberStatus, ServerLoad
+    from wisterialoom.core.requests.request import Reason, StoredAnswer
 
 __all__ = [
     "BackendServer",
--- /dev/null
+++ b/src/wisterialoom/core/requests/__init__.py
@@ -0,0 +1,1 @@
+"""The path of a request through the product's own interface; no I/O."""
--- a/src/wisterialoom/core/_server_record.py
+++ b/src/wisterialoom/core/requests/_server_record.py
@@ -4,10 +4,10 @@
 
 from typing import TYPE_CHECKING
 
-from wisterialoom.core.instance_list import InstanceState
+from wisterialoom.core.fleet.instance_list import InstanceState
 
 if TYPE_CHECKING:
-    from wisterialoom.core.instance_list import ListedInstance
+    from wisterialoom.core.fleet.instance_list import ListedInstance
 
 __all__ = ["ServerRecord"]
 
--- a/src/wisterialoom/core/admission.py
+++ b/src/wisterialoom/core/requests/admission.py
@@ -5,14 +5,14 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
-from wisterialoom.core.refusal import refuse
-from wisterialoom.core.request import Reason
+from wisterialoom.core.requests.refusal import refuse
+from wisterialoom.core.requests.request import Reason
 
 if TYPE_CHECKING:
-    from wisterialoom.core.document import Document
-    from wisterialoom.core.request import Classified, Refusal
-    from wisterialoom.core.request_queue import RequestQueue
-    from wisterialoom.core.router import Router
+    from wisterialoom.core.configuration.document import Document
+    from wisterialoom.core.requests.request import Classified, Refusal
+    from wisterialoom.core.requests.request_queue import RequestQueue
+    from wisterialoom.core.requests.router import Router
 
 __all__ = ["Admission"]
 
--- a/src/wisterialoom/core/attempt_control.py
+++ b/src/wisterialoom/core/requests/attempt_control.py
@@ -4,10 +4,10 @@
 
 from typing import TYPE_CHECKING
 
-from wisterialoom.core.flight import Stage
 from wisterialoom.core.notice import ServerSeenLeaving
-from wisterialoom.core.refusal import refuse
-from wisterialoom.core.request import (
+from wisterialoom.core.requests.flight import Stage
+from wisterialoom.core.requests.refusal import refuse
+from wisterialoom.core.requests.request import (
     Attempt,
     AttemptEnded,
     AttemptResult,
@@ -20,10 +20,10 @@
 from wisterialoom.core.window import FIRST_FILL
 
 if TYPE_CHECKING:
-    from wisterialoom.core.flight import Flight
     from wisterialoom.core.message import Output
-    from wisterialoom.core.path_state import PathState
-    from wisterialoom.core.server_view import ServerView
+    from wisterialoom.core.requests.flight import Flight
+    from wisterialoom.core.requests.path_state import PathState
+    from wisterialoom.core.requests.server_view import ServerView
     from wisterialoom.core.settlement import Settlement
 
 __all__ = ["MAX_ATTEMPTS", "AttemptControl"]
--- a/src/wisterialoom/core/classifier.py
+++ b/src/wisterialoom/core/requests/classifier.py
@@ -5,13 +5,13 @@
 from dataclasses import dataclass, field, replace
 from typing import TYPE_CHECKING
 
-from wisterialoom.core.document import Traffic
-from wisterialoom.core.refusal import refuse
-from wisterialoom.core.request import Classified, Reason, Refusal, Request
+from wisterialoom.core.configuration.document import Traffic
+from wisterialoom.core.requests.refusal import refuse
+from wisterialoom.core.requests.request import Classified, Reason, Refusal, Request
 
 if TYPE_CHECKING:
-    from wisterialoom.core.document import Caller, Document, TrafficClass
-    from wisterialoom.core.notice_job import JobDue
+    from wisterialoom.core.configuration.document import Caller, Document, TrafficClass
+    from wisterialoom.core.jobs.notice_job import JobDue
 
 __all__ = ["MODEL_PATHS", "Classifier", "model_lane", "service_lane"]
 
--- a/src/wisterialoom/core/flight.py
+++ b/src/wisterialoom/core/requests/flight.py
@@ -8,7 +8,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from wisterialoom.core.request import Attempt, Classified, Reason
+    from wisterialoom.core.requests.request import Attempt, Classified, Reason
 
 __all__ = ["Flight", "Stage"]
 
--- a/src/wisterialoom/core/path_state.py
+++ b/src/wisterialoom/core/requests/path_state.py
@@ -4,15 +4,15 @@
 
 from typing import TYPE_CHECKING
 
-from wisterialoom.core.admission import Admission
-from wisterialoom.core.demand_meter import DemandMeter
-from wisterialoom.core.request_queue import RequestQueue
-from wisterialoom.core.retry_budget import RetryBudget
+from wisterialoom.core.requests.admission import Admission
+from wisterialoom.core.requests.request_queue import RequestQueue
+from wisterialoom.core.requests.retry_budget import RetryBudget
+from wisterialoom.core.stewards.demand_meter import DemandMeter
 
 if TYPE_CHECKING:
-    from wisterialoom.core.classifier import Classifier
-    from wisterialoom.core.flight import Flight
-    from wisterialoom.core.router import Router
+    from wisterialoom.core.requests.classifier import Classifier
+    from wisterialoom.core.requests.flight import Flight
+    from wisterialoom.core.requests.router import Router
 
 __all__ = ["PathState"]
 
--- a/src/wisterialoom/core/refusal.py
+++ b/src/wisterialoom/core/requests/refusal.py
@@ -4,7 +4,7 @@
 
 from dataclasses import dataclass
 
-from wisterialoom.core.request import Outcome, Reason, Refusal
+from wisterialoom.core.requests.request import Outcome, Reason, Refusal
 
 __all__ = ["RETRY_AFTER_LIMITS_S", "refuse"]
 
--- a/src/wisterialoom/core/request_path.py
+++ b/src/wisterialoom/core/requests/request_path.py
@@ -5,9 +5,7 @@
 import math
 from typing import ClassVar, TYPE_CHECKING
 
-from wisterialoom.core.attempt_control import AttemptControl
-from wisterialoom.core.classifier import Classifier
-from wisterialoom.core.flight import Flight, Stage
+from wisterialoom.core.jobs.notice_job import JobDue, JobEnded, JobWanted
 from wisterialoom.core.message import Event, Output, Tick
 from wisterialoom.core.notice import (
     ClaimAbandoned,
@@ -24,11 +22,13 @@
     PartDrained,
     ServersChanged,
 )
-from wisterialoom.core.notice_job import JobDue, JobEnded, JobWanted
-from wisterialoom.core.path_state import PathState
-from wisterialoom.core.prefix_index import CacheEvents
-from wisterialoom.core.refusal import refuse
-from wisterialoom.core.request import (
+from wisterialoom.core.requests.attempt_control import AttemptControl
+from wisterialoom.core.requests.classifier import Classifier
+from wisterialoom.core.requests.flight import Flight, Stage
+from wisterialoom.core.requests.path_state import PathState
+from wisterialoom.core.requests.prefix_index import CacheEvents
+from wisterialoom.core.requests.refusal import refuse
+from wisterialoom.core.requests.request import (
     AttemptEnded,
     AttemptFirstByte,
     CallerGone,
@@ -43,13 +43,13 @@
     RequestArrived,
     RequestSettled,
 )
-from wisterialoom.core.router import Router
+from wisterialoom.core.requests.router import Router
 from wisterialoom.core.settlement import Settlement
 
 if TYPE_CHECKING:
     import random
 
-    from wisterialoom.core.choice import Choice
+    from wisterialoom.core.requests.choice import Choice
     from wisterialoom.core.window import WindowPolicy
 
 __all__ = ["RequestPath"]
--- a/src/wisterialoom/core/request_queue.py
+++ b/src/wisterialoom/core/requests/request_queue.py
@@ -12,12 +12,12 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
-from wisterialoom.core.fair_share import FairShare
+from wisterialoom.core.requests.fair_share import FairShare
 
 if TYPE_CHECKING:
     from collections.abc import Iterable, Iterator
 
-    from wisterialoom.core.request import Classified
+    from wisterialoom.core.requests.request import Classified
 
 __all__ = ["QueueRank", "RequestQueue", "effective_priority"]
 
--- a/src/wisterialoom/core/router.py
+++ b/src/wisterialoom/core/requests/router.py
@@ -6,13 +6,18 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
-from wisterialoom.core.choice import Choice, LeastCost, LeastOfTwo, RandomChoice
-from wisterialoom.core.classifier import model_lane, service_lane
-from wisterialoom.core.engine import ModelKey
-from wisterialoom.core.prefix_index import PrefixIndex
-from wisterialoom.core.request_queue import effective_priority
-from wisterialoom.core.selector import Selector
-from wisterialoom.core.server_view import ServerView
+from wisterialoom.core.requests.choice import (
+    Choice,
+    LeastCost,
+    LeastOfTwo,
+    RandomChoice,
+)
+from wisterialoom.core.requests.classifier import model_lane, service_lane
+from wisterialoom.core.requests.prefix_index import PrefixIndex
+from wisterialoom.core.requests.request_queue import effective_priority
+from wisterialoom.core.requests.selector import Selector
+from wisterialoom.core.requests.server_view import ServerView
+from wisterialoom.core.stewards.engine import ModelKey
 from wisterialoom.core.window import (
     FIRST_FILL,
     FixedShare,
@@ -25,10 +30,10 @@
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
-    from wisterialoom.core.document import Document, ServerGroup
+    from wisterialoom.core.configuration.document import Document, ServerGroup
+    from wisterialoom.core.fleet.peer import ServerLoad
     from wisterialoom.core.notice import BackendServer
-    from wisterialoom.core.peer import ServerLoad
-    from wisterialoom.core.request import Classified
+    from wisterialoom.core.requests.request import Classified
 
 __all__ = ["Router"]
 
--- a/src/wisterialoom/core/server_directory.py
+++ b/src/wisterialoom/core/requests/server_directory.py
@@ -4,8 +4,7 @@
 
 from typing import ClassVar, TYPE_CHECKING
 
-from wisterialoom.core._server_record import ServerRecord
-from wisterialoom.core.instance_list import (
+from wisterialoom.core.fleet.instance_list import (
     InstanceList,
     InstanceListRead,
     InstanceListUnavailable,
@@ -13,6 +12,13 @@
     ListedInstance,
     ReadInstanceList,
 )
+from wisterialoom.core.fleet.peer import (
+    ListedServer,
+    ListingPull,
+    ListingPush,
+    PeerReceived,
+    SendPeer,
+)
 from wisterialoom.core.message import Event, Tick
 from wisterialoom.core.notice import (
     BackendServer,
@@ -22,22 +28,16 @@
     ServersChanged,
     ServerSeenLeaving,
 )
-from wisterialoom.core.peer import (
-    ListedServer,
-    ListingPull,
-    ListingPush,
-    PeerReceived,
-    SendPeer,
-)
-from wisterialoom.core.selector import Selector
+from wisterialoom.core.requests._server_record import ServerRecord
+from wisterialoom.core.requests.selector import Selector
 
 if TYPE_CHECKING:
     import random
 
-    from wisterialoom.core.document import Document, Label, ServerGroup
+    from wisterialoom.core.configuration.document import Document, Label, ServerGroup
+    from wisterialoom.core.fleet.peer import PeerMessage
     from wisterialoom.core.message import Output
     from wisterialoom.core.notice import Member
-    from wisterialoom.core.peer import PeerMessage
 
 __all__ = ["DRAIN_LABEL", "ServerDirectory"]
 
--- a/src/wisterialoom/core/server_view.py
+++ b/src/wisterialoom/core/requests/server_view.py
@@ -5,11 +5,11 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
-from wisterialoom.core.ejection import Ejection
+from wisterialoom.core.requests.ejection import Ejection
 
 if TYPE_CHECKING:
+    from wisterialoom.core.fleet.peer import ServerLoad
     from wisterialoom.core.notice import BackendServer
-    from wisterialoom.core.peer import ServerLoad
     from wisterialoom.core.window import Window
 
 __all__ = ["ServerView"]
--- a/src/wisterialoom/core/settlement.py
+++ b/src/wisterialoom/core/settlement.py
@@ -5,17 +5,17 @@
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
-from wisterialoom.core.flight import Stage
+from wisterialoom.core.jobs.notice_job import JobEnded
 from wisterialoom.core.notice import ClaimAbandoned, ClaimSettled
-from wisterialoom.core.notice_job import JobEnded
-from wisterialoom.core.refusal import refuse
-from wisterialoom.core.request import Outcome, Reason, Refuse, RequestSettled
+from wisterialoom.core.requests.flight import Stage
+from wisterialoom.core.requests.refusal import refuse
+from wisterialoom.core.requests.request import Outcome, Reason, Refuse, RequestSettled
 
 if TYPE_CHECKING:
-    from wisterialoom.core.flight import Flight
     from wisterialoom.core.message import Output
-    from wisterialoom.core.path_state import PathState
-    from wisterialoom.core.request import Refusal, StoredAnswer
+    from wisterialoom.core.requests.flight import Flight
+    from wisterialoom.core.requests.path_state import PathState
+    from wisterialoom.core.requests.request import Refusal, StoredAnswer
 
 __all__ = ["Settlement"]
 
--- a/src/wisterialoom/core/demand.py
+++ b/src/wisterialoom/core/stewards/demand.py
@@ -6,10 +6,10 @@
 from dataclasses import dataclass, field
 from typing import ClassVar, TYPE_CHECKING
 
+from wisterialoom.core.fleet.peer import DemandReport, SendPeer
+from wisterialoom.core.fleet.rendezvous import rank
 from wisterialoom.core.message import Event, Tick
 from wisterialoom.core.notice import DemandSeen, MembersChanged
-from wisterialoom.core.peer import DemandReport, SendPeer
-from wisterialoom.core.rendezvous import rank
 
 if TYPE_CHECKING:
     from wisterialoom.core.message import Output
--- a/src/wisterialoom/core/demand_meter.py
+++ b/src/wisterialoom/core/stewards/demand_meter.py
@@ -9,8 +9,8 @@
 
 if TYPE_CHECKING:
     from wisterialoom.core.message import Output
-    from wisterialoom.core.request import Classified
-    from wisterialoom.core.request_queue import RequestQueue
+    from wisterialoom.core.requests.request import Classified
+    from wisterialoom.core.requests.request_queue import RequestQueue
 
 __all__ = ["DemandMeter"]
 
--- a/src/wisterialoom/core/lru_planner.py
+++ b/src/wisterialoom/core/stewards/lru_planner.py
@@ -8,13 +8,13 @@
 
 from typing import TYPE_CHECKING
 
-from wisterialoom.core.engine import ModelKey
-from wisterialoom.core.planner import Planner
-from wisterialoom.core.selector import Selector
+from wisterialoom.core.requests.selector import Selector
+from wisterialoom.core.stewards.engine import ModelKey
+from wisterialoom.core.stewards.planner import Planner
 
 if TYPE_CHECKING:
-    from wisterialoom.core.document import Model
-    from wisterialoom.core.planner_input import PlanInput, ServerView
+    from wisterialoom.core.configuration.document import Model
+    from wisterialoom.core.stewards.planner_input import PlanInput, ServerView
 
 __all__ = ["LruPlanner"]
 
--- a/src/wisterialoom/core/memory_account.py
+++ b/src/wisterialoom/core/stewards/memory_account.py
@@ -8,8 +8,8 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-    from wisterialoom.core.engine import EngineState, ModelKey
-    from wisterialoom.core.order_journal import PossibleLoad
+    from wisterialoom.core.stewards.engine import EngineState, ModelKey
+    from wisterialoom.core.stewards.order_journal import PossibleLoad
 
 __all__ = ["MemoryAccount"]
 
--- a/src/wisterialoom/core/order_journal.py
+++ b/src/wisterialoom/core/stewards/order_journal.py
@@ -5,13 +5,13 @@
 from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING
 
-from wisterialoom.core.engine import ModelKey
+from wisterialoom.core.stewards.engine import ModelKey
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-    from wisterialoom.core.lease import Holder
     from wisterialoom.core.ledger import JournalEntry
+    from wisterialoom.core.stewards.lease import Holder
 
 __all__ = ["OrderJournal", "PossibleLoad"]
 
--- a/src/wisterialoom/core/planner.py
+++ b/src/wisterialoom/core/stewards/planner.py
@@ -5,8 +5,14 @@
 from dataclasses import replace
 from typing import ClassVar, TYPE_CHECKING
 
-from wisterialoom.core.demand import DemandAverages, planner_of
-from wisterialoom.core.engine import ModelKey
+from wisterialoom.core.fleet.peer import (
+    DemandReport,
+    PeerReceived,
+    PlanEntry,
+    PlanMessage,
+    SendPeer,
+)
+from wisterialoom.core.fleet.rendezvous import rank
 from wisterialoom.core.message import Event, Tick
 from wisterialoom.core.notice import (
     BackendServer,
@@ -18,23 +24,20 @@
     PlanMade,
     ServersChanged,
 )
-from wisterialoom.core.peer import (
-    DemandReport,
-    PeerReceived,
-    PlanEntry,
-    PlanMessage,
-    SendPeer,
+from wisterialoom.core.stewards.demand import DemandAverages, planner_of
+from wisterialoom.core.stewards.engine import ModelKey
+from wisterialoom.core.stewards.planner_adapters import (
+    place_adapters,
+    with_adapter_demand,
 )
-from wisterialoom.core.planner_adapters import place_adapters, with_adapter_demand
-from wisterialoom.core.planner_input import PlanInput
-from wisterialoom.core.planner_pace import LoadPace
-from wisterialoom.core.planner_placement import place
-from wisterialoom.core.planner_view import EngineRecord
-from wisterialoom.core.rendezvous import rank
-from wisterialoom.core.steward_duty import duty_key
+from wisterialoom.core.stewards.planner_input import PlanInput
+from wisterialoom.core.stewards.planner_pace import LoadPace
+from wisterialoom.core.stewards.planner_placement import place
+from wisterialoom.core.stewards.planner_view import EngineRecord
+from wisterialoom.core.stewards.steward_duty import duty_key
 
 if TYPE_CHECKING:
-    from wisterialoom.core.document import Document, ServerGroup
+    from wisterialoom.core.configuration.document import Document, ServerGroup
     from wisterialoom.core.message import Output
 
 __all__ = ["Planner"]
--- a/src/wisterialoom/core/planner_adapters.py
+++ b/src/wisterialoom/core/stewards/planner_adapters.py
@@ -4,12 +4,12 @@
 
 from typing import TYPE_CHECKING
 
-from wisterialoom.core.demand import ModelDemand
-from wisterialoom.core.engine import ModelKey
+from wisterialoom.core.stewards.demand import ModelDemand
+from wisterialoom.core.stewards.engine import ModelKey
 
 if TYPE_CHECKING:
-    from wisterialoom.core.document import Adapter
-    from wisterialoom.core.planner_input import PlanInput, ServerView
+    from wisterialoom.core.configuration.document import Adapter
+    from wisterialoom.core.stewards.planner_input import PlanInput, ServerView
 
 __all__ = ["place_adapters", "with_adapter_demand"]
 
--- a/src/wisterialoom/core/planner_input.py
+++ b/src/wisterialoom/core/stewards/planner_input.py
@@ -6,9 +6,9 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from wisterialoom.core.demand import ModelDemand
-    from wisterialoom.core.document import Document
-    from wisterialoom.core.engine import ModelKey
+    from wisterialoom.core.configuration.document import Document
+    from wisterialoom.core.stewards.demand import ModelDemand
+    from wisterialoom.core.stewards.engine import ModelKey
 
 __all__ = ["PlanInput", "ServerView"]
 
--- a/src/wisterialoom/core/planner_pace.py
+++ b/src/wisterialoom/core/stewards/planner_pace.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from wisterialoom.core.document import StoreSettings
+    from wisterialoom.core.configuration.document import StoreSettings
 
 __all__ = ["LoadPace"]
 
--- a/src/wisterialoom/core/planner_placement.py
+++ b/src/wisterialoom/core/stewards/planner_placement.py
@@ -4,15 +4,15 @@
 
 from typing import TYPE_CHECKING
 
-from wisterialoom.core.engine import ModelKey
-from wisterialoom.core.planner_slots import Slots
-from wisterialoom.core.planner_worth import Worth
-from wisterialoom.core.selector import Selector
+from wisterialoom.core.requests.selector import Selector
+from wisterialoom.core.stewards.engine import ModelKey
+from wisterialoom.core.stewards.planner_slots import Slots
+from wisterialoom.core.stewards.planner_worth import Worth
 
 if TYPE_CHECKING:
-    from wisterialoom.core.document import Model
-    from wisterialoom.core.planner_input import PlanInput, ServerView
-    from wisterialoom.core.planner_slots import Slot
+    from wisterialoom.core.configuration.document import Model
+    from wisterialoom.core.stewards.planner_input import PlanInput, ServerView
+    from wisterialoom.core.stewards.planner_slots import Slot
 
 __all__ = ["place"]
 
--- a/src/wisterialoom/core/planner_view.py
+++ b/src/wisterialoom/core/stewards/planner_view.py
@@ -5,14 +5,14 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
-from wisterialoom.core.engine import ModelKey
-from wisterialoom.core.planner_damping import ServerHealth
-from wisterialoom.core.planner_input import ServerView
+from wisterialoom.core.stewards.engine import ModelKey
+from wisterialoom.core.stewards.planner_damping import ServerHealth
+from wisterialoom.core.stewards.planner_input import ServerView
 
 if TYPE_CHECKING:
-    from wisterialoom.core.document import ServerGroup
+    from wisterialoom.core.configuration.document import ServerGroup
+    from wisterialoom.core.fleet.peer import PlanEntry, ServerLoad
     from wisterialoom.core.notice import BackendServer
-    from wisterialoom.core.peer import PlanEntry, ServerLoad
 
 __all__ = ["EngineRecord"]
 
--- a/src/wisterialoom/core/static_planner.py
+++ b/src/wisterialoom/core/stewards/static_planner.py
@@ -9,12 +9,12 @@
 
 from typing import ClassVar, TYPE_CHECKING
 
-from wisterialoom.core.engine import ModelKey
 from wisterialoom.core.notice import ConfigChanged, PlanMade, ServersChanged
-from wisterialoom.core.selector import Selector
+from wisterialoom.core.requests.selector import Selector
+from wisterialoom.core.stewards.engine import ModelKey
 
 if TYPE_CHECKING:
-    from wisterialoom.core.document import Document, Model
+    from wisterialoom.core.configuration.document import Document, Model
     from wisterialoom.core.message import Event, Output
     from wisterialoom.core.notice import BackendServer
 
--- a/src/wisterialoom/core/steward.py
+++ b/src/wisterialoom/core/stewards/steward.py
@@ -5,7 +5,8 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
-from wisterialoom.core.engine import (
+from wisterialoom.core.object_store import ObjectEvent
+from wisterialoom.core.stewards.engine import (
     LoadAdapter,
     LoadModel,
     NoOperation,
@@ -21,25 +22,24 @@
     UnloadAdapter,
     UnloadModel,
 )
-from wisterialoom.core.lease import Lease, LeaseChange
-from wisterialoom.core.memory_account import MemoryAccount
-from wisterialoom.core.object_store import ObjectEvent
-from wisterialoom.core.order_journal import OrderJournal
-from wisterialoom.core.steward_backoff import Backoffs, RETRY_S
-from wisterialoom.core.steward_choice import choose, Target
-from wisterialoom.core.steward_handover import Handover
-from wisterialoom.core.steward_orders import key_of, OrderBook
-from wisterialoom.core.steward_proof import Proof
-from wisterialoom.core.steward_report import StateReport
+from wisterialoom.core.stewards.lease import Lease, LeaseChange
+from wisterialoom.core.stewards.memory_account import MemoryAccount
+from wisterialoom.core.stewards.order_journal import OrderJournal
+from wisterialoom.core.stewards.steward_backoff import Backoffs, RETRY_S
+from wisterialoom.core.stewards.steward_choice import choose, Target
+from wisterialoom.core.stewards.steward_handover import Handover
+from wisterialoom.core.stewards.steward_orders import key_of, OrderBook
+from wisterialoom.core.stewards.steward_proof import Proof
+from wisterialoom.core.stewards.steward_report import StateReport
 
 if TYPE_CHECKING:
-    from wisterialoom.core.document import ServerGroup
-    from wisterialoom.core.engine import Action, EngineState, ModelKey
-    from wisterialoom.core.lease import Holder
+    from wisterialoom.core.configuration.document import ServerGroup
     from wisterialoom.core.message import Event, Output
     from wisterialoom.core.notice import BackendServer
     from wisterialoom.core.object_store import OperationIds
-    from wisterialoom.core.steward_orders import Load, SentOrder
+    from wisterialoom.core.stewards.engine import Action, EngineState, ModelKey
+    from wisterialoom.core.stewards.lease import Holder
+    from wisterialoom.core.stewards.steward_orders import Load, SentOrder
 
 __all__ = ["Steward"]
 
--- a/src/wisterialoom/core/steward_choice.py
+++ b/src/wisterialoom/core/stewards/steward_choice.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
-from wisterialoom.core.engine import (
+from wisterialoom.core.stewards.engine import (
     LoadAdapter,
     LoadModel,
     ModelKey,
@@ -14,9 +14,9 @@
 )
 
 if TYPE_CHECKING:
-    from wisterialoom.core.document import Document
-    from wisterialoom.core.engine import Action, EngineState
-    from wisterialoom.core.memory_account import MemoryAccount
+    from wisterialoom.core.configuration.document import Document
+    from wisterialoom.core.stewards.engine import Action, EngineState
+    from wisterialoom.core.stewards.memory_account import MemoryAccount
 
 __all__ = ["Target", "choose"]
 
--- a/src/wisterialoom/core/steward_duty.py
+++ b/src/wisterialoom/core/stewards/steward_duty.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
-from wisterialoom.core.rendezvous import rank
+from wisterialoom.core.fleet.rendezvous import rank
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
--- a/src/wisterialoom/core/steward_orders.py
+++ b/src/wisterialoom/core/stewards/steward_orders.py
@@ -5,7 +5,8 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
-from wisterialoom.core.engine import (
+from wisterialoom.core.ledger import JournalEntry
+from wisterialoom.core.stewards.engine import (
     Fence,
     LoadAdapter,
     LoadModel,
@@ -13,11 +14,10 @@
     UnloadAdapter,
     UnloadModel,
 )
-from wisterialoom.core.ledger import JournalEntry
 
 if TYPE_CHECKING:
-    from wisterialoom.core.engine import Action, EngineState, ModelKey
-    from wisterialoom.core.lease import Holder
+    from wisterialoom.core.stewards.engine import Action, EngineState, ModelKey
+    from wisterialoom.core.stewards.lease import Holder
 
 __all__ = ["Load", "OrderBook", "SentOrder", "key_of"]
 
--- a/src/wisterialoom/core/stewards.py
+++ b/src/wisterialoom/core/stewards/stewards.py
@@ -4,17 +4,15 @@
 
 from typing import ClassVar, TYPE_CHECKING
 
-from wisterialoom.core.demand import planner_of
-from wisterialoom.core.engine import (
-    OrderDone,
-    OrderLost,
-    OrderNotSent,
-    OrderRefused,
-    StateRead,
-    StateUnavailable,
+from wisterialoom.core.fleet.instance_list import InstanceListRead
+from wisterialoom.core.fleet.peer import (
+    ConfirmLetGo,
+    LetGo,
+    PeerReceived,
+    PlanEntry,
+    PlanMessage,
+    SendPeer,
 )
-from wisterialoom.core.instance_list import InstanceListRead
-from wisterialoom.core.lease import Holder
 from wisterialoom.core.message import Event, Tick
 from wisterialoom.core.notice import (
     BackendServer,
@@ -26,23 +24,25 @@
     ServersChanged,
 )
 from wisterialoom.core.object_store import ObjectEvent, OperationIds
-from wisterialoom.core.peer import (
-    ConfirmLetGo,
-    LetGo,
-    PeerReceived,
-    PlanEntry,
-    PlanMessage,
-    SendPeer,
+from wisterialoom.core.stewards.demand import planner_of
+from wisterialoom.core.stewards.engine import (
+    OrderDone,
+    OrderLost,
+    OrderNotSent,
+    OrderRefused,
+    StateRead,
+    StateUnavailable,
 )
-from wisterialoom.core.steward import Steward
-from wisterialoom.core.steward_choice import Target
-from wisterialoom.core.steward_duty import StewardDuty
-from wisterialoom.core.steward_presence import Presence
+from wisterialoom.core.stewards.lease import Holder
+from wisterialoom.core.stewards.steward import Steward
+from wisterialoom.core.stewards.steward_choice import Target
+from wisterialoom.core.stewards.steward_duty import StewardDuty
+from wisterialoom.core.stewards.steward_presence import Presence
 
 if TYPE_CHECKING:
-    from wisterialoom.core.document import Document, ServerGroup
+    from wisterialoom.core.configuration.document import Document, ServerGroup
+    from wisterialoom.core.fleet.peer import PeerMessage
     from wisterialoom.core.message import Output
-    from wisterialoom.core.peer import PeerMessage
 
 __all__ = ["Stewards"]
 
--- a/src/wisterialoom/demo.py
+++ b/src/wisterialoom/demo.py
@@ -17,7 +17,7 @@
 import uvloop
 
 from wisterialoom.app import App
-from wisterialoom.core.instance_list import ListedInstance
+from wisterialoom.core.fleet.instance_list import ListedInstance
 from wisterialoom.object_api.client import PlatformClient
 from wisterialoom.settings import Instance, Listen, Platform, Settings
 from wisterialoom.standin.engine_app import EngineApp
--- a/src/wisterialoom/engine/cache_events.py
+++ b/src/wisterialoom/engine/cache_events.py
@@ -6,7 +6,7 @@
 
 import orjson
 
-from wisterialoom.core.prefix_index import CacheEvents
+from wisterialoom.core.requests.prefix_index import CacheEvents
 
 __all__ = ["read_reports"]
 
--- a/src/wisterialoom/http/dispatcher.py
+++ b/src/wisterialoom/http/dispatcher.py
@@ -8,9 +8,9 @@
 
 from aiohttp import ClientSession, DummyCookieJar, TCPConnector
 
-from wisterialoom.core.job_gate import TellJob
-from wisterialoom.core.notice_job import KeepBody
-from wisterialoom.core.request import (
+from wisterialoom.core.jobs.job_gate import TellJob
+from wisterialoom.core.jobs.notice_job import KeepBody
+from wisterialoom.core.requests.request import (
     AttemptEnded,
     AttemptResult,
     CancelAttempt,
@@ -26,7 +26,7 @@
     from collections.abc import Callable, Coroutine
 
     from wisterialoom.core.message import Event
-    from wisterialoom.core.request import Attempt
+    from wisterialoom.core.requests.request import Attempt
     from wisterialoom.http.front import Front
     from wisterialoom.metrics import Metrics
 
--- a/src/wisterialoom/http/error_answer.py
+++ b/src/wisterialoom/http/error_answer.py
@@ -9,7 +9,7 @@
 from aiohttp import web
 
 if TYPE_CHECKING:
-    from wisterialoom.core.request import Refusal
+    from wisterialoom.core.requests.request import Refusal
 
 __all__ = [
     "OUTCOME_HEADER",
--- a/src/wisterialoom/http/exchange.py
+++ b/src/wisterialoom/http/exchange.py
@@ -18,8 +18,8 @@
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
-    from wisterialoom.core.notice_job import JobState
-    from wisterialoom.core.request import Refusal, StoredAnswer
+    from wisterialoom.core.jobs.notice_job import JobState
+    from wisterialoom.core.requests.request import Refusal, StoredAnswer
     from wisterialoom.http.intake import Intake
 
 __all__ = ["JOB_PATH", "Exchange"]
--- a/src/wisterialoom/http/front.py
+++ b/src/wisterialoom/http/front.py
@@ -9,8 +9,8 @@
 import orjson
 from aiohttp import web
 
-from wisterialoom.core.job_gate import JobPolled
-from wisterialoom.core.request import CallerGone, RequestArrived
+from wisterialoom.core.jobs.job_gate import JobPolled
+from wisterialoom.core.requests.request import CallerGone, RequestArrived
 from wisterialoom.http.error_answer import (
     OUTCOME_HEADER,
     REASON_HEADER,
--- a/src/wisterialoom/http/intake.py
+++ b/src/wisterialoom/http/intake.py
@@ -8,9 +8,9 @@
 
 import orjson
 
-from wisterialoom.core.classifier import MODEL_PATHS
 from wisterialoom.core.error import WisterialoomError
-from wisterialoom.core.request import Request
+from wisterialoom.core.requests.classifier import MODEL_PATHS
+from wisterialoom.core.requests.request import Request
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
--- a/src/wisterialoom/http/relay.py
+++ b/src/wisterialoom/http/relay.py
@@ -10,7 +10,7 @@
 from aiohttp import ClientTimeout
 
 from wisterialoom.core.object_store import MAX_OBJECT_BYTES
-from wisterialoom.core.request import (
+from wisterialoom.core.requests.request import (
     Attempt,
     AttemptEnded,
     AttemptFirstByte,
--- a/src/wisterialoom/lab/attempt_record.py
+++ b/src/wisterialoom/lab/attempt_record.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from wisterialoom.core.request import AttemptResult, Classified
+    from wisterialoom.core.requests.request import AttemptResult, Classified
 
 __all__ = ["AttemptRecord"]
 
--- a/src/wisterialoom/lab/deployment.py
+++ b/src/wisterialoom/lab/deployment.py
@@ -7,14 +7,14 @@
 from typing import TYPE_CHECKING
 
 from wisterialoom.core.assembly import EntryParts, Identity, Placement
-from wisterialoom.core.document_check import read_document
-from wisterialoom.core.instance_list import (
+from wisterialoom.core.configuration.document_check import read_document
+from wisterialoom.core.fleet.instance_list import (
     InstanceList,
     InstanceState,
     ListedInstance,
 )
 from wisterialoom.core.notice import DrainRequested
-from wisterialoom.core.request import Request, RequestArrived
+from wisterialoom.core.requests.request import Request, RequestArrived
 from wisterialoom.lab.order_port import FakeEngine
 from wisterialoom.lab.serving import Serving
 from wisterialoom.lab.weight_store import LabWeightStore
@@ -25,8 +25,8 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-    from wisterialoom.core.choice import Choice
-    from wisterialoom.core.document import Document
+    from wisterialoom.core.configuration.document import Document
+    from wisterialoom.core.requests.choice import Choice
     from wisterialoom.core.window import WindowPolicy
     from wisterialoom.standin.engine_batch import BatchSettings
 
--- a/src/wisterialoom/lab/expectation.py
+++ b/src/wisterialoom/lab/expectation.py
@@ -6,8 +6,8 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, TypeAlias
 
-from wisterialoom.core.document_check import read_document
-from wisterialoom.core.request import Outcome
+from wisterialoom.core.configuration.document_check import read_document
+from wisterialoom.core.requests.request import Outcome
 from wisterialoom.lab.deployment import CONFIG_KEY
 
 if TYPE_CHECKING:
--- a/src/wisterialoom/lab/fleet.py
+++ b/src/wisterialoom/lab/fleet.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass, field, replace
 from typing import TYPE_CHECKING
 
-from wisterialoom.core.membership import Membership
+from wisterialoom.core.fleet.membership import Membership
 from wisterialoom.core.notice import LoadReported, MembersChanged, PartDrained
 from wisterialoom.lab.world import World
 from wisterialoom.peer.codec import encode
@@ -14,8 +14,8 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from wisterialoom.core.fleet.peer import SendPeer, ServerLoad
     from wisterialoom.core.message import Event, Output
-    from wisterialoom.core.peer import SendPeer, ServerLoad
     from wisterialoom.lab.world import Host
 
 __all__ = ["Fleet", "FleetMember", "Traffic"]
--- a/src/wisterialoom/lab/scenario.py
+++ b/src/wisterialoom/lab/scenario.py
@@ -6,7 +6,7 @@
 from functools import partial
 from typing import TYPE_CHECKING
 
-from wisterialoom.core.request import Request
+from wisterialoom.core.requests.request import Request
 from wisterialoom.lab.deployment import CONFIG_KEY
 from wisterialoom.lab.expectation import check, Sample
 from wisterialoom.lab.script import (
--- a/src/wisterialoom/lab/serving.py
+++ b/src/wisterialoom/lab/serving.py
@@ -7,7 +7,7 @@
 
 from typing import TYPE_CHECKING
 
-from wisterialoom.core.request import AttemptResult
+from wisterialoom.core.requests.request import AttemptResult
 from wisterialoom.lab.attempt_record import AttemptRecord
 from wisterialoom.lab.serving_exchange import Exchange, ServingServer
 from wisterialoom.standin.engine_batch import (
@@ -23,7 +23,12 @@
     import random
     from collections.abc import Callable
 
-    from wisterialoom.core.request import Attempt, CancelAttempt, Dispatch, Request
+    from wisterialoom.core.requests.request import (
+        Attempt,
+        CancelAttempt,
+        Dispatch,
+        Request,
+    )
     from wisterialoom.lab.order_port import FakeEngine, OrderPort
     from wisterialoom.lab.schedule import Schedule
     from wisterialoom.lab.serving_exchange import Reply
--- a/src/wisterialoom/lab/world.py
+++ b/src/wisterialoom/lab/world.py
@@ -6,13 +6,13 @@
 from dataclasses import dataclass, field
 from typing import Protocol, TYPE_CHECKING
 
-from wisterialoom.core.engine import OrderNotSent, ReadState, SendOrder
-from wisterialoom.core.instance_list import (
+from wisterialoom.core.fleet.instance_list import (
     InstanceList,
     InstanceListRead,
     InstanceListUnavailable,
     ReadInstanceList,
 )
+from wisterialoom.core.fleet.peer import PeerReceived, SendPeer
 from wisterialoom.core.message import Command, Event, Tick, TICK_INTERVAL_S, WakeAt
 from wisterialoom.core.notice import Drained
 from wisterialoom.core.object_store import (
@@ -22,8 +22,7 @@
     WatchObject,
     WriteObject,
 )
-from wisterialoom.core.peer import PeerReceived, SendPeer
-from wisterialoom.core.request import (
+from wisterialoom.core.requests.request import (
     AttemptEnded,
     AttemptResult,
     CancelAttempt,
@@ -32,6 +31,7 @@
     ReplayAnswer,
     RequestSettled,
 )
+from wisterialoom.core.stewards.engine import OrderNotSent, ReadState, SendOrder
 from wisterialoom.lab.fault import LinkFault
 from wisterialoom.lab.order_port import OrderPort
 from wisterialoom.lab.schedule import Schedule
--- a/src/wisterialoom/measure/demand.py
+++ b/src/wisterialoom/measure/demand.py
@@ -10,7 +10,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
-    from wisterialoom.core.document import Caller, Document
+    from wisterialoom.core.configuration.document import Caller, Document
 
 __all__ = ["CLASS_SHARES", "make_demands"]
 
--- a/src/wisterialoom/measure/policy.py
+++ b/src/wisterialoom/measure/policy.py
@@ -6,11 +6,11 @@
 from typing import TYPE_CHECKING
 
 from wisterialoom.core.assembly import Placement
-from wisterialoom.core.choice import LeastOfTwo, RandomChoice
+from wisterialoom.core.requests.choice import LeastOfTwo, RandomChoice
 from wisterialoom.core.window import AdaptiveWindow, FixedShare, ReportedShare
 
 if TYPE_CHECKING:
-    from wisterialoom.core.choice import Choice
+    from wisterialoom.core.requests.choice import Choice
     from wisterialoom.core.window import WindowPolicy
 
 __all__ = ["BASELINES", "OWN", "POLICIES", "WINDOWS", "Policy"]
--- a/src/wisterialoom/measure/trial.py
+++ b/src/wisterialoom/measure/trial.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
-from wisterialoom.core.request import AttemptResult, Request
+from wisterialoom.core.requests.request import AttemptResult, Request
 from wisterialoom.lab.site import open_site
 
 if TYPE_CHECKING:
--- a/src/wisterialoom/metrics.py
+++ b/src/wisterialoom/metrics.py
@@ -6,12 +6,12 @@
 
 from aioprometheus import Counter, Gauge, Histogram, Registry, render
 
-from wisterialoom.core.request import Outcome
+from wisterialoom.core.requests.request import Outcome
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
-    from wisterialoom.core.request import RequestSettled
+    from wisterialoom.core.requests.request import RequestSettled
     from wisterialoom.http.relay import RelayTimes
 
 __all__ = ["Metrics"]
--- a/src/wisterialoom/object_api/client.py
+++ b/src/wisterialoom/object_api/client.py
@@ -24,7 +24,7 @@
 
     from aiohttp import ClientSession
 
-    from wisterialoom.core.instance_list import InstanceList
+    from wisterialoom.core.fleet.instance_list import InstanceList
 
 __all__ = [
     "VERSION_HEADER",
--- a/src/wisterialoom/object_api/codec.py
+++ b/src/wisterialoom/object_api/codec.py
@@ -6,7 +6,7 @@
 
 import orjson
 
-from wisterialoom.core.instance_list import (
+from wisterialoom.core.fleet.instance_list import (
     InstanceList,
     InstanceState,
     ListedInstance,
--- a/src/wisterialoom/object_api/port.py
+++ b/src/wisterialoom/object_api/port.py
@@ -5,7 +5,7 @@
 import asyncio
 from typing import Any, TYPE_CHECKING, TypeAlias
 
-from wisterialoom.core.instance_list import (
+from wisterialoom.core.fleet.instance_list import (
     InstanceListRead,
     InstanceListUnavailable,
     ReadInstanceList,
--- a/src/wisterialoom/operator/apply.py
+++ b/src/wisterialoom/operator/apply.py
@@ -7,8 +7,8 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING, TypeAlias
 
-from wisterialoom.core.config_follower import CONFIG_KEY
-from wisterialoom.core.document_check import (
+from wisterialoom.core.configuration.config_follower import CONFIG_KEY
+from wisterialoom.core.configuration.document_check import (
     check_change,
     DocumentError,
     Fault,
@@ -21,7 +21,7 @@
 from wisterialoom.operator.history import History
 
 if TYPE_CHECKING:
-    from wisterialoom.core.document import Document
+    from wisterialoom.core.configuration.document import Document
     from wisterialoom.operator.platform import Platform
 
 __all__ = ["Applied", "Edit", "apply", "change", "split_generation", "with_generation"]
--- a/src/wisterialoom/operator/label.py
+++ b/src/wisterialoom/operator/label.py
@@ -11,7 +11,7 @@
 from tomlkit.items import AoT
 
 from wisterialoom.core.error import WisterialoomError
-from wisterialoom.core.selector import Selector
+from wisterialoom.core.requests.selector import Selector
 
 if TYPE_CHECKING:
     from collections.abc import Container
--- a/src/wisterialoom/operator/platform.py
+++ b/src/wisterialoom/operator/platform.py
@@ -5,7 +5,7 @@
 from typing import Protocol, TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from wisterialoom.core.instance_list import InstanceList
+    from wisterialoom.core.fleet.instance_list import InstanceList
     from wisterialoom.core.object_store import StoredObject
 
 __all__ = ["Platform"]
--- a/src/wisterialoom/operator/reference.py
+++ b/src/wisterialoom/operator/reference.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass, Field, fields, is_dataclass, MISSING
 from typing import Any, cast, get_args, get_origin, get_type_hints, TYPE_CHECKING
 
-from wisterialoom.core.document import Document
+from wisterialoom.core.configuration.document import Document
 from wisterialoom.settings import Settings
 
 if TYPE_CHECKING:
--- a/src/wisterialoom/operator/status.py
+++ b/src/wisterialoom/operator/status.py
@@ -17,7 +17,7 @@
 
     from aiohttp import ClientSession
 
-    from wisterialoom.core.instance_list import ListedInstance
+    from wisterialoom.core.fleet.instance_list import ListedInstance
     from wisterialoom.operator.platform import Platform
 
 __all__ = [
--- a/src/wisterialoom/peer/codec.py
+++ b/src/wisterialoom/peer/codec.py
@@ -5,9 +5,9 @@
 from thrift.protocol.TCompactProtocol import TCompactProtocolAccelerated
 from thrift.transport.TTransport import TMemoryBuffer
 
-from wisterialoom.core import peer
 from wisterialoom.core.error import WisterialoomError
-from wisterialoom.core.peer import PeerMessage, PeerReceived
+from wisterialoom.core.fleet import peer
+from wisterialoom.core.fleet.peer import PeerMessage, PeerReceived
 from wisterialoom.peer._wire import StructConverter
 from wisterialoom.peer.gen.constants import VERSION
 from wisterialoom.peer.gen.ttypes import Envelope, Message
--- a/src/wisterialoom/peer/link.py
+++ b/src/wisterialoom/peer/link.py
@@ -17,7 +17,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from wisterialoom.core.peer import PeerReceived, SendPeer
+    from wisterialoom.core.fleet.peer import PeerReceived, SendPeer
 
 __all__ = ["PeerLinks"]
 
--- a/src/wisterialoom/settings.py
+++ b/src/wisterialoom/settings.py
@@ -8,7 +8,7 @@
 from typing import TYPE_CHECKING
 from urllib.parse import urlsplit
 
-from wisterialoom.core._toml_reader import read_toml
+from wisterialoom.core.configuration._toml_reader import read_toml
 from wisterialoom.core.fault import Fault, FaultyInputError
 
 if TYPE_CHECKING:
--- a/src/wisterialoom/slopes/codec_cost.py
+++ b/src/wisterialoom/slopes/codec_cost.py
@@ -5,7 +5,7 @@
 from functools import partial
 from typing import TYPE_CHECKING
 
-from wisterialoom.core.peer import (
+from wisterialoom.core.fleet.peer import (
     ConfigPush,
     Heartbeat,
     LoadChange,
--- a/src/wisterialoom/slopes/fleet_cost.py
+++ b/src/wisterialoom/slopes/fleet_cost.py
@@ -8,8 +8,8 @@
 from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING, TypeAlias
 
+from wisterialoom.core.fleet.peer import ServerLoad
 from wisterialoom.core.notice import LoadReported
-from wisterialoom.core.peer import ServerLoad
 from wisterialoom.lab.fleet import Fleet
 from wisterialoom.slopes.fit import Slope
 
--- a/src/wisterialoom/slopes/meter.py
+++ b/src/wisterialoom/slopes/meter.py
@@ -7,9 +7,9 @@
 from dataclasses import dataclass, field
 from typing import cast, TYPE_CHECKING
 
-from wisterialoom.core.instance_list import ReadInstanceList
+from wisterialoom.core.fleet.instance_list import ReadInstanceList
+from wisterialoom.core.fleet.peer import SendPeer
 from wisterialoom.core.object_store import ReadObject, WatchObject, WriteObject
-from wisterialoom.core.peer import SendPeer
 from wisterialoom.peer.codec import encode
 
 if TYPE_CHECKING:
--- a/src/wisterialoom/slopes/object_cost.py
+++ b/src/wisterialoom/slopes/object_cost.py
@@ -7,12 +7,12 @@
 from functools import partial
 from typing import TYPE_CHECKING, TypeVar
 
-from wisterialoom.core.claim_bucket import ClaimBucket
-from wisterialoom.core.claim_entry import ClaimEntry, ClaimState
-from wisterialoom.core.document_check import read_document
-from wisterialoom.core.instance_list import InstanceList, ListedInstance
-from wisterialoom.core.rendezvous import first
-from wisterialoom.core.request import StoredAnswer
+from wisterialoom.core.claims.claim_bucket import ClaimBucket
+from wisterialoom.core.claims.claim_entry import ClaimEntry, ClaimState
+from wisterialoom.core.configuration.document_check import read_document
+from wisterialoom.core.fleet.instance_list import InstanceList, ListedInstance
+from wisterialoom.core.fleet.rendezvous import first
+from wisterialoom.core.requests.request import StoredAnswer
 from wisterialoom.lab.fleet import Fleet
 from wisterialoom.object_api.codec import decode_instances, encode_instances
 from wisterialoom.slopes.clock import cost_us
--- a/src/wisterialoom/slopes/site.py
+++ b/src/wisterialoom/slopes/site.py
@@ -6,8 +6,8 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
-from wisterialoom.core.document_check import read_document
-from wisterialoom.core.request import (
+from wisterialoom.core.configuration.document_check import read_document
+from wisterialoom.core.requests.request import (
     AttemptEnded,
     AttemptFirstByte,
     AttemptResult,
@@ -21,7 +21,7 @@
     from collections.abc import Callable
 
     from wisterialoom.core.message import Event
-    from wisterialoom.core.request import CancelAttempt, Dispatch
+    from wisterialoom.core.requests.request import CancelAttempt, Dispatch
     from wisterialoom.lab.schedule import Schedule
 
 __all__ = ["Site", "SiteSize", "make_document"]
--- a/src/wisterialoom/standin/instance_registry.py
+++ b/src/wisterialoom/standin/instance_registry.py
@@ -5,10 +5,10 @@
 from dataclasses import dataclass, field, replace
 from typing import TYPE_CHECKING
 
-from wisterialoom.core.instance_list import InstanceList, InstanceState
+from wisterialoom.core.fleet.instance_list import InstanceList, InstanceState
 
 if TYPE_CHECKING:
-    from wisterialoom.core.instance_list import ListedInstance
+    from wisterialoom.core.fleet.instance_list import ListedInstance
 
 __all__ = ["InstanceRegistry"]
 
--- a/src/wisterialoom/standin/platform_access.py
+++ b/src/wisterialoom/standin/platform_access.py
@@ -10,7 +10,7 @@
 import orjson
 
 if TYPE_CHECKING:
-    from wisterialoom.core.instance_list import ListedInstance
+    from wisterialoom.core.fleet.instance_list import ListedInstance
 
 __all__ = ["PlatformAccess"]
 
--- a/src/wisterialoom/standin/run.py
+++ b/src/wisterialoom/standin/run.py
@@ -14,7 +14,7 @@
 import orjson
 import uvloop
 
-from wisterialoom.core.instance_list import ListedInstance
+from wisterialoom.core.fleet.instance_list import ListedInstance
 from wisterialoom.standin.engine_app import EngineApp
 from wisterialoom.standin.engine_batch import BatchSettings
 from wisterialoom.standin.engine_fault import EngineSettings
--- a/src/wisterialoom/status.py
+++ b/src/wisterialoom/status.py
@@ -4,13 +4,13 @@
 
 from typing import Any, TYPE_CHECKING
 
-from wisterialoom.core.classifier import model_lane
-from wisterialoom.core.selector import Selector
+from wisterialoom.core.requests.classifier import model_lane
+from wisterialoom.core.requests.selector import Selector
 
 if TYPE_CHECKING:
     from wisterialoom.app import App
-    from wisterialoom.core.document import Document, Model
-    from wisterialoom.core.server_view import ServerView
+    from wisterialoom.core.configuration.document import Document, Model
+    from wisterialoom.core.requests.server_view import ServerView
 
 __all__ = ["Status"]
 
--- a/tests/claim_fleet.py
+++ b/tests/claim_fleet.py
@@ -6,8 +6,9 @@
 import math
 from dataclasses import dataclass, field
 
-from wisterialoom.core.claim import ClaimKeeper
-from wisterialoom.core.document import ClaimSettings, Deployment, Document
+from wisterialoom.core.claims.claim import ClaimKeeper
+from wisterialoom.core.configuration.document import ClaimSettings, Deployment, Document
+from wisterialoom.core.fleet.peer import MemberStatus
 from wisterialoom.core.message import Command, Event, Notice
 from wisterialoom.core.notice import (
     ClaimAbandoned,
@@ -21,8 +22,7 @@
     MembersChanged,
     PartDrained,
 )
-from wisterialoom.core.peer import MemberStatus
-from wisterialoom.core.request import StoredAnswer
+from wisterialoom.core.requests.request import StoredAnswer
 from wisterialoom.lab.world import World
 
 BUCKETS = 2
--- a/tests/documents.py
+++ b/tests/documents.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from wisterialoom.core.document import (
+from wisterialoom.core.configuration.document import (
     Caller,
     Deployment,
     Document,
@@ -11,8 +11,8 @@
     Traffic,
     TrafficClass,
 )
+from wisterialoom.core.fleet.peer import ServerLoad
 from wisterialoom.core.notice import BackendServer
-from wisterialoom.core.peer import ServerLoad
 
 DOCUMENT = Document(
     deployment=Deployment("small"),
--- a/tests/fake_platform.py
+++ b/tests/fake_platform.py
@@ -1,6 +1,6 @@
 """An object API in memory, with races and writes of unknown outcome."""
 
-from wisterialoom.core.instance_list import InstanceList
+from wisterialoom.core.fleet.instance_list import InstanceList
 from wisterialoom.object_api.client import PlatformUnavailableError
 from wisterialoom.standin.object_store import ObjectStore
 
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -2,13 +2,18 @@
 
 from __future__ import annotations
 
-from wisterialoom.core.document import Deployment, Document, Model, ServerGroup
-from wisterialoom.core.engine import LoadModel, ModelKey, SendOrder
-from wisterialoom.core.instance_list import (
+from wisterialoom.core.configuration.document import (
+    Deployment,
+    Document,
+    Model,
+    ServerGroup,
+)
+from wisterialoom.core.fleet.instance_list import (
     InstanceList,
     ListedInstance,
     ReadInstanceList,
 )
+from wisterialoom.core.fleet.peer import MemberStatus, PlanEntry
 from wisterialoom.core.message import Command, Notice, Tick
 from wisterialoom.core.notice import (
     BackendServer,
@@ -18,8 +23,8 @@
     PlanMade,
     ServersChanged,
 )
-from wisterialoom.core.peer import MemberStatus, PlanEntry
-from wisterialoom.core.stewards import Stewards
+from wisterialoom.core.stewards.engine import LoadModel, ModelKey, SendOrder
+from wisterialoom.core.stewards.stewards import Stewards
 from wisterialoom.lab.fault import OrderFault, StoreFault
 from wisterialoom.lab.order_port import FakeEngine
 from wisterialoom.lab.world import World
--- a/tests/job_fleet.py
+++ b/tests/job_fleet.py
@@ -5,9 +5,22 @@
 import itertools
 
 from tests.claim_fleet import Run, RunEnded, WALL_START
-from wisterialoom.core.claim import ClaimKeeper
-from wisterialoom.core.document import ClaimSettings, Deployment, Document
-from wisterialoom.core.job import JobKeeper
+from wisterialoom.core.claims.claim import ClaimKeeper
+from wisterialoom.core.configuration.document import ClaimSettings, Deployment, Document
+from wisterialoom.core.fleet.peer import MemberStatus
+from wisterialoom.core.jobs.job import JobKeeper
+from wisterialoom.core.jobs.notice_job import (
+    JobAccepted,
+    JobAsked,
+    JobDue,
+    JobEnded,
+    JobFound,
+    JobMissing,
+    JobRefused,
+    JobUnreadable,
+    JobWanted,
+    KeepBody,
+)
 from wisterialoom.core.message import Command
 from wisterialoom.core.notice import (
     ClaimAbandoned,
@@ -21,20 +34,7 @@
     Member,
     MembersChanged,
 )
-from wisterialoom.core.notice_job import (
-    JobAccepted,
-    JobAsked,
-    JobDue,
-    JobEnded,
-    JobFound,
-    JobMissing,
-    JobRefused,
-    JobUnreadable,
-    JobWanted,
-    KeepBody,
-)
-from wisterialoom.core.peer import MemberStatus
-from wisterialoom.core.request import Outcome, Request, StoredAnswer
+from wisterialoom.core.requests.request import Outcome, Request, StoredAnswer
 from wisterialoom.lab.world import World
 
 CLAIM_RETENTION_S = 200.0
--- a/tests/test_attempt_control.py
+++ b/tests/test_attempt_control.py
@@ -1,11 +1,11 @@
-"""Tests of `wisterialoom.core.attempt_control`."""
+"""Tests of `wisterialoom.core.requests.attempt_control`."""
 
 import pytest
 
 from tests.documents import make_load, make_server
 from tests.test_request_path import arrive, chat, make_path, only, registration
 from wisterialoom.core.notice import ClaimGranted, ServersChanged
-from wisterialoom.core.request import (
+from wisterialoom.core.requests.request import (
     AttemptEnded,
     AttemptResult,
     Dispatch,
--- a/tests/test_claim.py
+++ b/tests/test_claim.py
@@ -1,4 +1,4 @@
-"""Tests of `wisterialoom.core.claim`."""
+"""Tests of `wisterialoom.core.claims.claim`."""
 
 import itertools
 from dataclasses import replace
@@ -6,9 +6,10 @@
 import pytest
 
 from tests.claim_fleet import Fleet
-from wisterialoom.core.claim_bucket import Claim, ClaimBucket, Release, Settle
-from wisterialoom.core.claim_commit import BucketCommitter, PendingChange
-from wisterialoom.core.claim_entry import claim_key, ClaimState
+from wisterialoom.core.claims.claim_bucket import Claim, ClaimBucket, Release, Settle
+from wisterialoom.core.claims.claim_commit import BucketCommitter, PendingChange
+from wisterialoom.core.claims.claim_entry import claim_key, ClaimState
+from wisterialoom.core.fleet.peer import ClaimAnswer, ClaimStateWire, PeerReceived
 from wisterialoom.core.notice import (
     ClaimFailed,
     ClaimGranted,
@@ -23,8 +24,7 @@
     OperationIds,
     WriteObject,
 )
-from wisterialoom.core.peer import ClaimAnswer, ClaimStateWire, PeerReceived
-from wisterialoom.core.request import Reason, StoredAnswer
+from wisterialoom.core.requests.request import Reason, StoredAnswer
 
 
 @pytest.mark.parametrize("size", [20, 5_000])
--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -14,7 +14,7 @@
 
 import wisterialoom
 from wisterialoom.cli import cli
-from wisterialoom.core.instance_list import ListedInstance
+from wisterialoom.core.fleet.instance_list import ListedInstance
 from wisterialoom.operator.label import LabelEdit
 from wisterialoom.operator.reference import write_reference
 from wisterialoom.standin.platform_app import PlatformApp
--- a/tests/test_config_follower.py
+++ b/tests/test_config_follower.py
@@ -1,4 +1,4 @@
-"""Tests of `wisterialoom.core.config_follower`."""
+"""Tests of `wisterialoom.core.configuration.config_follower`."""
 
 import math
 import random
@@ -6,9 +6,18 @@
 import pytest
 from hypothesis import given, settings, strategies as st
 
-from wisterialoom.core._config_body import pack, unpack
-from wisterialoom.core._config_freshness import Freshness, PAUSE_S
-from wisterialoom.core.config_follower import CONFIG_KEY, ConfigFollower
+from wisterialoom.core.configuration._config_body import pack, unpack
+from wisterialoom.core.configuration._config_freshness import Freshness, PAUSE_S
+from wisterialoom.core.configuration.config_follower import CONFIG_KEY, ConfigFollower
+from wisterialoom.core.fleet.peer import (
+    ConfigPush,
+    Heartbeat,
+    HeartbeatAck,
+    MemberStatus,
+    PeerReceived,
+    SendPeer,
+    STALE_AGE_MS,
+)
 from wisterialoom.core.message import Tick
 from wisterialoom.core.notice import (
     ConfigChanged,
@@ -18,15 +27,6 @@
     MembersChanged,
 )
 from wisterialoom.core.object_store import MAX_OBJECT_BYTES
-from wisterialoom.core.peer import (
-    ConfigPush,
-    Heartbeat,
-    HeartbeatAck,
-    MemberStatus,
-    PeerReceived,
-    SendPeer,
-    STALE_AGE_MS,
-)
 from wisterialoom.lab.world import World
 
 ZONES = ("zone-1", "zone-2", "zone-3")
--- a/tests/test_demand.py
+++ b/tests/test_demand.py
@@ -1,9 +1,9 @@
-"""Tests of `wisterialoom.core.demand`."""
+"""Tests of `wisterialoom.core.stewards.demand`."""
 
-from wisterialoom.core.demand import Demand, DemandAverages, planner_of
+from wisterialoom.core.fleet.peer import DemandReport, MemberStatus
 from wisterialoom.core.message import Tick
 from wisterialoom.core.notice import DemandSeen, Member, MembersChanged
-from wisterialoom.core.peer import DemandReport, MemberStatus
+from wisterialoom.core.stewards.demand import Demand, DemandAverages, planner_of
 
 MEMBERS = tuple(
     Member(name, "127.0.0.1:1", "z", 1, MemberStatus.ALIVE) for name in ("m0", "m1")
--- a/tests/test_document_check.py
+++ b/tests/test_document_check.py
@@ -1,12 +1,12 @@
-"""Tests of `wisterialoom.core.document_check`."""
+"""Tests of `wisterialoom.core.configuration.document_check`."""
 
 import re
 from dataclasses import replace
 
 import pytest
 
-from wisterialoom.core.document import ClaimSettings
-from wisterialoom.core.document_check import (
+from wisterialoom.core.configuration.document import ClaimSettings
+from wisterialoom.core.configuration.document_check import (
     check_change,
     DocumentError,
     read_document,
--- a/tests/test_examples.py
+++ b/tests/test_examples.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from wisterialoom.core.document_check import read_document
+from wisterialoom.core.configuration.document_check import read_document
 from wisterialoom.settings import Settings
 
 EXAMPLES = Path(__file__).parent.parent / "examples"
--- a/tests/test_job.py
+++ b/tests/test_job.py
@@ -1,4 +1,4 @@
-"""Tests of `wisterialoom.core.job`."""
+"""Tests of `wisterialoom.core.jobs.job`."""
 
 from hypothesis import Phase, settings, strategies as st
 from hypothesis.stateful import (
@@ -9,9 +9,9 @@
 )
 
 from tests.job_fleet import JobFleet
-from wisterialoom.core.job_age import aged_priority
-from wisterialoom.core.job_record import job_key, JobRecord
-from wisterialoom.core.notice_job import (
+from wisterialoom.core.jobs.job_age import aged_priority
+from wisterialoom.core.jobs.job_record import job_key, JobRecord
+from wisterialoom.core.jobs.notice_job import (
     JobAccepted,
     JobFound,
     JobMissing,
@@ -19,7 +19,7 @@
     JobState,
     JobUnreadable,
 )
-from wisterialoom.core.request import Reason
+from wisterialoom.core.requests.request import Reason
 
 NAMES = ("a", "b", "c")
 names = st.sampled_from(NAMES)
--- a/tests/test_lease.py
+++ b/tests/test_lease.py
@@ -1,6 +1,5 @@
-"""Tests of `wisterialoom.core.lease`."""
+"""Tests of `wisterialoom.core.stewards.lease`."""
 
-from wisterialoom.core.lease import Holder, Lease, LeaseChange
 from wisterialoom.core.ledger import Ledger
 from wisterialoom.core.object_store import (
     ObjectRead,
@@ -8,6 +7,7 @@
     ObjectWritten,
     OperationIds,
 )
+from wisterialoom.core.stewards.lease import Holder, Lease, LeaseChange
 
 LEASE_S = 10.0
 KEY = "ledgers/s"
--- a/tests/test_leaving_gossip.py
+++ b/tests/test_leaving_gossip.py
@@ -1,4 +1,4 @@
-"""Tests of `wisterialoom.core.leaving_gossip` in a fleet that loses messages."""
+"""Tests of `wisterialoom.core.fleet.leaving_gossip` in a fleet that loses messages."""
 
 import pytest
 
--- a/tests/test_load_gossip.py
+++ b/tests/test_load_gossip.py
@@ -7,23 +7,23 @@
 from hypothesis import given, strategies as st
 
 from tests.test_membership import fleet_of, worlds
-from wisterialoom.core.gossip import GossipQueue, URGENT_SENDS
-from wisterialoom.core.load_gossip import (
+from wisterialoom.core.fleet.gossip import GossipQueue, URGENT_SENDS
+from wisterialoom.core.fleet.load_gossip import (
     LOAD_BYTES_PER_S,
     load_change_size,
     LoadGossip,
     MIN_REFRESH_S,
     server_load_size,
 )
-from wisterialoom.core.membership_heartbeat import FRAME_BYTES, member_size
-from wisterialoom.core.notice import LoadReported
-from wisterialoom.core.peer import (
+from wisterialoom.core.fleet.membership_heartbeat import FRAME_BYTES, member_size
+from wisterialoom.core.fleet.peer import (
     HeartbeatAck,
     LoadChange,
     MemberStatus,
     MemberUpdate,
     ServerLoad,
 )
+from wisterialoom.core.notice import LoadReported
 from wisterialoom.peer.codec import encode
 
 KNOWN_S = 5
--- a/tests/test_membership.py
+++ b/tests/test_membership.py
@@ -4,14 +4,14 @@
 
 from hypothesis import given, Phase, settings, strategies as st
 
-from wisterialoom.core.gossip import DATAGRAM_BYTES
-from wisterialoom.core.instance_list import (
+from wisterialoom.core.fleet.gossip import DATAGRAM_BYTES
+from wisterialoom.core.fleet.instance_list import (
     InstanceList,
     InstanceListRead,
     ListedInstance,
 )
+from wisterialoom.core.fleet.peer import Heartbeat, HeartbeatAck
 from wisterialoom.core.notice import ConfigFreshness, DrainRequested
-from wisterialoom.core.peer import Heartbeat, HeartbeatAck
 from wisterialoom.lab.fleet import Fleet
 
 CONVERGE_S = 40.0
--- a/tests/test_memory_invariant.py
+++ b/tests/test_memory_invariant.py
@@ -13,7 +13,7 @@
 )
 
 from tests.fleet import CAPACITY_MB, Fleet, LEASE_S, LIFETIME_S, LOAD_S, make_document
-from wisterialoom.core.document import Adapter
+from wisterialoom.core.configuration.document import Adapter
 from wisterialoom.lab.fault import OrderFault, StoreFault
 
 SIZES = {"a": 60, "b": 60, "c": 40, "d": 50, "e": 100}
--- a/tests/test_object_api_client.py
+++ b/tests/test_object_api_client.py
@@ -8,7 +8,7 @@
 from aiohttp import web
 from aiohttp.test_utils import unused_port
 
-from wisterialoom.core.instance_list import InstanceListRead, ReadInstanceList
+from wisterialoom.core.fleet.instance_list import InstanceListRead, ReadInstanceList
 from wisterialoom.core.object_store import (
     DeleteObject,
     ListObjects,
--- a/tests/test_operator.py
+++ b/tests/test_operator.py
@@ -7,8 +7,8 @@
 from hypothesis import given, settings, strategies as st
 
 from tests.fake_platform import FakePlatform
-from wisterialoom.core.config_follower import CONFIG_KEY
-from wisterialoom.core.document_check import DocumentError
+from wisterialoom.core.configuration.config_follower import CONFIG_KEY
+from wisterialoom.core.configuration.document_check import DocumentError
 from wisterialoom.object_api.client import PlatformUnavailableError
 from wisterialoom.operator import (
     apply,
--- a/tests/test_peer_codec.py
+++ b/tests/test_peer_codec.py
@@ -10,8 +10,8 @@
 import pytest
 from hypothesis import given, settings, strategies as st
 
-from wisterialoom.core import peer
-from wisterialoom.core.peer import PeerMessage
+from wisterialoom.core.fleet import peer
+from wisterialoom.core.fleet.peer import PeerMessage
 from wisterialoom.peer.codec import decode, encode, MESSAGE_CLASSES, PeerCodecError
 
 I64 = st.integers(-(2**63), 2**63 - 1)
--- a/tests/test_peer_link.py
+++ b/tests/test_peer_link.py
@@ -9,7 +9,7 @@
 import pytest
 from hypothesis import given, settings, strategies as st
 
-from wisterialoom.core.peer import ConfigPull, ConfigPush, IndirectPing, SendPeer
+from wisterialoom.core.fleet.peer import ConfigPull, ConfigPush, IndirectPing, SendPeer
 from wisterialoom.peer import _outbox
 from wisterialoom.peer.link import PeerLinks
 from wisterialoom.peer.seal import ReplayWindow, Seal, SealError, WINDOW
--- a/tests/test_peer_members.py
+++ b/tests/test_peer_members.py
@@ -5,10 +5,10 @@
 import asyncio
 import random
 
-from wisterialoom.core.membership import Membership
+from wisterialoom.core.fleet.membership import Membership
+from wisterialoom.core.fleet.peer import SendPeer, ServerLoad
 from wisterialoom.core.message import Tick, TICK_INTERVAL_S
 from wisterialoom.core.notice import LoadReported, MembersChanged
-from wisterialoom.core.peer import SendPeer, ServerLoad
 from wisterialoom.peer.link import PeerLinks
 
 KEYS = (b"shared",)
--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -1,4 +1,4 @@
-"""Tests of `wisterialoom.core.planner` and the parts that it works with."""
+"""Tests of `wisterialoom.core.stewards.planner` and the parts that it works with."""
 
 from dataclasses import replace
 
@@ -6,15 +6,15 @@
 from hypothesis import given, settings, strategies as st
 
 from tests.fleet import CAPACITY_MB, Fleet, make_document
-from wisterialoom.core.demand import Demand, ModelDemand
-from wisterialoom.core.document import Adapter, Deployment, Model
-from wisterialoom.core.engine import ModelKey
+from wisterialoom.core.configuration.document import Adapter, Deployment, Model
 from wisterialoom.core.notice import DemandSeen, LoadReported
-from wisterialoom.core.planner import Planner
-from wisterialoom.core.planner_input import PlanInput, ServerView
-from wisterialoom.core.planner_placement import place
-from wisterialoom.core.selector import Selector
-from wisterialoom.core.stewards import Stewards
+from wisterialoom.core.requests.selector import Selector
+from wisterialoom.core.stewards.demand import Demand, ModelDemand
+from wisterialoom.core.stewards.engine import ModelKey
+from wisterialoom.core.stewards.planner import Planner
+from wisterialoom.core.stewards.planner_input import PlanInput, ServerView
+from wisterialoom.core.stewards.planner_placement import place
+from wisterialoom.core.stewards.stewards import Stewards
 
 INSTANCES = ("entry-0", "entry-1", "entry-2")
 NAMES = ("a", "b", "c", "d", "e", "f")
--- a/tests/test_planner_damping.py
+++ b/tests/test_planner_damping.py
@@ -1,6 +1,11 @@
-"""Tests of `wisterialoom.core.planner_damping`."""
-
-from wisterialoom.core.planner_damping import LOST_S, RISE_S, ServerHealth, SILENCE_S
+"""Tests of `wisterialoom.core.stewards.planner_damping`."""
+
+from wisterialoom.core.stewards.planner_damping import (
+    LOST_S,
+    RISE_S,
+    ServerHealth,
+    SILENCE_S,
+)
 
 
 def rise(health, start):
--- a/tests/test_reference_metrics.py
+++ b/tests/test_reference_metrics.py
@@ -4,7 +4,7 @@
 from pathlib import Path
 
 from wisterialoom.app import App
-from wisterialoom.core.request import Reason
+from wisterialoom.core.requests.request import Reason
 from wisterialoom.settings import Instance, Listen, Platform, Settings
 
 DOCS = Path(__file__).parents[1] / "docs"
--- a/tests/test_refusal.py
+++ b/tests/test_refusal.py
@@ -1,9 +1,9 @@
-"""Tests of `wisterialoom.core.refusal`."""
+"""Tests of `wisterialoom.core.requests.refusal`."""
 
 import pytest
 
-from wisterialoom.core.refusal import refuse, RETRY_AFTER_LIMITS_S
-from wisterialoom.core.request import Outcome, Reason
+from wisterialoom.core.requests.refusal import refuse, RETRY_AFTER_LIMITS_S
+from wisterialoom.core.requests.request import Outcome, Reason
 
 
 @pytest.mark.parametrize("reason", list(Reason))
--- a/tests/test_rendezvous.py
+++ b/tests/test_rendezvous.py
@@ -1,10 +1,10 @@
-"""Tests of `wisterialoom.core.rendezvous`."""
+"""Tests of `wisterialoom.core.fleet.rendezvous`."""
 
 from collections import Counter
 
 from hypothesis import given, settings, strategies as st
 
-from wisterialoom.core.rendezvous import first, rank
+from wisterialoom.core.fleet.rendezvous import first, rank
 
 EXPECTED = ["entry-1", "entry-2", "entry-3"]
 
--- a/tests/test_request_path.py
+++ b/tests/test_request_path.py
@@ -1,4 +1,4 @@
-"""Tests of `wisterialoom.core.request_path`."""
+"""Tests of `wisterialoom.core.requests.request_path`."""
 
 import itertools
 import random
@@ -8,7 +8,7 @@
 from hypothesis import given, settings, strategies as st
 
 from tests.documents import DOCUMENT, make_load, make_server
-from wisterialoom.core.attempt_control import MAX_ATTEMPTS
+from wisterialoom.core.jobs.notice_job import JobDue, JobEnded
 from wisterialoom.core.message import Tick
 from wisterialoom.core.notice import (
     ClaimAbandoned,
@@ -25,8 +25,8 @@
     PartDrained,
     ServersChanged,
 )
-from wisterialoom.core.notice_job import JobDue, JobEnded
-from wisterialoom.core.request import (
+from wisterialoom.core.requests.attempt_control import MAX_ATTEMPTS
+from wisterialoom.core.requests.request import (
     AttemptEnded,
     AttemptFirstByte,
     AttemptResult,
@@ -42,7 +42,7 @@
     RequestSettled,
     StoredAnswer,
 )
-from wisterialoom.core.request_path import RequestPath
+from wisterialoom.core.requests.request_path import RequestPath
 
 ANSWER = StoredAnswer(200, "application/json", b"{}")
 SAFE = (AttemptResult.NOT_SENT, AttemptResult.NOT_STARTED)
--- a/tests/test_selector.py
+++ b/tests/test_selector.py
@@ -1,8 +1,8 @@
-"""Tests of `wisterialoom.core.selector`."""
+"""Tests of `wisterialoom.core.requests.selector`."""
 
 import pytest
 
-from wisterialoom.core.selector import Selector, SelectorError
+from wisterialoom.core.requests.selector import Selector, SelectorError
 
 
 @pytest.mark.parametrize(
--- a/tests/test_server_directory.py
+++ b/tests/test_server_directory.py
@@ -1,18 +1,24 @@
-"""Tests of `wisterialoom.core.server_directory`."""
+"""Tests of `wisterialoom.core.requests.server_directory`."""
 
 import random
 from dataclasses import replace
 
 from hypothesis import given, settings, strategies as st
 
-from wisterialoom.core.document import Deployment, Document, Label, ServerGroup
-from wisterialoom.core.instance_list import (
+from wisterialoom.core.configuration.document import (
+    Deployment,
+    Document,
+    Label,
+    ServerGroup,
+)
+from wisterialoom.core.fleet.instance_list import (
     InstanceList,
     InstanceListRead,
     InstanceState,
     ListedInstance,
     ReadInstanceList,
 )
+from wisterialoom.core.fleet.peer import ServerLoad
 from wisterialoom.core.message import Tick
 from wisterialoom.core.notice import (
     ConfigChanged,
@@ -20,8 +26,7 @@
     ServersChanged,
     ServerSeenLeaving,
 )
-from wisterialoom.core.peer import ServerLoad
-from wisterialoom.core.server_directory import ServerDirectory
+from wisterialoom.core.requests.server_directory import ServerDirectory
 
 DOCUMENT = Document(
     Deployment("desk"),
--- a/tests/test_server_view.py
+++ b/tests/test_server_view.py
@@ -1,11 +1,11 @@
-"""Tests of `wisterialoom.core.server_view`."""
+"""Tests of `wisterialoom.core.requests.server_view`."""
 
 from dataclasses import replace
 
 import pytest
 
 from tests.documents import make_load, make_server
-from wisterialoom.core.server_view import ServerView
+from wisterialoom.core.requests.server_view import ServerView
 
 SERVER = make_server("e1")
 LOAD = make_load("e1", "drafting")
--- a/tests/test_standin_run.py
+++ b/tests/test_standin_run.py
@@ -11,7 +11,7 @@
 import pytest
 
 import wisterialoom
-from wisterialoom.core.instance_list import InstanceState
+from wisterialoom.core.fleet.instance_list import InstanceState
 from wisterialoom.object_api import PlatformClient
 
 SOURCE = str(pathlib.Path(wisterialoom.__file__).parents[1])
--- a/tests/test_startup.py
+++ b/tests/test_startup.py
@@ -9,7 +9,7 @@
 
 from wisterialoom.benchmark.startup import main
 
-NEEDLESS = ("thrift", "pydantic", "tomlkit", "openai", "wisterialoom.core.job")
+NEEDLESS = ("thrift", "pydantic", "tomlkit", "openai", "wisterialoom.core.jobs.job")
 
 
 def test_startup_is_measured():
--- a/tests/test_steward.py
+++ b/tests/test_steward.py
@@ -1,7 +1,9 @@
-"""Tests of `wisterialoom.core.steward`."""
+"""Tests of `wisterialoom.core.stewards.steward`."""
 
 from tests.fleet import make_document
-from wisterialoom.core.engine import (
+from wisterialoom.core.notice import BackendServer
+from wisterialoom.core.object_store import ObjectRead, ObjectWritten, OperationIds
+from wisterialoom.core.stewards.engine import (
     EngineState,
     ModelKey,
     OrderDone,
@@ -9,10 +11,8 @@
     SendOrder,
     StateRead,
 )
-from wisterialoom.core.lease import Holder
-from wisterialoom.core.notice import BackendServer
-from wisterialoom.core.object_store import ObjectRead, ObjectWritten, OperationIds
-from wisterialoom.core.steward import Steward
+from wisterialoom.core.stewards.lease import Holder
+from wisterialoom.core.stewards.steward import Steward
 
 KEY = "ledgers/s"
 
--- a/tests/test_weight_store.py
+++ b/tests/test_weight_store.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from wisterialoom.core.engine import (
+from wisterialoom.core.stewards.engine import (
     Fence,
     LoadAdapter,
     LoadModel,
