Leave nothing behind when an attempt is stopped while connecting

The test fails before and passes after. Two worlds at once picked the same ports, as a port was probed on another address than the one it was used on; so one world's requests reached the other's instance. The same made test_relay fail once in ten serial runs beside others (address in use on 127.0.0.4) and once before. Each world now has addresses of its own.

--- a/src/wisterialoom/platform/attempt.py
+++ b/src/wisterialoom/platform/attempt.py
@@ -133,14 +133,14 @@
             timeout=ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S),
             middlewares=(no_resend,),
         )
-        response = await self._head(asyncio.ensure_future(request))
+        response = await self.head(asyncio.ensure_future(request))
         try:
             return await self._take(response)
         finally:
             # Closes the connection unless the answer was read to its end.
             response.close()
 
-    async def _head(self, pending: asyncio.Future[ClientResponse]) -> ClientResponse:
+    async def head(self, pending: asyncio.Future[ClientResponse]) -> ClientResponse:
         """Wait for the head of the answer; silence ends it only if it may move."""
         try:
             while True:
@@ -149,9 +149,10 @@
                     return pending.result()
                 if self.may_move():
                     raise TimeoutError
-        finally:
-            if not pending.done():
-                pending.cancel()
+        except BaseException:
+            pending.cancel()
+            pending.add_done_callback(_discard)
+            raise
 
     async def _read(self, response: ClientResponse) -> bytes:
         """Return the next bytes of the answer, none at its end.
@@ -259,3 +260,9 @@
     if framed or protocol is None:
         return False
     return isinstance(protocol.exception(), ClientOSError)
+
+
+def _discard(pending: asyncio.Future[ClientResponse]) -> None:
+    """Close an answer that came after its attempt was stopped; errors mean nothing."""
+    if not pending.cancelled() and pending.exception() is None:
+        pending.result().close()
--- a/tests/platform/standin.py
+++ b/tests/platform/standin.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
+import os
 import socket
 from dataclasses import dataclass, field
 from typing import Any, TYPE_CHECKING
@@ -412,6 +414,26 @@
         return int(probe.getsockname()[1])
 
 
+FRONT_PORT, READY_PORT, METRICS_PORT, PEER_PORT = 20001, 20002, 20003, 20004
+"""Ports of an instance that has an address of its own, outside the ephemeral range."""
+
+BLOCKS = itertools.count()
+BLOCK_SIZE = 8
+"""Addresses in a block."""
+
+
+def addresses() -> list[str]:
+    """Return loopback addresses that no other test and no other process uses.
+
+    Instances share the port of their datagrams, so each needs an address; a port that
+    was free on another address may be taken on it.
+    """
+    pid = os.getpid()
+    start = 1 + next(BLOCKS) % 30 * BLOCK_SIZE
+    block = f"127.{1 + pid % 250}.{pid // 250 % 250}"
+    return [f"{block}.{start + number}" for number in range(BLOCK_SIZE)]
+
+
 def config(version: int = 1, **changes: Any) -> dict[str, Any]:
     """Return a configuration with a streaming, an unsafe and a safe route."""
     model = {
--- a/tests/platform/test_app.py
+++ b/tests/platform/test_app.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import gc
 import os
 import socket
 import struct
@@ -390,6 +391,40 @@
     await store.stop()
 
 
+class Connecting:
+    """A call that turns its cancellation into an error, as a time-out may."""
+
+    def __init__(self) -> None:
+        self.begun = asyncio.Event()
+
+    async def run(self) -> aiohttp.ClientResponse:
+        self.begun.set()
+        try:
+            await asyncio.sleep(3600)
+        except asyncio.CancelledError:
+            raise aiohttp.ConnectionTimeoutError from None
+        raise AssertionError
+
+
+async def test_an_attempt_that_is_stopped_while_connecting_leaves_nothing_behind():
+    """The error of the call was reported as a defect (soak, seed 137)."""
+    reported: list[object] = []
+    loop = asyncio.get_running_loop()
+    loop.set_exception_handler(lambda _, context: reported.append(context))
+    unused: Any = None
+    attempt = Attempt(unused, unused, unused, 60.0, lambda: False, unused)
+    connecting = Connecting()
+    pending = loop.create_task(connecting.run())
+    waiting = loop.create_task(attempt.head(pending))
+    await connecting.begun.wait()
+    waiting.cancel()
+    await asyncio.gather(waiting, return_exceptions=True)
+    await asyncio.sleep(0)
+    del pending, waiting
+    gc.collect()
+    assert reported == []
+
+
 async def test_caller_that_leaves_ends_the_attempt():
     server = StandinModelServer("i-1", models={"m0": []}, events=1000, step_s=0.01)
     async with world(server) as w:
--- a/tests/platform/test_relay.py
+++ b/tests/platform/test_relay.py
@@ -2,12 +2,20 @@
 
 from __future__ import annotations
 
-import socket
 import time
 from contextlib import asynccontextmanager
 from typing import Any, TYPE_CHECKING
 
-from tests.platform.standin import config, free_port, StandinPlainServer, StandinStore
+from tests.platform.standin import (
+    addresses,
+    config,
+    FRONT_PORT,
+    METRICS_PORT,
+    PEER_PORT,
+    READY_PORT,
+    StandinPlainServer,
+    StandinStore,
+)
 from tests.platform.test_app import settings, until
 from wisterialoom.platform.app import PlatformApp
 from wisterialoom.platform.hints import (
@@ -25,14 +33,14 @@
 COUNT = 6
 
 
-def make(store: StandinStore, number: int, peer_port: int) -> PlatformApp:
-    ip = f"127.0.0.{number + 1}"
+def make(store: StandinStore, number: int, ip: str) -> PlatformApp:
     values: dict[str, Any] = {
         "instance": f"front-{number}",
         "ip": ip,
-        "front": f"{ip}:{free_port()}",
-        "ready": f"{ip}:{free_port()}",
-        "peer_port": peer_port,
+        "front": f"{ip}:{FRONT_PORT}",
+        "ready": f"{ip}:{READY_PORT}",
+        "peer_port": PEER_PORT,
+        "metrics_port": METRICS_PORT,
     }
     return PlatformApp(settings(store.address, **values))
 
@@ -57,8 +65,8 @@
     await store.start()
     await store.put("config", "main", config())
     await store.put("servers", "i-1", StandinPlainServer("i-1").entry() | ADDRESS)
-    peer_port = free_port(socket.SOCK_DGRAM)
-    apps = [make(store, number, peer_port) for number in range(COUNT)]
+    ips = addresses()[:COUNT]
+    apps = [make(store, number, ip) for number, ip in enumerate(ips)]
     for app in apps:
         await app.on_start()
     try:
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -8,14 +8,20 @@
 import os
 import random
 import signal
-import socket
 import sys
 from pathlib import Path
 from typing import assert_never, TYPE_CHECKING
 
 import aiohttp
 
-from tests.platform.standin import config, free_port, StandinStore
+from tests.platform.standin import (
+    addresses,
+    config,
+    FRONT_PORT,
+    PEER_PORT,
+    READY_PORT,
+    StandinStore,
+)
 from tests.soak import faults as f
 from tests.soak.chaos import ChaosProxy, Harm
 from tests.soak.judge import EVENTS, Judge, JudgedModelServer, JudgedPlainServer
@@ -59,12 +65,11 @@
 class Instance:
     """One process of the role, with its own way to the store."""
 
-    def __init__(self, number: int, store: str, peer: int, folder: Path) -> None:
-        self.ip = f"127.0.0.{number + 2}"
+    def __init__(self, number: int, store: str, ip: str, folder: Path) -> None:
+        self.ip = ip
         self.proxy = ChaosProxy(store)
         self.number = number
-        self.peer = peer
-        self.front, self.ready = free_port(), free_port()
+        self.peer, self.front, self.ready = PEER_PORT, FRONT_PORT, READY_PORT
         self.path = folder / f"front-{number}.toml"
         self.log = folder / f"front-{number}.log"
         self.process: asyncio.subprocess.Process | None = None
@@ -136,9 +141,8 @@
         await self.store.put("config", "main", config())
         for number in range(f.MODEL_SERVERS + f.PLAIN_SERVERS):
             await self.add_server(number)
-        peer = free_port(socket.SOCK_DGRAM)
-        for number in range(f.INSTANCES):
-            instance = Instance(number, self.store.address, peer, self.folder)
+        for number, ip in enumerate(addresses()[: f.INSTANCES]):
+            instance = Instance(number, self.store.address, ip, self.folder)
             await instance.proxy.start()
             await instance.start()
             self.instances.append(instance)
