--- a/src/wisterialoom/app.py
+++ b/src/wisterialoom/app.py
@@ -15,11 +15,12 @@
 
 from wisterialoom.core.assembly import EntryParts, Identity
 from wisterialoom.core.configuration.config_warning import Warn
+from wisterialoom.core.engine import ReadState, SendOrder
 from wisterialoom.core.fleet.instance_list import ReadInstanceList
 from wisterialoom.core.fleet.peer import SendPeer
 from wisterialoom.core.jobs.job_gate import TellJob
-from wisterialoom.core.jobs.notice_job import KeepBody
 from wisterialoom.core.notice import Drained, DrainRequested
+from wisterialoom.core.notice_job import KeepBody
 from wisterialoom.core.object_store import (
     DeleteObject,
     ListObjects,
@@ -35,7 +36,6 @@
     ReplayAnswer,
     RequestSettled,
 )
-from wisterialoom.core.stewards.engine import ReadState, SendOrder
 from wisterialoom.driver import Driver
 from wisterialoom.engine.client import EngineClient
 from wisterialoom.engine.port import EnginePort
--- a/src/wisterialoom/cli/exit_code.py
+++ b/src/wisterialoom/cli/exit_code.py
@@ -5,9 +5,9 @@
 import enum
 from typing import TYPE_CHECKING
 
+from wisterialoom.core.configuration.selector import SelectorError
 from wisterialoom.core.fault import FaultyInputError
 from wisterialoom.core.object_store import ObjectTooLargeError, VersionConflictError
-from wisterialoom.core.requests.selector import SelectorError
 from wisterialoom.object_api.client import PlatformUnavailableError
 from wisterialoom.operator.error import ConflictError, OutcomeUnknownError
 
--- a/src/wisterialoom/core/configuration/_document_memory.py
+++ b/src/wisterialoom/core/configuration/_document_memory.py
@@ -4,8 +4,8 @@
 
 from typing import TYPE_CHECKING
 
+from wisterialoom.core.configuration.selector import Selector, SelectorError
 from wisterialoom.core.fault import Fault
-from wisterialoom.core.requests.selector import Selector, SelectorError
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
--- a/src/wisterialoom/core/jobs/job.py
+++ b/src/wisterialoom/core/jobs/job.py
@@ -9,13 +9,6 @@
 from wisterialoom.core.jobs.job_record import job_key, JobRecord
 from wisterialoom.core.jobs.job_run import JobRun, RunStage
 from wisterialoom.core.jobs.job_shard import JobShards, LEASE_S
-from wisterialoom.core.jobs.notice_job import (
-    JobAsked,
-    JobDue,
-    JobEnded,
-    JobWanted,
-    KeepBody,
-)
 from wisterialoom.core.message import Event, Output, Tick
 from wisterialoom.core.notice import (
     ConfigChanged,
@@ -23,6 +16,13 @@
     MembersChanged,
     PartDrained,
 )
+from wisterialoom.core.notice_job import (
+    JobAsked,
+    JobDue,
+    JobEnded,
+    JobWanted,
+    KeepBody,
+)
 from wisterialoom.core.object_store import (
     ABSENT,
     ObjectEvent,
--- a/src/wisterialoom/core/jobs/job_accept.py
+++ b/src/wisterialoom/core/jobs/job_accept.py
@@ -7,7 +7,7 @@
 
 from wisterialoom.core.claims.claim_entry import short_hash
 from wisterialoom.core.jobs.job_record import job_key, JobRecord
-from wisterialoom.core.jobs.notice_job import (
+from wisterialoom.core.notice_job import (
     JobAccepted,
     JobAsked,
     JobFound,
--- a/src/wisterialoom/core/jobs/job_gate.py
+++ b/src/wisterialoom/core/jobs/job_gate.py
@@ -5,7 +5,9 @@
 from dataclasses import dataclass
 from typing import ClassVar, TYPE_CHECKING
 
-from wisterialoom.core.jobs.notice_job import (
+from wisterialoom.core.message import Command, Event, Output
+from wisterialoom.core.notice import ConfigChanged
+from wisterialoom.core.notice_job import (
     JobAccepted,
     JobAsked,
     JobFound,
@@ -14,8 +16,6 @@
     JobState,
     JobUnreadable,
 )
-from wisterialoom.core.message import Command, Event, Output
-from wisterialoom.core.notice import ConfigChanged
 from wisterialoom.core.requests.refusal import refuse
 from wisterialoom.core.requests.request import (
     Outcome,
--- a/src/wisterialoom/core/jobs/job_record.py
+++ b/src/wisterialoom/core/jobs/job_record.py
@@ -7,7 +7,7 @@
 
 from wisterialoom.core.claims.claim_answer import decode_answer, encode_answer
 from wisterialoom.core.claims.claim_entry import short_hash
-from wisterialoom.core.jobs.notice_job import JobState
+from wisterialoom.core.notice_job import JobState
 from wisterialoom.core.object_store import MAX_OBJECT_BYTES
 from wisterialoom.core.requests.request import Request, StoredAnswer
 
--- a/src/wisterialoom/core/jobs/job_run.py
+++ b/src/wisterialoom/core/jobs/job_run.py
@@ -7,7 +7,7 @@
 from typing import TYPE_CHECKING
 
 from wisterialoom.core.jobs.job_record import job_key, JobRecord
-from wisterialoom.core.jobs.notice_job import JobEnded, JobState
+from wisterialoom.core.notice_job import JobEnded, JobState
 from wisterialoom.core.object_store import (
     ABSENT,
     ObjectConflict,
--- a/src/wisterialoom/core/jobs/job_shard.py
+++ b/src/wisterialoom/core/jobs/job_shard.py
@@ -7,7 +7,7 @@
 
 from wisterialoom.core.fleet.rendezvous import first
 from wisterialoom.core.jobs.job_record import JOB_SHARDS, JobRecord
-from wisterialoom.core.jobs.notice_job import JobState
+from wisterialoom.core.notice_job import JobState
 from wisterialoom.core.object_store import (
     ABSENT,
     DeleteObject,
--- a/src/wisterialoom/core/requests/attempt_control.py
+++ b/src/wisterialoom/core/requests/attempt_control.py
@@ -24,7 +24,7 @@
     from wisterialoom.core.requests.flight import Flight
     from wisterialoom.core.requests.path_state import PathState
     from wisterialoom.core.requests.server_view import ServerView
-    from wisterialoom.core.settlement import Settlement
+    from wisterialoom.core.requests.settlement import Settlement
 
 __all__ = ["MAX_ATTEMPTS", "AttemptControl"]
 
--- a/src/wisterialoom/core/requests/classifier.py
+++ b/src/wisterialoom/core/requests/classifier.py
@@ -11,7 +11,7 @@
 
 if TYPE_CHECKING:
     from wisterialoom.core.configuration.document import Caller, Document, TrafficClass
-    from wisterialoom.core.jobs.notice_job import JobDue
+    from wisterialoom.core.notice_job import JobDue
 
 __all__ = ["MODEL_PATHS", "Classifier", "model_lane", "service_lane"]
 
--- a/src/wisterialoom/core/requests/path_state.py
+++ b/src/wisterialoom/core/requests/path_state.py
@@ -5,9 +5,9 @@
 from typing import TYPE_CHECKING
 
 from wisterialoom.core.requests.admission import Admission
+from wisterialoom.core.requests.demand_meter import DemandMeter
 from wisterialoom.core.requests.request_queue import RequestQueue
 from wisterialoom.core.requests.retry_budget import RetryBudget
-from wisterialoom.core.stewards.demand_meter import DemandMeter
 
 if TYPE_CHECKING:
     from wisterialoom.core.requests.classifier import Classifier
--- a/src/wisterialoom/core/requests/request_path.py
+++ b/src/wisterialoom/core/requests/request_path.py
@@ -5,7 +5,6 @@
 import math
 from typing import ClassVar, TYPE_CHECKING
 
-from wisterialoom.core.jobs.notice_job import JobDue, JobEnded, JobWanted
 from wisterialoom.core.message import Event, Output, Tick
 from wisterialoom.core.notice import (
     ClaimAbandoned,
@@ -22,6 +21,7 @@
     PartDrained,
     ServersChanged,
 )
+from wisterialoom.core.notice_job import JobDue, JobEnded, JobWanted
 from wisterialoom.core.requests.attempt_control import AttemptControl
 from wisterialoom.core.requests.classifier import Classifier
 from wisterialoom.core.requests.flight import Flight, Stage
@@ -44,7 +44,7 @@
     RequestSettled,
 )
 from wisterialoom.core.requests.router import Router
-from wisterialoom.core.settlement import Settlement
+from wisterialoom.core.requests.settlement import Settlement
 
 if TYPE_CHECKING:
     import random
--- a/src/wisterialoom/core/requests/router.py
+++ b/src/wisterialoom/core/requests/router.py
@@ -6,6 +6,8 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+from wisterialoom.core.configuration.selector import Selector
+from wisterialoom.core.engine import ModelKey
 from wisterialoom.core.requests.choice import (
     Choice,
     LeastCost,
@@ -15,9 +17,7 @@
 from wisterialoom.core.requests.classifier import model_lane, service_lane
 from wisterialoom.core.requests.prefix_index import PrefixIndex
 from wisterialoom.core.requests.request_queue import effective_priority
-from wisterialoom.core.requests.selector import Selector
 from wisterialoom.core.requests.server_view import ServerView
-from wisterialoom.core.stewards.engine import ModelKey
 from wisterialoom.core.window import (
     FIRST_FILL,
     FixedShare,
--- a/src/wisterialoom/core/requests/server_directory.py
+++ b/src/wisterialoom/core/requests/server_directory.py
@@ -4,6 +4,7 @@
 
 from typing import ClassVar, TYPE_CHECKING
 
+from wisterialoom.core.configuration.selector import Selector
 from wisterialoom.core.fleet.instance_list import (
     InstanceList,
     InstanceListRead,
@@ -29,7 +30,6 @@
     ServerSeenLeaving,
 )
 from wisterialoom.core.requests._server_record import ServerRecord
-from wisterialoom.core.requests.selector import Selector
 
 if TYPE_CHECKING:
     import random
--- a/src/wisterialoom/core/requests/server_view.py
+++ b/src/wisterialoom/core/requests/server_view.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
-from wisterialoom.core.requests.ejection import Ejection
+from wisterialoom.core.ejection import Ejection
 
 if TYPE_CHECKING:
     from wisterialoom.core.fleet.peer import ServerLoad
--- a/src/wisterialoom/core/settlement.py
+++ b/src/wisterialoom/core/requests/settlement.py
@@ -5,8 +5,8 @@
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
-from wisterialoom.core.jobs.notice_job import JobEnded
 from wisterialoom.core.notice import ClaimAbandoned, ClaimSettled
+from wisterialoom.core.notice_job import JobEnded
 from wisterialoom.core.requests.flight import Stage
 from wisterialoom.core.requests.refusal import refuse
 from wisterialoom.core.requests.request import Outcome, Reason, Refuse, RequestSettled
--- a/src/wisterialoom/core/serving/backend.py
+++ b/src/wisterialoom/core/serving/backend.py
@@ -4,7 +4,7 @@
 
 from dataclasses import dataclass, field
 
-from wisterialoom.core.requests.ejection import Ejection
+from wisterialoom.core.ejection import Ejection
 
 __all__ = ["NOT_TOLD", "BackendServer", "BackendView", "ResidentModel"]
 
--- a/src/wisterialoom/core/stewards/lru_planner.py
+++ b/src/wisterialoom/core/stewards/lru_planner.py
@@ -8,8 +8,8 @@
 
 from typing import TYPE_CHECKING
 
-from wisterialoom.core.requests.selector import Selector
-from wisterialoom.core.stewards.engine import ModelKey
+from wisterialoom.core.configuration.selector import Selector
+from wisterialoom.core.engine import ModelKey
 from wisterialoom.core.stewards.planner import Planner
 
 if TYPE_CHECKING:
--- a/src/wisterialoom/core/stewards/memory_account.py
+++ b/src/wisterialoom/core/stewards/memory_account.py
@@ -8,7 +8,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-    from wisterialoom.core.stewards.engine import EngineState, ModelKey
+    from wisterialoom.core.engine import EngineState, ModelKey
     from wisterialoom.core.stewards.order_journal import PossibleLoad
 
 __all__ = ["MemoryAccount"]
--- a/src/wisterialoom/core/stewards/order_journal.py
+++ b/src/wisterialoom/core/stewards/order_journal.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING
 
-from wisterialoom.core.stewards.engine import ModelKey
+from wisterialoom.core.engine import ModelKey
 
 if TYPE_CHECKING:
     from collections.abc import Iterable
--- a/src/wisterialoom/core/stewards/planner.py
+++ b/src/wisterialoom/core/stewards/planner.py
@@ -5,6 +5,7 @@
 from dataclasses import replace
 from typing import ClassVar, TYPE_CHECKING
 
+from wisterialoom.core.engine import ModelKey
 from wisterialoom.core.fleet.peer import (
     DemandReport,
     PeerReceived,
@@ -25,7 +26,6 @@
     ServersChanged,
 )
 from wisterialoom.core.stewards.demand import DemandAverages, planner_of
-from wisterialoom.core.stewards.engine import ModelKey
 from wisterialoom.core.stewards.planner_adapters import (
     place_adapters,
     with_adapter_demand,
--- a/src/wisterialoom/core/stewards/planner_adapters.py
+++ b/src/wisterialoom/core/stewards/planner_adapters.py
@@ -4,8 +4,8 @@
 
 from typing import TYPE_CHECKING
 
+from wisterialoom.core.engine import ModelKey
 from wisterialoom.core.stewards.demand import ModelDemand
-from wisterialoom.core.stewards.engine import ModelKey
 
 if TYPE_CHECKING:
     from wisterialoom.core.configuration.document import Adapter
--- a/src/wisterialoom/core/stewards/planner_input.py
+++ b/src/wisterialoom/core/stewards/planner_input.py
@@ -7,8 +7,8 @@
 
 if TYPE_CHECKING:
     from wisterialoom.core.configuration.document import Document
+    from wisterialoom.core.engine import ModelKey
     from wisterialoom.core.stewards.demand import ModelDemand
-    from wisterialoom.core.stewards.engine import ModelKey
 
 __all__ = ["PlanInput", "ServerView"]
 
--- a/src/wisterialoom/core/stewards/planner_placement.py
+++ b/src/wisterialoom/core/stewards/planner_placement.py
@@ -4,8 +4,8 @@
 
 from typing import TYPE_CHECKING
 
-from wisterialoom.core.requests.selector import Selector
-from wisterialoom.core.stewards.engine import ModelKey
+from wisterialoom.core.configuration.selector import Selector
+from wisterialoom.core.engine import ModelKey
 from wisterialoom.core.stewards.planner_slots import Slots
 from wisterialoom.core.stewards.planner_worth import Worth
 
--- a/src/wisterialoom/core/stewards/planner_slots.py
+++ b/src/wisterialoom/core/stewards/planner_slots.py
@@ -8,7 +8,7 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
-    from wisterialoom.core.stewards.engine import ModelKey
+    from wisterialoom.core.engine import ModelKey
     from wisterialoom.core.stewards.planner_input import ServerView
 
 __all__ = ["Slot", "Slots"]
--- a/src/wisterialoom/core/stewards/planner_view.py
+++ b/src/wisterialoom/core/stewards/planner_view.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
-from wisterialoom.core.stewards.engine import ModelKey
+from wisterialoom.core.engine import ModelKey
 from wisterialoom.core.stewards.planner_damping import ServerHealth
 from wisterialoom.core.stewards.planner_input import ServerView
 
--- a/src/wisterialoom/core/stewards/planner_worth.py
+++ b/src/wisterialoom/core/stewards/planner_worth.py
@@ -8,7 +8,7 @@
 
 if TYPE_CHECKING:
     from wisterialoom.core.configuration.document import Model
-    from wisterialoom.core.stewards.engine import ModelKey
+    from wisterialoom.core.engine import ModelKey
     from wisterialoom.core.stewards.planner_input import PlanInput
     from wisterialoom.core.stewards.planner_slots import Slot, Slots
 
--- a/src/wisterialoom/core/stewards/static_planner.py
+++ b/src/wisterialoom/core/stewards/static_planner.py
@@ -9,9 +9,9 @@
 
 from typing import ClassVar, TYPE_CHECKING
 
+from wisterialoom.core.configuration.selector import Selector
+from wisterialoom.core.engine import ModelKey
 from wisterialoom.core.notice import ConfigChanged, PlanMade, ServersChanged
-from wisterialoom.core.requests.selector import Selector
-from wisterialoom.core.stewards.engine import ModelKey
 
 if TYPE_CHECKING:
     from wisterialoom.core.configuration.document import Document, Model
--- a/src/wisterialoom/core/stewards/steward.py
+++ b/src/wisterialoom/core/stewards/steward.py
@@ -5,8 +5,7 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
-from wisterialoom.core.object_store import ObjectEvent
-from wisterialoom.core.stewards.engine import (
+from wisterialoom.core.engine import (
     LoadAdapter,
     LoadModel,
     NoOperation,
@@ -22,6 +21,7 @@
     UnloadAdapter,
     UnloadModel,
 )
+from wisterialoom.core.object_store import ObjectEvent
 from wisterialoom.core.stewards.lease import Lease, LeaseChange
 from wisterialoom.core.stewards.memory_account import MemoryAccount
 from wisterialoom.core.stewards.order_journal import OrderJournal
@@ -34,10 +34,10 @@
 
 if TYPE_CHECKING:
     from wisterialoom.core.configuration.document import ServerGroup
+    from wisterialoom.core.engine import Action, EngineState, ModelKey
     from wisterialoom.core.message import Event, Output
     from wisterialoom.core.notice import BackendServer
     from wisterialoom.core.object_store import OperationIds
-    from wisterialoom.core.stewards.engine import Action, EngineState, ModelKey
     from wisterialoom.core.stewards.lease import Holder
     from wisterialoom.core.stewards.steward_orders import Load, SentOrder
 
--- a/src/wisterialoom/core/stewards/steward_backoff.py
+++ b/src/wisterialoom/core/stewards/steward_backoff.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from wisterialoom.core.stewards.engine import ModelKey
+    from wisterialoom.core.engine import ModelKey
 
 __all__ = ["Backoffs", "RETRY_S"]
 
--- a/src/wisterialoom/core/stewards/steward_choice.py
+++ b/src/wisterialoom/core/stewards/steward_choice.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
-from wisterialoom.core.stewards.engine import (
+from wisterialoom.core.engine import (
     LoadAdapter,
     LoadModel,
     ModelKey,
@@ -15,7 +15,7 @@
 
 if TYPE_CHECKING:
     from wisterialoom.core.configuration.document import Document
-    from wisterialoom.core.stewards.engine import Action, EngineState
+    from wisterialoom.core.engine import Action, EngineState
     from wisterialoom.core.stewards.memory_account import MemoryAccount
 
 __all__ = ["Target", "choose"]
--- a/src/wisterialoom/core/stewards/steward_orders.py
+++ b/src/wisterialoom/core/stewards/steward_orders.py
@@ -5,8 +5,7 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
-from wisterialoom.core.ledger import JournalEntry
-from wisterialoom.core.stewards.engine import (
+from wisterialoom.core.engine import (
     Fence,
     LoadAdapter,
     LoadModel,
@@ -14,9 +13,10 @@
     UnloadAdapter,
     UnloadModel,
 )
+from wisterialoom.core.ledger import JournalEntry
 
 if TYPE_CHECKING:
-    from wisterialoom.core.stewards.engine import Action, EngineState, ModelKey
+    from wisterialoom.core.engine import Action, EngineState, ModelKey
     from wisterialoom.core.stewards.lease import Holder
 
 __all__ = ["Load", "OrderBook", "SentOrder", "key_of"]
--- a/src/wisterialoom/core/stewards/steward_proof.py
+++ b/src/wisterialoom/core/stewards/steward_proof.py
@@ -6,7 +6,7 @@
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
-    from wisterialoom.core.stewards.engine import EngineState
+    from wisterialoom.core.engine import EngineState
 
 __all__ = ["Proof"]
 
--- a/src/wisterialoom/core/stewards/steward_report.py
+++ b/src/wisterialoom/core/stewards/steward_report.py
@@ -5,15 +5,15 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from wisterialoom.core.engine import EngineState
 from wisterialoom.core.fleet.peer import ServerLoad
 from wisterialoom.core.notice import LoadReported
-from wisterialoom.core.stewards.engine import EngineState
 
 if TYPE_CHECKING:
     from collections.abc import Collection
 
+    from wisterialoom.core.engine import ModelKey
     from wisterialoom.core.message import Output
-    from wisterialoom.core.stewards.engine import ModelKey
 
 __all__ = ["StateReport"]
 
--- a/src/wisterialoom/core/stewards/stewards.py
+++ b/src/wisterialoom/core/stewards/stewards.py
@@ -4,6 +4,14 @@
 
 from typing import ClassVar, TYPE_CHECKING
 
+from wisterialoom.core.engine import (
+    OrderDone,
+    OrderLost,
+    OrderNotSent,
+    OrderRefused,
+    StateRead,
+    StateUnavailable,
+)
 from wisterialoom.core.fleet.instance_list import InstanceListRead
 from wisterialoom.core.fleet.peer import (
     ConfirmLetGo,
@@ -25,14 +33,6 @@
 )
 from wisterialoom.core.object_store import ObjectEvent, OperationIds
 from wisterialoom.core.stewards.demand import planner_of
-from wisterialoom.core.stewards.engine import (
-    OrderDone,
-    OrderLost,
-    OrderNotSent,
-    OrderRefused,
-    StateRead,
-    StateUnavailable,
-)
 from wisterialoom.core.stewards.lease import Holder
 from wisterialoom.core.stewards.steward import Steward
 from wisterialoom.core.stewards.steward_choice import Target
--- a/src/wisterialoom/engine/client.py
+++ b/src/wisterialoom/engine/client.py
@@ -8,14 +8,14 @@
 import orjson
 from aiohttp import ClientError, ClientTimeout
 
-from wisterialoom.core.error import WisterialoomError
-from wisterialoom.core.stewards.engine import (
+from wisterialoom.core.engine import (
     OrderDone,
     OrderLost,
     OrderNotSent,
     OrderRefusal,
     OrderRefused,
 )
+from wisterialoom.core.error import WisterialoomError
 from wisterialoom.engine.cache_events import read_reports
 from wisterialoom.engine.codec import decode_state, encode_order, state_from_json
 from wisterialoom.no_resend import no_resend
@@ -25,8 +25,8 @@
 
     from aiohttp import ClientSession
 
+    from wisterialoom.core.engine import EngineState, Order
     from wisterialoom.core.requests.prefix_index import CacheEvents
-    from wisterialoom.core.stewards.engine import EngineState, Order
 
 __all__ = ["EngineClient", "EngineUnavailableError"]
 
--- a/src/wisterialoom/engine/codec.py
+++ b/src/wisterialoom/engine/codec.py
@@ -6,7 +6,7 @@
 
 import orjson
 
-from wisterialoom.core.stewards.engine import (
+from wisterialoom.core.engine import (
     Action,
     EngineState,
     Fence,
--- a/src/wisterialoom/engine/port.py
+++ b/src/wisterialoom/engine/port.py
@@ -5,7 +5,7 @@
 import asyncio
 from typing import Any, TYPE_CHECKING
 
-from wisterialoom.core.stewards.engine import (
+from wisterialoom.core.engine import (
     OrderNotSent,
     ReadState,
     SendOrder,
--- a/src/wisterialoom/http/dispatcher.py
+++ b/src/wisterialoom/http/dispatcher.py
@@ -9,7 +9,7 @@
 from aiohttp import ClientSession, DummyCookieJar, TCPConnector
 
 from wisterialoom.core.jobs.job_gate import TellJob
-from wisterialoom.core.jobs.notice_job import KeepBody
+from wisterialoom.core.notice_job import KeepBody
 from wisterialoom.core.requests.request import (
     AttemptEnded,
     AttemptResult,
--- a/src/wisterialoom/http/exchange.py
+++ b/src/wisterialoom/http/exchange.py
@@ -18,7 +18,7 @@
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
-    from wisterialoom.core.jobs.notice_job import JobState
+    from wisterialoom.core.notice_job import JobState
     from wisterialoom.core.requests.request import Refusal, StoredAnswer
     from wisterialoom.http.intake import Intake
 
--- a/src/wisterialoom/http/job_exchange.py
+++ b/src/wisterialoom/http/job_exchange.py
@@ -9,7 +9,7 @@
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
-    from wisterialoom.core.jobs.notice_job import KeepBody
+    from wisterialoom.core.notice_job import KeepBody
 
 __all__ = ["JobExchange"]
 
--- a/src/wisterialoom/lab/order_port.py
+++ b/src/wisterialoom/lab/order_port.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING, TypeAlias
 
-from wisterialoom.core.stewards.engine import (
+from wisterialoom.core.engine import (
     Order,
     OrderDone,
     OrderLost,
--- a/src/wisterialoom/lab/serving_exchange.py
+++ b/src/wisterialoom/lab/serving_exchange.py
@@ -15,9 +15,9 @@
 from wisterialoom.lab.serving_fault import ServingFault
 
 if TYPE_CHECKING:
+    from wisterialoom.core.engine import ModelKey
     from wisterialoom.core.message import Event
     from wisterialoom.core.requests.request import Attempt, Dispatch, Request
-    from wisterialoom.core.stewards.engine import ModelKey
     from wisterialoom.lab.attempt_record import AttemptRecord
     from wisterialoom.lab.schedule import Schedule
     from wisterialoom.standin.engine_batch import EngineBatch
--- a/src/wisterialoom/lab/weight_store.py
+++ b/src/wisterialoom/lab/weight_store.py
@@ -4,12 +4,12 @@
 
 from typing import TYPE_CHECKING
 
-from wisterialoom.core.stewards.engine import LoadAdapter, LoadModel
+from wisterialoom.core.engine import LoadAdapter, LoadModel
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
-    from wisterialoom.core.stewards.engine import Action
+    from wisterialoom.core.engine import Action
     from wisterialoom.lab.order_port import FakeEngine
     from wisterialoom.lab.schedule import Schedule
     from wisterialoom.standin.weight_store import WeightStore
--- a/src/wisterialoom/lab/world.py
+++ b/src/wisterialoom/lab/world.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass, field
 from typing import Protocol, TYPE_CHECKING
 
+from wisterialoom.core.engine import OrderNotSent, ReadState, SendOrder
 from wisterialoom.core.fleet.instance_list import (
     InstanceList,
     InstanceListRead,
@@ -31,7 +32,6 @@
     ReplayAnswer,
     RequestSettled,
 )
-from wisterialoom.core.stewards.engine import OrderNotSent, ReadState, SendOrder
 from wisterialoom.lab.fault import LinkFault
 from wisterialoom.lab.order_port import OrderPort
 from wisterialoom.lab.schedule import Schedule
--- a/src/wisterialoom/operator/label.py
+++ b/src/wisterialoom/operator/label.py
@@ -10,8 +10,8 @@
 import tomlkit
 from tomlkit.items import AoT
 
+from wisterialoom.core.configuration.selector import Selector
 from wisterialoom.core.error import WisterialoomError
-from wisterialoom.core.requests.selector import Selector
 
 if TYPE_CHECKING:
     from collections.abc import Container
--- a/src/wisterialoom/standin/completions.py
+++ b/src/wisterialoom/standin/completions.py
@@ -17,8 +17,8 @@
 from wisterialoom.standin.run_record import REQUEST_ID_HEADER, RunRecord
 
 if TYPE_CHECKING:
+    from wisterialoom.core.engine import ModelKey
     from wisterialoom.core.requests.request import Request
-    from wisterialoom.core.stewards.engine import ModelKey
     from wisterialoom.standin.engine_orders import EngineOrders
     from wisterialoom.standin.run_record import Run
 
--- a/src/wisterialoom/standin/engine_memory.py
+++ b/src/wisterialoom/standin/engine_memory.py
@@ -7,7 +7,7 @@
 
 from dataclasses import dataclass, field
 
-from wisterialoom.core.stewards.engine import (
+from wisterialoom.core.engine import (
     Action,
     EngineState,
     Fence,
--- a/src/wisterialoom/standin/engine_orders.py
+++ b/src/wisterialoom/standin/engine_orders.py
@@ -6,13 +6,13 @@
 from dataclasses import replace
 from typing import Any, TYPE_CHECKING
 
-from wisterialoom.core.stewards.engine import LoadAdapter, LoadModel, ModelKey
+from wisterialoom.core.engine import LoadAdapter, LoadModel, ModelKey
 from wisterialoom.engine.codec import state_to_json
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
-    from wisterialoom.core.stewards.engine import EngineState, Order
+    from wisterialoom.core.engine import EngineState, Order
     from wisterialoom.standin.engine_batch import EngineBatch
     from wisterialoom.standin.engine_fault import EngineFault, EngineSettings
     from wisterialoom.standin.engine_memory import EngineMemory
--- a/src/wisterialoom/status.py
+++ b/src/wisterialoom/status.py
@@ -4,8 +4,8 @@
 
 from typing import Any, TYPE_CHECKING
 
+from wisterialoom.core.configuration.selector import Selector
 from wisterialoom.core.requests.classifier import model_lane
-from wisterialoom.core.requests.selector import Selector
 
 if TYPE_CHECKING:
     from wisterialoom.app import App
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -8,6 +8,7 @@
     Model,
     ServerGroup,
 )
+from wisterialoom.core.engine import LoadModel, ModelKey, SendOrder
 from wisterialoom.core.fleet.instance_list import (
     InstanceList,
     ListedInstance,
@@ -23,7 +24,6 @@
     PlanMade,
     ServersChanged,
 )
-from wisterialoom.core.stewards.engine import LoadModel, ModelKey, SendOrder
 from wisterialoom.core.stewards.stewards import Stewards
 from wisterialoom.lab.fault import OrderFault, StoreFault
 from wisterialoom.lab.order_port import FakeEngine
--- a/tests/job_fleet.py
+++ b/tests/job_fleet.py
@@ -9,18 +9,6 @@
 from wisterialoom.core.configuration.document import ClaimSettings, Deployment, Document
 from wisterialoom.core.fleet.peer import MemberStatus
 from wisterialoom.core.jobs.job import JobKeeper
-from wisterialoom.core.jobs.notice_job import (
-    JobAccepted,
-    JobAsked,
-    JobDue,
-    JobEnded,
-    JobFound,
-    JobMissing,
-    JobRefused,
-    JobUnreadable,
-    JobWanted,
-    KeepBody,
-)
 from wisterialoom.core.message import Command
 from wisterialoom.core.notice import (
     ClaimAbandoned,
@@ -34,6 +22,18 @@
     Member,
     MembersChanged,
 )
+from wisterialoom.core.notice_job import (
+    JobAccepted,
+    JobAsked,
+    JobDue,
+    JobEnded,
+    JobFound,
+    JobMissing,
+    JobRefused,
+    JobUnreadable,
+    JobWanted,
+    KeepBody,
+)
 from wisterialoom.core.requests.request import Outcome, Request, StoredAnswer
 from wisterialoom.lab.world import World
 
--- a/tests/test_engine_app.py
+++ b/tests/test_engine_app.py
@@ -8,7 +8,7 @@
 import openai
 import pytest
 
-from wisterialoom.core.stewards.engine import ModelKey
+from wisterialoom.core.engine import ModelKey
 from wisterialoom.engine import EngineClient
 from wisterialoom.standin.answer import answer_text
 from wisterialoom.standin.engine_app import EngineApp
--- a/tests/test_engine_client.py
+++ b/tests/test_engine_client.py
@@ -9,7 +9,7 @@
 from aiohttp.test_utils import unused_port
 from hypothesis import given, settings, strategies as st
 
-from wisterialoom.core.stewards.engine import (
+from wisterialoom.core.engine import (
     EngineState,
     Fence,
     LoadAdapter,
--- a/tests/test_job.py
+++ b/tests/test_job.py
@@ -11,7 +11,7 @@
 from tests.job_fleet import JobFleet
 from wisterialoom.core.jobs.job_age import aged_priority
 from wisterialoom.core.jobs.job_record import job_key, JobRecord
-from wisterialoom.core.jobs.notice_job import (
+from wisterialoom.core.notice_job import (
     JobAccepted,
     JobFound,
     JobMissing,
--- a/tests/test_planner.py
+++ b/tests/test_planner.py
@@ -7,10 +7,10 @@
 
 from tests.fleet import CAPACITY_MB, Fleet, make_document
 from wisterialoom.core.configuration.document import Adapter, Deployment, Model
+from wisterialoom.core.configuration.selector import Selector
+from wisterialoom.core.engine import ModelKey
 from wisterialoom.core.notice import DemandSeen, LoadReported
-from wisterialoom.core.requests.selector import Selector
 from wisterialoom.core.stewards.demand import Demand, ModelDemand
-from wisterialoom.core.stewards.engine import ModelKey
 from wisterialoom.core.stewards.planner import Planner
 from wisterialoom.core.stewards.planner_input import PlanInput, ServerView
 from wisterialoom.core.stewards.planner_placement import place
--- a/tests/test_request_path.py
+++ b/tests/test_request_path.py
@@ -8,7 +8,6 @@
 from hypothesis import given, settings, strategies as st
 
 from tests.documents import DOCUMENT, make_load, make_server
-from wisterialoom.core.jobs.notice_job import JobDue, JobEnded
 from wisterialoom.core.message import Tick
 from wisterialoom.core.notice import (
     ClaimAbandoned,
@@ -25,6 +24,7 @@
     PartDrained,
     ServersChanged,
 )
+from wisterialoom.core.notice_job import JobDue, JobEnded
 from wisterialoom.core.requests.attempt_control import MAX_ATTEMPTS
 from wisterialoom.core.requests.request import (
     AttemptEnded,
--- a/tests/test_selector.py
+++ b/tests/test_selector.py
@@ -1,8 +1,8 @@
-"""Tests of `wisterialoom.core.requests.selector`."""
+"""Tests of `wisterialoom.core.configuration.selector`."""
 
 import pytest
 
-from wisterialoom.core.requests.selector import Selector, SelectorError
+from wisterialoom.core.configuration.selector import Selector, SelectorError
 
 
 @pytest.mark.parametrize(
--- a/tests/test_serving.py
+++ b/tests/test_serving.py
@@ -5,6 +5,7 @@
 import pytest
 from hypothesis import given, settings, strategies as st
 
+from wisterialoom.core.engine import ModelKey
 from wisterialoom.core.requests.request import (
     Attempt,
     AttemptEnded,
@@ -15,7 +16,6 @@
     Dispatch,
     Request,
 )
-from wisterialoom.core.stewards.engine import ModelKey
 from wisterialoom.lab.order_port import FakeEngine, OrderPort
 from wisterialoom.lab.schedule import Schedule
 from wisterialoom.lab.serving import Serving
--- a/tests/test_steward.py
+++ b/tests/test_steward.py
@@ -1,9 +1,7 @@
 """Tests of `wisterialoom.core.stewards.steward`."""
 
 from tests.fleet import make_document
-from wisterialoom.core.notice import BackendServer
-from wisterialoom.core.object_store import ObjectRead, ObjectWritten, OperationIds
-from wisterialoom.core.stewards.engine import (
+from wisterialoom.core.engine import (
     EngineState,
     ModelKey,
     OrderDone,
@@ -11,6 +9,8 @@
     SendOrder,
     StateRead,
 )
+from wisterialoom.core.notice import BackendServer
+from wisterialoom.core.object_store import ObjectRead, ObjectWritten, OperationIds
 from wisterialoom.core.stewards.lease import Holder
 from wisterialoom.core.stewards.steward import Steward
 
--- a/tests/test_stewards.py
+++ b/tests/test_stewards.py
@@ -3,9 +3,9 @@
 import pytest
 
 from tests.fleet import Fleet, LEASE_S, make_document
+from wisterialoom.core.engine import OrderDone
 from wisterialoom.core.fleet.peer import SendPeer
 from wisterialoom.core.notice import DrainRequested, PartDrained
-from wisterialoom.core.stewards.engine import OrderDone
 
 
 @pytest.mark.parametrize("group", ["checking", "trusting"])
--- a/tests/test_weight_store.py
+++ b/tests/test_weight_store.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from wisterialoom.core.stewards.engine import (
+from wisterialoom.core.engine import (
     Fence,
     LoadAdapter,
     LoadModel,
