Hold the lease holder's account against a listing of the same count

A server counts an unload when it accepts it and drops the model later, so its entry in the store has the newest count and the old models; an instance that listed it then kept these until the next change there, where full hints had mended it each 1.2 s. Ruled out: the wait for the same server (it only repeated the refusals).

Change: each hint applies the holder's account of every server again. The test fails before.

--- a/src/wisterialoom/platform/placement_view.py
+++ b/src/wisterialoom/platform/placement_view.py
@@ -40,19 +40,17 @@
     def take_hint(self, now: float, hint: PlacementHint, members_digest: int) -> bool:
         """Take a hint; tell whether all is known that its sender knows."""
         views = self.dispatcher.views
-        changed = set()
         for server_id, holding in hint.servers.items():
             if holding is None:
                 self.table.remove(server_id)
             else:
                 self.table.put(server_id, holding)
-                changed.add(server_id)
         known = sorted(self.table.holdings.keys() & views.keys())
         agreed = self.table.digest(known) ^ members_digest == hint.digest
         if agreed:
             for server_id, busy in zip(known, hint.busy, strict=False):
                 views[server_id].note_fleet_busy(now, busy)
-        self._apply(now, changed, hint.ready_in_s)
+        self._apply(now, hint.ready_in_s)
         return agreed
 
     def take(
@@ -64,33 +62,24 @@
     ) -> None:
         """Take what this instance knows as the holder of the lease."""
         views = self.dispatcher.views
-        changed = {
-            server_id
-            for server_id, holding in holdings.items()
-            if self.table.holdings.get(server_id) != holding
-        }
         for server_id in self.table.holdings.keys() - holdings.keys():
             self.table.remove(server_id)
-        for server_id in changed:
-            self.table.put(server_id, holdings[server_id])
+        for server_id, holding in holdings.items():
+            self.table.put(server_id, holding)
         for server_id in holdings.keys() & views.keys():
             views[server_id].note_fleet_busy(now, busy[server_id])
-        self._apply(now, changed, ready_in_s)
+        self._apply(now, ready_in_s)
 
-    def _apply(
-        self, now: float, changed: set[str], ready_in_s: dict[str, float]
-    ) -> None:
+    def _apply(self, now: float, ready_in_s: dict[str, float]) -> None:
         self.dispatcher.take_placement(now, ready_in_s)
         wake = False
         for server_id, holding in self.table.holdings.items():
             view = self.dispatcher.views.get(server_id)
             if view is None:
                 continue
-            # A server that was listed after it was told of has no placement yet.
-            if server_id in changed or view.placement_count < holding.count:
-                wake |= view.set_placement(
-                    holding.count, holding.models, holding.unloading
-                )
+            # Each time, as an entry in the store may have had the same count and
+            # the models of before.
+            wake |= view.set_placement(holding.count, holding.models, holding.unloading)
         if wake:
             self.changed()
 
--- a/tests/platform/test_placement_feed.py
+++ b/tests/platform/test_placement_feed.py
@@ -162,3 +162,22 @@
     feed.tell(1.02, holdings() | {"i-3": Holding({}, frozenset(), 9)}, {}, {}, [])
     assert len(link.sent) == 1
     assert len(link.sent[0][1]) == 5
+
+
+def test_a_listing_that_is_behind_does_not_stay():
+    """A server counts an unload when it accepts it, and drops the model later.
+
+    Its entry in the store then has the newest count and the old models. A starting
+    instance kept them until the next change there (ribera-loom, trouble-2).
+    """
+    feed, link = make()
+    follower = view()
+    members = members_digest(link.members)
+    feed.tell(0.0, holdings(), {}, {}, [])
+    follower.take_hint(0.0, link.sent[-1][0], members)
+    seen = follower.dispatcher.views["i-2"]
+    stale = {"model-9": frozenset[str]()}
+    seen.set_placement(1, stale)
+    feed.tell(0.5, holdings(), {}, {}, [])
+    assert follower.take_hint(0.5, link.sent[-1][0], members)
+    assert seen.models == holdings()["i-2"].models
