Name waiting and refusing for the load they answer; keep the lease in a module

rare_models, crowded_servers and returning_callers take the dispatcher's decisions about waiting, without I/O and without state; lease_keeper takes the steward's calls to the store.

--- a/src/wisterialoom/core/serving/__init__.py
+++ b/src/wisterialoom/core/serving/__init__.py
@@ -8,7 +8,8 @@
     ResidentModel,
 )
 from wisterialoom.core.serving.balancer import Balancer, BalancerWeights
-from wisterialoom.core.serving.dispatcher import Dispatcher, PlacementOutlook
+from wisterialoom.core.serving.dispatcher import Dispatcher
+from wisterialoom.core.serving.outlook import PlacementOutlook
 from wisterialoom.core.serving.retry_allowance import RetryAllowance, RetryLimits
 from wisterialoom.core.serving.routing import Deployment, Route, Service
 
--- a/src/wisterialoom/core/serving/dispatcher.py
+++ b/src/wisterialoom/core/serving/dispatcher.py
@@ -1,8 +1,7 @@
 """Decides each next step of a request: send, wait, or give up.
 
-Load patterns that it answers: a burst on one or all kinds (requests wait at the
-servers, ordered by urgency), rare models (requests wait here while the model is
-loaded), servers that vanish (other servers are tried within the shared budget).
+How long a request waits, and when a refused caller returns, are modules named for the
+load that they answer: `rare_models`, `crowded_servers`, `returning_callers`.
 """
 
 from __future__ import annotations
@@ -11,6 +10,13 @@
 from typing import TYPE_CHECKING
 
 from wisterialoom.core.serving.backend import BackendServer, BackendView
+from wisterialoom.core.serving.crowded_servers import wait_for_room
+from wisterialoom.core.serving.outlook import PlacementOutlook
+from wisterialoom.core.serving.rare_models import (
+    MIN_RUN_S,
+    wait_for_model,
+    wait_for_same_server,
+)
 from wisterialoom.core.serving.request_flow import (
     AttemptResult,
     AttemptVerdict,
@@ -23,12 +29,13 @@
     Wait,
 )
 from wisterialoom.core.serving.retry_allowance import RetryAllowance, RetryLimits
+from wisterialoom.core.serving.returning_callers import retry_after_s
 
 if TYPE_CHECKING:
     from wisterialoom.core.serving.balancer import Balancer
     from wisterialoom.core.serving.routing import Deployment, EngineProfile
 
-__all__ = ["Dispatcher", "PlacementOutlook"]
+__all__ = ["Dispatcher"]
 
 ABSENT_BACKOFF_S = 0.3
 """Time a server is passed over after it lacked a model; one lag of its reports."""
@@ -36,45 +43,9 @@
 ORDER_BACKOFF_S = 0.08
 """Time a server is passed over for a model that an order is about."""
 
-MIN_RUN_S = 0.05
-"""Least time that a backend server needs to begin an answer."""
-
-NO_SERVER_RETRY_S = 1.0
-"""When to come back if a service has no server; half of a server's return time."""
-
-UNPLANNED_SHARE = 0.5
-"""Part of a caller's patience after which a model that no load is planned for is
-refused, so that its next attempt comes when the model may be there."""
-
-ROOM_SHARE = 0.5
-"""Part of a caller's patience that a request waits for room at a server."""
-
-MAX_ABSENT = 3
-"""Refusals for lack of the model after which a request asks no more; a load that was
-expected to be over ends within two such pauses."""
-
-LOOK_AGAIN_S = 0.25
-"""Longest time that a request waits without a look at the servers; changes wake it."""
-
-LOOK_SOON_S = 0.02
-"""Shortest wait for a place that is about to be free; one step of a server's queue."""
-
 MAX_URGENCY = 9
 
 
-@dataclass
-class PlacementOutlook:
-    """What is known of loads in progress.
-
-    Attributes:
-        ready_at: Monotonic time at which a wanted model or adapter will be ready.
-        steward_seen: Monotonic time at which the placement leader was last heard.
-    """
-
-    ready_at: dict[str, float] = field(default_factory=dict)
-    steward_seen: float = float("-inf")
-
-
 @dataclass
 class Dispatcher:
     """Backend servers of every service, and the decisions that need them.
@@ -174,11 +145,14 @@
         candidates, pool = pool, self.holders(now, profile, pool)
         if not pool and engine is not None:
             if flow.reached >= profile.route.max_attempts:
-                return self.await_same_server(now, flow, candidates)
-            return self.await_model(now, flow, engine, candidates)
+                decided = wait_for_same_server(now, flow, candidates)
+            else:
+                decided = wait_for_model(now, profile, engine, self.outlook, candidates)
+            return self.wait_or_give_up(now, flow, decided)
         free = [view for view in pool if self.is_free(now, view)]
         if not free:
-            return self.await_room(now, flow, pool)
+            decided = wait_for_room(now, profile, pool)
+            return self.wait_or_give_up(now, flow, decided)
         return self.send(now, flow, free)
 
     def may_move(self, now: float, flow: RequestFlow) -> bool:
@@ -247,69 +221,13 @@
         urgency = min(MAX_URGENCY, max(0, profile.route.priority))
         return Send(view.server.id, view.server.address, urgency)
 
-    def await_model(
-        self,
-        now: float,
-        flow: RequestFlow,
-        engine: EngineProfile,
-        candidates: list[BackendView],
+    def wait_or_give_up(
+        self, now: float, flow: RequestFlow, decided: Wait | GiveUpReason
     ) -> Step:
-        """Let a request wait for its model or adapter, or refuse it at once.
-
-        A request waits only while it can still begin before its caller leaves. One
-        that cannot is told when the model will be there.
-        """
-        profile = flow.profile
-        ready_at = self.outlook.ready_at.get(profile.model)
-        resident = any(
-            profile.model in view.models and profile.model not in view.unloading
-            for view in candidates
-        )
-        # A copy that is being loaded besides others tells nothing: an adapter takes
-        # some hundredths of a second, and so does an order that is in progress.
-        if ready_at is not None and not resident:
-            if ready_at + MIN_RUN_S > profile.first_by:
-                return self.give_up(now, flow, GiveUpReason.NO_MODEL)
-        elif now - profile.arrived > self.unplanned_wait_s(profile, engine):
-            return self.give_up(now, flow, GiveUpReason.NO_MODEL)
-        return Wait(min(profile.answer_by, now + LOOK_AGAIN_S))
-
-    def await_same_server(
-        self, now: float, flow: RequestFlow, candidates: list[BackendView]
-    ) -> Step:
-        """Let a request that has no other server left ask the same one again.
-
-        A server whose load ends later than expected lacks the model for a moment.
-        """
-        profile = flow.profile
-        listed = any(view.lists(profile.model, profile.adapter) for view in candidates)
-        if not listed or flow.absent >= MAX_ABSENT:
-            return self.give_up(now, flow, GiveUpReason.ATTEMPTS)
-        again = min(
-            view.absent_until.get(profile.key, now + LOOK_SOON_S) for view in candidates
-        )
-        return Wait(min(profile.answer_by, max(again, now + LOOK_SOON_S)))
-
-    def unplanned_wait_s(self, profile: RequestProfile, engine: EngineProfile) -> float:
-        """Return how long a request waits for a model whose load is not yet planned."""
-        model = engine.models[profile.model]
-        patience_s = profile.first_by - profile.arrived
-        return max(UNPLANNED_SHARE * patience_s, patience_s - model.warm_load_s - 1.0)
-
-    def await_room(
-        self, now: float, flow: RequestFlow, pool: list[BackendView]
-    ) -> Step:
-        """Let a request wait for a server that was full or failing."""
-        profile = flow.profile
-        again = min(max(view.full_until, view.ejection.until) for view in pool)
-        again = max(again, now + LOOK_SOON_S)
-        patience_s = ROOM_SHARE * (profile.first_by - profile.arrived)
-        if now - profile.arrived > patience_s:
-            return self.give_up(now, flow, GiveUpReason.FULL)
-        if not profile.model and again > profile.arrived + patience_s:
-            return self.give_up(now, flow, GiveUpReason.FULL)
-        # Of model servers, another may get the model meanwhile.
-        return Wait(min(again, now + LOOK_AGAIN_S, profile.answer_by))
+        """Return the step that a decision about waiting asks for."""
+        if isinstance(decided, Wait):
+            return decided
+        return self.give_up(now, flow, decided)
 
     def after_failure(self, now: float, flow: RequestFlow) -> GiveUp | None:
         """Return the end of a request that may not be sent again, if so."""
@@ -425,26 +343,5 @@
         not_run = not flow.may_have_run
         if reason is GiveUpReason.UNKNOWN_MODEL:
             return GiveUp(reason, not_run=not_run)
-        return GiveUp(reason, not_run, self.retry_after_s(now, flow, reason))
-
-    def retry_after_s(
-        self, now: float, flow: RequestFlow, reason: GiveUpReason
-    ) -> float:
-        """Return when a place is likely for a request that is refused now."""
-        match reason:
-            case GiveUpReason.NO_SERVER:
-                return NO_SERVER_RETRY_S
-            case GiveUpReason.NO_MODEL:
-                ready_at = self.outlook.ready_at.get(flow.profile.model)
-                if ready_at is None:
-                    return UNPLANNED_RETRY_S
-                return max(REFUSED_RETRY_S, ready_at - now)
-            case _:
-                return REFUSED_RETRY_S
-
-
-UNPLANNED_RETRY_S = 1.0
-"""When to come back for a model that no load is planned for; a load from disk."""
-
-REFUSED_RETRY_S = 0.3
-"""When to come back after a refusal for lack of room, in seconds."""
+        retry_s = retry_after_s(now, flow.profile, reason, self.outlook)
+        return GiveUp(reason, not_run, retry_s)
--- a/src/wisterialoom/core/serving/request_flow.py
+++ b/src/wisterialoom/core/serving/request_flow.py
@@ -14,6 +14,8 @@
     "AttemptVerdict",
     "GiveUp",
     "GiveUpReason",
+    "LOOK_AGAIN_S",
+    "LOOK_SOON_S",
     "RequestFlow",
     "RequestProfile",
     "Send",
@@ -21,6 +23,12 @@
     "Wait",
 ]
 
+LOOK_AGAIN_S = 0.25
+"""Longest time that a request waits without a look at the servers; changes wake it."""
+
+LOOK_SOON_S = 0.02
+"""Shortest wait for a place that is about to be free; one step of a server's queue."""
+
 
 class AttemptVerdict(enum.Enum):
     """What the end of an attempt says about the request having run."""
--- a/src/wisterialoom/platform/catalog.py
+++ b/src/wisterialoom/platform/catalog.py
@@ -46,7 +46,7 @@
     Attributes:
         dispatcher: Takes what is learned.
         changed: Called when requests may be affected.
-        told_others: Called when other instances should learn of a change.
+        on_news: Called when other instances should learn of a change.
         table: Backend servers that are listed or not yet given up.
         missing: Servers that were not listed after an outage, with the moment at
             which they are given up.
@@ -65,7 +65,7 @@
     ) -> None:
         self.dispatcher = dispatcher
         self.changed = changed
-        self.told_others: Callable[[], None] = lambda: None
+        self.on_news: Callable[[], None] = lambda: None
         self.table = ServerTable()
         self.missing: dict[str, float] = {}
         self.settled_at = float("-inf")
@@ -142,7 +142,7 @@
             },
         )
         self.changed()
-        self.told_others()
+        self.on_news()
 
     def take_entries(self, entries: dict[str, TableEntry]) -> None:
         """Take changes that another instance told of."""
@@ -245,7 +245,7 @@
     def _apply(self) -> None:
         servers = self.table.servers
         if self._log_changes(servers):
-            self.told_others()
+            self.on_news()
         if self.dispatcher.set_servers(servers):
             self.changed()
 
--- a/src/wisterialoom/platform/fleet.py
+++ b/src/wisterialoom/platform/fleet.py
@@ -19,9 +19,9 @@
     Released,
     ServersCopy,
 )
+from wisterialoom.platform.lease_keeper import lease_clock
 from wisterialoom.platform.placement_feed import members_digest
 from wisterialoom.platform.placement_view import Disagreement
-from wisterialoom.platform.steward import lease_clock
 from wisterialoom.platform.store import ObjectExistsError, StoreUnavailableError
 
 if TYPE_CHECKING:
--- a/src/wisterialoom/platform/relay.py
+++ b/src/wisterialoom/platform/relay.py
@@ -79,7 +79,7 @@
         self.parts: dict[tuple[str, int], dict[int, dict[str, TableEntry]]] = {}
         self.kick = asyncio.Event()
         self.tasks = TaskGroup()
-        catalog.told_others = self.kick.set
+        catalog.on_news = self.kick.set
 
     def start(self) -> None:
         """Begin to tell others, and to decide about the duty."""
--- a/src/wisterialoom/platform/steward.py
+++ b/src/wisterialoom/platform/steward.py
@@ -7,12 +7,6 @@
 import time
 from typing import TYPE_CHECKING
 
-from wisterialoom.core.fleet import (
-    LeaseRecord,
-    PlacementLease,
-    ReadLease,
-    TakeLease,
-)
 from wisterialoom.core.placement.fleet_demand import FleetDemand
 from wisterialoom.core.placement.order import Action, Order, OrderOutcome
 from wisterialoom.core.placement.placement_table import Holding
@@ -20,32 +14,24 @@
 from wisterialoom.core.placement.server_state import ServerState
 from wisterialoom.platform._tasks import TaskGroup, wait_for
 from wisterialoom.platform.hints import Released
+from wisterialoom.platform.lease_keeper import lease_clock, LeaseKeeper
 from wisterialoom.platform.placement_feed import PlacementFeed
-from wisterialoom.platform.store import (
-    ObjectExistsError,
-    StoreUnavailableError,
-)
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from wisterialoom.core.fleet import PlacementLease
     from wisterialoom.core.placement.fleet_demand import DemandReport
     from wisterialoom.core.serving.dispatcher import Dispatcher
     from wisterialoom.platform.orders import OrderClient
     from wisterialoom.platform.peers import PeerLink
     from wisterialoom.platform.placement_view import PlacementView
-    from wisterialoom.platform.store import StoreClient, StoreObject
+    from wisterialoom.platform.store import StoreClient
 
-__all__ = ["Steward", "lease_clock"]
+__all__ = ["Steward"]
 
 logger = logging.getLogger(__name__)
 
-LEASE_KIND = "wisterialoom-leases"
-LEASE_NAME = "placement"
-
-RENEWAL_TIMEOUT_S = 0.5
-"""Longest wait for a renewal, so that another can be sent before the lease ends."""
-
 PLAN_S = 0.1
 """Time between two plans; what waits anew causes one at once."""
 
@@ -65,11 +51,6 @@
 """Time after which an adapter that was ordered can serve; its load takes less."""
 
 
-def lease_clock() -> float:
-    """Return a monotonic time that counts suspends, in seconds."""
-    return time.clock_gettime(time.CLOCK_BOOTTIME)
-
-
 class Steward:
     """Runs the lease, the planner and the orders.
 
@@ -94,7 +75,7 @@
         note_holder: Callable[[str, str], None],
     ) -> None:
         self.lease = lease
-        self.store = store
+        self.keeper = LeaseKeeper(lease, store, note_holder, self._on_taken)
         self.orders = orders
         self.peers = peers
         self.dispatcher = dispatcher
@@ -108,84 +89,26 @@
         self.reporting: set[str] = set()
         self.kick = asyncio.Event()
         self.was_valid = False
-        self.failures = 0
         self.told_at = float("-inf")
 
     def start(self) -> None:
         """Begin to run."""
-        self.tasks.spawn(self._run_lease())
+        self.tasks.spawn(self.keeper.run())
         self.tasks.spawn(self._run_planner())
 
     async def stop(self) -> None:
         """Release the lease and cancel what runs."""
         release = self.lease.release()
         await self.tasks.stop()
-        if release is None:
+        if release is None or not await self.keeper.release(release):
             return
-        try:
-            await self._write(release.record, release.revision)
-            epoch = release.record.epoch
-            logger.info("lease released", extra={"epoch": epoch})
-            self.peers.send_all(
-                Released(self.lease.me, epoch), self.peers.others(self.lease.me)
-            )
-        except (StoreUnavailableError, ObjectExistsError) as error:
-            logger.warning("lease not released", extra={"error": str(error)})
+        epoch = release.record.epoch
+        logger.info("lease released", extra={"epoch": epoch})
+        released = Released(self.lease.me, epoch)
+        self.peers.send_all(released, self.peers.others(self.lease.me))
 
     # The lease.
 
-    async def _run_lease(self) -> None:
-        while True:
-            step = self.lease.step(lease_clock())
-            if step is None:
-                await asyncio.sleep(0.05)
-                continue
-            sent_at = lease_clock()
-            try:
-                if isinstance(step, ReadLease):
-                    found = await self.store.read(LEASE_KIND, LEASE_NAME)
-                    self._saw(found)
-                    continue
-                written = await self._write(step.record, step.revision)
-            except ObjectExistsError:
-                self.lease.conflict(lease_clock())
-                continue
-            except StoreUnavailableError as error:
-                self.lease.failed(lease_clock())
-                self.failures += 1
-                if self.failures == 1:
-                    logger.warning("lease call failed", extra={"error": str(error)})
-                await asyncio.sleep(0.1)
-                continue
-            self.lease.wrote(sent_at, lease_clock(), step.record, written.revision)
-            if self.failures:
-                logger.info("lease calls answered", extra={"failed": self.failures})
-                self.failures = 0
-            if isinstance(step, TakeLease):
-                self._on_taken()
-
-    def _saw(self, found: StoreObject | None) -> None:
-        record = _decode_record(found) if found is not None else None
-        revision = found.revision if found is not None else 0
-        self.lease.saw(lease_clock(), record, revision)
-        if record is not None and not record.released:
-            self.note_holder(record.holder, record.address)
-
-    async def _write(self, record: LeaseRecord, revision: int) -> StoreObject:
-        spec = {
-            "holder": record.holder,
-            "boot": record.boot,
-            "epoch": record.epoch,
-            "address": record.address,
-            "serial": record.serial,
-            "released": record.released,
-        }
-        if revision == 0:
-            return await self.store.create(LEASE_KIND, LEASE_NAME, spec)
-        return await self.store.replace(
-            LEASE_KIND, LEASE_NAME, spec, revision, timeout_s=RENEWAL_TIMEOUT_S
-        )
-
     def _on_taken(self) -> None:
         logger.info("lease taken", extra={"epoch": self.lease.epoch})
         self.states.clear()
@@ -390,19 +313,3 @@
                     takes_s = planner.takes_s(state, model) + UNLOAD_S
                     ready.setdefault(model, takes_s)
         return ready
-
-
-def _decode_record(found: StoreObject) -> LeaseRecord | None:
-    spec = found.spec
-    try:
-        return LeaseRecord(
-            holder=str(spec["holder"]),
-            boot=str(spec["boot"]),
-            epoch=int(spec["epoch"]),
-            address=str(spec["address"]),
-            serial=int(spec["serial"]),
-            released=bool(spec["released"]),
-        )
-    except (KeyError, TypeError, ValueError) as error:
-        logger.error("lease record unreadable", extra={"error": repr(error)})
-        return None
