List models only for a declared key

/v1/models answered a wrong or missing key with every model. It takes the way of other requests now: 401 for an unknown key, 503 before the first configuration. The tests fail before. Looked at besides: jobs are polled with the caller's key; health, metrics and status stand on the operators' port.

--- a/src/wisterialoom/app.py
+++ b/src/wisterialoom/app.py
@@ -28,10 +28,12 @@
     WatchObject,
     WriteObject,
 )
+from wisterialoom.core.requests.refusal import refuse
 from wisterialoom.core.requests.request import (
     CancelAttempt,
     Dispatch,
     Outcome,
+    Reason,
     Refuse,
     ReplayAnswer,
     RequestSettled,
@@ -52,6 +54,7 @@
 
 if TYPE_CHECKING:
     from wisterialoom.core.message import Command
+    from wisterialoom.core.requests.request import Refusal
 
 __all__ = ["App", "run"]
 
@@ -283,10 +286,12 @@
         self.serial += 1
         return f"{self.settings.instance.name}-{self.boot_id}-{self.serial}"
 
-    def list_models(self) -> list[str]:
-        """Return the names of the declared models and adapters, sorted."""
+    def list_models(self, api_key_sha256: str) -> list[str] | Refusal:
+        """Return the models and adapters that a caller may name, sorted."""
         classifier = self.parts.path.classifier
-        return sorted(classifier.models) if classifier is not None else []
+        if classifier is None:
+            return refuse(Reason.CONFIG_STALE)
+        return classifier.list_models(api_key_sha256)
 
     def address_of(self, server: str) -> str | None:
         """Return a backend server's `IP:port`, or `None` if it is unknown."""
--- a/src/wisterialoom/core/requests/classifier.py
+++ b/src/wisterialoom/core/requests/classifier.py
@@ -83,6 +83,16 @@
             return refuse(Reason.NO_ROUTE)
         return self._apply(now, request, caller, rule or _DEFAULT_RULE)
 
+    def list_models(self, api_key_sha256: str) -> list[str] | Refusal:
+        """Return the models and adapters that a caller may name, sorted.
+
+        Args:
+            api_key_sha256: Hex digest of the caller's API key; empty if none.
+        """
+        if api_key_sha256 not in self.callers:
+            return refuse(Reason.NO_CALLER)
+        return sorted(self.models)
+
     def classify_job(self, now: float, due: JobDue) -> Classified | None:
         """Classify an attempt at a job by the rules in force now.
 
--- a/src/wisterialoom/http/front.py
+++ b/src/wisterialoom/http/front.py
@@ -10,14 +10,20 @@
 from aiohttp import web
 
 from wisterialoom.core.jobs.job_gate import JobPolled
-from wisterialoom.core.requests.request import CallerGone, RequestArrived
+from wisterialoom.core.requests.request import CallerGone, Refusal, RequestArrived
 from wisterialoom.http.error_answer import (
+    error_response,
     OUTCOME_HEADER,
     REASON_HEADER,
     REQUEST_ID_HEADER,
 )
 from wisterialoom.http.exchange import Exchange, JOB_PATH
-from wisterialoom.http.intake import BadRequestError, Intake, read_request
+from wisterialoom.http.intake import (
+    BadRequestError,
+    digest_api_key,
+    Intake,
+    read_request,
+)
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -36,7 +42,7 @@
     Attributes:
         deliver: Takes events for the core.
         next_id: Returns a new request id.
-        list_models: Returns the names for `/v1/models`.
+        list_models: Returns the names for `/v1/models` by the digest of an API key.
         exchanges: Open exchanges by request id.
         bad_requests: Count of requests that could not be read.
     """
@@ -45,7 +51,7 @@
         self,
         deliver: Callable[[Event], None],
         next_id: Callable[[], str],
-        list_models: Callable[[], list[str]],
+        list_models: Callable[[str], list[str] | Refusal],
     ) -> None:
         self.deliver = deliver
         self.next_id = next_id
@@ -64,11 +70,14 @@
         app.router.add_route("*", "/{path:.*}", self.serve)
         return app
 
-    async def models(self, _: web.Request) -> web.Response:
-        """Answer with the models and adapters that are declared."""
+    async def models(self, web_request: web.Request) -> web.Response:
+        """Answer with the models and adapters that the caller may name."""
+        found = self.list_models(digest_api_key(web_request))
+        if isinstance(found, Refusal):
+            return error_response(found, self.next_id())
         items = [
             {"id": name, "object": "model", "created": 0, "owned_by": "deployment"}
-            for name in self.list_models()
+            for name in found
         ]
         return _json({"object": "list", "data": items})
 
--- a/src/wisterialoom/http/intake.py
+++ b/src/wisterialoom/http/intake.py
@@ -17,7 +17,7 @@
 
     from aiohttp import web
 
-__all__ = ["BadRequestError", "Intake", "read_request"]
+__all__ = ["BadRequestError", "Intake", "digest_api_key", "read_request"]
 
 DEADLINE_HEADER = "X-Deadline-Ms"
 PRIORITY_HEADER = "X-Priority"
@@ -80,7 +80,7 @@
         request_id=request_id,
         method=web_request.method,
         path=web_request.path,
-        api_key_sha256=_digest_api_key(web_request),
+        api_key_sha256=digest_api_key(web_request),
         idempotency_key=key,
         body_sha256=_digest_content(web_request, body),
         deadline_s=_read_deadline(web_request),
@@ -91,7 +91,8 @@
     return Intake(request, body, web_request.path_qs, web_request.headers)
 
 
-def _digest_api_key(web_request: web.Request) -> str:
+def digest_api_key(web_request: web.Request) -> str:
+    """Return the hex digest of the bearer token; empty without one."""
     scheme, _, key = web_request.headers.get("Authorization", "").partition(" ")
     if scheme.lower() != "bearer" or not key:
         return ""
--- a/tests/test_front.py
+++ b/tests/test_front.py
@@ -1,8 +1,13 @@
 """Tests of `wisterialoom.http.front`: requests that cannot be read."""
 
+import hashlib
+
 import aiohttp
 import pytest
 
+from wisterialoom.core.configuration.document import Caller
+from wisterialoom.core.requests.classifier import Classifier
+from wisterialoom.core.requests.request import Refusal
 from wisterialoom.http.front import Front
 from wisterialoom.standin.server import StandinServer
 
@@ -21,7 +26,7 @@
 )
 async def test_request_that_cannot_be_read_was_not_run(status, body, headers):
     events = []
-    front = Front(events.append, lambda: "r1", list)
+    front = Front(events.append, lambda: "r1", lambda _: [])
     server = StandinServer(front.make_app(1_000))
     async with server, aiohttp.ClientSession() as session:
         url = server.url + CHAT
@@ -33,3 +38,53 @@
     assert "send" in error["message"]
     assert events == []
     assert front.bad_requests == 1
+
+
+KEY = "k" * 24
+
+
+def classifier() -> Classifier:
+    caller = Caller(
+        name="desk",
+        api_key_sha256=hashlib.sha256(KEY.encode()).hexdigest(),
+        traffic_class="live",
+    )
+    return Classifier(
+        callers={caller.api_key_sha256: caller}, models=frozenset({"m1", "m0"})
+    )
+
+
+def list_models(api_key_sha256: str) -> list[str] | Refusal:
+    return classifier().list_models(api_key_sha256)
+
+
+@pytest.mark.parametrize(
+    "headers", [{}, {"Authorization": "Bearer other"}, {"Authorization": KEY}]
+)
+async def test_models_are_not_listed_without_a_declared_key(headers):
+    """The list used to answer a wrong or missing key with every model."""
+    front = Front(lambda _: None, lambda: "r1", list_models)
+    server = StandinServer(front.make_app(1_000))
+    async with (
+        server,
+        aiohttp.ClientSession(headers=headers) as session,
+        session.get(server.url + "/v1/models") as response,
+    ):
+        error = (await response.json())["error"]
+        assert response.status == 401
+        assert response.headers["X-Outcome"] == "not_run"
+    assert error["code"] == "no_caller"
+
+
+async def test_models_are_listed_for_a_declared_key():
+    front = Front(lambda _: None, lambda: "r1", list_models)
+    server = StandinServer(front.make_app(1_000))
+    headers = {"Authorization": f"Bearer {KEY}"}
+    async with (
+        server,
+        aiohttp.ClientSession(headers=headers) as session,
+        session.get(server.url + "/v1/models") as response,
+    ):
+        assert response.status == 200
+        items = (await response.json())["data"]
+    assert [item["id"] for item in items] == ["m0", "m1"]
