--- a/tests/platform/test_process.py
+++ b/tests/platform/test_process.py
@@ -160,3 +160,28 @@
     _, errors = await process.communicate()
     assert process.returncode == 1
     assert b"docs/reference-platform.md" in errors
+
+
+def ignores_reload(pid: int) -> bool:
+    """Tell whether a process ignores the signal to reload."""
+    status = Path(f"/proc/{pid}/status").read_text()
+    mask = next(line for line in status.splitlines() if line.startswith("SigIgn"))
+    return bool(int(mask.split()[1], 16) & 1 << (signal.SIGHUP - 1))
+
+
+async def test_a_reload_during_the_start_does_not_end_the_process(tmp_path):
+    """Its default action killed instances that were just starting (soak)."""
+    plain = StandinPlainServer("i-1")
+    async with site(tmp_path, plain) as store, aiohttp.ClientSession() as session:
+        instance = Instance("front-1", store.address, tmp_path)
+        starting = asyncio.get_running_loop().create_task(instance.start(session))
+        ignored = False
+        while not (ignored or starting.done()):
+            await asyncio.sleep(0.002)
+            process = getattr(instance, "process", None)
+            ignored = process is not None and ignores_reload(process.pid)
+        assert ignored
+        instance.process.send_signal(signal.SIGHUP)
+        await starting
+        assert (await instance.call(session, "/deposit/"))[0] == 200
+        assert await instance.end(signal.SIGTERM) == 0
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -23,6 +23,8 @@
     133: "two worlds picked the same port; each has addresses of its own now",
     134: "the same",
     137: "the error of a call that was stopped while connecting was not taken",
+    1796350572: "a reload during the start ended the process",
+    1796350574: "the same",
 }
 """Seeds that failed, each with its cause."""
 
