Replace a server's models at each change, so that hints see it

Found on the last read: ServerState changed its models in place, and the hints that tell changes once, their digest and the views of requests hold the same dict. A short load that was over was neither told nor seen in the digest until the next order at that server, and woke no waiting request. The full hints of before had mended it each 1.2 s. The test fails before.

--- a/src/wisterialoom/core/placement/server_state.py
+++ b/src/wisterialoom/core/placement/server_state.py
@@ -49,7 +49,8 @@
         server_id: Its id.
         born_ms: Wall-clock time of its start.
         count: Orders that it has accepted, as far as known.
-        models: Adapters by resident model.
+        models: Adapters by resident model; replaced at each change, as others keep
+            what they were told.
         in_memory: Models whose weights are in its memory.
         on_disk: Models whose weights are on its disk.
         order: Order that was sent and has no answer yet.
@@ -113,7 +114,7 @@
         """
         if not (self.loading and self.short_load and now >= self.done_at):
             return False
-        self.models[self.loading] = frozenset()
+        self.models = {**self.models, self.loading: frozenset()}
         self.loaded_at[self.loading] = now
         self.loading = ""
         return True
@@ -173,10 +174,11 @@
         if order.adapter:
             held = self.models.get(order.model, frozenset())
             if order.action is Action.LOAD:
-                self.models[order.model] = held | {order.adapter}
+                held |= {order.adapter}
                 self.loaded_at[order.wanted] = now
             else:
-                self.models[order.model] = held - {order.adapter}
+                held -= {order.adapter}
+            self.models = {**self.models, order.model: held}
             return
         self.done_at = now + takes_s
         self.short_load = not order.from_store
@@ -185,7 +187,9 @@
             self.loading = order.model
         elif idle:
             # It leaves at once; a load that comes too early is refused as a conflict.
-            self.models.pop(order.model, None)
+            self.models = {
+                name: held for name, held in self.models.items() if name != order.model
+            }
             self.in_memory |= {order.model}
             self.hold_until = now + QUICK_CONFLICT_S / 2
         else:
@@ -193,7 +197,7 @@
 
     def take_report(self, now: float, report: ServerReport) -> bool:
         """Take a server's report; tell whether its models have changed."""
-        before = dict(self.models)
+        before = self.models
         reborn = report.born_ms != self.born_ms
         settled = now - self.last_order_at > SETTLE_S and self.order is None
         self.in_memory = report.in_memory
--- a/tests/platform/test_placement_feed.py
+++ b/tests/platform/test_placement_feed.py
@@ -6,6 +6,7 @@
 
 from wisterialoom.core.fleet import LeaseRecord, PlacementLease
 from wisterialoom.core.placement.placement_table import Holding
+from wisterialoom.core.placement.server_state import ServerState
 from wisterialoom.core.serving.backend import BackendServer
 from wisterialoom.core.serving.balancer import Balancer
 from wisterialoom.core.serving.dispatcher import Dispatcher
@@ -181,3 +182,27 @@
     feed.tell(0.5, holdings(), {}, {}, [])
     assert follower.take_hint(0.5, link.sent[-1][0], members)
     assert seen.models == holdings()["i-2"].models
+
+
+def test_a_short_load_that_is_over_is_told():
+    """The state changed the models that had been told, so no change was seen.
+
+    Neither the hints nor their digest told of it until the next order there.
+    """
+    feed, link = make()
+    state = ServerState("i-1", 1, models={"model-0": frozenset()})
+    state.loading, state.short_load, state.done_at = "model-1", True, 1.0
+
+    def tell(now: float) -> PlacementHint:
+        held = Holding(state.models, state.leaving_models, state.count)
+        feed.tell(now, {"i-1": held}, {}, {}, [])
+        hint: PlacementHint = link.sent[-1][0]
+        return hint
+
+    before = tell(0.5)
+    assert state.settle(1.0)
+    after = tell(1.5)
+    told = after.servers["i-1"]
+    assert told is not None
+    assert set(told.models) == {"model-0", "model-1"}
+    assert after.digest != before.digest
