Take no placement hint of a holder before the lease that is known

The holder no longer sends itself its own hints, so its own epoch was not noted as heard; a late datagram of the holder before could replace its members and placement until its next plan. The lease's epoch decides now. The test fails before.

--- a/src/wisterialoom/platform/fleet.py
+++ b/src/wisterialoom/platform/fleet.py
@@ -188,6 +188,9 @@
 
     def take_placement(self, hint: PlacementHint) -> None:
         """Take what the holder of the placement lease knows."""
+        if hint.epoch < self.steward.lease.epoch:
+            # Another has taken the lease since; this instance may be the one.
+            return
         if (hint.epoch, hint.serial) <= (self.epoch, self.serial):
             return
         if hint.epoch != self.epoch:
--- a/tests/platform/test_app.py
+++ b/tests/platform/test_app.py
@@ -25,6 +25,7 @@
 )
 from wisterialoom.platform.app import PlatformApp
 from wisterialoom.platform.attempt import Attempt
+from wisterialoom.platform.hints import PlacementHint
 from wisterialoom.platform.settings import Bounds, PlatformSettings
 
 if TYPE_CHECKING:
@@ -391,6 +392,28 @@
     await store.stop()
 
 
+async def test_the_holder_takes_no_hint_of_a_holder_before():
+    """Its own epoch was not noted there, so a late datagram replaced the members."""
+    server = StandinModelServer("i-1", models={"m0": []})
+    async with world(server) as w:
+        await until(lambda: w.app.steward.was_valid)
+        late = PlacementHint(
+            holder="front-0",
+            address="127.0.0.1",
+            epoch=w.app.steward.lease.epoch - 1,
+            serial=9,
+            renewal=4,
+            members={"front-0": "127.0.0.1"},
+            members_whole=True,
+            servers={"i-1": None},
+            busy=(),
+            ready_in_s={},
+            digest=0,
+        )
+        w.app.fleet.take_placement(late)
+        assert "front-0" not in w.app.peers.members
+
+
 class Connecting:
     """A call that turns its cancellation into an error, as a time-out may."""
 
