Drop a dead field and twins of the platform's path

RequestFlow.last was only written; BackendView names the key of a refusal in one place, so RequestProfile.key goes; taking all holdings is one method of PlacementTable instead of the same loop in feed and view; the age at which a watcher falls silent is the one at which others stop counting it; a table taken from another instance is applied once instead of twice.

--- a/src/wisterialoom/core/fleet/__init__.py
+++ b/src/wisterialoom/core/fleet/__init__.py
@@ -12,9 +12,10 @@
     WriteLease,
 )
 from wisterialoom.core.fleet.server_table import ServerTable, TableEntry
-from wisterialoom.core.fleet.watch_duty import MAX_RANK, WatchDuty
+from wisterialoom.core.fleet.watch_duty import CURRENT_S, MAX_RANK, WatchDuty
 
 __all__ = [
+    "CURRENT_S",
     "MAX_RANK",
     "ChangeFeed",
     "LeaseRecord",
--- a/src/wisterialoom/core/fleet/watch_duty.py
+++ b/src/wisterialoom/core/fleet/watch_duty.py
@@ -11,7 +11,7 @@
 
 from dataclasses import dataclass
 
-__all__ = ["MAX_RANK", "WatchDuty"]
+__all__ = ["CURRENT_S", "MAX_RANK", "WatchDuty"]
 
 WATCHERS = 3
 """Instances that follow the store at once; two may be lost without a delay."""
--- a/src/wisterialoom/core/placement/placement_table.py
+++ b/src/wisterialoom/core/placement/placement_table.py
@@ -56,6 +56,13 @@
         self.holdings.pop(server_id, None)
         self.checksums.pop(server_id, None)
 
+    def replace(self, holdings: dict[str, Holding]) -> None:
+        """Take what all servers hold; forget any other."""
+        for server_id in self.holdings.keys() - holdings.keys():
+            self.remove(server_id)
+        for server_id, holding in holdings.items():
+            self.put(server_id, holding)
+
     def digest(self, server_ids: Iterable[str]) -> int:
         """Return a checksum over some servers."""
         total = sum(self.checksums.get(server_id, 0) for server_id in server_ids)
--- a/src/wisterialoom/core/serving/backend.py
+++ b/src/wisterialoom/core/serving/backend.py
@@ -136,8 +136,12 @@
 
     def holds(self, now: float, model: str, adapter: str) -> bool:
         """Tell whether a request for a model and adapter may be sent here."""
-        absent_until = self.absent_until.get(f"{model}/{adapter}", now)
-        return self.lists(model, adapter) and now >= absent_until
+        passed_over_until = self.passed_over_until(model, adapter)
+        return self.lists(model, adapter) and now >= passed_over_until
+
+    def passed_over_until(self, model: str, adapter: str) -> float:
+        """Return the time until which a refusal about a model and adapter counts."""
+        return self.absent_until.get(f"{model}/{adapter}", float("-inf"))
 
     def note_absent(self, now: float, model: str, adapter: str, for_s: float) -> None:
         """Note that the server refused a model or adapter as not resident."""
--- a/src/wisterialoom/core/serving/dispatcher.py
+++ b/src/wisterialoom/core/serving/dispatcher.py
@@ -304,7 +304,6 @@
 
     def end_attempt(self, now: float, flow: RequestFlow, result: AttemptResult) -> None:
         """Take the end of an attempt."""
-        flow.last = result
         profile = flow.profile
         self.leave_server(flow)
         view = self.views.get(result.server_id)
--- a/src/wisterialoom/core/serving/rare_models.py
+++ b/src/wisterialoom/core/serving/rare_models.py
@@ -80,7 +80,7 @@
     if not listed or flow.absent >= MAX_ABSENT:
         return GiveUpReason.ATTEMPTS
     again = min(
-        view.absent_until.get(profile.key, now + LOOK_SOON_S) for view in candidates
+        view.passed_over_until(profile.model, profile.adapter) for view in candidates
     )
     return Wait(min(profile.answer_by, max(again, now + LOOK_SOON_S)))
 
--- a/src/wisterialoom/core/serving/request_flow.py
+++ b/src/wisterialoom/core/serving/request_flow.py
@@ -99,11 +99,6 @@
     caller_by: float
     first_by: float
 
-    @property
-    def key(self) -> str:
-        """Model and adapter as views of servers name them."""
-        return f"{self.model}/{self.adapter}"
-
     @property
     def wanted(self) -> str:
         """Model and adapter in one name."""
@@ -136,7 +131,6 @@
         servers: Backend servers that it was sent to, in order.
         unreached: Those of them that no byte of it reached.
         may_have_run: An attempt ended without proof that nothing ran.
-        last: How the last attempt ended.
         waiting: It waits for a server or for a model.
         in_flight_at: Backend server of the attempt in progress; empty if none.
         waited_s: Time that it has waited for a server or a model.
@@ -150,7 +144,6 @@
     servers: list[str] = field(default_factory=list)
     unreached: set[str] = field(default_factory=set)
     may_have_run: bool = False
-    last: AttemptResult | None = None
     waiting: bool = False
     in_flight_at: str = ""
     waited_s: float = 0.0
--- a/src/wisterialoom/platform/catalog.py
+++ b/src/wisterialoom/platform/catalog.py
@@ -146,6 +146,10 @@
 
     def take_entries(self, entries: dict[str, TableEntry]) -> None:
         """Take changes that another instance told of."""
+        if self._take(entries):
+            self._apply()
+
+    def _take(self, entries: dict[str, TableEntry]) -> bool:
         now = time.monotonic()
         taken = False
         for server_id, entry in entries.items():
@@ -158,8 +162,7 @@
                 self.table.put(now, entry.revision, entry.server)
             self.missing.pop(server_id, None)
             taken = True
-        if taken:
-            self._apply()
+        return taken
 
     def take_table(self, revision: int, entries: dict[str, TableEntry]) -> None:
         """Take all servers that another instance knows, as of a revision."""
@@ -170,7 +173,7 @@
             self.table.remove(now, revision, server_id)
             self.missing.pop(server_id, None)
         self.workers.confirm(revision)
-        self.take_entries(entries)
+        self._take(entries)
         self._apply()
 
     # Configuration.
--- a/src/wisterialoom/platform/placement_feed.py
+++ b/src/wisterialoom/platform/placement_feed.py
@@ -83,10 +83,7 @@
                 at once.
             urgent: All have to hear of this at once.
         """
-        for server_id in self.table.holdings.keys() - holdings.keys():
-            self.table.remove(server_id)
-        for server_id, holding in holdings.items():
-            self.table.put(server_id, holding)
+        self.table.replace(holdings)
         self.busy = busy
         self.ready_in_s = ready_in_s
         changed = self.servers.note(holdings)
--- a/src/wisterialoom/platform/placement_view.py
+++ b/src/wisterialoom/platform/placement_view.py
@@ -62,10 +62,7 @@
     ) -> None:
         """Take what this instance knows as the holder of the lease."""
         views = self.dispatcher.views
-        for server_id in self.table.holdings.keys() - holdings.keys():
-            self.table.remove(server_id)
-        for server_id, holding in holdings.items():
-            self.table.put(server_id, holding)
+        self.table.replace(holdings)
         for server_id in holdings.keys() & views.keys():
             views[server_id].note_fleet_busy(now, busy[server_id])
         self._apply(now, ready_in_s)
--- a/src/wisterialoom/platform/relay.py
+++ b/src/wisterialoom/platform/relay.py
@@ -14,7 +14,7 @@
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
-from wisterialoom.core.fleet import MAX_RANK, WatchDuty
+from wisterialoom.core.fleet import CURRENT_S, MAX_RANK, WatchDuty
 from wisterialoom.platform._tasks import TaskGroup, wait_for
 from wisterialoom.platform.hints import (
     ConfigCopy,
@@ -45,9 +45,6 @@
 ASK_S = 0.2
 """Least time between two requests for a copy; some ten round trips between zones."""
 
-STALE_S = 5.0
-"""Age of its knowledge above which a watcher is silent, so that others take over."""
-
 SERVERS_A_PART = 200
 """Servers in one datagram; each takes some 100 bytes of at most 60 KB."""
 
@@ -115,7 +112,8 @@
     def _tell(self, now: float) -> None:
         config_age_s = now - self.catalog.config.checked_at
         age_s = now - self.catalog.workers.checked_at
-        if max(config_age_s, age_s) > STALE_S:
+        if max(config_age_s, age_s) > CURRENT_S:
+            # No one would count it as a watcher; its silence lets others take over.
             return
         self.sent_at = now
         news = News(
