--- a/src/wisterialoom/core/fleet/__init__.py
+++ b/src/wisterialoom/core/fleet/__init__.py
@@ -11,6 +11,7 @@
     TakeLease,
     WriteLease,
 )
+from wisterialoom.core.fleet.revision import FIRST_REVISION, Revision
 from wisterialoom.core.fleet.server_table import ServerTable, TableEntry
 from wisterialoom.core.fleet.watcher_role import (
     MAX_RANK,
@@ -19,6 +20,7 @@
 )
 
 __all__ = [
+    "FIRST_REVISION",
     "WATCHER_MAX_AGE_S",
     "MAX_RANK",
     "ChangeFeed",
@@ -26,6 +28,7 @@
     "LeaseStep",
     "PlacementLease",
     "ReadLease",
+    "Revision",
     "ServerTable",
     "TableEntry",
     "TakeLease",
--- a/src/wisterialoom/core/fleet/placement_lease.py
+++ b/src/wisterialoom/core/fleet/placement_lease.py
@@ -9,6 +9,12 @@
 The gap is then short, and a holder that gets no answer from the store continues as
 long as no other instance has taken the lease; the others do not take it while they
 receive messages of the holder. A holder whose process was suspended does not continue.
+
+The store may be restored from a copy, and the record is then older or gone. Each era of
+the store therefore has a record of its own, and fencing tokens begin with the era, so
+that none is used twice even if nobody remembers the last one. The holder of the era
+before takes the lease at once if nobody else can have taken it; all others wait until
+its last renewal has expired.
 """
 
 from __future__ import annotations
@@ -65,6 +71,9 @@
 that one of them takes the lease first.
 """
 
+ERA_SHIFT = 20
+"""Bits of a fencing token below the era; a million holders in one era."""
+
 STAGGER_S = 0.3
 """Maximum additional delay before taking the lease.
 
@@ -80,7 +89,7 @@
     Attributes:
         holder: Name of the instance that holds the lease.
         boot: Identifier of the holder's process.
-        epoch: Fencing token; increases with each holder.
+        epoch: Fencing token; increases with each holder, also over eras of the store.
         address: IP address of the holder.
         serial: Number of renewals; it makes each write change the object.
         released: Whether the holder has released the lease and sends no more orders.
@@ -138,6 +147,12 @@
         boot: Identifier of this process.
         address: IP address of this instance.
         lease_s: Length of the lease.
+        first_start: Whether the whole system starts for the first time, so that no
+            other process can hold a lease that the store has lost.
+        era: Era of the store that the record belongs to; 0 if the store names none.
+        era_seen_at: Time at which that era was first seen.
+        last_epoch: Highest fencing token seen.
+        may_retake: Whether this process held the lease when the store was restored.
         record: Record as last read or written; `None` if none is known.
         revision: Revision of the record; 0 if there is none.
         revision_seen_at: Time at which that revision was first seen.
@@ -165,11 +180,17 @@
         *,
         fenced: bool,
         slow_link: bool = False,
+        first_start: bool = False,
     ) -> None:
         self.me = me
         self.boot = boot
         self.address = address
         self.lease_s = lease_s
+        self.first_start = first_start
+        self.era = 0
+        self.era_seen_at = float("-inf")
+        self.last_epoch = 0
+        self.may_retake = False
         self.record: LeaseRecord | None = None
         self.revision = 0
         self.revision_seen_at = float("-inf")
@@ -213,7 +234,8 @@
             renewed = replace(self.record, serial=self.record.serial + 1)
             return WriteLease(renewed, self.revision)
         if self.was_read and self.can_take(now):
-            taken = LeaseRecord(self.me, self.boot, self.epoch + 1, self.address)
+            epoch = max(self.last_epoch, self.epoch, self.era << ERA_SHIFT) + 1
+            taken = LeaseRecord(self.me, self.boot, epoch, self.address)
             return TakeLease(taken, self.revision)
         holder_seen = now - self.holder_seen_at < HOLDER_TIMEOUT_SHARE * self.lease_s
         if holder_seen or now < self.next_read:
@@ -224,20 +246,67 @@
     def can_take(self, now: float) -> bool:
         """Return whether this process may take the lease."""
         if self.record is None:
-            return now - self.first_read_at >= self.takeover_delay_s
+            return self._can_take_vacant(now)
         if self.record.holder == self.me:
             # The holder is an earlier process of this instance, which has ended.
             return True
         if now - self.holder_seen_at < HOLDER_TIMEOUT_SHARE * self.lease_s:
             return False
-        unchanged_s = now - self.revision_seen_at
-        jitter = zlib.crc32(f"{self.me}{self.epoch}".encode()) / 2**32
-        unchanged_s -= STAGGER_S * jitter + self.takeover_delay_s
+        unchanged_s = now - self.revision_seen_at - self._stagger_s()
         gap = FENCED_GAP_SHARE if self.fenced else GAP_SHARE
         if self.record.released:
             return unchanged_s > (0.0 if self.fenced else gap * self.lease_s)
         return unchanged_s > (HOLD_SHARE + gap) * self.lease_s
 
+    def _can_take_vacant(self, now: float) -> bool:
+        """Return whether this process may take a lease that has no record."""
+        if self.first_start and not self.last_epoch:
+            return now - self.first_read_at >= self.takeover_delay_s
+        if self.may_retake:
+            return True
+        # The record may have been lost with the store's latest changes. Its holder, of
+        # which nothing may be known here, renewed it before this era at the latest.
+        gap = FENCED_GAP_SHARE if self.fenced else GAP_SHARE
+        since = max(self.era_seen_at, self.first_read_at)
+        waited_s = now - since - self._stagger_s()
+        return waited_s > (HOLD_SHARE + gap) * self.lease_s
+
+    def _stagger_s(self) -> float:
+        jitter = zlib.crc32(f"{self.me}{self.epoch}".encode()) / 2**32
+        return STAGGER_S * jitter + self.takeover_delay_s
+
+    def record_era(self, now: float, era: int) -> bool:
+        """Record the era of the store; in a new one, nobody holds the lease.
+
+        Args:
+            now: Current time.
+            era: Era that an answer of the store or another instance named.
+
+        Returns:
+            Whether the era is new here.
+        """
+        if era <= self.era:
+            return False
+        is_restore = self.was_read or self.era > 0
+        if is_restore:
+            self.first_start = False
+        was_holder = self.is_holder
+        self.may_retake = self.is_valid(now)
+        self.era = era
+        self.era_seen_at = now
+        self.record = None
+        self.revision = 0
+        self.revision_seen_at = float("-inf")
+        self.was_read = False
+        if was_holder:
+            self.stop_holding(now)
+        elif is_restore:
+            # The holder takes its lease again first.
+            self.holder_seen_at = now
+        else:
+            self.next_read = now
+        return True
+
     def record_read(
         self, now: float, record: LeaseRecord | None, revision: int
     ) -> None:
@@ -254,6 +323,9 @@
         self.was_read = True
         self.record = record
         self.revision = revision
+        if record is not None:
+            self.last_epoch = max(self.last_epoch, record.epoch)
+            self.may_retake = False
         is_own = record is not None and (record.holder, record.boot) == (
             self.me,
             self.boot,
@@ -280,6 +352,8 @@
         self.revision = revision
         self.revision_seen_at = now
         self.was_read = True
+        self.last_epoch = max(self.last_epoch, record.epoch)
+        self.may_retake = False
         if record.released:
             self.is_holder = False
             self.valid_until = float("-inf")
@@ -310,9 +384,10 @@
     def record_holder(self, now: float, epoch: int, serial: int) -> None:
         """Record a message from another holder, with the renewal that it announced.
 
-        Messages of holders with an older epoch are ignored.
+        Messages of holders with an older epoch, or of an earlier era, are ignored.
         """
-        if epoch < self.epoch:
+        self.last_epoch = max(self.last_epoch, epoch)
+        if epoch < self.epoch or epoch < self.era << ERA_SHIFT:
             return
         self.holder_seen_at = now
         if self.is_holder and epoch > self.epoch:
--- a/src/wisterialoom/core/fleet/server_table.py
+++ b/src/wisterialoom/core/fleet/server_table.py
@@ -3,14 +3,20 @@
 Entries reach an instance from the store and from other instances in any order; of each
 server, the entry with the highest revision is kept. Two instances compare digests to
 see whether their tables are equal.
+
+A store that is restored from a copy lists servers as they were when the copy was made.
+Until a server has written its entry again, an instance trusts what it knew before: a
+server that was draining or had left gets no requests.
 """
 
 from __future__ import annotations
 
 import zlib
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import TYPE_CHECKING
 
+from wisterialoom.core.fleet.revision import FIRST_REVISION, Revision
+
 if TYPE_CHECKING:
     from wisterialoom.core.serving.backend import BackendServer
 
@@ -22,6 +28,12 @@
 Messages are late by some seconds at most.
 """
 
+RESTORE_RETENTION_S = 30.0
+"""Time after a restore of the store for which earlier knowledge is kept.
+
+Servers write their entries again within some seconds.
+"""
+
 
 @dataclass(frozen=True, slots=True)
 class TableEntry:
@@ -32,46 +44,113 @@
         server: The server; `None` if it was removed.
         changed_at: Monotonic time of the last change that other instances must
             receive.
+        removed_start_ms: Start time of a removed server; 0 if unknown.
     """
 
-    revision: int
+    revision: Revision
     server: BackendServer | None
     changed_at: float
+    removed_start_ms: int = 0
 
 
 class ServerTable:
     """Backend servers by id.
 
     Attributes:
-        entries: Entry by server id; removed servers are included for some time.
+        entries: Entry by server id, as the store has it; removed servers are included
+            for some time.
         cached_digest: Cached digest; `None` after a change.
+        era_start: First known revision of the present era of the store. Entries up to
+            it may come from the copy that the store was restored from.
+        before_restore: Entries by server id as they were before the last restore.
+        restored_at: Monotonic time at which the last restore was noticed.
     """
 
     def __init__(self) -> None:
         self.entries: dict[str, TableEntry] = {}
         self.cached_digest: int | None = None
+        self.era_start = FIRST_REVISION
+        self.before_restore: dict[str, TableEntry] = {}
+        self.restored_at = float("-inf")
 
     @property
-    def servers(self) -> dict[str, BackendServer]:
-        """The servers that were not removed, by id."""
+    def listed(self) -> dict[str, BackendServer]:
+        """The servers that the store lists, by id."""
         return {
             server_id: entry.server
             for server_id, entry in self.entries.items()
             if entry.server is not None
         }
 
+    @property
+    def servers(self) -> dict[str, BackendServer]:
+        """The servers that may get requests or are draining, by id."""
+        if not self.before_restore:
+            return self.listed
+        found = {}
+        for server_id, entry in self.entries.items():
+            server = self._server_since_restore(server_id, entry)
+            if server is not None:
+                found[server_id] = server
+        return found
+
     @property
     def digest(self) -> int:
-        """Checksum of the fields that instances announce to each other."""
+        """Checksum of the fields that instances announce to each other.
+
+        It covers the entries as the store has them. What an instance knows from before
+        a restore differs, and is not announced.
+        """
         if self.cached_digest is None:
-            known = sorted(
-                _announced_fields(server) for server in self.servers.values()
-            )
+            known = sorted(_announced_fields(server) for server in self.listed.values())
             self.cached_digest = zlib.crc32(repr(known).encode())
         return self.cached_digest
 
+    def begin_era(self, now: float, revision: Revision) -> bool:
+        """Record a revision of the store; a later era means that it was restored.
+
+        Args:
+            now: Monotonic time in seconds.
+            revision: Revision at which the store is known to be.
+
+        Returns:
+            Whether the store was restored since the last call.
+        """
+        if revision.era <= self.era_start.era:
+            return False
+        for server_id, entry in self.entries.items():
+            server = self._server_since_restore(server_id, entry)
+            if server is not None or entry.server is None:
+                self.before_restore[server_id] = replace(entry, server=server)
+        self.era_start = revision
+        self.restored_at = now
+        return bool(self.entries)
+
+    def _server_since_restore(
+        self, server_id: str, entry: TableEntry
+    ) -> BackendServer | None:
+        """Return the server of an entry, corrected by what was known before."""
+        server = entry.server
+        before = self.before_restore.get(server_id)
+        if server is None or before is None:
+            return server
+        may_be_copy = entry.revision <= self.era_start
+        if before.server is None:
+            same_start = before.removed_start_ms in (0, server.started_ms)
+            return None if may_be_copy and same_start else server
+        if may_be_copy and server.started_ms < before.server.started_ms:
+            return before.server
+        if before.server.draining and server.started_ms == before.server.started_ms:
+            return replace(server, draining=True)
+        return server
+
     def put(
-        self, now: float, revision: int, server: BackendServer, *, listed: bool = False
+        self,
+        now: float,
+        revision: Revision,
+        server: BackendServer,
+        *,
+        listed: bool = False,
     ) -> bool:
         """Store an entry unless a newer one is known; return whether it was stored.
 
@@ -96,12 +175,13 @@
         self.cached_digest = None
         return True
 
-    def remove(self, now: float, revision: int, server_id: str) -> bool:
+    def remove(self, now: float, revision: Revision, server_id: str) -> bool:
         """Store a removal unless a newer entry is known; return whether it was."""
         known = self.entries.get(server_id)
         if known is not None and (known.server is None or revision < known.revision):
             return False
-        self.entries[server_id] = TableEntry(revision, None, now)
+        start_ms = known.server.started_ms if known and known.server else 0
+        self.entries[server_id] = TableEntry(revision, None, now, start_ms)
         self.cached_digest = None
         return True
 
@@ -113,13 +193,21 @@
             if entry.changed_at >= moment
         }
 
-    def forget_removed(self, now: float) -> None:
-        """Drop removals that no late message can undo any more."""
+    def forget_old(self, now: float) -> bool:
+        """Drop removals and earlier knowledge that no late message can undo any more.
+
+        Returns:
+            Whether `servers` may have changed.
+        """
         self.entries = {
             server_id: entry
             for server_id, entry in self.entries.items()
             if entry.server is not None or now - entry.changed_at < REMOVAL_RETENTION_S
         }
+        if not self.before_restore or now - self.restored_at < RESTORE_RETENTION_S:
+            return False
+        self.before_restore = {}
+        return True
 
 
 def _announced_fields(
--- a/src/wisterialoom/platform/app.py
+++ b/src/wisterialoom/platform/app.py
@@ -200,6 +200,7 @@
                 settings.bounds.lease_s,
                 fenced=settings.bounds.fenced,
                 slow_link=settings.slow_link,
+                first_start=settings.first_start,
             ),
             store,
             orders,
@@ -210,7 +211,11 @@
         )
         fleet.placement_controller = self.placement_controller
         self.relay = Relay(
-            settings.instance, self.catalog, peers, slow_link=settings.slow_link
+            settings.instance,
+            self.catalog,
+            peers,
+            store.record_era,
+            slow_link=settings.slow_link,
         )
         fleet.relay = self.relay
         self.peers = peers
@@ -225,6 +230,13 @@
         metrics.labeled_counter(
             "store_calls_total", "Calls.", "purpose", lambda: store.calls
         )
+        metrics.labeled_counter(
+            "store_restores_total",
+            "Restores of the store from a copy.",
+            "event",
+            lambda: {"noticed": store.restores},
+        )
+        metrics.gauge("store_era", "Era of the store.", lambda: store.era)
         metrics.labeled_counter(
             "orders_total",
             "Orders and reports.",
--- a/src/wisterialoom/platform/catalog.py
+++ b/src/wisterialoom/platform/catalog.py
@@ -6,7 +6,7 @@
 import time
 from typing import Any, TYPE_CHECKING
 
-from wisterialoom.core.fleet import ServerTable
+from wisterialoom.core.fleet import FIRST_REVISION, ServerTable
 from wisterialoom.platform._tasks import TaskGroup
 from wisterialoom.platform.decode import (
     decode_deployment,
@@ -18,7 +18,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from wisterialoom.core.fleet import TableEntry
+    from wisterialoom.core.fleet import Revision, TableEntry
     from wisterialoom.core.serving.backend import BackendServer
     from wisterialoom.core.serving.dispatcher import Dispatcher
     from wisterialoom.platform.store import (
@@ -39,6 +39,12 @@
 RELIST_TIMEOUT_S = 2.0
 """Time within which a running server must be listed again after a store outage."""
 
+RESTORE_RELIST_TIMEOUT_S = 4.0
+"""The same time after a restore of the store.
+
+A server first has to notice that its entry is gone, which takes up to a few heartbeats.
+"""
+
 
 class Catalog:
     """Keeps the dispatcher's deployment and servers current.
@@ -52,7 +58,8 @@
             outage is dropped.
         logged_states: Draining flag and start time of each server, as last logged.
         relist_deadline: Monotonic time until which servers may be missing after an
-            outage.
+            outage or a restore of the store.
+        restore_deadline: The same time after a restore.
         config_spec: The configuration in force, as stored.
         confirmed_at: Monotonic time at which another instance last confirmed that
             the configuration in force here was current.
@@ -70,6 +77,7 @@
         self.table = ServerTable()
         self.missing: dict[str, float] = {}
         self.relist_deadline = float("-inf")
+        self.restore_deadline = float("-inf")
         self.logged_states: dict[str, tuple[bool, int]] = {}
         self.config_spec: Any = None
         self.confirmed_at = float("-inf")
@@ -89,7 +97,8 @@
     def is_loaded(self) -> bool:
         """Whether both the configuration and the servers have been read."""
         return (
-            self.dispatcher.deployment is not None and self.server_watcher.revision > 0
+            self.dispatcher.deployment is not None
+            and self.server_watcher.revision > FIRST_REVISION
         )
 
     @property
@@ -124,7 +133,7 @@
         self.server_watcher.set_active(active=active)
 
     def confirm_current(
-        self, config_at: float, config_revision: int, revision: int
+        self, config_at: float, config_revision: Revision, revision: Revision
     ) -> None:
         """Record another instance's confirmation that the state here is current.
 
@@ -166,6 +175,25 @@
         self.changed()
         self.on_update()
 
+    def begin_era(self, revision: Revision) -> None:
+        """Record a revision of the store, as an answer or another instance named it.
+
+        After a restore of the store, the servers that it does not list yet are kept for
+        a while.
+
+        Args:
+            revision: Revision at which the store is.
+        """
+        now = time.monotonic()
+        if not self.table.begin_era(now, revision):
+            return
+        self.restore_deadline = now + RESTORE_RELIST_TIMEOUT_S
+        self.relist_deadline = self.restore_deadline
+        logger.warning(
+            "servers kept over a restore of the store",
+            extra={"era": revision.era, "servers": len(self.table.servers)},
+        )
+
     def apply_entries(self, entries: dict[str, TableEntry]) -> None:
         """Apply server changes announced by another instance."""
         if self._merge_entries(entries):
@@ -186,7 +214,7 @@
             updated = True
         return updated
 
-    def apply_table(self, revision: int, entries: dict[str, TableEntry]) -> None:
+    def apply_table(self, revision: Revision, entries: dict[str, TableEntry]) -> None:
         """Replace all servers by another instance's complete table.
 
         Args:
@@ -197,7 +225,11 @@
         if revision < self.server_watcher.revision:
             return
         now = time.monotonic()
-        for server_id in self.table.servers.keys() - entries.keys():
+        self.begin_era(revision)
+        for server_id in self.table.listed.keys() - entries.keys():
+            if now < self.restore_deadline:
+                self.missing.setdefault(server_id, self.restore_deadline)
+                continue
             self.table.remove(now, revision, server_id)
             self.missing.pop(server_id, None)
         self.server_watcher.confirm(revision)
@@ -222,18 +254,21 @@
 
     def _list_servers(self, listing: StoreListing, lost_since: float | None) -> None:
         now = time.monotonic()
+        self.begin_era(listing.revision)
         listed = set()
         for found in listing.objects:
             server = self._decode(found)
             if server is not None:
                 self.table.put(now, found.revision, server, listed=True)
                 listed.add(server.id)
-        for server_id in self.table.servers.keys() - listed:
-            if lost_since is None:
-                self.table.remove(now, listing.revision, server_id)
-            else:
+        for server_id in self.table.listed.keys() - listed:
+            if now < self.restore_deadline:
+                self.missing.setdefault(server_id, self.restore_deadline)
+            elif lost_since is not None:
                 self.relist_deadline = now + RELIST_TIMEOUT_S
                 self.missing.setdefault(server_id, self.relist_deadline)
+            elif server_id not in self.missing:
+                self.table.remove(now, listing.revision, server_id)
         for server_id in listed:
             self.missing.pop(server_id, None)
         self._update_dispatcher()
@@ -273,7 +308,8 @@
         Args:
             now: Monotonic time.
         """
-        self.table.forget_removed(now)
+        if self.table.forget_old(now):
+            self._update_dispatcher()
         if self.server_watcher.lost_since is not None:
             return
         for server_id, deadline in list(self.missing.items()):
--- a/src/wisterialoom/platform/fleet.py
+++ b/src/wisterialoom/platform/fleet.py
@@ -22,7 +22,11 @@
 from wisterialoom.platform.lease_manager import lease_clock
 from wisterialoom.platform.placement_feed import members_digest
 from wisterialoom.platform.placement_view import DigestMismatch
-from wisterialoom.platform.store import ObjectConflictError, StoreUnavailableError
+from wisterialoom.platform.store import (
+    ObjectConflictError,
+    StoreRestoredError,
+    StoreUnavailableError,
+)
 
 if TYPE_CHECKING:
     from wisterialoom.core.serving.dispatcher import Dispatcher
@@ -31,7 +35,7 @@
     from wisterialoom.platform.placement_controller import PlacementController
     from wisterialoom.platform.placement_view import PlacementView
     from wisterialoom.platform.relay import Relay
-    from wisterialoom.platform.store import StoreClient
+    from wisterialoom.platform.store import StoreClient, StoreListing
 
 __all__ = ["Fleet"]
 
@@ -55,6 +59,9 @@
 MEMBER_TIMEOUT_S = 6.0
 """Time without a message after which an instance no longer counts as a member."""
 
+MEMBER_WRITE_PAUSE_S = 0.02
+"""Pause between two members that are written again after a restore of the store."""
+
 
 class Fleet:
     """Tracks the members, sends demand reports and applies placement hints.
@@ -74,6 +81,9 @@
         wake_event: Set to send a demand report immediately.
         arrivals_sent: Arrival count last reported for each resource.
         arrivals_changed: Monotonic time at which each of these counts changed.
+        members_era: Era of the store in which the members were last known to be
+            registered there.
+        restoring_members: Whether the members are being registered again.
     """
 
     def __init__(
@@ -103,6 +113,8 @@
         self.wake_event = asyncio.Event()
         self.arrivals_sent: dict[str, int] = {}
         self.arrivals_changed: dict[str, float] = {}
+        self.members_era = 0
+        self.restoring_members = False
         self.tasks = TaskGroup()
 
     def start(self) -> None:
@@ -116,38 +128,65 @@
         await self.tasks.stop()
 
     async def _announce(self) -> None:
-        spec = {"address": self.address}
         pause_s = 0.1
         while True:
             try:
-                await self._register(spec)
+                await self._register(self.instance, self.address)
                 listing = await self.store.list(MEMBER_KIND)
                 break
-            except StoreUnavailableError as error:
+            except (StoreUnavailableError, StoreRestoredError) as error:
                 logger.info(
                     "not registered in the store yet, retrying",
                     extra={"error": str(error)},
                 )
                 await asyncio.sleep(pause_s)
                 pause_s = min(1.0, 2 * pause_s)
-        for found in listing.objects:
-            if isinstance(found.spec, dict) and found.name != self.instance:
-                address = found.spec.get("address")
-                if isinstance(address, str):
-                    self.peers.members.setdefault(found.name, address)
-                    self.last_seen.setdefault(found.name, time.monotonic())
+        self.members_era = listing.revision.era
+        for name, address in _member_addresses(listing).items():
+            if name != self.instance:
+                self.peers.members.setdefault(name, address)
+                self.last_seen.setdefault(name, time.monotonic())
         self._update_instance_count()
         self.peers.send_all(
             Hello(self.instance, self.address),
             self.peers.addresses_except(self.instance),
         )
 
-    async def _register(self, spec: dict[str, str]) -> None:
+    async def _register(self, name: str, address: str) -> None:
+        spec = {"address": address}
         try:
-            await self.store.create(MEMBER_KIND, self.instance, spec)
+            await self.store.create(MEMBER_KIND, name, spec)
         except ObjectConflictError as error:
             if error.current is None or error.current.spec != spec:
-                await self.store.replace(MEMBER_KIND, self.instance, spec)
+                await self.store.replace(MEMBER_KIND, name, spec)
+
+    async def _restore_members(self) -> None:
+        """Register the members that the store has lost, one after another."""
+        pause_s = 0.1
+        while self.placement_controller.lease.is_holder:
+            era = self.store.era
+            try:
+                registered = _member_addresses(await self.store.list(MEMBER_KIND))
+                lost = [
+                    (name, address)
+                    for name, address in self.peers.members.items()
+                    if registered.get(name) != address
+                ]
+                for name, address in lost:
+                    await self._register(name, address)
+                    await asyncio.sleep(MEMBER_WRITE_PAUSE_S)
+            except (StoreUnavailableError, StoreRestoredError) as error:
+                logger.info("members not registered", extra={"error": str(error)})
+                await asyncio.sleep(pause_s)
+                pause_s = min(1.0, 2 * pause_s)
+                continue
+            logger.info(
+                "members registered again", extra={"era": era, "lost": len(lost)}
+            )
+            self.members_era = era
+            if self.store.era == era:
+                break
+        self.restoring_members = False
 
     def _update_instance_count(self) -> None:
         self.dispatcher.set_sharing_instances(len(self.peers.members))
@@ -252,9 +291,13 @@
         If it is this instance, the timeouts of all other members start again.
         """
         self.holder_address = address
-        if name == self.instance:
-            now = time.monotonic()
-            self.last_seen = dict.fromkeys(self.peers.members.keys() - {name}, now)
+        if name != self.instance:
+            return
+        now = time.monotonic()
+        self.last_seen = dict.fromkeys(self.peers.members.keys() - {name}, now)
+        if self.store.era > self.members_era and not self.restoring_members:
+            self.restoring_members = True
+            self.tasks.spawn(self._restore_members())
 
     def demand_changed(self) -> None:
         """Send demand immediately, as a request waits for another model or adapter."""
@@ -295,3 +338,17 @@
             arrivals=recent,
             running=self.dispatcher.running(),
         )
+
+
+def _member_addresses(listing: StoreListing) -> dict[str, str]:
+    """Return the address of each registered instance; unreadable entries are left out.
+
+    Args:
+        listing: All objects of the kind.
+    """
+    found = {}
+    for item in listing.objects:
+        address = item.spec.get("address") if isinstance(item.spec, dict) else None
+        if isinstance(address, str):
+            found[item.name] = address
+    return found
--- a/src/wisterialoom/platform/hints.py
+++ b/src/wisterialoom/platform/hints.py
@@ -14,7 +14,7 @@
 import orjson
 
 from wisterialoom.core.error import WisterialoomError
-from wisterialoom.core.fleet import TableEntry
+from wisterialoom.core.fleet import Revision, TableEntry
 from wisterialoom.core.placement.fleet_demand import DemandReport
 from wisterialoom.core.placement.placement_table import ServerPlacement
 from wisterialoom.core.serving.backend import BackendServer, UNKNOWN_COUNT
@@ -124,8 +124,8 @@
     config_age_s: float
     age_s: float
     config_version: int
-    config_revision: int
-    revision: int
+    config_revision: Revision
+    revision: Revision
     digest: int
     changes: dict[str, TableEntry]
 
@@ -188,7 +188,7 @@
     """
 
     watcher: str
-    revision: int
+    revision: Revision
     part: int
     parts: int
     entries: dict[str, TableEntry]
@@ -232,8 +232,8 @@
                 round(hint.config_age_s, 3),
                 round(hint.age_s, 3),
                 hint.config_version,
-                hint.config_revision,
-                hint.revision,
+                _encode_revision(hint.config_revision),
+                _encode_revision(hint.revision),
                 hint.digest,
                 _encode_entries(hint.changes),
             ]
@@ -245,7 +245,7 @@
             item = [
                 "s",
                 hint.watcher,
-                hint.revision,
+                _encode_revision(hint.revision),
                 hint.part,
                 hint.parts,
                 _encode_entries(hint.entries),
@@ -311,8 +311,8 @@
                     config_age_s=float(config_age_s),
                     age_s=float(age_s),
                     config_version=int(version),
-                    config_revision=int(config_revision),
-                    revision=int(revision),
+                    config_revision=_decode_revision(config_revision),
+                    revision=_decode_revision(revision),
                     digest=int(digest),
                     changes=_decode_entries(changes),
                 )
@@ -320,9 +320,13 @@
                 return CopyWanted(instance, version, digest)
             case ["c", str(packed)]:
                 return ConfigCopy(packed)
-            case ["s", str(watcher), int(revision), int(part), int(parts), entries]:
+            case ["s", str(watcher), revision, int(part), int(parts), entries]:
                 return ServersCopy(
-                    watcher, revision, part, parts, _decode_entries(entries)
+                    watcher,
+                    _decode_revision(revision),
+                    part,
+                    parts,
+                    _decode_entries(entries),
                 )
             case ["q", str(instance)]:
                 return PlacementWanted(instance)
@@ -353,9 +357,21 @@
     )
 
 
+def _encode_revision(revision: Revision) -> int | list[int]:
+    # A plain number, if the store names no era, is what earlier versions expect.
+    return [revision.era, revision.number] if revision.era else revision.number
+
+
+def _decode_revision(item: int | list[int]) -> Revision:
+    if isinstance(item, int):
+        return Revision(0, item)
+    era, number = item
+    return Revision(int(era), int(number))
+
+
 def _encode_entries(entries: dict[str, TableEntry]) -> dict[str, list[Any]]:
     return {
-        server_id: [entry.revision, *_encode_server(entry.server)]
+        server_id: [_encode_revision(entry.revision), *_encode_server(entry.server)]
         for server_id, entry in entries.items()
     }
 
@@ -389,7 +405,9 @@
                 draining=bool(draining),
                 order_count=UNKNOWN_COUNT,
             )
-        entries[server_id] = TableEntry(int(revision), server, changed_at=0.0)
+        entries[server_id] = TableEntry(
+            _decode_revision(revision), server, changed_at=0.0
+        )
     return entries
 
 
--- a/src/wisterialoom/platform/lease_manager.py
+++ b/src/wisterialoom/platform/lease_manager.py
@@ -11,17 +11,20 @@
     LeaseRecord,
     PlacementLease,
     ReadLease,
+    Revision,
     TakeLease,
-    WriteLease,
 )
+from wisterialoom.platform._tasks import wait_for
 from wisterialoom.platform.store import (
     ObjectConflictError,
+    StoreRestoredError,
     StoreUnavailableError,
 )
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from wisterialoom.core.fleet import LeaseStep, WriteLease
     from wisterialoom.platform.store import StoreClient, StoreObject
 
 __all__ = ["LeaseManager", "lease_clock"]
@@ -29,7 +32,13 @@
 logger = logging.getLogger(__name__)
 
 LEASE_KIND = "wisterialoom-leases"
-LEASE_NAME = "placement"
+
+ERA_WAIT_S = 1.0
+"""Maximum wait at the start for an answer that names the store's era.
+
+Other parts call the store at the start anyway. Without the era, the record of an
+earlier one would be read first.
+"""
 
 RENEWAL_TIMEOUT_S = 0.5
 """Timeout of a write to an existing lease record.
@@ -51,7 +60,7 @@
         store: Store that keeps the lease record.
         record_holder: Called with the name and address of the holder.
         on_taken: Called when this instance has taken the lease.
-        failures: Number of failed calls since the last successful write.
+        failures: Number of failed calls since the last answer.
     """
 
     def __init__(
@@ -69,21 +78,20 @@
 
     async def run(self) -> None:
         """Read, acquire and renew the lease until canceled."""
+        await wait_for(self.store.answered_event, ERA_WAIT_S)
         while True:
+            self.record_era()
             step = self.lease.step(lease_clock())
             if step is None:
                 await asyncio.sleep(0.05)
                 continue
-            sent_at = lease_clock()
             try:
-                if isinstance(step, ReadLease):
-                    found = await self.store.read(LEASE_KIND, LEASE_NAME)
-                    self._record_read(found)
-                    continue
-                written = await self._write_record(step.record, step.revision)
+                await self._carry_out(step)
+            except StoreRestoredError:
+                # The next round begins with the new era.
+                continue
             except ObjectConflictError:
                 self.lease.record_conflict(lease_clock())
-                continue
             except StoreUnavailableError as error:
                 self.lease.record_failure(lease_clock())
                 self.failures += 1
@@ -91,18 +99,46 @@
                     logger.warning("lease call failed", extra={"error": str(error)})
                 await asyncio.sleep(0.1)
                 continue
-            self.lease.record_write(
-                sent_at, lease_clock(), step.record, written.revision
-            )
             if self.failures:
                 logger.info("lease calls answered", extra={"failed": self.failures})
                 self.failures = 0
-            if isinstance(step, TakeLease):
-                self.on_taken()
+
+    def record_era(self) -> None:
+        """Give up a lease of an earlier era; the store has lost or may have lost it."""
+        held = self.lease.is_holder
+        if self.lease.record_era(lease_clock(), self.store.era) and held:
+            logger.warning(
+                "lease lost, the store was restored",
+                extra={"era": self.lease.era, "may_retake": self.lease.may_retake},
+            )
+
+    async def _carry_out(self, step: LeaseStep) -> None:
+        sent_at = lease_clock()
+        if isinstance(step, ReadLease):
+            found = await self.store.read(
+                LEASE_KIND, self._record_name(), era=self.lease.era
+            )
+            self._record_read(found)
+            return
+        written = await self._write_record(step.record, step.revision)
+        self.lease.record_write(
+            sent_at, lease_clock(), step.record, written.revision.number
+        )
+        if isinstance(step, TakeLease):
+            self.on_taken()
+
+    def _record_name(self) -> str:
+        """Return the name of this era's record.
+
+        A late write of an earlier era cannot change it, although the store assigns
+        the same revisions again.
+        """
+        era = self.lease.era
+        return f"placement-{era}" if era else "placement"
 
     def _record_read(self, found: StoreObject | None) -> None:
         record = _decode_record(found) if found is not None else None
-        revision = found.revision if found is not None else 0
+        revision = found.revision.number if found is not None else 0
         self.lease.record_read(lease_clock(), record, revision)
         if record is not None and not record.released:
             self.record_holder(record.holder, record.address)
@@ -116,10 +152,15 @@
             "serial": record.serial,
             "released": record.released,
         }
+        name, era = self._record_name(), self.lease.era
         if revision == 0:
-            return await self.store.create(LEASE_KIND, LEASE_NAME, spec)
+            return await self.store.create(LEASE_KIND, name, spec, era=era)
         return await self.store.replace(
-            LEASE_KIND, LEASE_NAME, spec, revision, timeout_s=RENEWAL_TIMEOUT_S
+            LEASE_KIND,
+            name,
+            spec,
+            Revision(era, revision),
+            timeout_s=RENEWAL_TIMEOUT_S,
         )
 
     async def release(self, release: WriteLease) -> bool:
@@ -133,7 +174,11 @@
         """
         try:
             await self._write_record(release.record, release.revision)
-        except (StoreUnavailableError, ObjectConflictError) as error:
+        except (
+            StoreUnavailableError,
+            StoreRestoredError,
+            ObjectConflictError,
+        ) as error:
             logger.warning(
                 "cannot release lease, others wait until it expires",
                 extra={"error": str(error)},
--- a/src/wisterialoom/platform/placement_controller.py
+++ b/src/wisterialoom/platform/placement_controller.py
@@ -86,6 +86,7 @@
         self.lease_manager = LeaseManager(
             lease, store, record_holder, self._on_lease_taken
         )
+        store.on_restore.append(self.lease_manager.record_era)
         self.orders = orders
         self.peers = peers
         self.dispatcher = dispatcher
--- a/src/wisterialoom/platform/relay.py
+++ b/src/wisterialoom/platform/relay.py
@@ -27,7 +27,9 @@
 )
 
 if TYPE_CHECKING:
-    from wisterialoom.core.fleet import TableEntry
+    from collections.abc import Callable
+
+    from wisterialoom.core.fleet import Revision, TableEntry
     from wisterialoom.platform.catalog import Catalog
     from wisterialoom.platform.peers import PeerLink
 
@@ -64,6 +66,7 @@
         me: Name of this instance.
         catalog: This instance's view of configuration and servers.
         peers: Datagrams between instances.
+        record_era: Called with the era of the store that a watcher names.
         role: Decides whether this instance reads the store.
         copy_requested_at: Monotonic time of the last request for a copy.
         sent_at: Monotonic time of the last `News` message.
@@ -76,16 +79,23 @@
     """
 
     def __init__(
-        self, me: str, catalog: Catalog, peers: PeerLink, *, slow_link: bool = False
+        self,
+        me: str,
+        catalog: Catalog,
+        peers: PeerLink,
+        record_era: Callable[[int], None],
+        *,
+        slow_link: bool = False,
     ) -> None:
         self.me = me
         self.catalog = catalog
         self.peers = peers
+        self.record_era = record_era
         self.role = WatcherRole(_rank(me, slow_link=slow_link))
         self.copy_requested_at = float("-inf")
         self.sent_at = float("-inf")
         self.packed_config: tuple[int, ConfigCopy] | None = None
-        self.parts: dict[tuple[str, int], dict[int, dict[str, TableEntry]]] = {}
+        self.parts: dict[tuple[str, Revision], dict[int, dict[str, TableEntry]]] = {}
         self.wake_event = asyncio.Event()
         self.tasks = TaskGroup()
         catalog.on_update = self.wake_event.set
@@ -155,6 +165,11 @@
         now = time.monotonic()
         catalog = self.catalog
         self.role.record_message(now, news.watcher, news.rank)
+        if news.revision.era < catalog.table.era_start.era:
+            # The watcher has yet to notice a restore of the store.
+            return
+        self.record_era(news.revision.era)
+        catalog.begin_era(news.revision)
         if news.changes:
             catalog.apply_entries(news.changes)
         differs = news.digest != catalog.table.digest
--- a/src/wisterialoom/platform/settings.py
+++ b/src/wisterialoom/platform/settings.py
@@ -85,6 +85,7 @@
         metrics_port: Port on which metrics are served; none if 0.
         bounds: Time limits and retry budgets.
         link_mbps: Rate of this machine's network link in Mbit/s.
+        first_start: Whether the whole system starts for the first time.
     """
 
     instance: str
@@ -97,6 +98,7 @@
     metrics_port: int
     bounds: Bounds
     link_mbps: float = 1000.0
+    first_start: bool = False
 
     @property
     def slow_link(self) -> bool:
@@ -156,6 +158,7 @@
                 metrics_port=0,
                 bounds=Bounds.from_table(table.get("bounds", {})),
                 link_mbps=float(table.get("limits", {}).get("linkMbps", 1000.0)),
+                first_start=bool(table.get("bootstrap", False)),
             )
         except (KeyError, IndexError, TypeError, ValueError, AttributeError) as error:
             raise SettingsError(
--- a/src/wisterialoom/platform/store.py
+++ b/src/wisterialoom/platform/store.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import logging
+from contextlib import contextmanager
 from dataclasses import dataclass
 from typing import Any, TYPE_CHECKING
 
@@ -11,9 +13,12 @@
 from aiohttp import ClientTimeout
 
 from wisterialoom.core.error import WisterialoomError
+from wisterialoom.core.fleet import Revision
 from wisterialoom.no_resend import no_resend, was_never_sent
 
 if TYPE_CHECKING:
+    from collections.abc import Callable, Iterator, Mapping
+
     from aiohttp import ClientSession
 
 __all__ = [
@@ -23,10 +28,19 @@
     "StoreClient",
     "StoreListing",
     "StoreObject",
+    "StoreRestoredError",
     "StoreUnavailableError",
     "WatchAnswer",
 ]
 
+logger = logging.getLogger(__name__)
+
+ERA_HEADER = "Store-Era"
+"""Number of times that the store was restored from a copy."""
+
+MAX_ERA = 2**31 - 1
+"""Largest era that is believed; fencing numbers made from it fit into 53 bits."""
+
 CALL_TIMEOUT_S = 1.5
 """Timeout of a call; a healthy store answers within some milliseconds."""
 
@@ -56,6 +70,13 @@
         self.ambiguous = ambiguous
 
 
+class StoreRestoredError(WisterialoomError):
+    """Raised when the store was restored after the revision that a call refers to.
+
+    A write that is answered with this may have been carried out in the new era.
+    """
+
+
 class HistoryGoneError(WisterialoomError):
     """Raised when the store no longer has the history since a revision."""
 
@@ -85,14 +106,15 @@
     """
 
     name: str
-    revision: int
+    revision: Revision
     spec: Any
 
     @classmethod
-    def from_wire(cls, item: Any) -> StoreObject:
+    def from_wire(cls, era: int, item: Any) -> StoreObject:
         """Decode an object; `spec` is not validated, as others write it too."""
         meta = item["metadata"]
-        return cls(str(meta["name"]), int(meta["revision"]), item.get("spec"))
+        revision = Revision(era, int(meta["revision"]))
+        return cls(str(meta["name"]), revision, item.get("spec"))
 
 
 @dataclass(frozen=True, slots=True)
@@ -105,7 +127,7 @@
     """
 
     objects: tuple[StoreObject, ...]
-    revision: int
+    revision: Revision
 
 
 @dataclass(frozen=True, slots=True)
@@ -120,7 +142,16 @@
 
     changed: tuple[StoreObject, ...]
     removed: tuple[str, ...]
-    revision: int
+    revision: Revision
+
+
+@dataclass(frozen=True, slots=True)
+class _Answer:
+    """Status, era and decoded body of an answer of the store."""
+
+    status: int
+    era: int
+    item: Any
 
 
 class StoreClient:
@@ -130,23 +161,54 @@
         address: `IP:port` of the store.
         session: HTTP client session.
         calls: Number of calls by purpose, for metrics.
+        era: Latest era of the store that an answer or another instance named; 0 if
+            the store names none.
+        answered_event: Set once the store has answered a call.
+        restores: Number of restores of the store that were noticed, for metrics.
+        on_restore: Called when the store is found to be restored.
+        bad_era_logged: Whether an era that cannot be read was logged.
     """
 
     def __init__(self, address: str, session: ClientSession) -> None:
         self.address = address
         self.session = session
         self.calls: dict[str, int] = {}
-
-    async def read(self, kind: str, name: str) -> StoreObject | None:
+        self.era = 0
+        self.answered_event = asyncio.Event()
+        self.restores = 0
+        self.on_restore: list[Callable[[], None]] = []
+        self.bad_era_logged = False
+
+    def record_era(self, era: int) -> None:
+        """Record an era of the store, which an answer or another instance named."""
+        if era <= self.era:
+            return
+        previous, self.era = self.era, era
+        if not self.answered_event.is_set():
+            return
+        self.restores += 1
+        logger.warning("store restored", extra={"era": era, "previous_era": previous})
+        for notify in self.on_restore:
+            notify()
+
+    async def read(
+        self, kind: str, name: str, *, era: int | None = None
+    ) -> StoreObject | None:
         """Return an object, or `None` if it does not exist.
 
+        Args:
+            kind: Kind of the object.
+            name: Name of the object.
+            era: Era in which it must be read; any if `None`.
+
         Raises:
+            StoreRestoredError: The store is in another era.
             StoreUnavailableError: The store did not answer, or rejected the call.
         """
-        status, item = await self._call("read", "GET", f"{kind}/{name}")
-        if status == 404:
+        answer = await self._call("read", "GET", f"{kind}/{name}", era=era)
+        if answer.status == 404:
             return None
-        return self._decode_object(status, item)
+        return self._decode_object(answer)
 
     async def list(
         self, kind: str, *, read_timeout_s: float = CALL_TIMEOUT_S
@@ -159,30 +221,40 @@
                 longer.
 
         Raises:
+            StoreRestoredError: The store was restored between two pages.
             StoreUnavailableError: The store did not answer, or rejected the call.
         """
         found: list[StoreObject] = []
         query = ""
+        era: int | None = None
         while True:
-            status, item = await self._call(
+            answer = await self._call(
                 "list",
                 "GET",
                 f"{kind}{query}",
                 timeout_s=PAGE_TIMEOUT_S,
                 read_timeout_s=read_timeout_s,
+                era=era,
             )
-            if status != 200:
+            era = answer.era
+            if answer.status != 200:
                 raise StoreUnavailableError(
-                    f"the store answered a list with status {status}", ambiguous=False
+                    f"the store answered a list with status {answer.status}",
+                    ambiguous=False,
                 )
-            page = [StoreObject.from_wire(entry) for entry in item["items"]]
+            with _malformed_as_unavailable("list"):
+                page = [
+                    StoreObject.from_wire(era, entry) for entry in answer.item["items"]
+                ]
+                # `at` is the revision of the store, from which a watch can continue.
+                revision = Revision(era, int(answer.item["at"]))
+                truncated = bool(answer.item.get("truncated"))
             found += page
-            # `at` is the revision of the store, from which a watch can continue.
-            if not item.get("truncated") or not page:
-                return StoreListing(tuple(found), int(item["at"]))
+            if not truncated or not page:
+                return StoreListing(tuple(found), revision)
             query = f"?after={page[-1].name}"
 
-    async def watch(self, kind: str, since: int, wait_s: float) -> WatchAnswer:
+    async def watch(self, kind: str, since: Revision, wait_s: float) -> WatchAnswer:
         """Wait for changes since a revision and return them.
 
         Args:
@@ -192,48 +264,59 @@
 
         Raises:
             HistoryGoneError: The history does not go back to the revision; list again.
+            StoreRestoredError: The store was restored since then; list again.
             StoreUnavailableError: The store did not answer, or rejected the call.
         """
-        path = f"{kind}?watch={since}&waitMs={int(wait_s * 1e3)}"
-        status, item = await self._call(
-            "watch", "GET", path, timeout_s=wait_s + WATCH_SLACK_S
+        path = f"{kind}?watch={since.number}&waitMs={int(wait_s * 1e3)}"
+        answer = await self._call(
+            "watch", "GET", path, timeout_s=wait_s + WATCH_SLACK_S, era=since.era
         )
-        if status == 410:
+        if answer.status == 410:
             raise HistoryGoneError("the store no longer has this history; list again")
-        if status != 200:
+        if answer.status != 200:
             raise StoreUnavailableError(
-                f"the store answered a watch with status {status}", ambiguous=False
+                f"the store answered a watch with status {answer.status}",
+                ambiguous=False,
             )
-        changed: list[StoreObject] = []
-        removed: list[str] = []
         latest: dict[str, StoreObject | None] = {}
-        for event in item.get("events", ()):
-            found = StoreObject.from_wire(event["object"])
-            latest[found.name] = None if event.get("removed") else found
-        for name, entry in latest.items():
-            if entry is None:
-                removed.append(name)
-            else:
-                changed.append(entry)
-        return WatchAnswer(tuple(changed), tuple(removed), int(item["at"]))
-
-    async def create(self, kind: str, name: str, spec: Any) -> StoreObject:
+        with _malformed_as_unavailable("watch"):
+            for event in answer.item.get("events", ()):
+                found = StoreObject.from_wire(answer.era, event["object"])
+                latest[found.name] = None if event.get("removed") else found
+            revision = Revision(answer.era, int(answer.item["at"]))
+        return WatchAnswer(
+            changed=tuple(entry for entry in latest.values() if entry is not None),
+            removed=tuple(name for name, entry in latest.items() if entry is None),
+            revision=revision,
+        )
+
+    async def create(
+        self, kind: str, name: str, spec: Any, *, era: int | None = None
+    ) -> StoreObject:
         """Create an object.
 
+        Args:
+            kind: Kind of the object.
+            name: Name of the object.
+            spec: Contents.
+            era: Era in which it must be created; any if `None`.
+
         Raises:
             ObjectConflictError: An object of that name exists.
+            StoreRestoredError: The store is in another era.
             StoreUnavailableError: The store did not answer, or rejected the call.
         """
         body = {"metadata": {"name": name}, "spec": spec}
-        status, item = await self._call("create", "POST", kind, body)
-        return self._decode_object(status, item)
+        return self._decode_object(
+            await self._call("create", "POST", kind, body, era=era)
+        )
 
     async def replace(
         self,
         kind: str,
         name: str,
         spec: Any,
-        revision: int | None = None,
+        revision: Revision | None = None,
         *,
         timeout_s: float = CALL_TIMEOUT_S,
     ) -> StoreObject:
@@ -248,16 +331,21 @@
 
         Raises:
             ObjectConflictError: The object has another revision.
+            StoreRestoredError: The store was restored since the revision.
             StoreUnavailableError: The store did not answer, or rejected the call.
         """
         meta: dict[str, Any] = {"name": name}
         if revision is not None:
-            meta["revision"] = revision
-        body = {"metadata": meta, "spec": spec}
-        status, item = await self._call(
-            "replace", "PUT", f"{kind}/{name}", body, timeout_s=timeout_s
+            meta["revision"] = revision.number
+        answer = await self._call(
+            "replace",
+            "PUT",
+            f"{kind}/{name}",
+            {"metadata": meta, "spec": spec},
+            timeout_s=timeout_s,
+            era=revision.era if revision is not None else None,
         )
-        return self._decode_object(status, item)
+        return self._decode_object(answer)
 
     async def delete(self, kind: str, name: str) -> None:
         """Delete an object; it is not an error if none exists.
@@ -265,25 +353,29 @@
         Raises:
             StoreUnavailableError: The store did not answer, or rejected the call.
         """
-        status, _ = await self._call("delete", "DELETE", f"{kind}/{name}")
-        if status not in (200, 202, 204, 404):
+        answer = await self._call("delete", "DELETE", f"{kind}/{name}")
+        if answer.status not in (200, 202, 204, 404):
             raise StoreUnavailableError(
-                f"the store answered a delete with status {status}", ambiguous=False
+                f"the store answered a delete with status {answer.status}",
+                ambiguous=False,
             )
 
-    def _decode_object(self, status: int, item: Any) -> StoreObject:
-        if status == 409:
+    def _decode_object(self, answer: _Answer) -> StoreObject:
+        item = answer.item
+        if answer.status == 409:
             current = None
             if isinstance(item, dict) and "metadata" in item:
-                current = StoreObject.from_wire(item)
+                with _malformed_as_unavailable("conflict"):
+                    current = StoreObject.from_wire(answer.era, item)
             raise ObjectConflictError(
                 "the object exists already or has changed; read it again", current
             )
-        if status not in (200, 201):
+        if answer.status not in (200, 201):
             raise StoreUnavailableError(
-                f"the store answered with status {status}", ambiguous=False
+                f"the store answered with status {answer.status}", ambiguous=False
             )
-        return StoreObject.from_wire(item)
+        with _malformed_as_unavailable("object"):
+            return StoreObject.from_wire(answer.era, item)
 
     async def _call(
         self,
@@ -294,7 +386,8 @@
         *,
         timeout_s: float = CALL_TIMEOUT_S,
         read_timeout_s: float | None = None,
-    ) -> tuple[int, Any]:
+        era: int | None = None,
+    ) -> _Answer:
         self.calls[purpose] = self.calls.get(purpose, 0) + 1
         try:
             async with (
@@ -314,18 +407,61 @@
             ):
                 data = await response.read()
                 status = response.status
+                answer_era = self._read_era(response.headers)
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
             raise StoreUnavailableError(
                 f"{purpose} failed: {error!r}", ambiguous=not was_never_sent(error)
             ) from error
+        if answer_era < self.era:
+            raise StoreUnavailableError(
+                f"the store answered {purpose} in era {answer_era}, before its "
+                f"restore that began era {self.era}; the answer is ignored",
+                ambiguous=True,
+            )
+        self.record_era(answer_era)
+        self.answered_event.set()
         if status in (429, 503):
             raise StoreUnavailableError(
                 f"the store answered {purpose} with status {status}", ambiguous=False
             )
+        if era is not None and answer_era != era:
+            raise StoreRestoredError(
+                f"the store was restored: {purpose} refers to era {era} and was "
+                f"answered in era {answer_era}; read again"
+            )
         try:
-            return status, orjson.loads(data) if data else None
+            return _Answer(status, answer_era, orjson.loads(data) if data else None)
         except orjson.JSONDecodeError as error:
             raise StoreUnavailableError(
                 f"the store answered {purpose} with text that is not JSON",
                 ambiguous=True,
             ) from error
+
+    def _read_era(self, headers: Mapping[str, str]) -> int:
+        """Return the era that an answer names, or the latest known one if unusable."""
+        text = headers.get(ERA_HEADER)
+        if text is None:
+            return self.era
+        if text.isascii() and text.isdigit() and len(text) <= len(str(MAX_ERA)):
+            era = int(text)
+            if era <= MAX_ERA:
+                return era
+        if not self.bad_era_logged:
+            self.bad_era_logged = True
+            logger.error(
+                "era of the store cannot be read, taken as unchanged",
+                extra={"header": text[:40], "era": self.era},
+            )
+        return self.era
+
+
+@contextmanager
+def _malformed_as_unavailable(purpose: str) -> Iterator[None]:
+    """Treat an answer that lacks fields, or has them of another type, as none."""
+    try:
+        yield
+    except (KeyError, TypeError, ValueError, AttributeError) as error:
+        raise StoreUnavailableError(
+            f"the store answered {purpose} with fields that cannot be read: {error!r}",
+            ambiguous=True,
+        ) from error
--- a/src/wisterialoom/platform/watcher.py
+++ b/src/wisterialoom/platform/watcher.py
@@ -7,15 +7,18 @@
 import time
 from typing import TYPE_CHECKING
 
+from wisterialoom.core.fleet import FIRST_REVISION
 from wisterialoom.platform.store import (
     CALL_TIMEOUT_S,
     HistoryGoneError,
+    StoreRestoredError,
     StoreUnavailableError,
 )
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from wisterialoom.core.fleet import Revision
     from wisterialoom.platform.store import (
         StoreClient,
         StoreListing,
@@ -62,7 +65,7 @@
         checked_at: Monotonic time at which the view was last known to be current.
         lost_since: Monotonic time of the first failed call since the last answer;
             `None` if the store answers.
-        revision: Revision of the view; 0 before the first list.
+        revision: Revision of the view; `FIRST_REVISION` before the first list.
         read_timeout_s: Read timeout of the next list.
         listed: Whether a list has been read from which watches can continue.
         active_event: Set while this instance reads the store itself.
@@ -84,7 +87,7 @@
         self.on_changes = on_changes
         self.checked_at = float("-inf")
         self.lost_since: float | None = None
-        self.revision = 0
+        self.revision = FIRST_REVISION
         self.read_timeout_s = FIRST_READ_TIMEOUT_S
         self.listed = False
         self.active_event = asyncio.Event()
@@ -105,10 +108,16 @@
                 logger.info(
                     "store history expired, listing again", extra={"kind": self.kind}
                 )
+            except StoreRestoredError as error:
+                self.listed = False
+                logger.warning(
+                    "store restored, listing again",
+                    extra={"kind": self.kind, "error": str(error)},
+                )
             except StoreUnavailableError as error:
                 self._record_failure(error)
                 await asyncio.sleep(pause_s)
-                if self.revision:
+                if self.revision > FIRST_REVISION:
                     pause_s = min(MAX_RETRY_S, pause_s * 2)
                 self.read_timeout_s = min(MAX_READ_TIMEOUT_S, 2 * self.read_timeout_s)
 
@@ -125,7 +134,7 @@
             # only this instance saw is irrelevant.
             self.lost_since = None
 
-    def confirm(self, revision: int) -> None:
+    def confirm(self, revision: Revision) -> None:
         """Record that another instance confirmed the view at a revision."""
         self.revision = max(self.revision, revision)
 
--- a/tests/platform/fakes.py
+++ b/tests/platform/fakes.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import copy
 import itertools
 import os
 import socket
@@ -16,10 +17,28 @@
     from collections.abc import Mapping
 
 
+@dataclass(frozen=True)
+class StoreCopy:
+    """Contents of a store at one moment.
+
+    Attributes:
+        revision: Revision of the last change.
+        objects: Objects by kind and name.
+        outside_writes: Number of writes of the operator and of servers until then.
+    """
+
+    revision: int
+    objects: dict[str, dict[str, dict[str, Any]]]
+    outside_writes: int
+
+
 class FakeStore:
     """Object store with one revision counter, conditional writes and watches.
 
     Attributes:
+        era: Value of `Store-Era` in all answers, or `None` if there is none.
+        outside_writes: Kind, name and contents of what the operator and servers wrote;
+            `None` instead of contents for what they removed.
         revision: Revision of the last change.
         objects: Objects by kind and name.
         history: Revision, kind, object and removal flag of each change.
@@ -30,7 +49,9 @@
         calls: Number of calls by method and kind.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, era: str | None = "1") -> None:
+        self.era = era
+        self.outside_writes: list[tuple[str, str, Any]] = []
         self.revision = 1
         self.objects: dict[str, dict[str, dict[str, Any]]] = {}
         self.history: list[tuple[int, str, dict[str, Any], bool]] = []
@@ -44,6 +65,7 @@
 
     async def start(self) -> None:
         app = web.Application()
+        app.on_response_prepare.append(self.add_era)
         app.router.add_route("*", "/v1/objects/{kind}", self.on_kind)
         app.router.add_route("*", "/v1/objects/{kind}/{name}", self.on_object)
         self.runner, self.address = await serve(app)
@@ -52,8 +74,47 @@
         assert self.runner is not None
         await self.runner.cleanup()
 
+    async def add_era(self, _: web.Request, response: web.StreamResponse) -> None:
+        if self.era is not None:
+            response.headers["Store-Era"] = self.era
+
+    def copy(self) -> StoreCopy:
+        """Return a copy to restore from."""
+        return StoreCopy(
+            self.revision, copy.deepcopy(self.objects), len(self.outside_writes)
+        )
+
+    async def restore(self, from_copy: StoreCopy) -> list[tuple[str, str, Any]]:
+        """Go back to a copy, of which revisions are assigned again.
+
+        Returns:
+            What the operator and servers wrote since then.
+        """
+        async with self.changed:
+            self.era = str(int(self.era or "0") + 1)
+            self.revision = from_copy.revision
+            self.objects = copy.deepcopy(from_copy.objects)
+            self.history.clear()
+            self.oldest = self.revision
+            lost = self.outside_writes[from_copy.outside_writes :]
+            del self.outside_writes[from_copy.outside_writes :]
+            self.changed.notify_all()
+        return lost
+
+    async def write_again(self, lost: list[tuple[str, str, Any]]) -> None:
+        """Write what the operator and servers had written, as they do themselves."""
+        for kind, name, spec in lost:
+            if spec is not None:
+                await self.put(kind, name, spec)
+            else:
+                await self.remove(kind, name)
+
     async def put(self, kind: str, name: str, spec: Any) -> dict[str, Any]:
         """Write an object, as the operator or a server does."""
+        self.outside_writes.append((kind, name, spec))
+        return await self.change(kind, name, spec)
+
+    async def change(self, kind: str, name: str, spec: Any) -> dict[str, Any]:
         async with self.changed:
             self.revision += 1
             old = self.objects.setdefault(kind, {}).get(name)
@@ -72,6 +133,7 @@
             return item
 
     async def remove(self, kind: str, name: str) -> None:
+        self.outside_writes.append((kind, name, None))
         async with self.changed:
             item = self.objects.get(kind, {}).pop(name, None)
             if item is None:
@@ -133,13 +195,13 @@
         async with self.changed:
             try:
                 async with asyncio.timeout(wait_s):
-                    while not events() and since >= self.oldest:
+                    while not events() and self.oldest <= since <= self.revision:
                         await self.changed.wait()
             except TimeoutError:
                 pass
         if self.mode == "down":
             return web.Response(status=503)
-        if since < self.oldest:
+        if since < self.oldest or since > self.revision:
             return web.Response(status=410)
         return answer({"events": events(), "at": self.revision})
 
@@ -167,7 +229,7 @@
     async def write(
         self, kind: str, name: str, spec: Any, request: web.Request
     ) -> web.StreamResponse:
-        item = await self.put(kind, name, spec)
+        item = await self.change(kind, name, spec)
         if self.mode == "lose":
             assert request.transport is not None
             request.transport.close()
--- a/tests/platform/test_app.py
+++ b/tests/platform/test_app.py
@@ -69,6 +69,7 @@
         "peer_port": free_port(socket.SOCK_DGRAM),
         "metrics_port": free_port(),
         "bounds": Bounds(fenced=True, lease_s=1.0, grace_s=3.0),
+        "first_start": True,
     }
     return PlatformSettings(**(values | changes))  # type: ignore[arg-type]
 
--- a/tests/platform/test_process.py
+++ b/tests/platform/test_process.py
@@ -33,6 +33,7 @@
 nodeName = "{name}"
 ip = "127.0.0.1"
 zone = "zone-a"
+bootstrap = true
 internalPorts = [{peer}, {peer}]
 [listen]
 front = "127.0.0.1:{front}"
@@ -121,10 +122,12 @@
         assert (await instance.call(session, "/deposit/"))[0] == 200
         assert (await instance.call(session, "/draft/", Model="m3"))[0] == 200
         assert await instance.end(signal.SIGKILL) == -signal.SIGKILL
-        first_epoch = store.objects["wisterialoom-leases"]["placement"]["spec"]["epoch"]
+        first_epoch = store.objects["wisterialoom-leases"]["placement-1"]["spec"][
+            "epoch"
+        ]
         await instance.start(session)
         assert (await instance.call(session, "/draft/", Model="m4"))[0] == 200
-        spec = store.objects["wisterialoom-leases"]["placement"]["spec"]
+        spec = store.objects["wisterialoom-leases"]["placement-1"]["spec"]
         assert spec["epoch"] > first_epoch
         assert await instance.end(signal.SIGTERM) == 0
 
@@ -144,7 +147,7 @@
         status, body = await task
         assert status == 200
         assert body.count(b"id:") == 40
-        spec = store.objects["wisterialoom-leases"]["placement"]["spec"]
+        spec = store.objects["wisterialoom-leases"]["placement-1"]["spec"]
         assert spec["released"]
 
 
--- a/tests/platform/test_relay.py
+++ b/tests/platform/test_relay.py
@@ -6,6 +6,8 @@
 from contextlib import asynccontextmanager
 from typing import Any, TYPE_CHECKING
 
+import pytest
+
 from tests.platform.fakes import (
     addresses,
     config,
@@ -17,6 +19,7 @@
     READY_PORT,
 )
 from tests.platform.test_app import settings, wait_until
+from wisterialoom.core.fleet import Revision, TableEntry
 from wisterialoom.platform.app import PlatformApp
 from wisterialoom.platform.hints import (
     ConfigCopy,
@@ -142,13 +145,14 @@
         assert not follower.relay.role.active
 
 
-def test_relay_messages_are_unchanged_by_encoding_and_decoding():
-    entries: dict[str, Any] = {}
+@pytest.mark.parametrize("revision", [Revision(0, 9), Revision(3, 9)])
+def test_relay_messages_are_unchanged_by_encoding_and_decoding(revision: Revision):
+    entries: dict[str, Any] = {"i-1": TableEntry(revision, None, changed_at=0.0)}
     for hint in (
-        News("front-1", 5, 0.25, 0.5, 3, 8, 9, 77, entries),
+        News("front-1", 5, 0.25, 0.5, 3, revision, revision, 77, entries),
         CopyWanted("front-1", 3, 77),
         ConfigCopy.from_spec(config()),
-        ServersCopy("front-1", 9, 0, 1, entries),
+        ServersCopy("front-1", revision, 0, 1, entries),
     ):
         assert decode_hint(encode_hint(hint)) == hint
     assert ConfigCopy.from_spec(config()).unpack() == config()
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -23,28 +23,40 @@
 @click.option(
     "--keep", default=None, type=click.Path(path_type=Path), help="Folder for logs."
 )
-def main(first: int | None, seeds: int, jobs: int, keep: Path | None) -> None:
+@click.option(
+    "--restores/--no-restores",
+    default=True,
+    help="Whether the store is also restored from copies.",
+)
+def main(
+    first: int | None, seeds: int, jobs: int, keep: Path | None, *, restores: bool
+) -> None:
     """Run seeds and print the violated promises; logs are written to `--keep`."""
     # The fake servers log an error for each connection that a fault closes.
     logging.getLogger("aiohttp.server").setLevel(logging.CRITICAL)
     first_seed = int(time.time()) if first is None else first
     folder = keep or Path(tempfile.mkdtemp(prefix="soak-"))
-    failed = asyncio.run(_run_all(range(first_seed, first_seed + seeds), jobs, folder))
+    chosen = range(first_seed, first_seed + seeds)
+    failed = asyncio.run(_run_all(chosen, jobs, folder, restores=restores))
     click.echo(f"{seeds} seeds from {first_seed}, {failed} failed, logs in {folder}")
     raise SystemExit(1 if failed else 0)
 
 
-async def _run_all(seeds: range, jobs: int, folder: Path) -> int:
+async def _run_all(seeds: range, jobs: int, folder: Path, *, restores: bool) -> int:
     slots = asyncio.Semaphore(jobs)
-    results = await asyncio.gather(*(_run_seed(seed, slots, folder) for seed in seeds))
+    results = await asyncio.gather(
+        *(_run_seed(seed, slots, folder, restores=restores) for seed in seeds)
+    )
     return sum(results)
 
 
-async def _run_seed(seed: int, slots: asyncio.Semaphore, folder: Path) -> int:
+async def _run_seed(
+    seed: int, slots: asyncio.Semaphore, folder: Path, *, restores: bool
+) -> int:
     async with slots:
         logs = folder / str(seed)
         logs.mkdir(parents=True)
-        checker = await SoakRun(seed, logs).run()
+        checker = await SoakRun(seed, logs, restores=restores).run()
         answers = {name: checker.answers[name] for name in sorted(checker.answers)}
         click.echo(
             f"seed {seed}: {'FAILED' if checker.violations else 'passed'} {answers}"
@@ -52,7 +64,7 @@
         for violation in checker.violations[:20]:
             click.echo(f"    {violation[:300]}")
         if checker.violations:
-            for at, fault in draw_faults(seed):
+            for at, fault in draw_faults(seed, restores=restores):
                 click.echo(f"    {at:5.2f} s {fault}")
         return bool(checker.violations)
 
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -9,6 +9,7 @@
 
 __all__ = [
     "INSTANCES",
+    "MAX_COPY_AGE_S",
     "MODEL_SERVERS",
     "PLAIN_SERVERS",
     "Configure",
@@ -21,6 +22,7 @@
     "Pause",
     "Reload",
     "Replace",
+    "RestoreStore",
     "Stop",
     "StoreMode",
     "draw_faults",
@@ -30,6 +32,9 @@
 MODEL_SERVERS = 3
 PLAIN_SERVERS = 2
 
+MAX_COPY_AGE_S = 5.0
+"""Maximum age of a copy that the store is restored from."""
+
 FAULTS_S = 6.0
 """Period in which faults start."""
 
@@ -93,6 +98,19 @@
     """Makes the store drop its history of changes."""
 
 
+@dataclass(frozen=True, slots=True)
+class RestoreStore:
+    """Takes the store away and restores it from an older copy.
+
+    What the operator and the servers wrote since then is written again; what the
+    instances wrote is lost.
+    """
+
+    copy_age_s: float
+    down_s: float
+    write_again_after_s: float
+
+
 @dataclass(frozen=True, slots=True)
 class ServerConnectionFault:
     """Injects a fault into the connections to a backend server."""
@@ -124,19 +142,39 @@
     | StoreConnectionFault
     | StoreMode
     | ForgetHistory
+    | RestoreStore
     | ServerConnectionFault
     | Replace
     | Configure
 )
 
 
-def draw_faults(seed: int) -> list[tuple[float, Fault]]:
-    """Return the faults of a seed with their start times, in order."""
+def draw_faults(seed: int, *, restores: bool = False) -> list[tuple[float, Fault]]:
+    """Return the faults of a seed with their start times, in order.
+
+    Args:
+        seed: The seed.
+        restores: Whether the store is also restored from copies, once or more.
+    """
     rng = random.Random(seed)
     faults = [(rng.uniform(0.0, FAULTS_S), _draw_fault(rng)) for _ in range(9)]
+    if restores:
+        rng = random.Random(f"restores of {seed}")
+        faults += [
+            (rng.uniform(0.0, FAULTS_S), _draw_restore(rng))
+            for _ in range(rng.randint(1, 3))
+        ]
     return sorted(faults, key=lambda fault: fault[0])
 
 
+def _draw_restore(rng: random.Random) -> RestoreStore:
+    return RestoreStore(
+        copy_age_s=rng.uniform(0.5, MAX_COPY_AGE_S),
+        down_s=rng.choice([0.0, rng.uniform(0.1, 2.0)]),
+        write_again_after_s=rng.uniform(0.0, 1.5),
+    )
+
+
 def _draw_fault(rng: random.Random) -> Fault:
     instance = rng.randrange(INSTANCES)
     server = rng.randrange(MODEL_SERVERS + PLAIN_SERVERS)
--- a/tests/soak/soak_run.py
+++ b/tests/soak/soak_run.py
@@ -9,6 +9,7 @@
 import random
 import signal
 import sys
+from collections import deque
 from pathlib import Path
 from typing import assert_never, TYPE_CHECKING
 
@@ -34,6 +35,8 @@
 if TYPE_CHECKING:
     from collections.abc import Iterator
 
+    from tests.platform.fakes import StoreCopy
+
 __all__ = ["SoakRun"]
 
 ROOT = Path(__file__).resolve().parents[2]
@@ -44,6 +47,9 @@
 CALL_PAUSE_S = 0.02
 DEADLINE_MS = 3000
 
+COPY_INTERVAL_S = 0.25
+COPIES = int(faults.MAX_COPY_AGE_S / COPY_INTERVAL_S) + 1
+
 RECOVERY_TIMEOUT_S = 12.0
 """Time after the last fault within which all instances must serve all routes again."""
 
@@ -124,10 +130,16 @@
         proxies: Proxy in front of each server by position.
         retired: Servers that were replaced, with their proxies.
         fault_counts: Number of faults injected into each proxy.
+        restores: Whether the store is also restored from copies.
+        copies: Copies of the store with the times at which they were made.
+        store_lock: Held while a fault takes the whole store away.
     """
 
-    def __init__(self, seed: int, folder: Path) -> None:
+    def __init__(self, seed: int, folder: Path, *, restores: bool = False) -> None:
         self.seed = seed
+        self.restores = restores
+        self.copies: deque[tuple[float, StoreCopy]] = deque(maxlen=COPIES)
+        self.store_lock = asyncio.Lock()
         self.folder = folder
         self.checker = PromiseChecker()
         self.store = FakeStore()
@@ -156,7 +168,9 @@
             callers = [
                 asyncio.create_task(self.call_repeatedly()) for _ in range(CALLERS)
             ]
+            copying = asyncio.create_task(self.copy_store_repeatedly())
             await self.inject_faults()
+            copying.cancel()
             await self.check_all_serve("recovery")
             for caller in callers:
                 caller.cancel()
@@ -225,7 +239,7 @@
         """Inject the faults of the seed, which may overlap."""
         started = asyncio.get_running_loop().time()
         async with asyncio.TaskGroup() as group:
-            for at, fault in faults.draw_faults(self.seed):
+            for at, fault in faults.draw_faults(self.seed, restores=self.restores):
                 now = asyncio.get_running_loop().time()
                 await asyncio.sleep(max(0.0, started + at - now))
                 group.create_task(self.inject_fault(fault))
@@ -261,12 +275,8 @@
                 await self.inject_connection_fault(
                     self.instances[number].proxy, fault_kind, for_s
                 )
-            case faults.StoreMode(mode=mode, for_s=for_s):
-                self.store.mode = mode
-                await asyncio.sleep(for_s)
-                self.store.mode = "ok"
-            case faults.ForgetHistory():
-                await self.store.forget_history()
+            case faults.StoreMode() | faults.RestoreStore() | faults.ForgetHistory():
+                await self.inject_store_fault(fault)
             case faults.ServerConnectionFault(
                 server=position, fault_kind=fault_kind, for_s=for_s
             ):
@@ -281,6 +291,44 @@
             case _:
                 assert_never(fault)
 
+    async def inject_store_fault(
+        self, fault: faults.StoreMode | faults.RestoreStore | faults.ForgetHistory
+    ) -> None:
+        """Inject a fault of the store itself; outages and restores do not overlap."""
+        match fault:
+            case faults.StoreMode(mode=mode, for_s=for_s):
+                async with self.store_lock:
+                    self.store.mode = mode
+                    await asyncio.sleep(for_s)
+                    self.store.mode = "ok"
+            case faults.RestoreStore():
+                async with self.store_lock:
+                    await self.restore_store(fault)
+            case faults.ForgetHistory():
+                await self.store.forget_history()
+
+    async def copy_store_repeatedly(self) -> None:
+        """Make copies of the store from which it can be restored."""
+        while True:
+            now = asyncio.get_running_loop().time()
+            self.copies.append((now, self.store.copy()))
+            await asyncio.sleep(COPY_INTERVAL_S)
+
+    async def restore_store(self, fault: faults.RestoreStore) -> None:
+        """Take the store away, and restore it from a copy of about the given age."""
+        newest_at = asyncio.get_running_loop().time() - fault.copy_age_s
+        copies = [copy for at, copy in self.copies if at <= newest_at]
+        copy = copies[-1] if copies else self.copies[0][1]
+        if fault.down_s:
+            self.store.mode = "down"
+            await asyncio.sleep(fault.down_s)
+        lost = await self.store.restore(copy)
+        self.copies.clear()
+        self.copies.append((newest_at, copy))
+        self.store.mode = "ok"
+        await asyncio.sleep(fault.write_again_after_s)
+        await self.store.write_again(lost)
+
     async def inject_connection_fault(
         self, proxy: FaultProxy, fault_kind: ConnectionFault, for_s: float
     ) -> None:
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -29,6 +29,9 @@
 """Seeds that have failed, each with the cause."""
 
 
+RESTORE_SEEDS = [1, 2]
+
+
 @pytest.mark.parametrize("seed", [*FIXED_SEEDS, *FAILED_SEEDS])
 async def test_promises_hold_under_faults(seed: int, tmp_path: Path):
     checker = await SoakRun(seed, tmp_path).run()
@@ -37,6 +40,14 @@
     assert checker.answers["draft 200"] > 20
 
 
+@pytest.mark.parametrize("seed", RESTORE_SEEDS)
+async def test_promises_hold_while_the_store_is_restored(seed: int, tmp_path: Path):
+    checker = await SoakRun(seed, tmp_path, restores=True).run()
+    assert checker.violations == []
+    assert checker.answers["deposit 200"] > 20
+    assert checker.answers["draft 200"] > 20
+
+
 def test_a_seed_reproduces_the_same_faults():
     assert draw_faults(5) == draw_faults(5)
     assert draw_faults(5) != draw_faults(6)
--- a/tests/test_placement_lease.py
+++ b/tests/test_placement_lease.py
@@ -30,8 +30,12 @@
         return True
 
 
-def make(name: str, *, fenced: bool = True, boot: str = "b1") -> PlacementLease:
-    return PlacementLease(name, boot, "10.0.0.1", LEASE_S, fenced=fenced)
+def make(
+    name: str, *, fenced: bool = True, boot: str = "b1", first_start: bool = True
+) -> PlacementLease:
+    return PlacementLease(
+        name, boot, "10.0.0.1", LEASE_S, fenced=fenced, first_start=first_start
+    )
 
 
 def play(lease: PlacementLease, store: Store, now: float) -> None:
@@ -200,7 +204,9 @@
 
 def test_instance_with_a_slow_link_takes_the_lease_after_others():
     """A holder's messages to 77 instances delayed its renewals; it lost the lease."""
-    slow = PlacementLease("s", "b1", "10.0.0.1", LEASE_S, fenced=True, slow_link=True)
+    slow = PlacementLease(
+        "s", "b1", "10.0.0.1", LEASE_S, fenced=True, slow_link=True, first_start=True
+    )
     store = Store()
     play(slow, store, 0.0)
     assert isinstance(slow.step(0.5), ReadLease) or slow.step(0.5) is None
@@ -213,7 +219,9 @@
 
 
 def test_instance_with_a_slow_link_takes_the_lease_if_no_other_does():
-    slow = PlacementLease("s", "b1", "10.0.0.1", LEASE_S, fenced=True, slow_link=True)
+    slow = PlacementLease(
+        "s", "b1", "10.0.0.1", LEASE_S, fenced=True, slow_link=True, first_start=True
+    )
     store = Store()
     now = 0.0
     while store.record is None and now < 2.0:
--- a/tests/test_server_table.py
+++ b/tests/test_server_table.py
@@ -7,7 +7,7 @@
 
 from hypothesis import given, strategies as st
 
-from wisterialoom.core.fleet import ServerTable
+from wisterialoom.core.fleet import Revision, ServerTable
 from wisterialoom.core.serving.backend import BackendServer, ResidentModel
 
 SERVER = BackendServer(
@@ -23,41 +23,45 @@
 )
 
 
+def at(number: int, era: int = 1) -> Revision:
+    return Revision(era, number)
+
+
 def test_older_entry_does_not_replace_a_newer_one():
     table = ServerTable()
-    assert table.put(1.0, 7, replace(SERVER, draining=True))
-    assert not table.put(2.0, 6, SERVER)
+    assert table.put(1.0, at(7), replace(SERVER, draining=True))
+    assert not table.put(2.0, at(6), SERVER)
     assert table.servers["i-1"].draining
 
 
 def test_late_entry_does_not_restore_a_removed_server():
     table = ServerTable()
-    table.put(1.0, 5, SERVER)
-    assert table.remove(2.0, 8, "i-1")
-    assert not table.put(3.0, 7, SERVER)
+    table.put(1.0, at(5), SERVER)
+    assert table.remove(2.0, at(8), "i-1")
+    assert not table.put(3.0, at(7), SERVER)
     assert table.servers == {}
-    assert table.put(4.0, 9, SERVER)
+    assert table.put(4.0, at(9), SERVER)
     assert set(table.servers) == {"i-1"}
 
 
 def test_removal_is_kept_until_no_late_message_can_arrive():
     table = ServerTable()
-    table.put(1.0, 5, SERVER)
-    table.remove(2.0, 8, "i-1")
-    table.forget_removed(10.0)
+    table.put(1.0, at(5), SERVER)
+    table.remove(2.0, at(8), "i-1")
+    table.forget_old(10.0)
     assert "i-1" in table.entries
-    table.forget_removed(40.0)
+    table.forget_old(40.0)
     assert table.entries == {}
 
 
 def test_change_of_resident_models_is_not_announced():
     table = ServerTable()
-    table.put(1.0, 5, SERVER)
+    table.put(1.0, at(5), SERVER)
     digest = table.digest
-    table.put(9.0, 6, replace(SERVER, models=(), order_count=3))
+    table.put(9.0, at(6), replace(SERVER, models=(), order_count=3))
     assert table.digest == digest
     assert table.changed_since(5.0) == {}
-    table.put(10.0, 7, replace(SERVER, started_ms=6))
+    table.put(10.0, at(7), replace(SERVER, started_ms=6))
     assert table.digest != digest
     assert set(table.changed_since(5.0)) == {"i-1"}
 
@@ -65,9 +69,9 @@
 def test_listed_servers_are_not_announced_as_changes():
     """When 77 instances started, each used to announce every server to all others."""
     table = ServerTable()
-    table.put(1.0, 5, SERVER, listed=True)
+    table.put(1.0, at(5), SERVER, listed=True)
     assert table.changed_since(0.0) == {}
-    table.put(2.0, 6, replace(SERVER, draining=True))
+    table.put(2.0, at(6), replace(SERVER, draining=True))
     assert set(table.changed_since(0.0)) == {"i-1"}
 
 
@@ -78,15 +82,15 @@
         for step in steps:
             match step:
                 case 0:
-                    table.put(1.0, 3, SERVER)
+                    table.put(1.0, at(3), SERVER)
                 case 1:
-                    table.put(1.0, 4, replace(SERVER, draining=True))
+                    table.put(1.0, at(4), replace(SERVER, draining=True))
                 case 2:
-                    table.remove(1.0, 5, "i-1")
+                    table.remove(1.0, at(5), "i-1")
                 case 3:
-                    table.put(1.0, 6, replace(SERVER, started_ms=9))
+                    table.put(1.0, at(6), replace(SERVER, started_ms=9))
                 case 4:
-                    table.put(1.0, 3, replace(SERVER, id="i-2"))
+                    table.put(1.0, at(3), replace(SERVER, id="i-2"))
         return table
 
     straight = play(list(range(5)))
@@ -100,6 +104,83 @@
     for order in itertools.permutations(servers):
         table = ServerTable()
         for revision, server in enumerate(order):
-            table.put(1.0, revision + 1, server)
+            table.put(1.0, at(revision + 1), server)
         digests.add(table.digest)
     assert len(digests) == 1
+
+
+def restored_table(*, listed: int = 90) -> ServerTable:
+    """Return a table whose store was restored from a copy of revision `listed`."""
+    table = ServerTable()
+    table.put(1.0, at(80), SERVER)
+    table.put(2.0, at(100), replace(SERVER, draining=True))
+    table.put(1.0, at(81), replace(SERVER, id="i-2"))
+    table.remove(2.0, at(101), "i-2")
+    table.put(2.0, at(102), replace(SERVER, id="i-3"))
+    assert table.begin_era(5.0, at(listed, era=2))
+    table.put(5.0, at(80, era=2), SERVER, listed=True)
+    table.put(5.0, at(81, era=2), replace(SERVER, id="i-2"), listed=True)
+    return table
+
+
+def test_server_that_was_draining_stays_so_after_a_restore():
+    table = restored_table()
+    assert table.servers["i-1"].draining
+    # A replay of what it wrote before does not bring it back either.
+    table.put(6.0, at(93, era=2), SERVER)
+    assert table.servers["i-1"].draining
+    table.put(7.0, at(94, era=2), replace(SERVER, started_ms=9))
+    assert not table.servers["i-1"].draining
+
+
+def test_server_that_had_left_is_not_brought_back_by_a_restore():
+    table = restored_table()
+    assert "i-2" not in table.servers
+    # Only a server that runs writes its entry again.
+    table.put(6.0, at(95, era=2), replace(SERVER, id="i-2"))
+    assert "i-2" in table.servers
+
+
+def test_server_that_the_copy_lacks_is_kept_after_a_restore():
+    table = restored_table()
+    assert "i-3" in table.servers
+
+
+def test_earlier_start_in_the_copy_does_not_replace_a_restarted_server():
+    table = ServerTable()
+    table.put(1.0, at(80), replace(SERVER, started_ms=9, address="10.0.0.9:80"))
+    table.begin_era(5.0, at(90, era=2))
+    table.put(5.0, at(70, era=2), SERVER, listed=True)
+    assert table.servers["i-1"].address == "10.0.0.9:80"
+    table.put(6.0, at(91, era=2), replace(SERVER, started_ms=10))
+    assert table.servers["i-1"].started_ms == 10
+
+
+def test_revisions_of_an_earlier_era_change_nothing():
+    table = restored_table()
+    assert not table.put(6.0, at(500), replace(SERVER, slots=99))
+    assert not table.remove(6.0, at(500), "i-1")
+
+
+def test_digest_after_a_restore_covers_what_the_store_lists():
+    """Instances with different memories would otherwise request copies forever."""
+    fresh = ServerTable()
+    fresh.begin_era(5.0, at(90, era=2))
+    fresh.put(5.0, at(80, era=2), SERVER, listed=True)
+    fresh.put(5.0, at(81, era=2), replace(SERVER, id="i-2"), listed=True)
+    remembering = restored_table()
+    remembering.remove(9.0, at(95, era=2), "i-3")
+    assert fresh.servers != remembering.servers
+    assert fresh.digest == remembering.digest
+
+
+def test_knowledge_survives_several_restores_in_a_row_and_then_expires():
+    table = restored_table()
+    table.begin_era(8.0, at(85, era=3))
+    table.put(8.0, at(80, era=3), SERVER, listed=True)
+    table.put(8.0, at(81, era=3), replace(SERVER, id="i-2"), listed=True)
+    assert table.servers["i-1"].draining
+    assert "i-2" not in table.servers
+    assert not table.forget_old(20.0)
+    assert table.forget_old(60.0)
+    assert set(table.servers) >= {"i-1", "i-2"}
