Find instances through the holder of the lease, and read its record rarely

By the code, each of 195 instances registers itself and lists all members at its start (five calls), all read the lease record at the start and try to take it, and all read it each 0.75 s while the holder is silent.

Ruled out: stale lists of the members; instances that start together would miss each other.

Change: the lease record names the holder, who learns of an instance from its first demand report and announces all to all; reads of the record are spread by a hash and wait until the lease can be taken; an instance that knows three others of lower rank leaves the watch to them at its start.

Tests that failed before: start and loss of the holder with 195 instances, watchers of 195 that know each other.

--- a/src/wisterialoom/core/fleet/placement_lease.py
+++ b/src/wisterialoom/core/fleet/placement_lease.py
@@ -50,9 +50,13 @@
 """
 
 SUSPEND_S = 1.0
-"""Time between two steps from which a suspension of the process is inferred.
+"""Time between two steps from which a suspension of the process is inferred."""
 
-There are 20 steps per second.
+STEP_INTERVAL_S = 0.05
+IDLE_STEP_INTERVAL_S = 0.2
+"""Times between two steps; the longer one while nothing is due.
+
+Nothing is due to other instances while they hear the holder.
 """
 
 HOLDER_TIMEOUT_SHARE = 0.3
@@ -74,11 +78,11 @@
 ERA_SHIFT = 20
 """Bits of a fencing token below the era; a million holders in one era."""
 
-STAGGER_S = 0.3
+STAGGER_S = 1.0
 """Maximum additional delay before taking the lease.
 
-The delay is derived from the name of the instance and the epoch, so that instances do
-not compete for the lease at the same time.
+The delay is derived from the name of the instance and the epoch, so that of 200
+instances only some read the record before the first of them has taken the lease.
 """
 
 
@@ -169,6 +173,7 @@
         next_renewal: Time of the next renewal.
         takeover_delay_s: Additional delay before this instance takes the lease.
         first_read_at: Time of the first read, or of the first one after a conflict.
+        start_spread_s: Time over which the first reads of instances are spread.
     """
 
     def __init__(
@@ -181,6 +186,7 @@
         fenced: bool,
         slow_link: bool = False,
         first_start: bool = False,
+        start_spread_s: float = 0.0,
     ) -> None:
         self.me = me
         self.boot = boot
@@ -207,6 +213,7 @@
         self.next_renewal = float("-inf")
         self.takeover_delay_s = SLOW_LINK_DELAY_S if slow_link else 0.0
         self.first_read_at = float("-inf")
+        self.start_spread_s = start_spread_s
 
     def is_valid(self, now: float) -> bool:
         """Return whether this process may send an order now."""
@@ -224,6 +231,8 @@
 
     def step(self, now: float) -> LeaseStep | None:
         """Return the store call to make now, if any."""
+        if self.stepped_at == float("-inf"):
+            self.next_read = now + self.start_spread_s * self._jitter()
         if now - self.stepped_at >= SUSPEND_S:
             self.extended_until = float("-inf")
         self.stepped_at = now
@@ -237,12 +246,33 @@
             epoch = max(self.last_epoch, self.epoch, self.era << ERA_SHIFT) + 1
             taken = LeaseRecord(self.me, self.boot, epoch, self.address)
             return TakeLease(taken, self.revision)
-        holder_seen = now - self.holder_seen_at < HOLDER_TIMEOUT_SHARE * self.lease_s
-        if holder_seen or now < self.next_read:
+        if now < self.next_read or now < self._holder_expected_until():
             return None
         self.next_read = now + READ_SHARE * self.lease_s
         return ReadLease()
 
+    def pause_s(self, now: float) -> float:
+        """Return the time until the next step in seconds."""
+        if self.is_holder:
+            left_s = self.next_renewal - now
+            return min(IDLE_STEP_INTERVAL_S, max(STEP_INTERVAL_S, left_s))
+        if now - self.holder_seen_at < HOLDER_TIMEOUT_SHARE * self.lease_s:
+            return IDLE_STEP_INTERVAL_S
+        return STEP_INTERVAL_S
+
+    def _holder_expected_until(self) -> float:
+        """Return the time until which there is nothing to take or to find out.
+
+        After the last renewal that its holder announced, the lease cannot be taken for
+        a while. Only its holder, which all instances hear, is worth following then.
+        """
+        gap = FENCED_GAP_SHARE if self.fenced else GAP_SHARE
+        expires_at = self.announced_serial_at + (HOLD_SHARE + gap) * self.lease_s
+        return max(
+            self.holder_seen_at + HOLDER_TIMEOUT_SHARE * self.lease_s,
+            expires_at + self._stagger_s(),
+        )
+
     def can_take(self, now: float) -> bool:
         """Return whether this process may take the lease."""
         if self.record is None:
@@ -267,13 +297,16 @@
         # The record may have been lost with the store's latest changes. Its holder, of
         # which nothing may be known here, renewed it before this era at the latest.
         gap = FENCED_GAP_SHARE if self.fenced else GAP_SHARE
-        since = max(self.era_seen_at, self.first_read_at)
+        since = self.era_seen_at if self.era else self.first_read_at
         waited_s = now - since - self._stagger_s()
         return waited_s > (HOLD_SHARE + gap) * self.lease_s
 
     def _stagger_s(self) -> float:
-        jitter = zlib.crc32(f"{self.me}{self.epoch}".encode()) / 2**32
-        return STAGGER_S * jitter + self.takeover_delay_s
+        return STAGGER_S * self._jitter() + self.takeover_delay_s
+
+    def _jitter(self) -> float:
+        """Return a number from 0 to 1 that differs between instances and epochs."""
+        return zlib.crc32(f"{self.me}{self.last_epoch}".encode()) / 2**32
 
     def record_era(self, now: float, era: int) -> bool:
         """Record the era of the store; in a new one, nobody holds the lease.
@@ -400,7 +433,8 @@
         """Record that the holder has released the lease; read the record at once."""
         if epoch >= self.epoch and not self.is_holder:
             self.holder_seen_at = float("-inf")
-            self.next_read = now
+            self.announced_serial_at = float("-inf")
+            self.next_read = now + self._stagger_s()
 
     def release(self) -> WriteLease | None:
         """Stop being the holder.
--- a/src/wisterialoom/core/fleet/watcher_role.py
+++ b/src/wisterialoom/core/fleet/watcher_role.py
@@ -41,11 +41,17 @@
 Lower ranks wait proportionally less, so that not all instances start at once.
 """
 
-FIRST_STAGGER_S = 1.5
-"""The same delay after a process start.
+FIRST_DELAY_S = 0.8
+"""Delay before any instance starts to watch after its process start.
 
-It may be longer because the list has just been read, and has to be because all
-instances may have started together.
+All instances may have started together. In this time they learn of each other, so that
+only those of the lowest ranks start. The list has just been read.
+"""
+
+FIRST_STAGGER_S = 1.2
+"""Additional delay of the highest rank after a process start.
+
+It applies to an instance that knows enough others of lower rank, or none at all.
 """
 
 MAX_RANK = 2**32
@@ -88,13 +94,16 @@
         watchers: Watchers whose messages were received, by name.
         enough_since: Time since which enough watchers of lower rank are live.
         too_few_since: Time since which too few of them are live.
-        stagger_s: Delay before an instance of the highest rank starts to watch.
+        has_followed: Whether enough other watchers were live since the process start.
+        lower_ranked: Number of known instances of lower rank; `None` before this
+            instance has learned of the others.
     """
 
     def __init__(self, rank: int) -> None:
         self.rank = rank
         self.active = False
-        self.stagger_s = FIRST_STAGGER_S
+        self.has_followed = False
+        self.lower_ranked: int | None = None
         self.watchers: dict[str, _Watcher] = {}
         self.enough_since: float | None = None
         self.too_few_since: float | None = None
@@ -136,7 +145,7 @@
         }
         if len(self.live_watchers(now)) >= WATCHER_COUNT:
             self.too_few_since = None
-            self.stagger_s = STAGGER_S
+            self.has_followed = True
             if self.enough_since is None:
                 self.enough_since = now
             should_watch = now - self.enough_since < RELEASE_DELAY_S and self.active
@@ -144,8 +153,20 @@
             self.enough_since = None
             if self.too_few_since is None:
                 self.too_few_since = now
-            delay_s = self.stagger_s * self.rank / MAX_RANK
-            should_watch = self.active or now - self.too_few_since >= delay_s
+            too_few_s = now - self.too_few_since
+            should_watch = self.active or too_few_s >= self._start_delay_s()
         changed = should_watch != self.active
         self.active = should_watch
         return changed
+
+    def _start_delay_s(self) -> float:
+        """Return the time with too few watchers after which this instance watches."""
+        share = self.rank / MAX_RANK
+        if self.has_followed:
+            return STAGGER_S * share
+        if self.lower_ranked is None:
+            return FIRST_DELAY_S + FIRST_STAGGER_S * share
+        if self.lower_ranked < WATCHER_COUNT:
+            return FIRST_DELAY_S
+        # Those of lower rank start first, and need as much time to be heard.
+        return 2 * FIRST_DELAY_S + FIRST_STAGGER_S * share
--- a/src/wisterialoom/platform/app.py
+++ b/src/wisterialoom/platform/app.py
@@ -71,6 +71,14 @@
 """Fraction of the grace period after which the requests in progress are ended."""
 
 
+START_SPREAD_S = 0.8
+"""Time over which instances that start together first read the placement lease.
+
+The first of them takes it and the others then find its record, so that they need not
+compete for it.
+"""
+
+
 class PlatformApp:
     """Creates, connects, starts and stops the components of the process.
 
@@ -185,7 +193,6 @@
             settings.instance,
             boot_id,
             settings.ip,
-            store,
             peers,
             self.dispatcher,
             placement,
@@ -201,6 +208,7 @@
                 fenced=settings.bounds.fenced,
                 slow_link=settings.slow_link,
                 first_start=settings.first_start,
+                start_spread_s=START_SPREAD_S,
             ),
             store,
             orders,
--- a/src/wisterialoom/platform/fleet.py
+++ b/src/wisterialoom/platform/fleet.py
@@ -1,4 +1,8 @@
-"""Tracks the other instances and the holder of the placement lease."""
+"""Tracks the other instances and the holder of the placement lease.
+
+Instances find each other through the holder, whose address the lease record names: each
+sends it demand reports, and it announces all members to all.
+"""
 
 from __future__ import annotations
 
@@ -12,7 +16,6 @@
 from wisterialoom.platform.hints import (
     ConfigCopy,
     CopyWanted,
-    Hello,
     News,
     PlacementHint,
     PlacementWanted,
@@ -22,11 +25,6 @@
 from wisterialoom.platform.lease_manager import lease_clock
 from wisterialoom.platform.placement_feed import members_digest
 from wisterialoom.platform.placement_view import DigestMismatch
-from wisterialoom.platform.store import (
-    ObjectConflictError,
-    StoreRestoredError,
-    StoreUnavailableError,
-)
 
 if TYPE_CHECKING:
     from wisterialoom.core.serving.dispatcher import Dispatcher
@@ -35,14 +33,11 @@
     from wisterialoom.platform.placement_controller import PlacementController
     from wisterialoom.platform.placement_view import PlacementView
     from wisterialoom.platform.relay import Relay
-    from wisterialoom.platform.store import StoreClient, StoreListing
 
 __all__ = ["Fleet"]
 
 logger = logging.getLogger(__name__)
 
-MEMBER_KIND = "wisterialoom-members"
-
 REPORT_INTERVAL_S = 0.4
 """Time between two demand reports while demand changes."""
 
@@ -59,9 +54,6 @@
 MEMBER_TIMEOUT_S = 6.0
 """Time without a message after which an instance no longer counts as a member."""
 
-MEMBER_WRITE_PAUSE_S = 0.02
-"""Pause between two members that are written again after a restore of the store."""
-
 
 class Fleet:
     """Tracks the members, sends demand reports and applies placement hints.
@@ -81,9 +73,7 @@
         wake_event: Set to send a demand report immediately.
         arrivals_sent: Arrival count last reported for each resource.
         arrivals_changed: Monotonic time at which each of these counts changed.
-        members_era: Era of the store in which the members were last known to be
-            registered there.
-        restoring_members: Whether the members are being registered again.
+        reported_to: Address that the last demand report was sent to.
     """
 
     def __init__(
@@ -91,7 +81,6 @@
         instance: str,
         boot: str,
         address: str,
-        store: StoreClient,
         peers: PeerLink,
         dispatcher: Dispatcher,
         placement: PlacementView,
@@ -99,7 +88,6 @@
         self.instance = instance
         self.boot = boot
         self.address = address
-        self.store = store
         self.peers = peers
         self.dispatcher = dispatcher
         self.placement = placement
@@ -113,81 +101,18 @@
         self.wake_event = asyncio.Event()
         self.arrivals_sent: dict[str, int] = {}
         self.arrivals_changed: dict[str, float] = {}
-        self.members_era = 0
-        self.restoring_members = False
+        self.reported_to = ""
         self.tasks = TaskGroup()
 
     def start(self) -> None:
-        """Start announcing this instance and sending demand reports."""
+        """Start sending demand reports."""
         self.peers.members[self.instance] = self.address
-        self.tasks.spawn(self._announce())
         self.tasks.spawn(self._send_demand())
 
     async def stop(self) -> None:
-        """Stop announcing and sending."""
+        """Stop sending demand reports."""
         await self.tasks.stop()
 
-    async def _announce(self) -> None:
-        pause_s = 0.1
-        while True:
-            try:
-                await self._register(self.instance, self.address)
-                listing = await self.store.list(MEMBER_KIND)
-                break
-            except (StoreUnavailableError, StoreRestoredError) as error:
-                logger.info(
-                    "not registered in the store yet, retrying",
-                    extra={"error": str(error)},
-                )
-                await asyncio.sleep(pause_s)
-                pause_s = min(1.0, 2 * pause_s)
-        self.members_era = listing.revision.era
-        for name, address in _member_addresses(listing).items():
-            if name != self.instance:
-                self.peers.members.setdefault(name, address)
-                self.last_seen.setdefault(name, time.monotonic())
-        self._update_instance_count()
-        self.peers.send_all(
-            Hello(self.instance, self.address),
-            self.peers.addresses_except(self.instance),
-        )
-
-    async def _register(self, name: str, address: str) -> None:
-        spec = {"address": address}
-        try:
-            await self.store.create(MEMBER_KIND, name, spec)
-        except ObjectConflictError as error:
-            if error.current is None or error.current.spec != spec:
-                await self.store.replace(MEMBER_KIND, name, spec)
-
-    async def _restore_members(self) -> None:
-        """Register the members that the store has lost, one after another."""
-        pause_s = 0.1
-        while self.placement_controller.lease.is_holder:
-            era = self.store.era
-            try:
-                registered = _member_addresses(await self.store.list(MEMBER_KIND))
-                lost = [
-                    (name, address)
-                    for name, address in self.peers.members.items()
-                    if registered.get(name) != address
-                ]
-                for name, address in lost:
-                    await self._register(name, address)
-                    await asyncio.sleep(MEMBER_WRITE_PAUSE_S)
-            except (StoreUnavailableError, StoreRestoredError) as error:
-                logger.info("members not registered", extra={"error": str(error)})
-                await asyncio.sleep(pause_s)
-                pause_s = min(1.0, 2 * pause_s)
-                continue
-            logger.info(
-                "members registered again", extra={"era": era, "lost": len(lost)}
-            )
-            self.members_era = era
-            if self.store.era == era:
-                break
-        self.restoring_members = False
-
     def _update_instance_count(self) -> None:
         self.dispatcher.set_sharing_instances(len(self.peers.members))
 
@@ -200,11 +125,12 @@
         """
         now = time.monotonic()
         match hint:
-            case Hello(instance=name):
-                self._record_seen(now, name, hint.address)
             case DemandReport(instance=name):
+                joined = name not in self.peers.members
                 self._record_seen(now, name, address)
                 self.placement_controller.record_demand(hint)
+                if joined and self.placement_controller.holds_lease:
+                    self.placement_controller.feed.send_snapshot(address)
             case Released(epoch=epoch):
                 self.placement_controller.lease.record_release(lease_clock(), epoch)
             case PlacementHint():
@@ -288,16 +214,16 @@
     def record_holder(self, name: str, address: str) -> None:
         """Record the holder of the placement lease.
 
-        If it is this instance, the timeouts of all other members start again.
+        A new holder gets a demand report immediately, from which it learns of this
+        instance. If this instance is the holder, the timeouts of all other members
+        start again.
         """
-        self.holder_address = address
-        if name != self.instance:
-            return
-        now = time.monotonic()
-        self.last_seen = dict.fromkeys(self.peers.members.keys() - {name}, now)
-        if self.store.era > self.members_era and not self.restoring_members:
-            self.restoring_members = True
-            self.tasks.spawn(self._restore_members())
+        if address != self.holder_address:
+            self.holder_address = address
+            self.wake_event.set()
+        if name == self.instance:
+            now = time.monotonic()
+            self.last_seen = dict.fromkeys(self.peers.members.keys() - {name}, now)
 
     def demand_changed(self) -> None:
         """Send demand immediately, as a request waits for another model or adapter."""
@@ -312,13 +238,16 @@
                 await asyncio.sleep(REPORT_BATCH_S)
             now = time.monotonic()
             report = self._build_report(now)
-            if report == last and now - sent_at < IDLE_REPORT_INTERVAL_S:
+            if (
+                report == last
+                and now - sent_at < IDLE_REPORT_INTERVAL_S
+                and self.reported_to == self.holder_address
+            ):
                 continue
             last, sent_at = report, now
+            self.reported_to = self.holder_address
             self.placement_controller.record_demand(report)
-            if self.placement_controller.holds_lease:
-                continue
-            if self.holder_address:
+            if self.holder_address and not self.placement_controller.holds_lease:
                 self.peers.send(report, self.holder_address)
 
     def _build_report(self, now: float) -> DemandReport:
@@ -338,17 +267,3 @@
             arrivals=recent,
             running=self.dispatcher.running(),
         )
-
-
-def _member_addresses(listing: StoreListing) -> dict[str, str]:
-    """Return the address of each registered instance; unreadable entries are left out.
-
-    Args:
-        listing: All objects of the kind.
-    """
-    found = {}
-    for item in listing.objects:
-        address = item.spec.get("address") if isinstance(item.spec, dict) else None
-        if isinstance(address, str):
-            found[item.name] = address
-    return found
--- a/src/wisterialoom/platform/hints.py
+++ b/src/wisterialoom/platform/hints.py
@@ -22,7 +22,6 @@
 __all__ = [
     "ConfigCopy",
     "CopyWanted",
-    "Hello",
     "Hint",
     "HintError",
     "News",
@@ -48,14 +47,6 @@
     """Raised when a datagram is damaged or not from an instance of this version."""
 
 
-@dataclass(frozen=True, slots=True)
-class Hello:
-    """Announces the presence of an instance."""
-
-    instance: str
-    address: str
-
-
 @dataclass(frozen=True, slots=True)
 class Released:
     """Announces that the holder of the placement lease has released it."""
@@ -195,8 +186,7 @@
 
 
 Hint = (
-    Hello
-    | DemandReport
+    DemandReport
     | PlacementHint
     | PlacementWanted
     | Released
@@ -211,8 +201,6 @@
     """Encode a hint as one datagram."""
     item: list[Any]
     match hint:
-        case Hello():
-            item = ["h", hint.instance, hint.address]
         case Released():
             item = ["r", hint.holder, hint.epoch]
         case DemandReport():
@@ -290,8 +278,6 @@
     try:
         item = orjson.loads(data if data[:1] == b"[" else zlib.decompress(data))
         match item:
-            case ["h", str(instance), str(address)]:
-                return Hello(instance, address)
             case ["r", str(holder), int(epoch)]:
                 return Released(holder, epoch)
             case [
--- a/src/wisterialoom/platform/lease_manager.py
+++ b/src/wisterialoom/platform/lease_manager.py
@@ -83,7 +83,7 @@
             self.record_era()
             step = self.lease.step(lease_clock())
             if step is None:
-                await asyncio.sleep(0.05)
+                await asyncio.sleep(self.lease.pause_s(lease_clock()))
                 continue
             try:
                 await self._carry_out(step)
--- a/src/wisterialoom/platform/placement_controller.py
+++ b/src/wisterialoom/platform/placement_controller.py
@@ -35,6 +35,12 @@
 PLAN_INTERVAL_S = 0.1
 """Time between two plans; a new kind of waiting request triggers one immediately."""
 
+IDLE_INTERVAL_S = 0.5
+"""Time between two checks by an instance that does not hold the lease.
+
+It is woken when it takes the lease.
+"""
+
 UNLOAD_DURATION_S = 0.3
 """Expected time until an unload has freed the memory for a waiting model."""
 
@@ -126,6 +132,7 @@
         self.planners.clear()
         self.feed.restart(self.placement.table.placements)
         self.record_holder(self.lease.me, self.lease.address)
+        self.wake_event.set()
 
     # Planning.
 
@@ -159,6 +166,8 @@
 
     def _plan_pause_s(self) -> float:
         """Return the time to the next plan, which is due early if a local load ends."""
+        if not self.holds_lease:
+            return IDLE_INTERVAL_S
         now = time.monotonic()
         ends = [
             state.done_at - now
--- a/src/wisterialoom/platform/relay.py
+++ b/src/wisterialoom/platform/relay.py
@@ -119,6 +119,8 @@
             changed = await wait_for(self.wake_event, ROLE_CHECK_S)
             self.wake_event.clear()
             now = time.monotonic()
+            if not self.role.has_followed:
+                self.role.lower_ranked = self._count_lower_ranked()
             if self.role.step(now):
                 self.catalog.set_active(active=self.role.active)
                 logger.info(
@@ -134,6 +136,13 @@
             ):
                 self._publish(now)
 
+    def _count_lower_ranked(self) -> int | None:
+        """Count the known instances of lower rank, as if all had fast links."""
+        others = self.peers.members.keys() - {self.me}
+        if not others:
+            return None
+        return sum(_rank(name, slow_link=False) < self.role.rank for name in others)
+
     def _publish(self, now: float) -> None:
         config_age_s = now - self.catalog.config.checked_at
         age_s = now - self.catalog.server_watcher.checked_at
--- a/tests/test_placement_lease.py
+++ b/tests/test_placement_lease.py
@@ -228,3 +228,82 @@
         play(slow, store, now)
         now += 0.05
     assert store.record is not None
+
+
+class LargeFleet:
+    """195 instances before one store; hints of the holder reach those that it knows."""
+
+    COUNT = 195
+    STEP_S = 0.05
+
+    def __init__(self, *, first_start: bool) -> None:
+        self.store = Store()
+        self.calls = 0
+        self.now = 0.0
+        self.alive = [
+            PlacementLease(
+                f"front-{n}",
+                "b1",
+                "10.0.0.1",
+                LEASE_S,
+                fenced=True,
+                first_start=first_start,
+                start_spread_s=0.8,
+            )
+            for n in range(self.COUNT)
+        ]
+
+    def play(self, for_s: float, *, known: bool) -> None:
+        """Play a while; all steps of a tick begin before any call has an effect."""
+        end = self.now + for_s
+        while self.now < end:
+            self.now += self.STEP_S
+            for lease in self.alive:
+                step = lease.step(self.now)
+                self.calls += step is not None
+                match step:
+                    case ReadLease():
+                        lease.record_read(
+                            self.now, self.store.record, self.store.revision
+                        )
+                    case TakeLease() | WriteLease():
+                        if self.store.write(step.record, step.revision):
+                            revision = self.store.revision
+                            lease.record_write(
+                                self.now, self.now, step.record, revision
+                            )
+                        else:
+                            lease.record_conflict(self.now)
+            if known or self.store.record is not None:
+                self.announce()
+
+    def announce(self) -> None:
+        for holder in self.alive:
+            if holder.is_valid(self.now) and holder.record is not None:
+                for lease in self.alive:
+                    if lease is not holder:
+                        lease.record_holder(
+                            self.now, holder.epoch, holder.record.serial
+                        )
+
+
+def test_start_of_many_instances_makes_few_calls_for_the_lease():
+    """All 195 used to read the record and to write it at once."""
+    fleet = LargeFleet(first_start=True)
+    fleet.play(3.0, known=False)
+    assert sum(lease.is_holder for lease in fleet.alive) == 1
+    assert fleet.calls < 2 * LargeFleet.COUNT
+
+
+def test_loss_of_the_holder_makes_few_calls():
+    """All 194 others used to read the record every 0.75 s until one had taken it."""
+    fleet = LargeFleet(first_start=True)
+    fleet.play(3.0, known=True)
+    holder = next(lease for lease in fleet.alive if lease.is_holder)
+    fleet.alive.remove(holder)
+    fleet.calls = 0
+    began = fleet.now
+    while not any(lease.is_valid(fleet.now) for lease in fleet.alive):
+        fleet.play(LargeFleet.STEP_S, known=True)
+        assert fleet.now - began < 1.1 * LEASE_S
+    assert fleet.calls < LargeFleet.COUNT / 5
--- a/tests/test_placement_lease_restore.py
+++ b/tests/test_placement_lease_restore.py
@@ -111,9 +111,11 @@
     store = RestorableStore()
     store.make_copy()
     one, two = make("one", fenced=fenced), make("two", fenced=fenced)
+    two.record_era(0.0, store.era)
     now = play_until_held(one, store, 0.0, 10.0)
     two.record_holder(now, one.epoch, 0)
     store.restore()
+    two.record_era(now, store.era)
     taken = play_until_held(two, store, now, 10.0)
     gap_s = 0.15 if fenced else 1.1
     assert taken - now > (0.55 + gap_s) * LEASE_S
--- a/tests/test_watcher_role.py
+++ b/tests/test_watcher_role.py
@@ -96,6 +96,21 @@
     assert most <= 15
 
 
+def test_of_instances_that_know_each_other_only_three_start_to_watch():
+    """At a start of 195 instances, some 90 watched the store for two seconds."""
+    world = fleet(195)
+    started: set[str] = set()
+    for step in range(60):
+        if step * STEP_S >= 0.6:
+            for name, role in world.roles.items():
+                role.lower_ranked = sum(
+                    rank(other) < role.rank for other in world.names if other != name
+                )
+        world.play(STEP_S)
+        started |= world.watchers()
+    assert len(started) == 3
+
+
 def test_all_instances_of_a_small_fleet_watch():
     world = fleet(3)
     world.play(6.0)
