Cut what 195 instances tell each other and ask the store; forecast the first load

Hints of the lease holder were 260 of 300 MB between zones. A full hint went at once to all instances with any waiting request (106 MB in 30 s), and for each unload to all (52 MB); broadcasts were 4 MB. Now a small message tells an instance of a change that its waiting request can use, and all of an unload. When the store turned away a third of the instances, all 195 became watchers for 4 s: a new watcher was silent until its first watch ended, up to 2 s. Its first call does not wait now.

--- a/src/wisterialoom/core/fleet/__init__.py
+++ b/src/wisterialoom/core/fleet/__init__.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 from wisterialoom.core.fleet.change_feed import ChangeFeed
+from wisterialoom.core.fleet.first_view import FirstView, ViewSource
+from wisterialoom.core.fleet.link_class import LinkClass
 from wisterialoom.core.fleet.placement_lease import (
     LeaseRecord,
     LeaseStep,
@@ -24,14 +26,17 @@
     "WATCHER_MAX_AGE_S",
     "MAX_RANK",
     "ChangeFeed",
+    "FirstView",
     "LeaseRecord",
     "LeaseStep",
+    "LinkClass",
     "PlacementLease",
     "ReadLease",
     "Revision",
     "ServerTable",
     "TableEntry",
     "TakeLease",
+    "ViewSource",
     "WatcherRole",
     "WriteLease",
 ]
--- a/src/wisterialoom/core/fleet/placement_lease.py
+++ b/src/wisterialoom/core/fleet/placement_lease.py
@@ -22,6 +22,8 @@
 import zlib
 from dataclasses import dataclass, replace
 
+from wisterialoom.core.fleet.link_class import LinkClass
+
 __all__ = [
     "LeaseRecord",
     "LeaseStep",
@@ -65,16 +67,23 @@
 Given as a share of the lease length.
 """
 
+FIRST_RETRY_S = 0.1
+RETRY_GROWTH = 1.5
+"""Time before the first read is tried again, and its growth with each failure."""
+
 READ_SHARE = 0.25
 """Time between two reads of the record, as a share of the lease length."""
 
-SLOW_LINK_DELAY_S = 0.6
-"""Additional delay before an instance with a slow link takes the lease.
+LINK_DELAYS_S = {LinkClass.FAST: 0.0, LinkClass.MEDIUM: 0.1, LinkClass.SLOW: 0.6}
+"""Additional delay before an instance takes the lease, by its link.
 
-It covers the stagger of the other instances and two reads of the record by them, so
-that one of them takes the lease first.
+For a slow link it covers the stagger of most other instances and two reads of the
+record by them, so that one of them takes the lease first.
 """
 
+MAX_READ_DELAY_S = 0.1
+"""Maximum part of this delay by which the first read of the record is put off."""
+
 ERA_SHIFT = 20
 """Bits of a fencing token below the era; a million holders in one era."""
 
@@ -174,6 +183,7 @@
         takeover_delay_s: Additional delay before this instance takes the lease.
         first_read_at: Time of the first read, or of the first one after a conflict.
         start_spread_s: Time over which the first reads of instances are spread.
+        failures: Number of failed calls since the last successful one.
     """
 
     def __init__(
@@ -184,7 +194,7 @@
         lease_s: float,
         *,
         fenced: bool,
-        slow_link: bool = False,
+        link: LinkClass = LinkClass.FAST,
         first_start: bool = False,
         start_spread_s: float = 0.0,
     ) -> None:
@@ -211,9 +221,10 @@
         self.stepped_at = float("-inf")
         self.next_read = float("-inf")
         self.next_renewal = float("-inf")
-        self.takeover_delay_s = SLOW_LINK_DELAY_S if slow_link else 0.0
+        self.takeover_delay_s = LINK_DELAYS_S[link]
         self.first_read_at = float("-inf")
         self.start_spread_s = start_spread_s
+        self.failures = 0
 
     def is_valid(self, now: float) -> bool:
         """Return whether this process may send an order now."""
@@ -232,7 +243,9 @@
     def step(self, now: float) -> LeaseStep | None:
         """Return the store call to make now, if any."""
         if self.stepped_at == float("-inf"):
-            self.next_read = now + self.start_spread_s * self._jitter()
+            delay_s = min(MAX_READ_DELAY_S, self.takeover_delay_s)
+            if self.start_spread_s:
+                self.next_read = now + delay_s + self.start_spread_s * self._jitter()
         if now - self.stepped_at >= SUSPEND_S:
             self.extended_until = float("-inf")
         self.stepped_at = now
@@ -285,7 +298,10 @@
         unchanged_s = now - self.revision_seen_at - self._stagger_s()
         gap = FENCED_GAP_SHARE if self.fenced else GAP_SHARE
         if self.record.released:
-            return unchanged_s > (0.0 if self.fenced else gap * self.lease_s)
+            # The first read of a released record is staggered already.
+            if self.fenced:
+                return True
+            return unchanged_s > gap * self.lease_s
         return unchanged_s > (HOLD_SHARE + gap) * self.lease_s
 
     def _can_take_vacant(self, now: float) -> bool:
@@ -351,6 +367,7 @@
             and (record.epoch, record.serial) == self.announced_serial
         ):
             self.revision_seen_at = min(self.revision_seen_at, self.announced_serial_at)
+        self.failures = 0
         if not self.was_read:
             self.first_read_at = now
         self.was_read = True
@@ -381,6 +398,7 @@
             record: Record that was written.
             revision: Its new revision.
         """
+        self.failures = 0
         self.record = record
         self.revision = revision
         self.revision_seen_at = now
@@ -397,8 +415,17 @@
         self.next_renewal = sent_at + RENEW_SHARE * self.lease_s
 
     def record_failure(self, now: float) -> None:
-        """Record a failed call; the next one is due before the lease expires."""
-        self.next_read = now + READ_SHARE * self.lease_s
+        """Record a failed call; the next one is due before the lease expires.
+
+        An instance that has just started has no view before it has read the record, so
+        it tries again sooner at first.
+        """
+        self.failures += 1
+        read_delay_s = READ_SHARE * self.lease_s
+        if not self.was_read:
+            first_s = FIRST_RETRY_S * RETRY_GROWTH ** (self.failures - 1)
+            read_delay_s = min(read_delay_s, first_s)
+        self.next_read = now + read_delay_s
         self.next_renewal = now + RENEW_SHARE * self.lease_s / 2
 
     def record_conflict(self, now: float) -> None:
--- a/src/wisterialoom/core/fleet/watcher_role.py
+++ b/src/wisterialoom/core/fleet/watcher_role.py
@@ -35,7 +35,7 @@
 started.
 """
 
-STAGGER_S = 0.4
+STAGGER_S = 0.8
 """Delay before an instance of the highest rank starts to watch.
 
 Lower ranks wait proportionally less, so that not all instances start at once.
--- a/src/wisterialoom/core/placement/fleet_demand.py
+++ b/src/wisterialoom/core/placement/fleet_demand.py
@@ -113,13 +113,13 @@
                 found[resource] = found.get(resource, 0) + count
         return found
 
-    def waiting_instances(self, now: float) -> list[str]:
-        """Return the instances that have waiting requests."""
-        return [
-            name
+    def waiting_by_instance(self, now: float) -> dict[str, set[str]]:
+        """Return the models and adapters that each instance's requests wait for."""
+        return {
+            name: set(entry.report.waiting)
             for name, entry in self.instances.items()
             if entry.report.waiting and now - entry.received_at <= REPORT_MAX_AGE_S
-        ]
+        }
 
     def running(self, now: float) -> dict[str, dict[str, int]]:
         """Return the requests in progress, by server, then model and adapter."""
--- a/src/wisterialoom/core/placement/placement_table.py
+++ b/src/wisterialoom/core/placement/placement_table.py
@@ -26,6 +26,14 @@
     unloading: frozenset[str]
     count: int
 
+    def takes(self, resource: str) -> bool:
+        """Return whether new requests for a model and adapter may be sent here."""
+        model, _, adapter = resource.partition("/")
+        adapters = self.models.get(model)
+        if adapters is None or model in self.unloading:
+            return False
+        return not adapter or adapter in adapters
+
     def checksum(self, server_id: str) -> int:
         """Return a checksum independent of the order of models and adapters."""
         models = sorted((name, sorted(held)) for name, held in self.models.items())
--- a/src/wisterialoom/platform/app.py
+++ b/src/wisterialoom/platform/app.py
@@ -71,11 +71,11 @@
 """Fraction of the grace period after which the requests in progress are ended."""
 
 
-START_SPREAD_S = 0.8
-"""Time over which instances that start together first read the placement lease.
+START_SPREAD_S = 0.3
+"""Time over which instances read the placement lease at the first start of the system.
 
 The first of them takes it and the others then find its record, so that they need not
-compete for it.
+compete for it. At later starts there is a record, and callers are waiting.
 """
 
 
@@ -160,6 +160,7 @@
         self.ingress = Ingress(
             self.dispatcher,
             self.signal,
+            lambda: self.catalog.is_loaded,
             lambda: self.catalog.config_current_at,
             lambda: self.fleet.demand_changed(),
             self.metrics,
@@ -206,9 +207,9 @@
                 settings.ip,
                 settings.bounds.lease_s,
                 fenced=settings.bounds.fenced,
-                slow_link=settings.slow_link,
+                link=settings.link,
                 first_start=settings.first_start,
-                start_spread_s=START_SPREAD_S,
+                start_spread_s=START_SPREAD_S if settings.first_start else 0.0,
             ),
             store,
             orders,
@@ -223,7 +224,8 @@
             self.catalog,
             peers,
             store.record_era,
-            slow_link=settings.slow_link,
+            fleet.holder_to_ask,
+            link=settings.link,
         )
         fleet.relay = self.relay
         self.peers = peers
--- a/src/wisterialoom/platform/catalog.py
+++ b/src/wisterialoom/platform/catalog.py
@@ -60,6 +60,8 @@
         relist_deadline: Monotonic time until which servers may be missing after an
             outage or a restore of the store.
         restore_deadline: The same time after a restore.
+        is_role_decided: Whether it was decided if this instance follows the store.
+            Before that it reads everything once.
         config_spec: The configuration in force, as stored.
         confirmed_at: Monotonic time at which another instance last confirmed that
             the configuration in force here was current.
@@ -79,6 +81,7 @@
         self.relist_deadline = float("-inf")
         self.restore_deadline = float("-inf")
         self.logged_states: dict[str, tuple[bool, int]] = {}
+        self.is_role_decided = False
         self.config_spec: Any = None
         self.confirmed_at = float("-inf")
         self.config = KindWatcher(
@@ -91,15 +94,25 @@
             self._change_servers,
             batches_changes=True,
         )
+        for watcher in (self.config, self.server_watcher):
+            watcher.on_confirmed = lambda: self.on_update()
         self.tasks = TaskGroup()
 
     @property
     def is_loaded(self) -> bool:
         """Whether both the configuration and the servers have been read."""
-        return (
-            self.dispatcher.deployment is not None
-            and self.server_watcher.revision > FIRST_REVISION
-        )
+        return self.dispatcher.deployment is not None and self.has_servers
+
+    @property
+    def has_servers(self) -> bool:
+        """Whether the servers have been read, or copied from another instance."""
+        return self.server_watcher.revision > FIRST_REVISION
+
+    @property
+    def is_complete(self) -> bool:
+        """Whether all is known that the store has; there may be no configuration."""
+        has_config = self.dispatcher.deployment is not None or self.config.listed
+        return has_config and self.has_servers
 
     @property
     def config_version(self) -> int:
@@ -113,7 +126,7 @@
         return max(self.config.checked_at, self.confirmed_at)
 
     def start(self) -> None:
-        """Start following the store."""
+        """Start the tasks that read and follow the store once that is decided."""
         self.tasks.spawn(self.config.run())
         self.tasks.spawn(self.server_watcher.run())
 
@@ -121,6 +134,11 @@
         """Stop following the store."""
         await self.tasks.stop()
 
+    def read_store(self) -> None:
+        """Read everything once; who follows the store then is decided later."""
+        self.config.set_active(active=True)
+        self.server_watcher.set_active(active=True)
+
     # Updates from other instances.
 
     def set_active(self, *, active: bool) -> None:
@@ -129,6 +147,7 @@
         Args:
             active: Whether this instance follows the store.
         """
+        self.is_role_decided = True
         self.config.set_active(active=active)
         self.server_watcher.set_active(active=active)
 
@@ -233,6 +252,8 @@
             self.table.remove(now, revision, server_id)
             self.missing.pop(server_id, None)
         self.server_watcher.confirm(revision)
+        # The copy is complete, so that a watch can continue from its revision.
+        self.server_watcher.listed = True
         self._merge_entries(entries)
         self._update_dispatcher()
 
@@ -241,6 +262,8 @@
     def _list_config(self, listing: StoreListing, _: float | None) -> None:
         for found in listing.objects:
             self._apply_config_object(found)
+        if not self.is_role_decided:
+            self.config.set_active(active=False)
 
     def _change_config(self, answer: WatchAnswer) -> None:
         for found in answer.changed:
@@ -271,6 +294,8 @@
                 self.table.remove(now, listing.revision, server_id)
         for server_id in listed:
             self.missing.pop(server_id, None)
+        if not self.is_role_decided:
+            self.server_watcher.set_active(active=False)
         self._update_dispatcher()
 
     def _change_servers(self, answer: WatchAnswer) -> None:
--- a/src/wisterialoom/platform/fleet.py
+++ b/src/wisterialoom/platform/fleet.py
@@ -17,6 +17,7 @@
     ConfigCopy,
     CopyWanted,
     News,
+    PlacementChange,
     PlacementHint,
     PlacementWanted,
     Released,
@@ -136,20 +137,19 @@
             case PlacementHint():
                 self._record_seen(now, hint.holder, hint.address)
                 self.apply_placement_hint(hint)
+            case PlacementChange(holder=name):
+                self._record_seen(now, name, address)
+                if self._is_current(hint):
+                    self.placement.apply_change(hint.servers)
             case PlacementWanted(instance=name):
                 self._record_seen(now, name, address)
                 if self.placement_controller.holds_lease:
                     self.placement_controller.feed.send_snapshot(address)
-            case News():
-                self._record_seen(now, hint.watcher, address)
-                self.relay.handle_news(hint, address)
-            case CopyWanted(instance=name):
+            case News(watcher=name) | CopyWanted(instance=name):
                 self._record_seen(now, name, address)
-                self.relay.answer(hint, address)
-            case ConfigCopy():
-                self.relay.apply_config(hint)
-            case ServersCopy():
-                self.relay.apply_servers(hint)
+                self.relay.handle_hint(hint, address)
+            case ConfigCopy() | ServersCopy():
+                self.relay.handle_hint(hint, address)
 
     def _record_seen(self, now: float, name: str, address: str) -> None:
         self.last_seen[name] = now
@@ -176,17 +176,9 @@
 
         Hints of earlier epochs and reordered hints are ignored.
         """
-        if hint.epoch < self.placement_controller.lease.epoch:
-            # A newer holder, possibly this instance, has taken the lease since.
+        if not self._is_current(hint):
             return
-        if (hint.epoch, hint.serial) <= (self.epoch, self.serial):
-            return
-        if hint.epoch != self.epoch:
-            logger.info(
-                "placement holder", extra={"holder": hint.holder, "epoch": hint.epoch}
-            )
         now = time.monotonic()
-        self.epoch, self.serial = hint.epoch, hint.serial
         self.holder_address = hint.address
         if hint.holder != self.instance:
             self.placement_controller.lease.record_holder(
@@ -199,6 +191,20 @@
             if self.digest_mismatch.resync_due(now, agreed=agreed):
                 self.peers.send(PlacementWanted(self.instance), hint.address)
 
+    def _is_current(self, hint: PlacementHint | PlacementChange) -> bool:
+        """Record the epoch and serial of a message; return whether it is the newest."""
+        if hint.epoch < self.placement_controller.lease.epoch:
+            # A newer holder, possibly this instance, has taken the lease since.
+            return False
+        if (hint.epoch, hint.serial) <= (self.epoch, self.serial):
+            return False
+        if hint.epoch != self.epoch:
+            logger.info(
+                "placement holder", extra={"holder": hint.holder, "epoch": hint.epoch}
+            )
+        self.epoch, self.serial = hint.epoch, hint.serial
+        return True
+
     def _apply_members(self, hint: PlacementHint) -> None:
         if not (hint.members or hint.members_complete):
             return
@@ -225,6 +231,16 @@
             now = time.monotonic()
             self.last_seen = dict.fromkeys(self.peers.members.keys() - {name}, now)
 
+    def holder_to_ask(self) -> str | None:
+        """Return the address of another instance that holds the lease.
+
+        Returns:
+            The address; empty if there is none, `None` if it is not known yet.
+        """
+        if self.holder_address not in ("", self.address):
+            return self.holder_address
+        return "" if self.placement_controller.lease.was_read else None
+
     def demand_changed(self) -> None:
         """Send demand immediately, as a request waits for another model or adapter."""
         self.wake_event.set()
--- a/src/wisterialoom/platform/hints.py
+++ b/src/wisterialoom/platform/hints.py
@@ -17,7 +17,11 @@
 from wisterialoom.core.fleet import Revision, TableEntry
 from wisterialoom.core.placement.fleet_demand import DemandReport
 from wisterialoom.core.placement.placement_table import ServerPlacement
-from wisterialoom.core.serving.backend import BackendServer, UNKNOWN_COUNT
+from wisterialoom.core.serving.backend import (
+    BackendServer,
+    ResidentModel,
+    UNKNOWN_COUNT,
+)
 
 __all__ = [
     "ConfigCopy",
@@ -25,6 +29,7 @@
     "Hint",
     "HintError",
     "News",
+    "PlacementChange",
     "PlacementHint",
     "PlacementWanted",
     "Released",
@@ -87,6 +92,25 @@
     digest: int
 
 
+@dataclass(frozen=True, slots=True)
+class PlacementChange:
+    """Announces changed model servers at once to the instances that need them.
+
+    Everybody gets the changes with the next `PlacementHint`.
+
+    Attributes:
+        holder: Name of the holder of the placement lease.
+        epoch: Fencing number of the holder.
+        serial: Increases with each message of an epoch.
+        servers: Placement of each changed model server by id; `None` if it has left.
+    """
+
+    holder: str
+    epoch: int
+    serial: int
+    servers: dict[str, ServerPlacement | None]
+
+
 @dataclass(frozen=True, slots=True)
 class PlacementWanted:
     """Requests the complete placement state from the lease holder."""
@@ -168,7 +192,7 @@
 
 @dataclass(frozen=True, slots=True)
 class ServersCopy:
-    """One part of the complete server table.
+    """One part of the complete server table, with the resident models.
 
     Attributes:
         watcher: Name of the sender.
@@ -187,6 +211,7 @@
 
 Hint = (
     DemandReport
+    | PlacementChange
     | PlacementHint
     | PlacementWanted
     | Released
@@ -236,10 +261,13 @@
                 _encode_revision(hint.revision),
                 hint.part,
                 hint.parts,
-                _encode_entries(hint.entries),
+                _encode_entries(hint.entries, with_models=True),
             ]
         case PlacementWanted():
             item = ["q", hint.instance]
+        case PlacementChange():
+            servers = _encode_placements(hint.servers)
+            item = ["u", hint.holder, hint.epoch, hint.serial, servers]
         case PlacementHint():
             item = [
                 "p",
@@ -250,10 +278,7 @@
                 hint.renewal,
                 hint.members,
                 hint.members_complete,
-                {
-                    server_id: _encode_placement(placement)
-                    for server_id, placement in hint.servers.items()
-                },
+                _encode_placements(hint.servers),
                 hint.busy,
                 {
                     name: round(remaining_s, 3)
@@ -316,6 +341,10 @@
                 )
             case ["q", str(instance)]:
                 return PlacementWanted(instance)
+            case ["u", str(holder), int(epoch), int(serial), dict(servers)]:
+                return PlacementChange(
+                    holder, epoch, serial, _decode_placements(servers)
+                )
             case ["p", str(holder), str(address), int(epoch), int(serial), *rest]:
                 renewal, members, members_complete, servers, busy, ready, digest = rest
                 return PlacementHint(
@@ -326,10 +355,7 @@
                     renewal=int(renewal),
                     members=members,
                     members_complete=bool(members_complete),
-                    servers={
-                        server_id: _decode_placement(entry)
-                        for server_id, entry in servers.items()
-                    },
+                    servers=_decode_placements(servers),
                     busy=tuple(busy),
                     ready_in_s=ready,
                     digest=int(digest),
@@ -355,16 +381,22 @@
     return Revision(int(era), int(number))
 
 
-def _encode_entries(entries: dict[str, TableEntry]) -> dict[str, list[Any]]:
+def _encode_entries(
+    entries: dict[str, TableEntry], *, with_models: bool = False
+) -> dict[str, list[Any]]:
     return {
-        server_id: [_encode_revision(entry.revision), *_encode_server(entry.server)]
+        server_id: [
+            _encode_revision(entry.revision),
+            *_encode_server(entry.server, with_models=with_models),
+        ]
         for server_id, entry in entries.items()
     }
 
 
-def _encode_server(server: BackendServer | None) -> list[Any]:
+def _encode_server(server: BackendServer | None, *, with_models: bool) -> list[Any]:
     if server is None:
         return []
+    models = {model.name: list(model.adapters) for model in server.models}
     return [
         server.started_ms,
         server.service,
@@ -372,6 +404,7 @@
         server.availability_zone,
         server.slots,
         server.draining,
+        *([server.order_count, models] if with_models else ()),
     ]
 
 
@@ -380,7 +413,10 @@
     for server_id, (revision, *fields) in items.items():
         server = None
         if fields:
-            started_ms, service, address, availability_zone, slots, draining = fields
+            started_ms, service, address, availability_zone, slots, draining = fields[
+                :6
+            ]
+            order_count, models = fields[6:] or (UNKNOWN_COUNT, {})
             server = BackendServer(
                 id=server_id,
                 started_ms=int(started_ms),
@@ -389,7 +425,11 @@
                 availability_zone=str(availability_zone),
                 slots=int(slots),
                 draining=bool(draining),
-                order_count=UNKNOWN_COUNT,
+                order_count=int(order_count),
+                models=tuple(
+                    ResidentModel(name, adapters=tuple(adapters))
+                    for name, adapters in models.items()
+                ),
             )
         entries[server_id] = TableEntry(
             _decode_revision(revision), server, changed_at=0.0
@@ -397,6 +437,21 @@
     return entries
 
 
+def _encode_placements(
+    servers: dict[str, ServerPlacement | None],
+) -> dict[str, list[Any]]:
+    return {
+        server_id: _encode_placement(placement)
+        for server_id, placement in servers.items()
+    }
+
+
+def _decode_placements(
+    items: dict[str, list[Any]],
+) -> dict[str, ServerPlacement | None]:
+    return {server_id: _decode_placement(entry) for server_id, entry in items.items()}
+
+
 def _encode_placement(placement: ServerPlacement | None) -> list[Any]:
     if placement is None:
         return []
--- a/src/wisterialoom/platform/ingress.py
+++ b/src/wisterialoom/platform/ingress.py
@@ -27,6 +27,7 @@
 
     from wisterialoom.core.serving.dispatcher import Dispatcher
     from wisterialoom.core.serving.request_flow import RequestProfile
+    from wisterialoom.core.serving.routing import Deployment
     from wisterialoom.platform.attempt import BufferedAnswer
     from wisterialoom.platform.headers import ServerLoad
     from wisterialoom.platform.metrics import PlatformMetrics
@@ -41,6 +42,15 @@
 The route may have been added since then, so the answer is 503.
 """
 
+START_S = 1.5
+"""Time after the start in which the first view is expected at any moment.
+
+If it takes longer, the store does not answer.
+"""
+
+START_WAIT_S = 0.5
+"""Longest wait of a request for the first view of configuration and servers."""
+
 STARTING_RETRY_S = 0.5
 """Minimum `Retry-After` of an instance that has no configuration yet.
 
@@ -102,6 +112,7 @@
         pooled_session: Session with reused connections, for idempotent requests.
         single_use_session: Session that opens a connection for each request, for
             requests that must not run twice.
+        is_loaded: Returns whether configuration and servers are known.
         get_config_current_at: Returns the monotonic time at which the configuration was
             last known to be current.
         demand_changed: Called when the first request begins to wait for a model.
@@ -119,12 +130,14 @@
         self,
         dispatcher: Dispatcher,
         signal: Signal,
+        is_loaded: Callable[[], bool],
         get_config_current_at: Callable[[], float],
         demand_changed: Callable[[], None],
         metrics: PlatformMetrics,
     ) -> None:
         self.dispatcher = dispatcher
         self.signal = signal
+        self.is_loaded = is_loaded
         self.get_config_current_at = get_config_current_at
         self.demand_changed = demand_changed
         self.metrics = metrics
@@ -146,7 +159,7 @@
 
     async def _handle(self, request: web.BaseRequest) -> web.StreamResponse:
         arrived = time.monotonic()
-        deployment = self.dispatcher.deployment
+        deployment = await self._first_deployment(arrived)
         exchange = Exchange(request, b"")
         exchange.closing = self.draining
         if deployment is None:
@@ -328,6 +341,14 @@
             )
         return attempt, result
 
+    async def _first_deployment(self, now: float) -> Deployment | None:
+        """Return the deployment; wait for the first view while the instance starts."""
+        limit = min(now + START_WAIT_S, self.started_at + START_S)
+        while now < limit and not self.is_loaded():
+            await self.signal.wait(limit - now)
+            now = time.monotonic()
+        return self.dispatcher.deployment
+
     def _start_retry_s(self) -> float:
         """Return the `Retry-After` in seconds while there is no configuration yet."""
         waited_s = time.monotonic() - self.started_at
--- a/src/wisterialoom/platform/lease_manager.py
+++ b/src/wisterialoom/platform/lease_manager.py
@@ -14,7 +14,6 @@
     Revision,
     TakeLease,
 )
-from wisterialoom.platform._tasks import wait_for
 from wisterialoom.platform.store import (
     ObjectConflictError,
     StoreRestoredError,
@@ -33,13 +32,6 @@
 
 LEASE_KIND = "wisterialoom-leases"
 
-ERA_WAIT_S = 1.0
-"""Maximum wait at the start for an answer that names the store's era.
-
-Other parts call the store at the start anyway. Without the era, the record of an
-earlier one would be read first.
-"""
-
 RENEWAL_TIMEOUT_S = 0.5
 """Timeout of a write to an existing lease record.
 
@@ -78,7 +70,6 @@
 
     async def run(self) -> None:
         """Read, acquire and renew the lease until canceled."""
-        await wait_for(self.store.answered_event, ERA_WAIT_S)
         while True:
             self.record_era()
             step = self.lease.step(lease_clock())
@@ -115,10 +106,7 @@
     async def _carry_out(self, step: LeaseStep) -> None:
         sent_at = lease_clock()
         if isinstance(step, ReadLease):
-            found = await self.store.read(
-                LEASE_KIND, self._record_name(), era=self.lease.era
-            )
-            self._record_read(found)
+            self._record_read(await self._read_record())
             return
         written = await self._write_record(step.record, step.revision)
         self.lease.record_write(
@@ -127,6 +115,18 @@
         if isinstance(step, TakeLease):
             self.on_taken()
 
+    async def _read_record(self) -> StoreObject | None:
+        if self.store.answered_event.is_set():
+            return await self.store.read(
+                LEASE_KIND, self._record_name(), era=self.lease.era
+            )
+        # The store's era, and so the name of the record, is not known yet. A list tells
+        # both in one call.
+        listing = await self.store.list(LEASE_KIND)
+        self.record_era()
+        name = self._record_name()
+        return next((item for item in listing.objects if item.name == name), None)
+
     def _record_name(self) -> str:
         """Return the name of this era's record.
 
--- a/src/wisterialoom/platform/placement_controller.py
+++ b/src/wisterialoom/platform/placement_controller.py
@@ -8,6 +8,7 @@
 from typing import TYPE_CHECKING
 
 from wisterialoom.core.placement.fleet_demand import FleetDemand
+from wisterialoom.core.placement.load_forecast import forecast_loads
 from wisterialoom.core.placement.order import Action, Order, OrderOutcome
 from wisterialoom.core.placement.placement_table import ServerPlacement
 from wisterialoom.core.placement.planner import PlacementPlanner
@@ -18,7 +19,7 @@
 from wisterialoom.platform.placement_feed import PlacementFeed
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Iterable
 
     from wisterialoom.core.fleet import PlacementLease
     from wisterialoom.core.placement.fleet_demand import DemandReport
@@ -41,9 +42,6 @@
 It is woken when it takes the lease.
 """
 
-UNLOAD_DURATION_S = 0.3
-"""Expected time until an unload has freed the memory for a waiting model."""
-
 UNLOAD_NOTICE_S = 0.012
 """Time between announcing an unload to all instances and ordering it.
 
@@ -286,7 +284,7 @@
             # Announce the unload first, so that instances stop sending requests for the
             # model. Requests still in transit when it is ordered would be refused.
             state.announced = order.model
-            self._publish(time.monotonic(), urgent=True)
+            self._announce_unload(state)
             await asyncio.sleep(UNLOAD_NOTICE_S)
             state.announced = ""
         outcome = await self.orders.send(order, address, self.lease.epoch)
@@ -311,7 +309,22 @@
 
     # Hints.
 
-    def _publish(self, now: float, *, urgent: bool = False) -> None:
+    def _announce_unload(self, state: ServerState) -> None:
+        """Tell all instances that a server is about to unload a model."""
+        others = self.peers.addresses_except(self.lease.me)
+        self.feed.announce(state.server_id, _placement_of(state), others)
+        self._publish(time.monotonic())
+
+    def _addresses(self, names: Iterable[str]) -> dict[str, str]:
+        """Return the address of each named instance, without this one."""
+        members = self.peers.members
+        return {
+            name: members[name]
+            for name in names
+            if name in members and name != self.lease.me
+        }
+
+    def _publish(self, now: float) -> None:
         running = self.demand.running(now)
         confirmed = {
             server_id: state
@@ -319,36 +332,20 @@
             if not (state.needs_report and not state.models)
         }
         placements = {
-            server_id: ServerPlacement(state.models, state.draining_models, state.count)
-            for server_id, state in confirmed.items()
+            server_id: _placement_of(state) for server_id, state in confirmed.items()
         }
         busy = {
             server_id: sum(running.get(server_id, {}).values())
             for server_id in confirmed
         }
-        ready = self._ready_in_s(now)
-        members = self.peers.members
-        waiting = [
-            members[name]
-            for name in self.demand.waiting_instances(now)
-            if name in members and name != self.lease.me
-        ]
-        self.feed.publish(now, placements, busy, ready, waiting, urgent=urgent)
+        ready = forecast_loads(now, self.states, self._update_planners().values())
+        waiting = self.demand.waiting_by_instance(now)
+        waiting_at = {
+            address: waiting[name] for name, address in self._addresses(waiting).items()
+        }
+        self.feed.publish(now, placements, busy, ready, waiting_at)
         self.placement.replace(now, placements, busy, ready)
 
-    def _ready_in_s(self, now: float) -> dict[str, float]:
-        """Return the time until each model that is being loaded can serve."""
-        ready = {
-            state.loading: max(0.0, state.done_at - now)
-            for state in self.states.values()
-            if state.loading
-        }
-        for planner in self._update_planners().values():
-            for server_id, (model, _) in planner.reserved.items():
-                state = self.states.get(server_id)
-                if state is not None and model in planner.engine.models:
-                    load_duration_s = (
-                        planner.load_duration_s(state, model) + UNLOAD_DURATION_S
-                    )
-                    ready.setdefault(model, load_duration_s)
-        return ready
+
+def _placement_of(state: ServerState) -> ServerPlacement:
+    return ServerPlacement(state.models, state.draining_models, state.count)
--- a/src/wisterialoom/platform/placement_feed.py
+++ b/src/wisterialoom/platform/placement_feed.py
@@ -7,9 +7,11 @@
 
 from wisterialoom.core.fleet import ChangeFeed
 from wisterialoom.core.placement.placement_table import PlacementTable
-from wisterialoom.platform.hints import PlacementHint
+from wisterialoom.platform.hints import PlacementChange, PlacementHint
 
 if TYPE_CHECKING:
+    from collections.abc import Mapping
+
     from wisterialoom.core.fleet import PlacementLease
     from wisterialoom.core.placement.placement_table import ServerPlacement
     from wisterialoom.platform.peers import PeerLink
@@ -19,8 +21,8 @@
 CHANGE_INTERVAL_EACH_S = 0.003
 """Minimum time between two broadcasts of changes, for each instance in the fleet.
 
-Broadcasts of 1 KB hints then take at most 2.7 Mbit/s. Instances with waiting requests
-get changes immediately.
+Broadcasts of 1 KB hints then take at most 2.7 Mbit/s. Instances that need a change get
+it immediately.
 """
 
 MAX_INTERVAL_S = 0.4
@@ -79,9 +81,7 @@
         placements: dict[str, ServerPlacement],
         busy: dict[str, int],
         ready_in_s: dict[str, float],
-        waiting: list[str],
-        *,
-        urgent: bool = False,
+        waiting: dict[str, set[str]],
     ) -> None:
         """Record the current state and send its changes, unless it is too early.
 
@@ -91,9 +91,8 @@
             busy: Requests of all instances in progress, by server.
             ready_in_s: Time until each model or adapter that is being loaded can
                 serve.
-            waiting: Addresses of instances with waiting requests, which get changes
-                immediately.
-            urgent: Whether to broadcast immediately.
+            waiting: Models and adapters that requests wait for, by the address of their
+                instance, which is told immediately if a server now takes them.
         """
         self.table.replace(placements)
         self.busy = busy
@@ -107,17 +106,51 @@
             pause_s = min(
                 MAX_INTERVAL_S, CHANGE_INTERVAL_EACH_S * len(self.peers.members)
             )
-        if urgent or now - self.sent_at >= pause_s:
+        if now - self.sent_at >= pause_s:
             self.sent_at = now
             self.sent_loading = set(ready_in_s)
             hint = self._make_hint(
                 self.servers.take_pending(), self.members.take_pending()
             )
             self.peers.send_all(hint, self.peers.addresses_except(self.lease.me))
-        elif changed and waiting:
-            self.peers.send_all(
-                self._make_hint(self.servers.entries_for(changed), {}), waiting
+        else:
+            self._tell_waiting(changed, waiting)
+
+    def announce(
+        self, server_id: str, placement: ServerPlacement, addresses: list[str]
+    ) -> None:
+        """Tell instances of one server's placement ahead of the next hint.
+
+        Args:
+            server_id: Id of the server.
+            placement: Its placement.
+            addresses: Addresses of the instances.
+        """
+        self.peers.send_all(self._make_change({server_id: placement}), addresses)
+
+    def _tell_waiting(self, changed: set[str], waiting: dict[str, set[str]]) -> None:
+        """Tell instances of changed servers that take their waiting requests."""
+        receivers: dict[tuple[str, ...], list[str]] = {}
+        for address, resources in waiting.items():
+            useful = tuple(
+                server_id
+                for server_id in changed
+                if (placement := self.table.placements.get(server_id)) is not None
+                and any(placement.takes(resource) for resource in resources)
             )
+            if useful:
+                receivers.setdefault(useful, []).append(address)
+        for server_ids, addresses in receivers.items():
+            change = self._make_change(self.servers.entries_for(set(server_ids)))
+            self.peers.send_all(change, addresses)
+
+    def _make_change(
+        self, servers: Mapping[str, ServerPlacement | None]
+    ) -> PlacementChange:
+        self.serial += 1
+        return PlacementChange(
+            self.lease.me, self.lease.epoch, self.serial, dict(servers)
+        )
 
     def send_snapshot(self, address: str) -> None:
         """Send the complete state to one instance."""
--- a/src/wisterialoom/platform/placement_view.py
+++ b/src/wisterialoom/platform/placement_view.py
@@ -7,7 +7,7 @@
 from wisterialoom.core.placement.placement_table import PlacementTable
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Iterable
 
     from wisterialoom.core.placement.placement_table import ServerPlacement
     from wisterialoom.core.serving.dispatcher import Dispatcher
@@ -51,11 +51,7 @@
             Whether the state here now matches the holder's.
         """
         views = self.dispatcher.views
-        for server_id, placement in hint.servers.items():
-            if placement is None:
-                self.table.remove(server_id)
-            else:
-                self.table.put(server_id, placement)
+        self._record(hint.servers)
         known = sorted(self.table.placements.keys() & views.keys())
         agreed = self.table.digest(known) ^ members_digest == hint.digest
         if agreed:
@@ -64,6 +60,16 @@
         self._update_dispatcher(now, hint.ready_in_s)
         return agreed
 
+    def apply_change(self, servers: dict[str, ServerPlacement | None]) -> None:
+        """Apply changes of some servers that the lease holder sent ahead of a hint.
+
+        Args:
+            servers: Placement of each changed server; `None` if it has left.
+        """
+        self._record(servers)
+        if self._set_placements(servers.keys()):
+            self.changed()
+
     def replace(
         self,
         now: float,
@@ -86,20 +92,32 @@
             views[server_id].record_fleet_busy(now, busy[server_id])
         self._update_dispatcher(now, ready_in_s)
 
+    def _record(self, servers: dict[str, ServerPlacement | None]) -> None:
+        for server_id, placement in servers.items():
+            if placement is None:
+                self.table.remove(server_id)
+            else:
+                self.table.put(server_id, placement)
+
     def _update_dispatcher(self, now: float, ready_in_s: dict[str, float]) -> None:
         self.dispatcher.record_loads(now, ready_in_s)
+        if self._set_placements(self.table.placements.keys()):
+            self.changed()
+
+    def _set_placements(self, server_ids: Iterable[str]) -> bool:
+        """Pass placements on; return whether waiting requests may proceed."""
         wake = False
-        for server_id, placement in self.table.placements.items():
+        for server_id in server_ids:
+            placement = self.table.placements.get(server_id)
             view = self.dispatcher.views.get(server_id)
-            if view is None:
+            if placement is None or view is None:
                 continue
             # Set the placement even if its order count is unchanged: an outdated entry
             # in the store may have set the old models with the same count.
             wake |= view.set_placement(
                 placement.count, placement.models, placement.unloading
             )
-        if wake:
-            self.changed()
+        return wake
 
 
 class DigestMismatch:
--- a/src/wisterialoom/platform/relay.py
+++ b/src/wisterialoom/platform/relay.py
@@ -1,6 +1,6 @@
 """Distributes the store's contents among instances, so that few have to read it.
 
-Only some instances, the watchers, read the store. A watcher sends all other instances
+Only some instances, the watchers, follow the store. A watcher sends all other instances
 a `News` message several times a second and at each change: which configuration and
 servers it has, and the age of this view. An instance whose view differs requests a
 copy. An instance that receives messages of too few watchers becomes a watcher itself;
@@ -16,7 +16,14 @@
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
-from wisterialoom.core.fleet import MAX_RANK, WATCHER_MAX_AGE_S, WatcherRole
+from wisterialoom.core.fleet import (
+    FirstView,
+    LinkClass,
+    MAX_RANK,
+    ViewSource,
+    WATCHER_MAX_AGE_S,
+    WatcherRole,
+)
 from wisterialoom.platform._tasks import TaskGroup, wait_for
 from wisterialoom.platform.hints import (
     ConfigCopy,
@@ -40,21 +47,34 @@
 ROLE_CHECK_S = 0.15
 """Interval between two decisions about the watcher role."""
 
+FIRST_VIEW_CHECK_S = 0.03
+"""Interval between two steps towards the first view; some round trips."""
+
 ANNOUNCE_INTERVAL_S = 0.3
 """Interval between messages of a watcher.
 
 A watcher counts as lost after three missing messages.
 """
 
-CHANGE_RESEND_S = 1.0
-"""Time for which each message includes a change again, in case one is lost."""
+CHANGE_RESEND_S = 0.35
+"""Time for which each message of a watcher includes a change again.
+
+Several watchers announce each change. Who misses all of these messages sees it from the
+digest and requests a copy.
+"""
 
 MIN_COPY_REQUEST_INTERVAL_S = 0.2
-"""Minimum time between two requests for a copy.
+"""Minimum time between two requests for a copy, and between two copies to an instance.
 
 More than ten round trips between availability zones.
 """
 
+NO_SERVERS_DIGEST = -1
+"""Digest of an instance that does not know any servers yet.
+
+It differs from the digest of an empty table, which is a complete view.
+"""
+
 SERVERS_PER_PART = 200
 """Servers in one datagram; each takes about 100 bytes of at most 60 KB."""
 
@@ -67,8 +87,12 @@
         catalog: This instance's view of configuration and servers.
         peers: Datagrams between instances.
         record_era: Called with the era of the store that a watcher names.
+        find_holder: Returns the address of the lease holder; empty if it is nobody
+            else, `None` if it is not known yet.
+        first_view: Decides where the first view comes from.
         role: Decides whether this instance reads the store.
         copy_requested_at: Monotonic time of the last request for a copy.
+        answered_at: Monotonic time of the last copy sent to each address.
         sent_at: Monotonic time of the last `News` message.
         packed_config: Version of the configuration and its encoded copy; `None`
             before the first request for one.
@@ -84,15 +108,19 @@
         catalog: Catalog,
         peers: PeerLink,
         record_era: Callable[[int], None],
+        find_holder: Callable[[], str | None],
         *,
-        slow_link: bool = False,
+        link: LinkClass = LinkClass.FAST,
     ) -> None:
         self.me = me
         self.catalog = catalog
         self.peers = peers
         self.record_era = record_era
-        self.role = WatcherRole(_rank(me, slow_link=slow_link))
+        self.find_holder = find_holder
+        self.first_view = FirstView()
+        self.role = WatcherRole(_rank(me, link))
         self.copy_requested_at = float("-inf")
+        self.answered_at: dict[str, float] = {}
         self.sent_at = float("-inf")
         self.packed_config: tuple[int, ConfigCopy] | None = None
         self.parts: dict[tuple[str, Revision], dict[int, dict[str, TableEntry]]] = {}
@@ -109,11 +137,7 @@
         await self.tasks.stop()
 
     async def _run(self) -> None:
-        while not self.catalog.is_loaded:
-            await wait_for(self.wake_event, ROLE_CHECK_S)
-            self.wake_event.clear()
-        # Until its first complete view, every instance reads the store. From now on
-        # this one does so only while it is a watcher.
+        await self._get_first_view()
         self.catalog.set_active(active=self.role.active)
         while True:
             changed = await wait_for(self.wake_event, ROLE_CHECK_S)
@@ -136,12 +160,31 @@
             ):
                 self._publish(now)
 
+    async def _get_first_view(self) -> None:
+        """Wait until the servers are known, from the store or another instance.
+
+        The configuration may come later; the operator writes the first one only after
+        the instances have started.
+        """
+        reads_store = False
+        while not self.catalog.has_servers:
+            now = time.monotonic()
+            match self.first_view.step(now, self.find_holder()):
+                case ViewSource.ASK_HOLDER:
+                    self._send_copy_request(self.find_holder() or "")
+                case ViewSource.READ_STORE if not reads_store:
+                    reads_store = True
+                    self.catalog.read_store()
+            await wait_for(self.wake_event, FIRST_VIEW_CHECK_S)
+            self.wake_event.clear()
+
     def _count_lower_ranked(self) -> int | None:
-        """Count the known instances of lower rank, as if all had fast links."""
+        """Count the known instances of lower rank, as if all links were equal."""
         others = self.peers.members.keys() - {self.me}
         if not others:
             return None
-        return sum(_rank(name, slow_link=False) < self.role.rank for name in others)
+        own = _rank(self.me, LinkClass.FAST)
+        return sum(_rank(name, LinkClass.FAST) < own for name in others)
 
     def _publish(self, now: float) -> None:
         config_age_s = now - self.catalog.config.checked_at
@@ -164,6 +207,25 @@
         )
         self.peers.send_all(news, self.peers.addresses_except(self.me))
 
+    def handle_hint(
+        self, hint: News | CopyWanted | ConfigCopy | ServersCopy, address: str
+    ) -> None:
+        """Handle a message about the store's contents.
+
+        Args:
+            hint: The message.
+            address: Address of the sender.
+        """
+        match hint:
+            case News():
+                self.handle_news(hint, address)
+            case CopyWanted():
+                self.answer(hint, address)
+            case ConfigCopy():
+                self.apply_config(hint)
+            case ServersCopy():
+                self.apply_servers(hint)
+
     def handle_news(self, news: News, address: str) -> None:
         """Apply a watcher's message, and request a copy if its view is newer.
 
@@ -198,16 +260,28 @@
         if now - self.copy_requested_at < MIN_COPY_REQUEST_INTERVAL_S:
             return
         self.copy_requested_at = now
-        request = CopyWanted(
-            self.me, self.catalog.config_version, self.catalog.table.digest
-        )
+        self._send_copy_request(address)
+
+    def _send_copy_request(self, address: str) -> None:
+        catalog = self.catalog
+        digest = catalog.table.digest if catalog.has_servers else NO_SERVERS_DIGEST
+        request = CopyWanted(self.me, catalog.config_version, digest)
         self.peers.send(request, address)
 
     def answer(self, request: CopyWanted, address: str) -> None:
-        """Send another instance the configuration and servers that it lacks."""
+        """Send another instance the configuration and servers that it lacks.
+
+        Requests that it repeats while a copy is on its way are ignored.
+        """
         catalog = self.catalog
-        if not catalog.is_loaded:
+        now = time.monotonic()
+        if now - self.answered_at.get(address, float("-inf")) < (
+            MIN_COPY_REQUEST_INTERVAL_S
+        ):
+            return
+        if not catalog.is_complete:
             return
+        self.answered_at[address] = now
         if catalog.config_version > request.config_version:
             self.peers.send(self._pack_config(), address)
         if catalog.table.digest == request.digest:
@@ -259,7 +333,7 @@
         self.catalog.apply_table(copy.revision, entries)
 
 
-def _rank(name: str, *, slow_link: bool) -> int:
-    """Return the rank for the watcher role: by name, with slow links last."""
-    by_name = zlib.crc32(name.encode()) // 2
-    return by_name + (MAX_RANK // 2 if slow_link else 0)
+def _rank(name: str, link: LinkClass) -> int:
+    """Return the rank for the watcher role: by link, then by a hash of the name."""
+    share = MAX_RANK // len(LinkClass)
+    return link * share + zlib.crc32(name.encode()) // len(LinkClass)
--- a/src/wisterialoom/platform/settings.py
+++ b/src/wisterialoom/platform/settings.py
@@ -9,6 +9,7 @@
 from typing import Any, TYPE_CHECKING
 
 from wisterialoom.core.error import WisterialoomError
+from wisterialoom.core.fleet import LinkClass
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -28,13 +29,6 @@
     return Path(os.environ.get(CONFIG_VARIABLE, DEFAULT_PATH))
 
 
-FAST_LINK_MBPS = 20.0
-"""Link rate in Mbit/s below which a link counts as slow.
-
-The placement hints of the lease holder, 2.7 Mbit/s at most, take a seventh of it.
-"""
-
-
 @dataclass(frozen=True, slots=True)
 class Bounds:
     """Time limits and retry budgets that the platform's operators set.
@@ -101,12 +95,9 @@
     first_start: bool = False
 
     @property
-    def slow_link(self) -> bool:
-        """Whether the link is slow.
-
-        Other machines are preferred for the roles that send to all instances.
-        """
-        return self.link_mbps < FAST_LINK_MBPS
+    def link(self) -> LinkClass:
+        """Class of the link; better ones are preferred for roles that send to all."""
+        return LinkClass.from_mbps(self.link_mbps)
 
     @classmethod
     def from_environment(cls, metrics_port: int = 0) -> PlatformSettings:
--- a/src/wisterialoom/platform/watcher.py
+++ b/src/wisterialoom/platform/watcher.py
@@ -69,6 +69,9 @@
         read_timeout_s: Read timeout of the next list.
         listed: Whether a list has been read from which watches can continue.
         active_event: Set while this instance reads the store itself.
+        on_confirmed: Called when the first watch after a start of reading has shown
+            whether the view is current.
+        confirmed: Whether the view was confirmed since this instance began to read.
     """
 
     def __init__(
@@ -91,7 +94,8 @@
         self.read_timeout_s = FIRST_READ_TIMEOUT_S
         self.listed = False
         self.active_event = asyncio.Event()
-        self.active_event.set()
+        self.on_confirmed: Callable[[], None] = lambda: None
+        self.confirmed = False
 
     async def run(self) -> None:
         """List and watch the objects until canceled."""
@@ -126,7 +130,10 @@
 
         A call in progress still ends normally after a stop.
         """
+        if active == self.active_event.is_set():
+            return
         if active:
+            self.confirmed = False
             self.active_event.set()
         else:
             self.active_event.clear()
@@ -148,17 +155,26 @@
             self.listed = True
             self.on_listing(listing, self.lost_since)
         else:
-            answer = await self.store.watch(self.kind, self.revision, WATCH_WAIT_S)
+            # A new watcher's view counts for other instances only once it is confirmed,
+            # so the first call does not wait for a change.
+            wait_s = WATCH_WAIT_S if self.confirmed else 0.0
+            answer = await self.store.watch(self.kind, self.revision, wait_s)
             self.revision = max(self.revision, answer.revision)
+            self.checked_at = started
             self.on_changes(answer)
-            if answer.changed or answer.removed:
+            if not self.confirmed:
+                self.confirmed = True
+                self.on_confirmed()
+            elif answer.changed or answer.removed:
                 if self.batches_changes:
                     await asyncio.sleep(BATCH_DELAY_S)
-            elif time.monotonic() - started >= WATCH_WAIT_S:
+            elif time.monotonic() - started >= wait_s:
                 # Nothing changed during the wait, so the view was current until its
                 # end.
-                started += WATCH_WAIT_S
+                self.checked_at += wait_s
+            return
         self.checked_at = started
+        self.confirmed = True
 
     def _record_answer(self) -> None:
         if self.lost_since is None:
--- a/tests/platform/test_app.py
+++ b/tests/platform/test_app.py
@@ -127,6 +127,36 @@
         assert (await site.call("/deposit/"))[0] == 503
 
 
+async def test_request_to_a_starting_instance_waits_for_the_configuration():
+    """After a loss of all instances, callers were refused in the first 0.3 s."""
+    server, store = FakePlainServer("i-1"), FakeStore()
+    await store.start()
+    await server.start()
+    await store.put("config", "main", config())
+    await store.put("servers", "i-1", server.entry())
+    store.list_delay_s = 0.1
+    app = PlatformApp(settings(store.address, first_start=False))
+    await app.on_start()
+    async with aiohttp.ClientSession() as session:
+        site = Harness(store, app, session)
+        assert not app.catalog.is_loaded
+        status, _, body = await site.call("/deposit/")
+        assert (status, body) == (200, b"POST /deposit/")
+    await app.on_stop()
+    await server.stop()
+    await store.stop()
+
+
+async def test_request_without_configuration_is_refused_at_once_in_an_outage():
+    server = FakePlainServer("i-1")
+    async with harness(server) as site:
+        site.app.ingress.started_at -= 10.0
+        site.app.dispatcher.deployment = None
+        began = time.monotonic()
+        assert (await site.call("/deposit/"))[0] == 503
+        assert time.monotonic() - began < 0.3
+
+
 async def test_unknown_route_gets_503_while_the_configuration_may_be_stale():
     server = FakePlainServer("i-1")
     async with harness(server) as site:
--- a/tests/platform/test_relay.py
+++ b/tests/platform/test_relay.py
@@ -18,7 +18,7 @@
     PEER_PORT,
     READY_PORT,
 )
-from tests.platform.test_app import settings, wait_until
+from tests.platform.test_app import harness, settings, wait_until
 from wisterialoom.core.fleet import Revision, TableEntry
 from wisterialoom.platform.app import PlatformApp
 from wisterialoom.platform.hints import (
@@ -110,6 +110,51 @@
         assert not any(app.relay.role.active for app in followers)
 
 
+async def test_instances_that_start_get_their_first_view_from_the_holder():
+    """Each of 195 instances used to list both kinds at its start."""
+    async with fleet() as (store, apps):
+        lists = store.calls["GET servers"]
+        assert lists < COUNT
+        last = apps.pop()
+        await last.on_stop()
+        again = PlatformApp(last.settings)
+        apps.append(again)
+        await again.on_start()
+        await wait_until(lambda: again.catalog.is_loaded)
+        assert store.calls["GET servers"] == lists
+
+
+async def test_empty_list_of_servers_is_copied_like_any_other():
+    """Before the servers had registered, all of 195 instances listed them."""
+    store = FakeStore()
+    await store.start()
+    apps = [make_app(store, number, ip) for number, ip in enumerate(addresses()[:4])]
+    for app in apps:
+        await app.on_start()
+    await wait_until(lambda: all(app.catalog.has_servers for app in apps))
+    assert store.calls["GET servers"] < len(apps)
+    await store.put("config", "main", config())
+    await store.put("servers", "i-1", FakePlainServer("i-1").entry() | ADDRESS)
+    await wait_until(lambda: all(app.catalog.is_loaded for app in apps))
+    await wait_until(lambda: all("i-1" in app.dispatcher.views for app in apps))
+    for app in apps:
+        await app.on_stop()
+    await store.stop()
+
+
+async def test_instance_reads_the_store_if_the_recorded_holder_does_not_answer():
+    async with harness(FakePlainServer("i-1")) as site:
+        await wait_until(lambda: "wisterialoom-leases" in site.store.objects)
+        record = site.store.objects["wisterialoom-leases"]["placement-1"]["spec"]
+        gone = record | {"holder": "front-9", "address": "127.0.0.99", "serial": 9}
+        await site.app.on_stop()
+        await site.store.change("wisterialoom-leases", "placement-1", gone)
+        again = PlatformApp(site.app.settings)
+        await again.on_start()
+        await wait_until(lambda: again.catalog.is_loaded, limit_s=2.0)
+        await again.on_stop()
+
+
 async def test_other_instances_read_the_store_once_its_watchers_have_stopped():
     async with fleet() as (store, apps):
         for app in watchers(apps):
--- a/tests/platform/test_wire.py
+++ b/tests/platform/test_wire.py
@@ -13,6 +13,7 @@
 from multidict import CIMultiDict, CIMultiDictProxy
 
 from tests.platform.fakes import config, free_port
+from wisterialoom.core.fleet import LinkClass
 from wisterialoom.core.placement.fleet_demand import DemandReport
 from wisterialoom.core.placement.placement_table import ServerPlacement
 from wisterialoom.platform.decode import (
@@ -27,6 +28,7 @@
     encode_hint,
     Hint,
     HintError,
+    PlacementChange,
     PlacementHint,
     PlacementWanted,
     Released,
@@ -156,6 +158,15 @@
 HINTS: list[Hint] = [
     Released("front-1", 4),
     DemandReport("front-1", "b", {"m0": 2}, {"m0": 9}, {"i-1": {"m0/a1": 1}}),
+    PlacementChange(
+        "front-1",
+        7,
+        3,
+        {
+            "i-1": ServerPlacement({"m0": frozenset({"a1"})}, frozenset(), 4),
+            "i-2": None,
+        },
+    ),
     PlacementHint(
         holder="front-1",
         address="10.0.0.1",
@@ -226,10 +237,20 @@
     return table | changes
 
 
-def test_low_link_rate_counts_as_a_slow_link():
-    assert not PlatformSettings.from_table(settings_table()).slow_link
-    slow = PlatformSettings.from_table(settings_table(limits={"linkMbps": 5.0}))
-    assert slow.slow_link
+@pytest.mark.parametrize(
+    ("rate", "link"),
+    [
+        (1000.0, LinkClass.FAST),
+        (100, LinkClass.FAST),
+        (20.0, LinkClass.MEDIUM),
+        (19.9, LinkClass.SLOW),
+        (5.0, LinkClass.SLOW),
+    ],
+)
+def test_link_rate_decides_the_class_of_the_link(rate, link):
+    assert PlatformSettings.from_table(settings_table()).link is LinkClass.FAST
+    settings = PlatformSettings.from_table(settings_table(limits={"linkMbps": rate}))
+    assert settings.link is link
 
 
 @pytest.mark.parametrize("limits", [3, {"linkMbps": "fast"}, {"linkMbps": [1]}])
--- a/tests/test_placement_lease.py
+++ b/tests/test_placement_lease.py
@@ -6,6 +6,7 @@
 
 from wisterialoom.core.fleet import (
     LeaseRecord,
+    LinkClass,
     PlacementLease,
     ReadLease,
     TakeLease,
@@ -205,7 +206,13 @@
 def test_instance_with_a_slow_link_takes_the_lease_after_others():
     """A holder's messages to 77 instances delayed its renewals; it lost the lease."""
     slow = PlacementLease(
-        "s", "b1", "10.0.0.1", LEASE_S, fenced=True, slow_link=True, first_start=True
+        "s",
+        "b1",
+        "10.0.0.1",
+        LEASE_S,
+        fenced=True,
+        link=LinkClass.SLOW,
+        first_start=True,
     )
     store = Store()
     play(slow, store, 0.0)
@@ -220,7 +227,13 @@
 
 def test_instance_with_a_slow_link_takes_the_lease_if_no_other_does():
     slow = PlacementLease(
-        "s", "b1", "10.0.0.1", LEASE_S, fenced=True, slow_link=True, first_start=True
+        "s",
+        "b1",
+        "10.0.0.1",
+        LEASE_S,
+        fenced=True,
+        link=LinkClass.SLOW,
+        first_start=True,
     )
     store = Store()
     now = 0.0
