Log the age of the view by which each request is handled

The request line has view_age_ms, the watcher role line too, and view_age_seconds is a metric. No decision changes.

--- a/src/wisterialoom/core/serving/request_flow.py
+++ b/src/wisterialoom/core/serving/request_flow.py
@@ -149,6 +149,8 @@
         absent_refusals: Number of refusals by servers that lacked the model or adapter.
         pending_prefill_tokens: Prompt tokens that the server of the current attempt
             has yet to process.
+        view_current_at: Monotonic time at which configuration and servers were known to
+            be current when the request arrived.
     """
 
     profile: RequestProfile
@@ -162,6 +164,7 @@
     outcome: str = ""
     absent_refusals: int = 0
     pending_prefill_tokens: int = 0
+    view_current_at: float = float("-inf")
 
     @property
     def reached(self) -> int:
--- a/src/wisterialoom/platform/app.py
+++ b/src/wisterialoom/platform/app.py
@@ -162,6 +162,7 @@
             self.signal,
             lambda: self.catalog.is_loaded,
             lambda: self.catalog.config_current_at,
+            lambda: self.catalog.current_at,
             lambda: self.fleet.demand_changed(),
             self.metrics,
         )
@@ -299,6 +300,11 @@
             "Since the configuration was known to be current.",
             lambda: time.monotonic() - self.catalog.config_current_at,
         )
+        metrics.gauge(
+            "view_age_seconds",
+            "Since configuration and servers were known to be current.",
+            lambda: time.monotonic() - self.catalog.current_at,
+        )
 
     async def answer_ready(self, _: web.BaseRequest) -> web.StreamResponse:
         """Answer the platform's readiness check."""
--- a/src/wisterialoom/platform/catalog.py
+++ b/src/wisterialoom/platform/catalog.py
@@ -63,8 +63,9 @@
         is_role_decided: Whether it was decided if this instance follows the store.
             Before that it reads everything once.
         config_spec: The configuration in force, as stored.
-        confirmed_at: Monotonic time at which another instance last confirmed that
-            the configuration in force here was current.
+        config_confirmed_at: Monotonic time at which the configuration in force here
+            was current, as another instance confirmed it.
+        servers_confirmed_at: The same time for the servers.
     """
 
     def __init__(
@@ -83,7 +84,8 @@
         self.logged_states: dict[str, tuple[bool, int]] = {}
         self.is_role_decided = False
         self.config_spec: Any = None
-        self.confirmed_at = float("-inf")
+        self.config_confirmed_at = float("-inf")
+        self.servers_confirmed_at = float("-inf")
         self.config = KindWatcher(
             CONFIG_KIND, store, self._list_config, self._change_config
         )
@@ -123,7 +125,17 @@
     @property
     def config_current_at(self) -> float:
         """Monotonic time at which the configuration was last known to be current."""
-        return max(self.config.checked_at, self.confirmed_at)
+        return max(self.config.checked_at, self.config_confirmed_at)
+
+    @property
+    def servers_current_at(self) -> float:
+        """Monotonic time at which the servers were last known to be current."""
+        return max(self.server_watcher.checked_at, self.servers_confirmed_at)
+
+    @property
+    def current_at(self) -> float:
+        """Monotonic time at which the whole view was last known to be current."""
+        return min(self.config_current_at, self.servers_current_at)
 
     def start(self) -> None:
         """Start the tasks that read and follow the store once that is decided."""
@@ -152,16 +164,22 @@
         self.server_watcher.set_active(active=active)
 
     def confirm_current(
-        self, config_at: float, config_revision: Revision, revision: Revision
+        self,
+        config_at: float,
+        servers_at: float,
+        config_revision: Revision,
+        revision: Revision,
     ) -> None:
         """Record another instance's confirmation that the state here is current.
 
         Args:
             config_at: Monotonic time at which the configuration was current.
+            servers_at: Monotonic time at which the servers were current.
             config_revision: Store revision up to which the configuration is current.
             revision: Store revision up to which the servers are current.
         """
-        self.confirmed_at = max(self.confirmed_at, config_at)
+        self.config_confirmed_at = max(self.config_confirmed_at, config_at)
+        self.servers_confirmed_at = max(self.servers_confirmed_at, servers_at)
         self.config.confirm(config_revision)
         self.server_watcher.confirm(revision)
 
--- a/src/wisterialoom/platform/ingress.py
+++ b/src/wisterialoom/platform/ingress.py
@@ -19,6 +19,7 @@
 from wisterialoom.platform.attempt import Attempt
 from wisterialoom.platform.exchange import Exchange
 from wisterialoom.platform.headers import ATTEMPT_ID, read_profile
+from wisterialoom.platform.log import age_ms
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -115,6 +116,7 @@
         is_loaded: Returns whether configuration and servers are known.
         get_config_current_at: Returns the monotonic time at which the configuration was
             last known to be current.
+        get_view_current_at: Returns the same time for configuration and servers.
         demand_changed: Called when the first request begins to wait for a model.
         metrics: Counters and histograms.
         started_at: Monotonic time at which this instance started.
@@ -132,6 +134,7 @@
         signal: Signal,
         is_loaded: Callable[[], bool],
         get_config_current_at: Callable[[], float],
+        get_view_current_at: Callable[[], float],
         demand_changed: Callable[[], None],
         metrics: PlatformMetrics,
     ) -> None:
@@ -139,6 +142,7 @@
         self.signal = signal
         self.is_loaded = is_loaded
         self.get_config_current_at = get_config_current_at
+        self.get_view_current_at = get_view_current_at
         self.demand_changed = demand_changed
         self.metrics = metrics
         self.pooled_session: ClientSession | None = None
@@ -195,7 +199,7 @@
         return exchange.response
 
     async def _serve(self, exchange: Exchange, profile: RequestProfile) -> None:
-        flow = RequestFlow(profile)
+        flow = RequestFlow(profile, view_current_at=self.get_view_current_at())
         self.dispatcher.record_arrival(profile.arrived, flow)
         limit_s = profile.answer_deadline - time.monotonic()
         try:
@@ -243,8 +247,9 @@
                 "total_ms": int(total_s * 1e3),
                 "left_ms": int((profile.answer_deadline - now) * 1e3),
                 "config_version": deployment.version if deployment else 0,
-                "placement_age_ms": int(
-                    min(1e6, (now - self.dispatcher.forecast.holder_seen_at) * 1e3)
+                "view_age_ms": age_ms(profile.arrived, flow.view_current_at),
+                "placement_age_ms": age_ms(
+                    now, self.dispatcher.forecast.holder_seen_at
                 ),
             },
         )
--- a/src/wisterialoom/platform/log.py
+++ b/src/wisterialoom/platform/log.py
@@ -12,7 +12,12 @@
 if TYPE_CHECKING:
     from typing import TextIO
 
-__all__ = ["RateLimitedHandler", "dropped_line_count", "set_up_platform_logs"]
+__all__ = [
+    "RateLimitedHandler",
+    "age_ms",
+    "dropped_line_count",
+    "set_up_platform_logs",
+]
 
 LINES_PER_S = 150.0
 """Sustained rate of log lines; at most about 50 KB per second."""
@@ -20,6 +25,9 @@
 BURST_LINES = 600.0
 """Log lines that may be written in a burst."""
 
+MAX_AGE_MS = 1_000_000
+"""Age that is logged for anything older, and for what was never known."""
+
 
 class RateLimitedHandler(logging.StreamHandler["TextIO"]):
     """Limits the rate of log lines with a token bucket.
@@ -72,6 +80,11 @@
     logging.getLogger("aiohttp").setLevel(logging.ERROR)
 
 
+def age_ms(now: float, moment: float) -> int:
+    """Return the age of a monotonic time in milliseconds, for a log line."""
+    return int(min(MAX_AGE_MS, (now - moment) * 1e3))
+
+
 def dropped_line_count() -> int:
     """Return the number of log lines dropped since the start."""
     return sum(
--- a/src/wisterialoom/platform/relay.py
+++ b/src/wisterialoom/platform/relay.py
@@ -32,6 +32,7 @@
     News,
     ServersCopy,
 )
+from wisterialoom.platform.log import age_ms
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -152,6 +153,7 @@
                     extra={
                         "on": self.role.active,
                         "heard": len(self.role.live_watchers(now)),
+                        "view_age_ms": age_ms(now, self.catalog.current_at),
                         "revision": self.catalog.server_watcher.revision,
                     },
                 )
@@ -253,7 +255,10 @@
         self.role.record_agreement(now, news.watcher, current_at)
         if not differs and news.config_version == catalog.config_version:
             catalog.confirm_current(
-                now - news.config_age_s, news.config_revision, news.revision
+                now - news.config_age_s,
+                now - news.age_s,
+                news.config_revision,
+                news.revision,
             )
 
     def _request_copy(self, now: float, address: str) -> None:
--- a/tests/platform/test_relay.py
+++ b/tests/platform/test_relay.py
@@ -92,7 +92,7 @@
         # A watch call in progress may still complete after the watcher role has ended.
         await wait_until(
             lambda: all(
-                app.catalog.confirmed_at > app.catalog.config.checked_at
+                app.catalog.config_confirmed_at > app.catalog.config.checked_at
                 for app in followers
             )
         )
