--- a/tests/platform/fakes.py
+++ b/tests/platform/fakes.py
@@ -45,6 +45,7 @@
         oldest: Oldest revision that a watch can start from.
         mode: `ok`, `down` (answers 503), `silent` (never answers), or `lose` (makes
             writes but does not answer them).
+        door_modes: Mode for the calls to one address, which `open_door` returned.
         list_delay_s: Time that each list call takes.
         calls: Number of calls by method and kind.
     """
@@ -58,21 +59,39 @@
         self.oldest = 0
         self.changed = asyncio.Condition()
         self.mode = "ok"
+        self.door_modes: dict[str, str] = {}
+        self.door_runners: list[web.AppRunner] = []
         self.list_delay_s = 0.0
         self.calls: dict[str, int] = {}
         self.address = ""
         self.runner: web.AppRunner | None = None
 
     async def start(self) -> None:
+        self.runner, self.address = await serve(self.make_app())
+
+    async def open_door(self) -> str:
+        """Serve the store at one more address, and return it."""
+        runner, address = await serve(self.make_app())
+        self.door_runners.append(runner)
+        return address
+
+    def make_app(self) -> web.Application:
         app = web.Application()
         app.on_response_prepare.append(self.add_era)
         app.router.add_route("*", "/v1/objects/{kind}", self.on_kind)
         app.router.add_route("*", "/v1/objects/{kind}/{name}", self.on_object)
-        self.runner, self.address = await serve(app)
+        return app
 
     async def stop(self) -> None:
         assert self.runner is not None
-        await self.runner.cleanup()
+        for runner in (self.runner, *self.door_runners):
+            await runner.cleanup()
+
+    def mode_for(self, request: web.Request) -> str:
+        """Return the mode for the address that a call was made to."""
+        assert request.transport is not None
+        host, port = request.transport.get_extra_info("sockname")[:2]
+        return self.door_modes.get(f"{host}:{port}", self.mode)
 
     async def add_era(self, _: web.Request, response: web.StreamResponse) -> None:
         if self.era is not None:
@@ -149,10 +168,11 @@
             self.revision += 1
             self.changed.notify_all()
 
-    async def fail_by_mode(self) -> web.Response | None:
-        if self.mode == "down":
+    async def fail_by_mode(self, request: web.Request) -> web.Response | None:
+        mode = self.mode_for(request)
+        if mode == "down":
             return web.Response(status=503)
-        if self.mode == "silent":
+        if mode == "silent":
             await asyncio.sleep(3600)
         return None
 
@@ -161,7 +181,7 @@
         watch = request.query.get("watch")
         name = f"{request.method} {kind}" + ("?watch" if watch else "")
         self.calls[name] = self.calls.get(name, 0) + 1
-        failure = await self.fail_by_mode()
+        failure = await self.fail_by_mode(request)
         if failure is not None:
             return failure
         if request.method == "POST":
@@ -173,7 +193,7 @@
             return await self.write(kind, object_name, body["spec"], request)
         if watch is not None:
             wait_s = int(request.query.get("waitMs", "0")) / 1e3
-            return await self.watch(kind, int(watch), wait_s)
+            return await self.watch(kind, int(watch), wait_s, request)
         items = [
             item
             for name, item in sorted(self.objects.get(kind, {}).items())
@@ -184,7 +204,9 @@
         truncated = len(items) > len(page)
         return answer({"items": page, "truncated": truncated, "at": self.revision})
 
-    async def watch(self, kind: str, since: int, wait_s: float) -> web.Response:
+    async def watch(
+        self, kind: str, since: int, wait_s: float, request: web.Request
+    ) -> web.Response:
         def events() -> list[dict[str, Any]]:
             return [
                 {"removed": removed, "object": item}
@@ -199,8 +221,9 @@
                         await self.changed.wait()
             except TimeoutError:
                 pass
-        if self.mode == "down":
-            return web.Response(status=503)
+        failure = await self.fail_by_mode(request)
+        if failure is not None:
+            return failure
         if since < self.oldest or since > self.revision:
             return web.Response(status=410)
         return answer({"events": events(), "at": self.revision})
@@ -209,7 +232,7 @@
         kind, name = request.match_info["kind"], request.match_info["name"]
         key = f"{request.method} {kind}"
         self.calls[key] = self.calls.get(key, 0) + 1
-        failure = await self.fail_by_mode()
+        failure = await self.fail_by_mode(request)
         if failure is not None:
             return failure
         current = self.objects.get(kind, {}).get(name)
--- a/tests/platform/test_relay.py
+++ b/tests/platform/test_relay.py
@@ -36,7 +36,7 @@
 COUNT = 6
 
 
-def make_app(store: FakeStore, number: int, ip: str) -> PlatformApp:
+def make_app(store: str, number: int, ip: str) -> PlatformApp:
     values: dict[str, Any] = {
         "instance": f"front-{number}",
         "ip": ip,
@@ -45,7 +45,7 @@
         "peer_port": PEER_PORT,
         "metrics_port": METRICS_PORT,
     }
-    return PlatformApp(settings(store.address, **values))
+    return PlatformApp(settings(store, **values))
 
 
 def watchers(apps: list[PlatformApp]) -> list[PlatformApp]:
@@ -69,7 +69,9 @@
     await store.put("config", "main", config())
     await store.put("servers", "i-1", FakePlainServer("i-1").entry() | ADDRESS)
     ips = addresses()[:COUNT]
-    apps = [make_app(store, number, ip) for number, ip in enumerate(ips)]
+    apps = [
+        make_app(await store.open_door(), number, ip) for number, ip in enumerate(ips)
+    ]
     for app in apps:
         await app.on_start()
     try:
@@ -128,7 +130,9 @@
     """Before the servers had registered, all of 195 instances listed them."""
     store = FakeStore()
     await store.start()
-    apps = [make_app(store, number, ip) for number, ip in enumerate(addresses()[:4])]
+    apps = [
+        make_app(store.address, number, ip) for number, ip in enumerate(addresses()[:4])
+    ]
     for app in apps:
         await app.on_start()
     await wait_until(lambda: all(app.catalog.has_servers for app in apps))
