Let a view of the store count only as long as the promise allows

Callers got answers by an old configuration (CONFIG) and were sent to servers that had left (DRAIN) when all watchers of the store lost it and an instance that still reached it followed them.

Cause: a follower trusted its watchers for five seconds after they had last heard from the store, and began to read up to 0.9 s later, against a promise of 2 s. Even in calm times its view was up to 2.2 s old, as a watch waited 2 s and its connection counted as broken 0.8 s later. Class: trusting another's confirmation for longer than the promise that it serves allows. Ruled out: reads that are held up (the first read ends 60 ms after the instance begins), and requests that do not heed a change that has arrived.

ViewPromise derives all limits from configApplyMs and drainMs, which the settings file gives. A watch ends in time to confirm the view again; a follower counts from the moment that the confirmation proves, and reads the store itself once that is too long ago, in the order of ranks, so that the first reader spares the others. An instance that has lost the store makes one call at a time, and a fleet about a hundred a second.

--- a/src/wisterialoom/core/fleet/__init__.py
+++ b/src/wisterialoom/core/fleet/__init__.py
@@ -15,15 +15,11 @@
 )
 from wisterialoom.core.fleet.revision import FIRST_REVISION, Revision
 from wisterialoom.core.fleet.server_table import ServerTable, TableEntry
-from wisterialoom.core.fleet.watcher_role import (
-    MAX_RANK,
-    WATCHER_MAX_AGE_S,
-    WatcherRole,
-)
+from wisterialoom.core.fleet.view_promise import ViewPromise
+from wisterialoom.core.fleet.watcher_role import MAX_RANK, WatcherRole
 
 __all__ = [
     "FIRST_REVISION",
-    "WATCHER_MAX_AGE_S",
     "MAX_RANK",
     "ChangeFeed",
     "FirstView",
@@ -36,6 +32,7 @@
     "ServerTable",
     "TableEntry",
     "TakeLease",
+    "ViewPromise",
     "ViewSource",
     "WatcherRole",
     "WriteLease",
--- a/src/wisterialoom/core/fleet/watcher_role.py
+++ b/src/wisterialoom/core/fleet/watcher_role.py
@@ -4,14 +4,19 @@
 grow with the fleet. Instead, the few instances with the lowest ranks watch the store
 and announce to all others what they have read and how old it is. An instance that
 receives messages from too few watchers that are up to date and agree with it watches
-the store itself, so the loss of a watcher delays changes but loses none.
+the store itself, so the loss of a watcher delays changes but loses none. If none of
+them has confirmed its view for too long, it begins at once (`ViewPromise`).
 """
 
 from __future__ import annotations
 
 from dataclasses import dataclass
+from typing import TYPE_CHECKING
 
-__all__ = ["WATCHER_MAX_AGE_S", "MAX_RANK", "WatcherRole"]
+if TYPE_CHECKING:
+    from wisterialoom.core.fleet.view_promise import ViewPromise
+
+__all__ = ["MAX_RANK", "WatcherRole"]
 
 WATCHER_COUNT = 3
 """Number of concurrent watchers; two may fail without a delay."""
@@ -28,13 +33,6 @@
 A change spreads within half of this time.
 """
 
-WATCHER_MAX_AGE_S = 5.0
-"""Maximum age of a watcher's data: two watch calls and the pause between them.
-
-A watch call that returns changes only confirms that the data was current when the call
-started.
-"""
-
 STAGGER_S = 0.8
 """Delay before an instance of the highest rank starts to watch.
 
@@ -69,7 +67,8 @@
         rank: Rank of the watcher.
         last_message_at: Time of its last message.
         agreed_at: Time at which it last had nothing that this instance lacks.
-        current_at: Time at which its data was last known to be current.
+        current_at: Time at which the data that it agreed on was last known to be
+            current.
     """
 
     rank: int
@@ -77,11 +76,11 @@
     agreed_at: float = float("-inf")
     current_at: float = float("-inf")
 
-    def is_live(self, now: float) -> bool:
+    def is_live(self, now: float, max_age_s: float) -> bool:
         return (
             now - self.last_message_at <= WATCHER_TIMEOUT_S
             and now - self.agreed_at <= AGREEMENT_TIMEOUT_S
-            and now - self.current_at <= WATCHER_MAX_AGE_S
+            and now - self.current_at <= max_age_s
         )
 
 
@@ -90,21 +89,26 @@
 
     Attributes:
         rank: Rank of this instance, below `MAX_RANK`; the lowest ranks watch.
+        promise: Limits on the age of the view.
         active: Whether this instance watches the store.
         watchers: Watchers whose messages were received, by name.
         enough_since: Time since which enough watchers of lower rank are live.
         too_few_since: Time since which too few of them are live.
+        confirmed_at: Time at which a watcher of any rank last knew the view that this
+            instance has to be current.
         has_followed: Whether enough other watchers were live since the process start.
         lower_ranked: Number of known instances of lower rank; `None` before this
             instance has learned of the others.
     """
 
-    def __init__(self, rank: int) -> None:
+    def __init__(self, rank: int, promise: ViewPromise) -> None:
         self.rank = rank
+        self.promise = promise
         self.active = False
         self.has_followed = False
         self.lower_ranked: int | None = None
         self.watchers: dict[str, _Watcher] = {}
+        self.confirmed_at = float("-inf")
         self.enough_since: float | None = None
         self.too_few_since: float | None = None
 
@@ -127,13 +131,14 @@
         known = self.watchers[watcher]
         known.agreed_at = now
         known.current_at = max(known.current_at, current_at)
+        self.confirmed_at = max(self.confirmed_at, current_at)
 
     def live_watchers(self, now: float) -> list[str]:
         """Return the watchers of lower rank that are up to date and agree."""
         return [
             name
             for name, watcher in self.watchers.items()
-            if watcher.rank < self.rank and watcher.is_live(now)
+            if watcher.rank < self.rank and watcher.is_live(now, self.promise.max_age_s)
         ]
 
     def step(self, now: float) -> bool:
@@ -153,20 +158,33 @@
             self.enough_since = None
             if self.too_few_since is None:
                 self.too_few_since = now
-            too_few_s = now - self.too_few_since
-            should_watch = self.active or too_few_s >= self._start_delay_s()
+            should_watch = self.active or now >= self._start_at()
         changed = should_watch != self.active
         self.active = should_watch
         return changed
 
-    def _start_delay_s(self) -> float:
-        """Return the time with too few watchers after which this instance watches."""
+    def due_in_s(self, now: float) -> float:
+        """Return the time until the next step is due, if no message comes before."""
+        if self.active:
+            return float("inf")
+        following = self.too_few_since is None
+        due_at = self._unconfirmed_at() if following else self._start_at()
+        return due_at - now if due_at > now else float("inf")
+
+    def _unconfirmed_at(self) -> float:
+        """Return when the view is unconfirmed for so long that this instance reads."""
+        spread_s = self.promise.start_spread_s * self.rank / MAX_RANK
+        return self.confirmed_at + self.promise.max_age_s + spread_s
+
+    def _start_at(self) -> float:
+        """Return when this instance begins to watch, if too few others do."""
+        assert self.too_few_since is not None
         share = self.rank / MAX_RANK
         if self.has_followed:
-            return STAGGER_S * share
+            return min(self.too_few_since + STAGGER_S * share, self._unconfirmed_at())
         if self.lower_ranked is None:
-            return FIRST_DELAY_S + FIRST_STAGGER_S * share
+            return self.too_few_since + FIRST_DELAY_S + FIRST_STAGGER_S * share
         if self.lower_ranked < WATCHER_COUNT:
-            return FIRST_DELAY_S
+            return self.too_few_since + FIRST_DELAY_S
         # Those of lower rank start first, and need as much time to be heard.
-        return 2 * FIRST_DELAY_S + FIRST_STAGGER_S * share
+        return self.too_few_since + 2 * FIRST_DELAY_S + FIRST_STAGGER_S * share
--- a/src/wisterialoom/platform/app.py
+++ b/src/wisterialoom/platform/app.py
@@ -156,7 +156,9 @@
         """Open sessions and listeners and begin to follow the store."""
         settings = self.settings
         store = StoreClient(settings.store, self._session(TCPConnector(limit=0)))
-        self.catalog = Catalog(store, self.dispatcher, self.signal.wake)
+        self.catalog = Catalog(
+            store, self.dispatcher, self.signal.wake, settings.bounds.promise
+        )
         self.ingress = Ingress(
             self.dispatcher,
             self.signal,
@@ -226,6 +228,7 @@
             peers,
             store.record_era,
             fleet.holder_to_ask,
+            lambda: self.settings.bounds.promise,
             link=settings.link,
         )
         fleet.relay = self.relay
--- a/src/wisterialoom/platform/catalog.py
+++ b/src/wisterialoom/platform/catalog.py
@@ -18,7 +18,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from wisterialoom.core.fleet import Revision, TableEntry
+    from wisterialoom.core.fleet import Revision, TableEntry, ViewPromise
     from wisterialoom.core.serving.backend import BackendServer
     from wisterialoom.core.serving.dispatcher import Dispatcher
     from wisterialoom.platform.store import (
@@ -73,6 +73,7 @@
         store: StoreClient,
         dispatcher: Dispatcher,
         changed: Callable[[], None],
+        promise: ViewPromise,
     ) -> None:
         self.dispatcher = dispatcher
         self.changed = changed
@@ -87,7 +88,11 @@
         self.config_confirmed_at = float("-inf")
         self.servers_confirmed_at = float("-inf")
         self.config = KindWatcher(
-            CONFIG_KIND, store, self._list_config, self._change_config
+            CONFIG_KIND,
+            store,
+            self._list_config,
+            self._change_config,
+            promise=promise,
         )
         self.server_watcher = KindWatcher(
             SERVER_KIND,
@@ -95,7 +100,10 @@
             self._list_servers,
             self._change_servers,
             batches_changes=True,
+            prerequisite=self.config,
+            promise=promise,
         )
+        self.config.on_lost = self.server_watcher.record_failure
         for watcher in (self.config, self.server_watcher):
             watcher.on_confirmed = lambda: self.on_update()
         self.tasks = TaskGroup()
@@ -137,6 +145,12 @@
         """Monotonic time at which the whole view was last known to be current."""
         return min(self.config_current_at, self.servers_current_at)
 
+    def set_limits(self, promise: ViewPromise, instances: int) -> None:
+        """Set the limits on the age of the view, and the size of the fleet."""
+        for watcher in (self.config, self.server_watcher):
+            watcher.promise = promise
+            watcher.max_retry_s = promise.max_retry_s(instances)
+
     def start(self) -> None:
         """Start the tasks that read and follow the store once that is decided."""
         self.tasks.spawn(self.config.run())
--- a/src/wisterialoom/platform/relay.py
+++ b/src/wisterialoom/platform/relay.py
@@ -21,7 +21,6 @@
     LinkClass,
     MAX_RANK,
     ViewSource,
-    WATCHER_MAX_AGE_S,
     WatcherRole,
 )
 from wisterialoom.platform._tasks import TaskGroup, wait_for
@@ -37,7 +36,7 @@
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from wisterialoom.core.fleet import Revision, TableEntry
+    from wisterialoom.core.fleet import Revision, TableEntry, ViewPromise
     from wisterialoom.platform.catalog import Catalog
     from wisterialoom.platform.peers import PeerLink
 
@@ -57,6 +56,12 @@
 A watcher counts as lost after three missing messages.
 """
 
+ANNOUNCE_MAX_AGE_S = 5.0
+"""Age of its view above which a watcher falls silent.
+
+Others do not count it any more, but one that starts may have no better source.
+"""
+
 CHANGE_RESEND_S = 0.35
 """Time for which each message of a watcher includes a change again.
 
@@ -90,6 +95,7 @@
         record_era: Called with the era of the store that a watcher names.
         find_holder: Returns the address of the lease holder; empty if it is nobody
             else, `None` if it is not known yet.
+        get_promise: Returns the limits on the age of the view.
         first_view: Decides where the first view comes from.
         role: Decides whether this instance reads the store.
         copy_requested_at: Monotonic time of the last request for a copy.
@@ -110,6 +116,7 @@
         peers: PeerLink,
         record_era: Callable[[int], None],
         find_holder: Callable[[], str | None],
+        get_promise: Callable[[], ViewPromise],
         *,
         link: LinkClass = LinkClass.FAST,
     ) -> None:
@@ -119,7 +126,8 @@
         self.record_era = record_era
         self.find_holder = find_holder
         self.first_view = FirstView()
-        self.role = WatcherRole(_rank(me, link))
+        self.get_promise = get_promise
+        self.role = WatcherRole(_rank(me, link), get_promise())
         self.copy_requested_at = float("-inf")
         self.answered_at: dict[str, float] = {}
         self.sent_at = float("-inf")
@@ -141,9 +149,12 @@
         await self._get_first_view()
         self.catalog.set_active(active=self.role.active)
         while True:
-            changed = await wait_for(self.wake_event, ROLE_CHECK_S)
+            due_s = self.role.due_in_s(time.monotonic())
+            changed = await wait_for(self.wake_event, min(ROLE_CHECK_S, due_s))
             self.wake_event.clear()
             now = time.monotonic()
+            self.role.promise = self.get_promise()
+            self.catalog.set_limits(self.role.promise, len(self.peers.members))
             if not self.role.has_followed:
                 self.role.lower_ranked = self._count_lower_ranked()
             if self.role.step(now):
@@ -191,9 +202,7 @@
     def _publish(self, now: float) -> None:
         config_age_s = now - self.catalog.config.checked_at
         age_s = now - self.catalog.server_watcher.checked_at
-        if max(config_age_s, age_s) > WATCHER_MAX_AGE_S:
-            # Others would not count this instance as a watcher any more. Without its
-            # messages they take the role over.
+        if max(config_age_s, age_s) > ANNOUNCE_MAX_AGE_S:
             return
         self.sent_at = now
         news = News(
--- a/src/wisterialoom/platform/settings.py
+++ b/src/wisterialoom/platform/settings.py
@@ -9,7 +9,7 @@
 from typing import Any, TYPE_CHECKING
 
 from wisterialoom.core.error import WisterialoomError
-from wisterialoom.core.fleet import LinkClass
+from wisterialoom.core.fleet import LinkClass, ViewPromise
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -41,6 +41,10 @@
         lease_s: Minimum time in seconds between the orders of two successive
             holders of the placement lease.
         fenced: Whether backend servers refuse orders with an old fencing number.
+        config_apply_s: Time in seconds within which a confirmed configuration must be
+            in force.
+        drain_s: Time in seconds within which a server that is confirmed to leave must
+            get no more requests.
     """
 
     grace_s: float = 8.0
@@ -49,6 +53,13 @@
     retry_window_s: float = 10.0
     lease_s: float = 3.0
     fenced: bool = False
+    config_apply_s: float = 2.0
+    drain_s: float = 2.0
+
+    @property
+    def promise(self) -> ViewPromise:
+        """Limits on the age of an instance's view of the store."""
+        return ViewPromise.from_config(self.config_apply_s, self.drain_s)
 
     @classmethod
     def from_table(cls, table: Mapping[str, Any]) -> Bounds:
@@ -61,6 +72,8 @@
             retry_window_s=float(table.get("budgetWindowS", base.retry_window_s)),
             lease_s=table.get("leaseMs", base.lease_s * 1e3) / 1e3,
             fenced=bool(table.get("fencingEnforced", base.fenced)),
+            config_apply_s=_positive_s(table, "configApplyMs", base.config_apply_s),
+            drain_s=_positive_s(table, "drainMs", base.drain_s),
         )
 
 
@@ -156,3 +169,15 @@
                 f"the settings lack a usable field: {error!r}; "
                 "compare the file with docs/reference-platform.md"
             ) from error
+
+
+def _positive_s(table: Mapping[str, Any], name: str, default_s: float) -> float:
+    """Return a time of a table in seconds, which the table has in milliseconds.
+
+    Raises:
+        ValueError: The time is not above 0.
+    """
+    found_s = float(table.get(name, default_s * 1e3)) / 1e3
+    if not 0.0 < found_s < float("inf"):
+        raise ValueError(f"bounds.{name} must be above 0")
+    return found_s
--- a/src/wisterialoom/platform/store.py
+++ b/src/wisterialoom/platform/store.py
@@ -54,9 +54,6 @@
 short adds load, because every aborted list is requested again.
 """
 
-WATCH_SLACK_S = 0.8
-"""Time that a watch may exceed its wait before its connection counts as broken."""
-
 
 class StoreUnavailableError(WisterialoomError):
     """Raised when the store did not answer a call or rejected it.
@@ -254,13 +251,21 @@
                 return StoreListing(tuple(found), revision)
             query = f"?after={page[-1].name}"
 
-    async def watch(self, kind: str, since: Revision, wait_s: float) -> WatchAnswer:
+    async def watch(
+        self,
+        kind: str,
+        since: Revision,
+        wait_s: float,
+        *,
+        timeout_s: float = CALL_TIMEOUT_S,
+    ) -> WatchAnswer:
         """Wait for changes since a revision and return them.
 
         Args:
             kind: Kind of the objects.
             since: Revision after which changes are returned.
             wait_s: Longest wait in seconds; the answer is empty after it.
+            timeout_s: Time beyond the wait after which the connection counts as broken.
 
         Raises:
             HistoryGoneError: The history does not go back to the revision; list again.
@@ -269,7 +274,7 @@
         """
         path = f"{kind}?watch={since.number}&waitMs={int(wait_s * 1e3)}"
         answer = await self._call(
-            "watch", "GET", path, timeout_s=wait_s + WATCH_SLACK_S, era=since.era
+            "watch", "GET", path, timeout_s=wait_s + timeout_s, era=since.era
         )
         if answer.status == 410:
             raise HistoryGoneError("the store no longer has this history; list again")
--- a/src/wisterialoom/platform/watcher.py
+++ b/src/wisterialoom/platform/watcher.py
@@ -7,7 +7,7 @@
 import time
 from typing import TYPE_CHECKING
 
-from wisterialoom.core.fleet import FIRST_REVISION
+from wisterialoom.core.fleet import FIRST_REVISION, ViewPromise
 from wisterialoom.platform.store import (
     CALL_TIMEOUT_S,
     HistoryGoneError,
@@ -29,9 +29,6 @@
 
 logger = logging.getLogger(__name__)
 
-WATCH_WAIT_S = 2.0
-"""Wait of one watch call; limits how long a broken connection stays undetected."""
-
 BATCH_DELAY_S = 0.6
 """Pause after changes, so that the next call returns several at once.
 
@@ -39,6 +36,9 @@
 the time that servers usually have to drain.
 """
 
+MIN_WATCH_WAIT_S = 0.02
+"""Wait below which a watch only confirms the view; some round trips."""
+
 FIRST_READ_TIMEOUT_S = 0.4
 MAX_READ_TIMEOUT_S = 6.0
 """First and longest read timeout of a list.
@@ -47,9 +47,15 @@
 doubles with each failure, because a store that many instances call at once is slow.
 """
 
+MAX_WATCH_TIMEOUT_S = 1.6
+"""Longest timeout of a watch beyond its wait.
+
+It begins with that of `ViewPromise` and doubles with each failure, so that a slow store
+is still followed.
+"""
+
 FIRST_RETRY_S = 0.1
-MAX_RETRY_S = 1.0
-"""First and longest pause after a failed call."""
+"""Pause after the first failed call; `max_retry_s` is the one after further ones."""
 
 
 class KindWatcher:
@@ -62,15 +68,24 @@
         on_changes: Called with the answer of each watch.
         batches_changes: Whether to wait after changes to collect more of them; for
             frequent changes that may be some tenths of a second late.
+        promise: Limits on the age of the view.
+        max_retry_s: Pause after each failed call but the first.
         checked_at: Monotonic time at which the view was last known to be current.
         lost_since: Monotonic time of the first failed call since the last answer;
             `None` if the store answers.
         revision: Revision of the view; `FIRST_REVISION` before the first list.
         read_timeout_s: Read timeout of the next list.
+        watch_timeout_s: Timeout of the next watch beyond its wait.
         listed: Whether a list has been read from which watches can continue.
         active_event: Set while this instance reads the store itself.
         on_confirmed: Called when the first watch after a start of reading has shown
             whether the view is current.
+        on_lost: Called with the error of the first failed call since the last answer.
+        prerequisite: Watcher of another kind whose last call must have been answered
+            before this one calls, so that an instance that has lost the store makes
+            one call at a time.
+        answered_event: Set while the last call was answered, and not before the first
+            call after a start of reading.
         confirmed: Whether the view was confirmed since this instance began to read.
     """
 
@@ -82,8 +97,15 @@
         on_changes: Callable[[WatchAnswer], None],
         *,
         batches_changes: bool = False,
+        prerequisite: KindWatcher | None = None,
+        promise: ViewPromise,
     ) -> None:
         self.kind = kind
+        self.prerequisite = prerequisite
+        self.promise = promise
+        self.max_retry_s = promise.max_retry_s(1)
+        self.watch_timeout_s = promise.call_timeout_s
+        self.answered_event = asyncio.Event()
         self.batches_changes = batches_changes
         self.store = store
         self.on_listing = on_listing
@@ -95,6 +117,7 @@
         self.listed = False
         self.active_event = asyncio.Event()
         self.on_confirmed: Callable[[], None] = lambda: None
+        self.on_lost: Callable[[StoreUnavailableError], None] = lambda _: None
         self.confirmed = False
 
     async def run(self) -> None:
@@ -102,6 +125,8 @@
         pause_s = FIRST_RETRY_S
         while True:
             await self.active_event.wait()
+            if self.prerequisite is not None:
+                await self.prerequisite.answered_event.wait()
             try:
                 await self._step()
                 pause_s = FIRST_RETRY_S
@@ -119,11 +144,14 @@
                     extra={"kind": self.kind, "error": str(error)},
                 )
             except StoreUnavailableError as error:
-                self._record_failure(error)
+                self.record_failure(error)
                 await asyncio.sleep(pause_s)
                 if self.revision > FIRST_REVISION:
-                    pause_s = min(MAX_RETRY_S, pause_s * 2)
+                    pause_s = self.max_retry_s
                 self.read_timeout_s = min(MAX_READ_TIMEOUT_S, 2 * self.read_timeout_s)
+                self.watch_timeout_s = min(
+                    MAX_WATCH_TIMEOUT_S, 2 * self.watch_timeout_s
+                )
 
     def set_active(self, *, active: bool) -> None:
         """Start or stop reading the store.
@@ -134,6 +162,7 @@
             return
         if active:
             self.confirmed = False
+            self.answered_event.clear()
             self.active_event.set()
         else:
             self.active_event.clear()
@@ -157,8 +186,11 @@
         else:
             # A new watcher's view counts for other instances only once it is confirmed,
             # so the first call does not wait for a change.
-            wait_s = WATCH_WAIT_S if self.confirmed else 0.0
-            answer = await self.store.watch(self.kind, self.revision, wait_s)
+            wait_s = self._wait_s() if self.confirmed else 0.0
+            answer = await self.store.watch(
+                self.kind, self.revision, wait_s, timeout_s=self.watch_timeout_s
+            )
+            self._adapt_timeout(time.monotonic() - started - wait_s)
             self.revision = max(self.revision, answer.revision)
             self.checked_at = started
             self.on_changes(answer)
@@ -167,7 +199,7 @@
                 self.on_confirmed()
             elif answer.changed or answer.removed:
                 if self.batches_changes:
-                    await asyncio.sleep(BATCH_DELAY_S)
+                    await asyncio.sleep(min(BATCH_DELAY_S, self._wait_s()))
             elif time.monotonic() - started >= wait_s:
                 # Nothing changed during the wait, so the view was current until its
                 # end.
@@ -176,7 +208,20 @@
         self.checked_at = started
         self.confirmed = True
 
+    def _wait_s(self) -> float:
+        """Return the time until the view must be confirmed, in whole milliseconds."""
+        confirm_at = self.checked_at + self.promise.watch_wait_s
+        left_s = confirm_at - time.monotonic()
+        return int(left_s * 1e3) / 1e3 if left_s > MIN_WATCH_WAIT_S else 0.0
+
+    def _adapt_timeout(self, answer_s: float) -> None:
+        """Set the timeout of the next watch from the time that an answer took."""
+        self.watch_timeout_s = min(
+            MAX_WATCH_TIMEOUT_S, max(self.promise.call_timeout_s, 2 * answer_s)
+        )
+
     def _record_answer(self) -> None:
+        self.answered_event.set()
         if self.lost_since is None:
             return
         lost_s = time.monotonic() - self.lost_since
@@ -186,7 +231,9 @@
             extra={"kind": self.kind, "lost_s": lost_s, "revision": self.revision},
         )
 
-    def _record_failure(self, error: StoreUnavailableError) -> None:
+    def record_failure(self, error: StoreUnavailableError) -> None:
+        """Record that a call about this kind failed, or one that must come before."""
+        self.answered_event.clear()
         if self.lost_since is not None:
             return
         self.lost_since = time.monotonic()
@@ -194,3 +241,4 @@
             "store lost",
             extra={"kind": self.kind, "error": str(error), "revision": self.revision},
         )
+        self.on_lost(error)
--- a/tests/platform/test_wire.py
+++ b/tests/platform/test_wire.py
@@ -257,3 +257,15 @@
 def test_settings_with_unusable_limits_are_refused(limits):
     with pytest.raises(SettingsError, match="usable field"):
         PlatformSettings.from_table(settings_table(limits=limits))
+
+
+def test_view_is_kept_as_current_as_the_shorter_of_two_limits():
+    bounds = {"configApplyMs": 4000, "drainMs": 3000}
+    settings = PlatformSettings.from_table(settings_table(bounds=bounds))
+    assert settings.bounds.promise.limit_s == 3.0
+
+
+@pytest.mark.parametrize("value", [0, -1, "soon", float("nan")])
+def test_limit_on_the_age_of_the_view_that_cannot_be_kept_is_rejected(value: Any):
+    with pytest.raises(SettingsError, match="usable field"):
+        PlatformSettings.from_table(settings_table(bounds={"drainMs": value}))
--- a/tests/test_watcher_role.py
+++ b/tests/test_watcher_role.py
@@ -7,7 +7,7 @@
 
 from hypothesis import given, strategies as st
 
-from wisterialoom.core.fleet import MAX_RANK, WatcherRole
+from wisterialoom.core.fleet import MAX_RANK, ViewPromise, WatcherRole
 
 STEP_S = 0.15
 MESSAGE_STEPS = 2
@@ -16,6 +16,8 @@
 BOUND_S = 2.0
 """Maximum time that the platform allows for a configuration to take effect."""
 
+PROMISE = ViewPromise(BOUND_S)
+
 
 @dataclass
 class Fleet:
@@ -36,7 +38,7 @@
     cut: set[tuple[str, str]] = field(default_factory=set)
 
     def __post_init__(self) -> None:
-        self.roles = {name: WatcherRole(rank(name)) for name in self.names}
+        self.roles = {name: WatcherRole(rank(name), PROMISE) for name in self.names}
         self.current = dict.fromkeys(self.names, 0.0)
         self.steps = 0
 
@@ -118,7 +120,7 @@
 
 
 def test_single_instance_watches_despite_the_highest_rank():
-    role = WatcherRole(MAX_RANK - 1)
+    role = WatcherRole(MAX_RANK - 1, PROMISE)
     assert not role.step(0.0)
     assert role.step(2.0)
     assert role.active
@@ -152,7 +154,7 @@
 
 
 def test_watchers_that_disagree_do_not_count():
-    role = WatcherRole(MAX_RANK - 1)
+    role = WatcherRole(MAX_RANK - 1, PROMISE)
     for step in range(40):
         for number in range(20):
             role.record_message(step * STEP_S, f"w{number}", number)
