Let an answer from a past state of the store confirm nothing

A watcher whose answers come from a past state of the store (an old replica, an answer that is delivered late) took them for current and announced so; its followers kept an old configuration and servers that had left for as long as that lasted.

The revision is now compared with the latest one that the instance knew when it sent the call, from its own calls (the holder renews its lease several times a promise) and from other watchers. An instance whose own calls contradict a watcher warns all others (StoreReached); they stop to count what the watchers said and read the store in turn. A store that stays behind for ten seconds was set up anew and is believed again.

--- a/src/wisterialoom/core/fleet/watcher_role.py
+++ b/src/wisterialoom/core/fleet/watcher_role.py
@@ -94,6 +94,9 @@
         watchers: Watchers whose messages were received, by name.
         enough_since: Time since which enough watchers of lower rank are live.
         too_few_since: Time since which too few of them are live.
+        must_read: Whether this instance has reason to doubt its watchers, and reads the
+            store without delay.
+        doubted_at: Time up to which confirmations of watchers count no more.
         confirmed_at: Time at which a watcher of any rank last knew the view that this
             instance has to be current.
         has_followed: Whether enough other watchers were live since the process start.
@@ -108,6 +111,8 @@
         self.has_followed = False
         self.lower_ranked: int | None = None
         self.watchers: dict[str, _Watcher] = {}
+        self.must_read = False
+        self.doubted_at = float("-inf")
         self.confirmed_at = float("-inf")
         self.enough_since: float | None = None
         self.too_few_since: float | None = None
@@ -128,11 +133,26 @@
             watcher: Name of a watcher whose message was just recorded.
             current_at: Time at which its data was last known to be current.
         """
+        if current_at <= self.doubted_at:
+            return
         known = self.watchers[watcher]
         known.agreed_at = now
         known.current_at = max(known.current_at, current_at)
         self.confirmed_at = max(self.confirmed_at, current_at)
 
+    def doubt(self, now: float, *, at_once: bool) -> None:
+        """Stop to count what the watchers have said, as one of them was wrong.
+
+        Args:
+            now: Monotonic time in seconds.
+            at_once: Whether to read the store at the next step, instead of in turn with
+                all others that doubt them.
+        """
+        self.watchers.clear()
+        self.doubted_at = now
+        self.confirmed_at = min(self.confirmed_at, now - self.promise.max_age_s)
+        self.must_read = at_once and not self.active
+
     def live_watchers(self, now: float) -> list[str]:
         """Return the watchers of lower rank that are up to date and agree."""
         return [
@@ -148,7 +168,11 @@
             for name, watcher in self.watchers.items()
             if now - watcher.last_message_at <= WATCHER_TIMEOUT_S
         }
-        if len(self.live_watchers(now)) >= WATCHER_COUNT:
+        if self.must_read:
+            self.must_read = False
+            self.enough_since = None
+            should_watch = True
+        elif len(self.live_watchers(now)) >= WATCHER_COUNT:
             self.too_few_since = None
             self.has_followed = True
             if self.enough_since is None:
@@ -167,6 +191,8 @@
         """Return the time until the next step is due, if no message comes before."""
         if self.active:
             return float("inf")
+        if self.must_read:
+            return 0.0
         following = self.too_few_since is None
         due_at = self._unconfirmed_at() if following else self._start_at()
         return due_at - now if due_at > now else float("inf")
--- a/src/wisterialoom/platform/app.py
+++ b/src/wisterialoom/platform/app.py
@@ -226,7 +226,7 @@
             settings.instance,
             self.catalog,
             peers,
-            store.record_era,
+            store,
             fleet.holder_to_ask,
             lambda: self.settings.bounds.promise,
             link=settings.link,
--- a/src/wisterialoom/platform/fleet.py
+++ b/src/wisterialoom/platform/fleet.py
@@ -22,6 +22,7 @@
     PlacementWanted,
     Released,
     ServersCopy,
+    StoreReached,
 )
 from wisterialoom.platform.lease_manager import lease_clock
 from wisterialoom.platform.placement_feed import members_digest
@@ -145,7 +146,11 @@
                 self._record_seen(now, name, address)
                 if self.placement_controller.holds_lease:
                     self.placement_controller.feed.send_snapshot(address)
-            case News(watcher=name) | CopyWanted(instance=name):
+            case (
+                News(watcher=name)
+                | CopyWanted(instance=name)
+                | StoreReached(instance=name)
+            ):
                 self._record_seen(now, name, address)
                 self.relay.handle_hint(hint, address)
             case ConfigCopy() | ServersCopy():
--- a/src/wisterialoom/platform/hints.py
+++ b/src/wisterialoom/platform/hints.py
@@ -34,6 +34,7 @@
     "PlacementWanted",
     "Released",
     "ServersCopy",
+    "StoreReached",
     "decode_hint",
     "encode_hint",
 ]
@@ -209,6 +210,19 @@
     entries: dict[str, TableEntry]
 
 
+@dataclass(frozen=True, slots=True)
+class StoreReached:
+    """Warns of a watcher that reads a past state of the store.
+
+    Attributes:
+        instance: Name of the sender.
+        revision: Revision that the store has reached, as answered to the sender.
+    """
+
+    instance: str
+    revision: Revision
+
+
 Hint = (
     DemandReport
     | PlacementChange
@@ -219,6 +233,7 @@
     | CopyWanted
     | ConfigCopy
     | ServersCopy
+    | StoreReached
 )
 
 
@@ -263,6 +278,8 @@
                 hint.parts,
                 _encode_entries(hint.entries, with_models=True),
             ]
+        case StoreReached():
+            item = ["v", hint.instance, _encode_revision(hint.revision)]
         case PlacementWanted():
             item = ["q", hint.instance]
         case PlacementChange():
@@ -339,6 +356,8 @@
                     parts,
                     _decode_entries(entries),
                 )
+            case ["v", str(instance), revision]:
+                return StoreReached(instance, _decode_revision(revision))
             case ["q", str(instance)]:
                 return PlacementWanted(instance)
             case ["u", str(holder), int(epoch), int(serial), dict(servers)]:
--- a/src/wisterialoom/platform/relay.py
+++ b/src/wisterialoom/platform/relay.py
@@ -30,6 +30,7 @@
     HintError,
     News,
     ServersCopy,
+    StoreReached,
 )
 from wisterialoom.platform.log import age_ms
 
@@ -39,6 +40,7 @@
     from wisterialoom.core.fleet import Revision, TableEntry, ViewPromise
     from wisterialoom.platform.catalog import Catalog
     from wisterialoom.platform.peers import PeerLink
+    from wisterialoom.platform.store import StoreClient
 
 __all__ = ["Relay"]
 
@@ -75,6 +77,9 @@
 More than ten round trips between availability zones.
 """
 
+WARNING_INTERVAL_S = 0.5
+"""Minimum time between two warnings of watchers that read a past state."""
+
 NO_SERVERS_DIGEST = -1
 """Digest of an instance that does not know any servers yet.
 
@@ -92,7 +97,7 @@
         me: Name of this instance.
         catalog: This instance's view of configuration and servers.
         peers: Datagrams between instances.
-        record_era: Called with the era of the store that a watcher names.
+        store: Client of the store; tells what this instance's own calls have shown.
         find_holder: Returns the address of the lease holder; empty if it is nobody
             else, `None` if it is not known yet.
         get_promise: Returns the limits on the age of the view.
@@ -101,6 +106,7 @@
         copy_requested_at: Monotonic time of the last request for a copy.
         answered_at: Monotonic time of the last copy sent to each address.
         sent_at: Monotonic time of the last `News` message.
+        warned_at: Monotonic time of the last warning of a watcher.
         packed_config: Version of the configuration and its encoded copy; `None`
             before the first request for one.
         parts: Received parts of an incomplete copy of the servers, by watcher and
@@ -114,7 +120,7 @@
         me: str,
         catalog: Catalog,
         peers: PeerLink,
-        record_era: Callable[[int], None],
+        store: StoreClient,
         find_holder: Callable[[], str | None],
         get_promise: Callable[[], ViewPromise],
         *,
@@ -123,7 +129,7 @@
         self.me = me
         self.catalog = catalog
         self.peers = peers
-        self.record_era = record_era
+        self.store = store
         self.find_holder = find_holder
         self.first_view = FirstView()
         self.get_promise = get_promise
@@ -131,6 +137,7 @@
         self.copy_requested_at = float("-inf")
         self.answered_at: dict[str, float] = {}
         self.sent_at = float("-inf")
+        self.warned_at = float("-inf")
         self.packed_config: tuple[int, ConfigCopy] | None = None
         self.parts: dict[tuple[str, Revision], dict[int, dict[str, TableEntry]]] = {}
         self.wake_event = asyncio.Event()
@@ -219,7 +226,9 @@
         self.peers.send_all(news, self.peers.addresses_except(self.me))
 
     def handle_hint(
-        self, hint: News | CopyWanted | ConfigCopy | ServersCopy, address: str
+        self,
+        hint: News | CopyWanted | ConfigCopy | ServersCopy | StoreReached,
+        address: str,
     ) -> None:
         """Handle a message about the store's contents.
 
@@ -230,6 +239,8 @@
         match hint:
             case News():
                 self.handle_news(hint, address)
+            case StoreReached():
+                self.handle_warning(hint)
             case CopyWanted():
                 self.answer(hint, address)
             case ConfigCopy():
@@ -250,7 +261,10 @@
         if news.revision.era < catalog.table.era_start.era:
             # The watcher has yet to notice a restore of the store.
             return
-        self.record_era(news.revision.era)
+        if self._is_disproved(now, news):
+            self._warn_of_past(now, news)
+            return
+        self.store.record_revision(max(news.revision, news.config_revision))
         catalog.begin_era(news.revision)
         if news.changes:
             catalog.apply_entries(news.changes)
@@ -270,6 +284,41 @@
                 news.revision,
             )
 
+    def _is_disproved(self, now: float, news: News) -> bool:
+        """Return whether this instance's own calls contradict a watcher."""
+        return self.store.disproves(
+            news.revision, now - news.age_s
+        ) or self.store.disproves(news.config_revision, now - news.config_age_s)
+
+    def _warn_of_past(self, now: float, news: News) -> None:
+        """Tell all instances that a watcher reads a past state of the store."""
+        if now - self.warned_at < WARNING_INTERVAL_S:
+            return
+        self.warned_at = now
+        logger.warning(
+            "watcher reads a past state of the store",
+            extra={
+                "watcher": news.watcher,
+                "revision": news.revision,
+                "reached": self.store.latest,
+            },
+        )
+        warning = StoreReached(self.me, self.store.latest)
+        self.peers.send_all(warning, self.peers.addresses_except(self.me))
+        self.doubt_watchers()
+
+    def handle_warning(self, warning: StoreReached) -> None:
+        """Doubt the watchers, and answers of the store from before a revision."""
+        self.store.record_era(warning.revision.era)
+        self.store.record_proof(warning.revision)
+        self.role.doubt(time.monotonic(), at_once=False)
+        self.wake_event.set()
+
+    def doubt_watchers(self) -> None:
+        """Read the store at once, as the watchers' views are outdated."""
+        self.role.doubt(time.monotonic(), at_once=True)
+        self.wake_event.set()
+
     def _request_copy(self, now: float, address: str) -> None:
         if now - self.copy_requested_at < MIN_COPY_REQUEST_INTERVAL_S:
             return
--- a/src/wisterialoom/platform/store.py
+++ b/src/wisterialoom/platform/store.py
@@ -4,6 +4,8 @@
 
 import asyncio
 import logging
+import time
+from collections import deque
 from contextlib import contextmanager
 from dataclasses import dataclass
 from typing import Any, TYPE_CHECKING
@@ -13,7 +15,7 @@
 from aiohttp import ClientTimeout
 
 from wisterialoom.core.error import WisterialoomError
-from wisterialoom.core.fleet import Revision
+from wisterialoom.core.fleet import FIRST_REVISION, Revision
 from wisterialoom.no_resend import no_resend, was_never_sent
 
 if TYPE_CHECKING:
@@ -47,6 +49,21 @@
 CONNECT_TIMEOUT_S = 0.4
 """Connect timeout; about thirty round trips between availability zones."""
 
+MAX_PAST_S = 10.0
+"""Time for which answers from before a known revision are ignored.
+
+A store that stays behind for longer was set up anew without naming another era.
+"""
+
+MAX_PROOFS = 32
+"""Answers that are remembered; some seconds of a watcher, or of lease renewals."""
+
+PROOF_MARGIN_S = 0.3
+"""Age that a proof must have before it contradicts another instance's claim.
+
+It covers the time that the claim was under way.
+"""
+
 PAGE_TIMEOUT_S = 15.0
 """Timeout of one page of a list.
 
@@ -160,6 +177,10 @@
         calls: Number of calls by purpose, for metrics.
         era: Latest era of the store that an answer or another instance named; 0 if
             the store names none.
+        latest: Latest revision that an answer or another instance named.
+        proofs: Revisions that answers named, with the monotonic times of the answers.
+        past_since: Monotonic time of the first answer from before that revision, if
+            all later ones were, too.
         answered_event: Set once the store has answered a call.
         restores: Number of restores of the store that were noticed, for metrics.
         on_restore: Called when the store is found to be restored.
@@ -171,6 +192,9 @@
         self.session = session
         self.calls: dict[str, int] = {}
         self.era = 0
+        self.latest = FIRST_REVISION
+        self.proofs: deque[tuple[float, Revision]] = deque(maxlen=MAX_PROOFS)
+        self.past_since: float | None = None
         self.answered_event = asyncio.Event()
         self.restores = 0
         self.on_restore: list[Callable[[], None]] = []
@@ -188,6 +212,61 @@
         for notify in self.on_restore:
             notify()
 
+    def record_revision(self, revision: Revision) -> None:
+        """Record a revision that the store has reached, by another instance's word."""
+        self.record_era(revision.era)
+        self.latest = max(self.latest, revision)
+
+    def disproves(self, revision: Revision, current_at: float) -> bool:
+        """Return whether a view of the store cannot have been current at a time.
+
+        Args:
+            revision: Revision of the view.
+            current_at: Monotonic time at which it is claimed to have been current.
+        """
+        return any(
+            found > revision and named_at <= current_at - PROOF_MARGIN_S
+            for named_at, found in self.proofs
+        )
+
+    def record_proof(self, revision: Revision) -> None:
+        """Record a revision that an answer of the store has just named."""
+        self.latest = max(self.latest, revision)
+        self.proofs.append((time.monotonic(), revision))
+
+    def _check_revision(self, purpose: str, known: Revision, found: Revision) -> None:
+        """Reject an answer about a past state of the store.
+
+        Args:
+            purpose: Purpose of the call.
+            known: Latest revision that was known when the call was sent.
+            found: Revision that the answer is current for.
+
+        Raises:
+            StoreUnavailableError: The answer is from before the known revision.
+        """
+        if found >= known:
+            self.past_since = None
+            self.record_proof(found)
+            return
+        now = time.monotonic()
+        if self.past_since is None:
+            self.past_since = now
+        if now - self.past_since > MAX_PAST_S:
+            logger.error(
+                "store went back without naming another era, its answers count again",
+                extra={"revision": found, "known": known},
+            )
+            self.past_since = None
+            self.latest = found
+            self.proofs.clear()
+            return
+        raise StoreUnavailableError(
+            f"the store answered {purpose} for revision {found.number}, before "
+            f"revision {known.number} that it had reached; the answer is ignored",
+            ambiguous=False,
+        )
+
     async def read(
         self, kind: str, name: str, *, era: int | None = None
     ) -> StoreObject | None:
@@ -224,6 +303,7 @@
         found: list[StoreObject] = []
         query = ""
         era: int | None = None
+        known = self.latest
         while True:
             answer = await self._call(
                 "list",
@@ -246,6 +326,7 @@
                 # `at` is the revision of the store, from which a watch can continue.
                 revision = Revision(era, int(answer.item["at"]))
                 truncated = bool(answer.item.get("truncated"))
+            self._check_revision("list", known, revision)
             found += page
             if not truncated or not page:
                 return StoreListing(tuple(found), revision)
@@ -272,6 +353,7 @@
             StoreRestoredError: The store was restored since then; list again.
             StoreUnavailableError: The store did not answer, or rejected the call.
         """
+        known = max(self.latest, since)
         path = f"{kind}?watch={since.number}&waitMs={int(wait_s * 1e3)}"
         answer = await self._call(
             "watch", "GET", path, timeout_s=wait_s + timeout_s, era=since.era
@@ -289,6 +371,7 @@
                 found = StoreObject.from_wire(answer.era, event["object"])
                 latest[found.name] = None if event.get("removed") else found
             revision = Revision(answer.era, int(answer.item["at"]))
+        self._check_revision("watch", known, revision)
         return WatchAnswer(
             changed=tuple(entry for entry in latest.values() if entry is not None),
             removed=tuple(name for name, entry in latest.items() if entry is None),
@@ -380,7 +463,9 @@
                 f"the store answered with status {answer.status}", ambiguous=False
             )
         with _malformed_as_unavailable("object"):
-            return StoreObject.from_wire(answer.era, item)
+            found = StoreObject.from_wire(answer.era, item)
+        self.record_proof(found.revision)
+        return found
 
     async def _call(
         self,
--- a/src/wisterialoom/platform/watcher.py
+++ b/src/wisterialoom/platform/watcher.py
@@ -200,7 +200,10 @@
             elif answer.changed or answer.removed:
                 if self.batches_changes:
                     await asyncio.sleep(min(BATCH_DELAY_S, self._wait_s()))
-            elif time.monotonic() - started >= wait_s:
+            elif (
+                time.monotonic() - started >= wait_s
+                and answer.revision >= self.store.latest
+            ):
                 # Nothing changed during the wait, so the view was current until its
                 # end.
                 self.checked_at += wait_s
--- a/tests/platform/fakes.py
+++ b/tests/platform/fakes.py
@@ -43,8 +43,11 @@
         objects: Objects by kind and name.
         history: Revision, kind, object and removal flag of each change.
         oldest: Oldest revision that a watch can start from.
-        mode: `ok`, `down` (answers 503), `silent` (never answers), or `lose` (makes
-            writes but does not answer them).
+        mode: `ok`, `down` (answers 503), `silent` (never answers), `late` (answers
+            after `late_s`), `past` (lists and watches as of `past_revision`), or
+            `lose` (makes writes but does not answer them).
+        late_s: Delay of answers in the mode `late`.
+        past_revision: Revision that lists and watches show in the mode `past`.
         door_modes: Mode for the calls to one address, which `open_door` returned.
         list_delay_s: Time that each list call takes.
         calls: Number of calls by method and kind.
@@ -59,6 +62,8 @@
         self.oldest = 0
         self.changed = asyncio.Condition()
         self.mode = "ok"
+        self.late_s = 0.0
+        self.past_revision = 0
         self.door_modes: dict[str, str] = {}
         self.door_runners: list[web.AppRunner] = []
         self.list_delay_s = 0.0
@@ -172,6 +177,8 @@
         mode = self.mode_for(request)
         if mode == "down":
             return web.Response(status=503)
+        if mode == "late":
+            await asyncio.sleep(self.late_s)
         if mode == "silent":
             await asyncio.sleep(3600)
         return None
@@ -194,6 +201,8 @@
         if watch is not None:
             wait_s = int(request.query.get("waitMs", "0")) / 1e3
             return await self.watch(kind, int(watch), wait_s, request)
+        if self.mode_for(request) == "past":
+            return answer({"items": [], "truncated": False, "at": self.past_revision})
         items = [
             item
             for name, item in sorted(self.objects.get(kind, {}).items())
@@ -224,6 +233,8 @@
         failure = await self.fail_by_mode(request)
         if failure is not None:
             return failure
+        if self.mode_for(request) == "past":
+            return answer({"events": [], "at": self.past_revision})
         if since < self.oldest or since > self.revision:
             return web.Response(status=410)
         return answer({"events": events(), "at": self.revision})
--- a/tests/platform/test_relay.py
+++ b/tests/platform/test_relay.py
@@ -28,6 +28,7 @@
     encode_hint,
     News,
     ServersCopy,
+    StoreReached,
 )
 
 if TYPE_CHECKING:
@@ -202,6 +203,7 @@
         CopyWanted("front-1", 3, 77),
         ConfigCopy.from_spec(config()),
         ServersCopy("front-1", revision, 0, 1, entries),
+        StoreReached("front-1", revision),
     ):
         assert decode_hint(encode_hint(hint)) == hint
     assert ConfigCopy.from_spec(config()).unpack() == config()
