Read the store at once after an answer shows that it was restored

An instance that learned of a restore by a call of its own, such as a renewal of the lease, went on to follow watchers that had yet to notice it, and counted their confirmations from before. It now drops those and reads the store at the next step. The test fails before: the follower keeps its old view until the confirmations expire.

--- a/src/wisterialoom/platform/relay.py
+++ b/src/wisterialoom/platform/relay.py
@@ -130,6 +130,7 @@
         self.catalog = catalog
         self.peers = peers
         self.store = store
+        store.on_restore_answered.append(self.doubt_watchers)
         self.find_holder = find_holder
         self.first_view = FirstView()
         self.get_promise = get_promise
@@ -258,7 +259,7 @@
         now = time.monotonic()
         catalog = self.catalog
         self.role.record_message(now, news.watcher, news.rank)
-        if news.revision.era < catalog.table.era_start.era:
+        if news.revision.era < max(catalog.table.era_start.era, self.store.era):
             # The watcher has yet to notice a restore of the store.
             return
         if self._is_disproved(now, news):
--- a/src/wisterialoom/platform/store.py
+++ b/src/wisterialoom/platform/store.py
@@ -184,6 +184,7 @@
         answered_event: Set once the store has answered a call.
         restores: Number of restores of the store that were noticed, for metrics.
         on_restore: Called when the store is found to be restored.
+        on_restore_answered: Called after that, if an answer of the store showed it.
         bad_era_logged: Whether an era that cannot be read was logged.
     """
 
@@ -198,6 +199,7 @@
         self.answered_event = asyncio.Event()
         self.restores = 0
         self.on_restore: list[Callable[[], None]] = []
+        self.on_restore_answered: list[Callable[[], None]] = []
         self.bad_era_logged = False
 
     def record_era(self, era: int) -> None:
@@ -508,8 +510,12 @@
                 f"restore that began era {self.era}; the answer is ignored",
                 ambiguous=True,
             )
+        restores = self.restores
         self.record_era(answer_era)
         self.answered_event.set()
+        if self.restores > restores:
+            for notify in self.on_restore_answered:
+                notify()
         if status in (429, 503):
             raise StoreUnavailableError(
                 f"the store answered {purpose} with status {status}", ambiguous=False
--- a/tests/platform/test_view_promise.py
+++ b/tests/platform/test_view_promise.py
@@ -110,3 +110,15 @@
         await wait_until(
             lambda: time.monotonic() - site.app.catalog.current_at < 0.4, limit_s=4.0
         )
+
+
+async def test_instance_that_sees_a_restore_does_not_wait_for_its_watchers():
+    """It followed the messages of watchers that had yet to notice the restore."""
+    async with fleet() as (store, apps):
+        follower = next(app for app in apps if not app.relay.role.active)
+        cut_from_store(store, [app for app in apps if app is not follower], "silent")
+        await store.restore(store.copy())
+        seen_at = time.monotonic()
+        await follower.catalog.config.store.read("config", "main")
+        await wait_until(lambda: follower.catalog.config.revision.era == 2)
+        assert time.monotonic() - seen_at <= 0.3
