Follow what servers say in their answers: that they leave, or want nothing for a while

A server that leaves says so in all its answers (Server-Leaving), and one that turns a request away with 503 may name the time for which it wants nothing from this instance (Retry-After).

A server counts as leaving from the head of the answer, also while a stream of it goes on, for this start of it and whatever its entry says. One that wants nothing gets neither requests nor orders nor reads of its report until then; requests that cannot wait that long are refused at once, with a Retry-After that names when a server wants them. Both are followed in answers to orders and reports, too, and only if the server that answers is the one that was meant.

--- a/src/wisterialoom/core/serving/backend.py
+++ b/src/wisterialoom/core/serving/backend.py
@@ -84,6 +84,9 @@
         placement_count: Order count at which `models` was valid.
         full_until: Monotonic time until which the server gets no request because it
             refused one as full.
+        leaving: Whether the server said in an answer that it is leaving.
+        held_off_until: Monotonic time until which the server wants nothing, as one of
+            its refusals said.
         absent_until: Monotonic time until which a model or adapter is not requested
             here because the server refused it as not resident, by `model/adapter`.
     """
@@ -99,6 +102,8 @@
     unloading: frozenset[str] = frozenset()
     placement_count: int = -1
     full_until: float = float("-inf")
+    leaving: bool = False
+    held_off_until: float = float("-inf")
     absent_until: dict[str, float] = field(default_factory=dict)
 
     def record_report(self, now: float, running: int, waiting: int) -> None:
@@ -168,6 +173,20 @@
         """Record that the server refused a model or adapter as not resident."""
         self.absent_until[f"{model}/{adapter}"] = now + for_s
 
+    @property
+    def draining(self) -> bool:
+        """Whether the server takes no new requests, by its entry or its own word."""
+        return self.leaving or self.server.draining
+
+    @property
+    def free_at(self) -> float:
+        """Monotonic time from which the server may get requests."""
+        return max(self.full_until, self.held_off_until, self.ejection.until)
+
+    def hold_off(self, now: float, for_s: float) -> None:
+        """Record that the server wants nothing for some time."""
+        self.held_off_until = max(self.held_off_until, now + for_s)
+
     def record_full(self, now: float) -> None:
         """Record that the server refused a request because all slots are taken."""
         self.full_until = now + REFUSAL_BACKOFF_S
--- a/src/wisterialoom/core/serving/dispatcher.py
+++ b/src/wisterialoom/core/serving/dispatcher.py
@@ -43,6 +43,9 @@
 ORDER_BACKOFF_S = 0.08
 """Time a server is skipped for a model while it carries out an order about it."""
 
+MAX_LEAVING = 1024
+"""Servers that are remembered to be leaving, the latest ones."""
+
 MAX_URGENCY = 9
 """Highest `Send.urgency`, which is served last."""
 
@@ -62,6 +65,7 @@
         waiting: Number of waiting requests, by requested model and adapter.
         arrivals: Requests since the process started, by model and adapter.
         running_counts: Attempts in progress, by server, then model and adapter.
+        leaving: Start time of servers that said that they are leaving, by id.
     """
 
     balancer: Balancer
@@ -74,6 +78,7 @@
     waiting: dict[str, int] = field(default_factory=dict)
     arrivals: dict[str, int] = field(default_factory=dict)
     running_counts: dict[str, dict[str, int]] = field(default_factory=dict)
+    leaving: dict[str, int] = field(default_factory=dict)
 
     # Updates of servers and limits.
 
@@ -93,12 +98,27 @@
         view = self.views.get(server_id)
         if view is None or view.server.started_ms != server.started_ms:
             view = BackendView(server)
+            view.leaving = self.leaving.get(server_id) == server.started_ms
             self.views[server_id] = view
         changed = view.server != server
         view.server = server
         models = {model.name: frozenset(model.adapters) for model in server.models}
         return view.set_placement(server.order_count, models) or changed
 
+    def record_leaving(self, server_id: str) -> bool:
+        """Record a server's own word that it is leaving; return whether it is news.
+
+        It holds for this start of the server, whatever its entry says.
+        """
+        view = self.views.get(server_id)
+        if view is None or view.leaving:
+            return False
+        view.leaving = True
+        self.leaving[server_id] = view.server.started_ms
+        while len(self.leaving) > MAX_LEAVING:
+            del self.leaving[next(iter(self.leaving))]
+        return True
+
     def set_sharing_instances(self, count: int) -> None:
         """Set the number of instances that share the fixed number of retries."""
         self.sharing_instances = max(1, count)
@@ -155,6 +175,11 @@
         free = [view for view in pool if self.is_free(now, view)]
         if not free:
             decided = wait_for_capacity(now, profile, pool)
+            if decided is GiveUpReason.FULL:
+                # Another try may go to a server that this request may not be sent to.
+                others = self.holders(now, profile, self.open_views(profile.service))
+                wanted_at = min(view.held_off_until for view in others)
+                return self.give_up(now, flow, decided, not_before=wanted_at)
             return self.resolve_wait(now, flow, decided)
         return self.send(now, flow, free)
 
@@ -192,8 +217,10 @@
         ]
 
     def is_free(self, now: float, view: BackendView) -> bool:
-        """Return whether a server is neither full nor ejected."""
-        return now >= view.full_until and view.ejection.allows(now, view.in_flight)
+        """Return whether a server is neither full nor ejected, and wants requests."""
+        if now < max(view.full_until, view.held_off_until):
+            return False
+        return view.ejection.allows(now, view.in_flight)
 
     def engine_of(self, service: str) -> EngineProfile | None:
         """Return the engine profile of a service; `None` if it runs no models."""
@@ -202,14 +229,17 @@
         found = self.deployment.services.get(service)
         return found.engine if found else None
 
-    def pool(self, flow: RequestFlow) -> list[BackendView]:
-        """Return the servers that a request may still be sent to."""
-        service = flow.profile.service
-        views = [
+    def open_views(self, service: str) -> list[BackendView]:
+        """Return the servers of a service that are not leaving."""
+        return [
             view
             for view in self.views.values()
-            if view.server.service == service and not view.server.draining
+            if view.server.service == service and not view.draining
         ]
+
+    def pool(self, flow: RequestFlow) -> list[BackendView]:
+        """Return the servers that a request may still be sent to."""
+        views = self.open_views(flow.profile.service)
         tried = set(flow.servers)
         tried_views = [view for view in views if view.server.id in tried]
         if flow.reached >= flow.profile.route.max_attempts:
@@ -370,10 +400,25 @@
             case _:
                 view.ejection.record_failure(now)
 
-    def give_up(self, now: float, flow: RequestFlow, reason: GiveUpReason) -> GiveUp:
-        """Return the step that ends a request without a backend server's answer."""
+    def give_up(
+        self,
+        now: float,
+        flow: RequestFlow,
+        reason: GiveUpReason,
+        *,
+        not_before: float = float("-inf"),
+    ) -> GiveUp:
+        """Return the step that ends a request without a backend server's answer.
+
+        Args:
+            now: Monotonic time.
+            flow: The request.
+            reason: Why it ends.
+            not_before: Monotonic time before which another try is of no use.
+        """
         not_run = not flow.may_have_run
         if reason is GiveUpReason.UNKNOWN_MODEL:
             return GiveUp(reason, not_run=not_run)
         retry_s = retry_after_s(now, flow.profile, reason, self.forecast)
+        retry_s = max(retry_s, not_before - now)
         return GiveUp(reason, not_run, retry_s)
--- a/src/wisterialoom/platform/app.py
+++ b/src/wisterialoom/platform/app.py
@@ -201,7 +201,13 @@
             self.dispatcher,
             placement,
         )
-        orders = OrderClient(settings.instance, self._session(TCPConnector(limit=0)))
+        orders = OrderClient(
+            settings.instance,
+            self._session(TCPConnector(limit=0)),
+            lambda server_id, notice: self.ingress.record_notice(
+                time.monotonic(), server_id, notice
+            ),
+        )
         self.orders = orders
         self.placement_controller = PlacementController(
             PlacementLease(
--- a/src/wisterialoom/platform/attempt.py
+++ b/src/wisterialoom/platform/attempt.py
@@ -17,7 +17,7 @@
     answer_headers,
     ATTEMPT_ID,
     NOT_RUN,
-    read_load,
+    read_notice,
     request_headers,
     SERVER_ID,
 )
@@ -31,7 +31,7 @@
 
     from wisterialoom.core.serving.request_flow import RequestProfile, Send
     from wisterialoom.platform.exchange import Exchange
-    from wisterialoom.platform.headers import ServerLoad
+    from wisterialoom.platform.headers import ServerLoad, ServerNotice
 
 __all__ = ["Attempt", "TrackedResponse", "BufferedAnswer"]
 
@@ -83,8 +83,8 @@
             another server can take the request.
         can_retry_elsewhere: Returns whether another server would accept the request
             now.
-        record_response_head: Called with the reported load once the head of the
-            answer arrives.
+        record_response_head: Called with what the server says about itself once the
+            head of the answer arrives.
         answer: The complete answer, if it has not been forwarded yet.
         load: Load that the server reported; `None` if it did not.
     """
@@ -96,7 +96,7 @@
         step: Send,
         read_timeout_s: float,
         can_retry_elsewhere: Callable[[], bool],
-        record_response_head: Callable[[ServerLoad | None], None],
+        record_response_head: Callable[[ServerNotice], None],
     ) -> None:
         self.exchange = exchange
         self.profile = profile
@@ -196,8 +196,10 @@
                     raise
 
     async def _receive(self, response: ClientResponse) -> AttemptResult:
-        self.load = read_load(response.headers)
-        self.record_response_head(self.load)
+        notice = read_notice(response.status, response.headers)
+        self.load = notice.load
+        if response.headers.get(SERVER_ID) in (None, self.step.server_id):
+            self.record_response_head(notice)
         if response.headers.get(ATTEMPT_ID) not in (None, self.profile.request_id):
             return self._result(AttemptVerdict.LOST, "answer to another request")
         if response.headers.get(NOT_RUN) or response.status == 421:
--- a/src/wisterialoom/platform/headers.py
+++ b/src/wisterialoom/platform/headers.py
@@ -20,8 +20,10 @@
     "NOT_RUN",
     "SERVER_ID",
     "ServerLoad",
+    "ServerNotice",
     "answer_headers",
     "read_load",
+    "read_notice",
     "read_profile",
     "request_headers",
 ]
@@ -36,6 +38,8 @@
 """Id of the backend server that answers."""
 LAST_EVENT_ID = "Last-Event-Id"
 """Id of the last event that the sender has; the stream continues after it."""
+LEAVING = "Server-Leaving"
+"""`1` in all answers of a server that is leaving."""
 LOAD = "Server-Load"
 """Running requests, waiting requests and slots of a server, separated by commas."""
 MODEL = "Model"
@@ -49,6 +53,8 @@
 """
 TOKENS = "Token-Count"
 """Tokens of the prompt and maximum tokens of the answer, separated by a comma."""
+RETRY_AFTER = "Retry-After"
+"""Seconds for which a server that refuses with 503 wants nothing from the sender."""
 URGENCY = "Request-Urgency"
 """Rank in the server's queue; 0 is served first; 5 applies if absent."""
 
@@ -62,6 +68,9 @@
 callers.
 """
 
+MAX_DIGITS = 12
+"""Digits of the longest time in seconds that is believed."""
+
 HOP_BY_HOP_HEADERS = frozenset(
     {
         "connection",
@@ -93,6 +102,7 @@
         "not-executed",
         "instance-id",
         "server-load",
+        "server-leaving",
         "response-stamp",
         "weight-versions",
     }
@@ -101,6 +111,7 @@
 
 DROPPED_ANSWER_HEADERS = HOP_BY_HOP_HEADERS | {
     "server-load",
+    "server-leaving",
     "instance-id",
     "not-executed",
     "date",
@@ -223,6 +234,44 @@
     ]
 
 
+@dataclass(frozen=True, slots=True)
+class ServerNotice:
+    """What a backend server says about itself in the head of an answer.
+
+    Attributes:
+        load: Reported load; `None` if absent or malformed.
+        leaving: Whether the server is leaving.
+        hold_off_s: Seconds for which it wants nothing more; 0 if it does not say.
+    """
+
+    load: ServerLoad | None = None
+    leaving: bool = False
+    hold_off_s: float = 0.0
+
+
+def read_notice(status: int, headers: Mapping[str, str]) -> ServerNotice:
+    """Decode what a server says about itself in an answer.
+
+    Args:
+        status: Status of the answer; only 503 asks to hold off.
+        headers: Headers of the answer.
+    """
+    return ServerNotice(
+        load=read_load(headers),
+        leaving=headers.get(LEAVING, "").strip() == "1",
+        hold_off_s=_read_seconds(headers.get(RETRY_AFTER, "")) if status == 503 else 0,
+    )
+
+
+def _read_seconds(text: str) -> float:
+    """Return a time in seconds, maybe with a fraction; 0 if it is no such time."""
+    whole, _, fraction = text.strip().partition(".")
+    digits = whole + fraction
+    if not (digits.isascii() and digits.isdigit()) or len(digits) > MAX_DIGITS:
+        return 0.0
+    return float(text)
+
+
 def read_load(headers: Mapping[str, str]) -> ServerLoad | None:
     """Decode the load reported with an answer; `None` if absent or malformed."""
     parts = headers.get(LOAD, "").split(",")
--- a/src/wisterialoom/platform/ingress.py
+++ b/src/wisterialoom/platform/ingress.py
@@ -30,7 +30,7 @@
     from wisterialoom.core.serving.request_flow import RequestProfile
     from wisterialoom.core.serving.routing import Deployment
     from wisterialoom.platform.attempt import BufferedAnswer
-    from wisterialoom.platform.headers import ServerLoad
+    from wisterialoom.platform.headers import ServerNotice
     from wisterialoom.platform.metrics import PlatformMetrics
 
 __all__ = ["Ingress", "Signal"]
@@ -319,7 +319,7 @@
             step,
             read_timeout_s,
             lambda: self.dispatcher.can_retry_elsewhere(time.monotonic(), flow),
-            lambda load: self._record_response_head(flow, load),
+            lambda notice: self._record_response_head(flow, notice),
         )
         result = AttemptResult(step.server_id, AttemptVerdict.CANCELLED)
         try:
@@ -376,12 +376,26 @@
                 },
             )
 
-    def _record_response_head(self, flow: RequestFlow, load: ServerLoad | None) -> None:
+    def _record_response_head(self, flow: RequestFlow, notice: ServerNotice) -> None:
         now = time.monotonic()
+        load = notice.load
         running, waiting = (load.running, load.waiting) if load else (0, 0)
         self.dispatcher.record_response_head(
             now, flow, running, waiting, has_load=load is not None
         )
+        self.record_notice(now, flow.in_flight_at, notice)
+
+    def record_notice(self, now: float, server_id: str, notice: ServerNotice) -> None:
+        """Follow a server that is leaving, or wants nothing for some time."""
+        if notice.leaving and self.dispatcher.record_leaving(server_id):
+            logger.info("server says that it leaves", extra={"server": server_id})
+        view = self.dispatcher.views.get(server_id)
+        if notice.hold_off_s and view is not None:
+            view.hold_off(now, notice.hold_off_s)
+            logger.info(
+                "server wants nothing for a while",
+                extra={"server": server_id, "for_ms": int(notice.hold_off_s * 1e3)},
+            )
 
     def refuse_new(self) -> None:
         """Refuse new and waiting requests from now on."""
--- a/src/wisterialoom/platform/orders.py
+++ b/src/wisterialoom/platform/orders.py
@@ -13,10 +13,14 @@
 from wisterialoom.core.placement.server_state import ServerReport
 from wisterialoom.no_resend import no_resend, was_never_sent
 from wisterialoom.platform.decode import decode_models
-from wisterialoom.platform.headers import EXPECTED_SERVER
+from wisterialoom.platform.headers import EXPECTED_SERVER, read_notice, SERVER_ID
 
 if TYPE_CHECKING:
-    from aiohttp import ClientSession
+    from collections.abc import Callable
+
+    from aiohttp import ClientResponse, ClientSession
+
+    from wisterialoom.platform.headers import ServerNotice
 
 __all__ = ["OrderClient"]
 
@@ -39,11 +43,18 @@
     Attributes:
         holder: Name of this instance, sent as the holder with each order.
         session: Connections to the servers.
+        record_notice: Called with the id of a server and what it says about itself.
         counts: Number of orders by outcome, and of reports.
     """
 
-    def __init__(self, holder: str, session: ClientSession) -> None:
+    def __init__(
+        self,
+        holder: str,
+        session: ClientSession,
+        record_notice: Callable[[str, ServerNotice], None],
+    ) -> None:
         self.holder = holder
+        self.record_notice = record_notice
         self.session = session
         self.counts: dict[str, int] = {}
 
@@ -100,6 +111,7 @@
                 ) as response,
             ):
                 data = await response.read()
+                self._record_notice(server_id, response)
                 outcome = OUTCOMES_BY_STATUS.get(response.status, OrderOutcome.REFUSED)
                 return outcome, f"{response.status} {data[:200]!r}"
         except (aiohttp.ClientError, TimeoutError, OSError) as error:
@@ -128,6 +140,7 @@
                 ) as response,
             ):
                 data = await response.read()
+                self._record_notice(server_id, response)
                 if response.status != 200:
                     return None
                 return _decode_report(orjson.loads(data))
@@ -145,6 +158,11 @@
             )
             return None
 
+    def _record_notice(self, server_id: str, response: ClientResponse) -> None:
+        if response.headers.get(SERVER_ID) in (None, server_id):
+            notice = read_notice(response.status, response.headers)
+            self.record_notice(server_id, notice)
+
     def _count(self, name: str) -> None:
         self.counts[name] = self.counts.get(name, 0) + 1
 
--- a/src/wisterialoom/platform/placement_controller.py
+++ b/src/wisterialoom/platform/placement_controller.py
@@ -183,8 +183,9 @@
                 self.states[server_id]
                 for server_id, view in self.dispatcher.views.items()
                 if view.server.service == service
-                and not view.server.draining
+                and not view.draining
                 and now >= view.ejection.until
+                and now >= view.held_off_until
                 and server_id in self.states
             ]
             for order in planner.decide(now, states, self.demand):
@@ -248,7 +249,7 @@
             report_needed = state.needs_report or state.occupied
             if (
                 report_needed
-                and now >= state.report_due
+                and now >= max(state.report_due, view.held_off_until)
                 and server_id not in self.reports_in_progress
             ):
                 self.reports_in_progress.add(server_id)
--- a/tests/platform/fakes.py
+++ b/tests/platform/fakes.py
@@ -282,9 +282,11 @@
         break_after: Number of events after which streams are cut, if set.
         pause_after: Number of events after which streams stall, if set.
         refuse_all: Whether each request is answered as not executed.
+        notices: Headers that the server adds to all its answers.
         runs: Ids of the requests whose execution started.
         seen: Headers of the received requests.
         orders: Bodies of the received orders.
+        reports: Number of reports that were read.
         running: Number of streams in progress.
     """
 
@@ -299,6 +301,7 @@
     pause_after: int | None = None
     status: int = 200
     refuse_all: bool = False
+    notices: dict[str, str] = field(default_factory=dict)
     models: dict[str, list[str]] = field(default_factory=dict)
     sequence: int = 0
     fence: int = 0
@@ -306,6 +309,7 @@
     runs: list[str] = field(default_factory=list)
     seen: list[Mapping[str, str]] = field(default_factory=list)
     orders: list[dict[str, Any]] = field(default_factory=list)
+    reports: int = 0
     address: str = ""
     running: int = 0
 
@@ -343,6 +347,7 @@
         ]
 
     async def on_report(self, _: web.Request) -> web.Response:
+        self.reports += 1
         return answer(
             {
                 "stage": "colocated",
@@ -385,7 +390,11 @@
         headers = request.headers
         self.seen.append(headers)
         request_id = headers["Attempt-Id"]
-        common = {"Attempt-Id": request_id, "Server-Load": f"{self.running},0,8"}
+        common = {
+            "Attempt-Id": request_id,
+            "Server-Load": f"{self.running},0,8",
+            **self.notices,
+        }
         if headers["Expect-Instance"] != self.server_id:
             return web.Response(status=421, headers={"Instance-Id": self.server_id})
         model, _, adapter = headers["Model"].partition("/")
@@ -432,6 +441,7 @@
         refuse_all: Whether each request is answered as not executed.
         hang: Whether requests are read but never answered.
         break_at: Number of bytes after which a longer answer is cut, if set.
+        notices: Headers that the server adds to all its answers.
         runs: Ids of the requests whose execution started.
         seen: Headers of the received requests.
         bodies: Received request bodies.
@@ -442,6 +452,7 @@
     zone: str = "zone-a"
     status: int = 200
     refuse_all: bool = False
+    notices: dict[str, str] = field(default_factory=dict)
     hang: bool = False
     break_at: int | None = None
     runs: list[str] = field(default_factory=list)
@@ -476,7 +487,7 @@
     async def on_request(self, request: web.Request) -> web.StreamResponse:
         headers = request.headers
         self.seen.append(headers)
-        common = {"Attempt-Id": headers["Attempt-Id"]}
+        common = {"Attempt-Id": headers["Attempt-Id"], **self.notices}
         if self.refuse_all:
             return web.Response(status=503, headers={**common, "Not-Executed": "1"})
         self.record_run(headers["Attempt-Id"])
