Believe a leaving server from the head of its answer; wait as long as a refusal asks

On the product's own interface a server that said X-Leaving in an answer went on to get requests until that answer had ended, which for a stream can take minutes: the word was passed on with the end of the attempt only. Retry-After of a server's 503 was never read.

The relay reports both from the head (ServerNoticed). A server that wants nothing keeps its lanes but has no capacity until then; the expected wait includes that time, so that a request which cannot wait is refused at once, queued ones too, with the time after which it could be served. The tests fail before.

--- a/src/wisterialoom/core/requests/admission.py
+++ b/src/wisterialoom/core/requests/admission.py
@@ -89,6 +89,22 @@
             return refuse(Reason.UNREACHABLE, retry_after_s=load_s)
         return None
 
+    def check_hold_off(self, now: float, classified: Classified) -> Refusal | None:
+        """Return the refusal of a request that no server wants before its deadline.
+
+        A model may meanwhile be loaded at another server, so its requests go on waiting
+        while that is in time.
+        """
+        held_off_s = self.router.hold_off_s(now, classified.lane)
+        late_s = now + held_off_s - self.router.latest_dispatch(classified)
+        if not held_off_s or late_s <= 0.0:
+            return None
+        load_s = self.load_times_s.get(classified.lane)
+        limit = max(classified.load_wait_deadline, classified.deadline)
+        if load_s is not None and now + load_s <= limit:
+            return None
+        return refuse(Reason.OVERLOAD, retry_after_s=late_s)
+
     def is_unservable(self, now: float, classified: Classified) -> bool:
         """Return whether no server serves a lane and no declared model would."""
         if classified.lane in self.load_times_s:
--- a/src/wisterialoom/core/requests/attempt_control.py
+++ b/src/wisterialoom/core/requests/attempt_control.py
@@ -23,6 +23,7 @@
     from wisterialoom.core.message import Output
     from wisterialoom.core.requests.in_flight_request import InFlightRequest
     from wisterialoom.core.requests.path_state import PathState
+    from wisterialoom.core.requests.request import ServerNoticed
     from wisterialoom.core.requests.server_view import ServerView
     from wisterialoom.core.requests.settlement import Settlement
 
@@ -73,6 +74,9 @@
             return self.settlement.end_with_refusal(
                 in_flight, refuse(Reason.UNREACHABLE)
             )
+        held_off = self.state.admission.check_hold_off(now, in_flight.classified)
+        if held_off is not None:
+            return self.settlement.end_with_refusal(in_flight, held_off)
         self.state.queue.push(in_flight.classified)
         return self.state.demand_meter.report_first_wait(
             now, self.state.queue, in_flight.classified
@@ -108,6 +112,18 @@
             return None
         return in_flight
 
+    def record_notice(self, now: float, event: ServerNoticed) -> list[Output]:
+        """Follow a server that is leaving, or wants no requests for some time."""
+        view = self.state.router.views.get(event.attempt.server)
+        if view is None:
+            return []
+        view.hold_off(now, event.hold_off_s)
+        return self._mark_leaving(view) if event.leaving else []
+
+    def _mark_leaving(self, view: ServerView) -> list[Output]:
+        view.seen_leaving = True
+        return [ServerLeavingSeen(view.server.name, view.server.incarnation)]
+
     def record_first_byte(self, now: float, attempt: Attempt) -> list[Output]:
         """Record the first output of an attempt; it rules out any further retry."""
         in_flight = self._find_in_flight(attempt)
@@ -158,10 +174,7 @@
                 view.ejection.record_failure(now)
             case AttemptResult.NOT_STARTED if not event.leaving:
                 view.refused_lanes[lane] = now
-        if not event.leaving:
-            return []
-        view.seen_leaving = True
-        return [ServerLeavingSeen(view.server.name, view.server.incarnation)]
+        return self._mark_leaving(view) if event.leaving else []
 
     def _conclude(
         self, now: float, in_flight: InFlightRequest, event: AttemptEnded
--- a/src/wisterialoom/core/requests/request.py
+++ b/src/wisterialoom/core/requests/request.py
@@ -25,6 +25,7 @@
     "Request",
     "RequestArrived",
     "RequestSettled",
+    "ServerNoticed",
     "StoredAnswer",
 ]
 
@@ -251,6 +252,22 @@
     attempt: Attempt
 
 
+@dataclass(frozen=True, slots=True)
+class ServerNoticed(Event):
+    """A backend server said something about itself in the head of an answer.
+
+    Attributes:
+        attempt: The attempt that it answers.
+        leaving: Whether the server is leaving.
+        hold_off_s: Seconds for which it wants no more requests of this instance; 0 if
+            it does not say.
+    """
+
+    attempt: Attempt
+    leaving: bool = False
+    hold_off_s: float = 0.0
+
+
 @dataclass(frozen=True, slots=True)
 class AttemptEnded(Event):
     """An attempt ended.
--- a/src/wisterialoom/core/requests/request_path.py
+++ b/src/wisterialoom/core/requests/request_path.py
@@ -42,6 +42,7 @@
     Request,
     RequestArrived,
     RequestSettled,
+    ServerNoticed,
 )
 from wisterialoom.core.requests.router import Router
 from wisterialoom.core.requests.settlement import Settlement
@@ -78,6 +79,7 @@
         RequestArrived,
         JobDue,
         CallerGone,
+        ServerNoticed,
         AttemptFirstByte,
         AttemptEnded,
         ClaimGranted,
@@ -127,6 +129,8 @@
                 return self._arrive_job(now, event)
             case AttemptFirstByte(attempt=attempt):
                 return self.attempt_control.record_first_byte(now, attempt)
+            case ServerNoticed():
+                return self.attempt_control.record_notice(now, event)
             case AttemptEnded():
                 return self.attempt_control.end(now, event) + self._check_drained()
             case CallerGone(request_id=request_id):
@@ -331,6 +335,10 @@
                 return self.settlement.end_with_refusal(
                     in_flight, refuse(Reason.UNREACHABLE)
                 )
+            case Stage.QUEUED if held_off := self.admission.check_hold_off(
+                now, in_flight.classified
+            ):
+                return self.settlement.end_with_refusal(in_flight, held_off)
             case Stage.QUEUED if now >= self._queue_deadline(now, in_flight):
                 return self.settlement.expire(now, in_flight)
             case Stage.CLAIMING if now >= in_flight.classified.deadline:
--- a/src/wisterialoom/core/requests/router.py
+++ b/src/wisterialoom/core/requests/router.py
@@ -202,6 +202,11 @@
         """Return the servers that serve a lane, with or without free slots."""
         return [view for view in self.views.values() if view.serves(now, lane)]
 
+    def hold_off_s(self, now: float, lane: str) -> float:
+        """Return the time until some server of a lane wants requests; 0 if one does."""
+        until = (view.held_off_until for view in self.candidates(now, lane))
+        return max(0.0, min(until, default=0.0) - now)
+
     def choose(
         self, now: float, classified: Classified, avoid: frozenset[str] = frozenset()
     ) -> ServerView | None:
@@ -304,6 +309,7 @@
             return None
         if any(view.has_capacity(now, fill) for view in serving):
             return 0.0
+        held_off_s = self.hold_off_s(now, lane)
         rate = 0.0
         ahead: float = 1.0
         counted: set[str] = set()
@@ -312,7 +318,7 @@
             shared = [name for name in view.lanes if name in ahead_by_lane]
             ahead += sum(ahead_by_lane[name] for name in shared if name not in counted)
             counted.update(shared)
-        return ahead / max(rate, 1e-9)
+        return held_off_s + ahead / max(rate, 1e-9)
 
 
 def _reported_requests(view: ServerView) -> int:
--- a/src/wisterialoom/core/requests/server_view.py
+++ b/src/wisterialoom/core/requests/server_view.py
@@ -35,6 +35,8 @@
         refused_lanes: Monotonic time of the last refusal as not resident, by lane.
         seen_leaving: Whether the server announced in an answer that this incarnation
             is leaving, or is no longer listed.
+        held_off_until: Monotonic time until which the server wants no requests, as one
+            of its refusals said.
     """
 
     server: BackendServer
@@ -45,6 +47,7 @@
     lanes: frozenset[str] = frozenset()
     refused_lanes: dict[str, float] = field(default_factory=dict)
     seen_leaving: bool = False
+    held_off_until: float = 0.0
 
     @property
     def closed(self) -> bool:
@@ -52,6 +55,10 @@
         marked_leaving = self.server.leaving or self.server.drained or self.seen_leaving
         return marked_leaving or (self.load is not None and self.load.leaving)
 
+    def hold_off(self, now: float, for_s: float) -> None:
+        """Record that the server wants no requests for some time."""
+        self.held_off_until = max(self.held_off_until, now + for_s)
+
     def serves(self, now: float, lane: str) -> bool:
         """Return whether the server can serve a lane, with or without free slots."""
         if self.closed or lane not in self.lanes:
@@ -67,6 +74,8 @@
             now: Monotonic time in seconds.
             fill: Share of the slots that requests of the traffic class may fill.
         """
-        if self.closed or not self.ejection.allows(now, self.window.in_flight):
+        if self.closed or now < self.held_off_until:
+            return False
+        if not self.ejection.allows(now, self.window.in_flight):
             return False
         return self.window.free_capacity(now, fill) > 0
--- a/src/wisterialoom/http/relay.py
+++ b/src/wisterialoom/http/relay.py
@@ -17,10 +17,12 @@
     AttemptResult,
     Classified,
     Dispatch,
+    ServerNoticed,
     StoredAnswer,
 )
 from wisterialoom.http.error_answer import REQUEST_ID_HEADER
 from wisterialoom.no_resend import no_resend, was_never_sent
+from wisterialoom.retry_after import read_retry_after, RETRY_AFTER
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -120,6 +122,7 @@
         mismatched: Whether the answer carried the id of another request and was
             dropped.
         leaving: Whether the backend server announced that it is leaving.
+        retry_after_s: Seconds for which it wants no more requests, if it said so.
         tail: Last bytes of the answer, to detect the end of a stream.
         stored_body: The part of the answer that is kept for claims and jobs.
     """
@@ -140,6 +143,7 @@
         self.valid_until = command.valid_until
         self.mismatched = False
         self.leaving = False
+        self.retry_after_s: float | None = None
         self.tail = b""
         self.stored_body = bytearray()
 
@@ -166,6 +170,16 @@
                 return self._make_ended(AttemptResult.NOT_SENT)
             return self._make_ended(AttemptResult.LOST)
 
+    def _report_notice(self, response: ClientResponse) -> None:
+        """Report what the server says about itself, before its answer has ended."""
+        if response.status == 503:
+            text = response.headers.get(RETRY_AFTER, "")
+            self.retry_after_s = read_retry_after(text) or None
+        if self.leaving or self.retry_after_s:
+            self.deliver(
+                ServerNoticed(self.attempt, self.leaving, self.retry_after_s or 0.0)
+            )
+
     def _make_ended(
         self, result: AttemptResult, answer: StoredAnswer | None = None
     ) -> AttemptEnded:
@@ -175,6 +189,7 @@
             answer=answer,
             tokens=self.times.chunks,
             leaving=self.leaving,
+            retry_after_s=self.retry_after_s,
         )
 
     async def _exchange(self, session: ClientSession) -> AttemptEnded:
@@ -189,6 +204,7 @@
             middlewares=(no_resend,),
         ) as response:
             self.leaving = LEAVING_HEADER in response.headers
+            self._report_notice(response)
             if response.headers.get(NOT_STARTED_HEADER):
                 return self._make_ended(AttemptResult.NOT_STARTED)
             echoed = response.headers.get(REQUEST_ID_HEADER)
--- a/src/wisterialoom/platform/headers.py
+++ b/src/wisterialoom/platform/headers.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from wisterialoom.core.serving.request_flow import RequestProfile
+from wisterialoom.retry_after import read_retry_after, RETRY_AFTER
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -53,8 +54,6 @@
 """
 TOKENS = "Token-Count"
 """Tokens of the prompt and maximum tokens of the answer, separated by a comma."""
-RETRY_AFTER = "Retry-After"
-"""Seconds for which a server that refuses with 503 wants nothing from the sender."""
 URGENCY = "Request-Urgency"
 """Rank in the server's queue; 0 is served first; 5 applies if absent."""
 
@@ -68,9 +67,6 @@
 callers.
 """
 
-MAX_DIGITS = 12
-"""Digits of the longest time in seconds that is believed."""
-
 HOP_BY_HOP_HEADERS = frozenset(
     {
         "connection",
@@ -256,22 +252,14 @@
         status: Status of the answer; only 503 asks to hold off.
         headers: Headers of the answer.
     """
+    hold_off = headers.get(RETRY_AFTER, "") if status == 503 else ""
     return ServerNotice(
         load=read_load(headers),
         leaving=headers.get(LEAVING, "").strip() == "1",
-        hold_off_s=_read_seconds(headers.get(RETRY_AFTER, "")) if status == 503 else 0,
+        hold_off_s=read_retry_after(hold_off),
     )
 
 
-def _read_seconds(text: str) -> float:
-    """Return a time in seconds, maybe with a fraction; 0 if it is no such time."""
-    whole, _, fraction = text.strip().partition(".")
-    digits = whole + fraction
-    if not (digits.isascii() and digits.isdigit()) or len(digits) > MAX_DIGITS:
-        return 0.0
-    return float(text)
-
-
 def read_load(headers: Mapping[str, str]) -> ServerLoad | None:
     """Decode the load reported with an answer; `None` if absent or malformed."""
     parts = headers.get(LOAD, "").split(",")
--- a/tests/test_attempt_control.py
+++ b/tests/test_attempt_control.py
@@ -4,13 +4,21 @@
 
 from tests.documents import make_load, make_server
 from tests.test_request_path import arrive, chat, make_path, only, registration
-from wisterialoom.core.notice import ClaimGranted, ServersChanged
+from wisterialoom.core.message import Tick
+from wisterialoom.core.notice import (
+    ClaimGranted,
+    ServerLeavingSeen,
+    ServersChanged,
+)
 from wisterialoom.core.requests.request import (
     AttemptEnded,
     AttemptResult,
     Dispatch,
     Outcome,
+    Reason,
     Refuse,
+    Request,
+    ServerNoticed,
 )
 
 
@@ -40,3 +48,57 @@
     else:
         assert only(outputs, Refuse).refusal.outcome is outcome
         assert not any(isinstance(item, Dispatch) for item in outputs)
+
+
+def test_server_that_says_in_an_answer_that_it_leaves_gets_nothing_during_that_answer():
+    """It was believed only at the end of the answer, which may be a long stream."""
+    path = make_path(make_load("e1", "drafting"), make_load("e2", "drafting"))
+    first = only(arrive(path, 1.0, chat(1)), Dispatch).attempt
+    seen = only(path.handle(1.1, ServerNoticed(first, leaving=True)), ServerLeavingSeen)
+    assert seen.server == first.server
+    for serial in range(2, 6):
+        sent = only(arrive(path, 1.2, chat(serial)), Dispatch).attempt
+        assert sent.server != first.server
+
+
+def lookup(serial, deadline_s=20.0):
+    fields = {"api_key_sha256": "d", "deadline_s": deadline_s}
+    return Request(f"r{serial}", "GET", "/registry/deposits", **fields)
+
+
+def test_server_gets_nothing_before_the_time_that_its_refusal_names():
+    path = make_path()
+    first = only(arrive(path, 1.0, lookup(1)), Dispatch).attempt
+    path.handle(1.1, ServerNoticed(first, hold_off_s=3.0))
+    path.handle(1.1, AttemptEnded(first, AttemptResult.COMPLETED))
+    assert not any(isinstance(x, Dispatch) for x in arrive(path, 1.2, lookup(2)))
+    assert not any(isinstance(x, Dispatch) for x in path.handle(4.0, Tick()))
+    assert only(path.handle(4.2, Tick()), Dispatch).attempt.request_id == "r2"
+
+
+def test_request_that_no_server_wants_in_time_is_refused_at_once():
+    path = make_path()
+    first = only(arrive(path, 1.0, lookup(1)), Dispatch).attempt
+    waiting = only(arrive(path, 1.0, lookup(2)), Dispatch).attempt
+    path.handle(1.1, ServerNoticed(first, hold_off_s=60.0))
+    refusal = only(arrive(path, 1.2, lookup(3)), Refuse).refusal
+    assert (refusal.outcome, refusal.reason) == (Outcome.NOT_RUN, Reason.OVERLOAD)
+    assert refusal.retry_after_s == pytest.approx(59.9 - 20.0, abs=2.1)
+    ended = AttemptEnded(waiting, AttemptResult.NOT_SENT)
+    refusal = only(path.handle(1.3, ended), Refuse).refusal
+    assert refusal.retry_after_s == pytest.approx(59.8 - 19.7)
+
+
+def test_request_in_the_queue_is_refused_once_no_server_wants_it_in_time():
+    path = make_path()
+    sent, waiting = [], []
+    for serial in range(40):
+        outputs = arrive(path, 1.0, lookup(serial))
+        dispatched = [x for x in outputs if isinstance(x, Dispatch)]
+        (sent if dispatched else waiting).append(outputs)
+    assert path.queue.waiting
+    attempt = only(sent[0], Dispatch).attempt
+    path.handle(1.1, ServerNoticed(attempt, hold_off_s=60.0))
+    refused = [x for x in path.handle(1.2, Tick()) if isinstance(x, Refuse)]
+    assert not path.queue.waiting
+    assert {item.refusal.reason for item in refused} == {Reason.OVERLOAD}
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -2,12 +2,16 @@
 
 import asyncio
 import contextlib
+from types import SimpleNamespace
 
 import aiohttp
 import orjson
 import pytest
+from aiohttp import web
 
+from wisterialoom.core.requests.request import Attempt, ServerNoticed
 from wisterialoom.demo import DEMO_API_KEY, open_demo
+from wisterialoom.http.relay import Relay
 from wisterialoom.standin.answer import answer_text
 
 TOKENS = 12
@@ -95,3 +99,63 @@
         assert (status, headers["X-Outcome"]) == (503, "not_run")
         assert float(headers["Retry-After"]) >= 1.0
         assert len(deployment.service.record.runs) == 1
+
+
+@pytest.mark.parametrize(
+    ("status", "headers", "expected"),
+    [
+        (200, {"X-Leaving": "1"}, (True, 0.0)),
+        (503, {"Retry-After": "2.5"}, (False, 2.5)),
+        (503, {"Retry-After": "3", "X-Leaving": "1"}, (True, 3.0)),
+        (503, {"Retry-After": "Wed, 21 Oct 2026 07:28:00 GMT"}, None),
+        (200, {"Retry-After": "3"}, None),
+    ],
+)
+async def test_notice_of_a_server_is_reported_before_its_answer_ends(
+    status, headers, expected
+):
+    events = []
+    ended = asyncio.Event()
+
+    async def answer_slowly(request):
+        response = web.StreamResponse(status=status, headers=headers)
+        await response.prepare(request)
+        await response.write(b"a")
+        await ended.wait()
+        return response
+
+    app = web.Application()
+    app.router.add_route("*", "/{path:.*}", answer_slowly)
+    runner = web.AppRunner(app)
+    await runner.setup()
+    site = web.TCPSite(runner, "127.0.0.1", 0)
+    await site.start()
+    host, port = runner.addresses[0][:2]
+    request = SimpleNamespace(method="GET")
+    received = SimpleNamespace(request=request, target="/", body=b"", headers={})
+    exchange = SimpleNamespace(
+        received_request=received,
+        request_id="r1",
+        keeps_answer=False,
+        caller_gone=False,
+        send_complete=lambda *_: None,
+    )
+    attempt = Attempt("r1", 1, "registry-1", "")
+    classified = SimpleNamespace(priority=0, idempotent=True)
+    command = SimpleNamespace(
+        attempt=attempt, classified=classified, valid_until=float("inf")
+    )
+    relay = Relay(command, exchange, f"{host}:{port}", events.append)
+    async with aiohttp.ClientSession() as session, asyncio.timeout(LIMIT_S):
+        running = asyncio.create_task(relay.run(session))
+        if expected is not None:
+            while not events:
+                await asyncio.sleep(0.005)
+            assert not running.done()
+            assert events == [ServerNoticed(attempt, *expected)]
+        ended.set()
+        result = await running
+    assert result.retry_after_s == (expected[1] or None if expected else None)
+    assert not any(isinstance(x, ServerNoticed) for x in events[1:])
+    assert expected is not None or not isinstance(events[0], ServerNoticed)
+    await runner.cleanup()
