Let a cut from the lab's object API reach the watches that wait

A waiting watch of an instance that the lab had cut off was still answered at the next change, so no scenario, storm or test of the follower could see relays that hear nothing while their connections seem open. Such a watch now hears nothing until its limit.

--- a/src/wisterialoom/lab/store_port.py
+++ b/src/wisterialoom/lab/store_port.py
@@ -34,6 +34,8 @@
 )
 Reply: TypeAlias = Callable[[ObjectEvent], None]
 
+WaitingWatch: TypeAlias = tuple[str, WatchObject, Reply]
+
 WATCH_LIMIT_S = 30.0
 """Time after which the platform answers a watch without a change, in seconds."""
 
@@ -45,7 +47,7 @@
         store: The stored objects.
         fault: Faults in force.
         calls: Number of calls by command class; each wait of a watch is one call.
-        watches: Waiting watches and their callbacks, by object key.
+        watches: Waiting watches with their callers and callbacks, by object key.
     """
 
     def __init__(self, schedule: Schedule, rng: random.Random) -> None:
@@ -54,7 +56,7 @@
         self.store = ObjectStore()
         self.fault = StoreFault()
         self.calls: dict[str, int] = {}
-        self.watches: dict[str, list[tuple[WatchObject, Reply]]] = {}
+        self.watches: dict[str, list[WaitingWatch]] = {}
 
     def call(self, caller: str, command: StoreCommand, reply: Reply) -> None:
         """Execute a command and reply exactly once.
@@ -78,7 +80,7 @@
         ) / 2
         self.schedule.after(
             half_delay_s,
-            lambda: self._execute(command, reply, half_delay_s, answer_lost),
+            lambda: self._execute(caller, command, reply, half_delay_s, answer_lost),
         )
 
     def _fail(
@@ -90,6 +92,7 @@
 
     def _execute(
         self,
+        caller: str,
         command: StoreCommand,
         reply: Reply,
         half_delay_s: float,
@@ -98,7 +101,9 @@
         if self.fault.down:
             self._fail(command, reply, ambiguous=False, delay=half_delay_s)
             return
-        if isinstance(command, WatchObject) and self._start_watch(command, reply):
+        if isinstance(command, WatchObject) and self._start_watch(
+            caller, command, reply
+        ):
             return
         event = self._apply(command)
         if answer_lost:
@@ -132,27 +137,31 @@
         self._wake_watches(key)
         return ObjectWritten(op, key, version)
 
-    def _start_watch(self, command: WatchObject, reply: Reply) -> bool:
+    def _start_watch(self, caller: str, command: WatchObject, reply: Reply) -> bool:
         if self.store.read(command.key).version > command.after:
             return False
-        entry = (command, reply)
+        entry = (caller, command, reply)
         self.watches.setdefault(command.key, []).append(entry)
         self.schedule.after(WATCH_LIMIT_S, lambda: self._end_watch(entry))
         return True
 
-    def _end_watch(self, entry: tuple[WatchObject, Reply]) -> None:
-        waiting = self.watches.get(entry[0].key, [])
+    def _end_watch(self, entry: WaitingWatch) -> None:
+        waiting = self.watches.get(entry[1].key, [])
         if entry in waiting:
             waiting.remove(entry)
             self._answer_watch(entry)
 
     def _wake_watches(self, key: str) -> None:
         for entry in self.watches.pop(key, []):
-            self._answer_watch(entry)
-
-    def _answer_watch(self, entry: tuple[WatchObject, Reply]) -> None:
-        command, reply = entry
-        if self.fault.down:
+            if entry[0] in self.fault.cut_off:
+                # The connection seems open, but nothing comes over it.
+                self.watches.setdefault(key, []).append(entry)
+            else:
+                self._answer_watch(entry)
+
+    def _answer_watch(self, entry: WaitingWatch) -> None:
+        caller, command, reply = entry
+        if self.fault.down or caller in self.fault.cut_off:
             self._fail(command, reply, ambiguous=False, delay=0.0)
             return
         event = self._apply(command)
--- a/tests/test_store_port.py
+++ b/tests/test_store_port.py
@@ -59,3 +59,17 @@
     port.call("a", ReadObject("op", "key"), events.append)
     schedule.run_until(schedule.now + 0.1)
     assert events == [ObjectUnavailable("op", "key", ambiguous=False)]
+
+
+def test_waiting_watch_hears_nothing_while_its_caller_is_cut_off():
+    """Its watch still told the caller of each change, so no test missed a relay."""
+    schedule, port = make_port()
+    events = []
+    port.call("a", WatchObject("op", "key", 0), events.append)
+    schedule.run_until(schedule.now + 1)
+    port.fault.cut_off.add("a")
+    port.put("key", b"new")
+    schedule.run_until(schedule.now + 20)
+    assert events == []
+    schedule.run_until(schedule.now + 40)
+    assert events == [ObjectUnavailable("op", "key", ambiguous=False)]
