--- a/src/wisterialoom/lab/__main__.py
+++ b/src/wisterialoom/lab/__main__.py
@@ -41,14 +41,17 @@
 @main.command()
 @click.option("--first", default=1, show_default=True, help="Seed of the first storm.")
 @click.option("--count", default=20, show_default=True, help="Number of storms.")
+@click.option("--aimed", is_flag=True, help="Also hit all instances with a role.")
 @click.option(
     "--trace", type=int, default=0, help="Trace lines to show after a failure."
 )
-def storm(first: int, count: int, trace: int) -> None:
+def storm(first: int, count: int, aimed: bool, trace: int) -> None:
     """Run random scenarios, one for each seed."""
     failed_count = 0
     for seed in range(first, first + count):
-        failed_count += _report(f"storm {seed}", run_script(make_storm(seed)), trace)
+        failed_count += _report(
+            f"storm {seed}", run_script(make_storm(seed, aimed=aimed)), trace
+        )
     click.echo(f"{count} storms, {failed_count} with failed expectations")
     sys.exit(1 if failed_count else 0)
 
--- a/src/wisterialoom/lab/scenario.py
+++ b/src/wisterialoom/lab/scenario.py
@@ -21,7 +21,9 @@
     Label,
     Leave,
     Load,
+    RELAYS,
     Restart,
+    ROLES,
     Start,
     Step,
     Stop,
@@ -241,11 +243,13 @@
         return found
 
     def _expand_names(self, names: tuple[str, ...]) -> set[str]:
-        """Return the names with each availability zone replaced by its instances."""
+        """Return the names with availability zones and roles replaced by instances."""
         deployment = self.deployment
         found: set[str] = set()
         for name in names:
-            if name in deployment.zones:
+            if name in ROLES:
+                found |= self._find_role(name)
+            elif name in deployment.zones:
                 found |= {
                     item.name
                     for item in deployment.world.listing.instances
@@ -255,6 +259,21 @@
                 found.add(name)
         return found
 
+    def _find_role(self, role: str) -> set[str]:
+        """Return the running instances that have a role now."""
+        running = {
+            name: parts
+            for name, parts in self.deployment.entries.items()
+            if self.deployment.world.hosts[name].alive
+        }
+        if role == RELAYS:
+            return {name for name, parts in running.items() if parts.config.relay}
+        return {
+            name
+            for name, parts in running.items()
+            if not all(item.is_done for item in parts.controllers.controllers.values())
+        }
+
     # Operators.
 
     def _apply(self, operator: int) -> None:
--- a/src/wisterialoom/lab/script.py
+++ b/src/wisterialoom/lab/script.py
@@ -14,6 +14,8 @@
 from wisterialoom.core.error import WisterialoomError
 
 __all__ = [
+    "RELAYS",
+    "ROLES",
     "Apply",
     "Cut",
     "Expectation",
@@ -36,6 +38,12 @@
     "parse_script",
 ]
 
+RELAYS = "relays"
+ENGINE_CONTROLLERS = "engine-controllers"
+ROLES = (RELAYS, ENGINE_CONTROLLERS)
+"""Roles that stand for the instances that have them: relays of the configuration, and
+instances with the lease of an engine."""
+
 UNITS_S = {"ms": 0.001, "s": 1.0, "m": 60.0}
 
 
@@ -104,8 +112,8 @@
 class Cut(Step):
     """Cut the links between two lists of names for a time.
 
-    A name is an entry instance, an availability zone, `object-api` or a backend
-    server.
+    A name is an entry instance, an availability zone, `object-api`, a backend server,
+    or a role, which stands for the instances that have it when the cut begins.
     """
 
     left: tuple[str, ...]
--- a/src/wisterialoom/lab/storm.py
+++ b/src/wisterialoom/lab/storm.py
@@ -21,6 +21,7 @@
     Kill,
     Load,
     Restart,
+    ROLES,
     ScheduledStep,
     Script,
     Start,
@@ -47,6 +48,10 @@
 """Time for which the load continues after the last fault, in seconds."""
 
 FAULT_COUNT = 8
+AIMED_FAULT_COUNT = 3
+
+AIMED_CHANGE_S = 0.3
+"""Time after the begin of an aimed fault at which the document changes."""
 
 EXPECTATION_TEXTS = (
     "memory within capacity",
@@ -60,8 +65,13 @@
 )
 
 
-def make_storm(seed: int) -> Script:
-    """Return a random scenario; equal seeds give equal scenarios."""
+def make_storm(seed: int, *, aimed: bool = False) -> Script:
+    """Return a random scenario; equal seeds give equal scenarios.
+
+    Args:
+        seed: The seed.
+        aimed: Whether faults also hit all instances that have a role.
+    """
     rng = random.Random(seed)
     warm_up_end = WARM_UP_S
     end = warm_up_end + FAULT_WINDOW_S + MAX_FAULT_S + RECOVERY_S
@@ -75,6 +85,12 @@
         scheduled_steps += _random_fault(
             rng, warm_up_end + rng.random() * FAULT_WINDOW_S
         )
+    if aimed:
+        rng = random.Random(f"aimed {seed}")
+        for _ in range(AIMED_FAULT_COUNT):
+            scheduled_steps += _aimed_fault(
+                rng, warm_up_end + rng.random() * FAULT_WINDOW_S
+            )
     scheduled_steps.sort(key=lambda item: item.at_s)
     expectations = tuple(Expectation(text, None, 0) for text in EXPECTATION_TEXTS)
     return Script(
@@ -120,6 +136,17 @@
     ]
 
 
+def _aimed_fault(rng: random.Random, at_s: float) -> list[ScheduledStep]:
+    """Cut all instances of a role from the object API, and change the document."""
+    for_s = 1.0 + rng.random() * (MAX_FAULT_S - 1.0)
+    role = rng.choice(ROLES)
+    others = rng.choice([("object-api",), ("object-api", "engine-1", "engine-2")])
+    return [
+        ScheduledStep(at_s, Cut((role,), others, for_s), 0),
+        ScheduledStep(at_s + AIMED_CHANGE_S, Apply(1), 0),
+    ]
+
+
 def _random_entry(rng: random.Random) -> str:
     return f"entry-{rng.randint(1, ENTRIES)}"
 
