Aim the soak's faults at all instances of a role, and check the age of views

Faults of the soak hit one instance or everybody, so three watchers were never cut from the store while a follower reached it, and nothing it checked depended on how old a view was. It now reads from the logs who watches the store and who holds the lease, cuts all of them, or all but a follower, or kills the holder and its heir, once after everything else has healed; and no instance that nothing has disturbed for 3 s may handle a request by a view older than 2 s. Times at which the machine is too busy for timers are left out.

--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -28,8 +28,19 @@
     default=True,
     help="Whether the store is also restored from copies.",
 )
+@click.option(
+    "--roles/--no-roles",
+    default=True,
+    help="Whether faults also hit all instances with a role.",
+)
 def main(
-    first: int | None, seeds: int, jobs: int, keep: Path | None, *, restores: bool
+    first: int | None,
+    seeds: int,
+    jobs: int,
+    keep: Path | None,
+    *,
+    restores: bool,
+    roles: bool,
 ) -> None:
     """Run seeds and print the violated promises; logs are written to `--keep`."""
     # The fake servers log an error for each connection that a fault closes.
@@ -37,26 +48,31 @@
     first_seed = int(time.time()) if first is None else first
     folder = keep or Path(tempfile.mkdtemp(prefix="soak-"))
     chosen = range(first_seed, first_seed + seeds)
-    failed = asyncio.run(_run_all(chosen, jobs, folder, restores=restores))
+    failed = asyncio.run(_run_all(chosen, jobs, folder, restores=restores, roles=roles))
     click.echo(f"{seeds} seeds from {first_seed}, {failed} failed, logs in {folder}")
     raise SystemExit(1 if failed else 0)
 
 
-async def _run_all(seeds: range, jobs: int, folder: Path, *, restores: bool) -> int:
+async def _run_all(
+    seeds: range, jobs: int, folder: Path, *, restores: bool, roles: bool
+) -> int:
     slots = asyncio.Semaphore(jobs)
     results = await asyncio.gather(
-        *(_run_seed(seed, slots, folder, restores=restores) for seed in seeds)
+        *(
+            _run_seed(seed, slots, folder, restores=restores, roles=roles)
+            for seed in seeds
+        )
     )
     return sum(results)
 
 
 async def _run_seed(
-    seed: int, slots: asyncio.Semaphore, folder: Path, *, restores: bool
+    seed: int, slots: asyncio.Semaphore, folder: Path, *, restores: bool, roles: bool
 ) -> int:
     async with slots:
         logs = folder / str(seed)
         logs.mkdir(parents=True)
-        checker = await SoakRun(seed, logs, restores=restores).run()
+        checker = await SoakRun(seed, logs, restores=restores, roles=roles).run()
         answers = {name: checker.answers[name] for name in sorted(checker.answers)}
         click.echo(
             f"seed {seed}: {'FAILED' if checker.violations else 'passed'} {answers}"
@@ -64,7 +80,7 @@
         for violation in checker.violations[:20]:
             click.echo(f"    {violation[:300]}")
         if checker.violations:
-            for at, fault in draw_faults(seed, restores=restores):
+            for at, fault in draw_faults(seed, restores=restores, roles=roles):
                 click.echo(f"    {at:5.2f} s {fault}")
         return bool(checker.violations)
 
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass
 
 from tests.soak.fault_proxy import ConnectionFault
+from tests.soak.roles import Role
 
 __all__ = [
     "INSTANCES",
@@ -23,6 +24,8 @@
     "Reload",
     "Replace",
     "RestoreStore",
+    "RoleFault",
+    "RoleKill",
     "Stop",
     "StoreMode",
     "draw_faults",
@@ -38,6 +41,9 @@
 FAULTS_S = 6.0
 """Period in which faults start."""
 
+QUIET_S = FAULTS_S + 9.0
+"""Time at which their effects are over."""
+
 
 @dataclass(frozen=True, slots=True)
 class Kill:
@@ -85,6 +91,27 @@
     for_s: float
 
 
+@dataclass(frozen=True, slots=True)
+class RoleFault:
+    """Injects a fault into the store connections of all instances with a role.
+
+    The configuration changes soon after it begins. Who has the role is found then.
+    """
+
+    role: Role
+    fault_kind: ConnectionFault
+    for_s: float
+    change_after_s: float
+    numbers: tuple[int, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class RoleKill:
+    """Kills the holder of the placement lease, and its heir once it has taken it."""
+
+    down_s: float
+
+
 @dataclass(frozen=True, slots=True)
 class StoreMode:
     """Makes the store unavailable or unresponsive, or makes it lose answers."""
@@ -139,6 +166,8 @@
     | Stop
     | Pause
     | Reload
+    | RoleFault
+    | RoleKill
     | StoreConnectionFault
     | StoreMode
     | ForgetHistory
@@ -149,12 +178,15 @@
 )
 
 
-def draw_faults(seed: int, *, restores: bool = False) -> list[tuple[float, Fault]]:
+def draw_faults(
+    seed: int, *, restores: bool = False, roles: bool = False
+) -> list[tuple[float, Fault]]:
     """Return the faults of a seed with their start times, in order.
 
     Args:
         seed: The seed.
         restores: Whether the store is also restored from copies, once or more.
+        roles: Whether faults also hit all instances with a role, twice or more.
     """
     rng = random.Random(seed)
     faults = [(rng.uniform(0.0, FAULTS_S), _draw_fault(rng)) for _ in range(9)]
@@ -164,6 +196,14 @@
             (rng.uniform(0.0, FAULTS_S), _draw_restore(rng))
             for _ in range(rng.randint(1, 3))
         ]
+    if roles:
+        rng = random.Random(f"roles of {seed}")
+        faults += [
+            (rng.uniform(0.0, FAULTS_S), _draw_role_fault(rng))
+            for _ in range(rng.randint(1, 2))
+        ]
+        # Those that no other fault has hit for a while owe a current view.
+        faults.append((QUIET_S + rng.uniform(0.0, 1.0), _draw_role_cut(rng)))
     return sorted(faults, key=lambda fault: fault[0])
 
 
@@ -175,6 +215,22 @@
     )
 
 
+def _draw_role_fault(rng: random.Random) -> Fault:
+    if rng.random() < 0.25:
+        return RoleKill(down_s=rng.uniform(0.2, 2.0))
+    return _draw_role_cut(rng)
+
+
+def _draw_role_cut(rng: random.Random) -> RoleFault:
+    kinds = [kind for kind in ConnectionFault if kind is not ConnectionFault.NONE]
+    return RoleFault(
+        role=rng.choice(list(Role)),
+        fault_kind=rng.choice(kinds),
+        for_s=rng.uniform(4.0, 6.0),
+        change_after_s=rng.uniform(0.0, 0.6),
+    )
+
+
 def _draw_fault(rng: random.Random) -> Fault:
     instance = rng.randrange(INSTANCES)
     server = rng.randrange(MODEL_SERVERS + PLAIN_SERVERS)
--- a/tests/soak/soak_run.py
+++ b/tests/soak/soak_run.py
@@ -9,7 +9,9 @@
 import random
 import signal
 import sys
+import time
 from collections import deque
+from dataclasses import replace
 from pathlib import Path
 from typing import assert_never, TYPE_CHECKING
 
@@ -31,6 +33,7 @@
     EVENTS,
     PromiseChecker,
 )
+from tests.soak.roles import EVERYBODY, find_holder, find_role, ViewAges
 
 if TYPE_CHECKING:
     from collections.abc import Iterator
@@ -50,6 +53,13 @@
 COPY_INTERVAL_S = 0.25
 COPIES = int(faults.MAX_COPY_AGE_S / COPY_INTERVAL_S) + 1
 
+LAG_CHECK_S = 0.05
+MAX_LAG_S = 0.1
+"""Delay of a timer here above which the machine is too busy to judge views' ages."""
+
+HEIR_TIMEOUT_S = 8.0
+"""Time to wait for the next holder of the placement lease."""
+
 RECOVERY_TIMEOUT_S = 12.0
 """Time after the last fault within which all instances must serve all routes again."""
 
@@ -131,12 +141,23 @@
         retired: Servers that were replaced, with their proxies.
         fault_counts: Number of faults injected into each proxy.
         restores: Whether the store is also restored from copies.
+        roles: Whether faults also hit all instances with a role.
+        view_ages: Checks the age of the instances' views.
         copies: Copies of the store with the times at which they were made.
         store_lock: Held while a fault takes the whole store away.
     """
 
-    def __init__(self, seed: int, folder: Path, *, restores: bool = False) -> None:
+    def __init__(
+        self,
+        seed: int,
+        folder: Path,
+        *,
+        restores: bool = False,
+        roles: bool = False,
+    ) -> None:
         self.seed = seed
+        self.roles = roles
+        self.view_ages = ViewAges()
         self.restores = restores
         self.copies: deque[tuple[float, StoreCopy]] = deque(maxlen=COPIES)
         self.store_lock = asyncio.Lock()
@@ -169,14 +190,17 @@
                 asyncio.create_task(self.call_repeatedly()) for _ in range(CALLERS)
             ]
             copying = asyncio.create_task(self.copy_store_repeatedly())
+            watching = asyncio.create_task(self.watch_lag())
             await self.inject_faults()
             copying.cancel()
             await self.check_all_serve("recovery")
             for caller in callers:
                 caller.cancel()
             await asyncio.gather(*callers, return_exceptions=True)
+            watching.cancel()
             await self.check_work_ends()
             self.check_logs()
+            self.check_view_ages()
         finally:
             await self.stop()
         return self.checker
@@ -239,10 +263,49 @@
         """Inject the faults of the seed, which may overlap."""
         started = asyncio.get_running_loop().time()
         async with asyncio.TaskGroup() as group:
-            for at, fault in faults.draw_faults(self.seed, restores=self.restores):
+            drawn = faults.draw_faults(
+                self.seed, restores=self.restores, roles=self.roles
+            )
+            for at, fault in drawn:
                 now = asyncio.get_running_loop().time()
                 await asyncio.sleep(max(0.0, started + at - now))
-                group.create_task(self.inject_fault(fault))
+                group.create_task(self.inject_recorded(fault))
+
+    async def inject_recorded(self, fault: faults.Fault) -> None:
+        """Inject one fault, and record whom it has disturbed and for how long."""
+        numbers: set[int] = set()
+        match fault:
+            case (
+                faults.Kill(instance=number)
+                | faults.Stop(instance=number)
+                | faults.Pause(instance=number)
+                | faults.StoreConnectionFault(instance=number)
+            ):
+                numbers = {number}
+            case faults.RoleFault(role=role):
+                numbers = find_role(role, self.logs())
+                fault = replace(fault, numbers=tuple(numbers))
+            case (
+                faults.KillAll()
+                | faults.StoreMode()
+                | faults.RestoreStore()
+                | faults.ForgetHistory()
+            ):
+                numbers = {EVERYBODY}
+        with self.view_ages.disturbed(numbers):
+            await self.inject_fault(fault)
+
+    def logs(self) -> dict[int, Path]:
+        """Return the log of each instance by its number."""
+        return {instance.number: instance.log for instance in self.instances}
+
+    async def watch_lag(self) -> None:
+        """Record when the machine was too busy for timers to be on time."""
+        while True:
+            began = time.time()
+            await asyncio.sleep(LAG_CHECK_S)
+            if time.time() - began > LAG_CHECK_S + MAX_LAG_S:
+                self.view_ages.record(EVERYBODY, began, time.time())
 
     async def inject_fault(self, fault: faults.Fault) -> None:
         """Inject one fault and wait until it ends."""
@@ -275,6 +338,8 @@
                 await self.inject_connection_fault(
                     self.instances[number].proxy, fault_kind, for_s
                 )
+            case faults.RoleFault() | faults.RoleKill():
+                await self.inject_role_fault(fault)
             case faults.StoreMode() | faults.RestoreStore() | faults.ForgetHistory():
                 await self.inject_store_fault(fault)
             case faults.ServerConnectionFault(
@@ -291,6 +356,53 @@
             case _:
                 assert_never(fault)
 
+    async def inject_role_fault(
+        self, fault: faults.RoleFault | faults.RoleKill
+    ) -> None:
+        """Hit all instances with a role."""
+        match fault:
+            case faults.RoleFault():
+                await self.cut_from_store(fault)
+            case faults.RoleKill(down_s=down_s):
+                await self.kill_holder_and_heir(down_s)
+
+    async def cut_from_store(self, fault: faults.RoleFault) -> None:
+        """Cut the instances of a role from the store, and change the configuration."""
+        async with asyncio.TaskGroup() as group:
+            for number in fault.numbers:
+                proxy = self.instances[number].proxy
+                group.create_task(
+                    self.inject_connection_fault(proxy, fault.fault_kind, fault.for_s)
+                )
+            await asyncio.sleep(fault.change_after_s)
+            self.version += 1
+            await self.store.put("config", "main", config(self.version))
+
+    async def kill_holder_and_heir(self, down_s: float) -> None:
+        """Kill the holder of the lease, and the next one as soon as it has taken it."""
+        first = find_holder(self.logs())
+        if first is None:
+            return
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self.kill(first, down_s))
+            heir = await self.wait_for_heir(first)
+            if heir is not None:
+                group.create_task(self.kill(heir, down_s))
+
+    async def wait_for_heir(self, first: int) -> int | None:
+        """Return the next holder of the lease; `None` if there is none in time."""
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(HEIR_TIMEOUT_S):
+                while (heir := find_holder(self.logs())) == first:
+                    await asyncio.sleep(0.05)
+                return heir
+        return None
+
+    async def kill(self, number: int, down_s: float) -> None:
+        """Kill an instance and start it again."""
+        with self.view_ages.disturbed({number}):
+            await self.instances[number].restart(signal.SIGKILL, down_s)
+
     async def inject_store_fault(
         self, fault: faults.StoreMode | faults.RestoreStore | faults.ForgetHistory
     ) -> None:
@@ -427,6 +539,12 @@
             "work ends when the caller disconnects", "a stream still runs"
         )
 
+    def check_view_ages(self) -> None:
+        """Check that undisturbed instances handled requests by a current view."""
+        for number, path in self.logs().items():
+            for detail in self.view_ages.violations(number, path):
+                self.checker.report("view is current", detail)
+
     def check_logs(self) -> None:
         """Check that no process logged an internal error."""
         for instance in self.instances:
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -30,6 +30,7 @@
 
 
 RESTORE_SEEDS = [1, 2]
+ROLE_SEEDS = [1, 2]
 
 
 @pytest.mark.parametrize("seed", [*FIXED_SEEDS, *FAILED_SEEDS])
@@ -48,6 +49,16 @@
     assert checker.answers["draft 200"] > 20
 
 
+@pytest.mark.parametrize("seed", ROLE_SEEDS)
+async def test_promises_hold_while_all_instances_of_a_role_fail(
+    seed: int, tmp_path: Path
+):
+    checker = await SoakRun(seed, tmp_path, roles=True).run()
+    assert checker.violations == []
+    assert checker.answers["deposit 200"] > 20
+    assert checker.answers["draft 200"] > 20
+
+
 def test_a_seed_reproduces_the_same_faults():
     assert draw_faults(5) == draw_faults(5)
     assert draw_faults(5) != draw_faults(6)
