Answer 404 for a route only while the configuration is as current as promised

An instance that is cut off refused an unknown route with 404 as long as its configuration had been known to be current within 4 s, twice the time in which a new route must be in force. Callers do not try again after a 404, so a request for a route that had been added was lost for good. The limit is now configApplyMs; after it the answer is 503 with Retry-After. The test fails before (404 at 2.1 s).

--- a/src/wisterialoom/platform/app.py
+++ b/src/wisterialoom/platform/app.py
@@ -164,6 +164,7 @@
             self.signal,
             lambda: self.catalog.is_loaded,
             lambda: self.catalog.config_current_at,
+            lambda: self.settings.bounds.config_apply_s,
             lambda: self.catalog.current_at,
             lambda: self.fleet.demand_changed(),
             self.metrics,
--- a/src/wisterialoom/platform/ingress.py
+++ b/src/wisterialoom/platform/ingress.py
@@ -37,12 +37,6 @@
 
 logger = logging.getLogger(__name__)
 
-CONFIG_MAX_AGE_S = 4.0
-"""Age of the configuration above which an unknown route is not answered with 404.
-
-The route may have been added since then, so the answer is 503.
-"""
-
 START_S = 1.5
 """Time after the start in which the first view is expected at any moment.
 
@@ -116,6 +110,8 @@
         is_loaded: Returns whether configuration and servers are known.
         get_config_current_at: Returns the monotonic time at which the configuration was
             last known to be current.
+        get_config_limit_s: Returns the time within which a configuration must be in
+            force.
         get_view_current_at: Returns the same time for configuration and servers.
         demand_changed: Called when the first request begins to wait for a model.
         metrics: Counters and histograms.
@@ -134,6 +130,7 @@
         signal: Signal,
         is_loaded: Callable[[], bool],
         get_config_current_at: Callable[[], float],
+        get_config_limit_s: Callable[[], float],
         get_view_current_at: Callable[[], float],
         demand_changed: Callable[[], None],
         metrics: PlatformMetrics,
@@ -142,6 +139,7 @@
         self.signal = signal
         self.is_loaded = is_loaded
         self.get_config_current_at = get_config_current_at
+        self.get_config_limit_s = get_config_limit_s
         self.get_view_current_at = get_view_current_at
         self.demand_changed = demand_changed
         self.metrics = metrics
@@ -176,7 +174,9 @@
         path = request.raw_path.partition("?")[0]
         route = deployment.find_route(host, path)
         if route is None:
-            if arrived - self.get_config_current_at() > CONFIG_MAX_AGE_S:
+            # A route that was added since the configuration was known to be current is
+            # promised after this time, and no caller tries again after a 404.
+            if arrived - self.get_config_current_at() > self.get_config_limit_s():
                 exchange.respond(503, "configuration_in_doubt", STARTING_RETRY_S)
             else:
                 exchange.respond(404, "no_route")
--- a/tests/platform/test_app.py
+++ b/tests/platform/test_app.py
@@ -160,8 +160,11 @@
 async def test_unknown_route_gets_503_while_the_configuration_may_be_stale():
     server = FakePlainServer("i-1")
     async with harness(server) as site:
-        site.app.ingress.get_config_current_at = lambda: time.monotonic() - 60.0
-        assert (await site.call("/none/"))[0] == 503
+        limit_s = site.app.settings.bounds.config_apply_s
+        for age_s, expected in ((60.0, 503), (limit_s + 0.1, 503), (0.5, 404)):
+            current_at = time.monotonic() - age_s
+            site.app.ingress.get_config_current_at = lambda at=current_at: at
+            assert (await site.call("/none/"))[0] == expected
 
 
 async def test_unsafe_request_is_not_retried_after_a_lost_answer():
