--- a/src/wisterialoom/core/fleet/__init__.py
+++ b/src/wisterialoom/core/fleet/__init__.py
@@ -15,6 +15,7 @@
 )
 from wisterialoom.core.fleet.revision import FIRST_REVISION, Revision
 from wisterialoom.core.fleet.server_table import ServerTable, TableEntry
+from wisterialoom.core.fleet.store_progress import StoreProgress
 from wisterialoom.core.fleet.view_promise import ViewPromise
 from wisterialoom.core.fleet.watcher_role import MAX_RANK, WatcherRole
 
@@ -30,6 +31,7 @@
     "ReadLease",
     "Revision",
     "ServerTable",
+    "StoreProgress",
     "TableEntry",
     "TakeLease",
     "ViewPromise",
--- a/src/wisterialoom/platform/relay.py
+++ b/src/wisterialoom/platform/relay.py
@@ -287,9 +287,10 @@
 
     def _is_disproved(self, now: float, news: News) -> bool:
         """Return whether this instance's own calls contradict a watcher."""
-        return self.store.disproves(
-            news.revision, now - news.age_s
-        ) or self.store.disproves(news.config_revision, now - news.config_age_s)
+        disproves = self.store.progress.disproves
+        return disproves(news.revision, now - news.age_s) or disproves(
+            news.config_revision, now - news.config_age_s
+        )
 
     def _warn_of_past(self, now: float, news: News) -> None:
         """Tell all instances that a watcher reads a past state of the store."""
@@ -301,18 +302,19 @@
             extra={
                 "watcher": news.watcher,
                 "revision": news.revision,
-                "reached": self.store.latest,
+                "reached": self.store.progress.latest,
             },
         )
-        warning = StoreReached(self.me, self.store.latest)
+        warning = StoreReached(self.me, self.store.progress.latest)
         self.peers.send_all(warning, self.peers.addresses_except(self.me))
         self.doubt_watchers()
 
     def handle_warning(self, warning: StoreReached) -> None:
         """Doubt the watchers, and answers of the store from before a revision."""
+        now = time.monotonic()
         self.store.record_era(warning.revision.era)
-        self.store.record_proof(warning.revision)
-        self.role.doubt(time.monotonic(), at_once=False)
+        self.store.progress.record_answer(now, warning.revision)
+        self.role.doubt(now, at_once=False)
         self.wake_event.set()
 
     def doubt_watchers(self) -> None:
--- a/src/wisterialoom/platform/store.py
+++ b/src/wisterialoom/platform/store.py
@@ -5,7 +5,6 @@
 import asyncio
 import logging
 import time
-from collections import deque
 from contextlib import contextmanager
 from dataclasses import dataclass
 from typing import Any, TYPE_CHECKING
@@ -15,7 +14,7 @@
 from aiohttp import ClientTimeout
 
 from wisterialoom.core.error import WisterialoomError
-from wisterialoom.core.fleet import FIRST_REVISION, Revision
+from wisterialoom.core.fleet import Revision, StoreProgress
 from wisterialoom.no_resend import no_resend, was_never_sent
 
 if TYPE_CHECKING:
@@ -49,20 +48,6 @@
 CONNECT_TIMEOUT_S = 0.4
 """Connect timeout; about thirty round trips between availability zones."""
 
-MAX_PAST_S = 10.0
-"""Time for which answers from before a known revision are ignored.
-
-A store that stays behind for longer was set up anew without naming another era.
-"""
-
-MAX_PROOFS = 32
-"""Answers that are remembered; some seconds of a watcher, or of lease renewals."""
-
-PROOF_MARGIN_S = 0.3
-"""Age that a proof must have before it contradicts another instance's claim.
-
-It covers the time that the claim was under way.
-"""
 
 PAGE_TIMEOUT_S = 15.0
 """Timeout of one page of a list.
@@ -177,10 +162,7 @@
         calls: Number of calls by purpose, for metrics.
         era: Latest era of the store that an answer or another instance named; 0 if
             the store names none.
-        latest: Latest revision that an answer or another instance named.
-        proofs: Revisions that answers named, with the monotonic times of the answers.
-        past_since: Monotonic time of the first answer from before that revision, if
-            all later ones were, too.
+        progress: Revisions that the store is known to have reached.
         answered_event: Set once the store has answered a call.
         restores: Number of restores of the store that were noticed, for metrics.
         on_restore: Called when the store is found to be restored.
@@ -193,9 +175,7 @@
         self.session = session
         self.calls: dict[str, int] = {}
         self.era = 0
-        self.latest = FIRST_REVISION
-        self.proofs: deque[tuple[float, Revision]] = deque(maxlen=MAX_PROOFS)
-        self.past_since: float | None = None
+        self.progress = StoreProgress()
         self.answered_event = asyncio.Event()
         self.restores = 0
         self.on_restore: list[Callable[[], None]] = []
@@ -217,24 +197,7 @@
     def record_revision(self, revision: Revision) -> None:
         """Record a revision that the store has reached, by another instance's word."""
         self.record_era(revision.era)
-        self.latest = max(self.latest, revision)
-
-    def disproves(self, revision: Revision, current_at: float) -> bool:
-        """Return whether a view of the store cannot have been current at a time.
-
-        Args:
-            revision: Revision of the view.
-            current_at: Monotonic time at which it is claimed to have been current.
-        """
-        return any(
-            found > revision and named_at <= current_at - PROOF_MARGIN_S
-            for named_at, found in self.proofs
-        )
-
-    def record_proof(self, revision: Revision) -> None:
-        """Record a revision that an answer of the store has just named."""
-        self.latest = max(self.latest, revision)
-        self.proofs.append((time.monotonic(), revision))
+        self.progress.record_report(revision)
 
     def _check_revision(self, purpose: str, known: Revision, found: Revision) -> None:
         """Reject an answer about a past state of the store.
@@ -247,27 +210,17 @@
         Raises:
             StoreUnavailableError: The answer is from before the known revision.
         """
-        if found >= known:
-            self.past_since = None
-            self.record_proof(found)
-            return
-        now = time.monotonic()
-        if self.past_since is None:
-            self.past_since = now
-        if now - self.past_since > MAX_PAST_S:
+        if self.progress.is_past(time.monotonic(), known, found):
+            raise StoreUnavailableError(
+                f"the store answered {purpose} for revision {found.number}, before "
+                f"revision {known.number} that it had reached; the answer is ignored",
+                ambiguous=False,
+            )
+        if found < known:
             logger.error(
                 "store went back without naming another era, its answers count again",
                 extra={"revision": found, "known": known},
             )
-            self.past_since = None
-            self.latest = found
-            self.proofs.clear()
-            return
-        raise StoreUnavailableError(
-            f"the store answered {purpose} for revision {found.number}, before "
-            f"revision {known.number} that it had reached; the answer is ignored",
-            ambiguous=False,
-        )
 
     async def read(
         self, kind: str, name: str, *, era: int | None = None
@@ -305,7 +258,7 @@
         found: list[StoreObject] = []
         query = ""
         era: int | None = None
-        known = self.latest
+        known = self.progress.latest
         while True:
             answer = await self._call(
                 "list",
@@ -355,7 +308,7 @@
             StoreRestoredError: The store was restored since then; list again.
             StoreUnavailableError: The store did not answer, or rejected the call.
         """
-        known = max(self.latest, since)
+        known = max(self.progress.latest, since)
         path = f"{kind}?watch={since.number}&waitMs={int(wait_s * 1e3)}"
         answer = await self._call(
             "watch", "GET", path, timeout_s=wait_s + timeout_s, era=since.era
@@ -466,7 +419,7 @@
             )
         with _malformed_as_unavailable("object"):
             found = StoreObject.from_wire(answer.era, item)
-        self.record_proof(found.revision)
+        self.progress.record_answer(time.monotonic(), found.revision)
         return found
 
     async def _call(
--- a/src/wisterialoom/platform/watcher.py
+++ b/src/wisterialoom/platform/watcher.py
@@ -202,7 +202,7 @@
                     await asyncio.sleep(min(BATCH_DELAY_S, self._wait_s()))
             elif (
                 time.monotonic() - started >= wait_s
-                and answer.revision >= self.store.latest
+                and answer.revision >= self.store.progress.latest
             ):
                 # Nothing changed during the wait, so the view was current until its
                 # end.
--- a/tests/platform/test_view_promise.py
+++ b/tests/platform/test_view_promise.py
@@ -68,12 +68,14 @@
 async def test_instance_whose_own_calls_contradict_the_watchers_warns_all_others():
     async with fleet() as (_, apps):
         follower = next(app for app in apps if not app.relay.role.active)
-        store = follower.catalog.config.store
-        reached = Revision(store.era, store.latest.number + 1000)
-        store.record_proof(reached)
+        progress = follower.catalog.config.store.progress
+        reached = Revision(progress.latest.era, progress.latest.number + 1000)
+        progress.record_answer(time.monotonic(), reached)
         await wait_until(lambda: follower.relay.role.active, limit_s=PROMISE_S)
         await wait_until(
-            lambda: all(app.catalog.config.store.latest >= reached for app in apps),
+            lambda: all(
+                app.catalog.config.store.progress.latest >= reached for app in apps
+            ),
             limit_s=0.5,
         )
 
@@ -94,13 +96,13 @@
 async def test_store_that_was_set_up_anew_without_an_era_is_believed_after_a_while(
     monkeypatch: pytest.MonkeyPatch,
 ):
-    monkeypatch.setattr("wisterialoom.platform.store.MAX_PAST_S", 0.5)
+    monkeypatch.setattr("wisterialoom.core.fleet.store_progress.MAX_PAST_S", 0.5)
     async with harness(FakePlainServer("i-1")) as site:
         site.store.revision += 10_000
         site.store.history.clear()
         site.store.oldest = site.store.revision
         known = site.app.catalog.config.store
-        await wait_until(lambda: known.latest.number > 10_000)
+        await wait_until(lambda: known.progress.latest.number > 10_000)
         site.store.history.clear()
         site.store.revision = site.store.oldest = 1
         for kind in ("config", "servers"):
