Count the start of an instance until it serves, when the soak judges its view

The soak had counted the start as over when the process was created. What is owed is a view that is current 3 s after nothing disturbs the instance any more, and a start is such a disturbance until it serves.

--- a/tests/soak/roles.py
+++ b/tests/soak/roles.py
@@ -133,12 +133,18 @@
 
     def violations(self, number: int, path: Path) -> Iterator[str]:
         """Yield a line for each request that was handled by too old a view."""
+        started = float("-inf")
         for line in read_lines(path):
-            if line.get("message") != "request":
+            if line.get("message") not in ("started", "request"):
                 continue
-            ended = datetime.strptime(line["at"], "%Y-%m-%d %H:%M:%S,%f").timestamp()
-            arrived = ended - line["total_ms"] / 1e3
-            if line["view_age_ms"] > VIEW_LIMIT_S * 1e3 and self.owes(number, arrived):
+            at = datetime.strptime(line["at"], "%Y-%m-%d %H:%M:%S,%f").timestamp()
+            if line["message"] == "started":
+                started = at
+                continue
+            arrived = at - line["total_ms"] / 1e3
+            # The start of a process lasts until it serves.
+            owes = arrived - started > CONTACT_S and self.owes(number, arrived)
+            if owes and line["view_age_ms"] > VIEW_LIMIT_S * 1e3:
                 yield (
                     f"front-{number} handled {line['request_id']} by a view that was "
                     f"{line['view_age_ms']} ms old"
--- a/tests/soak/test_roles.py
+++ b/tests/soak/test_roles.py
@@ -60,3 +60,11 @@
         assert ages.owes(1, time.time())
     assert not ages.owes(0, time.time() + 1.0)
     assert ages.owes(0, time.time() + 4.0)
+
+
+def test_instance_owes_nothing_until_a_while_after_it_has_started(tmp_path: Path):
+    now = time.time()
+    started = request(now, 0) | {"message": "started"}
+    soon, late = request(now + 2.9, 1_000_000), request(now + 3.1, 1_000_000)
+    assert not list(ViewAges().violations(0, write(tmp_path / "0", started, soon)))
+    assert list(ViewAges().violations(0, write(tmp_path / "0", started, late)))
