Look for servers that hold off only while one does

Found on the last read of the change: each waiting request asked at every tick which servers serve its lane, to see whether all of them want nothing for a while. With a full queue that is thousands of scans of all servers, in the usual case for nothing. The router remembers until when any server holds off, and answers 0 at once after it. Behavior is unchanged: a server that is not remembered so has no time to hold off.

--- a/src/wisterialoom/core/requests/attempt_control.py
+++ b/src/wisterialoom/core/requests/attempt_control.py
@@ -117,7 +117,7 @@
         view = self.state.router.views.get(event.attempt.server)
         if view is None:
             return []
-        view.hold_off(now, event.hold_off_s)
+        self.state.router.hold_off(now, view, event.hold_off_s)
         return self._mark_leaving(view) if event.leaving else []
 
     def _mark_leaving(self, view: ServerView) -> list[Output]:
--- a/src/wisterialoom/core/requests/router.py
+++ b/src/wisterialoom/core/requests/router.py
@@ -79,6 +79,7 @@
         service_selectors: Selectors of the plain services that traffic rules use.
         versions: Configured version by model or adapter.
         bases: Base model by adapter.
+        held_off_until: Monotonic time from which every server wants requests.
     """
 
     availability_zone: str
@@ -97,6 +98,7 @@
     service_selectors: tuple[str, ...] = ()
     versions: dict[str, str] = field(default_factory=dict)
     bases: dict[str, str] = field(default_factory=dict)
+    held_off_until: float = 0.0
 
     def configure(self, document: Document) -> None:
         """Apply a configuration document."""
@@ -202,8 +204,15 @@
         """Return the servers that serve a lane, with or without free slots."""
         return [view for view in self.views.values() if view.serves(now, lane)]
 
+    def hold_off(self, now: float, view: ServerView, for_s: float) -> None:
+        """Record that a server wants no requests for some time."""
+        view.hold_off(now, for_s)
+        self.held_off_until = max(self.held_off_until, view.held_off_until)
+
     def hold_off_s(self, now: float, lane: str) -> float:
         """Return the time until some server of a lane wants requests; 0 if one does."""
+        if now >= self.held_off_until:
+            return 0.0
         until = (view.held_off_until for view in self.candidates(now, lane))
         return max(0.0, min(until, default=0.0) - now)
 
