Probe every server of a service that is not reached

Servers were back within 3.5 s, listed and idle.

Cause: once an instance reaches no server of a service, no request goes to any of them, so only probes find that one is there. But only servers that had failed, and at most four others, were probed: those that were listed later, or not doubted at that moment, never. As all instances had found the same, none could help another. Ruled out: ejection (new ids start afresh), placement (models were resident on idle servers).

Now a probe is due for each server of such a service, also for one that is listed later. Both tests failed before: 4 of 59 servers were probed, and a new server got no request.

--- a/src/wisterialoom/core/serving/server_path.py
+++ b/src/wisterialoom/core/serving/server_path.py
@@ -69,7 +69,8 @@
     """The paths to all servers, from what requests and probes show.
 
     Only new connections count as evidence that a path works: those that were open
-    before may go on while new ones are refused.
+    before may go on while new ones are refused. While a service is unreached, a probe
+    of each of its servers is due or in progress, as no request is sent to them.
 
     Attributes:
         paths: Paths that failed since the last connection, or were ever opened, by
@@ -82,7 +83,7 @@
     all_lost_at: dict[str, float] = field(default_factory=dict)
 
     def set_servers(self, services: Mapping[str, str]) -> None:
-        """Forget servers that are gone.
+        """Forget servers that are gone, and probe new ones of unreached services.
 
         Args:
             services: Service of each server by id.
@@ -91,6 +92,13 @@
             del self.paths[server_id]
         for service in self.all_lost_at.keys() - set(services.values()):
             del self.all_lost_at[service]
+        if not self.all_lost_at:
+            return
+        for server_id in services.keys() - self.paths.keys():
+            service = services[server_id]
+            if service in self.all_lost_at:
+                probe_at = self.all_lost_at[service]
+                self.paths[server_id] = ServerPath(service, probe_at=probe_at)
 
     def is_lost(self, server_id: str, service: str) -> bool:
         """Return whether requests to a server take another way."""
@@ -196,6 +204,9 @@
         )
         if now - opened_at > first_lost_s:
             self.all_lost_at[service] = now
+            for path in self.paths.values():
+                if path.service == service and path.probe_at is None:
+                    path.probe_at = now
 
     def _doubt_others(self, now: float, service: str, *, lost: bool) -> None:
         """Probe the other servers of a service.
