Take a stream that ends inside an event for broken off

Callers got a truncated stream as a complete answer: where a stream has neither a length nor chunks, its connection's regular close was its end, whatever had arrived. The rest of an event was passed on and the attempt counted as answered; only a reset counted as broken.

Now such a stream goes on at another server from the last whole event where the route may be resumed, and ends with a closed connection (or 502, before the first event) where not. Only whole events are forwarded on both kinds of routes. Ruled out: trusting the framing instead, as a chunked stream may end inside an event just as well. Answers that name another content type than events are forwarded as before.

--- a/src/wisterialoom/platform/attempt.py
+++ b/src/wisterialoom/platform/attempt.py
@@ -50,6 +50,8 @@
 MAX_REFUSAL_BYTES = 65_536
 """Size up to which the body of a refusal is read."""
 
+EVENTS = "text/event-stream"
+
 MAX_BUFFERED_BYTES = 1_000_000
 """Size in bytes up to which an answer is read completely before it is forwarded.
 
@@ -311,7 +313,7 @@
             data = await self._read(response)
             if not data:
                 break
-            complete = event_splitter.feed(data) if exchange.resumable else data
+            complete = event_splitter.feed(data)
             if not complete:
                 continue
             if not exchange.head_sent:
@@ -321,6 +323,8 @@
             return self._result(
                 AttemptVerdict.LOST, "connection reset during the stream"
             )
+        if event_splitter.inside_event and _has_events(response):
+            return self._result(AttemptVerdict.LOST, "stream ended inside an event")
         if not exchange.head_sent:
             await exchange.begin(response.status, answer_headers(response.headers))
         if event_splitter.partial:
@@ -356,6 +360,11 @@
     return isinstance(protocol.exception(), ClientOSError)
 
 
+def _has_events(response: ClientResponse) -> bool:
+    """Return whether an answer is a stream of events, also if it does not say so."""
+    return response.headers.get("Content-Type", EVENTS).startswith(EVENTS)
+
+
 def _close_unused(pending: asyncio.Future[ClientResponse]) -> None:
     """Close a response that arrived after its attempt was canceled; ignore errors."""
     if not pending.cancelled() and pending.exception() is None:
--- a/src/wisterialoom/platform/event_stream.py
+++ b/src/wisterialoom/platform/event_stream.py
@@ -58,6 +58,11 @@
                 self.last_id = ids[-1].decode("latin-1")
         return complete
 
+    @property
+    def inside_event(self) -> bool:
+        """Whether bytes of an event without its end were received."""
+        return bool(self.partial.strip(b"\r\n"))
+
     def drop_partial(self) -> None:
         """Discard an incomplete event; another server sends it again in full."""
         self.partial = b""
--- a/tests/platform/test_app.py
+++ b/tests/platform/test_app.py
@@ -50,6 +50,11 @@
         async with self.session.request(method, url, headers=sent, data=b"") as got:
             return got.status, dict(got.headers), await got.read()
 
+    async def wait_for_address(self, server_id: str, address: str) -> None:
+        """Wait until the instance knows a server by an address."""
+        views = self.app.dispatcher.views
+        await wait_until(lambda: views[server_id].server.address == address)
+
 
 async def wait_until(condition: Callable[[], object], limit_s: float = 10.0) -> None:
     """Wait until a condition is true."""
@@ -580,9 +585,7 @@
         host, port = listener.sockets[0].getsockname()
         entry = {**server.entry(), "address": f"{host}:{port}", "born": 2}
         await site.store.put("servers", "i-1", entry)
-        await wait_until(
-            lambda: site.app.dispatcher.views["i-1"].server.address == f"{host}:{port}"
-        )
+        await site.wait_for_address("i-1", f"{host}:{port}")
         status, _, body = await site.call("/deposit/")
         assert (status, body[:4]) == ((502, b'{"er') if reset else (200, b"half"))
     listener.close()
