Pass the reset of an answer without a length on to the instance that asked

Callers of an instance without paths got half an answer as a complete one: the instance that passed their request on ended the answer regularly when the server reset it, as aiohttp reports such a reset like the regular end. The check for it stood in the instance's own attempts only. It stands in a module of its own now and both use it; the helping instance breaks its answer off. The tests failed before: 200 with half of the answer.

--- a/src/wisterialoom/platform/app.py
+++ b/src/wisterialoom/platform/app.py
@@ -19,7 +19,7 @@
 from wisterialoom.core.serving.helper_choice import HelperChoice
 from wisterialoom.core.serving.retry_budget import RetryLimits
 from wisterialoom.platform._tasks import TaskGroup
-from wisterialoom.platform.attempt import trace_connections, TrackedResponse
+from wisterialoom.platform.attempt import trace_connections
 from wisterialoom.platform.catalog import Catalog
 from wisterialoom.platform.fleet import Fleet
 from wisterialoom.platform.helper_server import HelperServer
@@ -39,6 +39,7 @@
     SettingsError,
 )
 from wisterialoom.platform.store import StoreClient
+from wisterialoom.tracked_response import TrackedResponse
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
--- a/src/wisterialoom/platform/attempt.py
+++ b/src/wisterialoom/platform/attempt.py
@@ -9,7 +9,7 @@
 from typing import TYPE_CHECKING
 
 import aiohttp
-from aiohttp import ClientOSError, ClientResponse, TraceConfig
+from aiohttp import TraceConfig
 from yarl import URL
 
 from wisterialoom.bounded_read import read_bounded
@@ -29,20 +29,23 @@
     SERVER_ID,
 )
 from wisterialoom.platform.server_call import call_server
+from wisterialoom.tracked_response import was_reset
 
 if TYPE_CHECKING:
     from collections.abc import Callable
     from types import SimpleNamespace
 
-    from aiohttp import ClientSession, TraceConnectionCreateEndParams
-    from aiohttp.client_proto import ResponseHandler
-    from aiohttp.connector import Connection
+    from aiohttp import (
+        ClientResponse,
+        ClientSession,
+        TraceConnectionCreateEndParams,
+    )
 
     from wisterialoom.core.serving.request_flow import RequestProfile, Send
     from wisterialoom.platform.exchange import Exchange
     from wisterialoom.platform.headers import ServerLoad, ServerNotice
 
-__all__ = ["Attempt", "BufferedAnswer", "TrackedResponse", "trace_connections"]
+__all__ = ["Attempt", "BufferedAnswer", "trace_connections"]
 
 REFUSAL_READ_S = 0.1
 """Time for which the body of a refusal is read; two round trips between zones."""
@@ -75,24 +78,6 @@
     return config
 
 
-class TrackedResponse(ClientResponse):
-    """A response that keeps a reference to the protocol of its connection.
-
-    aiohttp drops its own reference at the end of the response, but `_was_reset` needs
-    the protocol's exception afterwards.
-
-    Attributes:
-        protocol: Protocol of the connection that the response arrives on.
-    """
-
-    protocol: ResponseHandler | None = None
-
-    async def start(self, connection: Connection) -> ClientResponse:
-        """Begin to read the response."""
-        self.protocol = connection.protocol
-        return await super().start(connection)
-
-
 @dataclass(frozen=True, slots=True)
 class BufferedAnswer:
     """A backend server's answer that was read completely."""
@@ -282,7 +267,7 @@
             body += data
             if len(body) > MAX_BUFFERED_BYTES:
                 return await self._stream_large(response, bytes(body))
-        if _was_reset(response):
+        if was_reset(response):
             return self._result(
                 AttemptVerdict.LOST, "connection reset during the answer"
             )
@@ -319,7 +304,7 @@
             if not exchange.head_sent:
                 await exchange.begin(response.status, answer_headers(response.headers))
             await exchange.write(complete)
-        if _was_reset(response):
+        if was_reset(response):
             return self._result(
                 AttemptVerdict.LOST, "connection reset during the stream"
             )
@@ -344,22 +329,6 @@
             await read_bounded(response, MAX_REFUSAL_BYTES)
 
 
-def _was_reset(response: ClientResponse) -> bool:
-    """Return whether a connection reset ended an answer that has no length.
-
-    An answer without a length ends when its connection closes, and aiohttp treats a
-    reset like a regular close. Without this check a truncated answer would pass as
-    complete.
-    """
-    framed = "Content-Length" in response.headers or (
-        response.headers.get("Transfer-Encoding", "").lower() == "chunked"
-    )
-    protocol = response.protocol if isinstance(response, TrackedResponse) else None
-    if framed or protocol is None:
-        return False
-    return isinstance(protocol.exception(), ClientOSError)
-
-
 def _has_events(response: ClientResponse) -> bool:
     """Return whether an answer is a stream of events, also if it does not say so."""
     return response.headers.get("Content-Type", EVENTS).startswith(EVENTS)
--- a/src/wisterialoom/platform/helper_server.py
+++ b/src/wisterialoom/platform/helper_server.py
@@ -22,6 +22,7 @@
     SERVER_ID,
 )
 from wisterialoom.platform.server_call import call_server
+from wisterialoom.tracked_response import was_reset
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -153,6 +154,8 @@
         await answer.prepare(request)
         while data := await response.content.readany():
             await answer.write(data)
+        if was_reset(response):
+            raise ConnectionResetError("the server reset its answer")
         await answer.write_eof()
         self.counts[HelpResult.PASSED_ON.value] += 1
         return answer
--- a/tests/platform/test_unframed_answers.py
+++ b/tests/platform/test_unframed_answers.py
@@ -12,7 +12,8 @@
 import pytest
 
 from tests.platform.fakes import FakeModelServer, FakePlainServer
-from tests.platform.test_app import harness
+from tests.platform.test_app import harness, wait_until
+from tests.platform.test_lost_paths import lost_site
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
@@ -22,6 +23,16 @@
 EVENTS = [b"id: %d\ndata: %d\n\n" % (number, number) for number in (1, 2, 3)]
 
 
+class ListedServer(FakePlainServer):
+    """A server that is listed only; something else answers at its address."""
+
+    async def start(self) -> None:
+        pass
+
+    async def stop(self) -> None:
+        pass
+
+
 @asynccontextmanager
 async def answering(data: bytes, *, reset: bool = False) -> AsyncIterator[str]:
     """Run a server that answers each request with some bytes and closes.
@@ -100,3 +111,15 @@
         await site.wait_for_address("i-1", address)
         status, _, _ = await site.call("/once/", Model="m1")
         assert status == 502
+
+
+@pytest.mark.parametrize("path", ["/look/", "/deposit/"])
+async def test_answer_that_is_reset_is_incomplete_through_another_instance_too(
+    path: str,
+):
+    """The helping instance ended it regularly, so its caller got half of it."""
+    async with answering(b"half", reset=True) as address:
+        server = ListedServer("i-1", address=address)
+        async with lost_site(server) as (apps, site):
+            assert (await site.call(path))[0] == 502
+            await wait_until(lambda: not any(app.helper_server.active for app in apps))
