Own interface: take an answer without a length that is reset for incomplete

Callers of the OpenAI daemon got the part of a service's answer that had arrived as the complete one, with outcome completed, if the answer had no length and its connection was reset: aiohttp reports that like a regular end. The check that the platform's role has is used here, too. Streams were not affected, as they must end with their last event. The test failed before (completed instead of lost); an answer whose connection is closed regularly is still complete.

--- a/src/wisterialoom/http/dispatcher.py
+++ b/src/wisterialoom/http/dispatcher.py
@@ -21,6 +21,7 @@
 from wisterialoom.http.exchange import Exchange
 from wisterialoom.http.job_exchange import JobExchange
 from wisterialoom.http.relay import Relay
+from wisterialoom.tracked_response import TrackedResponse
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Coroutine
@@ -30,7 +31,7 @@
     from wisterialoom.http.caller_api import CallerApi
     from wisterialoom.metrics import Metrics
 
-__all__ = ["CallerCommand", "Dispatcher"]
+__all__ = ["CallerCommand", "Dispatcher", "open_session"]
 
 CallerCommand: TypeAlias = (
     Dispatch | CancelAttempt | Refuse | ReplayAnswer | ReportJob | AttachBody
@@ -72,10 +73,10 @@
 
     async def start(self) -> None:
         """Open the client sessions."""
-        self.pooled_session = _open_session(
+        self.pooled_session = open_session(
             TCPConnector(limit=0, keepalive_timeout=30.0)
         )
-        self.single_use_session = _open_session(TCPConnector(limit=0, force_close=True))
+        self.single_use_session = open_session(TCPConnector(limit=0, force_close=True))
 
     async def stop(self) -> None:
         """Cancel the remaining tasks and close the client sessions."""
@@ -169,7 +170,11 @@
         return ended
 
 
-def _open_session(connector: TCPConnector) -> ClientSession:
+def open_session(connector: TCPConnector) -> ClientSession:
+    """Return a session for requests to backend servers."""
     return ClientSession(
-        connector=connector, cookie_jar=DummyCookieJar(), auto_decompress=False
+        connector=connector,
+        cookie_jar=DummyCookieJar(),
+        auto_decompress=False,
+        response_class=TrackedResponse,
     )
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -2,6 +2,8 @@
 
 import asyncio
 import contextlib
+import socket
+import struct
 from types import SimpleNamespace
 
 import aiohttp
@@ -9,8 +11,9 @@
 import pytest
 from aiohttp import web
 
-from wisterialoom.core.requests.request import Attempt, ServerNoticed
+from wisterialoom.core.requests.request import Attempt, AttemptResult, ServerNoticed
 from wisterialoom.demo import DEMO_API_KEY, open_demo
+from wisterialoom.http.dispatcher import open_session
 from wisterialoom.http.relay import Relay
 from wisterialoom.standin.answer import answer_text
 
@@ -101,6 +104,55 @@
         assert len(deployment.service.record.runs) == 1
 
 
+def make_relay(address, deliver, answers=None):
+    """Return an attempt at a server, and collect complete answers."""
+    received = SimpleNamespace(
+        request=SimpleNamespace(method="GET"), target="/", body=b"", headers={}
+    )
+    exchange = SimpleNamespace(
+        received_request=received,
+        request_id="r1",
+        keeps_answer=False,
+        caller_gone=False,
+        send_complete=lambda *answer: (
+            None if answers is None else answers.append(answer)
+        ),
+    )
+    command = SimpleNamespace(
+        attempt=Attempt("r1", 1, "registry-1", ""),
+        classified=SimpleNamespace(priority=0, idempotent=True),
+        valid_until=float("inf"),
+    )
+    return Relay(command, exchange, address, deliver)
+
+
+@pytest.mark.parametrize("reset", [True, False])
+async def test_reset_of_an_answer_without_a_length_is_not_taken_for_its_end(reset):
+    """Its caller got the part that had arrived as the complete answer."""
+
+    async def answer(reader, writer):
+        await reader.readuntil(b"\r\n\r\n")
+        writer.write(b"HTTP/1.1 200 OK\r\n\r\nhalf")
+        await asyncio.sleep(0.05)
+        if reset:
+            raw = writer.get_extra_info("socket")
+            linger = struct.pack("ii", 1, 0)
+            raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
+            writer.transport.abort()
+        writer.close()
+
+    listener = await asyncio.start_server(answer, "127.0.0.1", 0)
+    host, port = listener.sockets[0].getsockname()
+    answers = []
+    relay = make_relay(f"{host}:{port}", lambda _: None, answers)
+    async with open_session(aiohttp.TCPConnector()) as session:
+        ended = await relay.run(session)
+    listener.close()
+    expected = AttemptResult.LOST if reset else AttemptResult.COMPLETED
+    assert ended.result is expected
+    assert [answer[2] for answer in answers] == ([] if reset else [b"half"])
+
+
 @pytest.mark.parametrize(
     ("status", "headers", "expected"),
     [
@@ -134,28 +186,14 @@
     site = web.TCPSite(runner, "127.0.0.1", 0)
     await site.start()
     host, port = runner.addresses[0][:2]
-    request = SimpleNamespace(method="GET")
-    received = SimpleNamespace(request=request, target="/", body=b"", headers={})
-    exchange = SimpleNamespace(
-        received_request=received,
-        request_id="r1",
-        keeps_answer=False,
-        caller_gone=False,
-        send_complete=lambda *_: None,
-    )
-    attempt = Attempt("r1", 1, "registry-1", "")
-    classified = SimpleNamespace(priority=0, idempotent=True)
-    command = SimpleNamespace(
-        attempt=attempt, classified=classified, valid_until=float("inf")
-    )
-    relay = Relay(command, exchange, f"{host}:{port}", events.append)
+    relay = make_relay(f"{host}:{port}", events.append)
     async with aiohttp.ClientSession() as session, asyncio.timeout(LIMIT_S):
         running = asyncio.create_task(relay.run(session))
         if expected is not None:
             while not events:
                 await asyncio.sleep(0.005)
             assert not running.done()
-            assert events == [ServerNoticed(attempt, *expected)]
+            assert events == [ServerNoticed(relay.attempt, *expected)]
         ended.set()
         result = await running
     assert result.retry_after_s == (expected[1] or None if expected else None)
