Skip hints of later versions without a warning

While instances of two versions run side by side, each hint of a kind that the older one does not know was logged as a damaged datagram, and counted as one. Such hints are counted by themselves now; damaged ones are logged as before. The test failed before.

--- a/src/wisterialoom/platform/app.py
+++ b/src/wisterialoom/platform/app.py
@@ -323,7 +323,10 @@
             "hints_dropped_total",
             "Datagrams that could not be read or sent.",
             "reason",
-            lambda: {"unreadable": self.peers.dropped},
+            lambda: {
+                "unreadable": self.peers.dropped,
+                "unknown_kind": self.peers.skipped,
+            },
         )
         metrics.labeled_counter(
             "hint_bytes_total",
--- a/src/wisterialoom/platform/hint_codec.py
+++ b/src/wisterialoom/platform/hint_codec.py
@@ -35,6 +35,7 @@
     StoreReached,
     TurnsGranted,
     TurnsWanted,
+    UnknownHintError,
 )
 
 __all__ = ["decode_hint", "encode_hint"]
@@ -42,6 +43,9 @@
 SERVER_KINDS = ("b", "x", "l", "lw", "lg")
 """Kinds of messages about what an instance knows of servers from their answers."""
 
+KINDS = frozenset({"r", "d", "n", "w", "c", "s", "v", "q", "u", "p", *SERVER_KINDS})
+"""All kinds of messages; instances of later versions may send others."""
+
 COMPRESSION_THRESHOLD = 400
 """Size in bytes above which a datagram is compressed.
 
@@ -135,10 +139,14 @@
     """Decode a datagram.
 
     Raises:
-        HintError: The datagram was not sent by an instance of this version.
+        UnknownHintError: The sender knows a kind of hint that this version does not.
+        HintError: The datagram cannot be read.
     """
     try:
         item = orjson.loads(data if data[:1] == b"[" else zlib.decompress(data))
+        match item:
+            case [str(kind), *_] if kind not in KINDS:
+                raise UnknownHintError(f"unknown kind of datagram: {kind!r}")
         return _decode_item(item)
     except (ValueError, TypeError, AttributeError, zlib.error) as error:
         raise HintError(
@@ -194,9 +202,7 @@
             return PlacementChange(holder, epoch, serial, _decode_placements(servers))
         case ["p", str(), str(), int(), int(), *_]:
             return _decode_placement_hint(item)
-    raise HintError(
-        "unknown kind of datagram; check that all instances run the same version"
-    )
+    raise HintError("the datagram has other fields than its kind should have")
 
 
 def _encode_revision(revision: Revision) -> int | list[int]:
--- a/src/wisterialoom/platform/hints.py
+++ b/src/wisterialoom/platform/hints.py
@@ -39,6 +39,7 @@
     "StoreReached",
     "TurnsGranted",
     "TurnsWanted",
+    "UnknownHintError",
 ]
 
 COMPRESSION_LEVEL = 2
@@ -46,7 +47,11 @@
 
 
 class HintError(WisterialoomError):
-    """Raised when a datagram is damaged or not from an instance of this version."""
+    """Raised when a datagram is damaged or not from an instance."""
+
+
+class UnknownHintError(HintError):
+    """Raised when a datagram is of a kind that only later versions know."""
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/wisterialoom/platform/peers.py
+++ b/src/wisterialoom/platform/peers.py
@@ -7,7 +7,7 @@
 from typing import cast, TYPE_CHECKING
 
 from wisterialoom.platform.hint_codec import decode_hint, encode_hint
-from wisterialoom.platform.hints import HintError
+from wisterialoom.platform.hints import HintError, UnknownHintError
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -31,6 +31,7 @@
         members: Address by instance, including this instance.
         transport: Transport of the socket, or `None` before it is open.
         dropped: Number of datagrams that could not be decoded or sent.
+        skipped: Number of datagrams of a kind that only later versions know.
         sent_bytes: Bytes sent, by kind of hint.
     """
 
@@ -40,6 +41,7 @@
         self.members: dict[str, str] = {}
         self.transport: asyncio.DatagramTransport | None = None
         self.dropped = 0
+        self.skipped = 0
         self.sent_bytes: dict[str, int] = {}
 
     async def start(self, ip: str) -> None:
@@ -61,6 +63,9 @@
         """Decode a datagram and pass the hint to the handler."""
         try:
             hint = decode_hint(data)
+        except UnknownHintError:
+            self.skipped += 1
+            return
         except HintError as error:
             self.dropped += 1
             logger.warning("hint dropped", extra={"from": addr[0], "error": str(error)})
--- a/tests/platform/test_wire.py
+++ b/tests/platform/test_wire.py
@@ -198,6 +198,25 @@
         decode_hint(data)
 
 
+@pytest.mark.parametrize("data", [b'["zz","front-9",{"a":1}]', b'["zz"]'])
+def test_hint_of_a_kind_of_later_versions_is_skipped_without_a_warning(data, caplog):
+    """Beside a newer build, each of its hints was logged as damaged."""
+    received: list[Hint] = []
+    link = PeerLink(1, lambda hint, _: received.append(hint))
+    link.datagram_received(data, ("127.0.0.2", 1))
+    assert received == []
+    assert caplog.records == []
+    assert (link.skipped, link.dropped) == (1, 0)
+
+
+@pytest.mark.parametrize("data", [b"[1]", b"[]", b'["w","front-9"]', b"{}", b"x"])
+def test_datagram_that_cannot_be_read_is_logged(data, caplog):
+    link = PeerLink(1, lambda _, __: None)
+    link.datagram_received(data, ("127.0.0.2", 1))
+    assert [record.message for record in caplog.records] == ["hint dropped"]
+    assert (link.skipped, link.dropped) == (0, 1)
+
+
 def test_datagrams_are_received_on_uvloop():
     """An assertion on the transport's class must not reject uvloop's transport.
 
