Log what requests that lost their server had in common

Each failed attempt now says whether the server had begun to answer, and a short hash of each part that other requests may share. No logic is changed.

--- a/src/wisterialoom/core/serving/request_flow.py
+++ b/src/wisterialoom/core/serving/request_flow.py
@@ -93,6 +93,7 @@
         prompt_tokens: Number of tokens in the prompt.
         output_tokens: Maximum number of tokens in the answer.
         prefix: Ids, in order, of the prompt parts that other requests share.
+        traits: What the request has in common with others, the widest first.
         arrived: Monotonic time of arrival.
         answer_deadline: Monotonic time by which the answer must be complete.
         caller_deadline: Monotonic time until which the caller waits.
@@ -112,6 +113,7 @@
     answer_deadline: float
     caller_deadline: float
     first_output_deadline: float
+    traits: tuple[str, ...] = ()
 
     @property
     def resource(self) -> str:
@@ -128,12 +130,14 @@
         verdict: How the attempt ended.
         detail: Error or status, for the log.
         saturated: Whether the server reported that all its slots are taken.
+        had_output: Whether the server had begun to answer.
     """
 
     server_id: str
     verdict: AttemptVerdict
     detail: str = ""
     saturated: bool = False
+    had_output: bool = False
 
 
 @dataclass
--- a/src/wisterialoom/platform/attempt.py
+++ b/src/wisterialoom/platform/attempt.py
@@ -103,6 +103,8 @@
         connection_opened: Called when a connection to the server was established.
         answer: The complete answer, if it has not been forwarded yet.
         load: Load that the server reported; `None` if it did not.
+        had_output: Whether the server has begun to answer: with a whole event, if the
+            answer is a stream.
     """
 
     def __init__(
@@ -124,6 +126,7 @@
         self.connection_opened = connection_opened
         self.answer: BufferedAnswer | None = None
         self.load: ServerLoad | None = None
+        self.had_output = False
 
     async def run(self, session: ClientSession) -> AttemptResult:
         """Send the request, receive the answer and return how the attempt ended."""
@@ -143,7 +146,9 @@
             )
 
     def _result(self, verdict: AttemptVerdict, detail: str = "") -> AttemptResult:
-        return AttemptResult(self.step.server_id, verdict, detail)
+        return AttemptResult(
+            self.step.server_id, verdict, detail, had_output=self.had_output
+        )
 
     async def _exchange(self, session: ClientSession) -> AttemptResult:
         exchange = self.exchange
@@ -281,6 +286,7 @@
         self, response: ClientResponse, first_bytes: bytes
     ) -> AttemptResult:
         exchange = self.exchange
+        self.had_output = True
         await exchange.begin(response.status, answer_headers(response.headers))
         await exchange.write(first_bytes)
         while True:
@@ -301,6 +307,7 @@
             complete = event_splitter.feed(data)
             if not complete:
                 continue
+            self.had_output = True
             if not exchange.head_sent:
                 await exchange.begin(response.status, answer_headers(response.headers))
             await exchange.write(complete)
--- a/src/wisterialoom/platform/headers.py
+++ b/src/wisterialoom/platform/headers.py
@@ -7,6 +7,7 @@
 from typing import TYPE_CHECKING
 
 from wisterialoom.core.rate_text import read_rate
+from wisterialoom.core.request_trait import part_traits
 from wisterialoom.core.serving.request_flow import RequestProfile
 from wisterialoom.retry_after import read_retry_after, RETRY_AFTER
 
@@ -207,6 +208,7 @@
         answer_deadline=answer_deadline,
         caller_deadline=caller_deadline,
         first_output_deadline=first_output_deadline,
+        traits=part_traits(prefix),
     )
 
 
--- a/src/wisterialoom/platform/ingress.py
+++ b/src/wisterialoom/platform/ingress.py
@@ -369,6 +369,8 @@
                     "server": step.server_id,
                     "verdict": result.verdict.value,
                     "detail": result.detail,
+                    "had_output": result.had_output,
+                    "traits": profile.traits,
                 },
             )
         return attempt, result
