Give the fake servers of each test process an address of their own

test_server_gets_nothing_before_the_time_that_its_refusal_names failed once, with 4 test processes: its server had got 13 JSON requests without Attempt-Id, which only instances send, to servers or to the store, but its own instance has neither reason nor model servers for that. All fakes listened on ephemeral ports of 127.0.0.1, so an instance of another test process that still calls a server or store that has ended reaches whoever got its port. Which test that was is not known. Another process's fakes have another address now; 260 tests with 6 processes passed.

--- a/tests/platform/fakes.py
+++ b/tests/platform/fakes.py
@@ -519,13 +519,24 @@
 
 
 async def serve(app: web.Application) -> tuple[web.AppRunner, str]:
-    """Serve on an ephemeral port of the loopback address."""
+    """Serve on an ephemeral port of a loopback address of this process alone.
+
+    An instance of another process may still call the port of a server that has ended,
+    which the system then gives to the next one.
+    """
     runner = web.AppRunner(app, handler_cancellation=True, shutdown_timeout=0.1)
     await runner.setup()
-    site = web.TCPSite(runner, "127.0.0.1", 0)
+    host = f"{own_block()}.255"
+    site = web.TCPSite(runner, host, 0)
     await site.start()
     port = runner.addresses[0][1]
-    return runner, f"127.0.0.1:{port}"
+    return runner, f"{host}:{port}"
+
+
+def own_block() -> str:
+    """Return the first three numbers of the loopback addresses of this process."""
+    pid = os.getpid()
+    return f"127.{1 + pid % 250}.{pid // 250 % 250}"
 
 
 FRONT_PORT, READY_PORT, METRICS_PORT, PEER_PORT = 20001, 20002, 20003, 20004
@@ -542,9 +553,8 @@
     All instances use the same datagram port, so each needs its own address. A port that
     is free on one address may be in use on another.
     """
-    pid = os.getpid()
     start = 1 + next(BLOCK_NUMBERS) % 30 * BLOCK_SIZE
-    block = f"127.{1 + pid % 250}.{pid // 250 % 250}"
+    block = own_block()
     return [f"{block}.{start + number}" for number in range(BLOCK_SIZE)]
 
 
