--- /dev/null
+++ b/tests/platform/test_crashing_requests.py
@@ -0,0 +1,129 @@
+"""Requests that crash each server that begins to answer them."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+import aiohttp
+
+from tests.platform.crashing_servers import CrashingServers
+from tests.platform.test_app import Harness
+from tests.platform.test_lost_paths import CuttableApp, site_of
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator, Callable
+
+    from aiohttp import web
+
+SERVERS = 6
+SUBJECTS = 24
+"""Parts that sound and deadly requests share, besides the first one."""
+DEADLY_PART = "dead"
+
+CONTACT_S = 3.0
+"""Time within which what one instance learns reaches all of them."""
+
+CRASHES_ALLOWED = 5
+ARRIVALS_ALLOWED = 3
+"""Deadly requests that may reach servers later than `CONTACT_S` after those crashes."""
+
+SERVED_SHARE = 0.9
+"""Part of the sound requests that must be served beside deadly ones."""
+
+INTERVAL_S = 0.025
+DEADLY_SHARE = 0.1
+
+
+def has_deadly_part(request: web.Request) -> bool:
+    parts = request.headers.get("Prompt-Prefix", "").split(",")
+    return any(part.split(":")[0] == DEADLY_PART for part in parts[:-1])
+
+
+@dataclass
+class Callers:
+    """Send requests to instances drawn at random, and count what becomes of them.
+
+    Attributes:
+        apps: The instances.
+        session: Session of all callers.
+        sound: Status of each sound request, in the order of their ends.
+        deadly: Status and headers of each deadly request.
+    """
+
+    apps: list[CuttableApp]
+    session: aiohttp.ClientSession
+    sound: list[int] = field(default_factory=list)
+    deadly: list[tuple[int, dict[str, str], bytes]] = field(default_factory=list)
+    rng: random.Random = field(default_factory=lambda: random.Random(1))
+    number: int = 0
+
+    def prompt(self, *, deadly: bool) -> str:
+        """Return the parts of a prompt; the deadly one stands at any place but last."""
+        parts = ["first", f"subject{self.rng.randrange(SUBJECTS)}"]
+        if deadly:
+            parts.insert(self.rng.randint(1, 2), DEADLY_PART)
+        parts.append(f"own{self.number}")
+        return ",".join(f"{part}:10" for part in parts)
+
+    async def call(self, *, deadly: bool) -> None:
+        self.number += 1
+        prefix = self.prompt(deadly=deadly)
+        site = Harness(None, self.rng.choice(self.apps), self.session)  # type: ignore[arg-type]
+        try:
+            status, headers, body = await site.call(
+                "/draft/",
+                Model="m1",
+                Attempt_Id=f"c{self.number}",
+                Prompt_Prefix=prefix,
+            )
+        except aiohttp.ClientPayloadError:
+            status, headers, body = 0, {}, b""
+        if deadly:
+            self.deadly.append((status, headers, body))
+        else:
+            self.sound.append(status)
+
+    async def send(self, for_s: float, *, deadly_share: float) -> None:
+        """Send requests at a steady rate, and wait for their ends."""
+        loop = asyncio.get_running_loop()
+        until = loop.time() + for_s
+        async with asyncio.TaskGroup() as group:
+            while loop.time() < until:
+                deadly = self.rng.random() < deadly_share
+                group.create_task(self.call(deadly=deadly))
+                await asyncio.sleep(INTERVAL_S)
+
+
+@asynccontextmanager
+async def crashing_site(
+    is_deadly: Callable[[web.Request], bool],
+) -> AsyncIterator[tuple[CrashingServers, list[CuttableApp], Callers]]:
+    """Run instances before model servers that crash on certain requests."""
+    pool = CrashingServers(is_deadly, {"m1": []})
+    servers = [pool.make_server() for _ in range(SERVERS)]
+    async with site_of(*servers, store=pool.store) as apps:
+        async with aiohttp.ClientSession() as session:
+            yield pool, apps, Callers(apps, session)
+        await pool.stop()
+
+
+async def test_requests_with_one_part_in_their_prompts_crash_one_server_after_another():
+    """25 servers crashed, and sound requests were refused until the end of the day."""
+    loop = asyncio.get_running_loop()
+    async with crashing_site(has_deadly_part) as (pool, _, callers):
+        await callers.send(1.0, deadly_share=0.0)
+        assert set(callers.sound) == {200}
+        await callers.send(2 * CONTACT_S + 0.7, deadly_share=DEADLY_SHARE)
+        times = [at for at, _ in pool.crashes]
+        assert len(times) >= 1
+        last_at = times[min(len(times), CRASHES_ALLOWED) - 1]
+        late = [at for at, _ in pool.arrived if at > last_at + CONTACT_S]
+        assert len(late) <= ARRIVALS_ALLOWED
+        assert loop.time() >= last_at + 2 * CONTACT_S
+        callers.sound.clear()
+        await callers.send(2.0, deadly_share=DEADLY_SHARE)
+        assert callers.sound.count(200) >= SERVED_SHARE * len(callers.sound)
--- a/tests/platform/test_lost_paths.py
+++ b/tests/platform/test_lost_paths.py
@@ -93,10 +93,12 @@
 
 @asynccontextmanager
 async def site_of(
-    *servers: FakePlainServer | FakeModelServer, count: int = COUNT
+    *servers: FakePlainServer | FakeModelServer,
+    count: int = COUNT,
+    store: FakeStore | None = None,
 ) -> AsyncIterator[list[CuttableApp]]:
     """Run instances before some servers, and wait until they know each other."""
-    store = FakeStore()
+    store = store or FakeStore()
     await store.start()
     await store.put("config", "main", config())
     for server in servers:
