Hold requests back that have a part in common on which servers crash

Cause: no instance connected a crash with what the server was working on. Each crash counted against the server, and the request, with all that ran beside it, went on to the next one; new requests with the part came at all instances. Class: harm that a request does counts against the server that met it, and is passed on to the next. Ruled out: ejection (the servers that came back were used), paths (mended before), planned crashes.

Now all instances tell each other what was in progress without output at a crashed server, and what has been answered. An answer, a better explanation or a trial ends a hold. What a crash does not show to be guilty, as simultaneous ends, servers that leave or broken connections, holds nothing back.

--- /dev/null
+++ b/src/wisterialoom/core/crash_suspects.py
@@ -0,0 +1,297 @@
+"""Finds what requests that were in progress at crashed servers have in common.
+
+The load that this answers: requests with one trait, no two alike, crash each server
+that begins to answer them, and come at any instance. A crash by itself tells little, as
+a server has many requests in progress. But the culprit is among them at each crash and
+is never answered, whereas sound requests are answered sooner or later at some instance.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from collections.abc import Iterable, Mapping
+
+__all__ = ["Crash", "CrashSuspects", "Explanation", "ServerStart", "Suspect"]
+
+CRASHES_TO_HOLD = 3
+"""Successive crashes that the culprit must explain, if no other trait does as well."""
+
+CRASHES_TO_HOLD_ANSWERED = 5
+"""The same for a trait of requests that were answered before the crashes."""
+
+CRASHES_TO_HOLD_ALL = 5
+"""Successive crashes after which all traits that explain them equally are held."""
+
+OVERLAPS = 2
+"""Crashes that do not count if requests were sent before the crash before them."""
+
+ANSWERED_BEFORE_S = 0.5
+"""Time before a crash in which an answer still shows that a trait did not cause it."""
+
+TOLERANCE_S = 0.02
+"""Inaccuracy of times that come from other instances; two one-way delays."""
+
+EVIDENCE_S = 600.0
+"""Age above which a crash is forgotten."""
+
+MAX_CRASHES = 64
+MAX_SUSPECTS = 256
+"""Suspects that are kept of each crash, those of the narrowest traits."""
+
+MAX_ANSWERED = 4096
+"""Traits whose last answer is remembered, the latest ones."""
+
+
+@dataclass(frozen=True, slots=True)
+class ServerStart:
+    """One start of a backend server.
+
+    Attributes:
+        server: Id of the server.
+        started_ms: Wall-clock time of the start in milliseconds.
+    """
+
+    server: str
+    started_ms: int
+
+
+@dataclass(frozen=True, slots=True)
+class Suspect:
+    """A trait of requests that had no output when their server crashed.
+
+    Attributes:
+        depth: Position among the traits of its request; greater means narrower.
+        sent_at: Monotonic time at which the latest of these requests was sent.
+    """
+
+    depth: int
+    sent_at: float
+
+
+@dataclass
+class Crash:
+    """The end of a server with requests in progress.
+
+    Attributes:
+        at: Monotonic time of the end.
+        suspects: Traits of the requests that had no output yet.
+    """
+
+    at: float
+    suspects: dict[str, Suspect] = field(default_factory=dict)
+
+    def add(self, suspects: Mapping[str, Suspect]) -> None:
+        """Add what was in progress at one instance."""
+        for trait, suspect in suspects.items():
+            known = self.suspects.get(trait)
+            if known is None or suspect.sent_at > known.sent_at:
+                self.suspects[trait] = suspect
+        if len(self.suspects) > MAX_SUSPECTS:
+            ranked = sorted(self.suspects.items(), key=lambda item: -item[1].depth)
+            self.suspects = dict(ranked[:MAX_SUSPECTS])
+
+
+@dataclass(frozen=True, slots=True)
+class Explanation:
+    """How well a trait explains crashes.
+
+    Attributes:
+        trait: The trait.
+        is_new: Whether no request with the trait was ever answered.
+        count: Crashes of which each began after the one before.
+        depth: Narrowness of the trait.
+        crashes: All crashes in which it was in progress.
+    """
+
+    trait: str
+    is_new: bool
+    count: int
+    depth: int
+    crashes: frozenset[ServerStart]
+
+
+def _count_successive(spans: list[tuple[float, float]]) -> int:
+    """Count crashes of which each came after the one before.
+
+    Servers that end at the same moment have one reason. Requests that were sent before
+    the last crash was known show less than one that was sent after it.
+
+    Args:
+        spans: Time at which a request was sent and at which its server crashed, in the
+            order of the crashes.
+    """
+    successive, ended_at = 0, float("-inf")
+    apart, last_at = 0, float("-inf")
+    for sent_at, at in spans:
+        if sent_at >= ended_at - TOLERANCE_S:
+            successive, ended_at = successive + 1, at
+        if at > last_at + TOLERANCE_S:
+            apart, last_at = apart + 1, at
+    return max(successive, apart - OVERLAPS)
+
+
+@dataclass
+class CrashSuspects:
+    """The crashes of all servers, and which traits explain them.
+
+    Attributes:
+        crashes: Crashes of servers, the latest ones.
+        answered_at: Monotonic time at which a request with a trait was last answered.
+    """
+
+    crashes: dict[ServerStart, Crash] = field(default_factory=dict)
+    answered_at: dict[str, float] = field(default_factory=dict)
+
+    def record_crash(
+        self, at: float, start: ServerStart, suspects: Mapping[str, Suspect]
+    ) -> None:
+        """Record a crash, or more of what was in progress at a known one.
+
+        Args:
+            at: Monotonic time of the crash.
+            start: The server.
+            suspects: Traits of requests that had no output yet.
+        """
+        crash = self.crashes.get(start)
+        if crash is None:
+            crash = self.crashes[start] = Crash(at)
+            while len(self.crashes) > MAX_CRASHES:
+                del self.crashes[min(self.crashes, key=lambda x: self.crashes[x].at)]
+        crash.at = min(crash.at, at)
+        crash.add(suspects)
+
+    def expire(self, now: float) -> None:
+        """Forget crashes of long ago."""
+        for start, crash in list(self.crashes.items()):
+            if now - crash.at > EVIDENCE_S:
+                del self.crashes[start]
+
+    def record_answered(self, at: float, traits: Iterable[str]) -> list[str]:
+        """Record that a server has begun to answer a request.
+
+        Args:
+            at: Monotonic time of the first output.
+            traits: Traits of the request.
+
+        Returns:
+            The traits that were suspected until now.
+        """
+        cleared = [trait for trait in traits if self._is_suspected_at(trait, at)]
+        for trait in traits:
+            latest = max(at, self.answered_at.pop(trait, at))
+            self.answered_at[trait] = latest
+        while len(self.answered_at) > MAX_ANSWERED:
+            del self.answered_at[next(iter(self.answered_at))]
+        return cleared
+
+    def crashes_with(self, trait: str) -> frozenset[ServerStart]:
+        """Return the crashes for which a trait is still suspected."""
+        return frozenset(
+            start
+            for start, crash in self.crashes.items()
+            if self._incriminates(trait, crash) is not None
+        )
+
+    def explain(self, now: float, settle_s: float) -> list[Explanation]:
+        """Return the traits that must be what crashes servers, as far as is known.
+
+        Args:
+            now: Monotonic time.
+            settle_s: Time after a crash within which all instances have told what was
+                answered; the first crash that a trait explains must be as old.
+        """
+        open_crashes = dict(self.crashes)
+        found: list[Explanation] = []
+        while True:
+            ranked = sorted(
+                (
+                    explanation
+                    for trait in self._suspected_traits(open_crashes)
+                    if (
+                        explanation := self._explain_by(
+                            trait, now - settle_s, open_crashes
+                        )
+                    )
+                ),
+                key=lambda item: (item.is_new, item.count, item.depth, item.trait),
+                reverse=True,
+            )
+            if not ranked:
+                return found
+            held = self._pick(ranked)
+            if not held:
+                return found
+            found += held
+            for item in held:
+                for start in item.crashes:
+                    open_crashes.pop(start, None)
+
+    def _pick(self, ranked: list[Explanation]) -> list[Explanation]:
+        """Return the best of the explanations, if it is good enough."""
+        best = ranked[0]
+        equal = [
+            item
+            for item in ranked
+            if (item.is_new, item.count) == (best.is_new, best.count)
+        ]
+        rivals = [
+            item
+            for item in equal[1:]
+            if item.crashes & best.crashes
+            # A wider trait of the same requests is no rival.
+            and not (item.crashes == best.crashes and item.depth < best.depth)
+        ]
+        if not rivals:
+            return [best]
+        if best.count >= CRASHES_TO_HOLD_ALL:
+            return [best, *rivals]
+        return []
+
+    def _explain_by(
+        self, trait: str, settled_at: float, crashes: Mapping[ServerStart, Crash]
+    ) -> Explanation | None:
+        """Return how a trait explains crashes; `None` if that is not enough."""
+        involved = [
+            (crash.at, suspect, start)
+            for start, crash in crashes.items()
+            if (suspect := self._incriminates(trait, crash)) is not None
+        ]
+        if len(involved) < CRASHES_TO_HOLD:
+            return None
+        involved.sort(key=lambda item: item[0])
+        if involved[0][0] > settled_at:
+            return None
+        count = _count_successive(
+            [(suspect.sent_at, at) for at, suspect, _ in involved]
+        )
+        is_new = trait not in self.answered_at
+        if count < (CRASHES_TO_HOLD if is_new else CRASHES_TO_HOLD_ANSWERED):
+            return None
+        depth = max(suspect.depth for _, suspect, _ in involved)
+        starts = frozenset(start for _, _, start in involved)
+        return Explanation(trait, is_new, count, depth, starts)
+
+    def _suspected_traits(self, crashes: Mapping[ServerStart, Crash]) -> set[str]:
+        counts: dict[str, int] = {}
+        for crash in crashes.values():
+            for trait in crash.suspects:
+                counts[trait] = counts.get(trait, 0) + 1
+        return {trait for trait, count in counts.items() if count >= CRASHES_TO_HOLD}
+
+    def _incriminates(self, trait: str, crash: Crash) -> Suspect | None:
+        """Return the part of a trait in a crash; `None` if an answer clears it."""
+        suspect = crash.suspects.get(trait)
+        if suspect is None:
+            return None
+        answered_at = self.answered_at.get(trait, float("-inf"))
+        return suspect if answered_at < crash.at - ANSWERED_BEFORE_S else None
+
+    def _is_suspected_at(self, trait: str, at: float) -> bool:
+        return any(
+            crash.at <= at + ANSWERED_BEFORE_S
+            and self._incriminates(trait, crash) is not None
+            for crash in self.crashes.values()
+        )
--- a/src/wisterialoom/core/serving/backend.py
+++ b/src/wisterialoom/core/serving/backend.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, field
 
 from wisterialoom.core.brittle_services import ServerUse
+from wisterialoom.core.crash_suspects import ServerStart
 from wisterialoom.core.ejection import Ejection
 from wisterialoom.core.request_limit import RequestLimit
 
@@ -180,6 +181,11 @@
         """Record that the server refused a model or adapter as not resident."""
         self.absent_until[f"{model}/{adapter}"] = now + for_s
 
+    @property
+    def start(self) -> ServerStart:
+        """The start of the server that this view is about."""
+        return ServerStart(self.server.id, self.server.started_ms)
+
     @property
     def draining(self) -> bool:
         """Whether the server takes no new requests, by its entry or its own word."""
--- /dev/null
+++ b/src/wisterialoom/core/serving/crash_watch.py
@@ -0,0 +1,334 @@
+"""Decides which requests crash servers, together with all other instances.
+
+An attempt that is lost before any output is suspected once its server turns out to be
+down. Each instance tells the others what it had in progress there, and what it saw
+answered; all come to the same verdicts, and tell each other those as well.
+"""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
+
+from wisterialoom.core.crash_suspects import (
+    Crash,
+    CrashSuspects,
+    ServerStart,
+    Suspect,
+)
+from wisterialoom.core.fleet import rendezvous
+from wisterialoom.core.quarantine import Quarantine, Verdict
+
+if TYPE_CHECKING:
+    from collections.abc import Callable, Iterable, Mapping, Sequence
+
+    from wisterialoom.core.crash_suspects import Explanation
+
+__all__ = [
+    "AnsweredTraits",
+    "CrashMessage",
+    "CrashSeen",
+    "CrashWatch",
+    "HeldTraits",
+    "shift",
+]
+
+DECIDE_INTERVAL_S = 0.05
+"""Interval between two decisions while servers have crashed lately."""
+
+IDLE_INTERVAL_S = 0.5
+"""Interval between two decisions while only older holds are known."""
+
+UNDECIDED_S = 0.5
+"""Time after a crash within which all messages about it arrive."""
+
+LOSS_MEMORY_S = 5.0
+"""Time for which a lost attempt waits for the news that its server is down."""
+
+RESEND_S = 0.3
+"""Time after which a crash is told once more, as messages can be lost."""
+
+ANSWER_MEMORY_S = 60.0
+"""Age up to which an answer is told after a crash."""
+
+ANSWER_SPREAD_S = 0.001
+"""Delay for each instance over which answers are told, so that few tell the same."""
+
+MAX_ANSWER_SPREAD_S = 0.1
+
+ROUND_TRIP_S = 0.03
+"""Time in which all instances hear of a crash and can answer."""
+
+RECENTLY_ANSWERED_S = 1.0
+"""Age up to which an answer contradicts a hold that another instance decided."""
+
+TRIAL_TURN_S = 10.0
+"""Time after which the next instance may make a trial, if the one before did not."""
+
+MAX_LOSSES = 64
+
+
+@dataclass(frozen=True, slots=True)
+class CrashSeen:
+    """A server crashed; what one instance had in progress there without output.
+
+    Attributes:
+        start: The server.
+        at: Monotonic time of the crash.
+        suspects: Traits of the requests in progress.
+    """
+
+    start: ServerStart
+    at: float
+    suspects: Mapping[str, Suspect]
+
+
+@dataclass(frozen=True, slots=True)
+class AnsweredTraits:
+    """Requests with some traits were answered.
+
+    Attributes:
+        times: Monotonic time of the last answer by trait.
+    """
+
+    times: Mapping[str, float]
+
+
+@dataclass(frozen=True, slots=True)
+class HeldTraits:
+    """Which requests are held back, and which no longer are.
+
+    Attributes:
+        verdicts: Verdict by trait.
+    """
+
+    verdicts: Mapping[str, Verdict]
+
+
+CrashMessage = CrashSeen | AnsweredTraits | HeldTraits
+
+
+def shift(message: CrashMessage, by_s: float) -> CrashMessage:
+    """Return a message with all its times changed, as clocks of instances differ.
+
+    Args:
+        message: The message.
+        by_s: Seconds to add to each time.
+    """
+    match message:
+        case CrashSeen(start=start, at=at, suspects=suspects):
+            moved = {
+                trait: Suspect(suspect.depth, suspect.sent_at + by_s)
+                for trait, suspect in suspects.items()
+            }
+            return CrashSeen(start, at + by_s, moved)
+        case AnsweredTraits(times=times):
+            return AnsweredTraits({trait: at + by_s for trait, at in times.items()})
+        case HeldTraits():
+            return message
+
+
+@dataclass
+class CrashWatch:
+    """Follows crashes, and what is held back because of them.
+
+    Attributes:
+        me: Name of this instance.
+        instances: Names of all instances, this one included.
+        suspects: Crashes, and what explains them.
+        quarantine: What is held back.
+        losses: Attempts that were lost at servers that may be down.
+        outbox: Messages to all instances, with the time at which each is due.
+        answers: Times at which answered traits are due to be told.
+        gone: Servers with losses that are no longer listed.
+        wake: Called when there is something to decide or to tell.
+        undecided_until: Monotonic time until which the latest crash may change what is
+            held.
+        crash_count: Crashes that were seen since the start.
+        rng: Draws delays.
+    """
+
+    me: str = ""
+    instances: frozenset[str] = frozenset()
+    suspects: CrashSuspects = field(default_factory=CrashSuspects)
+    quarantine: Quarantine = field(default_factory=Quarantine)
+    losses: dict[ServerStart, Crash] = field(default_factory=dict)
+    outbox: list[tuple[float, CrashMessage]] = field(default_factory=list)
+    answers: dict[str, float] = field(default_factory=dict)
+    gone: list[ServerStart] = field(default_factory=list)
+    wake: Callable[[], None] = lambda: None
+    undecided_until: float = float("-inf")
+    crash_count: int = 0
+    rng: random.Random = field(default_factory=random.Random)
+
+    def pause_s(self, now: float) -> float | None:
+        """Return the time until the next decision; `None` if none is needed."""
+        if self.outbox or self.answers or now < self.undecided_until:
+            return DECIDE_INTERVAL_S
+        return IDLE_INTERVAL_S if self.quarantine.entries else None
+
+    # What this instance sees.
+
+    def record_output(self, now: float, traits: Sequence[str]) -> None:
+        """Record that a server has begun to answer a request."""
+        cleared = self.suspects.record_answered(now, traits)
+        for trait in traits:
+            self.quarantine.release(now, trait)
+        self._plan_answers(now, cleared)
+
+    def record_loss(
+        self, now: float, start: ServerStart, sent_at: float, traits: Sequence[str]
+    ) -> None:
+        """Record an attempt that was lost without output.
+
+        Args:
+            now: Monotonic time.
+            start: The server.
+            sent_at: Monotonic time at which the request was sent.
+            traits: Traits of the request, the widest first.
+        """
+        suspects = {
+            trait: Suspect(depth, sent_at) for depth, trait in enumerate(traits)
+        }
+        known = self.suspects.crashes.get(start)
+        if known is not None:
+            self._tell_crash(now, CrashSeen(start, known.at, suspects))
+            return
+        loss = self.losses.setdefault(start, Crash(now))
+        loss.add(suspects)
+        while len(self.losses) > MAX_LOSSES:
+            del self.losses[next(iter(self.losses))]
+
+    def record_down(self, now: float, start: ServerStart) -> None:
+        """Record that a server is down, or has started again."""
+        loss = self.losses.pop(start, None)
+        if loss is not None and now - loss.at <= LOSS_MEMORY_S:
+            self._tell_crash(now, CrashSeen(start, loss.at, loss.suspects))
+
+    def record_gone(self, start: ServerStart) -> None:
+        """Record that a server is no longer listed, or is listed as started again."""
+        if start in self.losses:
+            self.gone.append(start)
+            self.wake()
+
+    # What other instances tell.
+
+    def handle(self, now: float, message: CrashMessage) -> None:
+        """Handle a message of another instance."""
+        match message:
+            case CrashSeen():
+                self._record_crash(now, message)
+                loss = self.losses.pop(message.start, None)
+                if loss is not None:
+                    seen = CrashSeen(message.start, loss.at, loss.suspects)
+                    self._tell_crash(now, seen)
+                self._plan_answers(now, self._answered_since(now, message))
+            case AnsweredTraits(times=times):
+                for trait, at in times.items():
+                    self.suspects.record_answered(min(at, now), [trait])
+                    self.answers.pop(trait, None)
+            case HeldTraits(verdicts=verdicts):
+                self.quarantine.merge(now, verdicts)
+                for trait in verdicts:
+                    answered_at = self.suspects.answered_at.get(trait, float("-inf"))
+                    if now - answered_at < RECENTLY_ANSWERED_S:
+                        self.quarantine.release(now, trait)
+
+    # Decisions.
+
+    def decide(self, now: float) -> list[Explanation]:
+        """Hold back what explains crashes; return what is held from now on."""
+        for start in self.gone:
+            self.record_down(now, start)
+        self.gone.clear()
+        for start, loss in list(self.losses.items()):
+            if now - loss.at > LOSS_MEMORY_S:
+                del self.losses[start]
+        self.quarantine.expire(now)
+        if now >= self.undecided_until:
+            return []
+        self.suspects.expire(now)
+        found = self.suspects.explain(now, ROUND_TRIP_S + self._answer_spread_s)
+        explained = frozenset().union(*(item.crashes for item in found))
+        traits = {item.trait for item in found}
+        for trait, verdict in self.quarantine.verdicts().items():
+            crashes = self.suspects.crashes_with(trait)
+            if (
+                verdict.held
+                and trait not in traits
+                and crashes
+                and crashes <= explained
+            ):
+                # Another trait explains all that this one was held for, and more.
+                self.quarantine.release(now, trait)
+        return [
+            item
+            for item in found
+            if self.quarantine.hold(now, item.trait, was_answered=not item.is_new)
+        ]
+
+    def begin_trial(self, now: float, trait: str) -> bool:
+        """Return whether one request with a held trait is to be sent now.
+
+        One instance is asked first, the others in turn if it has no such request.
+        """
+        if not self.quarantine.trial_due(now, trait):
+            return False
+        names = rendezvous.rank(trait, self.instances | {self.me})
+        turn_s = TRIAL_TURN_S * names.index(self.me)
+        if not self.quarantine.trial_due(now - turn_s, trait):
+            return False
+        self.quarantine.begin_trial(now, trait)
+        return True
+
+    def take_messages(self, now: float) -> list[CrashMessage]:
+        """Return what is due to be told to all other instances."""
+        due = [message for at, message in self.outbox if at <= now]
+        self.outbox = [(at, message) for at, message in self.outbox if at > now]
+        told = [trait for trait, at in self.answers.items() if at <= now]
+        if told:
+            answered_at = self.suspects.answered_at
+            times = {
+                trait: answered_at[trait] for trait in told if trait in answered_at
+            }
+            due.append(AnsweredTraits(times))
+            for trait in told:
+                del self.answers[trait]
+        if self.quarantine.changed:
+            due.append(HeldTraits(self.quarantine.verdicts(self.quarantine.changed)))
+            self.quarantine.changed.clear()
+        return due
+
+    # Helpers.
+
+    def _record_crash(self, now: float, seen: CrashSeen) -> None:
+        self.undecided_until = now + UNDECIDED_S
+        if seen.start not in self.suspects.crashes:
+            self.crash_count += 1
+        self.suspects.record_crash(seen.at, seen.start, seen.suspects)
+
+    def _tell_crash(self, now: float, seen: CrashSeen) -> None:
+        self._record_crash(now, seen)
+        self.wake()
+        self.outbox += [(now, seen), (now + RESEND_S, seen)]
+
+    def _answered_since(self, now: float, seen: CrashSeen) -> list[str]:
+        """Return suspects of a crash that this instance knows to be answered."""
+        answered_at = self.suspects.answered_at
+        return [
+            trait
+            for trait in seen.suspects
+            if now - answered_at.get(trait, float("-inf")) < ANSWER_MEMORY_S
+        ]
+
+    def _plan_answers(self, now: float, traits: Iterable[str]) -> None:
+        """Tell soon that traits were answered, unless another instance does first."""
+        for trait in traits:
+            delay_s = self.rng.uniform(0.0, self._answer_spread_s)
+            self.answers.setdefault(trait, now + delay_s)
+            self.wake()
+
+    @property
+    def _answer_spread_s(self) -> float:
+        return min(MAX_ANSWER_SPREAD_S, ANSWER_SPREAD_S * len(self.instances))
--- a/src/wisterialoom/core/serving/dispatcher.py
+++ b/src/wisterialoom/core/serving/dispatcher.py
@@ -13,6 +13,7 @@
 from wisterialoom.core.request_limit import LimitMemory, LimitShares
 from wisterialoom.core.serving.backend import BackendServer, BackendView
 from wisterialoom.core.serving.capacity_wait import wait_for_capacity
+from wisterialoom.core.serving.crash_watch import CrashWatch
 from wisterialoom.core.serving.forecast import PlacementForecast
 from wisterialoom.core.serving.model_wait import (
     MIN_RUN_S,
@@ -74,6 +75,7 @@
         limit_shares: Divides the limits that servers name among the instances.
         limits: Remembers the limits that servers named.
         brittle: Spares servers that fall over if they turn many requests away.
+        crash_watch: Decides which requests are held back, as they crash servers.
         ways: Chooses the way to each server.
     """
 
@@ -91,9 +93,10 @@
     limit_shares: LimitShares = field(default_factory=LimitShares)
     limits: LimitMemory = field(default_factory=LimitMemory)
     brittle: BrittleServices = field(default_factory=BrittleServices)
+    crash_watch: CrashWatch = field(default_factory=CrashWatch)
 
     def __post_init__(self) -> None:
-        self.ways = WayFinder(self.views)
+        self.ways = WayFinder(self.views, self.crash_watch)
 
     # Updates of servers and limits.
 
@@ -102,7 +105,7 @@
         changed = False
         for server_id in list(self.views):
             if server_id not in servers:
-                del self.views[server_id]
+                self.crash_watch.record_gone(self.views.pop(server_id).start)
                 changed = True
         for server_id, server in servers.items():
             changed |= self.set_server(server_id, server)
@@ -113,6 +116,8 @@
         """Add or update one server; return whether waiting requests may proceed."""
         view = self.views.get(server_id)
         if view is None or view.server.started_ms != server.started_ms:
+            if view is not None:
+                self.crash_watch.record_gone(view.start)
             view = BackendView(server)
             view.leaving = self.leaving.get(server_id) == server.started_ms
             view.limit = self.limits.limit_of(
@@ -164,6 +169,7 @@
     def set_instances(self, now: float, names: Iterable[str]) -> None:
         """Set the instances that share retry budgets and the limits of servers."""
         self.limit_shares.set_instances(now, names)
+        self.crash_watch.instances = self.limit_shares.names
         self.set_sharing_instances(len(self.limit_shares.names))
 
     def set_sharing_instances(self, count: int) -> None:
@@ -201,7 +207,7 @@
         profile = flow.profile
         if now >= profile.answer_deadline - MIN_RUN_S / 2:
             return self.give_up(now, flow, GiveUpReason.DEADLINE)
-        ended = self.after_failure(now, flow)
+        ended = self.end_early(now, flow)
         if ended is not None:
             return ended
         engine = self.engine_of(profile.service)
@@ -242,6 +248,27 @@
             return self.resolve_wait(now, flow, decided)
         return self.send(now, flow, free)
 
+    def held_trait(self, flow: RequestFlow) -> str | None:
+        """Return the trait for which a request is held back; `None` if it is not."""
+        return self.crash_watch.quarantine.held_trait(flow.profile.traits)
+
+    def is_held(self, flow: RequestFlow) -> bool:
+        """Return whether a request is held back, and not on trial."""
+        return self.held_trait(flow) not in (None, flow.trial_of)
+
+    def must_hold(self, now: float, flow: RequestFlow) -> bool:
+        """Return whether a request must not be sent, as it may crash its server.
+
+        One whose trial is due is sent, once.
+        """
+        trait = self.held_trait(flow)
+        if trait is None or (trait == flow.trial_of and not flow.may_have_run):
+            return False
+        if flow.attempt_count or not self.crash_watch.begin_trial(now, trait):
+            return True
+        flow.trial_of = trait
+        return False
+
     def can_retry_elsewhere(self, now: float, flow: RequestFlow) -> bool:
         """Return whether a request with an unresponsive server can be retried now.
 
@@ -330,6 +357,9 @@
         profile = flow.profile
         if flow.reached and not self.retry_budget(profile.service).spend(now):
             return self.give_up(now, flow, GiveUpReason.RETRY_BUDGET)
+        if flow.trial_of:
+            # If it crashes the server, the fewest others are in progress there.
+            free = [min(free, key=lambda view: view.busy(now))]
         for view in free:
             view.relayed = not self.ways.is_direct(view)
         chosen = self.balancer.choose(now, profile, free)
@@ -354,14 +384,14 @@
             return decided
         return self.give_up(now, flow, decided)
 
-    def after_failure(self, now: float, flow: RequestFlow) -> GiveUp | None:
-        """Return a final `GiveUp` if a failed attempt must not be retried."""
+    def end_early(self, now: float, flow: RequestFlow) -> GiveUp | None:
+        """Return a final `GiveUp` if a request must not be sent, or not once more."""
         route = flow.profile.route
-        if not flow.may_have_run:
-            return None
-        if not route.idempotent:
+        if flow.may_have_run and not route.idempotent:
             return self.give_up(now, flow, GiveUpReason.LOST)
-        if flow.reached >= route.max_attempts:
+        if self.must_hold(now, flow):
+            return self.give_up(now, flow, GiveUpReason.HELD_BACK)
+        if flow.may_have_run and flow.reached >= route.max_attempts:
             return self.give_up(now, flow, GiveUpReason.ATTEMPTS)
         return None
 
@@ -374,6 +404,7 @@
         view.pending_prefill_tokens += flow.pending_prefill_tokens
         flow.in_flight_at = view.server.id
         flow.attempt_count += 1
+        flow.output_begun = False
         counts = self.running_counts.setdefault(view.server.id, {})
         resource = flow.profile.resource
         counts[resource] = counts.get(resource, 0) + 1
@@ -453,11 +484,17 @@
         if has_load:
             view.record_report(now, running, waiting)
 
+    def record_output(self, now: float, flow: RequestFlow) -> None:
+        """Record that a server has begun to answer a request."""
+        flow.output_begun = True
+        self.crash_watch.record_output(now, flow.profile.traits)
+
     def end_attempt(self, now: float, flow: RequestFlow, result: AttemptResult) -> None:
         """Record how an attempt ended, for its request and its server."""
         was_reached = result.server_id in flow.reached_servers
         view = self.views.get(result.server_id)
         if view is not None:
+            self.watch_for_crash(now, flow, view, result)
             via, flow.in_flight_via = flow.in_flight_via, ""
             if self.ways.record_end(now, view, via, result.verdict):
                 view = None
@@ -472,6 +509,20 @@
         if view is not None:
             self.record_verdict(now, flow, view, result)
 
+    def watch_for_crash(
+        self, now: float, flow: RequestFlow, view: BackendView, result: AttemptResult
+    ) -> None:
+        """Suspect a request that was lost without output of having crashed its server.
+
+        Servers that leave break connections off as well.
+        """
+        match result.verdict:
+            case AttemptVerdict.LOST if not (result.had_output or view.draining):
+                traits = flow.profile.traits
+                self.crash_watch.record_loss(now, view.start, flow.sent_at, traits)
+            case AttemptVerdict.ANSWERED | AttemptVerdict.FAILED:
+                self.record_output(now, flow)
+
     def record_verdict(
         self,
         now: float,
@@ -515,7 +566,7 @@
             not_before: Monotonic time before which another try is of no use.
         """
         not_run = not flow.may_have_run
-        if reason is GiveUpReason.UNKNOWN_MODEL:
+        if reason in (GiveUpReason.UNKNOWN_MODEL, GiveUpReason.HELD_BACK):
             return GiveUp(reason, not_run=not_run)
         retry_s = retry_after_s(now, flow.profile, reason, self.forecast)
         retry_s = max(retry_s, not_before - now)
--- a/src/wisterialoom/core/serving/request_flow.py
+++ b/src/wisterialoom/core/serving/request_flow.py
@@ -78,6 +78,8 @@
     """The request may have run, and its route is not idempotent."""
     STOPPING = "stopping"
     """This instance is stopping."""
+    HELD_BACK = "held_back"
+    """Servers crashed on requests that have something in common with it."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -160,6 +162,8 @@
         absent_refusals: Number of refusals by servers that lacked the model or adapter.
         pending_prefill_tokens: Prompt tokens that the server of the current attempt
             has yet to process.
+        output_begun: Whether the attempt in progress has had output.
+        trial_of: Held trait that the request tries again; empty if it does not.
         view_current_at: Monotonic time at which configuration and servers were known to
             be current when the request arrived.
     """
@@ -177,6 +181,8 @@
     outcome: str = ""
     absent_refusals: int = 0
     pending_prefill_tokens: int = 0
+    output_begun: bool = False
+    trial_of: str = ""
     view_current_at: float = float("-inf")
 
     @property
--- a/src/wisterialoom/core/serving/way_finder.py
+++ b/src/wisterialoom/core/serving/way_finder.py
@@ -6,6 +6,7 @@
 from typing import TYPE_CHECKING
 
 from wisterialoom.core.ejection import Ejection
+from wisterialoom.core.serving.crash_watch import CrashWatch
 from wisterialoom.core.serving.helper_choice import HelperChoice
 from wisterialoom.core.serving.request_flow import AttemptVerdict
 from wisterialoom.core.serving.server_path import PathTable
@@ -27,11 +28,13 @@
 
     Attributes:
         views: Backend servers by id.
+        crash_watch: Told of servers that cannot be connected to.
         paths: The paths from this instance to the servers.
         helpers: The instances that requests can go through.
     """
 
     views: Mapping[str, BackendView]
+    crash_watch: CrashWatch = field(default_factory=CrashWatch)
     paths: PathTable = field(default_factory=PathTable)
     helpers: HelperChoice = field(default_factory=lambda: HelperChoice(""))
 
@@ -96,6 +99,7 @@
         may have been the path all along. The server may as well be gone, so a single
         request is sent the other way until one is answered.
         """
+        self.crash_watch.record_down(now, view.start)
         service = view.server.service
         known_lost = self.paths.lost_services()
         listed = [
--- a/src/wisterialoom/platform/app.py
+++ b/src/wisterialoom/platform/app.py
@@ -21,6 +21,7 @@
 from wisterialoom.platform._tasks import TaskGroup
 from wisterialoom.platform.attempt import trace_connections
 from wisterialoom.platform.catalog import Catalog
+from wisterialoom.platform.crash_exchange import CrashExchange
 from wisterialoom.platform.fleet import Fleet
 from wisterialoom.platform.helper_server import HelperServer
 from wisterialoom.platform.ingress import Ingress, Signal
@@ -112,6 +113,7 @@
         path_prober: Probes servers that this instance may not reach.
         helper_server: Passes requests of other instances on.
         limit_exchange: Messages about servers that limit requests.
+        crash_exchange: Messages about crashes, and requests that cause them.
         orders: Client for loads and unloads at backend servers.
         ingress: Serves callers.
     """
@@ -124,6 +126,7 @@
             RetryLimits(bounds.retry_ratio, bounds.retry_fixed, bounds.retry_window_s),
             limit_shares=LimitShares(settings.instance, assumed=ASSUMED_INSTANCES),
         )
+        self.dispatcher.crash_watch.me = settings.instance
         self.dispatcher.ways.helpers = HelperChoice(
             settings.instance, settings.peer_port
         )
@@ -142,6 +145,7 @@
         self.relay: Relay
         self.peers: PeerLink
         self.limit_exchange: LimitExchange
+        self.crash_exchange: CrashExchange
         self.path_prober: PathProber
         self.helper_server: HelperServer
         self.orders: OrderClient
@@ -275,6 +279,10 @@
             settings.instance, peers, self.dispatcher, self.signal.wake
         )
         fleet.limit_exchange = self.limit_exchange
+        self.crash_exchange = CrashExchange(
+            settings.instance, peers, self.dispatcher.crash_watch, self.ingress.end_held
+        )
+        fleet.crash_exchange = self.crash_exchange
         self.path_prober = PathProber(
             settings.instance, self.dispatcher, peers, self.signal.wake
         )
@@ -298,6 +306,7 @@
         fleet.start()
         self.relay.start()
         self.limit_exchange.start()
+        self.crash_exchange.start()
         self.path_prober.start()
         self.placement_controller.start()
 
@@ -358,6 +367,17 @@
             "result",
             lambda: self.helper_server.counts,
         )
+        metrics.gauge(
+            "held_traits",
+            "Traits of requests that are held back, as servers crashed on them.",
+            lambda: self.dispatcher.crash_watch.quarantine.held_count,
+        )
+        metrics.labeled_counter(
+            "server_crashes_total",
+            "Servers that crashed with requests in progress.",
+            "event",
+            lambda: {"noticed": self.dispatcher.crash_watch.crash_count},
+        )
         metrics.gauge("servers", "Servers.", lambda: len(self.dispatcher.views))
         metrics.gauge(
             "limited_servers",
@@ -465,6 +485,7 @@
         await self.fleet.stop()
         await self.relay.stop()
         await self.limit_exchange.stop()
+        await self.crash_exchange.stop()
         await self.path_prober.stop()
         self.peers.stop()
         await self.catalog.stop()
--- a/src/wisterialoom/platform/attempt.py
+++ b/src/wisterialoom/platform/attempt.py
@@ -101,6 +101,7 @@
         record_response_head: Called with what the server says about itself once the
             head of the answer arrives.
         connection_opened: Called when a connection to the server was established.
+        output_begun: Called at the first whole event of a stream.
         answer: The complete answer, if it has not been forwarded yet.
         load: Load that the server reported; `None` if it did not.
         had_output: Whether the server has begun to answer: with a whole event, if the
@@ -116,6 +117,7 @@
         can_retry_elsewhere: Callable[[], bool],
         record_response_head: Callable[[ServerNotice], None],
         connection_opened: Callable[[], None],
+        output_begun: Callable[[], None],
     ) -> None:
         self.exchange = exchange
         self.profile = profile
@@ -124,6 +126,7 @@
         self.can_retry_elsewhere = can_retry_elsewhere
         self.record_response_head = record_response_head
         self.connection_opened = connection_opened
+        self.output_begun = output_begun
         self.answer: BufferedAnswer | None = None
         self.load: ServerLoad | None = None
         self.had_output = False
@@ -307,7 +310,9 @@
             complete = event_splitter.feed(data)
             if not complete:
                 continue
-            self.had_output = True
+            if not self.had_output:
+                self.had_output = True
+                self.output_begun()
             if not exchange.head_sent:
                 await exchange.begin(response.status, answer_headers(response.headers))
             await exchange.write(complete)
--- a/src/wisterialoom/platform/exchange.py
+++ b/src/wisterialoom/platform/exchange.py
@@ -8,6 +8,7 @@
 import orjson
 from aiohttp import web
 
+from wisterialoom.core.serving.request_flow import GiveUpReason
 from wisterialoom.platform.event_stream import EventSplitter
 from wisterialoom.platform.headers import ATTEMPT_ID, LAST_EVENT_ID
 
@@ -17,9 +18,15 @@
 
 __all__ = ["Exchange"]
 
+BAD_REQUEST = 400
 BAD_GATEWAY = 502
 UNAVAILABLE = 503
 
+HELD_BACK_TEXT = (
+    "held back, as servers crashed on requests like this one; "
+    "change it before you send it again, or ask the operators"
+)
+
 
 class Exchange:
     """Sends a caller its answer.
@@ -105,11 +112,18 @@
         if self.stream is not None:
             self.abort()
             return
+        if end.reason is GiveUpReason.HELD_BACK:
+            self.respond(BAD_REQUEST, HELD_BACK_TEXT, not_run=end.not_run)
+            return
         status = UNAVAILABLE if end.not_run else BAD_GATEWAY
         self.respond(status, end.reason.value, end.retry_after_s)
 
     def respond(
-        self, status: int, reason: str, retry_after_s: float | None = None
+        self,
+        status: int,
+        reason: str,
+        retry_after_s: float | None = None,
+        **details: bool,
     ) -> None:
         """Answer with an error of this instance.
 
@@ -117,10 +131,11 @@
             status: HTTP status.
             reason: Value of `error` in the body.
             retry_after_s: Value of `Retry-After`; no such header if `None`.
+            details: More fields of the body.
         """
         response = web.Response(
             status=status,
-            body=orjson.dumps({"error": reason}),
+            body=orjson.dumps({"error": reason, **details}),
             content_type="application/json",
         )
         request_id = self.request.headers.get(ATTEMPT_ID)
--- a/src/wisterialoom/platform/fleet.py
+++ b/src/wisterialoom/platform/fleet.py
@@ -17,6 +17,7 @@
     BrittleRejection,
     ConfigCopy,
     CopyWanted,
+    CrashHint,
     LostPaths,
     News,
     PlacementChange,
@@ -36,6 +37,7 @@
 
 if TYPE_CHECKING:
     from wisterialoom.core.serving.dispatcher import Dispatcher
+    from wisterialoom.platform.crash_exchange import CrashExchange
     from wisterialoom.platform.hints import Hint
     from wisterialoom.platform.limit_exchange import LimitExchange
     from wisterialoom.platform.peers import PeerLink
@@ -104,6 +106,7 @@
         self.placement_controller: PlacementController
         self.relay: Relay
         self.limit_exchange: LimitExchange
+        self.crash_exchange: CrashExchange
         self.holder_address = ""
         self.epoch = 0
         self.serial = 0
@@ -167,6 +170,7 @@
                 self.relay.handle_hint(hint, address)
             case (
                 BrittleRejection()
+                | CrashHint()
                 | LostPaths()
                 | ServerLimits()
                 | TurnsWanted()
@@ -188,6 +192,8 @@
                 helpers.record_lost_services(
                     time.monotonic(), name, frozenset(services)
                 )
+            case CrashHint():
+                self.crash_exchange.handle_hint(hint)
             case _:
                 self.limit_exchange.handle_hint(hint, address)
 
--- a/src/wisterialoom/platform/hint_codec.py
+++ b/src/wisterialoom/platform/hint_codec.py
@@ -15,11 +15,17 @@
     ResidentModel,
     UNKNOWN_COUNT,
 )
+from wisterialoom.platform.crash_codec import (
+    CRASH_KINDS,
+    decode_crash_message,
+    encode_crash_message,
+)
 from wisterialoom.platform.hints import (
     BrittleRejection,
     COMPRESSION_LEVEL,
     ConfigCopy,
     CopyWanted,
+    CrashHint,
     Hint,
     HintError,
     LostPaths,
@@ -40,7 +46,7 @@
 
 __all__ = ["decode_hint", "encode_hint"]
 
-SERVER_KINDS = ("b", "x", "l", "lw", "lg")
+SERVER_KINDS = ("b", "x", "l", "lw", "lg", *CRASH_KINDS)
 """Kinds of messages about what an instance knows of servers from their answers."""
 
 KINDS = frozenset({"r", "d", "n", "w", "c", "s", "v", "q", "u", "p", *SERVER_KINDS})
@@ -100,6 +106,7 @@
             item = ["q", hint.instance]
         case (
             BrittleRejection()
+            | CrashHint()
             | LostPaths()
             | ServerLimits()
             | TurnsWanted()
@@ -241,6 +248,9 @@
     match hint:
         case BrittleRejection():
             return ["b", hint.instance, [hint.server, hint.rejections]]
+        case CrashHint(instance=instance, message=message):
+            kind, fields = encode_crash_message(message)
+            return [kind, instance, fields]
         case LostPaths():
             return ["x", hint.instance, hint.services]
         case TurnsWanted():
@@ -260,6 +270,8 @@
         return BrittleRejection(instance, str(server), float(rejections))
     if kind == "x":
         return LostPaths(instance, tuple(str(name) for name in items))
+    if kind in CRASH_KINDS:
+        return CrashHint(instance, decode_crash_message(kind, items))
     if kind != "l":
         servers = {name: int(started_ms) for name, started_ms in items.items()}
         wanted = kind == "lw"
--- a/src/wisterialoom/platform/hints.py
+++ b/src/wisterialoom/platform/hints.py
@@ -19,10 +19,12 @@
 if TYPE_CHECKING:
     from wisterialoom.core.fleet import Revision, TableEntry
     from wisterialoom.core.placement.placement_table import ServerPlacement
+    from wisterialoom.core.serving.crash_watch import CrashMessage
 
 __all__ = [
     "BrittleRejection",
     "ConfigCopy",
+    "CrashHint",
     "CopyWanted",
     "Hint",
     "HintError",
@@ -306,7 +308,22 @@
     servers: dict[str, int]
 
 
-ServerHint = BrittleRejection | LostPaths | ServerLimits | TurnsGranted | TurnsWanted
+@dataclass(frozen=True, slots=True)
+class CrashHint:
+    """Tells what an instance knows of crashes and of the requests that cause them.
+
+    Attributes:
+        instance: Name of the sender.
+        message: What it knows. Times count from the sending, so they are negative.
+    """
+
+    instance: str
+    message: CrashMessage
+
+
+ServerHint = (
+    BrittleRejection | CrashHint | LostPaths | ServerLimits | TurnsGranted | TurnsWanted
+)
 """Hints about what an instance knows of servers, by their answers or their silence."""
 
 Hint = (
--- a/src/wisterialoom/platform/ingress.py
+++ b/src/wisterialoom/platform/ingress.py
@@ -137,6 +137,7 @@
             stops soon.
         active: Number of requests in progress.
         request_timeouts: Timeouts of the requests in progress.
+        unanswered: Requests at servers, by a timeout that aborts the attempt.
     """
 
     def __init__(
@@ -174,6 +175,7 @@
         self.refusing = False
         self.active = 0
         self.request_timeouts: set[asyncio.Timeout] = set()
+        self.unanswered: dict[asyncio.Timeout, RequestFlow] = {}
 
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Serve one request."""
@@ -263,6 +265,7 @@
                 "route": profile.route.name,
                 "wanted": profile.resource,
                 "outcome": flow.outcome,
+                "held_trait": self.dispatcher.held_trait(flow),
                 "servers": flow.servers,
                 "sends": flow.attempt_count,
                 "waited_ms": int(flow.waited_s * 1e3),
@@ -347,11 +350,19 @@
             lambda: self.dispatcher.can_retry_elsewhere(time.monotonic(), flow),
             lambda notice: self._record_response_head(flow, notice),
             lambda: self.connection_opened(step.server_id),
+            lambda: self.dispatcher.record_output(time.monotonic(), flow),
         )
+        hold = asyncio.timeout(None)
+        self.unanswered[hold] = flow
         result = AttemptResult(step.server_id, AttemptVerdict.CANCELLED)
         try:
-            result = await attempt.run(session)
+            async with hold:
+                result = await attempt.run(session)
+        except TimeoutError:
+            # The request is held back now; it may have run.
+            pass
         finally:
+            del self.unanswered[hold]
             now = time.monotonic()
             cancelled = result.verdict is AttemptVerdict.CANCELLED
             if flow.in_flight_at and not cancelled:
@@ -455,6 +466,17 @@
                 extra={"server": server_id, "limit_per_s": limit_per_s},
             )
 
+    def end_held(self) -> None:
+        """Abort attempts of requests that are held back now, and refuse waiting ones.
+
+        A server that has not begun to answer them may yet be spared.
+        """
+        now = asyncio.get_running_loop().time()
+        for hold, flow in self.unanswered.items():
+            if not flow.output_begun and self.dispatcher.is_held(flow):
+                hold.reschedule(now)
+        self.signal.wake()
+
     def refuse_new(self) -> None:
         """Refuse new and waiting requests from now on."""
         self.refusing = True
--- a/tests/platform/test_app.py
+++ b/tests/platform/test_app.py
@@ -488,7 +488,9 @@
     loop = asyncio.get_running_loop()
     loop.set_exception_handler(lambda _, context: reported.append(context))
     unused: Any = None
-    attempt = Attempt(unused, unused, unused, 60.0, lambda: False, unused, unused)
+    attempt = Attempt(
+        unused, unused, unused, 60.0, lambda: False, unused, unused, unused
+    )
     connecting = Connecting()
     pending = loop.create_task(connecting.run())
     waiting = loop.create_task(attempt.wait_for_head(pending))
--- a/tests/platform/test_crashing_requests.py
+++ b/tests/platform/test_crashing_requests.py
@@ -4,21 +4,28 @@
 
 import asyncio
 import random
+import time
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
 import aiohttp
+import orjson
 
 from tests.platform.crashing_servers import CrashingServers
-from tests.platform.test_app import Harness
+from tests.platform.fakes import FakePlainServer
+from tests.platform.test_app import Harness, harness, wait_until
 from tests.platform.test_lost_paths import CuttableApp, site_of
+from wisterialoom.core.quarantine import Quarantine
+from wisterialoom.core.request_trait import part_traits
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Callable
 
     from aiohttp import web
 
+    from wisterialoom.platform.app import PlatformApp
+
 SERVERS = 6
 SUBJECTS = 24
 """Parts that sound and deadly requests share, besides the first one."""
@@ -127,3 +134,72 @@
         callers.sound.clear()
         await callers.send(2.0, deadly_share=DEADLY_SHARE)
         assert callers.sound.count(200) >= SERVED_SHARE * len(callers.sound)
+
+
+def hold(app: PlatformApp, part: str) -> None:
+    """Hold requests with a part of a prompt back."""
+    watch = app.dispatcher.crash_watch
+    (trait,) = part_traits((part, "own"))
+    watch.quarantine.hold(time.monotonic(), trait, was_answered=False)
+    watch.wake()
+
+
+async def test_held_request_is_answered_at_once_and_not_asked_to_come_back():
+    server = FakePlainServer("i-1")
+    async with harness(server) as site:
+        hold(site.app, DEADLY_PART)
+        for path in ("/look/", "/deposit/"):
+            status, headers, body = await site.call(
+                path, Prompt_Prefix=f"first:1,{DEADLY_PART}:1,own:1"
+            )
+            assert status == 400
+            assert "Retry-After" not in headers
+            answer = orjson.loads(body)
+            assert answer["not_run"] is True
+            assert "ask the operators" in answer["error"]
+            # The last part belongs to the request alone.
+            status, _, _ = await site.call(
+                path, Prompt_Prefix=f"first:1,{DEADLY_PART}:1"
+            )
+            assert status == 200
+        assert len(server.runs) == 2
+
+
+async def test_held_request_that_a_server_has_not_answered_is_aborted():
+    """Each of them may be about to crash its server."""
+    server = FakePlainServer("i-1", hang=True)
+    async with harness(server) as site:
+        calls = {
+            path: asyncio.create_task(
+                site.call(path, Prompt_Prefix=f"{part}:1,own:1", Attempt_Id=path)
+            )
+            for path, part in (("/look/", DEADLY_PART), ("/deposit/", DEADLY_PART))
+        }
+        sound = asyncio.create_task(site.call("/look/", Prompt_Prefix="first:1,own:1"))
+        await wait_until(lambda: len(server.runs) == 3)
+        hold(site.app, DEADLY_PART)
+        status, _, body = await calls["/look/"]
+        assert (status, orjson.loads(body)["not_run"]) == (400, False)
+        # One that may have run once must not seem to be safe to send again.
+        assert (await calls["/deposit/"])[0] == 502
+        assert not sound.done()
+        sound.cancel()
+
+
+async def test_instance_that_starts_later_hears_of_holds():
+    server = FakePlainServer("i-1")
+    async with site_of(server) as apps:
+        hold(apps[0], DEADLY_PART)
+        await wait_until(
+            lambda: all(
+                app.dispatcher.crash_watch.quarantine.held_count for app in apps
+            )
+        )
+        for app in apps[1:]:
+            app.dispatcher.crash_watch.quarantine = Quarantine()
+        await wait_until(
+            lambda: all(
+                app.dispatcher.crash_watch.quarantine.held_count for app in apps
+            ),
+            CONTACT_S,
+        )
--- a/tests/platform/test_wire.py
+++ b/tests/platform/test_wire.py
@@ -7,6 +7,7 @@
 from socket import SOCK_DGRAM, SOCK_STREAM
 from typing import Any
 
+import orjson
 import pytest
 import uvloop
 from hypothesis import given, strategies as st
@@ -14,9 +15,16 @@
 
 from tests.platform.fakes import config
 from tests.ports import free_port
+from wisterialoom.core.crash_suspects import ServerStart, Suspect
 from wisterialoom.core.fleet import LinkClass
 from wisterialoom.core.placement.fleet_demand import DemandReport
 from wisterialoom.core.placement.placement_table import ServerPlacement
+from wisterialoom.core.quarantine import Verdict
+from wisterialoom.core.serving.crash_watch import (
+    AnsweredTraits,
+    CrashSeen,
+    HeldTraits,
+)
 from wisterialoom.platform.decode import (
     decode_deployment,
     decode_server,
@@ -26,6 +34,7 @@
 from wisterialoom.platform.headers import read_load, read_profile, request_headers
 from wisterialoom.platform.hint_codec import decode_hint, encode_hint
 from wisterialoom.platform.hints import (
+    CrashHint,
     Hint,
     HintError,
     PlacementChange,
@@ -184,6 +193,15 @@
         digest=99,
     ),
     PlacementWanted("front-1"),
+    CrashHint(
+        "front-1",
+        CrashSeen(ServerStart("i-1", 7), -0.25, {"part-a1": Suspect(1, -0.5)}),
+    ),
+    CrashHint("front-1", AnsweredTraits({"part-a1": -0.125})),
+    CrashHint(
+        "front-1",
+        HeldTraits({"part-a1": Verdict(3, held=True, trials=1, was_answered=True)}),
+    ),
 ]
 
 
@@ -217,6 +235,23 @@
     assert (link.skipped, link.dropped) == (0, 1)
 
 
+@pytest.mark.parametrize(
+    "data",
+    [
+        b'["kc","front-9",["i-1",1,-0.5,{"t":[1]}]]',
+        b'["kc","front-9",["i-1",1,"soon",{}]]',
+        b'["ka","front-9",[{"t":"soon"}]]',
+        b'["kh","front-9",[{"t":[1,true]}]]',
+        b'["kh","front-9",{}]',
+        b'["kh","front-9",[%s]]'
+        % orjson.dumps({f"t{n}": [1, 1, 0, 0] for n in range(999)}),
+    ],
+)
+def test_unreadable_hint_about_crashes_changes_nothing(data):
+    with pytest.raises(HintError):
+        decode_hint(data)
+
+
 def test_datagrams_are_received_on_uvloop():
     """An assertion on the transport's class must not reject uvloop's transport.
 
