Log which failed attempts belong to the same request

The line of a failed attempt has a hash of method, host, path, caller and body now. No logic is changed.

--- a/src/wisterialoom/core/request_trait.py
+++ b/src/wisterialoom/core/request_trait.py
@@ -12,7 +12,7 @@
 if TYPE_CHECKING:
     from collections.abc import Sequence
 
-__all__ = ["part_traits"]
+__all__ = ["own_trait", "part_traits"]
 
 DIGEST_BYTES = 6
 """Length of a hash; two of a million traits are equal with a chance of 1 in 500."""
@@ -28,6 +28,23 @@
     return tuple(_trait("part", part) for part in parts[:-1])
 
 
+def own_trait(method: str, target: str, caller: str, body: bytes) -> str:
+    """Return the trait that a request shares only with those that are the same.
+
+    Args:
+        method: Method of the request.
+        target: Host, path and query.
+        caller: What identifies the caller, as it was sent.
+        body: The whole body.
+    """
+    digest = blake2b(digest_size=DIGEST_BYTES, person=b"request")
+    for field in (method, target, caller):
+        digest.update(field.encode("utf-8", "surrogateescape"))
+        digest.update(b"\0")
+    digest.update(body)
+    return f"request-{digest.hexdigest()}"
+
+
 def _trait(kind: str, text: str) -> str:
     digest = blake2b(text.encode(), digest_size=DIGEST_BYTES, person=kind.encode())
     return f"{kind}-{digest.hexdigest()}"
--- a/src/wisterialoom/platform/headers.py
+++ b/src/wisterialoom/platform/headers.py
@@ -7,7 +7,7 @@
 from typing import TYPE_CHECKING
 
 from wisterialoom.core.rate_text import read_rate
-from wisterialoom.core.request_trait import part_traits
+from wisterialoom.core.request_trait import own_trait, part_traits
 from wisterialoom.core.serving.request_flow import RequestProfile
 from wisterialoom.retry_after import read_retry_after, RETRY_AFTER
 
@@ -33,6 +33,7 @@
     "answer_headers",
     "read_load",
     "read_notice",
+    "read_own_trait",
     "read_profile",
     "request_headers",
 ]
@@ -172,6 +173,22 @@
     slots: int
 
 
+def read_own_trait(
+    method: str, target: str, headers: CIMultiDictProxy[str], body: bytes
+) -> str:
+    """Return the trait of a request that is sent again as it is.
+
+    Args:
+        method: Method of the request.
+        target: Path and query, as sent.
+        headers: Headers as the caller sent them.
+        body: The whole body.
+    """
+    host = headers.get("Host", "")
+    caller = headers.get("Authorization", "")
+    return own_trait(method, host + target, caller, body)
+
+
 def read_profile(
     headers: CIMultiDictProxy[str], route: Route, now: float
 ) -> RequestProfile:
--- a/src/wisterialoom/platform/ingress.py
+++ b/src/wisterialoom/platform/ingress.py
@@ -381,7 +381,7 @@
                     "verdict": result.verdict.value,
                     "detail": result.detail,
                     "had_output": result.had_output,
-                    "traits": profile.traits,
+                    "traits": [*profile.traits, exchange.own_trait()],
                 },
             )
         return attempt, result
