--- a/tests/platform/crashing_servers.py
+++ b/tests/platform/crashing_servers.py
@@ -1,4 +1,4 @@
-"""Model servers that crash on some requests, and start again after a while."""
+"""Servers that crash on some requests, and start again after a while."""
 
 from __future__ import annotations
 
@@ -6,7 +6,7 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
-from tests.platform.fakes import FakeModelServer, FakeStore
+from tests.platform.fakes import FakeModelServer, FakePlainServer, FakeStore
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -22,26 +22,40 @@
 """Time from a crash until the entry of the server is removed."""
 
 
+RUN_S = 0.01
+"""Time from the arrival of a request until its server crashes."""
+
+
 class CrashingModelServer(FakeModelServer):
     """A model server that crashes when it begins to write certain answers."""
 
     pool: CrashingServers
 
     async def on_request(self, request: web.Request) -> web.StreamResponse:
-        if self.pool.is_deadly(request):
-            await asyncio.sleep(self.step_s)
-            self.pool.record_crash(self, request)
-            raise asyncio.CancelledError
+        await self.pool.crash_if_deadly(self, request)
         return await super().on_request(request)
 
 
+class CrashingPlainServer(FakePlainServer):
+    """A plain server that crashes when it begins to run certain requests."""
+
+    pool: CrashingServers
+
+    async def on_request(self, request: web.Request) -> web.StreamResponse:
+        await self.pool.crash_if_deadly(self, request)
+        return await super().on_request(request)
+
+
+CrashingServer = CrashingModelServer | CrashingPlainServer
+
+
 @dataclass
 class CrashingServers:
-    """The model servers of a service, and their crashes.
+    """The servers of a service, and their crashes.
 
     Attributes:
         is_deadly_request: Returns whether a server crashes on a request.
-        models: Models that a server has when it starts.
+        models: Models that a server has when it starts; none if it is a plain one.
         servers: The servers that run now.
         crashes: Time and request id of each crash.
         arrived: Time and id of each deadly request that reached a server.
@@ -52,42 +66,43 @@
 
     is_deadly_request: Callable[[web.Request], bool]
     models: dict[str, list[str]]
-    servers: list[CrashingModelServer] = field(default_factory=list)
+    servers: list[CrashingServer] = field(default_factory=list)
     crashes: list[tuple[float, str]] = field(default_factory=list)
     arrived: list[tuple[float, str]] = field(default_factory=list)
     store: FakeStore = field(default_factory=FakeStore)
     started: int = 0
     tasks: set[asyncio.Task[None]] = field(default_factory=set)
 
-    def make_server(self) -> CrashingModelServer:
+    def make_server(self) -> CrashingServer:
         """Return a new server, not started yet."""
         self.started += 1
-        models = {name: list(adapters) for name, adapters in self.models.items()}
-        server = CrashingModelServer(f"i-c{self.started}", models=models, slots=16)
+        name = f"i-c{self.started}"
+        server: CrashingServer = CrashingPlainServer(name)
+        if self.models:
+            models = {model: list(adapters) for model, adapters in self.models.items()}
+            server = CrashingModelServer(name, models=models, slots=16)
         server.pool = self
         self.servers.append(server)
         return server
 
-    def is_deadly(self, request: web.Request) -> bool:
-        """Return whether a server crashes on a request, and count it if so."""
+    async def crash_if_deadly(
+        self, server: CrashingServer, request: web.Request
+    ) -> None:
+        """Crash a server if the request is deadly, and start another one later."""
         if not self.is_deadly_request(request):
-            return False
-        now = asyncio.get_running_loop().time()
-        self.arrived.append((now, request.headers["Attempt-Id"]))
-        return True
-
-    def record_crash(self, server: CrashingModelServer, request: web.Request) -> None:
-        """Crash a server, and start another one after a while."""
-        if server not in self.servers:
             return
-        self.servers.remove(server)
-        now = asyncio.get_running_loop().time()
-        self.crashes.append((now, request.headers["Attempt-Id"]))
-        task = asyncio.get_running_loop().create_task(self._replace(server))
-        self.tasks.add(task)
-        task.add_done_callback(self.tasks.discard)
-
-    async def _replace(self, server: CrashingModelServer) -> None:
+        loop = asyncio.get_running_loop()
+        self.arrived.append((loop.time(), request.headers["Attempt-Id"]))
+        await asyncio.sleep(RUN_S)
+        if server in self.servers:
+            self.servers.remove(server)
+            self.crashes.append((loop.time(), request.headers["Attempt-Id"]))
+            task = loop.create_task(self._replace(server))
+            self.tasks.add(task)
+            task.add_done_callback(self.tasks.discard)
+        raise asyncio.CancelledError
+
+    async def _replace(self, server: CrashingServer) -> None:
         for listener in list(server.runner.sites):
             await listener.stop()
         assert server.runner.server is not None
--- a/tests/platform/test_crashing_requests.py
+++ b/tests/platform/test_crashing_requests.py
@@ -35,6 +35,7 @@
 """Time within which what one instance learns reaches all of them."""
 
 CRASHES_ALLOWED = 5
+REPEATED_CRASHES = 3
 ARRIVALS_ALLOWED = 3
 """Deadly requests that may reach servers later than `CONTACT_S` after those crashes."""
 
@@ -58,7 +59,9 @@
         apps: The instances.
         session: Session of all callers.
         sound: Status of each sound request, in the order of their ends.
-        deadly: Status and headers of each deadly request.
+        deadly: Status, headers and body of each answer to a deadly request.
+        same_path: Path of a deadly request that comes again and again; empty if
+            the deadly ones are those with a part of a prompt.
     """
 
     apps: list[CuttableApp]
@@ -67,6 +70,7 @@
     deadly: list[tuple[int, dict[str, str], bytes]] = field(default_factory=list)
     rng: random.Random = field(default_factory=lambda: random.Random(1))
     number: int = 0
+    same_path: str = ""
 
     def prompt(self, *, deadly: bool) -> str:
         """Return the parts of a prompt; the deadly one stands at any place but last."""
@@ -76,16 +80,24 @@
         parts.append(f"own{self.number}")
         return ",".join(f"{part}:10" for part in parts)
 
+    def request(self, *, deadly: bool) -> dict[str, str]:
+        """Return the path, the method and the headers of a request."""
+        if self.same_path:
+            path = self.same_path if deadly else f"/look/{self.number}"
+            return {"path": path, "method": "GET"}
+        return {
+            "path": "/draft/",
+            "Model": "m1",
+            "Prompt_Prefix": self.prompt(deadly=deadly),
+        }
+
     async def call(self, *, deadly: bool) -> None:
         self.number += 1
-        prefix = self.prompt(deadly=deadly)
+        request = self.request(deadly=deadly)
         site = Harness(None, self.rng.choice(self.apps), self.session)  # type: ignore[arg-type]
         try:
             status, headers, body = await site.call(
-                "/draft/",
-                Model="m1",
-                Attempt_Id=f"c{self.number}",
-                Prompt_Prefix=prefix,
+                **request, Attempt_Id=f"c{self.number}"
             )
         except aiohttp.ClientPayloadError:
             status, headers, body = 0, {}, b""
@@ -107,10 +119,10 @@
 
 @asynccontextmanager
 async def crashing_site(
-    is_deadly: Callable[[web.Request], bool],
+    is_deadly: Callable[[web.Request], bool], *models: str
 ) -> AsyncIterator[tuple[CrashingServers, list[CuttableApp], Callers]]:
-    """Run instances before model servers that crash on certain requests."""
-    pool = CrashingServers(is_deadly, {"m1": []})
+    """Run instances before servers that crash on certain requests."""
+    pool = CrashingServers(is_deadly, {model: [] for model in models})
     servers = [pool.make_server() for _ in range(SERVERS)]
     async with site_of(*servers, store=pool.store) as apps:
         async with aiohttp.ClientSession() as session:
@@ -121,7 +133,7 @@
 async def test_requests_with_one_part_in_their_prompts_crash_one_server_after_another():
     """25 servers crashed, and sound requests were refused until the end of the day."""
     loop = asyncio.get_running_loop()
-    async with crashing_site(has_deadly_part) as (pool, _, callers):
+    async with crashing_site(has_deadly_part, "m1") as (pool, _, callers):
         await callers.send(1.0, deadly_share=0.0)
         assert set(callers.sound) == {200}
         await callers.send(2 * CONTACT_S + 0.7, deadly_share=DEADLY_SHARE)
@@ -136,6 +148,31 @@
         assert callers.sound.count(200) >= SERVED_SHARE * len(callers.sound)
 
 
+async def test_request_that_comes_again_crashes_one_server_after_another():
+    """It was sent 8 times more after three servers had ended under it."""
+    loop = asyncio.get_running_loop()
+    async with crashing_site(lambda request: request.path == "/look/deadly") as (
+        pool,
+        _,
+        callers,
+    ):
+        callers.same_path = "/look/deadly"
+        await callers.send(0.5, deadly_share=0.0)
+        assert set(callers.sound) == {200}
+        await callers.send(CONTACT_S + 4.0, deadly_share=DEADLY_SHARE)
+        times = [at for at, _ in pool.crashes]
+        assert len(times) >= 1
+        last_at = times[min(len(times), REPEATED_CRASHES) - 1]
+        late = [at for at, _ in pool.arrived if at > last_at + CONTACT_S]
+        assert len(late) <= ARRIVALS_ALLOWED
+        assert loop.time() >= last_at + CONTACT_S
+        callers.sound.clear()
+        callers.deadly.clear()
+        await callers.send(1.0, deadly_share=DEADLY_SHARE)
+        assert callers.sound.count(200) >= SERVED_SHARE * len(callers.sound)
+        assert {status for status, _, _ in callers.deadly} == {400}
+
+
 def hold(app: PlatformApp, part: str) -> None:
     """Hold requests with a part of a prompt back."""
     watch = app.dispatcher.crash_watch
