Own interface: hold requests back that crash backend servers

Class as on the platform: harm that a request does is passed on to the next server.

The same decisions are used (crash_watch moves from core/serving to core): an attempt that is lost before any output is suspected once its server takes no connection, is gone or has started anew; leading blocks of the prompt and the whole request with its caller are traits. A held request is refused with 400 held_back and no Retry-After, waiting ones are ended, a held job waits.

--- a/src/wisterialoom/core/requests/attempt_control.py
+++ b/src/wisterialoom/core/requests/attempt_control.py
@@ -143,6 +143,7 @@
         if in_flight is None:
             return []
         in_flight.first_byte = True
+        self.state.crash_guard.record_output(now, in_flight.classified)
         view = self.state.router.views.get(attempt.server)
         if view is not None:
             view.window.first_byte(now, now - in_flight.dispatched_at)
@@ -183,6 +184,7 @@
         if view is None:
             return []
         view.window.end()
+        self.state.crash_guard.record_end(now, in_flight, view, event.result)
         lane = in_flight.classified.lane
         match event.result:
             case AttemptResult.COMPLETED | AttemptResult.SERVER_ERROR:
@@ -239,6 +241,9 @@
             reason = Reason.SERVER_TIMEOUT
         safe = event.result in _SAFE_TO_RETRY
         in_flight.may_have_run |= not safe
+        self.state.crash_guard.decide(now)
+        if self.state.crash_guard.is_held(in_flight.classified):
+            return self.settlement.end_with_refusal(in_flight, refuse(Reason.HELD_BACK))
         if self._may_retry(now, in_flight, safe=safe):
             in_flight.retries.append(reason)
             in_flight.tried |= {event.attempt.server}
--- a/src/wisterialoom/core/requests/in_flight_request.py
+++ b/src/wisterialoom/core/requests/in_flight_request.py
@@ -44,6 +44,7 @@
         timed_out: Whether the attempt was cancelled because of its timeout.
         limit_named: Whether the answer to the attempt names a request rate.
         brittle_named: Whether it says that the server is brittle.
+        on_trial: Whether the request is sent to see whether servers still crash on it.
     """
 
     classified: Classified
@@ -63,6 +64,7 @@
     timed_out: bool = False
     limit_named: bool = False
     brittle_named: bool = False
+    on_trial: bool = False
 
     @property
     def request_id(self) -> str:
--- a/src/wisterialoom/core/requests/path_state.py
+++ b/src/wisterialoom/core/requests/path_state.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from wisterialoom.core.requests.admission import Admission
+from wisterialoom.core.requests.crash_guard import CrashGuard
 from wisterialoom.core.requests.demand_meter import DemandMeter
 from wisterialoom.core.requests.request_queue import RequestQueue
 from wisterialoom.core.requests.retry_budget import RetryBudget
@@ -29,11 +30,12 @@
         router: Views of the backend servers.
         admission: Admission control.
         retry_budget: Budget for retries.
+        crash_guard: Holds requests back that crash servers.
         demand_meter: Demand by model, reported to the planner.
         late_events: Number of events for requests or attempts that had ended.
     """
 
-    def __init__(self, router: Router) -> None:
+    def __init__(self, router: Router, name: str = "") -> None:
         self.classifier: Classifier | None = None
         self.fresh = False
         self.draining = False
@@ -42,5 +44,6 @@
         self.router = router
         self.admission = Admission(self.queue, self.router)
         self.retry_budget = RetryBudget()
+        self.crash_guard = CrashGuard(name)
         self.demand_meter = DemandMeter()
         self.late_events = 0
--- a/src/wisterialoom/core/requests/refusal.py
+++ b/src/wisterialoom/core/requests/refusal.py
@@ -92,6 +92,12 @@
         "No such job of this caller; jobs are kept for a limited time.",
         retry_after_s=None,
     ),
+    Reason.HELD_BACK: _Template(
+        400,
+        "Held back, as backend servers crashed on requests like this one; change it "
+        "before you send it again, or ask the operator.",
+        retry_after_s=None,
+    ),
     Reason.CALLER_GONE: _Template(499, "The caller left before the request was run."),
     Reason.IN_PROGRESS: _Template(
         409,
--- a/src/wisterialoom/core/requests/request.py
+++ b/src/wisterialoom/core/requests/request.py
@@ -68,6 +68,7 @@
     NO_JOB = "no_job"
     JOB_TOO_LARGE = "job_too_large"
     CALLER_GONE = "caller_gone"
+    HELD_BACK = "held_back"
     # Refusals of a request with the idempotency key of an earlier one.
     IN_PROGRESS = "in_progress"
     KEY_UNKNOWN = "key_unknown"
--- a/src/wisterialoom/core/requests/request_path.py
+++ b/src/wisterialoom/core/requests/request_path.py
@@ -56,6 +56,9 @@
 
 __all__ = ["RequestPath"]
 
+HELD_JOB_RETRY_S = 30.0
+"""Time after which a job is tried again that is held back, as servers crash on it."""
+
 DRAIN_QUEUE_TIMEOUT_S = 10.0
 """Time to dispatch waiting requests once the instance is stopping, in seconds."""
 
@@ -106,7 +109,7 @@
         rng: random.Random | None = None,
     ) -> None:
         router = Router(availability_zone, limit_shares=LimitShares(name))
-        super().__init__(router)
+        super().__init__(router, name)
         if policy is not None:
             self.router.policy = policy
         if choice is not None:
@@ -135,7 +138,9 @@
             case ServerNoticed():
                 return self.attempt_control.record_notice(now, event)
             case AttemptEnded():
-                return self.attempt_control.end(now, event) + self._check_drained()
+                outputs = self.attempt_control.end(now, event)
+                outputs += self._end_held(now)
+                return outputs + self._check_drained()
             case CallerGone(request_id=request_id):
                 return self._handle_caller_gone(now, request_id)
             case ClaimGranted() | ClaimHeld() | ClaimFailed():
@@ -155,7 +160,9 @@
             case ConfigFreshness(fresh=fresh):
                 self.fresh = fresh
             case ServersChanged(servers=servers):
+                before = dict(self.router.views)
                 self.router.set_servers(servers)
+                self.crash_guard.record_listed(before, self.router.views.values())
                 return self.attempt_control.dispatch_waiting_to_all(now)
             case LoadReported(load=load):
                 view = self.router.report(now, load)
@@ -221,12 +228,24 @@
         if refusal is not None:
             return self._reject(request, refusal, classified)
         in_flight = InFlightRequest(classified, job=job, answered=job)
+        if self.crash_guard.is_held(classified):
+            in_flight.on_trial = self.crash_guard.begin_trial(now, classified)
+            if not in_flight.on_trial:
+                return self._reject_held(classified, job=job)
         self.in_flight_requests[request.request_id] = in_flight
         self.admission.enter(classified)
         if classified.idempotent:
             return self.attempt_control.dispatch_or_queue(now, in_flight)
         return self._request_claim(in_flight)
 
+    def _reject_held(self, classified: Classified, *, job: bool) -> list[Output]:
+        request = classified.request
+        if job:
+            wait_s = HELD_JOB_RETRY_S
+            ended = JobEnded(request.request_id, Outcome.NOT_RUN, retry_after_s=wait_s)
+            return [ended]
+        return self._reject(request, refuse(Reason.HELD_BACK), classified)
+
     def _refuse_if_not_serving(self) -> Refusal | None:
         if self.draining:
             return refuse(Reason.DRAINING)
@@ -324,8 +343,24 @@
             outputs += self._check_deadlines(now, in_flight)
         outputs += self.attempt_control.dispatch_waiting_to_all(now)
         outputs += self.demand_meter.report(now, self.queue)
+        outputs += self._end_held(now)
         return outputs + self._check_drained()
 
+    def _end_held(self, now: float) -> list[Output]:
+        """End waiting requests that are held back from now on."""
+        outputs: list[Output] = []
+        self.crash_guard.decide(now)
+        if not self.crash_guard.has_new_holds:
+            return outputs
+        self.crash_guard.has_new_holds = False
+        for in_flight in list(self.in_flight_requests.values()):
+            waits = in_flight.stage is not Stage.DISPATCHED
+            if waits and self.crash_guard.is_held(in_flight.classified):
+                outputs += self.settlement.end_with_refusal(
+                    in_flight, refuse(Reason.HELD_BACK)
+                )
+        return outputs
+
     def _check_deadlines(self, now: float, in_flight: InFlightRequest) -> list[Output]:
         if in_flight.stage is Stage.DISPATCHED:
             return self.attempt_control.check_timeout(now, in_flight)
--- a/src/wisterialoom/core/serving/dispatcher.py
+++ b/src/wisterialoom/core/serving/dispatcher.py
@@ -10,10 +10,10 @@
 from typing import TYPE_CHECKING
 
 from wisterialoom.core.brittle_services import BrittleServices
+from wisterialoom.core.crash_watch import CrashWatch
 from wisterialoom.core.request_limit import LimitMemory, LimitShares
 from wisterialoom.core.serving.backend import BackendServer, BackendView
 from wisterialoom.core.serving.capacity_wait import wait_for_capacity
-from wisterialoom.core.serving.crash_watch import CrashWatch
 from wisterialoom.core.serving.forecast import PlacementForecast
 from wisterialoom.core.serving.model_wait import (
     MIN_RUN_S,
--- a/src/wisterialoom/core/serving/way_finder.py
+++ b/src/wisterialoom/core/serving/way_finder.py
@@ -5,8 +5,8 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+from wisterialoom.core.crash_watch import CrashWatch
 from wisterialoom.core.ejection import Ejection
-from wisterialoom.core.serving.crash_watch import CrashWatch
 from wisterialoom.core.serving.helper_choice import HelperChoice
 from wisterialoom.core.serving.request_flow import AttemptVerdict
 from wisterialoom.core.serving.server_path import PathTable
--- a/src/wisterialoom/platform/crash_codec.py
+++ b/src/wisterialoom/platform/crash_codec.py
@@ -5,13 +5,13 @@
 from typing import Any
 
 from wisterialoom.core.crash_suspects import MAX_SUSPECTS, ServerStart, Suspect
-from wisterialoom.core.quarantine import MAX_VERDICTS, Verdict
-from wisterialoom.core.serving.crash_watch import (
+from wisterialoom.core.crash_watch import (
     AnsweredTraits,
     CrashMessage,
     CrashSeen,
     HeldTraits,
 )
+from wisterialoom.core.quarantine import MAX_VERDICTS, Verdict
 
 __all__ = ["CRASH_KINDS", "decode_crash_message", "encode_crash_message"]
 
--- a/src/wisterialoom/platform/crash_exchange.py
+++ b/src/wisterialoom/platform/crash_exchange.py
@@ -8,14 +8,14 @@
 import time
 from typing import TYPE_CHECKING
 
-from wisterialoom.core.serving.crash_watch import HeldTraits, shift
+from wisterialoom.core.crash_watch import HeldTraits, shift
 from wisterialoom.platform._tasks import TaskGroup, wait_for
 from wisterialoom.platform.hints import CrashHint
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from wisterialoom.core.serving.crash_watch import CrashMessage, CrashWatch
+    from wisterialoom.core.crash_watch import CrashMessage, CrashWatch
     from wisterialoom.platform.peers import PeerLink
 
 __all__ = ["CrashExchange"]
--- a/src/wisterialoom/platform/hints.py
+++ b/src/wisterialoom/platform/hints.py
@@ -17,9 +17,9 @@
 from wisterialoom.core.placement.fleet_demand import DemandReport
 
 if TYPE_CHECKING:
+    from wisterialoom.core.crash_watch import CrashMessage
     from wisterialoom.core.fleet import Revision, TableEntry
     from wisterialoom.core.placement.placement_table import ServerPlacement
-    from wisterialoom.core.serving.crash_watch import CrashMessage
 
 __all__ = [
     "BrittleRejection",
--- a/tests/crash_model.py
+++ b/tests/crash_model.py
@@ -14,12 +14,12 @@
 from typing import TYPE_CHECKING
 
 from wisterialoom.core.crash_suspects import ServerStart
-from wisterialoom.core.serving.crash_watch import CrashWatch
+from wisterialoom.core.crash_watch import CrashWatch
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
-    from wisterialoom.core.serving.crash_watch import CrashMessage
+    from wisterialoom.core.crash_watch import CrashMessage
 
 __all__ = ["Load", "Model", "Outcome"]
 
--- a/tests/platform/test_wire.py
+++ b/tests/platform/test_wire.py
@@ -16,15 +16,15 @@
 from tests.platform.fakes import config
 from tests.ports import free_port
 from wisterialoom.core.crash_suspects import ServerStart, Suspect
-from wisterialoom.core.fleet import LinkClass
-from wisterialoom.core.placement.fleet_demand import DemandReport
-from wisterialoom.core.placement.placement_table import ServerPlacement
-from wisterialoom.core.quarantine import Verdict
-from wisterialoom.core.serving.crash_watch import (
+from wisterialoom.core.crash_watch import (
     AnsweredTraits,
     CrashSeen,
     HeldTraits,
 )
+from wisterialoom.core.fleet import LinkClass
+from wisterialoom.core.placement.fleet_demand import DemandReport
+from wisterialoom.core.placement.placement_table import ServerPlacement
+from wisterialoom.core.quarantine import Verdict
 from wisterialoom.platform.decode import (
     decode_deployment,
     decode_server,
--- a/tests/test_crash_watch.py
+++ b/tests/test_crash_watch.py
@@ -9,14 +9,14 @@
 
 from tests.crash_model import Load, Model
 from wisterialoom.core.crash_suspects import MAX_ANSWERED, ServerStart
-from wisterialoom.core.quarantine import TRIALS_AFTER_S
-from wisterialoom.core.serving.crash_watch import (
+from wisterialoom.core.crash_watch import (
     AnsweredTraits,
     CrashSeen,
     CrashWatch,
     HeldTraits,
     LOSS_MEMORY_S,
 )
+from wisterialoom.core.quarantine import TRIALS_AFTER_S
 
 CONTACT_S = 3.0
 CRASHES_ALLOWED = 5
