--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -3,16 +3,24 @@
 from __future__ import annotations
 
 import asyncio
+import io
 import logging
+import subprocess
+import tarfile
 import tempfile
 import time
+from functools import partial
 from pathlib import Path
+from typing import TYPE_CHECKING
 
 import click
 
 from tests.processes import reload_signal_ignored
 from tests.soak.faults import draw_faults
-from tests.soak.soak_run import SoakRun
+from tests.soak.soak_run import ROOT, SoakRun
+
+if TYPE_CHECKING:
+    from collections.abc import Awaitable, Callable
 
 
 @click.command()
@@ -34,6 +42,11 @@
     default=True,
     help="Whether faults also hit all instances with a role.",
 )
+@click.option(
+    "--old",
+    default="",
+    help="Commit that the instances run at first; each start changes the build.",
+)
 def main(
     first: int | None,
     seeds: int,
@@ -42,6 +55,7 @@
     *,
     restores: bool,
     roles: bool,
+    old: str,
 ) -> None:
     """Run seeds and print the violated promises; logs are written to `--keep`."""
     # The fake servers log an error for each connection that a fault closes.
@@ -49,34 +63,47 @@
     first_seed = int(time.time()) if first is None else first
     folder = keep or Path(tempfile.mkdtemp(prefix="soak-"))
     chosen = range(first_seed, first_seed + seeds)
+    run = partial(
+        _run_seed,
+        slots=asyncio.Semaphore(jobs),
+        folder=folder,
+        restores=restores,
+        roles=roles,
+        old_build=_export(old, folder / "old") if old else None,
+    )
     with reload_signal_ignored():
-        failed = asyncio.run(
-            _run_all(chosen, jobs, folder, restores=restores, roles=roles)
-        )
+        failed = asyncio.run(_run_all(run, chosen))
     click.echo(f"{seeds} seeds from {first_seed}, {failed} failed, logs in {folder}")
     raise SystemExit(1 if failed else 0)
 
 
-async def _run_all(
-    seeds: range, jobs: int, folder: Path, *, restores: bool, roles: bool
-) -> int:
-    slots = asyncio.Semaphore(jobs)
-    results = await asyncio.gather(
-        *(
-            _run_seed(seed, slots, folder, restores=restores, roles=roles)
-            for seed in seeds
-        )
-    )
-    return sum(results)
+def _export(commit: str, folder: Path) -> Path:
+    """Write the sources of a commit to a folder, and return that."""
+    command = ["git", "-C", str(ROOT), "archive", commit, "src", "deploy"]
+    archive = subprocess.run(command, check=True, capture_output=True).stdout
+    with tarfile.open(fileobj=io.BytesIO(archive)) as packed:
+        packed.extractall(folder, filter="data")
+    return folder
+
+
+async def _run_all(run: Callable[[int], Awaitable[bool]], seeds: range) -> int:
+    return sum(await asyncio.gather(*(run(seed) for seed in seeds)))
 
 
 async def _run_seed(
-    seed: int, slots: asyncio.Semaphore, folder: Path, *, restores: bool, roles: bool
-) -> int:
+    seed: int,
+    *,
+    slots: asyncio.Semaphore,
+    folder: Path,
+    restores: bool,
+    roles: bool,
+    old_build: Path | None,
+) -> bool:
     async with slots:
         logs = folder / str(seed)
         logs.mkdir(parents=True)
-        checker = await SoakRun(seed, logs, restores=restores, roles=roles).run()
+        run = SoakRun(seed, logs, restores=restores, roles=roles, old_build=old_build)
+        checker = await run.run()
         answers = {name: checker.answers[name] for name in sorted(checker.answers)}
         click.echo(
             f"seed {seed}: {'FAILED' if checker.violations else 'passed'} {answers}"
--- a/tests/soak/soak_run.py
+++ b/tests/soak/soak_run.py
@@ -84,9 +84,16 @@
 
 
 class Instance:
-    """One instance process, with a proxy of its own in front of the store."""
+    """One instance process, with a proxy of its own in front of the store.
 
-    def __init__(self, number: int, store: str, ip: str, folder: Path) -> None:
+    Attributes:
+        builds: Checkouts to run from; each start takes the next one in turn.
+    """
+
+    def __init__(
+        self, number: int, store: str, ip: str, folder: Path, builds: tuple[Path, ...]
+    ) -> None:
+        self.builds = itertools.cycle(builds)
         self.ip = ip
         self.proxy = FaultProxy(store)
         self.number = number
@@ -108,7 +115,7 @@
         with self.log.open("ab") as log:
             self.process = await asyncio.create_subprocess_exec(
                 sys.executable,
-                str(ROOT / "deploy" / "run_instance.py"),
+                str(next(self.builds) / "deploy" / "run_instance.py"),
                 env={**os.environ, "WISTERIALOOM_CONFIG": str(self.path)},
                 stdout=log,
                 stderr=log,
@@ -141,6 +148,7 @@
         retired: Servers that were replaced, with their proxies.
         fault_counts: Number of faults injected into each proxy.
         restores: Whether the store is also restored from copies.
+        builds: Checkouts that the instances run from, in turn.
         roles: Whether faults also hit all instances with a role.
         view_ages: Checks the age of the instances' views.
         copies: Copies of the store with the times at which they were made.
@@ -154,8 +162,10 @@
         *,
         restores: bool = False,
         roles: bool = False,
+        old_build: Path | None = None,
     ) -> None:
         self.seed = seed
+        self.builds = (ROOT,) if old_build is None else (old_build, ROOT)
         self.roles = roles
         self.view_ages = ViewAges()
         self.restores = restores
@@ -180,7 +190,9 @@
         for number in range(faults.MODEL_SERVERS + faults.PLAIN_SERVERS):
             await self.add_server(number)
         for number, ip in enumerate(addresses()[: faults.INSTANCES]):
-            instance = Instance(number, self.store.address, ip, self.folder)
+            instance = Instance(
+                number, self.store.address, ip, self.folder, self.builds
+            )
             await instance.proxy.start()
             await instance.start()
             self.instances.append(instance)
