Probe a server at once that has started again under its id

Requests took the way through other instances, or none, for up to 2 s after a crashed server was listed as started again under its old id: the path to it had long been lost, so it was probed in long intervals only. A new start is news about the path as well. The tests failed before.

--- a/src/wisterialoom/core/serving/dispatcher.py
+++ b/src/wisterialoom/core/serving/dispatcher.py
@@ -118,6 +118,7 @@
         if view is None or view.server.started_ms != server.started_ms:
             if view is not None:
                 self.crash_watch.record_gone(view.start)
+                self.ways.paths.record_restarted(server_id)
             view = BackendView(server)
             view.leaving = self.leaving.get(server_id) == server.started_ms
             view.limit = self.limits.limit_of(
--- a/src/wisterialoom/core/serving/server_path.py
+++ b/src/wisterialoom/core/serving/server_path.py
@@ -151,6 +151,12 @@
             self._check_service(now, service, list(listed))
         return path.lost and not was_lost
 
+    def record_restarted(self, server_id: str) -> None:
+        """Probe a lost path at once, as its server is listed as started again."""
+        path = self.paths.get(server_id)
+        if path is not None and path.probe_at is not None:
+            path.probe_at = float("-inf")
+
     def record_doubt(self, now: float, server_id: str, service: str) -> None:
         """Record a connection that broke or fell silent; a probe follows."""
         path = self.paths.setdefault(server_id, ServerPath(service))
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -361,3 +361,13 @@
     d.record_loads(0.0, {"m0": 4.0})
     f = flow(model="m0", adapter="a1", answer_deadline=12.0, first_output_deadline=2.4)
     assert isinstance(d.next_step(0.0, f), Wait)
+
+
+def test_path_to_a_server_that_has_started_again_is_probed_at_once():
+    d = make(server("s1"), server("s2"))
+    for number in range(30):
+        d.ways.record_not_opened(number * 1.0, d.views["s1"])
+    assert not d.ways.is_direct(d.views["s1"])
+    assert "s1" not in d.ways.paths.take_probes(29.0)
+    d.set_servers({"s1": server("s1", started_ms=2), "s2": server("s2")})
+    assert "s1" in d.ways.paths.take_probes(29.0)
--- a/tests/test_server_path.py
+++ b/tests/test_server_path.py
@@ -48,3 +48,18 @@
     lose_service(paths, listed)
     paths.set_servers({"i-3": "scribe"})
     assert paths.take_probes(3.0) == ["i-3"]
+
+
+def test_server_that_starts_again_under_its_id_is_probed_at_once():
+    """It was probed every 2 s only, as it had been down for a while."""
+    paths = PathTable()
+    now = 0.0
+    while now < 10.0:
+        for server_id in paths.take_probes(now) or (["i-0"] if not now else []):
+            paths.end_probe(server_id)
+            paths.record_failed(now, server_id, "scribe", listed=("i-0", "i-1"))
+        now += 0.1
+    assert "i-0" not in paths.take_probes(now)
+    paths.record_restarted("i-0")
+    assert "i-0" in paths.take_probes(now)
+    paths.record_restarted("i-9")
