--- a/tests/platform/test_app.py
+++ b/tests/platform/test_app.py
@@ -5,8 +5,6 @@
 import asyncio
 import gc
 import os
-import socket
-import struct
 import time
 from contextlib import asynccontextmanager
 from dataclasses import dataclass
@@ -16,6 +14,7 @@
 import aiohttp
 import pytest
 
+from tests import raw_answers
 from tests.platform.fakes import (
     config,
     FakeModelServer,
@@ -575,10 +574,7 @@
         writer.write(b"HTTP/1.1 200 OK\r\nResponse-Stamp: s\r\n\r\nhalf")
         if reset:
             await asyncio.sleep(0.05)
-            raw = writer.get_extra_info("socket")
-            linger = struct.pack("ii", 1, 0)
-            raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
-            writer.transport.abort()
+            raw_answers.reset(writer)
         writer.close()
 
     listener = await asyncio.start_server(answer_once, "127.0.0.1", 0)
--- a/tests/platform/test_unframed_answers.py
+++ b/tests/platform/test_unframed_answers.py
@@ -3,14 +3,13 @@
 from __future__ import annotations
 
 import asyncio
-import socket
-import struct
 from contextlib import asynccontextmanager
 from typing import TYPE_CHECKING
 
 import aiohttp
 import pytest
 
+from tests import raw_answers
 from tests.platform.fakes import FakeModelServer, FakePlainServer
 from tests.platform.test_app import harness, wait_until
 from tests.platform.test_lost_paths import lost_site
@@ -50,10 +49,7 @@
         writer.write(data)
         await asyncio.sleep(0.05)
         if reset:
-            raw = writer.get_extra_info("socket")
-            linger = struct.pack("ii", 1, 0)
-            raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
-            writer.transport.abort()
+            raw_answers.reset(writer)
         writer.close()
 
     listener = await asyncio.start_server(answer, "127.0.0.1", 0)
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -2,8 +2,6 @@
 
 import asyncio
 import contextlib
-import socket
-import struct
 from types import SimpleNamespace
 
 import aiohttp
@@ -11,6 +9,7 @@
 import pytest
 from aiohttp import web
 
+from tests import raw_answers
 from wisterialoom.core.requests.request import Attempt, AttemptResult, ServerNoticed
 from wisterialoom.demo import DEMO_API_KEY, open_demo
 from wisterialoom.http.dispatcher import open_session
@@ -135,10 +134,7 @@
         writer.write(b"HTTP/1.1 200 OK\r\n\r\nhalf")
         await asyncio.sleep(0.05)
         if reset:
-            raw = writer.get_extra_info("socket")
-            linger = struct.pack("ii", 1, 0)
-            raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
-            writer.transport.abort()
+            raw_answers.reset(writer)
         writer.close()
 
     listener = await asyncio.start_server(answer, "127.0.0.1", 0)
