Tell crashes and verdicts by few instances, and losses together

Found when reading the change: each instance that heard a verdict told it to all others once more, which is 38,000 datagrams for one verdict at 195 instances, and each request that was lost at a server known to be down was told to all by itself, twice. No caller saw it; at the large site it would have cost the links of 10 Mbit/s.

A verdict that was heard is not told again (copies in turn carry it to who lacks it), one that all come to is told after a short random delay by few, and what is lost at a crashed server is told with the next decision. A message holds 64 traits at most, as its reader accepts no more than 256.

--- a/src/wisterialoom/core/crash_watch.py
+++ b/src/wisterialoom/core/crash_watch.py
@@ -68,6 +68,9 @@
 
 MAX_LOSSES = 64
 
+MAX_TOLD = 64
+"""Traits in one message; further ones follow with the next."""
+
 
 @dataclass(frozen=True, slots=True)
 class CrashSeen:
@@ -141,7 +144,8 @@
         losses: Attempts that were lost at servers that may be down.
         outbox: Messages to all instances, with the time at which each is due.
         answers: Times at which answered traits are due to be told.
-        gone: Servers with losses that are no longer listed.
+        untold: Times at which verdicts are due to be told.
+        down: Servers with losses that are known to be down.
         wake: Called when there is something to decide or to tell.
         undecided_until: Monotonic time until which the latest crash may change what is
             held.
@@ -156,7 +160,8 @@
     losses: dict[ServerStart, Crash] = field(default_factory=dict)
     outbox: list[tuple[float, CrashMessage]] = field(default_factory=list)
     answers: dict[str, float] = field(default_factory=dict)
-    gone: list[ServerStart] = field(default_factory=list)
+    untold: dict[str, float] = field(default_factory=dict)
+    down: set[ServerStart] = field(default_factory=set)
     wake: Callable[[], None] = lambda: None
     undecided_until: float = float("-inf")
     crash_count: int = 0
@@ -164,7 +169,8 @@
 
     def pause_s(self, now: float) -> float | None:
         """Return the time until the next decision; `None` if none is needed."""
-        if self.outbox or self.answers or now < self.undecided_until:
+        due = self.outbox or self.answers or self.untold
+        if due or now < self.undecided_until:
             return DECIDE_INTERVAL_S
         return IDLE_INTERVAL_S if self.quarantine.entries else None
 
@@ -174,7 +180,7 @@
         """Record that a server has begun to answer a request."""
         cleared = self.suspects.record_answered(now, traits)
         for trait in traits:
-            self.quarantine.release(now, trait)
+            self._release(now, trait)
         self._plan_answers(now, cleared)
 
     def record_loss(
@@ -191,26 +197,16 @@
         suspects = {
             trait: Suspect(depth, sent_at) for depth, trait in enumerate(traits)
         }
-        known = self.suspects.crashes.get(start)
-        if known is not None:
-            self._tell_crash(now, CrashSeen(start, known.at, suspects))
-            return
-        loss = self.losses.setdefault(start, Crash(now))
-        loss.add(suspects)
+        self.losses.setdefault(start, Crash(now)).add(suspects)
+        if start in self.suspects.crashes:
+            self._set_down(start)
         while len(self.losses) > MAX_LOSSES:
             del self.losses[next(iter(self.losses))]
 
-    def record_down(self, now: float, start: ServerStart) -> None:
-        """Record that a server is down, or has started again."""
-        loss = self.losses.pop(start, None)
-        if loss is not None and now - loss.at <= LOSS_MEMORY_S:
-            self._tell_crash(now, CrashSeen(start, loss.at, loss.suspects))
-
-    def record_gone(self, start: ServerStart) -> None:
-        """Record that a server is no longer listed, or is listed as started again."""
+    def record_down(self, start: ServerStart) -> None:
+        """Record that a server is down, no longer listed, or has started again."""
         if start in self.losses:
-            self.gone.append(start)
-            self.wake()
+            self._set_down(start)
 
     # What other instances tell.
 
@@ -219,29 +215,29 @@
         match message:
             case CrashSeen():
                 self._record_crash(now, message)
-                loss = self.losses.pop(message.start, None)
-                if loss is not None:
-                    seen = CrashSeen(message.start, loss.at, loss.suspects)
-                    self._tell_crash(now, seen)
+                self.record_down(message.start)
                 self._plan_answers(now, self._answered_since(now, message))
             case AnsweredTraits(times=times):
                 for trait, at in times.items():
                     self.suspects.record_answered(min(at, now), [trait])
                     self.answers.pop(trait, None)
             case HeldTraits(verdicts=verdicts):
-                self.quarantine.merge(now, verdicts)
-                for trait in verdicts:
+                for trait in self.quarantine.merge(now, verdicts):
                     answered_at = self.suspects.answered_at.get(trait, float("-inf"))
                     if now - answered_at < RECENTLY_ANSWERED_S:
-                        self.quarantine.release(now, trait)
+                        self._release(now, trait)
+                for trait, verdict in self.quarantine.verdicts(verdicts).items():
+                    if verdict.order <= verdicts[trait].order:
+                        # Another instance has told the same.
+                        self.untold.pop(trait, None)
 
     # Decisions.
 
     def decide(self, now: float) -> list[Explanation]:
         """Hold back what explains crashes; return what is held from now on."""
-        for start in self.gone:
-            self.record_down(now, start)
-        self.gone.clear()
+        for start in self.down:
+            self._tell_losses(now, start)
+        self.down.clear()
         for start, loss in list(self.losses.items()):
             if now - loss.at > LOSS_MEMORY_S:
                 del self.losses[start]
@@ -261,12 +257,16 @@
                 and crashes <= explained
             ):
                 # Another trait explains all that this one was held for, and more.
-                self.quarantine.release(now, trait)
-        return [
+                self._release(now, trait)
+        held = [
             item
             for item in found
             if self.quarantine.hold(now, item.trait, was_answered=not item.is_new)
         ]
+        for item in held:
+            # All instances come to the same verdict; few tell it.
+            self.untold[item.trait] = now + self._draw_delay_s()
+        return held
 
     def begin_trial(self, now: float, trait: str) -> bool:
         """Return whether one request with a held trait is to be sent now.
@@ -280,24 +280,25 @@
         if not self.quarantine.trial_due(now - turn_s, trait):
             return False
         self.quarantine.begin_trial(now, trait)
+        self.untold[trait] = now
+        self.wake()
         return True
 
     def take_messages(self, now: float) -> list[CrashMessage]:
         """Return what is due to be told to all other instances."""
         due = [message for at, message in self.outbox if at <= now]
         self.outbox = [(at, message) for at, message in self.outbox if at > now]
-        told = [trait for trait, at in self.answers.items() if at <= now]
-        if told:
-            answered_at = self.suspects.answered_at
-            times = {
-                trait: answered_at[trait] for trait in told if trait in answered_at
-            }
-            due.append(AnsweredTraits(times))
-            for trait in told:
-                del self.answers[trait]
-        if self.quarantine.changed:
-            due.append(HeldTraits(self.quarantine.verdicts(self.quarantine.changed)))
-            self.quarantine.changed.clear()
+        answered_at = self.suspects.answered_at
+        answered = [
+            trait for trait in _take_due(self.answers, now) if trait in answered_at
+        ]
+        if answered:
+            due.append(
+                AnsweredTraits({trait: answered_at[trait] for trait in answered})
+            )
+        verdicts = self.quarantine.verdicts(_take_due(self.untold, now))
+        if verdicts:
+            due.append(HeldTraits(verdicts))
         return due
 
     # Helpers.
@@ -308,11 +309,24 @@
             self.crash_count += 1
         self.suspects.record_crash(seen.at, seen.start, seen.suspects)
 
-    def _tell_crash(self, now: float, seen: CrashSeen) -> None:
-        self._record_crash(now, seen)
+    def _set_down(self, start: ServerStart) -> None:
+        """Let the next decision tell what was lost at a server, all at once."""
+        self.down.add(start)
         self.wake()
+
+    def _tell_losses(self, now: float, start: ServerStart) -> None:
+        loss = self.losses.pop(start, None)
+        if loss is None or now - loss.at > LOSS_MEMORY_S:
+            return
+        seen = CrashSeen(start, loss.at, loss.suspects)
+        self._record_crash(now, seen)
         self.outbox += [(now, seen), (now + RESEND_S, seen)]
 
+    def _release(self, now: float, trait: str) -> None:
+        if self.quarantine.release(now, trait):
+            self.untold[trait] = now
+            self.wake()
+
     def _answered_since(self, now: float, seen: CrashSeen) -> list[str]:
         """Return suspects of a crash that this instance knows to be answered."""
         answered_at = self.suspects.answered_at
@@ -325,10 +339,20 @@
     def _plan_answers(self, now: float, traits: Iterable[str]) -> None:
         """Tell soon that traits were answered, unless another instance does first."""
         for trait in traits:
-            delay_s = self.rng.uniform(0.0, self._answer_spread_s)
-            self.answers.setdefault(trait, now + delay_s)
+            self.answers.setdefault(trait, now + self._draw_delay_s())
             self.wake()
 
+    def _draw_delay_s(self) -> float:
+        return self.rng.uniform(0.0, self._answer_spread_s)
+
     @property
     def _answer_spread_s(self) -> float:
         return min(MAX_ANSWER_SPREAD_S, ANSWER_SPREAD_S * len(self.instances))
+
+
+def _take_due(times: dict[str, float], now: float) -> list[str]:
+    """Remove what is due from a table of times, as far as it fits into a message."""
+    due = [trait for trait, at in times.items() if at <= now][:MAX_TOLD]
+    for trait in due:
+        del times[trait]
+    return due
--- a/src/wisterialoom/core/quarantine.py
+++ b/src/wisterialoom/core/quarantine.py
@@ -76,12 +76,12 @@
     Attributes:
         entries: Verdict by trait.
         held_count: Number of traits that are held.
-        changed: Traits whose verdict has changed, to be told to other instances.
+        revision: Increases with each change.
     """
 
     entries: dict[str, _Entry] = field(default_factory=dict)
     held_count: int = 0
-    changed: set[str] = field(default_factory=set)
+    revision: int = 0
 
     def held_trait(self, traits: Iterable[str]) -> str | None:
         """Return a trait for which a request is held back; `None` if it is not."""
@@ -136,7 +136,10 @@
         self._set(now, trait, tried)
 
     def expire(self, now: float) -> None:
-        """End holds that are over, and forget those that ended long ago."""
+        """End holds that are over, and forget those that ended long ago.
+
+        Each instance does so by itself.
+        """
         for trait, entry in list(self.entries.items()):
             age_s = now - entry.since
             if entry.verdict.held and age_s >= HOLD_S:
@@ -159,7 +162,7 @@
 
     def _set(self, now: float, trait: str, verdict: Verdict) -> None:
         self.entries[trait] = _Entry(verdict, now)
-        self.changed.add(trait)
+        self.revision += 1
         while len(self.entries) > MAX_VERDICTS:
             oldest = min(
                 self.entries,
--- a/src/wisterialoom/core/requests/crash_guard.py
+++ b/src/wisterialoom/core/requests/crash_guard.py
@@ -64,7 +64,7 @@
             case AttemptResult.COMPLETED | AttemptResult.SERVER_ERROR:
                 self.record_output(now, in_flight.classified)
             case AttemptResult.NOT_SENT:
-                self.watch.record_down(now, start)
+                self.watch.record_down(start)
             case AttemptResult.LOST:
                 if in_flight.first_byte or in_flight.timed_out or view.closed:
                     return
@@ -83,7 +83,7 @@
         remaining = {_start(view) for view in now_listed if not view.closed}
         for view in before.values():
             if _start(view) not in remaining:
-                self.watch.record_gone(_start(view))
+                self.watch.record_down(_start(view))
 
     def decide(self, now: float) -> None:
         """Decide what is held back."""
--- a/src/wisterialoom/core/serving/dispatcher.py
+++ b/src/wisterialoom/core/serving/dispatcher.py
@@ -105,7 +105,7 @@
         changed = False
         for server_id in list(self.views):
             if server_id not in servers:
-                self.crash_watch.record_gone(self.views.pop(server_id).start)
+                self.crash_watch.record_down(self.views.pop(server_id).start)
                 changed = True
         for server_id, server in servers.items():
             changed |= self.set_server(server_id, server)
@@ -117,7 +117,7 @@
         view = self.views.get(server_id)
         if view is None or view.server.started_ms != server.started_ms:
             if view is not None:
-                self.crash_watch.record_gone(view.start)
+                self.crash_watch.record_down(view.start)
                 self.ways.paths.record_restarted(server_id)
             view = BackendView(server)
             view.leaving = self.leaving.get(server_id) == server.started_ms
--- a/src/wisterialoom/core/serving/way_finder.py
+++ b/src/wisterialoom/core/serving/way_finder.py
@@ -99,7 +99,7 @@
         may have been the path all along. The server may as well be gone, so a single
         request is sent the other way until one is answered.
         """
-        self.crash_watch.record_down(now, view.start)
+        self.crash_watch.record_down(view.start)
         service = view.server.service
         known_lost = self.paths.lost_services()
         listed = [
--- a/src/wisterialoom/platform/crash_exchange.py
+++ b/src/wisterialoom/platform/crash_exchange.py
@@ -44,6 +44,7 @@
         watch: Decides which requests are held back.
         held_changed: Called when other requests than before are held back.
         wake_event: Set when there is something to tell or to decide.
+        known_revision: Revision of what is held back at the last decision.
         copied_at: Monotonic time of the last copies.
         turns: Counts the copies, to choose who gets the next ones.
         tasks: The task that sends messages.
@@ -61,6 +62,7 @@
         self.watch = watch
         self.held_changed = held_changed
         self.wake_event = asyncio.Event()
+        self.known_revision = 0
         self.copied_at = float("-inf")
         self.turns = itertools.count()
         self.tasks = TaskGroup()
@@ -109,7 +111,8 @@
             known = before.get(trait)
             if known is not None and known.held and not verdict.held:
                 logger.info("requests no longer held back", extra={"trait": trait})
-        if self.watch.quarantine.changed:
+        if self.watch.quarantine.revision != self.known_revision:
+            self.known_revision = self.watch.quarantine.revision
             self.held_changed()
 
     def _tell(self, now: float, message: CrashMessage, addresses: list[str]) -> None:
--- a/tests/crash_model.py
+++ b/tests/crash_model.py
@@ -236,7 +236,7 @@
         self._after(DOWN_S * self.rng.uniform(0.9, 1.1), lambda: self._replace(server))
 
     def _record_down(self, number: int, server: _Server) -> None:
-        self.watches[number].record_down(self.now, server.start)
+        self.watches[number].record_down(server.start)
         self._decide(number)
 
     def _replace(self, server: _Server) -> None:
--- a/tests/test_crash_watch.py
+++ b/tests/test_crash_watch.py
@@ -115,7 +115,7 @@
     """Lose an attempt at a server that turns out to be down."""
     start = ServerStart(server, 1)
     watch.record_loss(now, start, now - 0.05, traits)
-    watch.record_down(now + 0.01, start)
+    watch.record_down(start)
 
 
 def hold(watch: CrashWatch, now: float, trait: str) -> None:
@@ -131,7 +131,8 @@
         watch.record_loss(number * 1.0, start, number - 0.1, ("t",))
     assert watch.decide(5.0) == []
     # The news that one is down comes too late to have been the reason.
-    watch.record_down(4.0 + LOSS_MEMORY_S + 0.1, ServerStart("i-4", 1))
+    watch.record_down(ServerStart("i-4", 1))
+    watch.decide(4.0 + LOSS_MEMORY_S + 0.1)
     assert watch.take_messages(100.0) == []
 
 
@@ -139,8 +140,10 @@
     first, second = CrashWatch("a"), CrashWatch("b")
     lose(first, 1.0, "i-1", "t")
     second.record_loss(1.001, ServerStart("i-1", 1), 0.9, ("u",))
+    first.decide(1.02)
     for message in first.take_messages(1.02):
         second.handle(1.03, message)
+    second.decide(1.03)
     told = second.take_messages(1.03)
     assert [set(x.suspects) for x in told if isinstance(x, CrashSeen)] == [{"u"}]
 
@@ -148,6 +151,7 @@
 def test_crash_is_told_twice_as_datagrams_are_lost():
     watch = CrashWatch("a")
     lose(watch, 1.0, "i-1", "t")
+    watch.decide(1.1)
     assert len(watch.take_messages(1.1)) == 1
     assert len(watch.take_messages(2.0)) == 1
     assert watch.take_messages(3.0) == []
@@ -194,6 +198,7 @@
     for watch in watches:
         watch.record_output(0.9, ("all",))
     lose(watches[0], 1.0, "i-1", "all")
+    watches[0].decide(1.02)
     seen = next(x for x in watches[0].take_messages(1.02) if isinstance(x, CrashSeen))
     for watch in watches[1:]:
         watch.handle(1.01, seen)
@@ -208,3 +213,44 @@
                 for other in watches:
                     other.handle(now, message)
     assert told < 5
+
+
+def test_verdict_that_all_instances_reach_is_told_by_few():
+    """Each told it to all, also when it had only heard it."""
+    names = frozenset(f"i{number}" for number in range(100))
+    watches = [CrashWatch(name, names) for name in sorted(names)]
+    crashes = []
+    for number in range(3):
+        lose(watches[0], 1.0 + number, f"i-{number}", "t")
+        watches[0].decide(1.1 + number)
+        crashes += watches[0].take_messages(1.1 + number)
+    for watch in watches[1:]:
+        for message in crashes:
+            watch.handle(3.2, message)
+    told, now = 0, 3.2
+    while now < 3.6:
+        now += 0.001
+        for watch in watches:
+            watch.decide(now)
+            for message in watch.take_messages(now):
+                if isinstance(message, HeldTraits):
+                    told += 1
+                    for other in watches:
+                        other.handle(now, message)
+    assert all(watch.quarantine.is_held("t") for watch in watches)
+    assert told < 5
+
+
+def test_losses_at_a_crashed_server_are_told_together():
+    """Each of them was told to all instances by itself."""
+    watch = CrashWatch("a")
+    lose(watch, 1.0, "i-1", "t0")
+    watch.decide(1.02)
+    watch.take_messages(2.0)
+    for number in range(1, 40):
+        watch.record_loss(1.03, ServerStart("i-1", 1), 0.9, (f"t{number}",))
+    watch.decide(1.04)
+    told = watch.take_messages(1.04)
+    assert len(told) == 1
+    assert isinstance(told[0], CrashSeen)
+    assert len(told[0].suspects) == 39
