--- a/src/wisterialoom/core/crash_suspects.py
+++ b/src/wisterialoom/core/crash_suspects.py
@@ -205,8 +205,8 @@
 
         Args:
             now: Monotonic time.
-            settle_s: Time after a crash within which all instances have told what was
-                answered; the first crash that a trait explains must be as old.
+            settle_s: Time after a crash within which all instances have reported
+                what was answered; the first crash that a trait explains must be as old.
         """
         open_crashes = dict(self.crashes)
         found: list[Explanation] = []
--- a/src/wisterialoom/core/crash_watch.py
+++ b/src/wisterialoom/core/crash_watch.py
@@ -1,8 +1,8 @@
 """Decides which requests crash servers, together with all other instances.
 
 An attempt that is lost before any output is suspected once its server turns out to be
-down. Each instance tells the others what it had in progress there, and what it saw
-answered; all come to the same verdicts, and tell each other those as well.
+down. Each instance reports to the others what it had in progress there, and what it saw
+answered; all come to the same verdicts, and report those to each other as well.
 """
 
 from __future__ import annotations
@@ -44,21 +44,21 @@
 """Time after a crash within which all messages about it arrive."""
 
 LOSS_MEMORY_S = 5.0
-"""Time for which a lost attempt waits for the news that its server is down."""
+"""Time for which a lost attempt is kept in case its server turns out to be down."""
 
 RESEND_S = 0.3
-"""Time after which a crash is told once more, as messages can be lost."""
+"""Time after which a crash is reported once more, as messages can be lost."""
 
 ANSWER_MEMORY_S = 60.0
-"""Age up to which an answer is told after a crash."""
+"""Age up to which an answer is reported after a crash."""
 
 ANSWER_SPREAD_S = 0.001
-"""Delay for each instance over which answers are told, so that few tell the same."""
+"""Time for each instance over which reports are spread, so that few repeat it."""
 
 MAX_ANSWER_SPREAD_S = 0.1
 
 ROUND_TRIP_S = 0.03
-"""Time in which all instances hear of a crash and can answer."""
+"""Time in which a report reaches all instances, and theirs this one."""
 
 RECENTLY_ANSWERED_S = 1.0
 """Age up to which an answer contradicts a hold that another instance decided."""
@@ -68,7 +68,7 @@
 
 MAX_LOSSES = 64
 
-MAX_TOLD = 64
+MAX_REPORTED = 64
 """Traits in one message; further ones follow with the next."""
 
 
@@ -143,10 +143,10 @@
         quarantine: What is held back.
         losses: Attempts that were lost at servers that may be down.
         outbox: Messages to all instances, with the time at which each is due.
-        answers: Times at which answered traits are due to be told.
-        untold: Times at which verdicts are due to be told.
+        answers: Times at which answered traits are due to be reported.
+        unreported: Times at which verdicts are due to be reported.
         down: Servers with losses that are known to be down.
-        wake: Called when there is something to decide or to tell.
+        wake: Called when there is something to decide or to report.
         undecided_until: Monotonic time until which the latest crash may change what is
             held.
         crash_count: Crashes that were seen since the start.
@@ -160,7 +160,7 @@
     losses: dict[ServerStart, Crash] = field(default_factory=dict)
     outbox: list[tuple[float, CrashMessage]] = field(default_factory=list)
     answers: dict[str, float] = field(default_factory=dict)
-    untold: dict[str, float] = field(default_factory=dict)
+    unreported: dict[str, float] = field(default_factory=dict)
     down: set[ServerStart] = field(default_factory=set)
     wake: Callable[[], None] = lambda: None
     undecided_until: float = float("-inf")
@@ -169,7 +169,7 @@
 
     def pause_s(self, now: float) -> float | None:
         """Return the time until the next decision; `None` if none is needed."""
-        due = self.outbox or self.answers or self.untold
+        due = self.outbox or self.answers or self.unreported
         if due or now < self.undecided_until:
             return DECIDE_INTERVAL_S
         return IDLE_INTERVAL_S if self.quarantine.entries else None
@@ -208,7 +208,7 @@
         if start in self.losses:
             self._set_down(start)
 
-    # What other instances tell.
+    # What other instances report.
 
     def handle(self, now: float, message: CrashMessage) -> None:
         """Handle a message of another instance."""
@@ -228,15 +228,15 @@
                         self._release(now, trait)
                 for trait, verdict in self.quarantine.verdicts(verdicts).items():
                     if verdict.order <= verdicts[trait].order:
-                        # Another instance has told the same.
-                        self.untold.pop(trait, None)
+                        # Another instance has reported the same.
+                        self.unreported.pop(trait, None)
 
     # Decisions.
 
     def decide(self, now: float) -> list[Explanation]:
         """Hold back what explains crashes; return what is held from now on."""
         for start in self.down:
-            self._tell_losses(now, start)
+            self._report_losses(now, start)
         self.down.clear()
         for start, loss in list(self.losses.items()):
             if now - loss.at > LOSS_MEMORY_S:
@@ -264,8 +264,8 @@
             if self.quarantine.hold(now, item.trait, was_answered=not item.is_new)
         ]
         for item in held:
-            # All instances come to the same verdict; few tell it.
-            self.untold[item.trait] = now + self._draw_delay_s()
+            # All instances come to the same verdict; few report it.
+            self.unreported[item.trait] = now + self._draw_delay_s()
         return held
 
     def begin_trial(self, now: float, trait: str) -> bool:
@@ -280,12 +280,12 @@
         if not self.quarantine.trial_due(now - turn_s, trait):
             return False
         self.quarantine.begin_trial(now, trait)
-        self.untold[trait] = now
+        self.unreported[trait] = now
         self.wake()
         return True
 
     def take_messages(self, now: float) -> list[CrashMessage]:
-        """Return what is due to be told to all other instances."""
+        """Return what is due to be reported to all other instances."""
         due = [message for at, message in self.outbox if at <= now]
         self.outbox = [(at, message) for at, message in self.outbox if at > now]
         answered_at = self.suspects.answered_at
@@ -296,7 +296,7 @@
             due.append(
                 AnsweredTraits({trait: answered_at[trait] for trait in answered})
             )
-        verdicts = self.quarantine.verdicts(_take_due(self.untold, now))
+        verdicts = self.quarantine.verdicts(_take_due(self.unreported, now))
         if verdicts:
             due.append(HeldTraits(verdicts))
         return due
@@ -310,11 +310,11 @@
         self.suspects.record_crash(seen.at, seen.start, seen.suspects)
 
     def _set_down(self, start: ServerStart) -> None:
-        """Let the next decision tell what was lost at a server, all at once."""
+        """Let the next decision report what was lost at a server, all at once."""
         self.down.add(start)
         self.wake()
 
-    def _tell_losses(self, now: float, start: ServerStart) -> None:
+    def _report_losses(self, now: float, start: ServerStart) -> None:
         loss = self.losses.pop(start, None)
         if loss is None or now - loss.at > LOSS_MEMORY_S:
             return
@@ -324,7 +324,7 @@
 
     def _release(self, now: float, trait: str) -> None:
         if self.quarantine.release(now, trait):
-            self.untold[trait] = now
+            self.unreported[trait] = now
             self.wake()
 
     def _answered_since(self, now: float, seen: CrashSeen) -> list[str]:
@@ -337,7 +337,7 @@
         ]
 
     def _plan_answers(self, now: float, traits: Iterable[str]) -> None:
-        """Tell soon that traits were answered, unless another instance does first."""
+        """Report soon that traits were answered, unless another instance does first."""
         for trait in traits:
             self.answers.setdefault(trait, now + self._draw_delay_s())
             self.wake()
@@ -352,7 +352,7 @@
 
 def _take_due(times: dict[str, float], now: float) -> list[str]:
     """Remove what is due from a table of times, as far as it fits into a message."""
-    due = [trait for trait, at in times.items() if at <= now][:MAX_TOLD]
+    due = [trait for trait, at in times.items() if at <= now][:MAX_REPORTED]
     for trait in due:
         del times[trait]
     return due
--- a/src/wisterialoom/core/requests/crash_guard.py
+++ b/src/wisterialoom/core/requests/crash_guard.py
@@ -89,7 +89,7 @@
         """Decide what is held back."""
         if self.watch.decide(now):
             self.has_new_holds = True
-        # Instances of this interface do not tell each other.
+        # Instances of this interface do not report to each other.
         self.watch.take_messages(float("inf"))
 
     def is_held(self, classified: Classified) -> bool:
--- a/src/wisterialoom/platform/crash_exchange.py
+++ b/src/wisterialoom/platform/crash_exchange.py
@@ -1,4 +1,4 @@
-"""Tells other instances of crashes, and of requests that are held back for them."""
+"""Reports crashes, and requests that are held back for them, to other instances."""
 
 from __future__ import annotations
 
@@ -43,7 +43,7 @@
         peers: Datagrams between instances.
         watch: Decides which requests are held back.
         held_changed: Called when other requests than before are held back.
-        wake_event: Set when there is something to tell or to decide.
+        wake_event: Set when there is something to report or to decide.
         known_revision: Revision of what is held back at the last decision.
         copied_at: Monotonic time of the last copies.
         turns: Counts the copies, to choose who gets the next ones.
@@ -93,7 +93,7 @@
             now = time.monotonic()
             self._decide(now)
             for message in self.watch.take_messages(now):
-                self._tell(now, message, self.peers.addresses_except(self.instance))
+                self._send(now, message, self.peers.addresses_except(self.instance))
             self._copy_verdicts(now)
 
     def _decide(self, now: float) -> None:
@@ -115,7 +115,7 @@
             self.known_revision = self.watch.quarantine.revision
             self.held_changed()
 
-    def _tell(self, now: float, message: CrashMessage, addresses: list[str]) -> None:
+    def _send(self, now: float, message: CrashMessage, addresses: list[str]) -> None:
         hint = CrashHint(self.instance, shift(message, -now))
         self.peers.send_all(hint, addresses)
 
@@ -132,4 +132,4 @@
         chosen = {
             others[(turn * COPIES + number) % len(others)] for number in range(COPIES)
         }
-        self._tell(now, copy, sorted(chosen))
+        self._send(now, copy, sorted(chosen))
--- a/src/wisterialoom/platform/hints.py
+++ b/src/wisterialoom/platform/hints.py
@@ -310,7 +310,7 @@
 
 @dataclass(frozen=True, slots=True)
 class CrashHint:
-    """Tells what an instance knows of crashes and of the requests that cause them.
+    """Reports what an instance knows of crashes and of the requests that cause them.
 
     Attributes:
         instance: Name of the sender.
