--- a/src/wisterialoom/core/crash_suspects.py
+++ b/src/wisterialoom/core/crash_suspects.py
@@ -85,15 +85,21 @@
     at: float
     suspects: dict[str, Suspect] = field(default_factory=dict)
 
-    def add(self, suspects: Mapping[str, Suspect]) -> None:
-        """Add what was in progress at one instance."""
+    def add(self, suspects: Mapping[str, Suspect]) -> list[str]:
+        """Add what was in progress at one instance.
+
+        Returns:
+            The traits that are left out from now on, as there are too many.
+        """
         for trait, suspect in suspects.items():
             known = self.suspects.get(trait)
             if known is None or suspect.sent_at > known.sent_at:
                 self.suspects[trait] = suspect
-        if len(self.suspects) > MAX_SUSPECTS:
-            ranked = sorted(self.suspects.items(), key=lambda item: -item[1].depth)
-            self.suspects = dict(ranked[:MAX_SUSPECTS])
+        if len(self.suspects) <= MAX_SUSPECTS:
+            return []
+        ranked = sorted(self.suspects.items(), key=lambda item: -item[1].depth)
+        self.suspects = dict(ranked[:MAX_SUSPECTS])
+        return [trait for trait, _ in ranked[MAX_SUSPECTS:]]
 
 
 @dataclass(frozen=True, slots=True)
@@ -141,10 +147,12 @@
 
     Attributes:
         crashes: Crashes of servers, the latest ones.
+        by_trait: Crashes that each trait was in progress at.
         answered_at: Monotonic time at which a request with a trait was last answered.
     """
 
     crashes: dict[ServerStart, Crash] = field(default_factory=dict)
+    by_trait: dict[str, set[ServerStart]] = field(default_factory=dict)
     answered_at: dict[str, float] = field(default_factory=dict)
 
     def record_crash(
@@ -161,15 +169,19 @@
         if crash is None:
             crash = self.crashes[start] = Crash(at)
             while len(self.crashes) > MAX_CRASHES:
-                del self.crashes[min(self.crashes, key=lambda x: self.crashes[x].at)]
+                self._forget(min(self.crashes, key=lambda x: self.crashes[x].at))
         crash.at = min(crash.at, at)
-        crash.add(suspects)
+        for trait in crash.add(suspects):
+            self._forget_suspect(trait, start)
+        for trait in suspects:
+            if trait in crash.suspects and start in self.crashes:
+                self.by_trait.setdefault(trait, set()).add(start)
 
     def expire(self, now: float) -> None:
         """Forget crashes of long ago."""
         for start, crash in list(self.crashes.items()):
             if now - crash.at > EVIDENCE_S:
-                del self.crashes[start]
+                self._forget(start)
 
     def record_answered(self, at: float, traits: Iterable[str]) -> list[str]:
         """Record that a server has begun to answer a request.
@@ -196,8 +208,8 @@
         """Return the crashes for which a trait is still suspected."""
         return frozenset(
             start
-            for start, crash in self.crashes.items()
-            if self._incriminates(trait, crash) is not None
+            for start in self.by_trait.get(trait, ())
+            if self._incriminates(trait, self.crashes[start]) is not None
         )
 
     def explain(self, now: float, settle_s: float) -> list[Explanation]:
@@ -208,16 +220,21 @@
             settle_s: Time after a crash within which all instances have reported
                 what was answered; the first crash that a trait explains must be as old.
         """
-        open_crashes = dict(self.crashes)
+        traits = [
+            trait
+            for trait, starts in self.by_trait.items()
+            if len(starts) >= CRASHES_TO_HOLD
+        ]
+        explained: set[ServerStart] = set()
         found: list[Explanation] = []
         while True:
             ranked = sorted(
                 (
                     explanation
-                    for trait in self._suspected_traits(open_crashes)
+                    for trait in traits
                     if (
                         explanation := self._explain_by(
-                            trait, now - settle_s, open_crashes
+                            trait, now - settle_s, explained
                         )
                     )
                 ),
@@ -230,9 +247,7 @@
             if not held:
                 return found
             found += held
-            for item in held:
-                for start in item.crashes:
-                    open_crashes.pop(start, None)
+            explained.update(*(item.crashes for item in held))
 
     def _pick(self, ranked: list[Explanation]) -> list[Explanation]:
         """Return the best of the explanations, if it is good enough."""
@@ -256,13 +271,14 @@
         return []
 
     def _explain_by(
-        self, trait: str, settled_at: float, crashes: Mapping[ServerStart, Crash]
+        self, trait: str, settled_at: float, explained: set[ServerStart]
     ) -> Explanation | None:
-        """Return how a trait explains crashes; `None` if that is not enough."""
+        """Return how a trait explains further crashes; `None` if too few."""
         involved = [
             (crash.at, suspect, start)
-            for start, crash in crashes.items()
-            if (suspect := self._incriminates(trait, crash)) is not None
+            for start in self.by_trait[trait] - explained
+            if (crash := self.crashes[start])
+            and (suspect := self._incriminates(trait, crash)) is not None
         ]
         if len(involved) < CRASHES_TO_HOLD:
             return None
@@ -279,12 +295,15 @@
         starts = frozenset(start for _, _, start in involved)
         return Explanation(trait, is_new, count, depth, starts)
 
-    def _suspected_traits(self, crashes: Mapping[ServerStart, Crash]) -> set[str]:
-        counts: dict[str, int] = {}
-        for crash in crashes.values():
-            for trait in crash.suspects:
-                counts[trait] = counts.get(trait, 0) + 1
-        return {trait for trait, count in counts.items() if count >= CRASHES_TO_HOLD}
+    def _forget(self, start: ServerStart) -> None:
+        for trait in self.crashes.pop(start).suspects:
+            self._forget_suspect(trait, start)
+
+    def _forget_suspect(self, trait: str, start: ServerStart) -> None:
+        starts = self.by_trait.get(trait, set())
+        starts.discard(start)
+        if not starts:
+            self.by_trait.pop(trait, None)
 
     def _incriminates(self, trait: str, crash: Crash) -> Suspect | None:
         """Return the part of a trait in a crash; `None` if an answer clears it."""
@@ -296,7 +315,6 @@
 
     def _is_suspected_at(self, trait: str, at: float) -> bool:
         return any(
-            crash.at <= at + ANSWERED_BEFORE_S
-            and self._incriminates(trait, crash) is not None
-            for crash in self.crashes.values()
+            self.crashes[start].at <= at + ANSWERED_BEFORE_S
+            for start in self.crashes_with(trait)
         )
--- a/src/wisterialoom/core/crash_watch.py
+++ b/src/wisterialoom/core/crash_watch.py
@@ -37,6 +37,9 @@
 DECIDE_INTERVAL_S = 0.05
 """Interval between two decisions while servers have crashed lately."""
 
+MIN_INTERVAL_S = 0.01
+"""Least interval between two decisions; after a crash each instance reports it."""
+
 IDLE_INTERVAL_S = 0.5
 """Interval between two decisions while only older holds are known."""
 
@@ -149,6 +152,8 @@
         wake: Called when there is something to decide or to report.
         undecided_until: Monotonic time until which the latest crash may change what is
             held.
+        decided_at: Monotonic time of the last decision.
+        has_new_evidence: Whether more was learned of a crash since then.
         crash_count: Crashes that were seen since the start.
         rng: Draws delays.
     """
@@ -164,6 +169,8 @@
     down: set[ServerStart] = field(default_factory=set)
     wake: Callable[[], None] = lambda: None
     undecided_until: float = float("-inf")
+    decided_at: float = float("-inf")
+    has_new_evidence: bool = False
     crash_count: int = 0
     rng: random.Random = field(default_factory=random.Random)
 
@@ -171,7 +178,7 @@
         """Return the time until the next decision; `None` if none is needed."""
         due = self.outbox or self.answers or self.unreported
         if due or now < self.undecided_until:
-            return DECIDE_INTERVAL_S
+            return MIN_INTERVAL_S if self.has_new_evidence else DECIDE_INTERVAL_S
         return IDLE_INTERVAL_S if self.quarantine.entries else None
 
     # What this instance sees.
@@ -242,8 +249,10 @@
             if now - loss.at > LOSS_MEMORY_S:
                 del self.losses[start]
         self.quarantine.expire(now)
-        if now >= self.undecided_until:
+        if now >= self.undecided_until or now < self.decided_at + MIN_INTERVAL_S:
             return []
+        self.decided_at = now
+        self.has_new_evidence = False
         self.suspects.expire(now)
         found = self.suspects.explain(now, ROUND_TRIP_S + self._answer_spread_s)
         explained = frozenset().union(*(item.crashes for item in found))
@@ -305,6 +314,7 @@
 
     def _record_crash(self, now: float, seen: CrashSeen) -> None:
         self.undecided_until = now + UNDECIDED_S
+        self.has_new_evidence = True
         if seen.start not in self.suspects.crashes:
             self.crash_count += 1
         self.suspects.record_crash(seen.at, seen.start, seen.suspects)
