--- a/tests/test_crash_watch.py
+++ b/tests/test_crash_watch.py
@@ -8,7 +8,11 @@
 import pytest
 
 from tests.crash_model import Load, Model
-from wisterialoom.core.crash_suspects import MAX_ANSWERED, ServerStart
+from wisterialoom.core.crash_suspects import (
+    CrashSuspects,
+    MAX_ANSWERED,
+    ServerStart,
+)
 from wisterialoom.core.crash_watch import (
     AnsweredTraits,
     CrashSeen,
@@ -254,3 +258,24 @@
     assert len(told) == 1
     assert isinstance(told[0], CrashSeen)
     assert len(told[0].suspects) == 39
+
+
+def test_reports_of_many_instances_lead_to_few_decisions(monkeypatch):
+    """Each led to one, so a crash cost all instances a lot of processor time."""
+    decisions = []
+    monkeypatch.setattr(
+        CrashSuspects, "explain", lambda *args: decisions.append(args) or []
+    )
+    watch = CrashWatch("a")
+    seen = CrashSeen(ServerStart("i-1", 1), 1.0, {})
+    now = 1.0
+    for _ in range(77):
+        now += 0.001
+        watch.handle(now, seen)
+        watch.decide(now)
+    assert len(decisions) <= 8
+    pause_s = watch.pause_s(now)
+    assert pause_s is not None
+    before = len(decisions)
+    watch.decide(now + pause_s)
+    assert len(decisions) == before + 1
