Read the software versions of servers, and log which ones a stream had

The logs could not tell whether an instance had continued a stream itself or a caller had taken it up again: the version was not even decoded.

The line "request" now names the version of each server and the stream that the caller takes up. Followers get versions from watchers in messages of their own, which earlier builds skip; the old messages keep their shape. No choice of a server depends on the version yet.

--- a/src/wisterialoom/core/fleet/server_table.py
+++ b/src/wisterialoom/core/fleet/server_table.py
@@ -18,6 +18,8 @@
 from wisterialoom.core.fleet.revision import FIRST_REVISION, Revision
 
 if TYPE_CHECKING:
+    from collections.abc import Mapping
+
     from wisterialoom.core.serving.backend import BackendServer
 
 __all__ = ["ServerTable", "TableEntry"]
@@ -64,6 +66,8 @@
             it may come from the copy that the store was restored from.
         before_restore: Entries by server id as they were before the last restore.
         restored_at: Monotonic time at which the last restore was noticed.
+        software_versions: Version of the software of each server, by id and start.
+            Entries that come from instances of earlier versions lack it.
     """
 
     def __init__(self) -> None:
@@ -72,6 +76,7 @@
         self.era_start = FIRST_REVISION
         self.before_restore: dict[str, TableEntry] = {}
         self.restored_at = float("-inf")
+        self.software_versions: dict[tuple[str, int], str] = {}
 
     @property
     def listed(self) -> dict[str, BackendServer]:
@@ -162,6 +167,7 @@
                 does not say what has changed, so the entry is not announced; other
                 instances that lack it see this from the digest.
         """
+        server = self._with_software_version(server)
         known = self.entries.get(server.id)
         changed_at = float("-inf") if listed else now
         if known is not None:
@@ -185,6 +191,37 @@
         self.cached_digest = None
         return True
 
+    def learn_software_versions(self, versions: Mapping[tuple[str, int], str]) -> bool:
+        """Record the software versions of servers, by id and start time.
+
+        Returns:
+            Whether the version of a listed server was not known before.
+        """
+        learned = False
+        for key, version in versions.items():
+            self.software_versions[key] = version
+            entry = self.entries.get(key[0])
+            if entry is None or entry.server is None:
+                continue
+            server = self._with_software_version(entry.server)
+            if server is not entry.server:
+                self.entries[key[0]] = replace(entry, server=server)
+                learned = True
+        return learned
+
+    def _with_software_version(self, server: BackendServer) -> BackendServer:
+        key = (server.id, server.started_ms)
+        if server.software_version:
+            self.software_versions[key] = server.software_version
+            return server
+        known = self.software_versions.get(key)
+        return replace(server, software_version=known) if known else server
+
+    @property
+    def lacks_software_versions(self) -> bool:
+        """Whether the software version of a listed server is not known."""
+        return any(not server.software_version for server in self.listed.values())
+
     def changed_since(self, moment: float) -> dict[str, TableEntry]:
         """Return the entries with an announced change at or after a monotonic time."""
         return {
@@ -204,6 +241,11 @@
             for server_id, entry in self.entries.items()
             if entry.server is not None or now - entry.changed_at < REMOVAL_RETENTION_S
         }
+        self.software_versions = {
+            key: version
+            for key, version in self.software_versions.items()
+            if key[0] in self.entries
+        }
         if not self.before_restore or now - self.restored_at < RESTORE_RETENTION_S:
             return False
         self.before_restore = {}
--- a/src/wisterialoom/core/serving/backend.py
+++ b/src/wisterialoom/core/serving/backend.py
@@ -55,6 +55,8 @@
         order_count: Orders accepted since the server started, or `UNKNOWN_COUNT`.
         models: Resident models; meaningful only if `order_count` is reported.
         removal_in_s: Seconds until the server is removed, if it announced that.
+        software_version: Version of the server's software, not of its weights; empty
+            while it is not known.
     """
 
     id: str
@@ -67,6 +69,7 @@
     order_count: int
     models: tuple[ResidentModel, ...] = ()
     removal_in_s: float | None = None
+    software_version: str = ""
 
 
 @dataclass
--- a/src/wisterialoom/core/serving/request_flow.py
+++ b/src/wisterialoom/core/serving/request_flow.py
@@ -149,6 +149,7 @@
     Attributes:
         profile: Fixed properties of the request.
         servers: Ids of the backend servers that the request was sent to, in order.
+        software_versions: Version of the software of each of these servers.
         reached_servers: Servers that received at least a part of the request.
         may_have_run: Whether an attempt ended without certainty that it did not run.
         waiting: Whether the request waits for a server or for a model.
@@ -170,6 +171,7 @@
 
     profile: RequestProfile
     servers: list[str] = field(default_factory=list)
+    software_versions: list[str] = field(default_factory=list)
     reached_servers: set[str] = field(default_factory=set)
     may_have_run: bool = False
     waiting: bool = False
--- a/src/wisterialoom/platform/catalog.py
+++ b/src/wisterialoom/platform/catalog.py
@@ -13,6 +13,7 @@
     decode_server,
     DecodeError,
 )
+from wisterialoom.platform.store import StoreRestoredError, StoreUnavailableError
 from wisterialoom.platform.watcher import KindWatcher
 
 if TYPE_CHECKING:
@@ -250,6 +251,27 @@
         if self._merge_entries(entries):
             self._update_dispatcher()
 
+    def learn_software_versions(self, versions: dict[tuple[str, int], str]) -> None:
+        """Apply the software versions of servers, by id and start time."""
+        if self.table.learn_software_versions(versions):
+            self._update_dispatcher()
+
+    async def read_software_versions(self) -> None:
+        """Read the software versions of all servers from the store."""
+        try:
+            listing = await self.server_watcher.store.list(SERVER_KIND)
+        except (StoreUnavailableError, StoreRestoredError):
+            return
+        servers = [
+            server for found in listing.objects if (server := self._decode(found))
+        ]
+        self.learn_software_versions(
+            {
+                (server.id, server.started_ms): server.software_version
+                for server in servers
+            }
+        )
+
     def _merge_entries(self, entries: dict[str, TableEntry]) -> bool:
         now = time.monotonic()
         updated = False
--- a/src/wisterialoom/platform/decode.py
+++ b/src/wisterialoom/platform/decode.py
@@ -169,6 +169,7 @@
             order_count=_integer(spec.get("sequence", 0)),
             models=decode_models(spec.get("models") or ()),
             removal_in_s=remaining_ms / 1e3 if remaining_ms is not None else None,
+            software_version=_string(spec["version"]),
         )
     except (KeyError, TypeError, ValueError, AttributeError) as error:
         raise DecodeError(
--- a/src/wisterialoom/platform/fleet.py
+++ b/src/wisterialoom/platform/fleet.py
@@ -27,9 +27,11 @@
     ServerHint,
     ServerLimits,
     ServersCopy,
+    ServerVersions,
     StoreReached,
     TurnsGranted,
     TurnsWanted,
+    VersionsWanted,
 )
 from wisterialoom.platform.lease_manager import lease_clock
 from wisterialoom.platform.placement_feed import members_digest
@@ -164,7 +166,9 @@
             case (
                 News(watcher=name)
                 | CopyWanted(instance=name)
+                | ServerVersions(instance=name)
                 | StoreReached(instance=name)
+                | VersionsWanted(instance=name)
             ):
                 self._record_seen(now, name, address)
                 self.relay.handle_hint(hint, address)
--- a/src/wisterialoom/platform/headers.py
+++ b/src/wisterialoom/platform/headers.py
@@ -28,6 +28,7 @@
     "HelpResult",
     "LAST_EVENT_ID",
     "NOT_RUN",
+    "RESUMES",
     "SERVER_ID",
     "ServerLoad",
     "ServerNotice",
@@ -49,6 +50,11 @@
 """Id of the backend server that answers."""
 LAST_EVENT_ID = "Last-Event-Id"
 """Id of the last event that the sender has; the stream continues after it."""
+RESUMES = "Resumes"
+"""Id of the caller's attempt that brought the first event of a stream.
+
+Sent with `LAST_EVENT_ID` by a caller that takes the stream up again.
+"""
 LEAVING = "Server-Leaving"
 """`1` in all answers of a server that is leaving."""
 BRITTLE = "Server-Brittle"
--- a/src/wisterialoom/platform/hint_codec.py
+++ b/src/wisterialoom/platform/hint_codec.py
@@ -38,16 +38,24 @@
     ServerLimit,
     ServerLimits,
     ServersCopy,
+    ServerVersions,
     StoreReached,
     TurnsGranted,
     TurnsWanted,
     UnknownHintError,
+    VersionHint,
+    VersionsWanted,
+)
+from wisterialoom.platform.version_codec import (
+    decode_version_hint,
+    encode_version_hint,
+    VERSION_KINDS,
 )
 
 __all__ = ["decode_hint", "encode_hint"]
 
-SERVER_KINDS = ("b", "x", "l", "lw", "lg", *CRASH_KINDS)
-"""Kinds of messages about what an instance knows of servers from their answers."""
+SERVER_KINDS = ("b", "x", "l", "lw", "lg", *CRASH_KINDS, *VERSION_KINDS)
+"""Kinds of messages about what an instance knows of servers."""
 
 KINDS = frozenset({"r", "d", "n", "w", "c", "s", "v", "q", "u", "p", *SERVER_KINDS})
 """All kinds of messages; instances of later versions may send others."""
@@ -109,8 +117,10 @@
             | CrashHint()
             | LostPaths()
             | ServerLimits()
+            | ServerVersions()
             | TurnsWanted()
             | TurnsGranted()
+            | VersionsWanted()
         ):
             item = _encode_server_hint(hint)
         case PlacementChange():
@@ -242,10 +252,10 @@
     )
 
 
-def _encode_server_hint(
-    hint: ServerHint,
-) -> list[Any]:
+def _encode_server_hint(hint: ServerHint | VersionHint) -> list[Any]:
     match hint:
+        case ServerVersions() | VersionsWanted():
+            return encode_version_hint(hint)
         case BrittleRejection():
             return ["b", hint.instance, [hint.server, hint.rejections]]
         case CrashHint(instance=instance, message=message):
@@ -264,7 +274,11 @@
     return ["l", hint.instance, limits]
 
 
-def _decode_server_hint(kind: str, instance: str, items: Any) -> ServerHint:
+def _decode_server_hint(
+    kind: str, instance: str, items: Any
+) -> ServerHint | VersionHint:
+    if kind in VERSION_KINDS:
+        return decode_version_hint(kind, instance, items)
     if kind == "b":
         server, rejections = items
         return BrittleRejection(instance, str(server), float(rejections))
--- a/src/wisterialoom/platform/hints.py
+++ b/src/wisterialoom/platform/hints.py
@@ -37,11 +37,14 @@
     "ServerHint",
     "ServerLimit",
     "ServerLimits",
+    "ServerVersions",
     "ServersCopy",
     "StoreReached",
     "TurnsGranted",
     "TurnsWanted",
     "UnknownHintError",
+    "VersionHint",
+    "VersionsWanted",
 ]
 
 COMPRESSION_LEVEL = 2
@@ -254,6 +257,26 @@
     limits: dict[str, ServerLimit]
 
 
+@dataclass(frozen=True, slots=True)
+class ServerVersions:
+    """Tells the versions of servers' software, which the entries of hints lack.
+
+    Attributes:
+        instance: Name of the sender.
+        versions: Version by id and start time of the server.
+    """
+
+    instance: str
+    versions: dict[tuple[str, int], str]
+
+
+@dataclass(frozen=True, slots=True)
+class VersionsWanted:
+    """Requests the versions of the software of all servers."""
+
+    instance: str
+
+
 @dataclass(frozen=True, slots=True)
 class BrittleRejection:
     """Tells of a server that turned a request away and may fall over.
@@ -321,6 +344,9 @@
     message: CrashMessage
 
 
+VersionHint = ServerVersions | VersionsWanted
+"""Hints about the versions of servers' software."""
+
 ServerHint = (
     BrittleRejection | CrashHint | LostPaths | ServerLimits | TurnsGranted | TurnsWanted
 )
@@ -338,4 +364,5 @@
     | ConfigCopy
     | ServersCopy
     | StoreReached
+    | VersionHint
 )
--- a/src/wisterialoom/platform/ingress.py
+++ b/src/wisterialoom/platform/ingress.py
@@ -18,7 +18,13 @@
 )
 from wisterialoom.platform.attempt import Attempt
 from wisterialoom.platform.exchange import Exchange
-from wisterialoom.platform.headers import ATTEMPT_ID, read_own_trait, read_profile
+from wisterialoom.platform.headers import (
+    ATTEMPT_ID,
+    LAST_EVENT_ID,
+    read_own_trait,
+    read_profile,
+    RESUMES,
+)
 from wisterialoom.platform.log import age_ms
 
 if TYPE_CHECKING:
@@ -270,6 +276,9 @@
                 "outcome": flow.outcome,
                 "held_trait": self.dispatcher.held_trait(flow),
                 "servers": flow.servers,
+                "versions": flow.software_versions,
+                "resumes": exchange.request.headers.get(RESUMES),
+                "last_event_id": exchange.request.headers.get(LAST_EVENT_ID),
                 "sends": flow.attempt_count,
                 "waited_ms": int(flow.waited_s * 1e3),
                 "first_ms": int(first_s * 1e3) if head_sent_at else -1,
--- a/src/wisterialoom/platform/relay.py
+++ b/src/wisterialoom/platform/relay.py
@@ -30,12 +30,14 @@
     HintError,
     News,
     ServersCopy,
+    ServerVersions,
     StoreReached,
+    VersionsWanted,
 )
 from wisterialoom.platform.log import age_ms
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Iterable
 
     from wisterialoom.core.fleet import Revision, TableEntry, ViewPromise
     from wisterialoom.platform.catalog import Catalog
@@ -77,6 +79,15 @@
 More than ten round trips between availability zones.
 """
 
+VERSIONS_REQUEST_INTERVAL_S = 1.0
+"""Minimum time between two requests for software versions.
+
+They are lacking for longer only beside watchers of an earlier build.
+"""
+
+VERSIONS_ASKED = 3
+"""Instances that are asked for software versions at once."""
+
 WARNING_INTERVAL_S = 0.5
 """Minimum time between two warnings of watchers that read a past state."""
 
@@ -112,6 +123,9 @@
             before the first request for one.
         parts: Received parts of an incomplete copy of the servers, by watcher and
             revision.
+        versions_requested_at: Monotonic time of the last request for the software
+            versions of servers.
+        versions_requests: Number of these requests since all versions were known.
         wake_event: Set at each change of the catalog.
         tasks: The task that sends messages and updates the role.
     """
@@ -144,6 +158,8 @@
         self.warned_at = float("-inf")
         self.packed_config: tuple[int, ConfigCopy] | None = None
         self.parts: dict[tuple[str, Revision], dict[int, dict[str, TableEntry]]] = {}
+        self.versions_requested_at = float("-inf")
+        self.versions_requests = 0
         self.wake_event = asyncio.Event()
         self.tasks = TaskGroup()
         catalog.on_update = self.wake_event.set
@@ -182,6 +198,7 @@
                         "revision": self.catalog.server_watcher.revision,
                     },
                 )
+            self._request_versions(now)
             if self.role.active and (
                 changed or now - self.sent_at >= ANNOUNCE_INTERVAL_S
             ):
@@ -230,11 +247,49 @@
             digest=self.catalog.table.digest,
             changes=self.catalog.table.changed_since(now - CHANGE_RESEND_S),
         )
-        self.peers.send_all(news, self.peers.addresses_except(self.me))
+        others = self.peers.addresses_except(self.me)
+        self._send_versions(news.changes, others)
+        self.peers.send_all(news, others)
+
+    def _send_versions(self, server_ids: Iterable[str], addresses: list[str]) -> None:
+        """Tell instances the software versions of servers, some in each datagram."""
+        listed = self.catalog.table.listed
+        versions = [
+            ((server.id, server.started_ms), server.software_version)
+            for server_id in server_ids
+            if (server := listed.get(server_id)) and server.software_version
+        ]
+        for start in range(0, len(versions), SERVERS_PER_PART):
+            part = dict(versions[start : start + SERVERS_PER_PART])
+            self.peers.send_all(ServerVersions(self.me, part), addresses)
+
+    def _request_versions(self, now: float) -> None:
+        """Ask for software versions that the messages of watchers did not bring.
+
+        Watchers of an earlier build do not answer; the store does.
+        """
+        if not self.catalog.table.lacks_software_versions:
+            self.versions_requests = 0
+            return
+        if now - self.versions_requested_at < VERSIONS_REQUEST_INTERVAL_S:
+            return
+        self.versions_requested_at = now
+        self.versions_requests += 1
+        if self.versions_requests > 1:
+            self.tasks.spawn(self.catalog.read_software_versions())
+            return
+        others = self.peers.addresses_except(self.me)
+        self.peers.send_all(VersionsWanted(self.me), others[:VERSIONS_ASKED])
 
     def handle_hint(
         self,
-        hint: News | CopyWanted | ConfigCopy | ServersCopy | StoreReached,
+        hint: News
+        | CopyWanted
+        | ConfigCopy
+        | ServersCopy
+        | ServerVersions
+        | StoreReached
+        | VersionsWanted,
         address: str,
     ) -> None:
         """Handle a message about the store's contents.
@@ -254,6 +309,10 @@
                 self.apply_config(hint)
             case ServersCopy():
                 self.apply_servers(hint)
+            case ServerVersions(versions=versions):
+                self.catalog.learn_software_versions(versions)
+            case VersionsWanted():
+                self._send_versions(self.catalog.table.listed, [address])
 
     def handle_news(self, news: News, address: str) -> None:
         """Apply a watcher's message, and request a copy if its view is newer.
@@ -363,6 +422,7 @@
             for server_id, entry in catalog.table.entries.items()
             if entry.server is not None
         ]
+        self._send_versions((server_id for server_id, _ in entries), [address])
         starts = range(0, len(entries), SERVERS_PER_PART) or range(1)
         copy = ServersCopy(self.me, catalog.server_watcher.revision, 0, len(starts), {})
         for part, start in enumerate(starts):
--- a/tests/platform/fakes.py
+++ b/tests/platform/fakes.py
@@ -287,10 +287,12 @@
         orders: Bodies of the received orders.
         reports: Number of reports that were read.
         running: Number of streams in progress.
+        version: Version of the software; events name it.
     """
 
     server_id: str
     service: str = "scribe"
+    version: str = "v1"
     zone: str = "zone-a"
     slots: int = 8
     events: int = 5
@@ -327,7 +329,7 @@
             "service": self.service,
             "address": self.address,
             "zone": self.zone,
-            "version": "v1",
+            "version": self.version,
             "slots": self.slots,
             "state": state,
             "coldRemainingMs": 0,
--- a/tests/platform/test_relay.py
+++ b/tests/platform/test_relay.py
@@ -5,6 +5,7 @@
 import asyncio
 import time
 from contextlib import asynccontextmanager
+from dataclasses import replace
 from typing import Any, TYPE_CHECKING, TypeVar
 
 import pytest
@@ -237,3 +238,35 @@
     ):
         assert decode_hint(encode_hint(hint)) == hint
     assert ConfigCopy.from_spec(config()).unpack() == config()
+
+
+async def test_software_versions_reach_instances_that_do_not_read_the_store():
+    async with fleet() as (store, apps):
+        entry = FakePlainServer("i-2").entry() | ADDRESS | {"version": "v1.1"}
+        await store.put("servers", "i-2", entry)
+
+        def versions(app: PlatformApp) -> dict[str, str]:
+            views = app.dispatcher.views.values()
+            return {view.server.id: view.server.software_version for view in views}
+
+        expected = {"i-1": "v1", "i-2": "v1.1"}
+        await wait_until(lambda: all(versions(app) == expected for app in apps))
+
+
+async def test_software_versions_are_read_from_the_store_if_no_watcher_tells_them(
+    monkeypatch,
+):
+    """Watchers of an earlier build leave the versions out of their messages."""
+    async with fleet() as (_, apps):
+        follower = next(app for app in apps if not app.relay.role.active)
+        table = follower.catalog.table
+        entry = table.entries["i-1"]
+        assert entry.server is not None
+        unversioned = replace(entry.server, software_version="")
+        for app in apps:
+            app.catalog.table.software_versions.clear()
+            if app is not follower:
+                monkeypatch.setattr(app.relay, "answer", lambda *_: None)
+                monkeypatch.setattr(app.relay, "_send_versions", lambda *_: None)
+        table.entries["i-1"] = replace(entry, server=unversioned)
+        await wait_until(lambda: table.listed["i-1"].software_version == "v1")
--- a/tests/platform/test_wire.py
+++ b/tests/platform/test_wire.py
@@ -41,6 +41,8 @@
     PlacementHint,
     PlacementWanted,
     Released,
+    ServerVersions,
+    VersionsWanted,
 )
 from wisterialoom.platform.peers import PeerLink
 from wisterialoom.platform.settings import PlatformSettings, SettingsError
@@ -193,6 +195,8 @@
         digest=99,
     ),
     PlacementWanted("front-1"),
+    ServerVersions("front-1", {("i-1", 7): "v1", ("i-2", 0): "v1.1"}),
+    VersionsWanted("front-1"),
     CrashHint(
         "front-1",
         CrashSeen(ServerStart("i-1", 7), -0.25, {"part-a1": Suspect(1, -0.5)}),
