--- a/tests/platform/fakes.py
+++ b/tests/platform/fakes.py
@@ -338,6 +338,9 @@
             "born": 1,
         }
 
+    def event(self, number: int) -> bytes:
+        return b"id: %d\ndata: %d\n\n" % (number, number)
+
     def record_run(self, request_id: str) -> None:
         self.runs.append(request_id)
 
@@ -430,7 +433,7 @@
                     return response
                 if self.pause_after is not None and number > self.pause_after:
                     await asyncio.sleep(3600)
-                await response.write(b"id: %d\ndata: %d\n\n" % (number, number))
+                await response.write(self.event(number))
                 await asyncio.sleep(self.step_s)
         finally:
             self.running -= 1
