Keep each stream at the software version that began it

Cause: the version of a server's software was no part of any decision. An instance continued a stream at any server that had the model, and a caller's new try was a new request to whichever instance it reached. Ruled out: a version that was known and wrong; no joined stream shows it.

Now a stream goes on only at a server with the version that began it, or ends. An instance finds that version in what it remembers, in what all have observed (if one version alone can have begun it), at other instances, or in records in the store. Nothing is guessed: an instance that has just started does not take the version that it sees for the only one. While one version serves, nothing is shared or written; the lease record, which is written anyway, carries the versions of each service.

--- a/src/wisterialoom/core/serving/dispatcher.py
+++ b/src/wisterialoom/core/serving/dispatcher.py
@@ -33,6 +33,7 @@
 )
 from wisterialoom.core.serving.retry_budget import RetryBudget, RetryLimits
 from wisterialoom.core.serving.retry_hint import retry_after_s
+from wisterialoom.core.serving.stream_versions import StreamVersions
 from wisterialoom.core.serving.way_finder import WayFinder
 
 if TYPE_CHECKING:
@@ -49,6 +50,16 @@
 ORDER_BACKOFF_S = 0.08
 """Time a server is skipped for a model while it carries out an order about it."""
 
+FINAL_REASONS = frozenset(
+    {
+        GiveUpReason.UNKNOWN_MODEL,
+        GiveUpReason.HELD_BACK,
+        GiveUpReason.VERSION_UNKNOWN,
+        GiveUpReason.VERSION_LEFT,
+    }
+)
+"""Reasons for which the same request is of no use later, so that none is advised."""
+
 MAX_LEAVING = 1024
 """Servers that are remembered to be leaving, the latest ones."""
 
@@ -77,6 +88,7 @@
         brittle: Spares servers that fall over if they turn many requests away.
         crash_watch: Decides which requests are held back, as they crash servers.
         ways: Chooses the way to each server.
+        streams: Keeps each stream at the software version that began it.
     """
 
     balancer: Balancer
@@ -94,6 +106,7 @@
     limits: LimitMemory = field(default_factory=LimitMemory)
     brittle: BrittleServices = field(default_factory=BrittleServices)
     crash_watch: CrashWatch = field(default_factory=CrashWatch)
+    streams: StreamVersions = field(default_factory=StreamVersions)
 
     def __post_init__(self) -> None:
         self.ways = WayFinder(self.views, self.crash_watch)
@@ -344,7 +357,11 @@
 
     def pool(self, flow: RequestFlow) -> list[BackendView]:
         """Return the servers that a request may still be sent to."""
-        views = self.open_views(flow.profile.service)
+        views = [
+            view
+            for view in self.open_views(flow.profile.service)
+            if self.streams.can_go_on(flow, view)
+        ]
         tried = set(flow.servers)
         tried_views = [view for view in views if view.server.id in tried]
         if flow.reached >= flow.profile.route.max_attempts:
@@ -361,6 +378,7 @@
         if flow.trial_of:
             # If it crashes the server, the fewest others are in progress there.
             free = [min(free, key=lambda view: view.busy(now))]
+        free = self.streams.prefer_settled(now, flow, free)
         for view in free:
             view.relayed = not self.ways.is_direct(view)
         chosen = self.balancer.choose(now, profile, free)
@@ -395,7 +413,10 @@
             return self.give_up(now, flow, GiveUpReason.HELD_BACK)
         if flow.may_have_run and flow.reached >= route.max_attempts:
             return self.give_up(now, flow, GiveUpReason.ATTEMPTS)
-        return None
+        reason = self.streams.give_up_reason(
+            flow, self.open_views(flow.profile.service)
+        )
+        return None if reason is None else self.give_up(now, flow, reason)
 
     def begin_attempt(self, flow: RequestFlow, view: BackendView) -> None:
         """Count an attempt as in progress."""
@@ -405,6 +426,7 @@
         flow.pending_prefill_tokens = flow.profile.prompt_tokens
         view.pending_prefill_tokens += flow.pending_prefill_tokens
         flow.in_flight_at = view.server.id
+        flow.in_flight_version = view.server.software_version
         flow.attempt_count += 1
         flow.output_begun = False
         counts = self.running_counts.setdefault(view.server.id, {})
@@ -487,7 +509,12 @@
             view.record_report(now, running, waiting)
 
     def record_output(self, now: float, flow: RequestFlow) -> None:
-        """Record that a server has begun to answer a request."""
+        """Record that a whole event of a stream is about to be passed on."""
+        self.record_answered(now, flow)
+        self.streams.record_output(now, flow)
+
+    def record_answered(self, now: float, flow: RequestFlow) -> None:
+        """Record that a server has answered a request, or begun to."""
         flow.output_begun = True
         self.crash_watch.record_output(now, flow.profile.traits)
 
@@ -523,7 +550,7 @@
                 traits = flow.profile.traits
                 self.crash_watch.record_loss(now, view.start, flow.sent_at, traits)
             case AttemptVerdict.ANSWERED | AttemptVerdict.FAILED:
-                self.record_output(now, flow)
+                self.record_answered(now, flow)
 
     def record_verdict(
         self,
@@ -568,7 +595,7 @@
             not_before: Monotonic time before which another try is of no use.
         """
         not_run = not flow.may_have_run
-        if reason in (GiveUpReason.UNKNOWN_MODEL, GiveUpReason.HELD_BACK):
+        if reason in FINAL_REASONS:
             return GiveUp(reason, not_run=not_run)
         retry_s = retry_after_s(now, flow.profile, reason, self.forecast)
         retry_s = max(retry_s, not_before - now)
--- a/src/wisterialoom/core/serving/request_flow.py
+++ b/src/wisterialoom/core/serving/request_flow.py
@@ -78,6 +78,10 @@
     """The request may have run, and its route is not idempotent."""
     STOPPING = "stopping"
     """This instance is stopping."""
+    VERSION_UNKNOWN = "version_unknown"
+    """Nobody knows which software version began the stream to be taken up."""
+    VERSION_LEFT = "version_left"
+    """No server has the software version that began the stream any more."""
     HELD_BACK = "held_back"
     """Servers crashed on requests that have something in common with it."""
 
@@ -95,6 +99,8 @@
         prompt_tokens: Number of tokens in the prompt.
         output_tokens: Maximum number of tokens in the answer.
         prefix: Ids, in order, of the prompt parts that other requests share.
+        takes_up: Id of the caller's attempt that began the stream which the request
+            takes up; empty if it does not name one, `None` for a new stream.
         traits: What the request has in common with others, the widest first.
         arrived: Monotonic time of arrival.
         answer_deadline: Monotonic time by which the answer must be complete.
@@ -116,12 +122,18 @@
     caller_deadline: float
     first_output_deadline: float
     traits: tuple[str, ...] = ()
+    takes_up: str | None = None
 
     @property
     def resource(self) -> str:
         """Requested model and adapter as one key."""
         return f"{self.model}/{self.adapter}" if self.adapter else self.model
 
+    @property
+    def stream(self) -> str:
+        """Id of the caller's attempt that begins, or began, the stream."""
+        return self.takes_up or self.request_id
+
 
 @dataclass(frozen=True, slots=True)
 class AttemptResult:
@@ -154,6 +166,7 @@
         may_have_run: Whether an attempt ended without certainty that it did not run.
         waiting: Whether the request waits for a server or for a model.
         in_flight_at: Backend server of the attempt in progress; empty if none.
+        in_flight_version: Software version of that server; empty if it is not known.
         in_flight_via: Instance that the attempt in progress goes through; empty if it
             goes directly.
         sent_at: Monotonic time at which the last attempt began.
@@ -164,6 +177,9 @@
         pending_prefill_tokens: Prompt tokens that the server of the current attempt
             has yet to process.
         output_begun: Whether the attempt in progress has had output.
+        stream_version: Software version that began the stream, which goes on at that
+            version only; empty if it began at one that is not known, `None` before
+            its first event.
         trial_of: Held trait that the request tries again; empty if it does not.
         view_current_at: Monotonic time at which configuration and servers were known to
             be current when the request arrived.
@@ -176,6 +192,7 @@
     may_have_run: bool = False
     waiting: bool = False
     in_flight_at: str = ""
+    in_flight_version: str = ""
     in_flight_via: str = ""
     sent_at: float = float("-inf")
     waited_s: float = 0.0
@@ -184,6 +201,7 @@
     absent_refusals: int = 0
     pending_prefill_tokens: int = 0
     output_begun: bool = False
+    stream_version: str | None = None
     trial_of: str = ""
     view_current_at: float = float("-inf")
 
--- a/src/wisterialoom/core/serving/routing.py
+++ b/src/wisterialoom/core/serving/routing.py
@@ -193,6 +193,19 @@
         }
         return cls(version, services, limits, ordered)
 
+    @property
+    def longest_stream_s(self) -> float:
+        """Longest timeout of the routes whose streams callers may take up."""
+        return max(
+            (
+                route.timeout_s
+                for routes in self.by_host.values()
+                for route in routes
+                if route.resumable
+            ),
+            default=0.0,
+        )
+
     def find_route(self, host: str, path: str) -> Route | None:
         """Return the route with the longest prefix of a path, if any matches."""
         for route in self.by_host.get(host.lower(), ()):
--- a/src/wisterialoom/platform/app.py
+++ b/src/wisterialoom/platform/app.py
@@ -40,6 +40,7 @@
     SettingsError,
 )
 from wisterialoom.platform.store import StoreClient
+from wisterialoom.platform.stream_exchange import StreamExchange
 from wisterialoom.tracked_response import TrackedResponse
 
 if TYPE_CHECKING:
@@ -114,6 +115,7 @@
         helper_server: Passes requests of other instances on.
         limit_exchange: Messages about servers that limit requests.
         crash_exchange: Messages about crashes, and requests that cause them.
+        stream_exchange: Messages and records about the versions that began streams.
         orders: Client for loads and unloads at backend servers.
         ingress: Serves callers.
     """
@@ -130,6 +132,9 @@
         self.dispatcher.ways.helpers = HelperChoice(
             settings.instance, settings.peer_port
         )
+        if settings.first_start:
+            # There were no servers before, so no earlier versions either.
+            self.dispatcher.streams.history.record_earlier(time.monotonic(), {})
         self.signal = Signal()
         self.metrics = PlatformMetrics()
         self.stopping = asyncio.Event()
@@ -146,6 +151,7 @@
         self.peers: PeerLink
         self.limit_exchange: LimitExchange
         self.crash_exchange: CrashExchange
+        self.stream_exchange: StreamExchange
         self.path_prober: PathProber
         self.helper_server: HelperServer
         self.orders: OrderClient
@@ -195,6 +201,7 @@
             lambda view, was_direct: self.path_prober.log_loss(
                 view, was_direct=was_direct
             ),
+            lambda flow: self.stream_exchange.find(flow),
             self.metrics,
         )
         self.ingress.pooled_session = self._session(
@@ -283,6 +290,16 @@
             settings.instance, peers, self.dispatcher.crash_watch, self.ingress.end_held
         )
         fleet.crash_exchange = self.crash_exchange
+        self.stream_exchange = StreamExchange(
+            settings.instance,
+            peers,
+            store,
+            self.dispatcher,
+            self.catalog,
+            self.placement_controller.lease_manager.read_versions,
+            lambda: self.placement_controller.holds_lease,
+        )
+        fleet.stream_exchange = self.stream_exchange
         self.path_prober = PathProber(
             settings.instance, self.dispatcher, peers, self.signal.wake
         )
@@ -307,6 +324,7 @@
         self.relay.start()
         self.limit_exchange.start()
         self.crash_exchange.start()
+        self.stream_exchange.start()
         self.path_prober.start()
         self.placement_controller.start()
 
@@ -378,6 +396,17 @@
             "event",
             lambda: {"noticed": self.dispatcher.crash_watch.crash_count},
         )
+        metrics.labeled_counter(
+            "streams_taken_up_total",
+            "Streams that callers took up, by who knew the version that began them.",
+            "known_by",
+            lambda: self.stream_exchange.counts,
+        )
+        metrics.gauge(
+            "shared_stream_services",
+            "Services with several software versions, whose streams are shared.",
+            lambda: len(self.stream_exchange.shared_services),
+        )
         metrics.gauge("servers", "Servers.", lambda: len(self.dispatcher.views))
         metrics.gauge(
             "limited_servers",
@@ -486,6 +515,7 @@
         await self.relay.stop()
         await self.limit_exchange.stop()
         await self.crash_exchange.stop()
+        await self.stream_exchange.stop()
         await self.path_prober.stop()
         self.peers.stop()
         await self.catalog.stop()
--- a/src/wisterialoom/platform/catalog.py
+++ b/src/wisterialoom/platform/catalog.py
@@ -215,6 +215,8 @@
         if deployment.version <= self.config_version:
             return
         self.dispatcher.deployment = deployment
+        history = self.dispatcher.streams.history
+        history.set_longest_timeout(deployment.longest_stream_s)
         self.config_spec = spec
         logger.info(
             "configuration in force",
@@ -404,6 +406,8 @@
 
     def _update_dispatcher(self) -> None:
         servers = self.table.servers
+        history = self.dispatcher.streams.history
+        history.set_servers(time.monotonic(), servers.values())
         if self._log_changes(servers):
             self.on_update()
         if self.dispatcher.set_servers(servers):
--- a/src/wisterialoom/platform/exchange.py
+++ b/src/wisterialoom/platform/exchange.py
@@ -22,6 +22,9 @@
 BAD_GATEWAY = 502
 UNAVAILABLE = 503
 
+VERSION_REASONS = (GiveUpReason.VERSION_LEFT, GiveUpReason.VERSION_UNKNOWN)
+"""Reasons for which a stream cannot go on, while a new one can begin."""
+
 HELD_BACK_TEXT = (
     "held back, as servers crashed on requests like this one; "
     "change it before you send it again, or ask the operators"
@@ -116,7 +119,8 @@
             self.respond(BAD_REQUEST, HELD_BACK_TEXT, not_run=end.not_run)
             return
         status = UNAVAILABLE if end.not_run else BAD_GATEWAY
-        self.respond(status, end.reason.value, end.retry_after_s)
+        details = {"start_again": True} if end.reason in VERSION_REASONS else {}
+        self.respond(status, end.reason.value, end.retry_after_s, **details)
 
     def respond(
         self,
--- a/src/wisterialoom/platform/fleet.py
+++ b/src/wisterialoom/platform/fleet.py
@@ -20,6 +20,8 @@
     CrashHint,
     LostPaths,
     News,
+    OriginAnswer,
+    OriginWanted,
     PlacementChange,
     PlacementHint,
     PlacementWanted,
@@ -29,6 +31,8 @@
     ServersCopy,
     ServerVersions,
     StoreReached,
+    StreamHint,
+    StreamsBegun,
     TurnsGranted,
     TurnsWanted,
     VersionsWanted,
@@ -46,6 +50,7 @@
     from wisterialoom.platform.placement_controller import PlacementController
     from wisterialoom.platform.placement_view import PlacementView
     from wisterialoom.platform.relay import Relay
+    from wisterialoom.platform.stream_exchange import StreamExchange
 
 __all__ = ["Fleet"]
 
@@ -109,6 +114,7 @@
         self.relay: Relay
         self.limit_exchange: LimitExchange
         self.crash_exchange: CrashExchange
+        self.stream_exchange: StreamExchange
         self.holder_address = ""
         self.epoch = 0
         self.serial = 0
@@ -176,7 +182,10 @@
                 BrittleRejection()
                 | CrashHint()
                 | LostPaths()
+                | OriginAnswer()
+                | OriginWanted()
                 | ServerLimits()
+                | StreamsBegun()
                 | TurnsWanted()
                 | TurnsGranted()
             ):
@@ -187,10 +196,12 @@
 
     def _handle_server_hint(
         self,
-        hint: ServerHint,
+        hint: ServerHint | StreamHint,
         address: str,
     ) -> None:
         match hint:
+            case StreamsBegun() | OriginWanted() | OriginAnswer():
+                self.stream_exchange.handle_hint(hint, address)
             case LostPaths(instance=name, services=services):
                 helpers = self.dispatcher.ways.helpers
                 helpers.record_lost_services(
--- a/src/wisterialoom/platform/headers.py
+++ b/src/wisterialoom/platform/headers.py
@@ -210,6 +210,7 @@
         own_trait: Trait that only the same request shares; empty if it is not known.
     """
     request_id = headers.get(ATTEMPT_ID, "")
+    takes_up = _read_taken_up(headers, route)
     model, _, adapter = headers.get(MODEL, "").partition("/")
     prompt, _, output = headers.get(TOKENS, "").partition(",")
     wait_s = _parse_number(headers.get(DEADLINE_MS, "")) / 1e3
@@ -223,7 +224,8 @@
     return RequestProfile(
         request_id=request_id,
         route=route,
-        service=route.service_for(request_id),
+        # A stream goes on at the branch of a split route that began it.
+        service=route.service_for(takes_up or request_id),
         model=model,
         adapter=adapter,
         prompt_tokens=int(_parse_number(prompt)),
@@ -234,9 +236,17 @@
         caller_deadline=caller_deadline,
         first_output_deadline=first_output_deadline,
         traits=part_traits(prefix) + ((own_trait,) if own_trait else ()),
+        takes_up=takes_up,
     )
 
 
+def _read_taken_up(headers: CIMultiDictProxy[str], route: Route) -> str | None:
+    """Return the stream that a request takes up, as `RequestProfile` has it."""
+    if not route.resumable or not headers.get(LAST_EVENT_ID, "").strip():
+        return None
+    return headers.get(RESUMES, "").strip()
+
+
 def _stream_pause_limit_s(route: Route) -> float:
     """Return how long callers wait for a stream's next event."""
     return max(
--- a/src/wisterialoom/platform/hint_codec.py
+++ b/src/wisterialoom/platform/hint_codec.py
@@ -30,6 +30,8 @@
     HintError,
     LostPaths,
     News,
+    OriginAnswer,
+    OriginWanted,
     PlacementChange,
     PlacementHint,
     PlacementWanted,
@@ -40,6 +42,7 @@
     ServersCopy,
     ServerVersions,
     StoreReached,
+    StreamsBegun,
     TurnsGranted,
     TurnsWanted,
     UnknownHintError,
@@ -116,8 +119,11 @@
             BrittleRejection()
             | CrashHint()
             | LostPaths()
+            | OriginAnswer()
+            | OriginWanted()
             | ServerLimits()
             | ServerVersions()
+            | StreamsBegun()
             | TurnsWanted()
             | TurnsGranted()
             | VersionsWanted()
@@ -254,7 +260,13 @@
 
 def _encode_server_hint(hint: ServerHint | VersionHint) -> list[Any]:
     match hint:
-        case ServerVersions() | VersionsWanted():
+        case (
+            ServerVersions()
+            | VersionsWanted()
+            | StreamsBegun()
+            | OriginWanted()
+            | OriginAnswer()
+        ):
             return encode_version_hint(hint)
         case BrittleRejection():
             return ["b", hint.instance, [hint.server, hint.rejections]]
--- a/src/wisterialoom/platform/hints.py
+++ b/src/wisterialoom/platform/hints.py
@@ -20,6 +20,7 @@
     from wisterialoom.core.crash_watch import CrashMessage
     from wisterialoom.core.fleet import Revision, TableEntry
     from wisterialoom.core.placement.placement_table import ServerPlacement
+    from wisterialoom.core.serving.stream_origin import StreamOrigin
 
 __all__ = [
     "BrittleRejection",
@@ -30,6 +31,8 @@
     "HintError",
     "LostPaths",
     "News",
+    "OriginAnswer",
+    "OriginWanted",
     "PlacementChange",
     "PlacementHint",
     "PlacementWanted",
@@ -40,6 +43,8 @@
     "ServerVersions",
     "ServersCopy",
     "StoreReached",
+    "StreamHint",
+    "StreamsBegun",
     "TurnsGranted",
     "TurnsWanted",
     "UnknownHintError",
@@ -344,8 +349,61 @@
     message: CrashMessage
 
 
-VersionHint = ServerVersions | VersionsWanted
-"""Hints about the versions of servers' software."""
+@dataclass(frozen=True, slots=True)
+class StreamsBegun:
+    """Tells which software version began some streams.
+
+    Attributes:
+        instance: Name of the sender.
+        origins: Where each stream began, by its id.
+    """
+
+    instance: str
+    origins: dict[str, StreamOrigin]
+
+
+@dataclass(frozen=True, slots=True)
+class OriginWanted:
+    """Asks which software version began a stream.
+
+    Attributes:
+        instance: Name of the sender.
+        stream: Id of the stream.
+        service: Service at which it is to go on.
+    """
+
+    instance: str
+    stream: str
+    service: str
+
+
+@dataclass(frozen=True, slots=True)
+class OriginAnswer:
+    """Answers `OriginWanted`.
+
+    Attributes:
+        instance: Name of the sender.
+        stream: Id of the stream.
+        asked_service: Service at which it is to go on.
+        service: Service at which it began; empty if the sender does not know.
+        version: Software version that began it; empty if the sender does not know.
+        possible: Versions that may have begun any stream of the service; `None` if the
+            sender does not know all of them.
+    """
+
+    instance: str
+    stream: str
+    asked_service: str
+    service: str
+    version: str
+    possible: tuple[str, ...] | None
+
+
+StreamHint = StreamsBegun | OriginWanted | OriginAnswer
+"""Hints about the software versions that began streams."""
+
+VersionHint = ServerVersions | VersionsWanted | StreamHint
+"""Hints about the versions of servers' software, and of streams."""
 
 ServerHint = (
     BrittleRejection | CrashHint | LostPaths | ServerLimits | TurnsGranted | TurnsWanted
--- a/src/wisterialoom/platform/ingress.py
+++ b/src/wisterialoom/platform/ingress.py
@@ -28,7 +28,7 @@
 from wisterialoom.platform.log import age_ms
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Awaitable, Callable
 
     from aiohttp import ClientSession, web
 
@@ -135,6 +135,8 @@
         connection_opened: Called with a server to which a connection was established.
         path_doubted: Called with a server at which an attempt failed, and whether it
             was reached directly before.
+        find_version: Finds the software version that began the stream which a request
+            takes up, and sets it.
         metrics: Counters and histograms.
         started_at: Monotonic time at which this instance started.
         draining: Whether the instance is stopping; answers then close their
@@ -159,6 +161,7 @@
         rejected: Callable[[str], None],
         connection_opened: Callable[[str], None],
         path_doubted: Callable[[BackendView, bool], None],
+        find_version: Callable[[RequestFlow], Awaitable[None]],
         metrics: PlatformMetrics,
     ) -> None:
         self.dispatcher = dispatcher
@@ -172,6 +175,7 @@
         self.rejected = rejected
         self.connection_opened = connection_opened
         self.path_doubted = path_doubted
+        self.find_version = find_version
         self.metrics = metrics
         self.pooled_session: ClientSession | None = None
         self.single_use_session: ClientSession | None = None
@@ -241,6 +245,8 @@
             async with asyncio.timeout(limit_s) as timeout:
                 self.request_timeouts.add(timeout)
                 try:
+                    if profile.takes_up is not None:
+                        await self.find_version(flow)
                     await self._run_steps(exchange, flow)
                 finally:
                     self.request_timeouts.discard(timeout)
@@ -303,6 +309,8 @@
                     attempt, result = await self._attempt(exchange, flow, step)
                     if result.verdict is AttemptVerdict.ANSWERED:
                         flow.outcome = "answered"
+                        streams = self.dispatcher.streams
+                        streams.origins.finish(flow.profile.stream)
                         if attempt.answer is not None:
                             exchange.send_buffered(attempt.answer)
                         return
--- a/src/wisterialoom/platform/lease_manager.py
+++ b/src/wisterialoom/platform/lease_manager.py
@@ -24,6 +24,7 @@
     from collections.abc import Callable
 
     from wisterialoom.core.fleet import LeaseStep, WriteLease
+    from wisterialoom.core.serving.software_versions import VersionHistory
     from wisterialoom.platform.store import StoreClient, StoreObject
 
 __all__ = ["LeaseManager", "lease_clock"]
@@ -56,6 +57,10 @@
         record_holder: Called with the name and address of the holder.
         on_taken: Called when this instance has taken the lease.
         abstains: Returns whether this instance should leave the lease to others.
+        versions: Software versions of the servers, which the record keeps for
+            instances that start later.
+        recorded_versions: The versions in the record as last read or written; `None`
+            if it does not name all.
         failures: Number of failed calls since the last answer.
     """
 
@@ -66,12 +71,15 @@
         record_holder: Callable[[str, str], None],
         on_taken: Callable[[], None],
         abstains: Callable[[], bool],
+        versions: VersionHistory,
     ) -> None:
         self.lease = lease
         self.store = store
         self.record_holder = record_holder
         self.on_taken = on_taken
         self.abstains = abstains
+        self.versions = versions
+        self.recorded_versions: dict[str, list[str]] | None = None
         self.failures = 0
 
     async def run(self) -> None:
@@ -145,7 +153,38 @@
         era = self.lease.era
         return f"placement-{era}" if era else "placement"
 
+    async def read_versions(self) -> None:
+        """Read the software versions that the holder has recorded.
+
+        Raises:
+            StoreUnavailableError: The store did not answer.
+            StoreRestoredError: The store was restored during the call.
+        """
+        found = await self._read_record()
+        if found is not None:
+            self._record_versions(found)
+
+    def _record_versions(self, found: StoreObject) -> None:
+        self.recorded_versions = _decode_versions(found)
+        self.versions.record_earlier(time.monotonic(), self.recorded_versions)
+
+    def _versions_to_record(self) -> dict[str, list[str]] | None:
+        """Return the versions for the record that replaces the one last seen.
+
+        What that one names still counts for an instance that does not know them all.
+        """
+        versions = self.versions.to_record(time.monotonic())
+        if versions is None and self.recorded_versions is not None:
+            versions = {
+                service: sorted(self.versions.listed.get(service, set()) | set(names))
+                for service, names in self.recorded_versions.items()
+            }
+        self.recorded_versions = versions
+        return versions
+
     def _record_read(self, found: StoreObject | None) -> None:
+        if found is not None:
+            self._record_versions(found)
         record = _decode_record(found) if found is not None else None
         revision = found.revision.number if found is not None else 0
         self.lease.record_read(lease_clock(), record, revision)
@@ -160,6 +199,7 @@
             "address": record.address,
             "serial": record.serial,
             "released": record.released,
+            "versions": self._versions_to_record(),
         }
         name, era = self._record_name(), self.lease.era
         if revision == 0:
@@ -196,6 +236,21 @@
         return True
 
 
+def _decode_versions(found: StoreObject) -> dict[str, list[str]] | None:
+    """Decode the versions; holders of an earlier build record none."""
+    try:
+        versions = found.spec.get("versions")
+        if versions is None:
+            return None
+        return {
+            str(service): [str(name) for name in names]
+            for service, names in versions.items()
+        }
+    except (AttributeError, TypeError) as error:
+        logger.error("cannot decode versions of servers", extra={"error": repr(error)})
+        return None
+
+
 def _decode_record(found: StoreObject) -> LeaseRecord | None:
     spec = found.spec
     try:
--- a/src/wisterialoom/platform/placement_controller.py
+++ b/src/wisterialoom/platform/placement_controller.py
@@ -93,7 +93,12 @@
     ) -> None:
         self.lease = lease
         self.lease_manager = LeaseManager(
-            lease, store, record_holder, self._on_lease_taken, self.is_cut_off
+            lease,
+            store,
+            record_holder,
+            self._on_lease_taken,
+            self.is_cut_off,
+            dispatcher.streams.history,
         )
         store.on_restore.append(self.lease_manager.record_era)
         self.orders = orders
--- a/src/wisterialoom/platform/version_codec.py
+++ b/src/wisterialoom/platform/version_codec.py
@@ -4,12 +4,20 @@
 
 from typing import Any
 
-from wisterialoom.platform.hints import ServerVersions, VersionHint, VersionsWanted
+from wisterialoom.core.serving.stream_origin import StreamOrigin
+from wisterialoom.platform.hints import (
+    OriginAnswer,
+    OriginWanted,
+    ServerVersions,
+    StreamsBegun,
+    VersionHint,
+    VersionsWanted,
+)
 
 __all__ = ["VERSION_KINDS", "decode_version_hint", "encode_version_hint"]
 
-VERSION_KINDS = ("sv", "sw")
-"""Kinds of the hints: versions of servers, and a request for them."""
+VERSION_KINDS = ("sv", "sw", "ob", "ow", "oa")
+"""Kinds of the hints: versions of servers and of streams, and questions for them."""
 
 
 def encode_version_hint(hint: VersionHint) -> list[Any]:
@@ -22,6 +30,18 @@
             return ["sv", hint.instance, items]
         case VersionsWanted():
             return ["sw", hint.instance, []]
+        case StreamsBegun():
+            origins = {
+                stream: [origin.service, origin.version]
+                for stream, origin in hint.origins.items()
+            }
+            return ["ob", hint.instance, origins]
+        case OriginWanted():
+            return ["ow", hint.instance, [hint.stream, hint.service]]
+        case OriginAnswer():
+            origin = [hint.service, hint.version]
+            fields = [hint.stream, hint.asked_service, origin, hint.possible]
+            return ["oa", hint.instance, fields]
 
 
 def decode_version_hint(kind: str, instance: str, items: Any) -> VersionHint:
@@ -45,4 +65,17 @@
             return ServerVersions(instance, versions)
         case "sw", _:
             return VersionsWanted(instance)
+        case "ob", dict():
+            origins = {
+                stream: StreamOrigin(str(service), str(version))
+                for stream, (service, version, *_) in items.items()
+            }
+            return StreamsBegun(instance, origins)
+        case "ow", [str(stream), str(service), *_]:
+            return OriginWanted(instance, stream, service)
+        case "oa", [str(stream), str(asked), [service, version, *_], possible, *_]:
+            names = None if possible is None else tuple(map(str, possible))
+            return OriginAnswer(
+                instance, stream, asked, str(service), str(version), names
+            )
     raise ValueError(f"unreadable fields in a hint of kind {kind!r}")
--- a/tests/platform/test_joined_versions.py
+++ b/tests/platform/test_joined_versions.py
@@ -82,7 +82,7 @@
         self.status = self.response.status
         self.headers = dict(self.response.headers)
 
-    async def read(self, count: int = EVENTS) -> None:
+    async def read(self, count: int = 2 * EVENTS) -> None:
         """Read until the stream has some more events, or ends."""
         assert self.response is not None
         if self.status != 200:
--- a/tests/platform/test_wire.py
+++ b/tests/platform/test_wire.py
@@ -15,6 +15,7 @@
 
 from tests.platform.fakes import config
 from tests.ports import free_port
+from tests.test_dispatcher import make_route
 from wisterialoom.core.crash_suspects import ServerStart, Suspect
 from wisterialoom.core.crash_watch import (
     AnsweredTraits,
@@ -25,6 +26,8 @@
 from wisterialoom.core.placement.fleet_demand import DemandReport
 from wisterialoom.core.placement.placement_table import ServerPlacement
 from wisterialoom.core.quarantine import Verdict
+from wisterialoom.core.serving.routing import WeightedService
+from wisterialoom.core.serving.stream_origin import StreamOrigin
 from wisterialoom.platform.decode import (
     decode_deployment,
     decode_server,
@@ -37,11 +40,14 @@
     CrashHint,
     Hint,
     HintError,
+    OriginAnswer,
+    OriginWanted,
     PlacementChange,
     PlacementHint,
     PlacementWanted,
     Released,
     ServerVersions,
+    StreamsBegun,
     VersionsWanted,
 )
 from wisterialoom.platform.peers import PeerLink
@@ -197,6 +203,10 @@
     PlacementWanted("front-1"),
     ServerVersions("front-1", {("i-1", 7): "v1", ("i-2", 0): "v1.1"}),
     VersionsWanted("front-1"),
+    StreamsBegun("front-1", {"a1": StreamOrigin("scribe", "v1")}),
+    OriginWanted("front-1", "a1", "scribe"),
+    OriginAnswer("front-1", "a1", "scribe", "", "", None),
+    OriginAnswer("front-1", "a1", "scribe", "other", "v1", ("v1", "v2")),
     CrashHint(
         "front-1",
         CrashSeen(ServerStart("i-1", 7), -0.25, {"part-a1": Suspect(1, -0.5)}),
@@ -327,3 +337,41 @@
 def test_limit_on_the_age_of_the_view_that_cannot_be_kept_is_rejected(value: Any):
     with pytest.raises(SettingsError, match="usable field"):
         PlatformSettings.from_table(settings_table(bounds={"drainMs": value}))
+
+
+@pytest.mark.parametrize(
+    ("headers", "resumable", "takes_up"),
+    [
+        ({}, True, None),
+        ({"Resumes": "a1"}, True, None),
+        ({"Last-Event-Id": "", "Resumes": "a1"}, True, None),
+        ({"Last-Event-Id": "7"}, True, ""),
+        ({"Last-Event-Id": "garbage", "Resumes": " a1 "}, True, "a1"),
+        ({"Last-Event-Id": "7", "Resumes": "a1"}, False, None),
+    ],
+)
+def test_request_that_takes_a_stream_up_is_told_from_a_new_one(
+    headers, resumable, takes_up
+):
+    route = make_route(stream=True, resumable=resumable)
+    sent = CIMultiDictProxy(CIMultiDict({"Attempt-Id": "a2", **headers}))
+    profile = read_profile(sent, route, 0.0)
+    assert profile.takes_up == takes_up
+    assert profile.stream == (takes_up or "a2")
+
+
+def test_stream_is_taken_up_at_the_branch_of_a_split_route_that_began_it():
+    branches = (WeightedService("left", 1.0), WeightedService("right", 1.0))
+    route = make_route(stream=True, resumable=True, services=branches)
+
+    def service_of(**headers: str) -> str:
+        sent = {name.replace("_", "-"): value for name, value in headers.items()}
+        return read_profile(CIMultiDictProxy(CIMultiDict(sent)), route, 0.0).service
+
+    names = [f"a{number}" for number in range(20)]
+    begun = [service_of(Attempt_Id=name) for name in names]
+    assert set(begun) == {"left", "right"}
+    assert begun == [
+        service_of(Attempt_Id="later", Last_Event_Id="3", Resumes=name)
+        for name in names
+    ]
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -371,3 +371,70 @@
     assert "s1" not in d.ways.paths.take_probes(29.0)
     d.set_servers({"s1": server("s1", started_ms=2), "s2": server("s2")})
     assert "s1" in d.ways.paths.take_probes(29.0)
+
+
+def stream_route() -> Route:
+    return make_route(stream=True, resumable=True, max_attempts=3)
+
+
+def version_of(d: Dispatcher, f: RequestFlow, now: float) -> str:
+    """Send a request, and return the software version of its server."""
+    step = d.next_step(now, f)
+    assert isinstance(step, Send)
+    return d.views[step.server_id].server.software_version
+
+
+def test_stream_goes_on_only_at_the_version_that_began_it():
+    servers = [
+        server(f"{version}-{number}", software_version=version)
+        for version in ("v1", "v2")
+        for number in range(3)
+    ]
+    d = make(*servers)
+    for number in range(8):
+        f = flow(stream_route(), request_id=f"q{number}")
+        begun_at = version_of(d, f, 0.0)
+        d.record_output(0.0, f)
+        end(d, f, AttemptVerdict.LOST, 0.1)
+        assert version_of(d, f, 0.1) == begun_at
+        d.release_server(f)
+
+
+def test_attempt_without_an_event_leaves_the_version_open():
+    d = make(server("a", software_version="v1"), server("b", software_version="v2"))
+    f = flow(stream_route())
+    first = version_of(d, f, 0.0)
+    end(d, f, AttemptVerdict.FAILED, 0.1)
+    f.may_have_run = True
+    assert version_of(d, f, 0.1) != first
+
+
+def test_stream_ends_at_once_when_its_version_has_left():
+    d = make(server("a", software_version="v2"))
+    f = flow(stream_route(), takes_up="q0")
+    f.stream_version = "v1"
+    assert d.next_step(0.0, f) == GiveUp(GiveUpReason.VERSION_LEFT, not_run=True)
+
+
+def test_stream_of_which_nobody_knows_the_version_is_refused_at_once():
+    d = make(server("a", software_version="v1"))
+    f = flow(stream_route(), takes_up="q0")
+    assert d.next_step(0.0, f) == GiveUp(GiveUpReason.VERSION_UNKNOWN, not_run=True)
+
+
+def test_stream_that_began_at_a_server_without_a_known_version_does_not_go_on():
+    d = make(server("a", software_version=""), server("b", software_version=""))
+    f = flow(stream_route())
+    assert version_of(d, f, 0.0) == ""
+    d.record_output(0.0, f)
+    end(d, f, AttemptVerdict.LOST, 0.1)
+    assert d.next_step(0.1, f) == GiveUp(GiveUpReason.VERSION_LEFT, not_run=False)
+
+
+def test_request_that_cannot_be_resumed_goes_to_any_version():
+    d = make(server("a", software_version="v1"), server("b", software_version="v2"))
+    f = flow(make_route(max_attempts=3))
+    first = version_of(d, f, 0.0)
+    d.record_output(0.0, f)
+    end(d, f, AttemptVerdict.LOST, 0.1)
+    assert version_of(d, f, 0.1) != first
