Log whether a server is listed again while it rests, and what a refusal asked for

The line "server" now tells for how long the server still wants nothing, and "attempt failed" the Retry-After of a refusal as it was sent. No logic changes.

--- a/src/wisterialoom/platform/attempt.py
+++ b/src/wisterialoom/platform/attempt.py
@@ -29,6 +29,7 @@
     SERVER_ID,
 )
 from wisterialoom.platform.server_call import call_server
+from wisterialoom.retry_after import RETRY_AFTER
 from wisterialoom.tracked_response import was_reset
 
 if TYPE_CHECKING:
@@ -256,6 +257,8 @@
 
     def _refused(self, response: ClientResponse) -> AttemptResult:
         detail = str(response.status)
+        if RETRY_AFTER in response.headers:
+            detail += f", {RETRY_AFTER}: {response.headers[RETRY_AFTER][:40]}"
         if response.status != 421:
             load = self.load
             saturated = load is None or load.running + load.waiting >= load.slots
--- a/src/wisterialoom/platform/catalog.py
+++ b/src/wisterialoom/platform/catalog.py
@@ -430,6 +430,7 @@
                 extra={
                     "server": server_id,
                     "state": state,
+                    "rests_for_ms": self._rests_for_ms(server_id),
                     "revision": self.server_watcher.revision,
                     "watches": self.server_watcher.active_event.is_set(),
                 },
@@ -437,6 +438,13 @@
         self.logged_states = now
         return now != previous
 
+    def _rests_for_ms(self, server_id: str) -> int:
+        """Return for how long a known server still wants nothing."""
+        view = self.dispatcher.views.get(server_id)
+        if view is None:
+            return 0
+        return int(max(0.0, view.held_off_until - time.monotonic()) * 1e3)
+
     def _decode(self, found: StoreObject) -> BackendServer | None:
         try:
             return decode_server(found.name, found.spec)
