Begin new streams where another server could go on with them

One server alone had a popular model at the newer version; it crashed two seconds after the streams had gathered there, and a load from the weight store takes longer than callers wait.

Ruled out: a version that nobody knew; all fifteen were known, and waited for the model at their version. The balancer now counts a server against which no other one with its software version has the model as loaded by 0.3 of its slots more, for streams that may be taken up.

The test failed before.

--- a/src/wisterialoom/core/serving/backend.py
+++ b/src/wisterialoom/core/serving/backend.py
@@ -95,6 +95,8 @@
             its refusals said.
         relayed: Whether requests go through another instance, as the server is not
             reached directly.
+        is_lone: Whether no other server with its software version has the model of the
+            request that is being sent.
         limit: Keeps to the request rate that the server named.
         absent_until: Monotonic time until which a model or adapter is not requested
             here because the server refused it as not resident, by `model/adapter`.
@@ -114,6 +116,7 @@
     leaving: bool = False
     held_off_until: float = float("-inf")
     relayed: bool = False
+    is_lone: bool = False
     limit: RequestLimit = field(default_factory=RequestLimit)
     absent_until: dict[str, float] = field(default_factory=dict)
 
--- a/src/wisterialoom/core/serving/balancer.py
+++ b/src/wisterialoom/core/serving/balancer.py
@@ -26,6 +26,8 @@
         other_zone: Penalty of a server in another availability zone.
         cached_prefix: Bonus of a server that last processed the same prompt prefix.
         relayed: Penalty of a server that is reached through another instance only.
+        lone: Penalty of a server whose loss ends streams, as no other one with its
+            software version has the model.
         pending_prefill: Penalty per thousand prompt tokens waiting for prefill;
             a prefill delays the tokens of all requests at the server.
         jitter: Maximum pseudo-random penalty, which keeps instances from all
@@ -36,6 +38,7 @@
     cached_prefix: float = 0.15
     jitter: float = 0.05
     relayed: float = 0.3
+    lone: float = 0.3
     pending_prefill: float = 0.075
 
 
@@ -81,6 +84,8 @@
             score += self.weights.other_zone
         if view.relayed:
             score += self.weights.relayed
+        if view.is_lone:
+            score += self.weights.lone
         if cached_on == server.id:
             score -= self.weights.cached_prefix
         draw = zlib.crc32(f"{profile.request_id}{server.id}".encode()) / 2**32
--- a/src/wisterialoom/core/serving/dispatcher.py
+++ b/src/wisterialoom/core/serving/dispatcher.py
@@ -318,6 +318,16 @@
             view for view in pool if view.can_serve(now, profile.model, profile.adapter)
         ]
 
+    def model_holders(self, profile: RequestProfile) -> list[BackendView]:
+        """Return the servers of a service that have a request's model resident.
+
+        Adapters are left out of account, as loading one takes little time.
+        """
+        views = self.open_views(profile.service)
+        if self.engine_of(profile.service) is None:
+            return views
+        return [view for view in views if view.is_resident(profile.model, "")]
+
     def can_move(self, now: float, candidates: list[BackendView]) -> bool:
         """Return whether a model may become resident where requests are wanted."""
         return any(not view.is_restricted(now) for view in candidates)
@@ -379,6 +389,8 @@
             # If it crashes the server, the fewest others are in progress there.
             free = [min(free, key=lambda view: view.busy(now))]
         free = self.streams.prefer_settled(now, flow, free)
+        holders = self.model_holders(profile)
+        self.streams.mark_lone(flow, holders, free)
         for view in free:
             view.relayed = not self.ways.is_direct(view)
         chosen = self.balancer.choose(now, profile, free)
--- a/src/wisterialoom/core/serving/stream_versions.py
+++ b/src/wisterialoom/core/serving/stream_versions.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+from collections import Counter
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
@@ -74,6 +75,21 @@
             view for view in views if view.server.software_version in settled
         ] or views
 
+    def mark_lone(
+        self, flow: RequestFlow, holders: list[BackendView], free: list[BackendView]
+    ) -> None:
+        """Mark the servers whose loss would end the stream that a request begins.
+
+        Args:
+            flow: The request.
+            holders: Servers that have its model resident.
+            free: Those of them that it may be sent to now.
+        """
+        versions = Counter(view.server.software_version for view in holders)
+        may_go_on = flow.profile.route.resumable
+        for view in free:
+            view.is_lone = may_go_on and versions[view.server.software_version] < 2
+
     def record_output(self, now: float, flow: RequestFlow) -> None:
         """Record that a whole event is about to be passed on to the caller."""
         profile = flow.profile
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -438,3 +438,22 @@
     d.record_output(0.0, f)
     end(d, f, AttemptVerdict.LOST, 0.1)
     assert version_of(d, f, 0.1) != first
+
+
+def test_new_stream_begins_where_another_server_could_go_on_with_it():
+    """13 of 28 streams could go on after the only holder of a version crashed."""
+    m0 = (ResidentModel("m0"),)
+    d = make(
+        server("lone", software_version="v2", models=m0),
+        server("idle", software_version="v2"),
+        server("one", software_version="v1", models=m0),
+        server("two", software_version="v1", models=m0),
+        models=True,
+    )
+    for number in range(4):
+        f = flow(stream_route(), model="m0", request_id=f"q{number}")
+        assert version_of(d, f, 0.0) == "v1"
+    busy = flow(stream_route(), model="m0", request_id="later")
+    for name in ("one", "two"):
+        d.views[name].record_report(0.0, 9, 0)
+    assert version_of(d, busy, 0.0) == "v2"
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -215,3 +215,12 @@
     streams.origins.record(0.0, "a1", StreamOrigin("other", "v1"))
     request = flow(service="s", takes_up="a1")
     assert streams.find_here(1.0, request, is_current=True) is None
+
+
+def test_version_of_an_outdated_view_is_not_trusted():
+    streams = StreamVersions(VersionHistory())
+    streams.history.record_earlier(0.0, {"s": ["v1"]})
+    streams.history.set_servers(0.0, [])
+    request = flow(service="s", takes_up="a1")
+    assert streams.find_here(1.0, request, is_current=True) == "v1"
+    assert streams.find_here(1.0, request, is_current=False) is None
