Keep what a server has said of itself by its start, not in its view

Cause, as far as the record shows it: the rest was kept in the view of the server, which is dropped when its entry lapses and made anew when it returns, and all requests that waited then arrived at once. Ruled out: a rest that is read and not kept to; each of nine logged ones was.

What servers say (leaving, rest) has one owner now, ServerNotices, by the start of the server; views only refer to it, so entries may lapse, return or come as old copies.

--- a/src/wisterialoom/core/serving/backend.py
+++ b/src/wisterialoom/core/serving/backend.py
@@ -8,6 +8,7 @@
 from wisterialoom.core.crash_suspects import ServerStart
 from wisterialoom.core.ejection import Ejection
 from wisterialoom.core.request_limit import RequestLimit
+from wisterialoom.core.serving.server_notices import StartNotices
 
 __all__ = ["UNKNOWN_COUNT", "BackendServer", "BackendView", "ResidentModel"]
 
@@ -90,9 +91,7 @@
         placement_count: Order count at which `models` was valid.
         full_until: Monotonic time until which the server gets no request because it
             refused one as full.
-        leaving: Whether the server said in an answer that it is leaving.
-        held_off_until: Monotonic time until which the server wants nothing, as one of
-            its refusals said.
+        notices: What this start of the server has said about itself in answers.
         relayed: Whether requests go through another instance, as the server is not
             reached directly.
         is_lone: Whether no other server with its software version has the model of the
@@ -113,8 +112,7 @@
     unloading: frozenset[str] = frozenset()
     placement_count: int = -1
     full_until: float = float("-inf")
-    leaving: bool = False
-    held_off_until: float = float("-inf")
+    notices: StartNotices = field(default_factory=StartNotices)
     relayed: bool = False
     is_lone: bool = False
     limit: RequestLimit = field(default_factory=RequestLimit)
@@ -195,11 +193,11 @@
     @property
     def draining(self) -> bool:
         """Whether the server takes no new requests, by its entry or its own word."""
-        return self.leaving or self.server.draining
+        return self.notices.leaving or self.server.draining
 
     def wanted_at(self, now: float) -> float:
         """Return the monotonic time from which the server wants a request."""
-        return max(self.held_off_until, self.limit.free_at(now))
+        return max(self.notices.wanted_at(), self.limit.free_at(now))
 
     def free_at(self, now: float) -> float:
         """Return the monotonic time from which the server may get requests."""
@@ -207,7 +205,7 @@
 
     def is_restricted(self, now: float) -> bool:
         """Return whether the server wants fewer requests than it has slots, or none."""
-        if now < self.held_off_until:
+        if now < self.notices.rests_until:
             return True
         limit_per_s = self.limit.limit_per_s
         return limit_per_s is not None and limit_per_s < self.server.slots
@@ -224,10 +222,6 @@
             in_flight_at_report=self.in_flight_at_report,
         )
 
-    def hold_off(self, now: float, for_s: float) -> None:
-        """Record that the server wants nothing for some time."""
-        self.held_off_until = max(self.held_off_until, now + for_s)
-
     def record_full(self, now: float) -> None:
         """Record that the server refused a request because all slots are taken."""
         self.full_until = now + REFUSAL_BACKOFF_S
--- a/src/wisterialoom/core/serving/dispatcher.py
+++ b/src/wisterialoom/core/serving/dispatcher.py
@@ -33,6 +33,7 @@
 )
 from wisterialoom.core.serving.retry_budget import RetryBudget, RetryLimits
 from wisterialoom.core.serving.retry_hint import retry_after_s
+from wisterialoom.core.serving.server_notices import ServerNotices
 from wisterialoom.core.serving.stream_versions import StreamVersions
 from wisterialoom.core.serving.way_finder import WayFinder
 
@@ -60,9 +61,6 @@
 )
 """Reasons for which the same request is of no use later, so that none is advised."""
 
-MAX_LEAVING = 1024
-"""Servers that are remembered to be leaving, the latest ones."""
-
 MAX_URGENCY = 9
 """Highest `Send.urgency`, which is served last."""
 
@@ -82,7 +80,7 @@
         waiting: Number of waiting requests, by requested model and adapter.
         arrivals: Requests since the process started, by model and adapter.
         running_counts: Attempts in progress, by server, then model and adapter.
-        leaving: Start time of servers that said that they are leaving, by id.
+        notices: What servers have said about themselves in answers.
         limit_shares: Divides the limits that servers name among the instances.
         limits: Remembers the limits that servers named.
         brittle: Spares servers that fall over if they turn many requests away.
@@ -101,7 +99,7 @@
     waiting: dict[str, int] = field(default_factory=dict)
     arrivals: dict[str, int] = field(default_factory=dict)
     running_counts: dict[str, dict[str, int]] = field(default_factory=dict)
-    leaving: dict[str, int] = field(default_factory=dict)
+    notices: ServerNotices = field(default_factory=ServerNotices)
     limit_shares: LimitShares = field(default_factory=LimitShares)
     limits: LimitMemory = field(default_factory=LimitMemory)
     brittle: BrittleServices = field(default_factory=BrittleServices)
@@ -133,7 +131,7 @@
                 self.crash_watch.record_down(view.start)
                 self.ways.paths.record_restarted(server_id)
             view = BackendView(server)
-            view.leaving = self.leaving.get(server_id) == server.started_ms
+            view.notices = self.notices.of(view.start)
             view.limit = self.limits.limit_of(
                 server_id, server.started_ms, self.limit_shares
             )
@@ -144,19 +142,25 @@
         return view.set_placement(server.order_count, models) or changed
 
     def record_leaving(self, server_id: str) -> bool:
-        """Record a server's own word that it is leaving; return whether it is news.
-
-        It holds for this start of the server, whatever its entry says.
-        """
-        view = self.views.get(server_id)
-        if view is None or view.leaving:
+        """Record a server's own word that it is leaving; return whether it is news."""
+        notices = self.notices.find(server_id)
+        if notices is None or notices.leaving:
             return False
-        view.leaving = True
-        self.leaving[server_id] = view.server.started_ms
-        while len(self.leaving) > MAX_LEAVING:
-            del self.leaving[next(iter(self.leaving))]
+        notices.leaving = True
         return True
 
+    def record_rest(self, now: float, server_id: str, for_s: float) -> None:
+        """Record that a server wants nothing for some time, listed or not."""
+        notices = self.notices.find(server_id)
+        if notices is not None:
+            notices.hold_off(now, for_s)
+
+    def record_taken(self, server_id: str) -> None:
+        """Record that a server has answered a request without asking for rest."""
+        notices = self.notices.find(server_id)
+        if notices is not None:
+            notices.record_taken()
+
     def record_limit(
         self, now: float, server_id: str, limit_per_s: float | None, as_of: float
     ) -> bool:
@@ -398,6 +402,7 @@
         view = chosen
         self.balancer.record_sent(profile, view.server.id)
         view.limit.record_sent(now)
+        view.notices.record_sent(now)
         flow.sent_at = now
         flow.in_flight_via = self.ways.choose(now, view)
         self.begin_attempt(flow, view)
--- a/src/wisterialoom/platform/catalog.py
+++ b/src/wisterialoom/platform/catalog.py
@@ -440,10 +440,10 @@
 
     def _rests_for_ms(self, server_id: str) -> int:
         """Return for how long a known server still wants nothing."""
-        view = self.dispatcher.views.get(server_id)
-        if view is None:
+        notices = self.dispatcher.notices.find(server_id)
+        if notices is None:
             return 0
-        return int(max(0.0, view.held_off_until - time.monotonic()) * 1e3)
+        return int(max(0.0, notices.rests_until - time.monotonic()) * 1e3)
 
     def _decode(self, found: StoreObject) -> BackendServer | None:
         try:
--- a/src/wisterialoom/platform/helper_server.py
+++ b/src/wisterialoom/platform/helper_server.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import time
 from collections import Counter
 from typing import TYPE_CHECKING
 
@@ -13,15 +14,18 @@
 
 from wisterialoom.no_resend import was_never_sent
 from wisterialoom.platform.headers import (
+    ATTEMPT_ID,
     HELP_FOR,
     HELP_ONCE,
     HELP_RESULT,
     HelpResult,
     HOP_BY_HOP_HEADERS,
+    NOT_RUN,
     read_notice,
     SERVER_ID,
 )
 from wisterialoom.platform.server_call import call_server
+from wisterialoom.retry_after import RETRY_AFTER
 from wisterialoom.tracked_response import was_reset
 
 if TYPE_CHECKING:
@@ -95,6 +99,10 @@
             or not self.dispatcher.ways.is_direct(view)
         ):
             return self._refuse(HelpResult.NO_HELP)
+        wanted_in_s = view.wanted_at(now := time.monotonic()) - now
+        if wanted_in_s > 0:
+            return self._refuse_for_server(request, wanted_in_s)
+        view.notices.record_sent(now)
         self.active += 1
         try:
             return await self._pass_on(request, view.server.id, view.server.address)
@@ -105,6 +113,19 @@
         self.counts[result.value] += 1
         return web.Response(status=503, headers={HELP_RESULT: result.value})
 
+    def _refuse_for_server(
+        self, request: web.BaseRequest, wanted_in_s: float
+    ) -> web.StreamResponse:
+        """Answer as a server does that wants nothing from this instance for a time."""
+        self.counts["resting"] += 1
+        headers = {
+            HELP_RESULT: HelpResult.PASSED_ON.value,
+            ATTEMPT_ID: request.headers.get(ATTEMPT_ID, ""),
+            NOT_RUN: "1",
+            RETRY_AFTER: f"{wanted_in_s:.3f}",
+        }
+        return web.Response(status=503, headers=headers)
+
     async def _pass_on(
         self, request: web.BaseRequest, server_id: str, address: str
     ) -> web.StreamResponse:
--- a/src/wisterialoom/platform/ingress.py
+++ b/src/wisterialoom/platform/ingress.py
@@ -371,6 +371,8 @@
             lambda notice: self._record_response_head(flow, notice),
             lambda: self.connection_opened(step.server_id),
             lambda: self.dispatcher.record_output(time.monotonic(), flow),
+            lambda notice: self._record_late_notice(step, notice),
+            lambda: not self.dispatcher.is_held(flow),
         )
         hold = asyncio.timeout(None)
         self.unanswered[hold] = flow
@@ -452,6 +454,8 @@
             now, flow, running, waiting, has_load=load is not None
         )
         self.record_notice(now, flow.in_flight_at, notice)
+        if not notice.hold_off_s:
+            self.dispatcher.record_taken(flow.in_flight_at)
         if notice.limit_per_s is None and notice.is_limit_readable:
             self._record_limit(now, flow.in_flight_at, None, flow.sent_at)
         rejections = notice.brittle_rejections
@@ -459,6 +463,10 @@
         service = flow.profile.service
         self.dispatcher.brittle.record(now, service, rejections, as_of)
 
+    def _record_late_notice(self, step: Send, notice: ServerNotice) -> None:
+        """Follow a refusal that nobody waits for any more."""
+        self.record_notice(time.monotonic(), step.server_id, notice)
+
     def record_notice(self, now: float, server_id: str, notice: ServerNotice) -> None:
         """Follow a server that is leaving, limits requests, or wants none for a time.
 
@@ -466,9 +474,8 @@
         """
         if notice.leaving and self.dispatcher.record_leaving(server_id):
             logger.info("server says that it leaves", extra={"server": server_id})
-        view = self.dispatcher.views.get(server_id)
-        if notice.hold_off_s and view is not None:
-            view.hold_off(now, notice.hold_off_s)
+        if notice.hold_off_s:
+            self.dispatcher.record_rest(now, server_id, notice.hold_off_s)
             logger.info(
                 "server wants nothing for a while",
                 extra={"server": server_id, "for_ms": int(notice.hold_off_s * 1e3)},
--- a/src/wisterialoom/retry_after.py
+++ b/src/wisterialoom/retry_after.py
@@ -8,13 +8,13 @@
 """Seconds, maybe with a fraction, for which the server wants nothing more."""
 
 MAX_DIGITS = 12
-"""Digits of the longest time that is believed."""
+"""Digits before the point of the longest time that is believed."""
 
 
 def read_retry_after(text: str) -> float:
     """Return the seconds that the header names; 0 for dates and what is no time."""
     whole, _, fraction = text.strip().partition(".")
     digits = whole + fraction
-    if not (digits.isascii() and digits.isdigit()) or len(digits) > MAX_DIGITS:
+    if not (digits.isascii() and digits.isdigit()) or len(whole) > MAX_DIGITS:
         return 0.0
     return float(text)
--- a/tests/platform/test_forgotten_rest.py
+++ b/tests/platform/test_forgotten_rest.py
@@ -154,7 +154,7 @@
             for number in range(2)
         ]
         await wait_until(lambda: server.refused_at)
-        site.app.dispatcher.views["i-1"].hold_off(time.monotonic(), 0.1)
+        site.app.dispatcher.views["i-1"].notices.hold_off(time.monotonic(), 0.1)
         server.notices = {}
         await asyncio.gather(*calls)
         await asyncio.sleep(BACKOFF_S)
--- a/tests/platform/test_server_notices.py
+++ b/tests/platform/test_server_notices.py
@@ -34,10 +34,10 @@
     first = FakeModelServer("i-1", models={"m1": []}, step_s=0.2, notices=LEAVING)
     second = FakeModelServer("i-2", models={"m1": []})
     async with harness(first, second) as site:
-        site.app.dispatcher.views["i-2"].hold_off(time.monotonic(), 0.3)
+        site.app.dispatcher.views["i-2"].notices.hold_off(time.monotonic(), 0.3)
         stream = asyncio.create_task(site.call("/draft/", Model="m1", Attempt_Id="s1"))
         await wait_until(lambda: first.running)
-        await wait_until(lambda: site.app.dispatcher.views["i-1"].leaving)
+        await wait_until(lambda: site.app.dispatcher.views["i-1"].notices.leaving)
         assert not stream.done()
         assert (await site.call("/draft/", Model="m1", Attempt_Id="s2"))[0] == 200
         assert (await stream)[0] == 200
@@ -49,21 +49,21 @@
     async with harness(server) as site:
         server.server_id, server.notices = "i-9", LEAVING
         await site.call("/draft/", Model="m1")
-        assert not site.app.dispatcher.views["i-1"].leaving
+        assert not site.app.dispatcher.views["i-1"].notices.leaving
 
 
 async def test_server_that_starts_again_under_its_id_is_no_longer_leaving():
     server = FakePlainServer("i-1", notices=LEAVING)
     async with harness(server) as site:
         await site.call("/deposit/")
-        assert site.app.dispatcher.views["i-1"].leaving
+        assert site.app.dispatcher.views["i-1"].notices.leaving
         await site.store.remove("servers", "i-1")
         await wait_until(lambda: "i-1" not in site.app.dispatcher.views)
         await site.store.put("servers", "i-1", server.entry())
         await wait_until(lambda: "i-1" in site.app.dispatcher.views)
-        assert site.app.dispatcher.views["i-1"].leaving
+        assert site.app.dispatcher.views["i-1"].notices.leaving
         await site.store.put("servers", "i-1", server.entry() | {"born": 2})
-        await wait_until(lambda: not site.app.dispatcher.views["i-1"].leaving)
+        await wait_until(lambda: not site.app.dispatcher.views["i-1"].notices.leaving)
 
 
 async def test_caller_cannot_make_a_server_look_as_if_it_leaves():
@@ -145,7 +145,7 @@
     async with harness(server) as site:
         await wait_until(lambda: site.app.placement_controller.holds_lease)
         await wait_until(lambda: server.reports)
-        site.app.dispatcher.views["i-1"].hold_off(time.monotonic(), 1.0)
+        site.app.dispatcher.views["i-1"].notices.hold_off(time.monotonic(), 1.0)
         await asyncio.sleep(0.1)
         before = (server.reports, len(server.orders))
         call = asyncio.create_task(site.call("/draft/", Model="m1"))
