Own interface: keep the rest of a server that is not listed for a moment

The router now keeps rests by name and incarnation until they end. The test failed before; a new incarnation is owed no rest, as before.

--- a/src/wisterialoom/core/requests/router.py
+++ b/src/wisterialoom/core/requests/router.py
@@ -85,6 +85,8 @@
         limit_shares: Divides the limits that servers name among the instances.
         brittle: Spares servers that fall over if they turn many requests away.
         limits: Remembers the limits that servers named.
+        rests: Monotonic time until which an incarnation of a server wants nothing, by
+            name and incarnation, also while it is not listed.
     """
 
     availability_zone: str
@@ -107,6 +109,7 @@
     limit_shares: LimitShares = field(default_factory=LimitShares)
     limits: LimitMemory = field(default_factory=LimitMemory)
     brittle: BrittleServices = field(default_factory=BrittleServices)
+    rests: dict[tuple[str, str], float] = field(default_factory=dict)
 
     def configure(self, document: Document) -> None:
         """Apply a configuration document."""
@@ -151,6 +154,7 @@
                 server.name, server.incarnation, self.limit_shares
             )
             view.brittle = self.brittle
+            view.held_off_until = self.rests.get((server.name, server.incarnation), 0.0)
             self.views[server.name] = view
             self.prefixes.forget(server.name)
         view.server = server
@@ -225,6 +229,8 @@
         """Record that a server wants no requests for some time."""
         view.hold_off(now, for_s)
         self.held_off_until = max(self.held_off_until, view.held_off_until)
+        self.rests = {key: until for key, until in self.rests.items() if now < until}
+        self.rests[view.server.name, view.server.incarnation] = view.held_off_until
 
     def record_limit(
         self,
--- a/tests/test_attempt_control.py
+++ b/tests/test_attempt_control.py
@@ -1,5 +1,7 @@
 """Tests of `wisterialoom.core.requests.attempt_control`."""
 
+from dataclasses import replace
+
 import pytest
 
 from tests.documents import make_load, make_server
@@ -225,3 +227,16 @@
     assert path.router.brittle.is_brittle(1.2, group)
     answer(path, 1.3, second)
     assert not path.router.brittle.is_brittle(1.3, group)
+
+
+def test_rest_is_forgotten_when_a_server_is_not_listed_for_a_moment():
+    path = make_path()
+    sent = only(arrive(path, 1.0, lookup(1)), Dispatch).attempt
+    path.handle(1.1, ServerNoticed(sent, hold_off_s=60.0))
+    path.handle(1.1, AttemptEnded(sent, AttemptResult.NOT_STARTED))
+    listed = make_server("registry-1", "service")
+    path.handle(1.2, ServersChanged(()))
+    path.handle(1.3, ServersChanged((listed,)))
+    assert only(arrive(path, 1.4, lookup(2)), Refuse).refusal.reason is Reason.OVERLOAD
+    path.handle(1.5, ServersChanged((replace(listed, incarnation="again"),)))
+    only(arrive(path, 1.6, lookup(3)), Dispatch)
