Own interface: let a server serve again that was not listed for a moment

The view stayed, marked as if the server had said that it leaves, and nothing took the mark back for the same incarnation. That a server is not listed is a fact of its own now, and ends when it is. The test failed before; a server that said that it leaves stays left.

--- a/src/wisterialoom/core/requests/router.py
+++ b/src/wisterialoom/core/requests/router.py
@@ -137,7 +137,7 @@
 
     def _close(self, name: str) -> None:
         view = self.views[name]
-        view.seen_leaving = True
+        view.is_listed = False
         view.lanes = frozenset()
         if not view.window.in_flight:
             del self.views[name]
@@ -158,6 +158,7 @@
             self.views[server.name] = view
             self.prefixes.forget(server.name)
         view.server = server
+        view.is_listed = True
         self._apply_report(view)
         self._update_lanes(view)
 
--- a/src/wisterialoom/core/requests/server_view.py
+++ b/src/wisterialoom/core/requests/server_view.py
@@ -37,7 +37,9 @@
         lanes: Lanes that the server can serve now.
         refused_lanes: Monotonic time of the last refusal as not resident, by lane.
         seen_leaving: Whether the server announced in an answer that this incarnation
-            is leaving, or is no longer listed.
+            is leaving.
+        is_listed: Whether the server is listed; one that is not may still have requests
+            in flight.
         held_off_until: Monotonic time until which the server wants no requests, as one
             of its refusals said.
         limit: Keeps to the request rate that the server named.
@@ -52,6 +54,7 @@
     lanes: frozenset[str] = frozenset()
     refused_lanes: dict[str, float] = field(default_factory=dict)
     seen_leaving: bool = False
+    is_listed: bool = True
     held_off_until: float = 0.0
     limit: RequestLimit = field(default_factory=RequestLimit)
     brittle: BrittleServices | None = None
@@ -60,7 +63,11 @@
     def closed(self) -> bool:
         """Whether the server accepts no new requests."""
         marked_leaving = self.server.leaving or self.server.drained or self.seen_leaving
-        return marked_leaving or (self.load is not None and self.load.leaving)
+        return (
+            not self.is_listed
+            or marked_leaving
+            or (self.load is not None and self.load.leaving)
+        )
 
     def hold_off(self, now: float, for_s: float) -> None:
         """Record that the server wants no requests for some time."""
--- a/tests/test_attempt_control.py
+++ b/tests/test_attempt_control.py
@@ -240,3 +240,11 @@
     assert only(arrive(path, 1.4, lookup(2)), Refuse).refusal.reason is Reason.OVERLOAD
     path.handle(1.5, ServersChanged((replace(listed, incarnation="again"),)))
     only(arrive(path, 1.6, lookup(3)), Dispatch)
+
+
+def test_server_that_is_not_listed_for_a_moment_serves_again_beside_a_request():
+    path = make_path()
+    only(arrive(path, 1.0, lookup(1)), Dispatch)
+    path.handle(1.2, ServersChanged(()))
+    path.handle(1.3, ServersChanged((make_server("registry-1", "service"),)))
+    only(arrive(path, 1.4, lookup(2)), Dispatch)
