Give the soak servers of two software versions, and callers that take streams up

The checker joins the texts of a caller's tries, and reports streams with events of two versions, unless instances of an earlier build take part.

--- a/tests/soak/promise_checker.py
+++ b/tests/soak/promise_checker.py
@@ -21,6 +21,8 @@
 """Routes whose requests may be executed at most once."""
 
 EVENT = re.compile(rb"id: (\d+)\ndata: (\d+)\n\n")
+VERSION = re.compile(rb"^: (\S+)$", re.MULTILINE)
+"""A comment in each event, which names the version of the server's software."""
 
 
 @dataclass
@@ -34,6 +36,7 @@
             as not executed.
         holders: Holder by fencing number, from the orders that servers received.
         answers: Number of answers by route and status.
+        checks_versions: Whether all instances keep streams at one software version.
     """
 
     violations: list[str] = field(default_factory=list)
@@ -41,6 +44,7 @@
     refused: dict[str, int] = field(default_factory=dict)
     holders: dict[int, str] = field(default_factory=dict)
     answers: Counter[str] = field(default_factory=Counter)
+    checks_versions: bool = True
 
     def report(self, promise: str, detail: str) -> None:
         self.violations.append(f"{promise}: {detail}")
@@ -77,6 +81,10 @@
             )
 
     def check_stream(self, request_id: str, body: bytes, complete: bool) -> None:
+        """Check a stream, with what the caller has from the tries before."""
+        versions = sorted(set(VERSION.findall(body)))
+        if self.checks_versions and len(versions) > 1:
+            self.report("one version in a stream", f"{request_id} got {versions}")
         numbers = [int(number) for number, _ in EVENT.findall(body)]
         if numbers != list(range(1, len(numbers) + 1)):
             self.report("events in order", f"{request_id} got {numbers}")
@@ -116,6 +124,9 @@
 
     checker: PromiseChecker = field(default_factory=PromiseChecker)
 
+    def event(self, number: int) -> bytes:
+        return b": %s\n" % self.version.encode() + super().event(number)
+
     def record_run(self, request_id: str) -> None:
         self.checker.record_run(request_id)
 
--- a/tests/soak/soak_run.py
+++ b/tests/soak/soak_run.py
@@ -10,8 +10,9 @@
 import signal
 import sys
 import time
+import zlib
 from collections import deque
-from dataclasses import replace
+from dataclasses import dataclass, replace
 from pathlib import Path
 from typing import assert_never, TYPE_CHECKING
 
@@ -30,6 +31,7 @@
 from tests.soak.promise_checker import (
     CheckedModelServer,
     CheckedPlainServer,
+    EVENT,
     EVENTS,
     PromiseChecker,
 )
@@ -137,6 +139,34 @@
             await self.start()
 
 
+@dataclass
+class Stream:
+    """What a caller has of a stream, over its tries.
+
+    Attributes:
+        first_id: Id of the try that brought the first event.
+        model: Model of the request.
+        events: The whole events of all tries.
+        is_broken: Whether the last try broke off after some events.
+    """
+
+    first_id: str = ""
+    model: str = ""
+    events: bytes = b""
+    is_broken: bool = False
+
+    def add(self, request_id: str, body: bytes, *, complete: bool) -> None:
+        """Add what a try brought; half an event at its end is dropped."""
+        self.events += body[: body.rfind(b"\n\n") + 2] if b"\n\n" in body else b""
+        self.first_id = self.first_id or request_id
+        self.is_broken = not complete and bool(self.events)
+
+    def resume_headers(self) -> dict[str, str]:
+        """Return the headers of a try that takes the stream up."""
+        last = EVENT.findall(self.events)[-1][0].decode()
+        return {"Last-Event-Id": last, "Resumes": self.first_id, "Model": self.model}
+
+
 class SoakRun:
     """Runs the soak test with the faults of one seed.
 
@@ -175,6 +205,8 @@
         self.checker = PromiseChecker()
         self.store = FakeStore()
         self.rng = random.Random(seed)
+        self.retry_rng = random.Random(seed)
+        self.checker.checks_versions = old_build is None
         self.numbers: Iterator[int] = itertools.count()
         self.version = 1
         self.servers: dict[int, Server] = {}
@@ -242,7 +274,11 @@
         server: Server
         if position < faults.MODEL_SERVERS:
             server = CheckedModelServer(
-                server_id, checker=self.checker, events=EVENTS, step_s=0.01
+                server_id,
+                checker=self.checker,
+                events=EVENTS,
+                step_s=0.01,
+                version=f"v{1 + zlib.crc32(server_id.encode()) % 2}",
             )
             server.models = {f"m{position}": []}
         else:
@@ -474,13 +510,29 @@
                 disconnects = self.rng.random() < 0.1
                 with contextlib.suppress(aiohttp.ClientError, TimeoutError, OSError):
                     async with asyncio.timeout(0.05 if disconnects else None):
-                        await self.call(session, instance, route)
+                        stream = Stream()
+                        await self.call(session, instance, route, stream)
+                        if stream.is_broken:
+                            other = self.retry_rng.choice(self.instances)
+                            await self.call(session, other, route, stream)
                 await asyncio.sleep(CALL_PAUSE_S)
 
     async def call(
-        self, session: aiohttp.ClientSession, instance: Instance, route: str
+        self,
+        session: aiohttp.ClientSession,
+        instance: Instance,
+        route: str,
+        stream: Stream | None = None,
     ) -> int:
-        """Send one request; return its status, or 0 if the answer is incomplete."""
+        """Send one request; return its status, or 0 if the answer is incomplete.
+
+        Args:
+            session: Session of the caller.
+            instance: Instance to send it to.
+            route: Name of the route.
+            stream: What the caller has of a stream that it takes up.
+        """
+        stream = stream or Stream()
         request_id = f"{route}-{next(self.numbers)}"
         headers = {
             "Host": "desk.example",
@@ -488,6 +540,9 @@
             "Deadline-Ms": str(DEADLINE_MS),
             "Model": f"m{self.rng.randrange(5)}",
         }
+        if stream.is_broken:
+            headers |= stream.resume_headers()
+        stream.model = headers["Model"]
         url = f"http://{instance.ip}:{instance.front}/{route}/?q={request_id}"
         timeout = aiohttp.ClientTimeout(total=DEADLINE_MS / 1e3 + 1.0)
         body = bytearray()
@@ -498,6 +553,9 @@
                     body += chunk
             except aiohttp.ClientError:
                 complete = False
+            if response.status == 200 and route == "draft":
+                stream.add(request_id, bytes(body), complete=complete)
+                body = bytearray(stream.events)
             self.checker.record_answer(
                 request_id, response.status, bytes(body), complete
             )
--- a/tests/soak/test_promise_checker.py
+++ b/tests/soak/test_promise_checker.py
@@ -65,3 +65,13 @@
     assert checker.violations == []
     checker.record_order({"fence": 2, "holder": "front-0"}, 4, 3)
     assert len(checker.violations) == 3
+
+
+def test_stream_with_events_of_two_versions_is_detected():
+    checker = PromiseChecker()
+    body = b": v1\n" + encode_events(1) + b": v2\n" + encode_events(2)
+    checker.record_answer("draft-1", 200, body, complete=False)
+    assert len(checker.violations) == 1
+    checker.checks_versions = False
+    checker.record_answer("draft-2", 200, body, complete=False)
+    assert len(checker.violations) == 1
