Look for servers that are alone with a version only where versions differ

Each send looked through all servers of the service once more. The holders of a model are counted only if the free ones have several software versions now, and versions that left long ago are dropped.

--- a/src/wisterialoom/core/serving/dispatcher.py
+++ b/src/wisterialoom/core/serving/dispatcher.py
@@ -323,7 +323,7 @@
         ]
 
     def model_holders(self, profile: RequestProfile) -> list[BackendView]:
-        """Return the servers of a service that have a request's model resident.
+        """Return the servers that have a request's model resident, free or not.
 
         Adapters are left out of account, as loading one takes little time.
         """
@@ -393,8 +393,7 @@
             # If it crashes the server, the fewest others are in progress there.
             free = [min(free, key=lambda view: view.busy(now))]
         free = self.streams.prefer_settled(now, flow, free)
-        holders = self.model_holders(profile)
-        self.streams.mark_lone(flow, holders, free)
+        self.streams.mark_lone(flow, free, self.model_holders)
         for view in free:
             view.relayed = not self.ways.is_direct(view)
         chosen = self.balancer.choose(now, profile, free)
--- a/src/wisterialoom/core/serving/software_versions.py
+++ b/src/wisterialoom/core/serving/software_versions.py
@@ -71,6 +71,11 @@
     def set_servers(self, now: float, servers: Collection[BackendServer]) -> None:
         """Observe the servers that are listed now, draining ones included."""
         self.observed_since = min(self.observed_since, now)
+        self.gone_at = {
+            key: gone_at
+            for key, gone_at in self.gone_at.items()
+            if now - gone_at < self.retention_s
+        }
         found: dict[str, set[str]] = {}
         for server in servers:
             found.setdefault(server.service, set()).add(_label(server))
--- a/src/wisterialoom/core/serving/stream_versions.py
+++ b/src/wisterialoom/core/serving/stream_versions.py
@@ -19,10 +19,10 @@
 from wisterialoom.core.serving.stream_origin import StreamOrigin, StreamOrigins
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
+    from collections.abc import Callable, Iterable
 
     from wisterialoom.core.serving.backend import BackendView
-    from wisterialoom.core.serving.request_flow import RequestFlow
+    from wisterialoom.core.serving.request_flow import RequestFlow, RequestProfile
 
 __all__ = ["StreamVersions"]
 
@@ -76,19 +76,25 @@
         ] or views
 
     def mark_lone(
-        self, flow: RequestFlow, holders: list[BackendView], free: list[BackendView]
+        self,
+        flow: RequestFlow,
+        free: list[BackendView],
+        find_holders: Callable[[RequestProfile], list[BackendView]],
     ) -> None:
         """Mark the servers whose loss would end the stream that a request begins.
 
         Args:
             flow: The request.
-            holders: Servers that have its model resident.
-            free: Those of them that it may be sent to now.
+            free: Servers that it may be sent to now.
+            find_holders: Returns the servers that have its model resident.
         """
+        holders: list[BackendView] = []
+        if len({view.server.software_version for view in free}) > 1:
+            holders = find_holders(flow.profile)
         versions = Counter(view.server.software_version for view in holders)
-        may_go_on = flow.profile.route.resumable
+        matters = bool(holders) and flow.profile.route.resumable
         for view in free:
-            view.is_lone = may_go_on and versions[view.server.software_version] < 2
+            view.is_lone = matters and versions[view.server.software_version] < 2
 
     def record_output(self, now: float, flow: RequestFlow) -> None:
         """Record that a whole event is about to be passed on to the caller."""
