--- a/src/wisterialoom/core/serving/software_versions.py
+++ b/src/wisterialoom/core/serving/software_versions.py
@@ -127,6 +127,10 @@
         """
         if self.earlier is None and now - self.observed_since < self.retention_s:
             return None
+        return self.known(now, service)
+
+    def known(self, now: float, service: str) -> frozenset[str]:
+        """Return the versions that may have begun a stream, as far as they are known."""
         found = self.listed.get(service, frozenset()) | {
             version
             for (name, version), gone_at in self.gone_at.items()
--- a/src/wisterialoom/platform/stream_exchange.py
+++ b/src/wisterialoom/platform/stream_exchange.py
@@ -31,6 +31,7 @@
     from wisterialoom.core.serving.dispatcher import Dispatcher
     from wisterialoom.core.serving.request_flow import RequestFlow
     from wisterialoom.platform.catalog import Catalog
+    from wisterialoom.platform.hints import StreamHint
     from wisterialoom.platform.peers import PeerLink
     from wisterialoom.platform.store import StoreClient
 
@@ -149,6 +150,8 @@
     async def stop(self) -> None:
         """Stop sharing streams; their records stay in the store."""
         await self.tasks.stop()
+        if self.listing is not None:
+            self.listing.cancel()
 
     # Finding the version of a stream that a caller takes up.
 
@@ -195,21 +198,21 @@
             self.streams.origins.record(time.monotonic(), stream, question.origin)
             return await self._find_here(flow)
         # What this instance has seen itself counts, too, however old it is.
-        own = self.streams.history.listed.get(profile.service, frozenset())
+        own = self.streams.history.known(time.monotonic(), profile.service)
         return question.sole_version(own)
 
     async def _ask_store(self, flow: RequestFlow) -> str | None:
         history = self.streams.history
         await self._wait_until_current()
-        try:
-            if history.possible(time.monotonic(), flow.profile.service) is None:
+        if history.possible(time.monotonic(), flow.profile.service) is None:
+            try:
                 await self.read_versions()
-                version = await self._find_here(flow)
-                if version is not None:
-                    return version
-            await self._read_records()
-        except (StoreUnavailableError, StoreRestoredError):
-            return None
+            except (StoreUnavailableError, StoreRestoredError):
+                return None
+            version = await self._find_here(flow)
+            if version is not None:
+                return version
+        await self._read_records()
         return await self._find_here(flow)
 
     async def _wait_until_current(self) -> None:
@@ -228,7 +231,10 @@
         await asyncio.shield(self.listing)
 
     async def _list_records(self) -> None:
-        listing = await self.store.list(STREAM_KIND)
+        try:
+            listing = await self.store.list(STREAM_KIND)
+        except (StoreUnavailableError, StoreRestoredError):
+            return
         now = time.monotonic()
         for found in listing.objects:
             for stream, origin in _decode_record(found.spec):
@@ -252,9 +258,7 @@
 
     # Letting others know.
 
-    def handle_hint(
-        self, hint: StreamsBegun | OriginWanted | OriginAnswer, address: str
-    ) -> None:
+    def handle_hint(self, hint: StreamHint, address: str) -> None:
         """Handle a message of another instance.
 
         Args:
--- a/tests/test_software_versions.py
+++ b/tests/test_software_versions.py
@@ -115,3 +115,9 @@
     assert history.retention_s == 120.0
     history.set_longest_timeout(1.0)
     assert history.retention_s == 120.0
+
+
+def test_version_that_an_instance_saw_leave_counts_beside_what_others_know():
+    history = observed((0.0, [server("i-1", "v1")]), (5.0, [server("i-2", "v2")]))
+    assert history.possible(6.0, "s") is None
+    assert history.known(6.0, "s") == {"v1", "v2"}
--- a/tests/test_stream_versions.py
+++ b/tests/test_stream_versions.py
@@ -172,7 +172,7 @@
                 question.record(str(number), origin, possible)
         if question.origin is not None:
             return question.origin.version
-        version = question.sole_version(streams.history.listed.get("s", frozenset()))
+        version = question.sole_version(streams.history.known(self.now, "s"))
         if version is not None or self.now < instance.cut_until:
             return version
         if streams.history.possible(self.now, "s") is None:
