--- a/src/wisterialoom/core/serving/software_versions.py
+++ b/src/wisterialoom/core/serving/software_versions.py
@@ -130,7 +130,7 @@
         return self.known(now, service)
 
     def known(self, now: float, service: str) -> frozenset[str]:
-        """Return the versions that may have begun a stream, as far as they are known."""
+        """Return the known ones of the versions that may have begun a stream."""
         found = self.listed.get(service, frozenset()) | {
             version
             for (name, version), gone_at in self.gone_at.items()
