Replace settings files in the soak as a whole

Seed 34018 of 50: one instance did not serve after the recovery. Its log ends with "the settings lack a usable field: 'listen'": the soak had emptied the file to write it anew while the process, started again by another fault, read it, and the soak starts no process again that ends by itself. The test failed before.

--- a/tests/soak/soak_run.py
+++ b/tests/soak/soak_run.py
@@ -107,9 +107,11 @@
         self.lock = asyncio.Lock()
 
     def write_settings(self) -> None:
-        """Write the settings file."""
+        """Replace the settings file; a process that starts meanwhile reads a whole one."""
         text = SETTINGS.format(store=self.proxy.address, **self.__dict__)
-        self.path.write_text(text)
+        written = self.path.with_suffix(".new")
+        written.write_text(text)
+        written.replace(self.path)
 
     async def start(self) -> None:
         """Start the process."""
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -10,7 +10,7 @@
 import pytest
 
 from tests.soak.faults import draw_faults
-from tests.soak.soak_run import SoakRun
+from tests.soak.soak_run import Instance, SoakRun
 
 if TYPE_CHECKING:
     from pathlib import Path
@@ -25,6 +25,7 @@
     137: "the error of a call that was canceled while connecting was never retrieved",
     1796350572: "a reload signal before its first statement ended a process",
     1796350574: "same cause as 1796350572",
+    34018: "an instance that was starting read a settings file that was half written",
 }
 """Seeds that have failed, each with the cause."""
 
@@ -62,3 +63,16 @@
 def test_a_seed_reproduces_the_same_faults():
     assert draw_faults(5) == draw_faults(5)
     assert draw_faults(5) != draw_faults(6)
+
+
+def test_settings_are_never_seen_half_written(tmp_path):
+    """Seed 34018: an instance that was starting read an empty file and ended."""
+    instance = Instance(0, "127.0.0.1:1", "127.0.0.1", tmp_path, (tmp_path,))
+    instance.proxy.address = "127.0.0.1:2"
+    instance.write_settings()
+    before = instance.path.read_text()
+    with instance.path.open() as being_read:
+        instance.slack += 1
+        instance.write_settings()
+        assert being_read.read() == before
+    assert instance.path.read_text() != before
