--- a/tests/soak/soak_run.py
+++ b/tests/soak/soak_run.py
@@ -107,7 +107,7 @@
         self.lock = asyncio.Lock()
 
     def write_settings(self) -> None:
-        """Replace the settings file; a process that starts meanwhile reads a whole one."""
+        """Replace the settings file as a whole, as a process may be reading it."""
         text = SETTINGS.format(store=self.proxy.address, **self.__dict__)
         written = self.path.with_suffix(".new")
         written.write_text(text)
