End aborted calls at once again; their refusals are not read

The request goes on at its server when its attempt has ended, crashes it, and is not among the suspects.

--- a/src/wisterialoom/platform/attempt.py
+++ b/src/wisterialoom/platform/attempt.py
@@ -54,12 +54,6 @@
 MAX_REFUSAL_BYTES = 65_536
 """Size up to which the body of a refusal is read."""
 
-LINGER_S = 0.1
-"""Time for which an aborted call still waits for the head of its answer.
-
-Several round trips between zones; a server that works on the request stops after it.
-"""
-
 EVENTS = "text/event-stream"
 
 MAX_BUFFERED_BYTES = 1_000_000
@@ -109,10 +103,6 @@
             head of the answer arrives.
         connection_opened: Called when a connection to the server was established.
         output_begun: Called at the first whole event of a stream.
-        record_late_notice: Called with what the server says about itself in an answer
-            that nobody waits for any more.
-        may_linger: Returns whether an attempt that is aborted may still wait a moment
-            for the head of its answer.
         answer: The complete answer, if it has not been forwarded yet.
         load: Load that the server reported; `None` if it did not.
         had_output: Whether the server has begun to answer: with a whole event, if the
@@ -129,8 +119,6 @@
         record_response_head: Callable[[ServerNotice], None],
         connection_opened: Callable[[], None],
         output_begun: Callable[[], None],
-        record_late_notice: Callable[[ServerNotice], None],
-        may_linger: Callable[[], bool],
     ) -> None:
         self.exchange = exchange
         self.profile = profile
@@ -140,8 +128,6 @@
         self.record_response_head = record_response_head
         self.connection_opened = connection_opened
         self.output_begun = output_begun
-        self.record_late_notice = record_late_notice
-        self.may_linger = may_linger
         self.answer: BufferedAnswer | None = None
         self.load: ServerLoad | None = None
         self.had_output = False
@@ -218,25 +204,9 @@
                 if self.can_retry_elsewhere():
                     raise TimeoutError
         except BaseException:
-            self._let_go(pending)
-            raise
-
-    def _let_go(self, pending: asyncio.Future[ClientResponse]) -> None:
-        """Abort a call; a refusal that is on its way is still followed."""
-        pending.add_done_callback(self._read_late)
-        if self.may_linger():
-            asyncio.get_running_loop().call_later(LINGER_S, pending.cancel)
-        else:
             pending.cancel()
-
-    def _read_late(self, pending: asyncio.Future[ClientResponse]) -> None:
-        if pending.cancelled() or pending.exception() is not None:
-            return
-        response = pending.result()
-        if response.headers.get(SERVER_ID) in (None, self.step.server_id):
-            notice = read_notice(response.status, response.headers)
-            self.record_late_notice(notice)
-        response.close()
+            pending.add_done_callback(_close_unused)
+            raise
 
     async def _read(self, response: ClientResponse) -> bytes:
         """Return the next bytes of the answer, or no bytes at its end.
@@ -377,3 +347,9 @@
 def _has_events(response: ClientResponse) -> bool:
     """Return whether an answer is a stream of events, also if it does not say so."""
     return response.headers.get("Content-Type", EVENTS).startswith(EVENTS)
+
+
+def _close_unused(pending: asyncio.Future[ClientResponse]) -> None:
+    """Close a response that arrived after its attempt was canceled; ignore errors."""
+    if not pending.cancelled() and pending.exception() is None:
+        pending.result().close()
--- a/src/wisterialoom/platform/ingress.py
+++ b/src/wisterialoom/platform/ingress.py
@@ -371,8 +371,6 @@
             lambda notice: self._record_response_head(flow, notice),
             lambda: self.connection_opened(step.server_id),
             lambda: self.dispatcher.record_output(time.monotonic(), flow),
-            lambda notice: self._record_late_notice(step, notice),
-            lambda: not self.dispatcher.is_held(flow),
         )
         hold = asyncio.timeout(None)
         self.unanswered[hold] = flow
@@ -463,10 +461,6 @@
         service = flow.profile.service
         self.dispatcher.brittle.record(now, service, rejections, as_of)
 
-    def _record_late_notice(self, step: Send, notice: ServerNotice) -> None:
-        """Follow a refusal that nobody waits for any more."""
-        self.record_notice(time.monotonic(), step.server_id, notice)
-
     def record_notice(self, now: float, server_id: str, notice: ServerNotice) -> None:
         """Follow a server that is leaving, limits requests, or wants none for a time.
 
