--- a/review/standin/site.py
+++ b/review/standin/site.py
@@ -260,16 +260,16 @@
     }
 
 
-def run_case(case: Any, here: str) -> None:
+def run_case(case: Any, here: str, *, trouble: bool) -> None:
     """Run a case and exit with 1 if the rule was broken, 0 if it held, else 2.
 
     Args:
         case: Coroutine function that gets the record, the folder for temporary files
             and whether to make trouble; it returns whether the rule was broken.
         here: Path of the script.
+        trouble: Whether to make the disruption.
     """
     record = Record(Path(here).resolve().parent / "record.txt")
-    trouble = os.environ.get("TROUBLE", "1") != "0"
     record(f"trouble: {trouble}")
 
     async def main() -> bool:
