Decode each object of a store answer on its own

Callers saw their requests sent to a draining server for as long as it ran, and no new server was found, once the store listed one entry of another writer with bytes that are not UTF-8. An instance that started then did not become ready.

Cause: an answer of the store was decoded as a whole. One object with single surrogates, without a name or with a revision of another type made the whole page, and every later one, count as no answer. An entry that was valid JSON but not a server was removed from the table, so that a ready server was dropped.

An answer that is not valid JSON is now split at the brackets and commas of its structure, and each object is decoded on its own. An object that cannot be decoded is counted and logged once, and the last decodable state of its name stays in force while it is listed. A watch returns each version of an object in order, as the latest may be the undecodable one. An undecodable entry whose state alone can be read as draining drains the known server. Integers that other instances could not be told are refused. Names are quoted in the query that continues a list.

A lenient JSON decoder for the whole answer was ruled out: text with single surrogates cannot be encoded again, and would fail later in logs and datagrams.

--- a/src/wisterialoom/platform/app.py
+++ b/src/wisterialoom/platform/app.py
@@ -339,6 +339,12 @@
             "event",
             lambda: {"noticed": store.restores},
         )
+        metrics.labeled_counter(
+            "unreadable_objects_total",
+            "Objects of the store that could not be decoded.",
+            "kind",
+            lambda: store.unreadable.counts,
+        )
         metrics.gauge("store_era", "Era of the store.", lambda: store.era)
         metrics.labeled_counter(
             "orders_total",
--- a/src/wisterialoom/platform/catalog.py
+++ b/src/wisterialoom/platform/catalog.py
@@ -4,6 +4,7 @@
 
 import logging
 import time
+from dataclasses import replace
 from typing import Any, TYPE_CHECKING
 
 from wisterialoom.core.fleet import FIRST_REVISION, ServerTable
@@ -12,6 +13,7 @@
     decode_deployment,
     decode_server,
     DecodeError,
+    says_draining,
 )
 from wisterialoom.platform.store import StoreRestoredError, StoreUnavailableError
 from wisterialoom.platform.watcher import KindWatcher
@@ -64,6 +66,7 @@
         is_role_decided: Whether it was decided if this instance follows the store.
             Before that it reads everything once.
         config_spec: The configuration in force, as stored.
+        unreadable: Objects of the store that could not be decoded.
         config_confirmed_at: Monotonic time at which the configuration in force here
             was current, as another instance confirmed it.
         servers_confirmed_at: The same time for the servers.
@@ -86,6 +89,7 @@
         self.logged_states: dict[str, tuple[bool, int]] = {}
         self.is_role_decided = False
         self.config_spec: Any = None
+        self.unreadable = store.unreadable
         self.config_confirmed_at = float("-inf")
         self.servers_confirmed_at = float("-inf")
         self.config = KindWatcher(
@@ -210,8 +214,9 @@
         try:
             deployment = decode_deployment(spec)
         except DecodeError as error:
-            logger.error("configuration refused", extra={"error": str(error)})
+            self.unreadable.record(CONFIG_KIND, CONFIG_NAME, str(error))
             return
+        self.unreadable.record_readable(CONFIG_KIND, CONFIG_NAME)
         if deployment.version <= self.config_version:
             return
         self.dispatcher.deployment = deployment
@@ -339,7 +344,11 @@
             server = self._decode(found)
             if server is not None:
                 self.table.put(now, found.revision, server, listed=True)
-                listed.add(server.id)
+            else:
+                self._keep_unreadable(now, found)
+            listed.add(found.name)
+        # The last readable state of such an entry stays in force.
+        listed |= set(listing.unreadable)
         for server_id in self.table.listed.keys() - listed:
             if now < self.restore_deadline:
                 self.missing.setdefault(server_id, self.restore_deadline)
@@ -359,7 +368,9 @@
         for found in answer.changed:
             server = self._decode(found)
             if server is None:
-                self.table.remove(now, found.revision, found.name)
+                if found.name in answer.created_again:
+                    self.table.remove(now, found.revision, found.name)
+                self._keep_unreadable(now, found)
                 continue
             self.missing.pop(server.id, None)
             self.table.put(now, found.revision, server)
@@ -447,7 +458,20 @@
 
     def _decode(self, found: StoreObject) -> BackendServer | None:
         try:
-            return decode_server(found.name, found.spec)
+            server = decode_server(found.name, found.spec)
         except DecodeError as error:
-            logger.warning("server entry ignored", extra={"error": str(error)})
+            self.unreadable.record(SERVER_KIND, found.name, str(error))
             return None
+        self.unreadable.record_readable(SERVER_KIND, found.name)
+        return server
+
+    def _keep_unreadable(self, now: float, found: StoreObject) -> None:
+        """Keep the last readable state of a server whose entry cannot be decoded.
+
+        Its state alone may still be readable; a server that drains gets no requests.
+        """
+        self.missing.pop(found.name, None)
+        server = self.table.listed.get(found.name)
+        if server is not None and not server.draining and says_draining(found.spec):
+            draining = replace(server, draining=True)
+            self.table.put(now, found.revision, draining)
--- a/src/wisterialoom/platform/decode.py
+++ b/src/wisterialoom/platform/decode.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 from typing import Any, TYPE_CHECKING
 
 from wisterialoom.core.error import WisterialoomError
@@ -16,6 +17,7 @@
     Service,
     WeightedService,
 )
+from wisterialoom.platform.store_json import UnreadableValue
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -25,10 +27,20 @@
     "decode_deployment",
     "decode_models",
     "decode_server",
+    "says_draining",
 ]
 
 SERVER_STATES = ("ready", "draining")
 
+DECODE_ERRORS = (KeyError, TypeError, ValueError, AttributeError, ArithmeticError)
+"""Errors that fields of another type or range than expected can lead to."""
+
+MAX_INTEGER = 2**53 - 1
+"""Largest integer that is accepted; other instances can decode it exactly."""
+
+ADDRESS = re.compile(r"(?:[A-Za-z0-9._-]+|\[[0-9A-Fa-f:.]+\]):([0-9]{1,5})")
+"""Host or IP address, and port."""
+
 
 class DecodeError(WisterialoomError):
     """Raised when an object of the platform has invalid or missing fields."""
@@ -47,13 +59,16 @@
         services = {
             str(item["name"]): _decode_service(item) for item in spec["services"]
         }
+        version = int(spec["version"])
+        if not 0 <= version <= MAX_INTEGER:
+            raise ValueError(f"version is {version}")
         return Deployment.from_routes(
-            int(spec["version"]),
+            version,
             [_decode_route(item) for item in spec["routes"]],
             services,
             _decode_limits(spec.get("limits", {})),
         )
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
+    except DECODE_ERRORS as error:
         raise DecodeError(
             f"the configuration cannot be decoded: {error!r}; "
             "the version in force stays in use until a valid one is received"
@@ -151,8 +166,11 @@
         state = spec["state"]
         if state not in SERVER_STATES:
             raise ValueError(f"state is {state!r}")
-        host, _, port = _string(spec["address"]).rpartition(":")
-        if not host or not 0 < int(port) < 65536:
+        # The name is sent to the server in a header.
+        if not server_id.isprintable():
+            raise ValueError("the name has control characters")
+        address = ADDRESS.fullmatch(_string(spec["address"]))
+        if address is None or not 0 < int(address[1]) < 65536:
             raise ValueError(f"address is {spec['address']!r}")
         remaining_ms = spec.get("remainingMs")
         return BackendServer(
@@ -171,25 +189,47 @@
             removal_in_s=remaining_ms / 1e3 if remaining_ms is not None else None,
             software_version=_string(spec["version"]),
         )
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
+    except DECODE_ERRORS as error:
         raise DecodeError(
             f"entry {server_id!r} does not describe a backend server: {error!r}; "
-            "it is skipped until it changes"
+            "its last readable state stays in force until it changes"
         ) from error
 
 
+def says_draining(spec: Any) -> bool:
+    """Return whether an entry that cannot be decoded says that the server drains."""
+    if isinstance(spec, UnreadableValue):
+        spec = spec.guess()
+    return isinstance(spec, dict) and spec.get("state") == "draining"
+
+
 def decode_models(items: Any) -> tuple[ResidentModel, ...]:
-    """Decode the list of models that are resident at a backend server."""
+    """Decode the list of models that are resident at a backend server.
+
+    Raises:
+        KeyError: A field is missing.
+        TypeError: A field has another type.
+        AttributeError: A field has another type.
+    """
     return tuple(
         ResidentModel(
             name=_string(item["name"]),
             version=_integer(item.get("version", 0)),
-            adapters=tuple(_string(name) for name in item.get("adapters") or ()),
+            adapters=tuple(_string(name) for name in _list(item.get("adapters"))),
         )
         for item in items
     )
 
 
+def _list(value: Any) -> list[Any] | tuple[Any, ...]:
+    """Return a list; one that is absent is empty."""
+    if value is None:
+        return ()
+    if not isinstance(value, (list, tuple)):
+        raise TypeError(f"{value!r} is not a list")
+    return value
+
+
 def _string(value: Any) -> str:
     if not isinstance(value, str) or not value:
         raise TypeError(f"{value!r} is not a non-empty string")
@@ -199,4 +239,6 @@
 def _integer(value: Any) -> int:
     if isinstance(value, bool) or not isinstance(value, int):
         raise TypeError(f"{value!r} is not an integer")
+    if abs(value) > MAX_INTEGER:
+        raise ValueError(f"{value} is out of range")
     return value
--- a/src/wisterialoom/platform/store.py
+++ b/src/wisterialoom/platform/store.py
@@ -5,9 +5,10 @@
 import asyncio
 import logging
 import time
-from contextlib import contextmanager
+from contextlib import contextmanager, suppress
 from dataclasses import dataclass
 from typing import Any, TYPE_CHECKING
+from urllib.parse import quote
 
 import aiohttp
 import orjson
@@ -17,9 +18,11 @@
 from wisterialoom.core.error import WisterialoomError
 from wisterialoom.core.fleet import Revision, StoreProgress
 from wisterialoom.no_resend import no_resend, was_never_sent
+from wisterialoom.platform.store_json import decode_answer
+from wisterialoom.platform.unreadable import UnreadableInput
 
 if TYPE_CHECKING:
-    from collections.abc import Callable, Iterator, Mapping
+    from collections.abc import Callable, Iterable, Iterator, Mapping
 
     from aiohttp import ClientSession
 
@@ -46,6 +49,9 @@
 CALL_TIMEOUT_S = 1.5
 """Timeout of a call; a healthy store answers within some milliseconds."""
 
+MAX_REVISION = 2**53 - 1
+"""Largest revision that is believed; numbers up to it are exact in any JSON reader."""
+
 MAX_ANSWER_BYTES = 32_000_000
 """Largest answer; a page of a list has about 1 MB, and an object at most as much."""
 
@@ -114,10 +120,15 @@
 
     @classmethod
     def from_wire(cls, era: int, item: Any) -> StoreObject:
-        """Decode an object; `spec` is not validated, as others write it too."""
-        meta = item["metadata"]
-        revision = Revision(era, int(meta["revision"]))
-        return cls(str(meta["name"]), revision, item.get("spec"))
+        """Decode an object; `spec` is not validated, as others write it too.
+
+        Raises:
+            KeyError: The name or the revision is missing.
+            TypeError: They have another type.
+            ValueError: They are out of range.
+        """
+        revision = _decode_revision(era, item["metadata"]["revision"])
+        return cls(_decode_name(item), revision, item.get("spec"))
 
 
 @dataclass(frozen=True, slots=True)
@@ -127,10 +138,12 @@
     Attributes:
         objects: The objects.
         revision: Revision from which a watch continues.
+        unreadable: Names of objects that exist, but whose revision cannot be decoded.
     """
 
     objects: tuple[StoreObject, ...]
     revision: Revision
+    unreadable: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True, slots=True)
@@ -138,14 +151,17 @@
     """Changes of a kind since an earlier revision.
 
     Attributes:
-        changed: Created and changed objects in their latest version.
+        changed: Created and changed objects. Of one that changed repeatedly, each
+            version in order, as the latest may turn out to be unreadable.
         removed: Names of removed objects.
         revision: Revision up to which the changes are complete.
+        created_again: Names in `changed` of objects that had been removed before.
     """
 
     changed: tuple[StoreObject, ...]
     removed: tuple[str, ...]
     revision: Revision
+    created_again: frozenset[str] = frozenset()
 
 
 @dataclass(frozen=True, slots=True)
@@ -171,6 +187,7 @@
         restores: Number of restores of the store that were noticed, for metrics.
         on_restore: Called when the store is found to be restored.
         on_restore_answered: Called after that, if an answer of the store showed it.
+        unreadable: Objects that could not be decoded.
         bad_era_logged: Whether an era that cannot be read was logged.
     """
 
@@ -184,6 +201,7 @@
         self.restores = 0
         self.on_restore: list[Callable[[], None]] = []
         self.on_restore_answered: list[Callable[[], None]] = []
+        self.unreadable = UnreadableInput()
         self.bad_era_logged = False
 
     def record_era(self, era: int) -> None:
@@ -260,14 +278,15 @@
             StoreUnavailableError: The store did not answer, or rejected the call.
         """
         found: list[StoreObject] = []
-        query = ""
+        unreadable: list[str] = []
+        after = ""
         era: int | None = None
         known = self.progress.latest
         while True:
             answer = await self._call(
                 "list",
                 "GET",
-                f"{kind}{query}",
+                f"{kind}?after={quote(after, safe='')}" if after else kind,
                 timeout_s=PAGE_TIMEOUT_S,
                 read_timeout_s=read_timeout_s,
                 era=era,
@@ -279,17 +298,27 @@
                     ambiguous=False,
                 )
             with _malformed_as_unavailable("list"):
-                page = [
-                    StoreObject.from_wire(era, entry) for entry in answer.item["items"]
-                ]
+                items = _decode_items(answer.item["items"])
                 # `at` is the revision of the store, from which a watch can continue.
-                revision = Revision(era, int(answer.item["at"]))
+                revision = _decode_revision(era, answer.item["at"])
                 truncated = bool(answer.item.get("truncated"))
             self._check_revision("list", known, revision)
-            found += page
-            if not truncated or not page:
-                return StoreListing(tuple(found), revision)
-            query = f"?after={page[-1].name}"
+            last_name = ""
+            for item in items:
+                entry, name = self._decode_entry(kind, era, item)
+                last_name = name or last_name
+                if entry is not None:
+                    found.append(entry)
+                elif name:
+                    unreadable.append(name)
+            if not truncated or not items:
+                return StoreListing(tuple(found), revision, tuple(unreadable))
+            if last_name in ("", after):
+                raise StoreUnavailableError(
+                    f"a page of a list of {kind} names no object to continue after",
+                    ambiguous=False,
+                )
+            after = last_name
 
     async def watch(
         self,
@@ -324,17 +353,25 @@
                 f"the store answered a watch with status {answer.status}",
                 ambiguous=False,
             )
-        latest: dict[str, StoreObject | None] = {}
+        versions: dict[str, list[StoreObject]] = {}
+        removed: set[str] = set()
         with _malformed_as_unavailable("watch"):
-            for event in answer.item.get("events", ()):
-                found = StoreObject.from_wire(answer.era, event["object"])
-                latest[found.name] = None if event.get("removed") else found
-            revision = Revision(answer.era, int(answer.item["at"]))
+            events = _decode_items(answer.item.get("events", []))
+            revision = _decode_revision(answer.era, answer.item["at"])
+        for event in events:
+            fields = event if isinstance(event, dict) else {}
+            entry, name = self._decode_entry(kind, answer.era, fields.get("object"))
+            if name and fields.get("removed"):
+                removed.add(name)
+                versions.pop(name, None)
+            elif entry is not None:
+                versions.setdefault(name, []).append(entry)
         self._check_revision("watch", known, revision)
         return WatchAnswer(
-            changed=tuple(entry for entry in latest.values() if entry is not None),
-            removed=tuple(name for name, entry in latest.items() if entry is None),
+            changed=tuple(entry for found in versions.values() for entry in found),
+            removed=tuple(removed - versions.keys()),
             revision=revision,
+            created_again=frozenset(removed & versions.keys()),
         )
 
     async def create(
@@ -407,6 +444,25 @@
                 ambiguous=False,
             )
 
+    def _decode_entry(
+        self, kind: str, era: int, item: Any
+    ) -> tuple[StoreObject | None, str]:
+        """Decode one of several objects.
+
+        Returns:
+            The object, or `None` if it cannot be decoded, and its name, which is empty
+            if that cannot be decoded either.
+        """
+        try:
+            found = StoreObject.from_wire(era, item)
+        except (KeyError, TypeError, ValueError, AttributeError) as error:
+            name = ""
+            with suppress(KeyError, TypeError, ValueError, AttributeError):
+                name = _decode_name(item)
+            self.unreadable.record(kind, name, repr(error))
+            return None, name
+        return found, found.name
+
     def _decode_object(self, answer: _Answer) -> StoreObject:
         item = answer.item
         if answer.status == 409:
@@ -483,8 +539,8 @@
                 f"answered in era {answer_era}; read again"
             )
         try:
-            return _Answer(status, answer_era, orjson.loads(data) if data else None)
-        except orjson.JSONDecodeError as error:
+            return _Answer(status, answer_era, decode_answer(data) if data else None)
+        except ValueError as error:
             raise StoreUnavailableError(
                 f"the store answered {purpose} with text that is not JSON",
                 ambiguous=True,
@@ -518,3 +574,23 @@
             f"the store answered {purpose} with fields that cannot be read: {error!r}",
             ambiguous=True,
         ) from error
+
+
+def _decode_items(items: Any) -> Iterable[Any]:
+    if not isinstance(items, list):
+        raise TypeError(f"{type(items).__name__} instead of a list")
+    return items
+
+
+def _decode_name(item: Any) -> str:
+    name = item["metadata"]["name"]
+    if not isinstance(name, str) or not name:
+        raise TypeError(f"{name!r} is not a name")
+    return name
+
+
+def _decode_revision(era: int, value: Any) -> Revision:
+    number = int(value)
+    if not 0 <= number <= MAX_REVISION:
+        raise ValueError(f"{number} is not a revision")
+    return Revision(era, number)
--- /dev/null
+++ b/src/wisterialoom/platform/store_json.py
@@ -0,0 +1,135 @@
+"""Decodes answers of the store, of which single objects may not be valid JSON.
+
+An object may come from any writer. It can have bytes that are not UTF-8, escapes of
+single surrogates, numbers beyond a double, or be nested too deeply. Such an object
+must not hide the others of its page.
+"""
+
+from __future__ import annotations
+
+import json
+import re
+from typing import Any
+
+import orjson
+
+__all__ = ["UnreadableValue", "decode_answer"]
+
+TOKEN = re.compile(rb'"(?:[^"\\]|\\.)*+"|[\[\]{},]', re.DOTALL)
+"""Strings, and the characters outside of strings that separate values."""
+
+KEY = re.compile(rb'\s*("(?:[^"\\]|\\.)*+")\s*:', re.DOTALL)
+
+CONTAINER_KEYS = frozenset({"items", "events", "object", "metadata"})
+"""Members whose parts are decoded one by one if needed."""
+
+MAX_LENIENT_BYTES = 1_000_000
+"""Longest value that `UnreadableValue.guess` decodes; an object has at most 1 MB."""
+
+
+class UnreadableValue:
+    """Value of an answer that is not valid JSON.
+
+    Attributes:
+        data: The bytes of the value.
+    """
+
+    def __init__(self, data: bytes) -> None:
+        self.data = data
+
+    def __repr__(self) -> str:
+        return f"unreadable value {self.data[:40]!r}"
+
+    def guess(self) -> Any:
+        """Return what a lenient decoder makes of the value; `None` if nothing.
+
+        The result may contain single surrogates and infinite numbers.
+        """
+        if len(self.data) > MAX_LENIENT_BYTES:
+            return None
+        try:
+            text = self.data.decode("utf-8", "surrogateescape")
+            return json.loads(text, strict=False)
+        except (ValueError, RecursionError):
+            return None
+
+
+def decode_answer(data: bytes) -> Any:
+    """Decode the body of an answer.
+
+    Values of single objects that are not valid JSON become an `UnreadableValue`.
+
+    Raises:
+        ValueError: The body has no recognizable structure.
+    """
+    try:
+        return orjson.loads(data)
+    except orjson.JSONDecodeError:
+        found = _decode_container(data.strip())
+    if isinstance(found, UnreadableValue):
+        raise ValueError("the body is not JSON")
+    return found
+
+
+def _decode_container(data: bytes) -> Any:
+    try:
+        return orjson.loads(data)
+    except orjson.JSONDecodeError:
+        pass
+    try:
+        match data[:1]:
+            case b"[":
+                return [_decode_container(part) for part in _split(data)]
+            case b"{":
+                return _decode_members(_split(data))
+    except ValueError:
+        pass
+    return UnreadableValue(data)
+
+
+def _decode_members(parts: list[bytes]) -> dict[str, Any]:
+    members = {}
+    for part in parts:
+        found = KEY.match(part)
+        if found is None:
+            raise ValueError("a member without a name")
+        try:
+            key = orjson.loads(found[1])
+        except orjson.JSONDecodeError:
+            # None of the names that this program looks for.
+            continue
+        value = part[found.end() :].strip()
+        if key in CONTAINER_KEYS:
+            members[key] = _decode_container(value)
+            continue
+        try:
+            members[key] = orjson.loads(value)
+        except orjson.JSONDecodeError:
+            members[key] = UnreadableValue(value)
+    return members
+
+
+def _split(data: bytes) -> list[bytes]:
+    """Split the text of a list or an object at its commas.
+
+    Raises:
+        ValueError: The brackets do not match.
+    """
+    parts: list[bytes] = []
+    depth = 0
+    start = 1
+    for token in TOKEN.finditer(data):
+        match token[0]:
+            case b"[" | b"{":
+                depth += 1
+            case b"]" | b"}":
+                depth -= 1
+                if depth == 0:
+                    if token.end() != len(data):
+                        raise ValueError("text after the end")
+                    last = data[start : token.start()].strip()
+                    return [*parts, last] if last or parts else []
+            case b"," if depth == 1:
+                parts.append(data[start : token.start()].strip())
+                start = token.end()
+    raise ValueError("the end is missing")
--- /dev/null
+++ b/tests/platform/test_unreadable_input.py
@@ -0,0 +1,231 @@
+"""Input that cannot be decoded affects nothing but itself."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+from typing import Any
+
+import orjson
+import pytest
+from hypothesis import given, settings, strategies as st
+
+from tests.platform.fakes import config, FakePlainServer
+from tests.platform.test_app import Harness, harness, wait_until
+from wisterialoom.platform.store import StoreUnavailableError
+from wisterialoom.platform.store_json import decode_answer, UnreadableValue
+from wisterialoom.platform.unreadable import UnreadableInput
+
+NOT_TEXT = orjson.Fragment(b'"\xff\xfe zone"')
+SURROGATES = orjson.Fragment(rb'"\udcff\udcfe zone"')
+NESTED = orjson.Fragment(b"[" * 5000 + b"]" * 5000)
+CONTROL = orjson.Fragment(b'"a\nb"')
+VALUES: list[Any] = [NOT_TEXT, SURROGATES, NESTED, CONTROL, 5, None, [], {}]
+
+
+ADDRESS = {"address": "127.0.0.1:9"}
+
+
+async def settle(site: Harness) -> None:
+    """Wait until all changes that were written so far have been read."""
+    watcher = site.app.catalog.server_watcher
+    await wait_until(lambda: watcher.revision.number >= site.store.revision, 4.0)
+
+
+@pytest.mark.parametrize("value", VALUES)
+async def test_unreadable_entry_hides_no_other(value: Any):
+    """One entry with bytes that are not text hid all servers for as long as it was."""
+    first, second = FakePlainServer("i-1"), FakePlainServer("i-2")
+    async with harness(first, second) as site:
+        foreign = first.entry() | {"zone": value}
+        await site.store.put("servers", "i-0", foreign)
+        await site.store.put("servers", "i-1", first.entry("draining"))
+        await settle(site)
+        views = site.app.dispatcher.views
+        assert views.keys() == {"i-1", "i-2"}
+        assert views["i-1"].server.draining
+        # The same holds for lists.
+        await site.store.forget_history()
+        await site.store.put("servers", "i-3", second.entry())
+        await wait_until(lambda: "i-3" in views)
+        assert views.keys() == {"i-1", "i-2", "i-3"}
+        assert site.app.catalog.unreadable.counts["servers"] >= 1
+
+
+@pytest.mark.parametrize("value", VALUES)
+@pytest.mark.parametrize("state", ["ready", "draining"])
+async def test_last_readable_state_stays_in_force(state: str, value: Any):
+    """A draining server returned, and a ready one was dropped, by an unreadable entry.
+
+    The entry is read by a watch first, then by a list.
+    """
+    server, other = FakePlainServer("i-1"), FakePlainServer("i-2")
+    async with harness(server, other) as site:
+        views = site.app.dispatcher.views
+        await site.store.put("servers", "i-1", server.entry(state))
+        await settle(site)
+        await site.store.put("servers", "i-1", server.entry() | {"zone": value})
+        await settle(site)
+        assert views["i-1"].server.draining == (state == "draining")
+        await site.store.forget_history()
+        await site.store.put("servers", "i-3", other.entry())
+        await wait_until(lambda: "i-3" in views)
+        assert views["i-1"].server.draining == (state == "draining")
+        await site.store.put("servers", "i-1", server.entry() | {"slots": 9})
+        await wait_until(lambda: views["i-1"].server.slots == 9)
+        await site.store.put("servers", "i-1", server.entry() | {"zone": value})
+        await site.store.remove("servers", "i-1")
+        await wait_until(lambda: "i-1" not in views)
+
+
+async def test_readable_version_before_an_unreadable_one_counts():
+    """A watch answers with both at once, and only the latest was looked at."""
+    server, other = FakePlainServer("i-1"), FakePlainServer("i-2")
+    async with harness(server, other) as site:
+        views = site.app.dispatcher.views
+        await settle(site)
+        await site.store.put("servers", "i-2", other.entry() | {"slots": 9})
+        # Changes are read in batches, so the next ones come together.
+        await site.store.put("servers", "i-1", server.entry("draining"))
+        await site.store.put("servers", "i-1", server.entry() | {"zone": SURROGATES})
+        await wait_until(lambda: views["i-1"].server.draining)
+        await asyncio.sleep(1.0)
+        assert views["i-1"].server.draining
+
+
+async def test_unreadable_entry_that_names_the_state_draining_drains():
+    server, other = FakePlainServer("i-1"), FakePlainServer("i-2")
+    async with harness(server, other) as site:
+        views = site.app.dispatcher.views
+        await settle(site)
+        entry = server.entry("draining") | {"zone": SURROGATES}
+        await site.store.put("servers", "i-1", entry)
+        await wait_until(lambda: views["i-1"].server.draining)
+
+
+async def test_unreadable_entry_created_again_names_no_server():
+    """An entry that was never readable does not make a server available."""
+    server, other = FakePlainServer("i-1"), FakePlainServer("i-2")
+    async with harness(server, other) as site:
+        views = site.app.dispatcher.views
+        await site.store.put("servers", "i-2", other.entry() | {"slots": 9})
+        await site.store.remove("servers", "i-1")
+        await site.store.put("servers", "i-1", server.entry() | {"zone": SURROGATES})
+        await wait_until(lambda: "i-1" not in views)
+        await settle(site)
+        assert "i-1" not in views
+
+
+async def test_unreadable_configuration_leaves_the_one_in_force():
+    """A configuration with bytes that are not text hid all later ones."""
+    async with harness(FakePlainServer("i-1")) as site:
+        await site.store.put("config", "main", config(2) | {"note": SURROGATES})
+        await site.store.put("config", "other", {"note": NOT_TEXT})
+        await asyncio.sleep(1.0)
+        assert site.app.catalog.config_version == 1
+        assert site.app.catalog.unreadable.counts["config"] >= 1
+        await site.store.put("config", "main", config(3))
+        await wait_until(lambda: site.app.catalog.config_version == 3)
+
+
+@pytest.mark.parametrize(
+    "meta",
+    [
+        {},
+        {"name": "i-0"},
+        {"name": "i-0", "revision": "soon"},
+        {"name": "i-0", "revision": 2**63},
+        {"name": SURROGATES, "revision": 3},
+        {"name": ["i-0"], "revision": 3},
+        {"name": "i-0", "revision": 3, "finalizers": NOT_TEXT},
+        NOT_TEXT,
+        None,
+    ],
+)
+async def test_object_without_readable_metadata_hides_no_other(meta: Any):
+    """A page with one such object counted as no answer of the store."""
+    async with harness(FakePlainServer("i-1")) as site:
+        entries = site.store.objects["servers"]
+        entries["i-0"] = {"metadata": meta, "spec": {}}
+        listing = await site.app.catalog.server_watcher.store.list("servers")
+        assert "i-1" in [found.name for found in listing.objects]
+        event = (site.store.revision + 1, "servers", entries["i-0"], False)
+        site.store.history.append(event)
+        await site.store.put("servers", "i-2", FakePlainServer("i-2").entry() | ADDRESS)
+        await wait_until(lambda: "i-2" in site.app.dispatcher.views)
+
+
+async def test_list_continues_after_a_page_that_ends_with_an_unreadable_name():
+    """A name with reserved characters was also cut off in the query."""
+    async with harness(FakePlainServer("i-1")) as site:
+        entries = site.store.objects["servers"]
+        for number in range(60):
+            name = f"a&b#{number:02d}"
+            meta: Any = {"name": name, "revision": 1}
+            entries[name] = {"metadata": meta, "spec": {}}
+        entries["a&b#49"]["metadata"] = {"name": SURROGATES}
+        listing = await site.app.catalog.server_watcher.store.list("servers")
+        names = [found.name for found in listing.objects]
+        assert len(names) == len(set(names)) == 60
+        for number in range(60):
+            entries[f"a&b#{number:02d}"]["metadata"] = {}
+        with pytest.raises(StoreUnavailableError):
+            await site.app.catalog.server_watcher.store.list("servers")
+
+
+def test_unreadable_entry_is_logged_once(caplog: pytest.LogCaptureFixture):
+    found = UnreadableInput()
+    for _ in range(3):
+        found.record("servers", "i-0", "no text")
+    assert len(caplog.records) == 1
+    assert found.counts == {"servers": 3}
+    found.record_readable("servers", "i-0")
+    found.record("servers", "i-0", "no text")
+    assert len(caplog.records) == 2
+    for number in range(5000):
+        found.record("servers", f"x-{number}", "no text")
+    assert len(found.logged) <= 2000
+
+
+json_items = st.recursive(
+    st.none() | st.booleans() | st.floats(allow_nan=False) | st.text(max_size=5),
+    lambda inner: (
+        st.lists(inner, max_size=4) | st.dictionaries(st.text(max_size=4), inner)
+    ),
+    max_leaves=8,
+)
+
+
+@settings(derandomize=True, deadline=None, max_examples=400)
+@given(st.lists(json_items, max_size=5), st.integers(0, 5))
+def test_values_beside_an_unreadable_one_are_unchanged(values: list[Any], at: int):
+    """Brackets, quotes and commas within other values misled the splitting."""
+    good = [orjson.loads(orjson.dumps(value)) for value in values]
+    parts = [orjson.dumps({"spec": value}) for value in good]
+    parts.insert(at, b'{"metadata":{"name":"x"},"spec":{"zone":"\xff}],\\""}}')
+    found = decode_answer(b'{"items": [' + b" ,".join(parts) + b'], "at": 7}')
+    bad = found["items"].pop(min(at, len(values)))
+    assert isinstance(bad["spec"], UnreadableValue)
+    assert bad["spec"].guess()["zone"].endswith('}],"')
+    assert found == {"items": [{"spec": value} for value in good], "at": 7}
+
+
+VALID = orjson.dumps(
+    {
+        "items": [
+            {"metadata": {"name": "i-1", "revision": 4}, "spec": {"a": ["\\", "é"]}},
+            {"metadata": {"name": "i-2", "revision": 5}, "spec": {"b": 1.5}},
+        ],
+        "at": 9,
+    }
+)
+
+
+@settings(derandomize=True, deadline=None, max_examples=1500)
+@given(st.data())
+def test_mutated_answer_raises_only_value_errors(data: st.DataObject):
+    start = data.draw(st.integers(0, len(VALID)))
+    end = data.draw(st.integers(start, min(len(VALID), start + 4)))
+    new = data.draw(st.binary(max_size=4) | st.sampled_from([b"]", b'"', b"\\", b"{"]))
+    with contextlib.suppress(ValueError):
+        decode_answer(VALID[:start] + new + VALID[end:])
