Check the types of decoded fields of hints, records, reports and settings

A datagram or record with a field of another type than expected was decoded without an error, and the value ended a task later: an address that is none when a hint was sent to it, an epoch beyond 64 bits when the lease was renewed, a list among the names of models when it was hashed. An error in the handler of a hint left the protocol, after which uvloop closes the socket.

Fields are now checked where they are decoded, by a few functions in one module. Integers are limited to 53 bits, numbers must be finite, members must have IP addresses, and the size of decompressed data is limited. An error while a hint is handled, encoded or sent is counted and logged and affects only this hint. Settings that are not UTF-8 are refused at a reload instead of ending the task that checks them.

Unreadable datagrams are now logged once for each sender, as all other unreadable input; test_datagram_that_cannot_be_read_is_logged is adapted to that.

--- a/src/wisterialoom/platform/app.py
+++ b/src/wisterialoom/platform/app.py
@@ -359,6 +359,7 @@
             lambda: {
                 "unreadable": self.peers.dropped,
                 "unknown_kind": self.peers.skipped,
+                "failed": self.peers.failed,
             },
         )
         metrics.labeled_counter(
--- a/src/wisterialoom/platform/crash_codec.py
+++ b/src/wisterialoom/platform/crash_codec.py
@@ -12,6 +12,7 @@
     HeldTraits,
 )
 from wisterialoom.core.quarantine import MAX_VERDICTS, Verdict
+from wisterialoom.platform.fields import read_integer, read_number
 
 __all__ = ["CRASH_KINDS", "decode_crash_message", "encode_crash_message"]
 
@@ -51,23 +52,32 @@
         fields: Its fields; those that a later version adds are ignored.
 
     Raises:
-        ValueError: A field has another type, or the message is too large.
+        ValueError: A field is out of range, or the message is too large.
+        TypeError: A field has another type.
     """
     match kind, fields:
         case "kc", [str(server), int(started_ms), at, dict(items), *_]:
             _check_size(items, MAX_SUSPECTS)
             suspects = {
-                trait: Suspect(int(depth), float(sent_at))
+                trait: Suspect(read_integer(depth), read_number(sent_at))
                 for trait, (depth, sent_at, *_) in items.items()
             }
-            return CrashSeen(ServerStart(server, started_ms), float(at), suspects)
+            start = ServerStart(server, read_integer(started_ms))
+            return CrashSeen(start, read_number(at), suspects)
         case "ka", [dict(items), *_]:
             _check_size(items, MAX_SUSPECTS)
-            return AnsweredTraits({trait: float(at) for trait, at in items.items()})
+            return AnsweredTraits(
+                {trait: read_number(at) for trait, at in items.items()}
+            )
         case "kh", [dict(items), *_]:
             _check_size(items, MAX_VERDICTS)
             verdicts = {
-                trait: Verdict(int(version), bool(held), int(trials), bool(answered))
+                trait: Verdict(
+                    read_integer(version),
+                    bool(held),
+                    read_integer(trials),
+                    bool(answered),
+                )
                 for trait, (version, held, trials, answered, *_) in items.items()
             }
             return HeldTraits(verdicts)
--- /dev/null
+++ b/src/wisterialoom/platform/fields.py
@@ -0,0 +1,110 @@
+"""Checks the types of decoded fields.
+
+A value of another type than its name promises would end a task much later, when it is
+compared, encoded or used as an address.
+"""
+
+from __future__ import annotations
+
+import ipaddress
+import math
+import zlib
+from typing import Any
+
+__all__ = [
+    "decompress",
+    "read_address",
+    "read_integer",
+    "read_mapping",
+    "read_names",
+    "read_number",
+    "read_text",
+]
+
+MAX_INTEGER = 2**53 - 1
+"""Largest integer that is accepted; any JSON reader has it exactly."""
+
+
+def read_text(value: Any) -> str:
+    """Return a string.
+
+    Raises:
+        TypeError: The value has another type.
+    """
+    if not isinstance(value, str):
+        raise TypeError(f"{value!r:.60} is not text")
+    return value
+
+
+def read_integer(value: Any, minimum: int = -MAX_INTEGER) -> int:
+    """Return an integer.
+
+    Raises:
+        TypeError: The value has another type.
+        ValueError: The value is out of range.
+    """
+    if not isinstance(value, int):
+        raise TypeError(f"{value!r:.60} is not an integer")
+    if not minimum <= value <= MAX_INTEGER:
+        raise ValueError(f"{value!r:.60} is out of range")
+    return int(value)
+
+
+def read_number(value: Any) -> float:
+    """Return a finite number.
+
+    Raises:
+        TypeError: The value has another type.
+        ValueError: The value is not finite.
+    """
+    if not isinstance(value, (int, float)):
+        raise TypeError(f"{value!r:.60} is not a number")
+    if not math.isfinite(value):
+        raise ValueError(f"{value!r:.60} is not finite")
+    return float(value)
+
+
+def read_mapping(value: Any) -> dict[str, Any]:
+    """Return a mapping.
+
+    Raises:
+        TypeError: The value has another type.
+    """
+    if not isinstance(value, dict):
+        raise TypeError(f"{value!r:.60} is not a mapping")
+    return value
+
+
+def read_names(value: Any) -> tuple[str, ...]:
+    """Return a list of strings.
+
+    Raises:
+        TypeError: The value has another type.
+    """
+    if not isinstance(value, list):
+        raise TypeError(f"{value!r:.60} is not a list")
+    return tuple(read_text(name) for name in value)
+
+
+def read_address(value: Any) -> str:
+    """Return an IP address.
+
+    Raises:
+        TypeError: The value has another type.
+        ValueError: The value is not an IP address.
+    """
+    return str(ipaddress.ip_address(read_text(value)))
+
+
+def decompress(data: bytes, max_bytes: int) -> bytes:
+    """Decompress data whose size is limited.
+
+    Raises:
+        ValueError: The data are incomplete or too large.
+        zlib.error: The data are damaged.
+    """
+    stream = zlib.decompressobj()
+    found = stream.decompress(data, max_bytes)
+    if not stream.eof:
+        raise ValueError(f"incomplete, or over {max_bytes} bytes")
+    return found
--- a/src/wisterialoom/platform/hint_codec.py
+++ b/src/wisterialoom/platform/hint_codec.py
@@ -20,6 +20,15 @@
     decode_crash_message,
     encode_crash_message,
 )
+from wisterialoom.platform.fields import (
+    decompress,
+    read_address,
+    read_integer,
+    read_mapping,
+    read_names,
+    read_number,
+    read_text,
+)
 from wisterialoom.platform.hints import (
     BrittleRejection,
     COMPRESSION_LEVEL,
@@ -70,6 +79,10 @@
 """
 
 
+MAX_HINT_BYTES = 2_000_000
+"""Largest hint after decompression; names compress to a third, or a tenth at best."""
+
+
 def encode_hint(hint: Hint) -> bytes:
     """Encode a hint as one datagram."""
     item: list[Any]
@@ -166,12 +179,14 @@
         HintError: The datagram cannot be read.
     """
     try:
-        item = orjson.loads(data if data[:1] == b"[" else zlib.decompress(data))
+        item = orjson.loads(
+            data if data[:1] == b"[" else decompress(data, MAX_HINT_BYTES)
+        )
         match item:
             case [str(kind), *_] if kind not in KINDS:
                 raise UnknownHintError(f"unknown kind of datagram: {kind!r}")
         return _decode_item(item)
-    except (ValueError, TypeError, AttributeError, zlib.error) as error:
+    except (ValueError, TypeError, ArithmeticError, zlib.error) as error:
         raise HintError(
             f"cannot decode datagram: {error!r}; check what else sends to the peer port"
         ) from error
@@ -180,7 +195,7 @@
 def _decode_item(item: Any) -> Hint:
     match item:
         case ["r", str(holder), int(epoch)]:
-            return Released(holder, epoch)
+            return Released(holder, read_integer(epoch))
         case [
             "d",
             str(instance),
@@ -189,30 +204,36 @@
             dict(arrivals),
             dict(running),
         ]:
-            return DemandReport(instance, boot, waiting, arrivals, running)
+            return DemandReport(
+                instance,
+                boot,
+                _decode_counts(waiting),
+                _decode_counts(arrivals),
+                {name: _decode_counts(counts) for name, counts in running.items()},
+            )
         case ["n", str(watcher), int(rank), config_age_s, age_s, *rest]:
             version, config_revision, revision, digest, changes = rest
             return News(
                 watcher=watcher,
-                rank=rank,
-                config_age_s=float(config_age_s),
-                age_s=float(age_s),
-                config_version=int(version),
+                rank=read_integer(rank),
+                config_age_s=read_number(config_age_s),
+                age_s=read_number(age_s),
+                config_version=read_integer(version),
                 config_revision=_decode_revision(config_revision),
                 revision=_decode_revision(revision),
-                digest=int(digest),
+                digest=read_integer(digest),
                 changes=_decode_entries(changes),
             )
         case ["w", str(instance), int(version), int(digest)]:
-            return CopyWanted(instance, version, digest)
+            return CopyWanted(instance, read_integer(version), read_integer(digest))
         case ["c", str(packed)]:
             return ConfigCopy(packed)
         case ["s", str(watcher), revision, int(part), int(parts), entries]:
             return ServersCopy(
                 watcher,
                 _decode_revision(revision),
-                part,
-                parts,
+                read_integer(part, 0),
+                read_integer(parts, 1),
                 _decode_entries(entries),
             )
         case ["v", str(instance), revision]:
@@ -222,7 +243,12 @@
         case [str(kind), str(instance), items] if kind in SERVER_KINDS:
             return _decode_server_hint(kind, instance, items)
         case ["u", str(holder), int(epoch), int(serial), dict(servers)]:
-            return PlacementChange(holder, epoch, serial, _decode_placements(servers))
+            return PlacementChange(
+                holder,
+                read_integer(epoch),
+                read_integer(serial),
+                _decode_placements(servers),
+            )
         case ["p", str(), str(), int(), int(), *_]:
             return _decode_placement_hint(item)
     raise HintError("the datagram has other fields than its kind should have")
@@ -233,11 +259,15 @@
     return [revision.era, revision.number] if revision.era else revision.number
 
 
-def _decode_revision(item: int | list[int]) -> Revision:
+def _decode_revision(item: Any) -> Revision:
     if isinstance(item, int):
-        return Revision(0, item)
+        return Revision(0, read_integer(item, 0))
     era, number = item
-    return Revision(int(era), int(number))
+    return Revision(read_integer(era, 0), read_integer(number, 0))
+
+
+def _decode_counts(items: Any) -> dict[str, int]:
+    return {name: read_integer(count) for name, count in read_mapping(items).items()}
 
 
 def _decode_placement_hint(item: list[Any]) -> PlacementHint:
@@ -245,16 +275,22 @@
     members_complete, servers, busy, ready, digest = rest
     return PlacementHint(
         holder=holder,
-        address=address,
-        epoch=epoch,
-        serial=serial,
-        renewal=int(renewal),
-        members=members,
+        address=read_address(address),
+        epoch=read_integer(epoch),
+        serial=read_integer(serial),
+        renewal=read_integer(renewal),
+        members={
+            name: read_address(member) if member else ""
+            for name, member in read_mapping(members).items()
+        },
         members_complete=bool(members_complete),
         servers=_decode_placements(servers),
-        busy=tuple(busy),
-        ready_in_s=ready,
-        digest=int(digest),
+        busy=tuple([read_integer(count) for count in busy]),
+        ready_in_s={
+            name: read_number(remaining_s)
+            for name, remaining_s in read_mapping(ready).items()
+        },
+        digest=read_integer(digest),
     )
 
 
@@ -293,19 +329,21 @@
         return decode_version_hint(kind, instance, items)
     if kind == "b":
         server, rejections = items
-        return BrittleRejection(instance, str(server), float(rejections))
+        return BrittleRejection(instance, read_text(server), read_number(rejections))
     if kind == "x":
-        return LostPaths(instance, tuple(str(name) for name in items))
+        return LostPaths(instance, read_names(items))
     if kind in CRASH_KINDS:
         return CrashHint(instance, decode_crash_message(kind, items))
     if kind != "l":
-        servers = {name: int(started_ms) for name, started_ms in items.items()}
+        servers = _decode_counts(items)
         wanted = kind == "lw"
         return (TurnsWanted if wanted else TurnsGranted)(instance, servers)
     limits = {}
-    for server_id, (started_ms, limit_per_s, age_s) in items.items():
-        limit = None if limit_per_s is None else float(limit_per_s)
-        limits[server_id] = ServerLimit(int(started_ms), limit, float(age_s))
+    for server_id, (started_ms, limit_per_s, age_s) in read_mapping(items).items():
+        limit = None if limit_per_s is None else read_number(limit_per_s)
+        limits[server_id] = ServerLimit(
+            read_integer(started_ms), limit, read_number(age_s)
+        )
     return ServerLimits(instance, limits)
 
 
@@ -336,9 +374,9 @@
     ]
 
 
-def _decode_entries(items: dict[str, list[Any]]) -> dict[str, TableEntry]:
+def _decode_entries(items: Any) -> dict[str, TableEntry]:
     entries = {}
-    for server_id, (revision, *fields) in items.items():
+    for server_id, (revision, *fields) in read_mapping(items).items():
         server = None
         if fields:
             started_ms, service, address, availability_zone, slots, draining = fields[
@@ -347,16 +385,18 @@
             order_count, models = fields[6:] or (UNKNOWN_COUNT, {})
             server = BackendServer(
                 id=server_id,
-                started_ms=int(started_ms),
-                service=str(service),
-                address=str(address),
-                availability_zone=str(availability_zone),
-                slots=int(slots),
+                started_ms=read_integer(started_ms),
+                service=read_text(service),
+                address=read_text(address),
+                availability_zone=read_text(availability_zone),
+                slots=read_integer(slots),
                 draining=bool(draining),
-                order_count=int(order_count),
+                order_count=read_integer(order_count),
                 models=tuple(
-                    ResidentModel(name, adapters=tuple(adapters))
-                    for name, adapters in models.items()
+                    [
+                        ResidentModel(name, adapters=read_names(adapters))
+                        for name, adapters in read_mapping(models).items()
+                    ]
                 ),
             )
         entries[server_id] = TableEntry(
@@ -374,10 +414,11 @@
     }
 
 
-def _decode_placements(
-    items: dict[str, list[Any]],
-) -> dict[str, ServerPlacement | None]:
-    return {server_id: _decode_placement(entry) for server_id, entry in items.items()}
+def _decode_placements(items: Any) -> dict[str, ServerPlacement | None]:
+    return {
+        server_id: _decode_placement(entry)
+        for server_id, entry in read_mapping(items).items()
+    }
 
 
 def _encode_placement(placement: ServerPlacement | None) -> list[Any]:
@@ -392,7 +433,10 @@
         return None
     count, models, unloading = entry
     return ServerPlacement(
-        models={name: frozenset(adapters) for name, adapters in models.items()},
-        unloading=frozenset(unloading),
-        count=int(count),
+        models={
+            name: frozenset(read_names(adapters))
+            for name, adapters in read_mapping(models).items()
+        },
+        unloading=frozenset(read_names(unloading)),
+        count=read_integer(count),
     )
--- a/src/wisterialoom/platform/hints.py
+++ b/src/wisterialoom/platform/hints.py
@@ -15,6 +15,7 @@
 
 from wisterialoom.core.error import WisterialoomError
 from wisterialoom.core.placement.fleet_demand import DemandReport
+from wisterialoom.platform.fields import decompress
 
 if TYPE_CHECKING:
     from wisterialoom.core.crash_watch import CrashMessage
@@ -56,6 +57,10 @@
 """Compression level of zlib; names repeat, so a higher level gains little."""
 
 
+MAX_CONFIG_BYTES = 16_000_000
+"""Largest configuration; one of 200 models and all routes has some 100 KB."""
+
+
 class HintError(WisterialoomError):
     """Raised when a datagram is damaged or not from an instance."""
 
@@ -195,7 +200,9 @@
             HintError: The copy was damaged in transit.
         """
         try:
-            return orjson.loads(zlib.decompress(base64.b85decode(self.packed)))
+            return orjson.loads(
+                decompress(base64.b85decode(self.packed), MAX_CONFIG_BYTES)
+            )
         except (ValueError, zlib.error) as error:
             raise HintError(
                 f"cannot decompress a configuration copy: {error!r}"
--- a/src/wisterialoom/platform/lease_manager.py
+++ b/src/wisterialoom/platform/lease_manager.py
@@ -14,6 +14,13 @@
     Revision,
     TakeLease,
 )
+from wisterialoom.platform.fields import (
+    read_address,
+    read_integer,
+    read_mapping,
+    read_names,
+    read_text,
+)
 from wisterialoom.platform.store import (
     ObjectConflictError,
     StoreRestoredError,
@@ -243,8 +250,8 @@
         if versions is None:
             return None
         return {
-            str(service): [str(name) for name in names]
-            for service, names in versions.items()
+            service: list(read_names(names))
+            for service, names in read_mapping(versions).items()
         }
     except (AttributeError, TypeError) as error:
         logger.error("cannot decode versions of servers", extra={"error": repr(error)})
@@ -255,11 +262,11 @@
     spec = found.spec
     try:
         return LeaseRecord(
-            holder=str(spec["holder"]),
-            boot=str(spec["boot"]),
-            epoch=int(spec["epoch"]),
-            address=str(spec["address"]),
-            serial=int(spec["serial"]),
+            holder=read_text(spec["holder"]),
+            boot=read_text(spec["boot"]),
+            epoch=read_integer(spec["epoch"], 0),
+            address=read_address(spec["address"]),
+            serial=read_integer(spec["serial"], 0),
             released=bool(spec["released"]),
         )
     except (KeyError, TypeError, ValueError) as error:
--- a/src/wisterialoom/platform/orders.py
+++ b/src/wisterialoom/platform/orders.py
@@ -14,6 +14,7 @@
 from wisterialoom.core.placement.server_state import ServerReport
 from wisterialoom.no_resend import no_resend, was_never_sent
 from wisterialoom.platform.decode import decode_models
+from wisterialoom.platform.fields import read_integer, read_text
 from wisterialoom.platform.headers import EXPECTED_SERVER, read_notice, SERVER_ID
 
 if TYPE_CHECKING:
@@ -41,6 +42,13 @@
 }
 
 
+REPORT_ERRORS = (KeyError, TypeError, ValueError, AttributeError)
+"""Errors of `_decode_report` for a report without a field or with one of another type.
+
+Those of JSON that cannot be decoded are among them.
+"""
+
+
 class OrderClient:
     """Client of the order and report endpoints of model servers.
 
@@ -156,10 +164,7 @@
             aiohttp.ClientError,
             TimeoutError,
             OSError,
-            orjson.JSONDecodeError,
-            KeyError,
-            TypeError,
-            AttributeError,
+            *REPORT_ERRORS,
         ) as error:
             self.path_doubted(server_id)
             logger.info(
@@ -191,9 +196,9 @@
     warm = item.get("atHand") or {}
     return ServerReport(
         # "born" is the start time of the server in milliseconds.
-        started_ms=int(item.get("born", 0)),
+        started_ms=read_integer(item.get("born", 0)),
         # "sequence" is the number of orders that the server has accepted.
-        count=int(item["sequence"]),
+        count=read_integer(item["sequence"]),
         busy=bool(item["busy"]),
         models=models,
         in_memory=_names(warm.get("inMemory")),
@@ -204,5 +209,5 @@
 def _names(items: Any) -> frozenset[str]:
     names = set()
     for item in items or ():
-        names.add(str(item["name"]) if isinstance(item, dict) else str(item))
+        names.add(read_text(item["name"] if isinstance(item, dict) else item))
     return frozenset(names)
--- a/src/wisterialoom/platform/peers.py
+++ b/src/wisterialoom/platform/peers.py
@@ -8,6 +8,7 @@
 
 from wisterialoom.platform.hint_codec import decode_hint, encode_hint
 from wisterialoom.platform.hints import HintError, UnknownHintError
+from wisterialoom.platform.unreadable import UnreadableInput
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -31,6 +32,8 @@
         members: Address by instance, including this instance.
         transport: Transport of the socket, or `None` before it is open.
         dropped: Number of datagrams that could not be decoded or sent.
+        failed: Number of hints whose handling ended with an unexpected error.
+        unreadable: Datagrams that could not be decoded; logged once for each sender.
         skipped: Number of datagrams of a kind that only later versions know.
         sent_bytes: Bytes sent, by kind of hint.
     """
@@ -41,6 +44,8 @@
         self.members: dict[str, str] = {}
         self.transport: asyncio.DatagramTransport | None = None
         self.dropped = 0
+        self.failed = 0
+        self.unreadable = UnreadableInput()
         self.skipped = 0
         self.sent_bytes: dict[str, int] = {}
 
@@ -68,9 +73,17 @@
             return
         except HintError as error:
             self.dropped += 1
-            logger.warning("hint dropped", extra={"from": addr[0], "error": str(error)})
+            self.unreadable.record("hint", addr[0], str(error))
             return
-        self.on_hint(hint, addr[0])
+        try:
+            self.on_hint(hint, addr[0])
+        except Exception:
+            # An error that leaves this method closes the socket.
+            self.failed += 1
+            logger.exception(
+                "hint not handled; report this as a bug",
+                extra={"from": addr[0], "kind": type(hint).__name__},
+            )
 
     def error_received(self, exc: Exception) -> None:
         """Count a datagram that could not be delivered."""
@@ -92,7 +105,16 @@
         """Send a hint to several instances."""
         if self.transport is None or not addresses:
             return
-        data = encode_hint(hint)
+        try:
+            data = encode_hint(hint)
+        except (TypeError, ValueError) as error:
+            # Text of a caller or server that is not UTF-8 cannot be encoded.
+            self.dropped += 1
+            logger.error(
+                "hint not sent, it cannot be encoded",
+                extra={"kind": type(hint).__name__, "error": str(error)},
+            )
+            return
         if len(data) > MAX_DATAGRAM_BYTES:
             self.dropped += 1
             logger.error("hint not sent, too large", extra={"bytes": len(data)})
@@ -101,4 +123,8 @@
         sent = len(data) * len(addresses)
         self.sent_bytes[kind] = self.sent_bytes.get(kind, 0) + sent
         for address in addresses:
-            self.transport.sendto(data, (address, self.port))
+            try:
+                self.transport.sendto(data, (address, self.port))
+            except (OSError, ValueError):
+                # Such as a network that is down, or an address that is none.
+                self.dropped += 1
--- a/src/wisterialoom/platform/settings.py
+++ b/src/wisterialoom/platform/settings.py
@@ -66,11 +66,11 @@
         """Decode the `bounds` table; missing entries have their defaults."""
         base = cls()
         return cls(
-            grace_s=float(table.get("graceS", base.grace_s)),
-            retry_ratio=float(table.get("retryBudgetRatio", base.retry_ratio)),
-            retry_fixed=float(table.get("retryBudgetSlack", base.retry_fixed)),
-            retry_window_s=float(table.get("budgetWindowS", base.retry_window_s)),
-            lease_s=table.get("leaseMs", base.lease_s * 1e3) / 1e3,
+            grace_s=_finite(table, "graceS", base.grace_s),
+            retry_ratio=_finite(table, "retryBudgetRatio", base.retry_ratio),
+            retry_fixed=_finite(table, "retryBudgetSlack", base.retry_fixed),
+            retry_window_s=_finite(table, "budgetWindowS", base.retry_window_s),
+            lease_s=_finite(table, "leaseMs", base.lease_s * 1e3) / 1e3,
             fenced=bool(table.get("fencingEnforced", base.fenced)),
             config_apply_s=_positive_s(table, "configApplyMs", base.config_apply_s),
             drain_s=_positive_s(table, "drainMs", base.drain_s),
@@ -133,7 +133,7 @@
         """
         try:
             table = tomllib.loads(path.read_text())
-        except (OSError, tomllib.TOMLDecodeError) as error:
+        except (OSError, ValueError, RecursionError) as error:
             raise SettingsError(
                 f"cannot read {path}: {error}; check the file and {CONFIG_VARIABLE}"
             ) from error
@@ -164,13 +164,32 @@
                 link_mbps=float(table.get("limits", {}).get("linkMbps", 1000.0)),
                 first_start=bool(table.get("bootstrap", False)),
             )
-        except (KeyError, IndexError, TypeError, ValueError, AttributeError) as error:
+        except (
+            LookupError,
+            TypeError,
+            ValueError,
+            ArithmeticError,
+            AttributeError,
+        ) as error:
             raise SettingsError(
                 f"the settings lack a usable field: {error!r}; "
                 "compare the file with docs/reference-platform.md"
             ) from error
 
 
+def _finite(table: Mapping[str, Any], name: str, default: float) -> float:
+    """Return a number of a table.
+
+    Raises:
+        TypeError: The value is not a number.
+        ValueError: The number is negative or not finite.
+    """
+    found = float(table.get(name, default))
+    if not 0.0 <= found < float("inf"):
+        raise ValueError(f"bounds.{name} must be a finite number of at least 0")
+    return found
+
+
 def _positive_s(table: Mapping[str, Any], name: str, default_s: float) -> float:
     """Return a time of a table in seconds, which the table has in milliseconds.
 
--- a/src/wisterialoom/platform/stream_exchange.py
+++ b/src/wisterialoom/platform/stream_exchange.py
@@ -17,6 +17,7 @@
 from wisterialoom.core.serving.software_versions import sole_version
 from wisterialoom.core.serving.stream_origin import StreamOrigin
 from wisterialoom.platform._tasks import TaskGroup, wait_for
+from wisterialoom.platform.fields import read_mapping, read_names
 from wisterialoom.platform.hints import OriginAnswer, OriginWanted, StreamsBegun
 from wisterialoom.platform.lease_manager import lease_clock
 from wisterialoom.platform.store import (
@@ -404,11 +405,11 @@
     """Decode a record; one that cannot be read has no streams."""
     try:
         return [
-            (str(stream), StreamOrigin(str(service), str(version)))
-            for service, versions in spec["streams"].items()
-            for version, streams in versions.items()
+            (stream, StreamOrigin(service, version))
+            for service, versions in read_mapping(spec["streams"]).items()
+            for version, streams in read_mapping(versions).items()
             if version
-            for stream in streams
+            for stream in read_names(streams)
         ]
     except (KeyError, TypeError, AttributeError) as error:
         logger.warning("record of streams ignored", extra={"error": repr(error)})
--- a/src/wisterialoom/platform/version_codec.py
+++ b/src/wisterialoom/platform/version_codec.py
@@ -5,6 +5,12 @@
 from typing import Any
 
 from wisterialoom.core.serving.stream_origin import StreamOrigin
+from wisterialoom.platform.fields import (
+    read_integer,
+    read_mapping,
+    read_names,
+    read_text,
+)
 from wisterialoom.platform.hints import (
     OriginAnswer,
     OriginWanted,
@@ -53,29 +59,30 @@
         items: Fields of the hint.
 
     Raises:
-        ValueError: A field has another type.
+        ValueError: A field is out of range.
+        TypeError: A field has another type.
     """
     match kind, items:
         case "sv", dict():
             versions = {
-                (server_id, int(started_ms)): version
+                (server_id, read_integer(started_ms)): version
                 for version, servers in items.items()
-                for server_id, started_ms in servers.items()
+                for server_id, started_ms in read_mapping(servers).items()
             }
             return ServerVersions(instance, versions)
         case "sw", _:
             return VersionsWanted(instance)
         case "ob", dict():
             origins = {
-                stream: StreamOrigin(str(service), str(version))
+                stream: StreamOrigin(read_text(service), read_text(version))
                 for stream, (service, version, *_) in items.items()
             }
             return StreamsBegun(instance, origins)
         case "ow", [str(stream), str(service), *_]:
             return OriginWanted(instance, stream, service)
         case "oa", [str(stream), str(asked), [service, version, *_], possible, *_]:
-            names = None if possible is None else tuple(map(str, possible))
+            names = None if possible is None else read_names(possible)
             return OriginAnswer(
-                instance, stream, asked, str(service), str(version), names
+                instance, stream, asked, read_text(service), read_text(version), names
             )
     raise ValueError(f"unreadable fields in a hint of kind {kind!r}")
--- a/tests/platform/test_wire.py
+++ b/tests/platform/test_wire.py
@@ -242,11 +242,13 @@
 
 
 @pytest.mark.parametrize("data", [b"[1]", b"[]", b'["w","front-9"]', b"{}", b"x"])
-def test_datagram_that_cannot_be_read_is_logged(data, caplog):
+def test_datagram_that_cannot_be_read_is_logged_once(data, caplog):
     link = PeerLink(1, lambda _, __: None)
-    link.datagram_received(data, ("127.0.0.2", 1))
-    assert [record.message for record in caplog.records] == ["hint dropped"]
-    assert (link.skipped, link.dropped) == (0, 1)
+    for _ in range(2):
+        link.datagram_received(data, ("127.0.0.2", 1))
+    messages = [record.message for record in caplog.records]
+    assert messages == ["unreadable input ignored"]
+    assert (link.skipped, link.dropped) == (0, 2)
 
 
 @pytest.mark.parametrize(
