Decode header text that is not UTF-8, and numbers with too many digits

Requests for a model that was not loaded waited until their deadlines at an instance that had once received a Model header with bytes that are not UTF-8. The HTTP parser decodes them to single surrogates, which could not be encoded in the demand report, and the task that sends it ended. Such bytes in Prompt-Prefix, and a Token-Count of hundreds of digits, gave 500.

Bytes that are not UTF-8 now become replacement characters, so that the model is an unknown one. Numbers have at most 15 digits; others count as absent, as the superscript digits that str.isdigit accepts. That encode errors no longer end a task was not enough: no later report of this instance would be sent.

--- a/src/wisterialoom/platform/headers.py
+++ b/src/wisterialoom/platform/headers.py
@@ -209,13 +209,13 @@
         now: Monotonic time of the request's arrival.
         own_trait: Trait that only the same request shares; empty if it is not known.
     """
-    request_id = headers.get(ATTEMPT_ID, "")
+    request_id = _text(headers, ATTEMPT_ID)
     takes_up = _read_taken_up(headers, route)
-    model, _, adapter = headers.get(MODEL, "").partition("/")
+    model, _, adapter = _text(headers, MODEL).partition("/")
     prompt, _, output = headers.get(TOKENS, "").partition(",")
     wait_s = _parse_number(headers.get(DEADLINE_MS, "")) / 1e3
     caller_deadline = now + wait_s if wait_s > 0 else now + route.timeout_s
-    parts = headers.get(PREFIX, "")
+    parts = _text(headers, PREFIX)
     prefix = tuple(part.partition(":")[0] for part in parts.split(",")) if parts else ()
     answer_deadline = min(caller_deadline, now + route.timeout_s)
     first_output_deadline = answer_deadline
@@ -244,7 +244,20 @@
     """Return the stream that a request takes up, as `RequestProfile` has it."""
     if not route.resumable or not headers.get(LAST_EVENT_ID, "").strip():
         return None
-    return headers.get(RESUMES, "").strip()
+    return _text(headers, RESUMES).strip()
+
+
+def _text(headers: CIMultiDictProxy[str], name: str) -> str:
+    """Return the value of a header as text that can be encoded.
+
+    The HTTP parser decodes bytes that are not UTF-8 to single surrogates, which cannot
+    be encoded in messages to other instances. They become replacement characters, so
+    that a model with such a name is an unknown one.
+    """
+    value = headers.get(name, "")
+    if value.isascii():
+        return value
+    return value.encode("utf-8", "surrogateescape").decode("utf-8", "replace")
 
 
 def _stream_pause_limit_s(route: Route) -> float:
@@ -258,7 +271,12 @@
 
 def _parse_number(text: str) -> float:
     text = text.strip()
-    return float(text) if text.isascii() and text.isdigit() else 0.0
+    return float(text) if _is_count(text) else 0.0
+
+
+def _is_count(text: str) -> bool:
+    """Return whether a text is a number of at most 15 digits, exact in a double."""
+    return text.isascii() and text.isdigit() and len(text) <= 15
 
 
 def request_headers(
@@ -352,6 +370,6 @@
 def read_load(headers: Mapping[str, str]) -> ServerLoad | None:
     """Decode the load reported with an answer; `None` if absent or malformed."""
     parts = headers.get(LOAD, "").split(",")
-    if len(parts) != 3 or not all(part.strip().isdigit() for part in parts):
+    if len(parts) != 3 or not all(_is_count(part.strip()) for part in parts):
         return None
     return ServerLoad(*(int(part) for part in parts))
--- a/tests/platform/test_unreadable_input.py
+++ b/tests/platform/test_unreadable_input.py
@@ -10,7 +10,7 @@
 import pytest
 from hypothesis import given, settings, strategies as st
 
-from tests.platform.fakes import config, FakePlainServer
+from tests.platform.fakes import config, FakeModelServer, FakePlainServer
 from tests.platform.test_app import Harness, harness, wait_until
 from wisterialoom.platform.store import StoreUnavailableError
 from wisterialoom.platform.store_json import decode_answer, UnreadableValue
@@ -229,3 +229,29 @@
     new = data.draw(st.binary(max_size=4) | st.sampled_from([b"]", b'"', b"\\", b"{"]))
     with contextlib.suppress(ValueError):
         decode_answer(VALID[:start] + new + VALID[end:])
+
+
+async def test_model_that_is_not_utf8_does_not_end_the_demand_task():
+    """Bytes of a caller's header could not be encoded in the report of demand.
+
+    Later requests for models that were not loaded waited until their deadlines.
+    """
+    server = FakeModelServer("i-1", models={"m0": []})
+    async with harness(server) as site:
+        host, _, port = site.app.settings.front.rpartition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        writer.write(
+            b"POST /draft/ HTTP/1.1\r\nHost: desk.example\r\nAttempt-Id: a\xff1\r\n"
+            b"Deadline-Ms: 500\r\nModel: m\xff/\xfe\r\nPrompt-Prefix: \xff:1,b:2\r\n"
+            b"Token-Count: %s,1\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
+            % (b"9" * 400)
+        )
+        answer = await asyncio.wait_for(reader.read(), 5.0)
+        writer.close()
+        assert b" 500 " not in answer.partition(b"\r\n")[0]
+        assert any("\ufffd" in name for name in site.app.dispatcher.arrivals)
+        report = site.app.fleet._build_report(0.0)
+        site.app.peers.send(report, "127.0.0.1")
+        assert site.app.peers.dropped == 0
+        status, _, _ = await site.call("/draft/", Model="m1", Attempt_Id="a2")
+        assert status == 200
--- a/tests/platform/test_wire.py
+++ b/tests/platform/test_wire.py
@@ -377,3 +377,9 @@
         service_of(Attempt_Id="later", Last_Event_Id="3", Resumes=name)
         for name in names
     ]
+
+
+@pytest.mark.parametrize("text", ["\u00b2,0,8", "1,0," + "9" * 5000, "-1,0,8", "1,0,"])
+def test_load_with_unusable_digits_counts_as_absent(text):
+    """A superscript digit, or thousands of digits, ended the attempt with an error."""
+    assert read_load({"Server-Load": text}) is None
