Restart background tasks that end with an unexpected error

A task that ended with an error was only logged: the view of the store, the lease, the demand reports or the relay stood still for the rest of the life of the process, which went on to report ready.

A watcher whose answer could not be applied lists again, as its revision was already recorded. Ending the process instead was ruled out: the error is likely to recur at all instances at once.

--- a/src/wisterialoom/platform/app.py
+++ b/src/wisterialoom/platform/app.py
@@ -18,7 +18,7 @@
 from wisterialoom.core.serving.dispatcher import Dispatcher
 from wisterialoom.core.serving.helper_choice import HelperChoice
 from wisterialoom.core.serving.retry_budget import RetryLimits
-from wisterialoom.platform._tasks import TaskGroup
+from wisterialoom.platform._tasks import restart_counts, TaskGroup
 from wisterialoom.platform.attempt import trace_connections
 from wisterialoom.platform.catalog import Catalog
 from wisterialoom.platform.crash_exchange import CrashExchange
@@ -223,7 +223,7 @@
         await self._listen(settings.ready, self.answer_ready)
         await self._listen(settings.front, self.ingress.handle)
         self.catalog.start()
-        self.tasks.spawn(self._tick())
+        self.tasks.supervise("tick", self._tick)
         logger.info("started", extra={"front": settings.front})
 
     async def _start_fleet(self, store: StoreClient) -> None:
@@ -362,6 +362,12 @@
                 "failed": self.peers.failed,
             },
         )
+        metrics.labeled_counter(
+            "task_restarts_total",
+            "Background tasks that were restarted after an unexpected error.",
+            "task",
+            restart_counts,
+        )
         metrics.labeled_counter(
             "hint_bytes_total",
             "Bytes of datagrams sent to other instances.",
--- a/src/wisterialoom/platform/catalog.py
+++ b/src/wisterialoom/platform/catalog.py
@@ -158,8 +158,8 @@
 
     def start(self) -> None:
         """Start the tasks that read and follow the store once that is decided."""
-        self.tasks.spawn(self.config.run())
-        self.tasks.spawn(self.server_watcher.run())
+        self.tasks.supervise("config_watcher", self.config.run)
+        self.tasks.supervise("server_watcher", self.server_watcher.run)
 
     async def stop(self) -> None:
         """Stop following the store."""
--- a/src/wisterialoom/platform/crash_exchange.py
+++ b/src/wisterialoom/platform/crash_exchange.py
@@ -70,7 +70,7 @@
     def start(self) -> None:
         """Start sending messages."""
         self.watch.wake = self.wake_event.set
-        self.tasks.spawn(self._run())
+        self.tasks.supervise("crash_exchange", self._run)
 
     async def stop(self) -> None:
         """Stop sending messages."""
--- a/src/wisterialoom/platform/fleet.py
+++ b/src/wisterialoom/platform/fleet.py
@@ -129,7 +129,7 @@
         """Start sending demand reports."""
         self.peers.members[self.instance] = self.address
         self._update_instances()
-        self.tasks.spawn(self._send_demand())
+        self.tasks.supervise("demand", self._send_demand)
 
     async def stop(self) -> None:
         """Stop sending demand reports."""
--- a/src/wisterialoom/platform/limit_exchange.py
+++ b/src/wisterialoom/platform/limit_exchange.py
@@ -59,7 +59,7 @@
 
     def start(self) -> None:
         """Start sending messages."""
-        self.tasks.spawn(self._run())
+        self.tasks.supervise("limit_exchange", self._run)
 
     async def stop(self) -> None:
         """Stop sending messages."""
--- a/src/wisterialoom/platform/path_prober.py
+++ b/src/wisterialoom/platform/path_prober.py
@@ -75,7 +75,7 @@
 
     def start(self) -> None:
         """Start probing."""
-        self.tasks.spawn(self._run())
+        self.tasks.supervise("path_prober", self._run)
 
     async def stop(self) -> None:
         """Stop probing."""
--- a/src/wisterialoom/platform/placement_controller.py
+++ b/src/wisterialoom/platform/placement_controller.py
@@ -119,8 +119,8 @@
 
     def start(self) -> None:
         """Start managing the lease and planning."""
-        self.tasks.spawn(self.lease_manager.run())
-        self.tasks.spawn(self._run_planner())
+        self.tasks.supervise("lease", self.lease_manager.run)
+        self.tasks.supervise("planner", self._run_planner)
 
     async def stop(self) -> None:
         """Cancel all tasks and release the lease."""
--- a/src/wisterialoom/platform/relay.py
+++ b/src/wisterialoom/platform/relay.py
@@ -166,7 +166,7 @@
 
     def start(self) -> None:
         """Begin to send messages and to update the watcher role."""
-        self.tasks.spawn(self._run())
+        self.tasks.supervise("relay", self._run)
 
     async def stop(self) -> None:
         """Stop sending; another instance takes the watcher role over."""
--- a/src/wisterialoom/platform/stream_exchange.py
+++ b/src/wisterialoom/platform/stream_exchange.py
@@ -146,7 +146,7 @@
 
     def start(self) -> None:
         """Start to share streams."""
-        self.tasks.spawn(self._run())
+        self.tasks.supervise("stream_exchange", self._run)
 
     async def stop(self) -> None:
         """Stop sharing streams; their records stay in the store."""
--- a/src/wisterialoom/platform/watcher.py
+++ b/src/wisterialoom/platform/watcher.py
@@ -152,6 +152,10 @@
                 self.watch_timeout_s = min(
                     MAX_WATCH_TIMEOUT_S, 2 * self.watch_timeout_s
                 )
+            except Exception:
+                # An answer may have been applied in part. The task is restarted.
+                self.listed = False
+                raise
 
     def set_active(self, *, active: bool) -> None:
         """Start or stop reading the store.
