Take no bytes after a response for the next one

Responses of over 1 MB without a length, cut by a reset, looked complete.

Cause: aiohttp puts a connection back into the pool whatever follows the response, and hands what arrives there to the next request. An answer without Attempt-Id passed as that of any request. The reset was checked in two of three places that read responses, and in neither after 1 MB.

Ruled out: the check of the echoed id alone, as the late copy of a response makes the next request fail, and bytes that repeat no id passed. A connection for each request costs a round trip each.

ServerConnection closes when bytes arrive while it is idle, is not reused when its parser holds anything past the response, when its response repeats no Attempt-Id, or when bytes wait to be read. A response with another id, with none on a reused connection, or that began before its request was written to a reused connection ends as LOST. All responses are read by read_piece, which takes no reset for an end. Requests with more than 32 KB get a connection of their own, as servers may refuse them early. The entry of the product's own interface uses the same code.

Limit: bytes that are no HTTP in the same segment as a whole response lose that response, as the parser then reports nothing of the segment.

--- a/src/wisterialoom/app.py
+++ b/src/wisterialoom/app.py
@@ -11,7 +11,7 @@
 from typing import Any, TYPE_CHECKING
 
 import uvloop
-from aiohttp import ClientSession, DummyCookieJar, TCPConnector, web
+from aiohttp import web
 
 from wisterialoom.core.assembly import EntryParts, InstanceIdentity
 from wisterialoom.core.configuration.config_warning import LogWarning
@@ -43,12 +43,13 @@
 from wisterialoom.engine.port import EnginePort
 from wisterialoom.http.admin import Admin
 from wisterialoom.http.caller_api import CallerApi
-from wisterialoom.http.dispatcher import Dispatcher
+from wisterialoom.http.dispatcher import Dispatcher, open_session
 from wisterialoom.log import configure_logging
 from wisterialoom.metrics import Metrics
 from wisterialoom.object_api.client import PlatformClient
 from wisterialoom.object_api.port import PlatformPort
 from wisterialoom.peer.link import PeerLinks
+from wisterialoom.server_connection import ServerConnector
 from wisterialoom.settings import Settings, split_address
 from wisterialoom.status import Status
 
@@ -169,9 +170,7 @@
         self.parts = self._build_parts()
         self.driver = Driver(self.parts.core, self.execute)
         self.status = Status(self)
-        self.session = ClientSession(
-            connector=TCPConnector(limit=0), cookie_jar=DummyCookieJar()
-        )
+        self.session = open_session(ServerConnector(limit=0))
         platform = self.settings.platform
         client = PlatformClient(self.session, platform.url, platform.timeout_s)
         self.platform_port = PlatformPort(client, self.deliver)
--- a/src/wisterialoom/http/dispatcher.py
+++ b/src/wisterialoom/http/dispatcher.py
@@ -6,7 +6,7 @@
 import logging
 from typing import TYPE_CHECKING, TypeAlias
 
-from aiohttp import ClientSession, DummyCookieJar, TCPConnector
+from aiohttp import ClientSession, DummyCookieJar
 
 from wisterialoom.core.jobs.job_endpoint import ReportJob
 from wisterialoom.core.notice_job import AttachBody
@@ -18,9 +18,11 @@
     Refuse,
     ReplayAnswer,
 )
+from wisterialoom.http.error_answer import REQUEST_ID_HEADER
 from wisterialoom.http.exchange import Exchange
 from wisterialoom.http.job_exchange import JobExchange
 from wisterialoom.http.relay import Relay
+from wisterialoom.server_connection import ServerConnector
 from wisterialoom.tracked_response import TrackedResponse
 
 if TYPE_CHECKING:
@@ -74,9 +76,13 @@
     async def start(self) -> None:
         """Open the client sessions."""
         self.pooled_session = open_session(
-            TCPConnector(limit=0, keepalive_timeout=30.0)
+            ServerConnector(
+                limit=0, keepalive_timeout=30.0, echo_header=REQUEST_ID_HEADER
+            )
+        )
+        self.single_use_session = open_session(
+            ServerConnector(limit=0, force_close=True, echo_header=REQUEST_ID_HEADER)
         )
-        self.single_use_session = open_session(TCPConnector(limit=0, force_close=True))
 
     async def stop(self) -> None:
         """Cancel the remaining tasks and close the client sessions."""
@@ -170,7 +176,7 @@
         return ended
 
 
-def open_session(connector: TCPConnector) -> ClientSession:
+def open_session(connector: ServerConnector) -> ClientSession:
     """Return a session for requests to backend servers."""
     return ClientSession(
         connector=connector,
--- a/src/wisterialoom/http/relay.py
+++ b/src/wisterialoom/http/relay.py
@@ -24,7 +24,7 @@
 from wisterialoom.http.error_answer import REQUEST_ID_HEADER
 from wisterialoom.no_resend import no_resend, was_never_sent
 from wisterialoom.retry_after import read_retry_after, RETRY_AFTER
-from wisterialoom.tracked_response import was_reset
+from wisterialoom.tracked_response import read_piece
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -95,12 +95,6 @@
     """Raised if an answer ends before it is complete."""
 
 
-def _check_complete(response: ClientResponse) -> None:
-    """Raise an error if a reset ended an answer that ends with its connection."""
-    if was_reset(response):
-        raise _TruncatedAnswerError
-
-
 @dataclass
 class RelayTimes:
     """Timestamps of one attempt, for metrics.
@@ -265,13 +259,12 @@
 
     async def _relay_buffered(self, response: ClientResponse) -> None:
         body = bytearray()
-        async for chunk in response.content.iter_any():
+        while chunk := await read_piece(response):
             self.times.record_chunk()
             body += chunk
             if len(body) > MAX_BUFFERED_BYTES:
                 await self._relay_chunks(response, bytes(body))
                 return
-        _check_complete(response)
         self._store(bytes(body))
         self.deliver(AttemptFirstByte(self.attempt))
         outcome = "completed" if response.status < 400 else "failed"
@@ -279,15 +272,14 @@
         self.exchange.send_complete(response.status, headers, bytes(body), outcome)
 
     async def _relay_chunks(self, response: ClientResponse, buffered: bytes) -> None:
-        first = buffered or await response.content.readany()
+        first = buffered or await read_piece(response)
         self.times.record_chunk()
         self.deliver(AttemptFirstByte(self.attempt))
         await self._begin_answer(response)
         await self._forward(first)
-        async for chunk in response.content.iter_any():
+        while chunk := await read_piece(response):
             self.times.record_chunk()
             await self._forward(chunk)
-        _check_complete(response)
         if response.content_type != "text/event-stream" or STREAM_END in self.tail:
             await self._end_answer()
 
--- a/src/wisterialoom/platform/app.py
+++ b/src/wisterialoom/platform/app.py
@@ -10,7 +10,7 @@
 from dataclasses import replace
 from typing import TYPE_CHECKING
 
-from aiohttp import ClientSession, DummyCookieJar, TCPConnector, web
+from aiohttp import ClientSession, DummyCookieJar, web
 
 from wisterialoom.core.fleet import PlacementLease
 from wisterialoom.core.request_limit import ASSUMED_INSTANCES, LimitShares
@@ -23,6 +23,7 @@
 from wisterialoom.platform.catalog import Catalog
 from wisterialoom.platform.crash_exchange import CrashExchange
 from wisterialoom.platform.fleet import Fleet
+from wisterialoom.platform.headers import ATTEMPT_ID
 from wisterialoom.platform.helper_server import HelperServer
 from wisterialoom.platform.ingress import Ingress, Signal
 from wisterialoom.platform.limit_exchange import LimitExchange
@@ -41,11 +42,14 @@
 )
 from wisterialoom.platform.store import StoreClient
 from wisterialoom.platform.stream_exchange import StreamExchange
+from wisterialoom.server_connection import ServerConnector
 from wisterialoom.tracked_response import TrackedResponse
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
+    from aiohttp import TCPConnector
+
     from wisterialoom.platform.headers import ServerNotice
 
 __all__ = ["PlatformApp"]
@@ -183,7 +187,7 @@
     async def on_start(self) -> None:
         """Open sessions and listeners and begin to follow the store."""
         settings = self.settings
-        store = StoreClient(settings.store, self._session(TCPConnector(limit=0)))
+        store = StoreClient(settings.store, self._session(ServerConnector(limit=0)))
         self.catalog = Catalog(
             store, self.dispatcher, self.signal.wake, settings.bounds.promise
         )
@@ -205,14 +209,21 @@
             self.metrics,
         )
         self.ingress.pooled_session = self._session(
-            TCPConnector(limit=0, keepalive_timeout=SERVER_KEEPALIVE_S)
+            ServerConnector(
+                limit=0, keepalive_timeout=SERVER_KEEPALIVE_S, echo_header=ATTEMPT_ID
+            )
         )
         self.ingress.single_use_session = self._session(
-            TCPConnector(limit=0, force_close=True)
+            ServerConnector(limit=0, force_close=True, echo_header=ATTEMPT_ID)
         )
         # Other instances recognize this one by its address.
         self.ingress.helper_session = self._session(
-            TCPConnector(limit=0, force_close=True, local_addr=(settings.ip, 0))
+            ServerConnector(
+                limit=0,
+                force_close=True,
+                local_addr=(settings.ip, 0),
+                echo_header=ATTEMPT_ID,
+            )
         )
         await self._start_fleet(store)
         self._register_metrics(store)
@@ -247,7 +258,7 @@
 
         orders = OrderClient(
             settings.instance,
-            self._session(TCPConnector(limit=0)),
+            self._session(ServerConnector(limit=0)),
             record_notice,
             lambda server_id: self.path_prober.record_doubt(server_id),
         )
--- a/src/wisterialoom/platform/attempt.py
+++ b/src/wisterialoom/platform/attempt.py
@@ -18,7 +18,6 @@
 from wisterialoom.platform.event_stream import EventTooLargeError
 from wisterialoom.platform.headers import (
     answer_headers,
-    ATTEMPT_ID,
     HELP_FOR,
     HELP_ONCE,
     HELP_RESULT,
@@ -30,7 +29,7 @@
 )
 from wisterialoom.platform.server_call import call_server
 from wisterialoom.retry_after import RETRY_AFTER
-from wisterialoom.tracked_response import was_reset
+from wisterialoom.tracked_response import read_piece
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -221,7 +220,7 @@
         while True:
             try:
                 async with asyncio.timeout(self.read_timeout_s):
-                    return await response.content.readany()
+                    return await read_piece(response)
             except TimeoutError:
                 if self.can_retry_elsewhere():
                     raise
@@ -235,14 +234,12 @@
         self.load = notice.load
         if response.headers.get(SERVER_ID) in (None, self.step.server_id):
             self.record_response_head(notice)
-        if response.headers.get(ATTEMPT_ID) not in (None, self.profile.request_id):
-            return self._result(AttemptVerdict.LOST, "answer to another request")
         if response.headers.get(NOT_RUN) or response.status == 421:
             await _read_rest(response)
             return self._refused(response)
         if self.profile.route.stream and response.status == 200:
             return await self._receive_stream(response)
-        return await self._receive_buffered(response)
+        return await self._receive_plain(response)
 
     def _read_help_result(self, response: ClientResponse) -> AttemptResult | None:
         """Return how the attempt ended if the helping instance has no answer."""
@@ -269,70 +266,56 @@
             return self._result(AttemptVerdict.REFUSED_IDENTITY, detail)
         return self._result(AttemptVerdict.REFUSED_ABSENT, detail)
 
-    async def _receive_buffered(self, response: ClientResponse) -> AttemptResult:
+    async def _receive_plain(self, response: ClientResponse) -> AttemptResult:
+        """Receive an answer that is no stream, and forward it only if it is large."""
         body = bytearray()
-        while True:
-            data = await self._read(response)
-            if not data:
-                break
+        while data := await self._read(response):
+            if self.had_output:
+                await self.exchange.write(data)
+                continue
             body += data
             if len(body) > MAX_BUFFERED_BYTES:
-                return await self._stream_large(response, bytes(body))
-        if was_reset(response):
-            return self._result(
-                AttemptVerdict.LOST, "connection reset during the answer"
-            )
+                self.had_output = True
+                # Only a stream goes on at another server.
+                self.exchange.resumable = False
+                await self._forward(response, bytes(body))
+                body.clear()
+        if self.had_output:
+            await self.exchange.finish()
+            return self._result(AttemptVerdict.ANSWERED, str(response.status))
         headers = answer_headers(response.headers)
         self.answer = BufferedAnswer(response.status, headers, bytes(body))
         if response.status >= 500:
             return self._result(AttemptVerdict.FAILED, str(response.status))
         return self._result(AttemptVerdict.ANSWERED, str(response.status))
 
-    async def _stream_large(
-        self, response: ClientResponse, first_bytes: bytes
-    ) -> AttemptResult:
-        exchange = self.exchange
-        self.had_output = True
-        await exchange.begin(response.status, answer_headers(response.headers))
-        await exchange.write(first_bytes)
-        while True:
-            data = await self._read(response)
-            if not data:
-                break
-            await exchange.write(data)
-        await exchange.finish()
-        return self._result(AttemptVerdict.ANSWERED, str(response.status))
-
     async def _receive_stream(self, response: ClientResponse) -> AttemptResult:
+        """Receive a stream and forward its whole events as they arrive."""
         exchange = self.exchange
         event_splitter = exchange.event_splitter
-        while True:
-            data = await self._read(response)
-            if not data:
-                break
+        while data := await self._read(response):
             complete = event_splitter.feed(data)
             if not complete:
                 continue
             if not self.had_output:
                 self.had_output = True
                 self.output_begun()
-            if not exchange.head_sent:
-                await exchange.begin(response.status, answer_headers(response.headers))
-            await exchange.write(complete)
-        if was_reset(response):
-            return self._result(
-                AttemptVerdict.LOST, "connection reset during the stream"
-            )
+            await self._forward(response, complete)
         if event_splitter.inside_event and _has_events(response):
             return self._result(AttemptVerdict.LOST, "stream ended inside an event")
-        if not exchange.head_sent:
-            await exchange.begin(response.status, answer_headers(response.headers))
-        if event_splitter.partial:
-            await exchange.write(event_splitter.partial)
-            event_splitter.drop_partial()
+        await self._forward(response, event_splitter.partial)
+        event_splitter.drop_partial()
         await exchange.finish()
         return self._result(AttemptVerdict.ANSWERED, str(response.status))
 
+    async def _forward(self, response: ClientResponse, data: bytes) -> None:
+        """Send the caller a part of the answer, and its head first if need be."""
+        exchange = self.exchange
+        if not exchange.head_sent:
+            await exchange.begin(response.status, answer_headers(response.headers))
+        if data:
+            await exchange.write(data)
+
 
 async def _read_rest(response: ClientResponse) -> None:
     """Read the rest of a refusal, so that its connection can be used again.
--- a/src/wisterialoom/platform/helper_server.py
+++ b/src/wisterialoom/platform/helper_server.py
@@ -26,7 +26,7 @@
 )
 from wisterialoom.platform.server_call import call_server
 from wisterialoom.retry_after import RETRY_AFTER
-from wisterialoom.tracked_response import was_reset
+from wisterialoom.tracked_response import read_piece
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -173,10 +173,8 @@
         if response.content_length is not None:
             answer.content_length = response.content_length
         await answer.prepare(request)
-        while data := await response.content.readany():
+        while data := await read_piece(response):
             await answer.write(data)
-        if was_reset(response):
-            raise ConnectionResetError("the server reset its answer")
         await answer.write_eof()
         self.counts[HelpResult.PASSED_ON.value] += 1
         return answer
--- a/src/wisterialoom/platform/ingress.py
+++ b/src/wisterialoom/platform/ingress.py
@@ -75,6 +75,13 @@
 """
 
 
+MAX_POOLED_BODY_BYTES = 32_768
+"""Size of a body above which its request gets a connection of its own.
+
+Servers may refuse a longer one before it was written, and a response that begins before
+that is not trusted on a reused connection.
+"""
+
 PATH_VERDICTS = (
     AttemptVerdict.NOT_SENT,
     AttemptVerdict.LOST,
@@ -351,7 +358,8 @@
     ) -> tuple[Attempt, AttemptResult]:
         profile = flow.profile
         route = profile.route
-        session = self.pooled_session if route.idempotent else self.single_use_session
+        reusable = route.idempotent and len(exchange.body) <= MAX_POOLED_BODY_BYTES
+        session = self.pooled_session if reusable else self.single_use_session
         if step.via:
             session = self.helper_session
         assert session is not None
