Decode teams, their API keys and quotas

An entry of tenants that cannot be decoded affects no other. Of such an entry, the keys are those that can still be read, as any other may be revoked; priority and quota stay as they were. A list without one decodable entry still requires a key. Only digests of keys are held.

Numbers of more than 15 digits in Token-Count and Deadline-Ms count as absent. 400 digits are infinity as a float, whose conversion to an integer raised an error, so the request ended without an answer of ours.

The team's priority comes before the route's in Request-Urgency.

--- a/src/wisterialoom/core/serving/dispatcher.py
+++ b/src/wisterialoom/core/serving/dispatcher.py
@@ -408,7 +408,7 @@
         if view.server.id not in flow.servers:
             flow.servers.append(view.server.id)
             flow.software_versions.append(view.server.software_version)
-        urgency = min(MAX_URGENCY, max(0, profile.route.priority))
+        urgency = min(MAX_URGENCY, max(0, profile.priority))
         via = self.ways.helpers.address(flow.in_flight_via)
         return Send(view.server.id, view.server.address, urgency, via)
 
--- a/src/wisterialoom/core/serving/request_flow.py
+++ b/src/wisterialoom/core/serving/request_flow.py
@@ -107,6 +107,10 @@
         caller_deadline: Monotonic time until which the caller waits.
         first_output_deadline: Monotonic time at which the caller leaves if there is no
             output yet.
+        team: Name of the team that sent the request; empty if there is none.
+        team_priority: Priority that the team has instead of the route's, if any.
+        token_counts: Both numbers of tokens; `None` if the caller stated none that can
+            be decoded.
     """
 
     request_id: str
@@ -123,6 +127,16 @@
     first_output_deadline: float
     traits: tuple[str, ...] = ()
     takes_up: str | None = None
+    team: str = ""
+    team_priority: int | None = None
+    token_counts: tuple[int, int] | None = None
+
+    @property
+    def priority(self) -> int:
+        """Priority of the request; 0 is the most urgent."""
+        if self.team_priority is not None:
+            return self.team_priority
+        return self.route.priority
 
     @property
     def resource(self) -> str:
--- a/src/wisterialoom/core/serving/routing.py
+++ b/src/wisterialoom/core/serving/routing.py
@@ -10,6 +10,8 @@
 import zlib
 from dataclasses import dataclass, field
 
+from wisterialoom.core.teams import TeamDirectory
+
 __all__ = [
     "Deployment",
     "EngineProfile",
@@ -55,6 +57,7 @@
         max_attempts: Maximum number of backend servers that a request is sent to.
         services: Services and their weights; one with weight 1 unless the route is
             split.
+        public: Whether requests are served without an API key.
     """
 
     name: str
@@ -69,6 +72,7 @@
     priority: int
     max_attempts: int
     services: tuple[WeightedService, ...]
+    public: bool = False
 
     @property
     def idempotent(self) -> bool:
@@ -168,12 +172,14 @@
         services: Services by name.
         limits: Limits on callers' requests.
         by_host: Routes by host, longest prefix first.
+        teams: Teams of callers; requests need an API key if there are any.
     """
 
     version: int
     services: dict[str, Service]
     limits: IngressLimits
     by_host: dict[str, tuple[Route, ...]]
+    teams: TeamDirectory = field(default_factory=TeamDirectory)
 
     @classmethod
     def from_routes(
@@ -182,6 +188,7 @@
         routes: list[Route],
         services: dict[str, Service],
         limits: IngressLimits,
+        teams: TeamDirectory | None = None,
     ) -> Deployment:
         """Build the lookup tables of a deployment."""
         by_host: dict[str, list[Route]] = {}
@@ -191,7 +198,7 @@
             host: tuple(sorted(found, key=lambda route: -len(route.prefix)))
             for host, found in by_host.items()
         }
-        return cls(version, services, limits, ordered)
+        return cls(version, services, limits, ordered, teams or TeamDirectory())
 
     @property
     def longest_stream_s(self) -> float:
--- a/src/wisterialoom/platform/decode.py
+++ b/src/wisterialoom/platform/decode.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 from typing import Any, TYPE_CHECKING
 
 from wisterialoom.core.error import WisterialoomError
@@ -16,10 +17,13 @@
     Service,
     WeightedService,
 )
+from wisterialoom.platform.team_decode import decode_teams
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
+    from wisterialoom.core.teams import TeamDirectory
+
 __all__ = [
     "DecodeError",
     "decode_deployment",
@@ -27,6 +31,8 @@
     "decode_server",
 ]
 
+logger = logging.getLogger(__name__)
+
 SERVER_STATES = ("ready", "draining")
 
 
@@ -34,11 +40,12 @@
     """Raised when an object of the platform has invalid or missing fields."""
 
 
-def decode_deployment(spec: Any) -> Deployment:
+def decode_deployment(spec: Any, previous: TeamDirectory | None = None) -> Deployment:
     """Decode a configuration.
 
     Args:
         spec: The `spec` of the object in the store.
+        previous: The teams in force, see `decode_teams`.
 
     Raises:
         DecodeError: A field is missing, or its type or value is invalid.
@@ -47,17 +54,25 @@
         services = {
             str(item["name"]): _decode_service(item) for item in spec["services"]
         }
-        return Deployment.from_routes(
+        teams, problems = decode_teams(spec.get("tenants"), previous)
+        deployment = Deployment.from_routes(
             int(spec["version"]),
             [_decode_route(item) for item in spec["routes"]],
             services,
             _decode_limits(spec.get("limits", {})),
+            teams,
         )
     except (KeyError, TypeError, ValueError, AttributeError) as error:
         raise DecodeError(
             f"the configuration cannot be decoded: {error!r}; "
             "the version in force stays in use until a valid one is received"
         ) from error
+    for problem in problems:
+        logger.warning(
+            "team not as declared",
+            extra={"team": problem.team, "error": problem.fault},
+        )
+    return deployment
 
 
 def _decode_route(item: Mapping[str, Any]) -> Route:
@@ -85,6 +100,8 @@
         priority=int(item.get("priority", 5)),
         max_attempts=max(1, int(item.get("maxAttempts", 1))),
         services=branches,
+        # Anything but `true` keeps the route closed.
+        public=item.get("public") is True,
     )
 
 
--- a/src/wisterialoom/platform/headers.py
+++ b/src/wisterialoom/platform/headers.py
@@ -18,6 +18,7 @@
     from multidict import CIMultiDictProxy
 
     from wisterialoom.core.serving.routing import Route
+    from wisterialoom.core.teams import Team
 
 __all__ = [
     "ATTEMPT_ID",
@@ -77,6 +78,9 @@
 URGENCY = "Request-Urgency"
 """Rank in the server's queue; 0 is served first; 5 applies if absent."""
 
+MAX_DIGITS = 15
+"""Longest number in a header; Python refuses to convert very long ones."""
+
 HELP_FOR = "X-Wisterialoom-Help-For"
 """Id of the server that another instance asks to pass a request on to."""
 HELP_ONCE = "X-Wisterialoom-Help-Once"
@@ -197,7 +201,11 @@
 
 
 def read_profile(
-    headers: CIMultiDictProxy[str], route: Route, now: float, own_trait: str = ""
+    headers: CIMultiDictProxy[str],
+    route: Route,
+    now: float,
+    own_trait: str = "",
+    team: Team | None = None,
 ) -> RequestProfile:
     """Decode the headers of a request.
 
@@ -208,6 +216,7 @@
         route: Route of the request.
         now: Monotonic time of the request's arrival.
         own_trait: Trait that only the same request shares; empty if it is not known.
+        team: Team that sent the request, if any.
     """
     request_id = headers.get(ATTEMPT_ID, "")
     takes_up = _read_taken_up(headers, route)
@@ -237,9 +246,20 @@
         first_output_deadline=first_output_deadline,
         traits=part_traits(prefix) + ((own_trait,) if own_trait else ()),
         takes_up=takes_up,
+        team=team.name if team is not None else "",
+        team_priority=team.priority if team is not None else None,
+        token_counts=_read_token_counts(headers),
     )
 
 
+def _read_token_counts(headers: CIMultiDictProxy[str]) -> tuple[int, int] | None:
+    """Return the prompt's and the answer's tokens, unless absent or malformed."""
+    counts = headers.get(TOKENS, "").split(",")
+    if len(counts) != 2 or not all(_is_number(count.strip()) for count in counts):
+        return None
+    return int(counts[0]), int(counts[1])
+
+
 def _read_taken_up(headers: CIMultiDictProxy[str], route: Route) -> str | None:
     """Return the stream that a request takes up, as `RequestProfile` has it."""
     if not route.resumable or not headers.get(LAST_EVENT_ID, "").strip():
@@ -258,7 +278,11 @@
 
 def _parse_number(text: str) -> float:
     text = text.strip()
-    return float(text) if text.isascii() and text.isdigit() else 0.0
+    return float(text) if _is_number(text) else 0.0
+
+
+def _is_number(text: str) -> bool:
+    return text.isascii() and text.isdigit() and len(text) <= MAX_DIGITS
 
 
 def request_headers(
--- /dev/null
+++ b/tests/platform/test_team_decode.py
@@ -0,0 +1,177 @@
+"""Decoding of the teams that a configuration declares."""
+
+from __future__ import annotations
+
+import pytest
+from hypothesis import given
+from multidict import CIMultiDict, CIMultiDictProxy
+
+from tests.platform.fakes import config
+from tests.platform.test_wire import json_values
+from wisterialoom.core.teams import Quota, QuotaUnit, Team
+from wisterialoom.platform.decode import decode_deployment, DecodeError
+from wisterialoom.platform.headers import read_profile
+from wisterialoom.platform.team_decode import decode_teams, without_keys
+
+HULE = {
+    "name": "hule930",
+    "apiKeys": ["asnmgkcuyj8pjbvk9m68", "k7b2ex5wa5xwyhks8nbk"],
+    "priority": 1,
+    "unit": "token_rate",
+    "plainTokens": 200,
+    "ratePerS": 131650,
+    "burst": 131650,
+}
+DUNE = {"name": "dune", "apiKeys": ["dune-key"], "unit": "rate", "ratePerS": 5}
+
+
+def test_teams_and_public_routes_are_decoded():
+    spec = config(7) | {"tenants": [HULE, DUNE]}
+    spec["routes"][0]["public"] = True
+    spec["routes"][1]["public"] = "false"
+    deployment = decode_deployment(spec)
+    quota = Quota(131650.0, 131650.0, QuotaUnit.TOKENS, 200.0)
+    assert deployment.teams.identify(["Bearer k7b2ex5wa5xwyhks8nbk"]) == Team(
+        "hule930", 1, quota
+    )
+    assert deployment.teams.find("dune") == Team("dune", None, Quota(5.0, 5.0))
+    public = {
+        route.name: route.public
+        for routes in deployment.by_host.values()
+        for route in routes
+    }
+    first, *others = (item["name"] for item in spec["routes"])
+    assert public[first]
+    assert not any(public[name] for name in others)
+
+
+@pytest.mark.parametrize("change", [{}, {"tenants": None}, {"tenants": []}])
+def test_configuration_without_teams_needs_no_keys(change):
+    assert not decode_deployment(config() | change).teams
+
+
+@pytest.mark.parametrize("rate", [0, None])
+def test_rate_of_0_or_none_is_no_limit(rate):
+    teams, _ = decode_teams([HULE | {"ratePerS": rate}])
+    assert teams.find("hule930") == Team("hule930", 1, None)
+
+
+@pytest.mark.parametrize(
+    "bad",
+    [
+        None,
+        7,
+        "x",
+        [],
+        {},
+        {"name": 5},
+        {"name": ""},
+        {"name": "two\r\nlines"},
+        {"name": "x", "apiKeys": "dune-key", "ratePerS": -1},
+        {"name": "x", "apiKeys": [4], "ratePerS": "many"},
+        {"name": "x", "apiKeys": ["k"], "ratePerS": float("nan")},
+        {"name": "x", "apiKeys": ["k"], "ratePerS": 10**400},
+        {"name": "x", "apiKeys": ["k"], "priority": "first"},
+    ],
+)
+def test_an_undecodable_entry_hides_no_other(bad):
+    """Guards against one malformed team that cuts off all others."""
+    teams, problems = decode_teams([bad, DUNE])
+    assert teams.find("x") is None
+    found = teams.identify(["Bearer dune-key"])
+    assert found is not None
+    assert found.name == "dune"
+    assert problems
+
+
+def test_undecodable_entries_alone_do_not_open_the_routes():
+    """Guards against a configuration that admits everyone by a typing error."""
+    teams, _ = decode_teams([{"name": "x", "apiKeys": ["k"], "ratePerS": "many"}])
+    assert teams
+    assert teams.identify(["Bearer k"]) is None
+
+
+def test_undecodable_entry_keeps_its_quota_but_no_revoked_key():
+    """Guards against a malformed entry that lifts a quota or keeps a revoked key."""
+    before, _ = decode_teams([HULE])
+    bad = HULE | {"ratePerS": "many", "apiKeys": ["k7b2ex5wa5xwyhks8nbk"]}
+    teams, _ = decode_teams([bad], before)
+    assert teams.identify(["Bearer k7b2ex5wa5xwyhks8nbk"]) == before.find("hule930")
+    assert teams.identify(["Bearer asnmgkcuyj8pjbvk9m68"]) is None
+
+
+@pytest.mark.parametrize("tenants", [{}, "x", 5, True])
+def test_tenants_that_are_no_list_make_the_configuration_invalid(tenants):
+    """Guards against an unreadable list that ends the checks of all keys."""
+    with pytest.raises(DecodeError):
+        decode_deployment(config() | {"tenants": tenants})
+
+
+@given(json_values)
+def test_arbitrary_entries_raise_nothing_and_identify_no_one(item):
+    teams, _ = decode_teams([item])
+    assert teams
+    assert teams.identify(["Bearer k"]) is None
+    assert without_keys({"tenants": [item]})
+
+
+@pytest.mark.parametrize(
+    ("entries", "fault"),
+    [
+        ([DUNE | {"apiKeys": []}], "no API key"),
+        ([DUNE | {"apiKeys": [""]}], "empty"),
+        ([DUNE | {"apiKeys": ["k", "k"]}], "a key twice"),
+        ([DUNE, HULE | {"apiKeys": ["dune-key"]}], "shares a key"),
+        ([DUNE, DUNE | {"apiKeys": ["k"]}], "occurs twice"),
+        ([DUNE | {"ratePerS": 0}], "no limit"),
+        ([DUNE | {"unit": "tokens"}], "unit is unknown"),
+    ],
+)
+def test_faults_are_reported_without_keys(entries, fault):
+    """Guards against bad keys that nobody notices, and keys in the report."""
+    _, problems = decode_teams(entries)
+    assert len(problems) == 1
+    assert fault in problems[0].fault
+    assert "dune-key" not in repr(problems)
+
+
+def test_no_problem_is_found_in_a_sound_list():
+    assert decode_teams([HULE, DUNE])[1] == []
+
+
+def test_copies_carry_digests_instead_of_keys():
+    """Guards against keys in the messages between instances."""
+    spec = config(7) | {"tenants": [HULE, DUNE, "x", {"name": 5}]}
+    copy = without_keys(spec)
+    assert "dune-key" not in repr(copy)
+    assert "k7b2ex5wa5xwyhks8nbk" not in repr(copy)
+    teams = decode_deployment(copy).teams
+    assert teams == decode_deployment(spec).teams
+    assert without_keys(copy) == copy
+    assert without_keys(config(7)) == config(7)
+
+
+@pytest.mark.parametrize(
+    ("text", "counts"),
+    [
+        ("100,20", (100, 20)),
+        (" 100 , 20 ", (100, 20)),
+        (None, None),
+        ("", None),
+        ("100", None),
+        ("100,", None),
+        ("100,20,3", None),
+        ("-1,20", None),
+        ("1e9,20", None),
+        ("\u0663,20", None),
+        ("9" * 400 + ",20", None),
+        ("9" * 5000 + "," + "9" * 5000, None),
+    ],
+)
+def test_token_counts(text, counts):
+    """Guards against a malformed count that is free of charge, or raises."""
+    found = decode_deployment(config()).find_route("desk.example", "/draft/")
+    assert found is not None
+    headers = {"Attempt-Id": "q"} | ({"Token-Count": text} if text is not None else {})
+    profile = read_profile(CIMultiDictProxy(CIMultiDict(headers)), found, 0.0)
+    assert profile.token_counts == counts
