Admit requests by API key where the configuration has teams

A request needs one Bearer key unless its route is public; anything else gets 401 before its body is read, or 503 with Retry-After while the configuration is older than configApplyMs, as callers do not retry a 401. Servers get Tenant, also through a helping instance, and no Authorization; without teams both headers are forwarded as before. The key is checked again before each send, in the same step of the loop as the choice of the server.

Traits of requests are logged and sent to other instances, and depended on the Authorization header; with teams they hold the team's name. The HTTP parser's errors quote the header line at fault, and the log had it with its traceback: a key with a control character appeared there. Such lines now have only the kind of the error. Copies of the configuration between instances carry digests in place of keys.

--- a/src/wisterialoom/core/serving/request_flow.py
+++ b/src/wisterialoom/core/serving/request_flow.py
@@ -84,6 +84,10 @@
     """No server has the software version that began the stream any more."""
     HELD_BACK = "held_back"
     """Servers crashed on requests that have something in common with it."""
+    KEY_REVOKED = "key_revoked"
+    """The API key of the request is no longer valid."""
+    KEYS_IN_DOUBT = "keys_in_doubt"
+    """The configuration is too old to tell whether the API key is still valid."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -111,6 +115,8 @@
         team_priority: Priority that the team has instead of the route's, if any.
         token_counts: Both numbers of tokens; `None` if the caller stated none that can
             be decoded.
+        guarded: Whether the deployment has teams, so that servers get the team's name
+            instead of the key.
     """
 
     request_id: str
@@ -130,6 +136,7 @@
     team: str = ""
     team_priority: int | None = None
     token_counts: tuple[int, int] | None = None
+    guarded: bool = False
 
     @property
     def priority(self) -> int:
--- a/src/wisterialoom/platform/app.py
+++ b/src/wisterialoom/platform/app.py
@@ -34,6 +34,7 @@
 from wisterialoom.platform.placement_controller import PlacementController
 from wisterialoom.platform.placement_view import PlacementView
 from wisterialoom.platform.relay import Relay
+from wisterialoom.platform.request_errors import hide_request_bytes
 from wisterialoom.platform.settings import (
     PlatformSettings,
     settings_path,
@@ -539,6 +540,7 @@
         handler: Callable[[web.BaseRequest], Awaitable[web.StreamResponse]],
     ) -> None:
         host, _, port = address.rpartition(":")
+        hide_request_bytes()
         server = web.Server(
             handler,
             handler_cancellation=True,
--- a/src/wisterialoom/platform/attempt.py
+++ b/src/wisterialoom/platform/attempt.py
@@ -165,6 +165,7 @@
             last_event_id=exchange.event_splitter.last_id
             if exchange.head_sent
             else None,
+            team=profile.team if profile.guarded else None,
         )
         address = self.step.address
         if self.step.via:
--- a/src/wisterialoom/platform/catalog.py
+++ b/src/wisterialoom/platform/catalog.py
@@ -14,6 +14,7 @@
     DecodeError,
 )
 from wisterialoom.platform.store import StoreRestoredError, StoreUnavailableError
+from wisterialoom.platform.team_decode import without_keys
 from wisterialoom.platform.watcher import KindWatcher
 
 if TYPE_CHECKING:
@@ -63,7 +64,7 @@
         restore_deadline: The same time after a restore.
         is_role_decided: Whether it was decided if this instance follows the store.
             Before that it reads everything once.
-        config_spec: The configuration in force, as stored.
+        config_spec: The configuration in force, as stored, but without API keys.
         config_confirmed_at: Monotonic time at which the configuration in force here
             was current, as another instance confirmed it.
         servers_confirmed_at: The same time for the servers.
@@ -208,7 +209,9 @@
             spec: The configuration as stored.
         """
         try:
-            deployment = decode_deployment(spec)
+            current = self.dispatcher.deployment
+            teams = current.teams if current is not None else None
+            deployment = decode_deployment(spec, teams)
         except DecodeError as error:
             logger.error("configuration refused", extra={"error": str(error)})
             return
@@ -217,7 +220,7 @@
         self.dispatcher.deployment = deployment
         history = self.dispatcher.streams.history
         history.set_longest_timeout(deployment.longest_stream_s)
-        self.config_spec = spec
+        self.config_spec = without_keys(spec)
         logger.info(
             "configuration in force",
             extra={
--- a/src/wisterialoom/platform/exchange.py
+++ b/src/wisterialoom/platform/exchange.py
@@ -19,6 +19,7 @@
 __all__ = ["Exchange"]
 
 BAD_REQUEST = 400
+UNAUTHORIZED = 401
 BAD_GATEWAY = 502
 UNAVAILABLE = 503
 
@@ -118,6 +119,9 @@
         if end.reason is GiveUpReason.HELD_BACK:
             self.respond(BAD_REQUEST, HELD_BACK_TEXT, not_run=end.not_run)
             return
+        if end.reason is GiveUpReason.KEY_REVOKED and end.not_run:
+            self.respond(UNAUTHORIZED, end.reason.value)
+            return
         status = UNAVAILABLE if end.not_run else BAD_GATEWAY
         details = {"start_again": True} if end.reason in VERSION_REASONS else {}
         self.respond(status, end.reason.value, end.retry_after_s, **details)
@@ -147,6 +151,8 @@
             response.headers[ATTEMPT_ID] = request_id
         if retry_after_s is not None:
             response.headers["Retry-After"] = f"{retry_after_s:.2f}"
+        if status == UNAUTHORIZED:
+            response.headers["WWW-Authenticate"] = "Bearer"
         if self.closing:
             response.force_close()
         self.response = response
--- a/src/wisterialoom/platform/headers.py
+++ b/src/wisterialoom/platform/headers.py
@@ -73,6 +73,8 @@
 
 Parts that more requests share come first.
 """
+TEAM = "Tenant"
+"""Name of the team that sent the request; only this system sets it."""
 TOKENS = "Token-Count"
 """Tokens of the prompt and maximum tokens of the answer, separated by a comma."""
 URGENCY = "Request-Urgency"
@@ -185,7 +187,11 @@
 
 
 def read_own_trait(
-    method: str, target: str, headers: CIMultiDictProxy[str], body: bytes
+    method: str,
+    target: str,
+    headers: CIMultiDictProxy[str],
+    body: bytes,
+    team: str | None = None,
 ) -> str:
     """Return the trait of a request that is sent again as it is.
 
@@ -194,9 +200,11 @@
         target: Path and query, as sent.
         headers: Headers as the caller sent them.
         body: The whole body.
+        team: Name of the team, which stands for the caller if there are teams, as
+            traits are logged and sent to other instances; `None` without teams.
     """
     host = headers.get("Host", "")
-    caller = headers.get("Authorization", "")
+    caller = headers.get("Authorization", "") if team is None else team
     return request_trait.own_trait(method, host + target, caller, body)
 
 
@@ -206,6 +214,8 @@
     now: float,
     own_trait: str = "",
     team: Team | None = None,
+    *,
+    guarded: bool = False,
 ) -> RequestProfile:
     """Decode the headers of a request.
 
@@ -217,6 +227,7 @@
         now: Monotonic time of the request's arrival.
         own_trait: Trait that only the same request shares; empty if it is not known.
         team: Team that sent the request, if any.
+        guarded: Whether the deployment has teams.
     """
     request_id = headers.get(ATTEMPT_ID, "")
     takes_up = _read_taken_up(headers, route)
@@ -249,6 +260,7 @@
         team=team.name if team is not None else "",
         team_priority=team.priority if team is not None else None,
         token_counts=_read_token_counts(headers),
+        guarded=guarded,
     )
 
 
@@ -292,6 +304,7 @@
     remaining_s: float,
     urgency: int | None,
     last_event_id: str | None,
+    team: str | None = None,
 ) -> list[tuple[str, str]]:
     """Return the headers of a request to a backend server.
 
@@ -302,10 +315,14 @@
         urgency: Rank in the server's queue; `None` if it has no ranks.
         last_event_id: Id of the last event that the caller has received; `None`
             unless this attempt continues a stream.
+        team: Name of the team, which replaces the caller's key; empty if there is
+            none. `None` if the deployment has no teams.
     """
     dropped = HOP_BY_HOP_HEADERS | INTERNAL_HEADERS | _named_by_connection(headers)
     if last_event_id is not None:
         dropped |= {"last-event-id"}
+    if team is not None:
+        dropped |= {"authorization", TEAM.lower()}
     forwarded = [
         (name, value) for name, value in headers.items() if name.lower() not in dropped
     ]
@@ -315,6 +332,8 @@
         forwarded.append((URGENCY, str(urgency)))
     if last_event_id is not None:
         forwarded.append((LAST_EVENT_ID, last_event_id))
+    if team:
+        forwarded.append((TEAM, team))
     return forwarded
 
 
--- a/src/wisterialoom/platform/ingress.py
+++ b/src/wisterialoom/platform/ingress.py
@@ -26,6 +26,7 @@
     RESUMES,
 )
 from wisterialoom.platform.log import age_ms
+from wisterialoom.platform.team_gate import TeamGate
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
@@ -34,7 +35,7 @@
 
     from wisterialoom.core.serving.backend import BackendView
     from wisterialoom.core.serving.dispatcher import Dispatcher
-    from wisterialoom.core.serving.request_flow import RequestProfile
+    from wisterialoom.core.serving.request_flow import RequestProfile, Step
     from wisterialoom.core.serving.routing import Deployment
     from wisterialoom.platform.attempt import BufferedAnswer
     from wisterialoom.platform.headers import ServerNotice
@@ -138,6 +139,7 @@
         find_version: Finds the software version that began the stream which a request
             takes up, and sets it.
         metrics: Counters and histograms.
+        team_gate: Checks API keys.
         started_at: Monotonic time at which this instance started.
         draining: Whether the instance is stopping; answers then close their
             connections.
@@ -177,6 +179,9 @@
         self.path_doubted = path_doubted
         self.find_version = find_version
         self.metrics = metrics
+        self.team_gate = TeamGate(
+            lambda: self.dispatcher.deployment, lambda: self.is_config_in_doubt
+        )
         self.pooled_session: ClientSession | None = None
         self.single_use_session: ClientSession | None = None
         self.helper_session: ClientSession | None = None
@@ -187,6 +192,12 @@
         self.request_timeouts: set[asyncio.Timeout] = set()
         self.unanswered: dict[asyncio.Timeout, RequestFlow] = {}
 
+    @property
+    def is_config_in_doubt(self) -> bool:
+        """Whether a newer configuration could have been promised to be in force."""
+        age_s = time.monotonic() - self.get_config_current_at()
+        return age_s > self.get_config_limit_s()
+
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Serve one request."""
         self.active += 1
@@ -212,21 +223,33 @@
         if route is None:
             # A route that was added since the configuration was known to be current is
             # promised after this time, and no caller tries again after a 404.
-            if arrived - self.get_config_current_at() > self.get_config_limit_s():
+            if self.is_config_in_doubt:
                 exchange.respond(503, "configuration_in_doubt", STARTING_RETRY_S)
             else:
                 exchange.respond(404, "no_route")
             return self._final(exchange)
+        admission = self.team_gate.admit(exchange, route)
+        if admission.status:
+            return self._final(exchange)
+        team = admission.team
         body = await _read_body(request, deployment.limits.max_body_bytes)
         if body is None:
             exchange.respond(413, "the body is too large; send a smaller one")
             return self._final(exchange)
         exchange.body = body
         exchange.resumable = route.resumable
+        caller = (team.name if team else "") if admission.guarded else None
         own_trait = read_own_trait(
-            request.method, exchange.target, request.headers, body
+            request.method, exchange.target, request.headers, body, caller
+        )
+        profile = read_profile(
+            request.headers,
+            route,
+            arrived,
+            own_trait,
+            team,
+            guarded=admission.guarded,
         )
-        profile = read_profile(request.headers, route, arrived, own_trait)
         if not profile.request_id:
             exchange.respond(400, f"the header {ATTEMPT_ID} is missing; send one")
             return self._final(exchange)
@@ -279,6 +302,7 @@
                 "request_id": profile.request_id,
                 "route": profile.route.name,
                 "wanted": profile.resource,
+                "team": profile.team,
                 "outcome": flow.outcome,
                 "held_trait": self.dispatcher.held_trait(flow),
                 "servers": flow.servers,
@@ -299,11 +323,15 @@
             },
         )
 
+    def _next_step(self, exchange: Exchange, flow: RequestFlow) -> Step:
+        """Return the next step; a send follows at once, so the key is checked here."""
+        refusal = self.team_gate.recheck(exchange.request.headers, flow)
+        return refusal or self.dispatcher.next_step(time.monotonic(), flow)
+
     async def _run_steps(self, exchange: Exchange, flow: RequestFlow) -> None:
         failure: BufferedAnswer | None = None
         while True:
-            step = self.dispatcher.next_step(time.monotonic(), flow)
-            match step:
+            match step := self._next_step(exchange, flow):
                 case Send():
                     self._stop_waiting(flow)
                     attempt, result = await self._attempt(exchange, flow, step)
--- /dev/null
+++ b/tests/platform/test_teams.py
@@ -0,0 +1,245 @@
+"""Requests with API keys, over real sockets."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import time
+from contextlib import asynccontextmanager
+from typing import Any, TYPE_CHECKING
+
+import pytest
+
+from tests.platform.fakes import config, FakePlainServer, route
+from tests.platform.test_app import harness, wait_until
+from tests.platform.test_lost_paths import lost_site
+
+if TYPE_CHECKING:
+    from collections.abc import AsyncIterator
+
+    from tests.platform.test_app import Harness
+
+KEY = "k7b2ex5wa5xwyhks8nbk"
+TENANTS = [
+    {"name": "hule930", "apiKeys": ["asnmgkcuyj8pjbvk9m68", KEY], "priority": 1},
+    {"name": "dune", "apiKeys": ["dune-key"]},
+]
+
+
+def config_with_teams(version: int, **changes: Any) -> dict[str, Any]:
+    spec = config(version) | {"tenants": TENANTS} | changes
+    for item in spec["routes"]:
+        item["public"] = item["name"] == "look"
+    return spec
+
+
+async def put_config(site: Harness, version: int, **changes: Any) -> None:
+    await site.store.put("config", "main", config_with_teams(version, **changes))
+    await wait_until(lambda: site.app.catalog.config_version == version)
+
+
+@asynccontextmanager
+async def team_site(*servers: Any, **changes: Any) -> AsyncIterator[Harness]:
+    async with harness(*servers, **changes) as site:
+        await put_config(site, 2)
+        yield site
+
+
+async def raw_call(
+    site: Harness, *lines: bytes, body: bytes = b"", path: str = "/deposit/"
+) -> bytes:
+    """Send a request with header lines as they are; return the whole answer."""
+    host, _, port = site.app.settings.front.rpartition(":")
+    reader, writer = await asyncio.open_connection(host, int(port))
+    head = [
+        f"POST {path} HTTP/1.1".encode(),
+        b"Host: desk.example",
+        b"Attempt-Id: a1",
+        b"Deadline-Ms: 3000",
+        b"Connection: close",
+        *lines,
+    ]
+    writer.write(b"\r\n".join(head) + b"\r\n\r\n" + body)
+    try:
+        async with asyncio.timeout(5.0):
+            return await reader.read()
+    finally:
+        writer.close()
+        await writer.wait_closed()
+
+
+async def test_server_gets_the_name_of_the_team_and_no_key():
+    """Guards against keys that reach servers, and names that callers choose."""
+    server = FakePlainServer("i-1")
+    async with team_site(server) as site:
+        status, _, _ = await site.call(
+            "/deposit/", Authorization=f"Bearer {KEY}", Tenant="dune"
+        )
+        assert status == 200
+        assert server.seen[0].getall("Tenant") == ["hule930"]
+        assert "Authorization" not in server.seen[0]
+
+
+@pytest.mark.parametrize(
+    ("key", "team"), [(KEY, "hule930"), ("unknown", None), (None, None)]
+)
+async def test_public_route_needs_no_key(key: str | None, team: str | None):
+    server = FakePlainServer("i-1")
+    async with team_site(server) as site:
+        headers = {"Authorization": f"Bearer {key}"} if key else {}
+        status, _, _ = await site.call("/look/", Tenant="dune", **headers)
+        assert status == 200
+        assert server.seen[0].get("Tenant") == team
+        assert "Authorization" not in server.seen[0]
+
+
+async def test_without_teams_the_headers_are_forwarded_as_before():
+    server = FakePlainServer("i-1")
+    async with harness(server) as site:
+        status, _, _ = await site.call(
+            "/deposit/", Authorization="Basic eA==", Tenant="own"
+        )
+        assert status == 200
+        assert server.seen[0]["Authorization"] == "Basic eA=="
+        assert server.seen[0]["Tenant"] == "own"
+
+
+@pytest.mark.parametrize(
+    "lines",
+    [
+        [],
+        [b"Authorization:"],
+        [b"Authorization: Bearer"],
+        [b"Authorization: Bearer unknown"],
+        [b"Authorization: Basic " + KEY.encode()],
+        [b"Authorization: " + KEY.encode()],
+        [b"Authorization: Bearer " + KEY.encode() + b"\xff\xfe"],
+        [b"Authorization: Bearer \xc3\xbc"],
+        [b"Authorization: Bearer " + b"x" * 7000],
+        [b"Authorization: Bearer " + KEY.encode()] * 2,
+        [b"Authorization: Bearer " + KEY.encode(), b"authorization: Bearer dune-key"],
+        [b"Authorization: Bearer " + KEY.encode() + b", Bearer dune-key"],
+        [b"Tenant: hule930"],
+    ],
+)
+async def test_bad_keys_get_401_at_once(lines: list[bytes]):
+    """Guards against malformed headers that are admitted or end in an error of 500."""
+    server = FakePlainServer("i-1")
+    async with team_site(server) as site:
+        answer = await raw_call(site, *lines, b"Content-Length: 0")
+        assert answer.startswith(b"HTTP/1.1 401 ")
+        assert b"WWW-Authenticate: Bearer" in answer
+        assert not server.seen
+
+
+async def test_401_does_not_wait_for_the_body():
+    """Guards against callers without a key that take up memory with bodies."""
+    server = FakePlainServer("i-1")
+    async with team_site(server) as site:
+        host, _, port = site.app.settings.front.rpartition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        writer.write(
+            b"POST /deposit/ HTTP/1.1\r\nHost: desk.example\r\nAttempt-Id: a1\r\n"
+            b"Content-Length: 4000000\r\n\r\n"
+        )
+        async with asyncio.timeout(1.0):
+            assert (await reader.readline()).startswith(b"HTTP/1.1 401 ")
+        writer.close()
+        await writer.wait_closed()
+
+
+async def test_unknown_key_gets_503_while_the_configuration_may_be_stale():
+    """Callers do not retry after 401, so a key that was just added was lost."""
+    server = FakePlainServer("i-1")
+    async with team_site(server) as site:
+        stale_at = time.monotonic() - site.app.settings.bounds.config_apply_s - 0.1
+        site.app.ingress.get_config_current_at = lambda: stale_at
+        status, headers, _ = await site.call("/deposit/", Authorization="Bearer new")
+        assert status == 503
+        assert float(headers["Retry-After"]) > 0
+        status, _, _ = await site.call("/deposit/", Authorization=f"Bearer {KEY}")
+        assert status == 200
+
+
+async def test_key_appears_in_no_log_line_metric_or_copy(
+    caplog: pytest.LogCaptureFixture,
+):
+    """Guards against keys in logs, metrics, traits and messages between instances."""
+    caplog.set_level(logging.DEBUG)
+    server = FakePlainServer("i-1", hang=True)
+    async with team_site(server) as site:
+        for key in (KEY, KEY + "x"):
+            await site.call(
+                "/deposit/", Authorization=f"Bearer {key}", Deadline_Ms="200"
+            )
+            await raw_call(site, f"Authorization: Bearer {key}\x01".encode())
+            await raw_call(site, f"Authorization : Bearer {key}".encode())
+            await raw_call(site, f"Authorization: Bearer {key}".encode() + b"y" * 20000)
+        metrics = f"http://127.0.0.1:{site.app.settings.metrics_port}/"
+        async with site.session.get(metrics) as got:
+            assert KEY not in await got.text()
+        assert KEY not in repr(site.app.catalog.config_spec)
+    formatter = logging.Formatter()
+    for record in caplog.records:
+        if record.name != "asyncio":
+            assert KEY not in formatter.format(record) + repr(record.__dict__)
+
+
+async def test_traits_of_teams_do_not_depend_on_the_key():
+    """A trait is logged and sent to other instances, so it must not hold a key."""
+    server = FakePlainServer("i-1")
+    async with team_site(server) as site:
+        seen = []
+        begin = site.app.dispatcher.record_arrival
+
+        def record(now, flow):
+            seen.append(flow.profile.traits)
+            begin(now, flow)
+
+        site.app.dispatcher.record_arrival = record
+        for key in (KEY, "asnmgkcuyj8pjbvk9m68", "dune-key"):
+            await site.call("/deposit/", Authorization=f"Bearer {key}")
+        assert seen[0] == seen[1] != seen[2]
+
+
+async def test_waiting_request_whose_key_is_revoked_is_not_sent():
+    """Guards against a revoked key that runs after a wait for a server."""
+    server = FakePlainServer("i-1", refuse_all=True)
+    async with team_site(server) as site:
+        call = asyncio.create_task(
+            site.call("/deposit/", Authorization=f"Bearer {KEY}", Deadline_Ms="20000")
+        )
+        await wait_until(lambda: server.seen)
+        await put_config(site, 3, tenants=TENANTS[1:])
+        server.refuse_all = False
+        status, _, _ = await call
+        assert status == 401
+        assert not server.runs
+
+
+async def test_team_is_told_to_the_server_through_another_instance():
+    """Guards against keys sent to other instances, and names lost on the way."""
+    servers = [FakePlainServer("i-1")]
+    async with lost_site(*servers, count=2) as (apps, site):
+        spec = config_with_teams(2)
+        for app in apps:
+            app.catalog.apply_config(spec)
+        status, _, _ = await site.call("/deposit/", Authorization=f"Bearer {KEY}")
+        assert status == 200
+        assert servers[0].seen[-1]["Tenant"] == "hule930"
+        assert "Authorization" not in servers[0].seen[-1]
+
+
+async def test_priority_of_the_team_is_the_urgency_at_servers():
+    assert route("look", "safe", "registry").get("priority", 5) != 1
+    server = FakePlainServer("i-1")
+    async with team_site(server) as site:
+        seen = []
+        begin = site.app.dispatcher.record_arrival
+        site.app.dispatcher.record_arrival = lambda now, flow: (
+            seen.append(flow.profile),
+            begin(now, flow),
+        )[1]
+        await site.call("/deposit/", Authorization=f"Bearer {KEY}")
+        assert seen[0].priority == 1
+        assert seen[0].team == "hule930"
