--- a/src/wisterialoom/platform/headers.py
+++ b/src/wisterialoom/platform/headers.py
@@ -18,6 +18,7 @@
     from multidict import CIMultiDictProxy
 
     from wisterialoom.core.serving.routing import Route
+    from wisterialoom.core.teams import Team
 
 __all__ = [
     "ATTEMPT_ID",
@@ -72,11 +73,16 @@
 
 Parts that more requests share come first.
 """
+TEAM = "Tenant"
+"""Name of the team that sent the request; only this system sets it."""
 TOKENS = "Token-Count"
 """Tokens of the prompt and maximum tokens of the answer, separated by a comma."""
 URGENCY = "Request-Urgency"
 """Rank in the server's queue; 0 is served first; 5 applies if absent."""
 
+MAX_DIGITS = 15
+"""Longest number in a header; Python refuses to convert very long ones."""
+
 HELP_FOR = "X-Wisterialoom-Help-For"
 """Id of the server that another instance asks to pass a request on to."""
 HELP_ONCE = "X-Wisterialoom-Help-Once"
@@ -181,7 +187,11 @@
 
 
 def read_own_trait(
-    method: str, target: str, headers: CIMultiDictProxy[str], body: bytes
+    method: str,
+    target: str,
+    headers: CIMultiDictProxy[str],
+    body: bytes,
+    team: str | None = None,
 ) -> str:
     """Return the trait of a request that is sent again as it is.
 
@@ -190,14 +200,22 @@
         target: Path and query, as sent.
         headers: Headers as the caller sent them.
         body: The whole body.
+        team: Name of the team, which stands for the caller if there are teams, as
+            traits are logged and sent to other instances; `None` without teams.
     """
     host = headers.get("Host", "")
-    caller = headers.get("Authorization", "")
+    caller = headers.get("Authorization", "") if team is None else team
     return request_trait.own_trait(method, host + target, caller, body)
 
 
 def read_profile(
-    headers: CIMultiDictProxy[str], route: Route, now: float, own_trait: str = ""
+    headers: CIMultiDictProxy[str],
+    route: Route,
+    now: float,
+    own_trait: str = "",
+    team: Team | None = None,
+    *,
+    guarded: bool = False,
 ) -> RequestProfile:
     """Decode the headers of a request.
 
@@ -208,6 +226,8 @@
         route: Route of the request.
         now: Monotonic time of the request's arrival.
         own_trait: Trait that only the same request shares; empty if it is not known.
+        team: Team that sent the request, if any.
+        guarded: Whether the deployment has teams.
     """
     request_id = headers.get(ATTEMPT_ID, "")
     takes_up = _read_taken_up(headers, route)
@@ -237,9 +257,21 @@
         first_output_deadline=first_output_deadline,
         traits=part_traits(prefix) + ((own_trait,) if own_trait else ()),
         takes_up=takes_up,
+        team=team.name if team is not None else "",
+        team_priority=team.priority if team is not None else None,
+        token_counts=_read_token_counts(headers),
+        guarded=guarded,
     )
 
 
+def _read_token_counts(headers: CIMultiDictProxy[str]) -> tuple[int, int] | None:
+    """Return the prompt's and the answer's tokens, unless absent or malformed."""
+    counts = headers.get(TOKENS, "").split(",")
+    if len(counts) != 2 or not all(_is_number(count.strip()) for count in counts):
+        return None
+    return int(counts[0]), int(counts[1])
+
+
 def _read_taken_up(headers: CIMultiDictProxy[str], route: Route) -> str | None:
     """Return the stream that a request takes up, as `RequestProfile` has it."""
     if not route.resumable or not headers.get(LAST_EVENT_ID, "").strip():
@@ -258,7 +290,11 @@
 
 def _parse_number(text: str) -> float:
     text = text.strip()
-    return float(text) if text.isascii() and text.isdigit() else 0.0
+    return float(text) if _is_number(text) else 0.0
+
+
+def _is_number(text: str) -> bool:
+    return text.isascii() and text.isdigit() and len(text) <= MAX_DIGITS
 
 
 def request_headers(
@@ -268,6 +304,7 @@
     remaining_s: float,
     urgency: int | None,
     last_event_id: str | None,
+    team: str | None = None,
 ) -> list[tuple[str, str]]:
     """Return the headers of a request to a backend server.
 
@@ -278,10 +315,14 @@
         urgency: Rank in the server's queue; `None` if it has no ranks.
         last_event_id: Id of the last event that the caller has received; `None`
             unless this attempt continues a stream.
+        team: Name of the team, which replaces the caller's key; empty if there is
+            none. `None` if the deployment has no teams.
     """
     dropped = HOP_BY_HOP_HEADERS | INTERNAL_HEADERS | _named_by_connection(headers)
     if last_event_id is not None:
         dropped |= {"last-event-id"}
+    if team is not None:
+        dropped |= {"authorization", TEAM.lower()}
     forwarded = [
         (name, value) for name, value in headers.items() if name.lower() not in dropped
     ]
@@ -291,6 +332,8 @@
         forwarded.append((URGENCY, str(urgency)))
     if last_event_id is not None:
         forwarded.append((LAST_EVENT_ID, last_event_id))
+    if team:
+        forwarded.append((TEAM, team))
     return forwarded
 
 
