Watch a list from the revision of its first page

A server on the first page of a list that began to drain, or left, while later pages were read got requests for as long as it ran.

Cause: the watch continued from the revision of the last page. The change was made after its page was read and before that revision, so neither showed it. The watch now continues from the revision of the first page; a change that a later page shows already is applied again, which is harmless as entries are ordered by revision.

--- a/src/wisterialoom/platform/store.py
+++ b/src/wisterialoom/platform/store.py
@@ -137,7 +137,8 @@
 
     Attributes:
         objects: The objects.
-        revision: Revision from which a watch continues.
+        revision: Revision from which a watch continues, which is that of the first
+            page; objects of later pages may be newer.
         unreadable: Names of objects that exist, but whose revision cannot be decoded.
     """
 
@@ -280,6 +281,7 @@
         found: list[StoreObject] = []
         unreadable: list[str] = []
         after = ""
+        first: Revision | None = None
         era: int | None = None
         known = self.progress.latest
         while True:
@@ -303,6 +305,8 @@
                 revision = _decode_revision(era, answer.item["at"])
                 truncated = bool(answer.item.get("truncated"))
             self._check_revision("list", known, revision)
+            # Changes to earlier pages after this revision are in no later page.
+            first = first or revision
             last_name = ""
             for item in items:
                 entry, name = self._decode_entry(kind, era, item)
@@ -312,7 +316,7 @@
                 elif name:
                     unreadable.append(name)
             if not truncated or not items:
-                return StoreListing(tuple(found), revision, tuple(unreadable))
+                return StoreListing(tuple(found), first, tuple(unreadable))
             if last_name in ("", after):
                 raise StoreUnavailableError(
                     f"a page of a list of {kind} names no object to continue after",
--- a/tests/platform/fakes.py
+++ b/tests/platform/fakes.py
@@ -14,7 +14,7 @@
 from aiohttp import web
 
 if TYPE_CHECKING:
-    from collections.abc import Mapping
+    from collections.abc import Awaitable, Callable, Mapping
 
 
 @dataclass(frozen=True)
@@ -50,6 +50,7 @@
         past_revision: Revision that lists and watches show in the mode `past`.
         door_modes: Mode for the calls to one address, which `open_door` returned.
         list_delay_s: Time that each list call takes.
+        before_page: Called before each page of a list with the name that it follows.
         calls: Number of calls by method and kind.
     """
 
@@ -67,6 +68,7 @@
         self.door_modes: dict[str, str] = {}
         self.door_runners: list[web.AppRunner] = []
         self.list_delay_s = 0.0
+        self.before_page: Callable[[str], Awaitable[None]] | None = None
         self.calls: dict[str, int] = {}
         self.address = ""
         self.runner: web.AppRunner | None = None
@@ -201,6 +203,8 @@
         if watch is not None:
             wait_s = int(request.query.get("waitMs", "0")) / 1e3
             return await self.watch(kind, int(watch), wait_s, request)
+        if self.before_page is not None:
+            await self.before_page(request.query.get("after", ""))
         if self.mode_for(request) == "past":
             return answer({"items": [], "truncated": False, "at": self.past_revision})
         items = [
--- a/tests/platform/test_store_restore.py
+++ b/tests/platform/test_store_restore.py
@@ -266,3 +266,28 @@
         with pytest.raises(StoreUnavailableError):
             await client.read("servers", "i-1")
     await runner.cleanup()
+
+
+async def test_change_between_two_pages_of_a_list_is_seen():
+    """A server on the first page that began to drain then was in use for good."""
+    server = FakePlainServer("i-01")
+    async with harness(server) as site:
+        for number in range(2, 80):
+            entry = server.entry() | {"address": f"127.0.0.1:{number}"}
+            await site.store.put("servers", f"i-{number:02d}", entry)
+        views = site.app.dispatcher.views
+        await wait_until(lambda: len(views) == 79)
+        changed = False
+
+        async def change(after: str) -> None:
+            nonlocal changed
+            if after and not changed:
+                changed = True
+                await site.store.put("servers", "i-01", server.entry("draining"))
+                await site.store.remove("servers", "i-02")
+
+        site.store.before_page = change
+        await site.store.forget_history()
+        await wait_until(lambda: changed)
+        await wait_until(lambda: views["i-01"].server.draining, limit_s=4.0)
+        await wait_until(lambda: "i-02" not in views, limit_s=4.0)
