Drop log lines instead of waiting for the reader of the pipe

An instance stood still, with all its requests, once whoever collects its logs stopped to read the pipe: a write to a full pipe blocks.

A thread that writes the lines was ruled out: it needs a bound and drops lines as well, but hides them from this count.

--- a/src/wisterialoom/platform/app.py
+++ b/src/wisterialoom/platform/app.py
@@ -27,7 +27,7 @@
 from wisterialoom.platform.helper_server import HelperServer
 from wisterialoom.platform.ingress import Ingress, Signal
 from wisterialoom.platform.limit_exchange import LimitExchange
-from wisterialoom.platform.log import dropped_line_count
+from wisterialoom.platform.log import dropped_line_counts
 from wisterialoom.platform.metrics import PlatformMetrics
 from wisterialoom.platform.orders import OrderClient
 from wisterialoom.platform.path_prober import PathProber
@@ -388,9 +388,9 @@
         )
         metrics.labeled_counter(
             "log_lines_left_out_total",
-            "Log lines beyond the bound.",
+            "Log lines beyond the bound, or that nobody read in time.",
             "reason",
-            lambda: {"rate": dropped_line_count()},
+            dropped_line_counts,
         )
         metrics.gauge(
             "watches_store",
--- a/src/wisterialoom/platform/log.py
+++ b/src/wisterialoom/platform/log.py
@@ -7,7 +7,7 @@
 import time
 from typing import TYPE_CHECKING
 
-from wisterialoom.log import json_formatter
+from wisterialoom.log import json_formatter, log_stream, PipeWriter
 
 if TYPE_CHECKING:
     from typing import TextIO
@@ -15,7 +15,7 @@
 __all__ = [
     "RateLimitedHandler",
     "age_ms",
-    "dropped_line_count",
+    "dropped_line_counts",
     "set_up_platform_logs",
 ]
 
@@ -29,7 +29,7 @@
 """Age that is logged for anything older, and for what was never known."""
 
 
-class RateLimitedHandler(logging.StreamHandler["TextIO"]):
+class RateLimitedHandler(logging.StreamHandler["TextIO | PipeWriter"]):
     """Limits the rate of log lines with a token bucket.
 
     Errors are always written. The first line after dropped ones has their number in
@@ -39,10 +39,10 @@
         tokens: Lines that may be written now.
         refilled_at: Monotonic time of the last refill.
         left_out: Lines dropped since the last one written.
-        total_dropped: Lines dropped since the start.
+        total_dropped: Lines dropped since the start because of the rate limit.
     """
 
-    def __init__(self, stream: TextIO) -> None:
+    def __init__(self, stream: TextIO | PipeWriter) -> None:
         super().__init__(stream)
         self.tokens = BURST_LINES
         self.refilled_at = time.monotonic()
@@ -62,8 +62,14 @@
         self.tokens -= 1.0
         if self.left_out:
             record.left_out = self.left_out
-            self.left_out = 0
+        unwritten = self.unwritten_count
         super().emit(record)
+        self.left_out = self.left_out + 1 if self.unwritten_count > unwritten else 0
+
+    @property
+    def unwritten_count(self) -> int:
+        """Number of lines that nobody read in time, so that there was no room."""
+        return self.stream.dropped if isinstance(self.stream, PipeWriter) else 0
 
 
 def set_up_platform_logs(instance: str) -> None:
@@ -72,7 +78,7 @@
     Args:
         instance: Name of this instance, added to each line.
     """
-    handler = RateLimitedHandler(sys.stdout)
+    handler = RateLimitedHandler(log_stream(sys.stdout))
     handler.setFormatter(json_formatter(instance))
     root = logging.getLogger()
     root.handlers[:] = [handler]
@@ -85,10 +91,14 @@
     return int(min(MAX_AGE_MS, (now - moment) * 1e3))
 
 
-def dropped_line_count() -> int:
-    """Return the number of log lines dropped since the start."""
-    return sum(
-        handler.total_dropped
+def dropped_line_counts() -> dict[str, int]:
+    """Return the number of log lines dropped since the start, by reason."""
+    handlers = [
+        handler
         for handler in logging.getLogger().handlers
         if isinstance(handler, RateLimitedHandler)
-    )
+    ]
+    return {
+        "rate": sum(handler.total_dropped for handler in handlers),
+        "not_read": sum(handler.unwritten_count for handler in handlers),
+    }
