Wait at a stop for callers that still read their answers

Cause: aiohttp's handler is done, and the request counted as ended, once the bytes are in the buffer of the transport. The listeners were then closed after 0.1 s.

Ruled out: a fixed pause before the end, which holds instances whose callers are done and cuts slower callers.

A stop waits until no connection of a caller or another instance is busy: a request in progress or in part, bytes that were not read yet, a transport buffer or a send queue of the kernel that is not empty; at most for 0.94 of graceS, or 8 s in the product's own interface. The listener is closed after that, once all connections that the kernel holds for it are accepted.

--- a/src/wisterialoom/app.py
+++ b/src/wisterialoom/app.py
@@ -13,6 +13,12 @@
 import uvloop
 from aiohttp import web
 
+from wisterialoom.caller_connection import (
+    CallerRunner,
+    CallerServer,
+    stop_listening,
+    wait_until_sent,
+)
 from wisterialoom.core.assembly import EntryParts, InstanceIdentity
 from wisterialoom.core.configuration.config_warning import LogWarning
 from wisterialoom.core.engine import ReadState, SendOrder
@@ -71,6 +77,9 @@
 MAX_LINGER_S = 5.0
 """Time after which it closes them in any case."""
 
+MAX_SEND_S = 8.0
+"""Time for which callers may read the rest of their answers after that."""
+
 LINGER_CHECK_S = 0.05
 
 SHUTDOWN_TIMEOUT_S = 5.0
@@ -155,12 +164,15 @@
         now = started = time.monotonic()
         *_, callers_runner = self.runners
         server = callers_runner.server
-        assert server is not None
+        assert isinstance(server, CallerServer)
         while server.connections and now - started < MAX_LINGER_S:
             if now - max(started, self.caller_api.arrived_at) >= QUIET_S:
-                return
+                break
             await asyncio.sleep(LINGER_CHECK_S)
             now = time.monotonic()
+        await wait_until_sent((server,), started + MAX_SEND_S)
+        await stop_listening(callers_runner)
+        await wait_until_sent((server,), started + MAX_SEND_S)
 
     async def start(self) -> None:
         """Start all components in the order of their dependencies."""
@@ -207,7 +219,7 @@
 
     async def _serve(self, app: web.Application, listen: str) -> str:
         limits = self.settings.limits
-        runner = web.AppRunner(
+        runner = CallerRunner(
             app,
             handler_cancellation=True,
             access_log=None,
--- a/src/wisterialoom/platform/app.py
+++ b/src/wisterialoom/platform/app.py
@@ -12,6 +12,7 @@
 
 from aiohttp import ClientSession, DummyCookieJar, web
 
+from wisterialoom.caller_connection import CallerServer, stop_listening, wait_until_sent
 from wisterialoom.core.fleet import PlacementLease
 from wisterialoom.core.request_limit import ASSUMED_INSTANCES, LimitShares
 from wisterialoom.core.serving.balancer import Balancer
@@ -84,6 +85,12 @@
 END_AFTER_GRACE_SHARE = 0.88
 """Fraction of the grace period after which the requests in progress are ended."""
 
+SENT_AFTER_GRACE_SHARE = 0.94
+"""Fraction of the grace period for which callers may read the rest of their answers."""
+
+LAST_REQUESTS_S = 0.3
+"""Time for the answers to requests that arrive as the listener is closed."""
+
 
 START_SPREAD_S = 0.3
 """Time over which instances read the placement lease at the first start of the system.
@@ -107,6 +114,8 @@
             0 before the first check.
         settings_due: Monotonic time of the next check of the settings file.
         runners: Listeners for callers, readiness checks and metrics.
+        front_server: Connections of callers.
+        peer_server: Connections of other instances.
         sessions: HTTP client sessions to close at the end.
         tasks: Background tasks.
         catalog: Configuration and backend servers, as read from the store.
@@ -146,6 +155,8 @@
         self.settings_changed_at = 0
         self.settings_due = 0.0
         self.runners: list[web.ServerRunner] = []
+        self.front_server: CallerServer
+        self.peer_server: CallerServer
         self.sessions: list[ClientSession] = []
         self.tasks = TaskGroup()
         self.catalog: Catalog
@@ -232,7 +243,7 @@
                 f"{settings.ip}:{settings.metrics_port}", self.metrics.answer
             )
         await self._listen(settings.ready, self.answer_ready)
-        await self._listen(settings.front, self.ingress.handle)
+        self.front_server = await self._listen(settings.front, self.ingress.handle)
         self.catalog.start()
         self.tasks.spawn(self._tick())
         logger.info("started", extra={"front": settings.front})
@@ -325,7 +336,7 @@
             self.path_prober.record_not_opened,
             self.path_prober.record_doubt,
         )
-        await self._listen(
+        self.peer_server = await self._listen(
             f"{settings.ip}:{settings.peer_port}", self.helper_server.handle
         )
         self.peers = peers
@@ -501,21 +512,22 @@
         await self.placement_controller.stop()
         started = time.monotonic()
         grace_s = self.settings.bounds.grace_s
+        servers = (self.front_server, self.peer_server)
         logger.info("draining", extra={"active": self.ingress.active})
         await asyncio.sleep(min(REFUSE_AFTER_S, REFUSE_AFTER_GRACE_SHARE * grace_s))
         self.ingress.refuse_new()
         self.helper_server.stopping = True
         limit = started + END_AFTER_GRACE_SHARE * grace_s
-        while self.active and time.monotonic() < limit:
-            await asyncio.sleep(0.05)
+        await wait_until_sent(servers, limit)
         logger.info("ending requests", extra={"active": self.ingress.active})
         self.ingress.end_all()
-        await asyncio.sleep(0.1)
-
-    @property
-    def active(self) -> int:
-        """Requests in progress, those of other instances included."""
-        return self.ingress.active + self.helper_server.active
+        limit = started + SENT_AFTER_GRACE_SHARE * grace_s
+        await wait_until_sent(servers, limit)
+        for runner in self.runners:
+            if runner.server is self.front_server:
+                await stop_listening(runner)
+        limit = min(limit, time.monotonic() + LAST_REQUESTS_S)
+        await wait_until_sent(servers, limit)
 
     async def on_stop(self) -> None:
         """Stop all components and close listeners and sessions."""
@@ -548,9 +560,9 @@
         self,
         address: str,
         handler: Callable[[web.BaseRequest], Awaitable[web.StreamResponse]],
-    ) -> None:
+    ) -> CallerServer:
         host, _, port = address.rpartition(":")
-        server = web.Server(
+        server = CallerServer(
             handler,
             handler_cancellation=True,
             keepalive_timeout=CALLER_KEEPALIVE_S,
@@ -560,6 +572,7 @@
         await runner.setup()
         await web.TCPSite(runner, host, int(port), backlog=1024).start()
         self.runners.append(runner)
+        return server
 
     def _session(self, connector: TCPConnector) -> ClientSession:
         session = ClientSession(
