--- a/src/wisterialoom/platform/app.py
+++ b/src/wisterialoom/platform/app.py
@@ -36,6 +36,7 @@
 from wisterialoom.platform.placement_controller import PlacementController
 from wisterialoom.platform.placement_view import PlacementView
 from wisterialoom.platform.relay import Relay
+from wisterialoom.platform.request_errors import hide_request_bytes
 from wisterialoom.platform.settings import (
     PlatformSettings,
     settings_path,
@@ -361,6 +362,12 @@
             "event",
             lambda: {"noticed": store.restores},
         )
+        metrics.labeled_counter(
+            "unreadable_objects_total",
+            "Objects of the store that could not be decoded.",
+            "kind",
+            lambda: store.unreadable.counts,
+        )
         metrics.gauge("store_era", "Era of the store.", lambda: store.era)
         metrics.labeled_counter(
             "orders_total",
@@ -562,6 +569,7 @@
         handler: Callable[[web.BaseRequest], Awaitable[web.StreamResponse]],
     ) -> CallerServer:
         host, _, port = address.rpartition(":")
+        hide_request_bytes()
         server = CallerServer(
             handler,
             handler_cancellation=True,
