Refuse API keys once the configuration may be too old

With revokeStrict, an instance that lost the store kept accepting keys of its last configuration for as long as the outage lasted, and so did one that was paused or that restarted onto a store restored from an older copy.

Only two sources count: an own call to the store, from its start, and another instance's answer to an own question, from the time of the question. The ages in News were ruled out, as a message may wait in the socket of a paused process, and its sender may be paused between reading the clock and sending; so was a timer that notices pauses, as it does not see those of the sender. An instance that has just started first gives others the chance to name a newer configuration than the store's.

Without revokeStrict, or without teams, nothing is asked or refused.

--- a/src/wisterialoom/platform/app.py
+++ b/src/wisterialoom/platform/app.py
@@ -25,6 +25,7 @@
 from wisterialoom.platform.fleet import Fleet
 from wisterialoom.platform.helper_server import HelperServer
 from wisterialoom.platform.ingress import Ingress, Signal
+from wisterialoom.platform.key_exchange import KeyExchange
 from wisterialoom.platform.limit_exchange import LimitExchange
 from wisterialoom.platform.log import dropped_line_count
 from wisterialoom.platform.metrics import PlatformMetrics
@@ -111,6 +112,7 @@
             the lease, orders loads and unloads of models.
         fleet: Members, demand and placement.
         relay: Distributes the store's contents among instances.
+        key_exchange: Messages about the age of the configuration.
         peers: Datagrams between instances.
         path_prober: Probes servers that this instance may not reach.
         helper_server: Passes requests of other instances on.
@@ -149,6 +151,7 @@
         self.placement_controller: PlacementController
         self.fleet: Fleet
         self.relay: Relay
+        self.key_exchange: KeyExchange
         self.peers: PeerLink
         self.limit_exchange: LimitExchange
         self.crash_exchange: CrashExchange
@@ -283,6 +286,18 @@
             link=settings.link,
         )
         fleet.relay = self.relay
+        self.key_exchange = KeyExchange(
+            settings.instance,
+            self.catalog,
+            peers,
+            lambda: self.settings.bounds,
+            lambda: list(self.relay.role.watchers),
+            fleet.holder_to_ask,
+            lambda: self.relay.heard_version,
+            first_start=settings.first_start,
+        )
+        fleet.key_exchange = self.key_exchange
+        self.ingress.team_gate.can_vouch = self.key_exchange.can_vouch
         self.limit_exchange = LimitExchange(
             settings.instance, peers, self.dispatcher, self.signal.wake
         )
@@ -323,6 +338,7 @@
         await peers.start(settings.ip)
         fleet.start()
         self.relay.start()
+        self.key_exchange.start()
         self.limit_exchange.start()
         self.crash_exchange.start()
         self.stream_exchange.start()
@@ -432,6 +448,35 @@
             "Configuration in force.",
             lambda: self.catalog.config_version,
         )
+        metrics.labeled_counter(
+            "team_checks_total",
+            "API keys checked at arrival.",
+            "result",
+            lambda: self.ingress.team_gate.counts,
+        )
+        metrics.labeled_counter(
+            "team_late_refusals_total",
+            "Requests refused before a send by their API keys.",
+            "result",
+            lambda: self.ingress.team_gate.late_counts,
+        )
+        metrics.labeled_counter(
+            "key_questions_total",
+            "Messages about the age of the configuration.",
+            "event",
+            lambda: self.key_exchange.counts,
+        )
+        metrics.gauge("teams", "Teams of the configuration.", self._count_teams)
+        metrics.gauge(
+            "keys_accepted",
+            "Whether the configuration is new enough for its API keys.",
+            lambda: self.ingress.team_gate.is_vouching,
+        )
+        metrics.gauge(
+            "keys_age_seconds",
+            "Since the configuration was certainly the newest.",
+            self.key_exchange.age_s,
+        )
         metrics.gauge(
             "config_age_seconds",
             "Since the configuration was known to be current.",
@@ -443,9 +488,17 @@
             lambda: time.monotonic() - self.catalog.current_at,
         )
 
+    def _count_teams(self) -> int:
+        deployment = self.dispatcher.deployment
+        return len(deployment.teams.by_name) if deployment is not None else 0
+
     async def answer_ready(self, _: web.BaseRequest) -> web.StreamResponse:
         """Answer the platform's readiness check."""
-        ready = self.catalog.is_loaded and not self.ingress.draining
+        ready = (
+            self.catalog.is_loaded
+            and self.ingress.team_gate.is_vouching
+            and not self.ingress.draining
+        )
         return web.Response(status=200 if ready else 503)
 
     def on_reload(self) -> None:
@@ -514,6 +567,7 @@
         await self.placement_controller.stop()
         await self.fleet.stop()
         await self.relay.stop()
+        await self.key_exchange.stop()
         await self.limit_exchange.stop()
         await self.crash_exchange.stop()
         await self.stream_exchange.stop()
--- a/src/wisterialoom/platform/fleet.py
+++ b/src/wisterialoom/platform/fleet.py
@@ -18,6 +18,8 @@
     ConfigCopy,
     CopyWanted,
     CrashHint,
+    KeysAnswer,
+    KeysQuestion,
     LostPaths,
     News,
     OriginAnswer,
@@ -44,7 +46,8 @@
 if TYPE_CHECKING:
     from wisterialoom.core.serving.dispatcher import Dispatcher
     from wisterialoom.platform.crash_exchange import CrashExchange
-    from wisterialoom.platform.hints import Hint
+    from wisterialoom.platform.hints import Hint, KeyHint
+    from wisterialoom.platform.key_exchange import KeyExchange
     from wisterialoom.platform.limit_exchange import LimitExchange
     from wisterialoom.platform.peers import PeerLink
     from wisterialoom.platform.placement_controller import PlacementController
@@ -115,6 +118,7 @@
         self.limit_exchange: LimitExchange
         self.crash_exchange: CrashExchange
         self.stream_exchange: StreamExchange
+        self.key_exchange: KeyExchange
         self.holder_address = ""
         self.epoch = 0
         self.serial = 0
@@ -181,6 +185,8 @@
             case (
                 BrittleRejection()
                 | CrashHint()
+                | KeysAnswer()
+                | KeysQuestion()
                 | LostPaths()
                 | OriginAnswer()
                 | OriginWanted()
@@ -196,10 +202,12 @@
 
     def _handle_server_hint(
         self,
-        hint: ServerHint | StreamHint,
+        hint: ServerHint | StreamHint | KeyHint,
         address: str,
     ) -> None:
         match hint:
+            case KeysQuestion() | KeysAnswer():
+                self.key_exchange.handle_hint(hint, address)
             case StreamsBegun() | OriginWanted() | OriginAnswer():
                 self.stream_exchange.handle_hint(hint, address)
             case LostPaths(instance=name, services=services):
--- a/src/wisterialoom/platform/hint_codec.py
+++ b/src/wisterialoom/platform/hint_codec.py
@@ -28,6 +28,9 @@
     CrashHint,
     Hint,
     HintError,
+    KeyHint,
+    KeysAnswer,
+    KeysQuestion,
     LostPaths,
     News,
     OriginAnswer,
@@ -57,7 +60,7 @@
 
 __all__ = ["decode_hint", "encode_hint"]
 
-SERVER_KINDS = ("b", "x", "l", "lw", "lg", *CRASH_KINDS, *VERSION_KINDS)
+SERVER_KINDS = ("b", "x", "l", "lw", "lg", "kq", "ka", *CRASH_KINDS, *VERSION_KINDS)
 """Kinds of messages about what an instance knows of servers."""
 
 KINDS = frozenset({"r", "d", "n", "w", "c", "s", "v", "q", "u", "p", *SERVER_KINDS})
@@ -118,6 +121,8 @@
         case (
             BrittleRejection()
             | CrashHint()
+            | KeysAnswer()
+            | KeysQuestion()
             | LostPaths()
             | OriginAnswer()
             | OriginWanted()
@@ -258,8 +263,14 @@
     )
 
 
-def _encode_server_hint(hint: ServerHint | VersionHint) -> list[Any]:
+def _encode_server_hint(hint: ServerHint | VersionHint | KeyHint) -> list[Any]:
     match hint:
+        case KeysQuestion():
+            return ["kq", hint.instance, [hint.serial]]
+        case KeysAnswer():
+            # A rounded age could be too small.
+            fields = [hint.serial, hint.config_version, hint.age_s]
+            return ["ka", hint.instance, fields]
         case (
             ServerVersions()
             | VersionsWanted()
@@ -288,9 +299,14 @@
 
 def _decode_server_hint(
     kind: str, instance: str, items: Any
-) -> ServerHint | VersionHint:
+) -> ServerHint | VersionHint | KeyHint:
     if kind in VERSION_KINDS:
         return decode_version_hint(kind, instance, items)
+    if kind == "kq":
+        return KeysQuestion(instance, int(items[0]))
+    if kind == "ka":
+        serial, version, age_s, *_ = items
+        return KeysAnswer(instance, int(serial), int(version), float(age_s))
     if kind == "b":
         server, rejections = items
         return BrittleRejection(instance, str(server), float(rejections))
--- a/src/wisterialoom/platform/hints.py
+++ b/src/wisterialoom/platform/hints.py
@@ -29,6 +29,9 @@
     "CopyWanted",
     "Hint",
     "HintError",
+    "KeyHint",
+    "KeysAnswer",
+    "KeysQuestion",
     "LostPaths",
     "News",
     "OriginAnswer",
@@ -402,6 +405,40 @@
 StreamHint = StreamsBegun | OriginWanted | OriginAnswer
 """Hints about the software versions that began streams."""
 
+
+@dataclass(frozen=True, slots=True)
+class KeysQuestion:
+    """Asks whether the configuration, and with it each API key, is current.
+
+    Attributes:
+        instance: Name of the sender.
+        serial: Number of the question, which the answer repeats.
+    """
+
+    instance: str
+    serial: int
+
+
+@dataclass(frozen=True, slots=True)
+class KeysAnswer:
+    """Answers a `KeysQuestion`.
+
+    Attributes:
+        instance: Name of the sender.
+        serial: Number of the question.
+        config_version: Version of the configuration that the sender has.
+        age_s: Time since it was certainly the newest, when the answer was made.
+    """
+
+    instance: str
+    serial: int
+    config_version: int
+    age_s: float
+
+
+KeyHint = KeysQuestion | KeysAnswer
+"""Hints about the age of the configuration."""
+
 VersionHint = ServerVersions | VersionsWanted | StreamHint
 """Hints about the versions of servers' software, and of streams."""
 
@@ -422,5 +459,6 @@
     | ConfigCopy
     | ServersCopy
     | StoreReached
+    | KeyHint
     | VersionHint
 )
--- a/src/wisterialoom/platform/relay.py
+++ b/src/wisterialoom/platform/relay.py
@@ -118,6 +118,7 @@
         copy_requested_at: Monotonic time of the last request for a copy.
         answered_at: Monotonic time of the last copy sent to each address.
         sent_at: Monotonic time of the last `News` message.
+        heard_version: Newest version of the configuration that a watcher has named.
         warned_at: Monotonic time of the last warning of a watcher.
         packed_config: Version of the configuration and its encoded copy; `None`
             before the first request for one.
@@ -155,6 +156,7 @@
         self.copy_requested_at = float("-inf")
         self.answered_at: dict[str, float] = {}
         self.sent_at = float("-inf")
+        self.heard_version = 0
         self.warned_at = float("-inf")
         self.packed_config: tuple[int, ConfigCopy] | None = None
         self.parts: dict[tuple[str, Revision], dict[int, dict[str, TableEntry]]] = {}
@@ -323,6 +325,7 @@
         """
         now = time.monotonic()
         catalog = self.catalog
+        self.heard_version = max(self.heard_version, news.config_version)
         self.role.record_message(now, news.watcher, news.rank)
         if news.revision.era < max(catalog.table.era_start.era, self.store.era):
             # The watcher has yet to notice a restore of the store.
--- a/src/wisterialoom/platform/settings.py
+++ b/src/wisterialoom/platform/settings.py
@@ -29,6 +29,13 @@
     return Path(os.environ.get(CONFIG_VARIABLE, DEFAULT_PATH))
 
 
+VIEW_SHARE = 0.4
+"""Promised time for the view, as a share of the bound on revoked keys.
+
+The view is then confirmed so often that keys are not refused before 0.6 of the bound.
+"""
+
+
 @dataclass(frozen=True, slots=True)
 class Bounds:
     """Time limits and retry budgets that the platform's operators set.
@@ -45,6 +52,9 @@
             in force.
         drain_s: Time in seconds within which a server that is confirmed to leave must
             get no more requests.
+        revoke_strict: Whether API keys are refused while it is not certain that they
+            are still valid.
+        revoke_s: Time in seconds after which a revoked API key must not be used.
     """
 
     grace_s: float = 8.0
@@ -55,11 +65,16 @@
     fenced: bool = False
     config_apply_s: float = 2.0
     drain_s: float = 2.0
+    revoke_strict: bool = False
+    revoke_s: float = 5.0
 
     @property
     def promise(self) -> ViewPromise:
         """Limits on the age of an instance's view of the store."""
-        return ViewPromise.from_config(self.config_apply_s, self.drain_s)
+        config_s = self.config_apply_s
+        if self.revoke_strict:
+            config_s = min(config_s, VIEW_SHARE * self.revoke_s)
+        return ViewPromise.from_config(config_s, self.drain_s)
 
     @classmethod
     def from_table(cls, table: Mapping[str, Any]) -> Bounds:
@@ -74,6 +89,8 @@
             fenced=bool(table.get("fencingEnforced", base.fenced)),
             config_apply_s=_positive_s(table, "configApplyMs", base.config_apply_s),
             drain_s=_positive_s(table, "drainMs", base.drain_s),
+            revoke_strict=bool(table.get("revokeStrict", base.revoke_strict)),
+            revoke_s=_positive_s(table, "revokeMs", base.revoke_s),
         )
 
 
--- a/src/wisterialoom/platform/watcher.py
+++ b/src/wisterialoom/platform/watcher.py
@@ -8,6 +8,7 @@
 from typing import TYPE_CHECKING
 
 from wisterialoom.core.fleet import FIRST_REVISION, ViewPromise
+from wisterialoom.platform.lease_manager import lease_clock
 from wisterialoom.platform.store import (
     CALL_TIMEOUT_S,
     HistoryGoneError,
@@ -71,6 +72,8 @@
         promise: Limits on the age of the view.
         max_retry_s: Pause after each failed call but the first.
         checked_at: Monotonic time at which the view was last known to be current.
+        read_at: Time at which the last call that was answered began, on a clock that
+            includes time spent suspended.
         lost_since: Monotonic time of the first failed call since the last answer;
             `None` if the store answers.
         revision: Revision of the view; `FIRST_REVISION` before the first list.
@@ -111,6 +114,7 @@
         self.on_listing = on_listing
         self.on_changes = on_changes
         self.checked_at = float("-inf")
+        self.read_at = float("-inf")
         self.lost_since: float | None = None
         self.revision = FIRST_REVISION
         self.read_timeout_s = FIRST_READ_TIMEOUT_S
@@ -176,6 +180,7 @@
 
     async def _step(self) -> None:
         started = time.monotonic()
+        read_began_at = lease_clock()
         if not self.listed:
             listing = await self.store.list(
                 self.kind, read_timeout_s=self.read_timeout_s
@@ -183,6 +188,7 @@
             self.revision = listing.revision
             self.listed = True
             self.on_listing(listing, self.lost_since)
+            self.read_at = read_began_at
         else:
             # A new watcher's view counts for other instances only once it is confirmed,
             # so the first call does not wait for a change.
@@ -194,6 +200,7 @@
             self.revision = max(self.revision, answer.revision)
             self.checked_at = started
             self.on_changes(answer)
+            self.read_at = read_began_at
             if not self.confirmed:
                 self.confirmed = True
                 self.on_confirmed()
