--- a/src/wisterialoom/platform/hint_codec.py
+++ b/src/wisterialoom/platform/hint_codec.py
@@ -60,7 +60,7 @@
 
 __all__ = ["decode_hint", "encode_hint"]
 
-SERVER_KINDS = ("b", "x", "l", "lw", "lg", "kq", "ka", *CRASH_KINDS, *VERSION_KINDS)
+SERVER_KINDS = ("b", "x", "l", "lw", "lg", "tq", "ta", *CRASH_KINDS, *VERSION_KINDS)
 """Kinds of messages about what an instance knows of servers."""
 
 KINDS = frozenset({"r", "d", "n", "w", "c", "s", "v", "q", "u", "p", *SERVER_KINDS})
@@ -266,11 +266,11 @@
 def _encode_server_hint(hint: ServerHint | VersionHint | KeyHint) -> list[Any]:
     match hint:
         case KeysQuestion():
-            return ["kq", hint.instance, [hint.serial]]
+            return ["tq", hint.instance, [hint.serial]]
         case KeysAnswer():
             # A rounded age could be too small.
             fields = [hint.serial, hint.config_version, hint.age_s]
-            return ["ka", hint.instance, fields]
+            return ["ta", hint.instance, fields]
         case (
             ServerVersions()
             | VersionsWanted()
@@ -302,9 +302,9 @@
 ) -> ServerHint | VersionHint | KeyHint:
     if kind in VERSION_KINDS:
         return decode_version_hint(kind, instance, items)
-    if kind == "kq":
+    if kind == "tq":
         return KeysQuestion(instance, int(items[0]))
-    if kind == "ka":
+    if kind == "ta":
         serial, version, age_s, *_ = items
         return KeysAnswer(instance, int(serial), int(version), float(age_s))
     if kind == "b":
