Weigh cause against chance before holding back what servers crash on

Three successive crashes with a trait in progress were enough to hold it, also where it was in progress at every server. A verdict now also asks how much likelier these very servers are with the trait as cause than by chance: from where else its requests run, and whether they have run there past the age of the supposed victims. Instances report that from a trait's second crash on, in fields that earlier versions skip. Crashes without the trait halve the ratio. Weak evidence is confirmed by a trial after 2 s instead of 30 s.

--- a/src/wisterialoom/core/crash_suspects.py
+++ b/src/wisterialoom/core/crash_suspects.py
@@ -4,10 +4,15 @@
 that begins to answer them, and come at any instance. A crash by itself tells little, as
 a server has many requests in progress. But the culprit is among them at each crash and
 is never answered, whereas sound requests are answered sooner or later at some instance.
+
+Servers also crash for reasons of their own, while a trait that most requests share
+has not been answered anywhere yet. So a trait must explain which servers crashed better
+than chance does: it counts where else its requests were in progress, and how long.
 """
 
 from __future__ import annotations
 
+import math
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
@@ -16,7 +21,15 @@
 if TYPE_CHECKING:
     from collections.abc import Iterable, Mapping
 
-__all__ = ["Crash", "CrashSuspects", "Explanation", "ServerStart", "Suspect"]
+__all__ = [
+    "Crash",
+    "CrashSuspects",
+    "Explanation",
+    "RUNNING_ACCURACY_S",
+    "Running",
+    "ServerStart",
+    "Suspect",
+]
 
 CRASHES_TO_HOLD = 3
 """Successive crashes that the culprit must explain, if no other trait does as well."""
@@ -27,6 +40,43 @@
 CRASHES_TO_HOLD_ALL = 5
 """Successive crashes after which all traits that explain them equally are held."""
 
+MIN_LIKELIHOOD_RATIO = 20.0
+"""How much likelier the crashed servers must be with the trait as cause than by chance.
+
+Independent crashes reach this for one in twenty widespread traits at most. Of a service
+with fewer servers only their number is asked, as each crash there says less.
+"""
+
+CERTAIN_RATIO = 10.0
+"""Ratio below which a hold is confirmed by an early trial."""
+
+FEW_SERVERS = 3
+"""Servers among which chance cannot be told from cause, so that crashes alone count."""
+
+OTHER_REASON_FACTOR = 0.5
+"""How each crash without the trait, among those with it, changes the ratio.
+
+It shows that servers crash for another reason as well.
+"""
+
+MOST_OF_SERVERS = 0.5
+"""Part of the servers whose crashes are enough, wherever else the requests were.
+
+Other reasons end a smaller part of a service at once.
+"""
+
+RUNNING_MEMORY_S = 1.0
+"""Time for which an attempt counts as in progress after it was last reported.
+
+Attempts are reported again at each crash, but the reports take a moment.
+"""
+
+RUNNING_ACCURACY_S = 0.05
+"""Difference between two times of sending below which only one is reported."""
+
+MAX_RUNNING = 64
+"""Servers that are remembered with requests in progress, for each trait."""
+
 OVERLAPS = 2
 """Crashes that do not count if requests were sent before the crash before them."""
 
@@ -67,10 +117,41 @@
     Attributes:
         depth: Position among the traits of its request; greater means narrower.
         sent_at: Monotonic time at which the latest of these requests was sent.
+        first_sent_at: The same of the earliest one; `None` if that is not known.
+        servers: Servers that such requests could be sent to; 0 if that is not known.
     """
 
     depth: int
     sent_at: float
+    first_sent_at: float | None = None
+    servers: int = 0
+
+    @property
+    def since(self) -> float:
+        """Monotonic time from which such a request was in progress there."""
+        return self.sent_at if self.first_sent_at is None else self.first_sent_at
+
+    def merge(self, other: Suspect) -> Suspect:
+        """Return what two reports of the same crash tell together."""
+        return Suspect(
+            max(self, other, key=lambda suspect: suspect.sent_at).depth,
+            max(self.sent_at, other.sent_at),
+            min(self.since, other.since),
+            max(self.servers, other.servers),
+        )
+
+
+@dataclass(frozen=True, slots=True)
+class Running:
+    """Requests with a trait that are in progress at a server.
+
+    Attributes:
+        sent_at: Monotonic time at which the earliest of them was sent.
+        seen_at: Monotonic time up to which they are known to be in progress.
+    """
+
+    sent_at: float
+    seen_at: float
 
 
 @dataclass
@@ -93,8 +174,7 @@
         """
         for trait, suspect in suspects.items():
             known = self.suspects.get(trait)
-            if known is None or suspect.sent_at > known.sent_at:
-                self.suspects[trait] = suspect
+            self.suspects[trait] = suspect if known is None else known.merge(suspect)
         if len(self.suspects) <= MAX_SUSPECTS:
             return []
         ranked = sorted(self.suspects.items(), key=lambda item: -item[1].depth)
@@ -112,6 +192,7 @@
         count: Crashes of which each began after the one before.
         depth: Narrowness of the trait.
         crashes: All crashes in which it was in progress.
+        is_certain: Whether that is most unlikely to be chance.
     """
 
     trait: str
@@ -119,6 +200,22 @@
     count: int
     depth: int
     crashes: frozenset[ServerStart]
+    is_certain: bool = True
+
+
+def _is_enough(ratio: float, servers: int, crashes: int) -> bool:
+    """Return whether a trait explains crashes so much better than chance does.
+
+    Args:
+        ratio: How much likelier the crashed servers are with the trait as cause.
+        servers: Servers that such requests could be sent to.
+        crashes: Crashes with the trait.
+    """
+    return (
+        servers <= FEW_SERVERS
+        or ratio >= min(MIN_LIKELIHOOD_RATIO, servers)
+        or crashes >= max(CRASHES_TO_HOLD_ALL, MOST_OF_SERVERS * servers)
+    )
 
 
 def _count_successive(spans: list[tuple[float, float]]) -> int:
@@ -149,11 +246,13 @@
         crashes: Crashes of servers, the latest ones.
         by_trait: Crashes that each trait was in progress at.
         answered_at: Monotonic time at which a request with a trait was last answered.
+        running: Where else requests with a suspected trait are in progress.
     """
 
     crashes: dict[ServerStart, Crash] = field(default_factory=dict)
     by_trait: dict[str, set[ServerStart]] = field(default_factory=dict)
     answered_at: dict[str, float] = field(default_factory=dict)
+    running: dict[str, dict[ServerStart, Running]] = field(default_factory=dict)
 
     def record_crash(
         self, at: float, start: ServerStart, suspects: Mapping[str, Suspect]
@@ -177,6 +276,37 @@
             if trait in crash.suspects and start in self.crashes:
                 self.by_trait.setdefault(trait, set()).add(start)
 
+    def doubtful_traits(self) -> set[str]:
+        """Return the traits that the next crash may show to be the cause."""
+        return {
+            trait
+            for trait, starts in self.by_trait.items()
+            if len(starts) >= CRASHES_TO_HOLD - 1
+        }
+
+    def record_running(self, trait: str, start: ServerStart, running: Running) -> bool:
+        """Record that requests with a suspected trait are in progress at a server.
+
+        Returns:
+            Whether that says more than was known.
+        """
+        if trait not in self.by_trait:
+            return False
+        servers = self.running.setdefault(trait, {})
+        known = servers.get(start)
+        if known is None and len(servers) >= MAX_RUNNING:
+            return False
+        if known is None or running.sent_at > known.seen_at + RUNNING_MEMORY_S:
+            servers[start] = running
+            return True
+        servers[start] = Running(
+            min(known.sent_at, running.sent_at), max(known.seen_at, running.seen_at)
+        )
+        return (
+            running.sent_at < known.sent_at - RUNNING_ACCURACY_S
+            or running.seen_at > known.seen_at + RUNNING_MEMORY_S / 2
+        )
+
     def expire(self, now: float) -> None:
         """Forget crashes of long ago."""
         for start, crash in list(self.crashes.items()):
@@ -291,9 +421,80 @@
         is_new = trait not in self.answered_at
         if count < (CRASHES_TO_HOLD if is_new else CRASHES_TO_HOLD_ANSWERED):
             return None
+        others = self._count_others(involved, explained)
+        ratio, servers = self._weigh(trait, involved, others)
+        if not _is_enough(ratio, servers, len(involved)):
+            return None
         depth = max(suspect.depth for _, suspect, _ in involved)
         starts = frozenset(start for _, _, start in involved)
-        return Explanation(trait, is_new, count, depth, starts)
+        is_certain = servers <= FEW_SERVERS or ratio >= CERTAIN_RATIO
+        return Explanation(trait, is_new, count, depth, starts, is_certain)
+
+    def _count_others(
+        self,
+        involved: list[tuple[float, Suspect, ServerStart]],
+        explained: set[ServerStart],
+    ) -> int:
+        """Count unexplained crashes without a trait, among those with it."""
+        starts = explained.union(start for _, _, start in involved)
+        first_at, last_at = involved[0][0], involved[-1][0]
+        return sum(
+            start not in starts and first_at <= crash.at <= last_at
+            for start, crash in self.crashes.items()
+        )
+
+    def _weigh(
+        self,
+        trait: str,
+        involved: list[tuple[float, Suspect, ServerStart]],
+        others: int,
+    ) -> tuple[float, int]:
+        """Return how well a trait explains which servers crashed.
+
+        By chance each server is as likely to crash as any other. If the trait is the
+        cause, it is one of those with such requests in progress, and rather one where
+        they have run for longer. A trait that is in progress everywhere, and has run
+        elsewhere past the age at which its supposed victims crashed, gains nothing.
+
+        Args:
+            trait: The trait.
+            involved: Time, suspect and server of each crash, in the order of time.
+            others: Crashes without the trait in the same time.
+
+        Returns:
+            How much likelier these servers are with the trait as cause than by chance,
+            and the number of servers that such requests could be sent to.
+        """
+        ratio, most = OTHER_REASON_FACTOR**others, 1
+        for at, suspect, start in involved:
+            if not suspect.servers:
+                # Reported by an instance of an earlier version.
+                return math.inf, most
+            since = [
+                sent_at
+                for other, sent_at in self._exposed(trait, at).items()
+                if other != start
+            ]
+            exposed = len(since) + 1
+            rank = 1 + sum(sent_at < suspect.since for sent_at in since)
+            servers = max(suspect.servers, exposed)
+            ratio *= servers / rank / sum(1 / n for n in range(1, exposed + 1))
+            most = max(most, servers)
+        return ratio, most
+
+    def _exposed(self, trait: str, at: float) -> dict[ServerStart, float]:
+        """Return where requests with a trait were in progress, and from what time."""
+        since = {
+            start: running.sent_at
+            for start, running in self.running.get(trait, {}).items()
+            if running.sent_at <= at <= running.seen_at + RUNNING_MEMORY_S
+            and (start not in self.crashes or self.crashes[start].at > at)
+        }
+        for start in self.by_trait[trait]:
+            suspect = self.crashes[start].suspects[trait]
+            if suspect.since <= at < self.crashes[start].at:
+                since[start] = min(suspect.since, since.get(start, suspect.since))
+        return since
 
     def _forget(self, start: ServerStart) -> None:
         for trait in self.crashes.pop(start).suspects:
@@ -304,6 +505,7 @@
         starts.discard(start)
         if not starts:
             self.by_trait.pop(trait, None)
+            self.running.pop(trait, None)
 
     def _incriminates(self, trait: str, crash: Crash) -> Suspect | None:
         """Return the part of a trait in a crash; `None` if an answer clears it."""
--- a/src/wisterialoom/core/crash_watch.py
+++ b/src/wisterialoom/core/crash_watch.py
@@ -9,11 +9,13 @@
 
 import random
 from dataclasses import dataclass, field
-from typing import TYPE_CHECKING
+from typing import TYPE_CHECKING, TypeVar
 
 from wisterialoom.core.crash_suspects import (
     Crash,
     CrashSuspects,
+    Running,
+    RUNNING_ACCURACY_S,
     ServerStart,
     Suspect,
 )
@@ -25,12 +27,15 @@
 
     from wisterialoom.core.crash_suspects import Explanation
 
+Key = TypeVar("Key")
+
 __all__ = [
     "AnsweredTraits",
     "CrashMessage",
     "CrashSeen",
     "CrashWatch",
     "HeldTraits",
+    "InProgress",
     "shift",
 ]
 
@@ -66,6 +71,9 @@
 RECENTLY_ANSWERED_S = 1.0
 """Age up to which an answer contradicts a hold that another instance decided."""
 
+LOOK_INTERVAL_S = 0.02
+"""Least interval between two looks at all attempts in progress."""
+
 TRIAL_TURN_S = 10.0
 """Time after which the next instance may make a trial, if the one before did not."""
 
@@ -92,13 +100,16 @@
 
 @dataclass(frozen=True, slots=True)
 class AnsweredTraits:
-    """Requests with some traits were answered.
+    """Requests with some traits were answered, or are in progress unharmed.
 
     Attributes:
         times: Monotonic time of the last answer by trait.
+        running: Where requests with a trait are in progress, by trait, with the
+            monotonic time at which the earliest was sent.
     """
 
     times: Mapping[str, float]
+    running: Mapping[str, Mapping[ServerStart, float]] = field(default_factory=dict)
 
 
 @dataclass(frozen=True, slots=True)
@@ -115,6 +126,21 @@
 CrashMessage = CrashSeen | AnsweredTraits | HeldTraits
 
 
+@dataclass(frozen=True, slots=True)
+class InProgress:
+    """An attempt in progress.
+
+    Attributes:
+        start: Its server.
+        sent_at: Monotonic time at which it was sent.
+        traits: Traits of the request.
+    """
+
+    start: ServerStart
+    sent_at: float
+    traits: Sequence[str]
+
+
 def shift(message: CrashMessage, by_s: float) -> CrashMessage:
     """Return a message with all its times changed, as clocks of instances differ.
 
@@ -125,12 +151,25 @@
     match message:
         case CrashSeen(start=start, at=at, suspects=suspects):
             moved = {
-                trait: Suspect(suspect.depth, suspect.sent_at + by_s)
+                trait: Suspect(
+                    suspect.depth,
+                    suspect.sent_at + by_s,
+                    None
+                    if suspect.first_sent_at is None
+                    else suspect.first_sent_at + by_s,
+                    suspect.servers,
+                )
                 for trait, suspect in suspects.items()
             }
             return CrashSeen(start, at + by_s, moved)
-        case AnsweredTraits(times=times):
-            return AnsweredTraits({trait: at + by_s for trait, at in times.items()})
+        case AnsweredTraits(times=times, running=running):
+            moved_running = {
+                trait: {start: at + by_s for start, at in servers.items()}
+                for trait, servers in running.items()
+            }
+            return AnsweredTraits(
+                {trait: at + by_s for trait, at in times.items()}, moved_running
+            )
         case HeldTraits():
             return message
 
@@ -148,6 +187,10 @@
         outbox: Messages to all instances, with the time at which each is due.
         answers: Times at which answered traits are due to be reported.
         unreported: Times at which verdicts are due to be reported.
+        in_progress: Returns the attempts in progress at this instance.
+        exposed: Times at which servers with requests in progress are due to be
+            reported, by trait and server.
+        looked_at: Monotonic time of the last look at what is in progress.
         down: Servers with losses that are known to be down.
         wake: Called when there is something to decide or to report.
         undecided_until: Monotonic time until which the latest crash may change what is
@@ -166,6 +209,9 @@
     outbox: list[tuple[float, CrashMessage]] = field(default_factory=list)
     answers: dict[str, float] = field(default_factory=dict)
     unreported: dict[str, float] = field(default_factory=dict)
+    in_progress: Callable[[], Iterable[InProgress]] = tuple
+    exposed: dict[tuple[str, ServerStart], float] = field(default_factory=dict)
+    looked_at: float = float("-inf")
     down: set[ServerStart] = field(default_factory=set)
     wake: Callable[[], None] = lambda: None
     undecided_until: float = float("-inf")
@@ -176,7 +222,7 @@
 
     def pause_s(self, now: float) -> float | None:
         """Return the time until the next decision; `None` if none is needed."""
-        due = self.outbox or self.answers or self.unreported
+        due = self.outbox or self.answers or self.unreported or self.exposed
         if due or now < self.undecided_until:
             return MIN_INTERVAL_S if self.has_new_evidence else DECIDE_INTERVAL_S
         return IDLE_INTERVAL_S if self.quarantine.entries else None
@@ -191,7 +237,12 @@
         self._plan_answers(now, cleared)
 
     def record_loss(
-        self, now: float, start: ServerStart, sent_at: float, traits: Sequence[str]
+        self,
+        now: float,
+        start: ServerStart,
+        sent_at: float,
+        traits: Sequence[str],
+        servers: int = 0,
     ) -> None:
         """Record an attempt that was lost without output.
 
@@ -200,9 +251,11 @@
             start: The server.
             sent_at: Monotonic time at which the request was sent.
             traits: Traits of the request, the widest first.
+            servers: Servers that it could be sent to; 0 if that is not known.
         """
         suspects = {
-            trait: Suspect(depth, sent_at) for depth, trait in enumerate(traits)
+            trait: Suspect(depth, sent_at, sent_at, servers)
+            for depth, trait in enumerate(traits)
         }
         self.losses.setdefault(start, Crash(now)).add(suspects)
         if start in self.suspects.crashes:
@@ -224,10 +277,13 @@
                 self._record_crash(now, message)
                 self.record_down(message.start)
                 self._plan_answers(now, self._answered_since(now, message))
-            case AnsweredTraits(times=times):
+            case AnsweredTraits(times=times, running=running):
                 for trait, at in times.items():
                     self.suspects.record_answered(min(at, now), [trait])
                     self.answers.pop(trait, None)
+                for trait, servers in running.items():
+                    for start, sent_at in servers.items():
+                        self._record_reported(now, trait, start, min(sent_at, now))
             case HeldTraits(verdicts=verdicts):
                 for trait in self.quarantine.merge(now, verdicts):
                     answered_at = self.suspects.answered_at.get(trait, float("-inf"))
@@ -254,6 +310,7 @@
         self.decided_at = now
         self.has_new_evidence = False
         self.suspects.expire(now)
+        self._look_for_running(now)
         found = self.suspects.explain(now, ROUND_TRIP_S + self._answer_spread_s)
         explained = frozenset().union(*(item.crashes for item in found))
         traits = {item.trait for item in found}
@@ -270,7 +327,9 @@
         held = [
             item
             for item in found
-            if self.quarantine.hold(now, item.trait, was_answered=not item.is_new)
+            if self.quarantine.hold(
+                now, item.trait, was_answered=not (item.is_new and item.is_certain)
+            )
         ]
         for item in held:
             # All instances come to the same verdict; few report it.
@@ -301,9 +360,12 @@
         answered = [
             trait for trait in _take_due(self.answers, now) if trait in answered_at
         ]
-        if answered:
+        running = self._take_running(now)
+        if answered or running:
             due.append(
-                AnsweredTraits({trait: answered_at[trait] for trait in answered})
+                AnsweredTraits(
+                    {trait: answered_at[trait] for trait in answered}, running
+                )
             )
         verdicts = self.quarantine.verdicts(_take_due(self.unreported, now))
         if verdicts:
@@ -352,6 +414,43 @@
             self.answers.setdefault(trait, now + self._draw_delay_s())
             self.wake()
 
+    def _look_for_running(self, now: float) -> None:
+        """Record where else requests are in progress that crashes may be due to.
+
+        What no other instance has reported yet is reported soon.
+        """
+        traits = self.suspects.doubtful_traits()
+        if not traits or now < self.looked_at + LOOK_INTERVAL_S:
+            return
+        self.looked_at = now
+        for attempt in self.in_progress():
+            if attempt.start in self.suspects.crashes:
+                continue
+            for trait in traits.intersection(attempt.traits):
+                running = Running(attempt.sent_at, now)
+                if self.suspects.record_running(trait, attempt.start, running):
+                    # The earliest attempt says most, and makes others needless.
+                    delay_s = self._draw_delay_s() / (1 + 4 * (now - attempt.sent_at))
+                    self.exposed[trait, attempt.start] = now + delay_s
+
+    def _record_reported(
+        self, now: float, trait: str, start: ServerStart, sent_at: float
+    ) -> None:
+        """Record what another instance has in progress, and report no less."""
+        self.suspects.record_running(trait, start, Running(sent_at, now))
+        known = self.suspects.running.get(trait, {}).get(start)
+        if known is None or known.sent_at >= sent_at - RUNNING_ACCURACY_S:
+            self.exposed.pop((trait, start), None)
+
+    def _take_running(self, now: float) -> dict[str, dict[ServerStart, float]]:
+        """Remove what is due to be reported of requests in progress."""
+        taken: dict[str, dict[ServerStart, float]] = {}
+        for trait, start in _take_due(self.exposed, now):
+            known = self.suspects.running.get(trait, {}).get(start)
+            if known is not None:
+                taken.setdefault(trait, {})[start] = known.sent_at
+        return taken
+
     def _draw_delay_s(self) -> float:
         return self.rng.uniform(0.0, self._answer_spread_s)
 
@@ -360,9 +459,9 @@
         return min(MAX_ANSWER_SPREAD_S, ANSWER_SPREAD_S * len(self.instances))
 
 
-def _take_due(times: dict[str, float], now: float) -> list[str]:
+def _take_due(times: dict[Key, float], now: float) -> list[Key]:
     """Remove what is due from a table of times, as far as it fits into a message."""
-    due = [trait for trait, at in times.items() if at <= now][:MAX_REPORTED]
-    for trait in due:
-        del times[trait]
+    due = [key for key, at in times.items() if at <= now][:MAX_REPORTED]
+    for key in due:
+        del times[key]
     return due
--- a/src/wisterialoom/core/quarantine.py
+++ b/src/wisterialoom/core/quarantine.py
@@ -18,8 +18,13 @@
 TRIALS_AFTER_S = (30.0, 300.0, 3600.0)
 """Time from a hold or a trial to the next trial; none after the last one."""
 
-TRIAL_OF_ANSWERED_S = 5.0
-"""Time to the first trial of a trait that was answered before its hold."""
+TRIAL_OF_ANSWERED_S = 2.0
+"""Time to the first trial of a trait that was answered before its hold.
+
+The same goes for one that may have been in progress at the crashed servers by chance.
+The trial comes soon, as callers do not repeat what is held. It costs one server more if
+the hold is right.
+"""
 
 HOLD_S = 86_400.0
 """Time after which a hold ends by itself, since the last trial."""
@@ -38,7 +43,8 @@
         version: Increases with each change.
         held: Whether they are held back.
         trials: Trials that were begun.
-        was_answered: Whether such requests were answered before the hold.
+        was_answered: Whether such requests were answered before the hold, or the
+            evidence is weak for another reason.
     """
 
     version: int
--- a/src/wisterialoom/core/serving/dispatcher.py
+++ b/src/wisterialoom/core/serving/dispatcher.py
@@ -10,7 +10,7 @@
 from typing import TYPE_CHECKING
 
 from wisterialoom.core.brittle_services import BrittleServices
-from wisterialoom.core.crash_watch import CrashWatch
+from wisterialoom.core.crash_watch import CrashWatch, InProgress
 from wisterialoom.core.request_limit import LimitMemory, LimitShares
 from wisterialoom.core.serving.backend import BackendServer, BackendView
 from wisterialoom.core.serving.capacity_wait import wait_for_capacity
@@ -80,6 +80,7 @@
         waiting: Number of waiting requests, by requested model and adapter.
         arrivals: Requests since the process started, by model and adapter.
         running_counts: Attempts in progress, by server, then model and adapter.
+        in_progress: Requests with an attempt in progress, by identity.
         notices: What servers have said about themselves in answers.
         limit_shares: Divides the limits that servers name among the instances.
         limits: Remembers the limits that servers named.
@@ -99,6 +100,7 @@
     waiting: dict[str, int] = field(default_factory=dict)
     arrivals: dict[str, int] = field(default_factory=dict)
     running_counts: dict[str, dict[str, int]] = field(default_factory=dict)
+    in_progress: dict[int, RequestFlow] = field(default_factory=dict)
     notices: ServerNotices = field(default_factory=ServerNotices)
     limit_shares: LimitShares = field(default_factory=LimitShares)
     limits: LimitMemory = field(default_factory=LimitMemory)
@@ -108,6 +110,7 @@
 
     def __post_init__(self) -> None:
         self.ways = WayFinder(self.views, self.crash_watch)
+        self.crash_watch.in_progress = self.attempts_in_progress
 
     # Updates of servers and limits.
 
@@ -445,6 +448,7 @@
         flow.in_flight_version = view.server.software_version
         flow.attempt_count += 1
         flow.output_begun = False
+        self.in_progress[id(flow)] = flow
         counts = self.running_counts.setdefault(view.server.id, {})
         resource = flow.profile.resource
         counts[resource] = counts.get(resource, 0) + 1
@@ -455,6 +459,7 @@
         server_id, flow.in_flight_at = flow.in_flight_at, ""
         if not server_id:
             return
+        self.in_progress.pop(id(flow), None)
         flow.reached_servers.add(server_id)
         if flow.in_flight_via:
             # Nothing is known of how the attempt ended.
@@ -471,6 +476,14 @@
         if not counts:
             self.running_counts.pop(server_id, None)
 
+    def attempts_in_progress(self) -> list[InProgress]:
+        """Return the attempts in progress at servers that are listed."""
+        return [
+            InProgress(view.start, flow.sent_at, flow.profile.traits)
+            for flow in self.in_progress.values()
+            if (view := self.views.get(flow.in_flight_at)) is not None
+        ]
+
     def running(self) -> dict[str, dict[str, int]]:
         """Return the attempts in progress at servers that run models."""
         return {
@@ -564,7 +577,15 @@
         match result.verdict:
             case AttemptVerdict.LOST if not (result.had_output or view.draining):
                 traits = flow.profile.traits
-                self.crash_watch.record_loss(now, view.start, flow.sent_at, traits)
+                # Servers that have crashed are listed for some time.
+                crashes = self.crash_watch.suspects.crashes
+                servers = sum(
+                    other is view or other.start not in crashes
+                    for other in self.model_holders(flow.profile)
+                )
+                self.crash_watch.record_loss(
+                    now, view.start, flow.sent_at, traits, servers
+                )
             case AttemptVerdict.ANSWERED | AttemptVerdict.FAILED:
                 self.record_answered(now, flow)
 
--- a/src/wisterialoom/platform/crash_codec.py
+++ b/src/wisterialoom/platform/crash_codec.py
@@ -4,7 +4,12 @@
 
 from typing import Any
 
-from wisterialoom.core.crash_suspects import MAX_SUSPECTS, ServerStart, Suspect
+from wisterialoom.core.crash_suspects import (
+    MAX_RUNNING,
+    MAX_SUSPECTS,
+    ServerStart,
+    Suspect,
+)
 from wisterialoom.core.crash_watch import (
     AnsweredTraits,
     CrashMessage,
@@ -24,12 +29,28 @@
     match message:
         case CrashSeen(start=start, at=at, suspects=suspects):
             items = {
-                trait: [suspect.depth, round(suspect.sent_at, 3)]
+                trait: [
+                    suspect.depth,
+                    round(suspect.sent_at, 3),
+                    *(
+                        [round(suspect.first_sent_at, 3), suspect.servers]
+                        if suspect.first_sent_at is not None
+                        else []
+                    ),
+                ]
                 for trait, suspect in suspects.items()
             }
             return "kc", [start.server, start.started_ms, round(at, 3), items]
-        case AnsweredTraits(times=times):
-            return "ka", [{trait: round(at, 3) for trait, at in times.items()}]
+        case AnsweredTraits(times=times, running=running):
+            places = {
+                trait: [
+                    [start.server, start.started_ms, round(at, 3)]
+                    for start, at in servers.items()
+                ]
+                for trait, servers in running.items()
+            }
+            answered = {trait: round(at, 3) for trait, at in times.items()}
+            return "ka", [answered, places] if places else [answered]
         case HeldTraits(verdicts=verdicts):
             held = {
                 trait: [
@@ -57,13 +78,22 @@
         case "kc", [str(server), int(started_ms), at, dict(items), *_]:
             _check_size(items, MAX_SUSPECTS)
             suspects = {
-                trait: Suspect(int(depth), float(sent_at))
-                for trait, (depth, sent_at, *_) in items.items()
+                trait: _decode_suspect(*fields) for trait, fields in items.items()
             }
             return CrashSeen(ServerStart(server, started_ms), float(at), suspects)
-        case "ka", [dict(items), *_]:
+        case "ka", [dict(items), *rest]:
+            places = rest[0] if rest else {}
             _check_size(items, MAX_SUSPECTS)
-            return AnsweredTraits({trait: float(at) for trait, at in items.items()})
+            _check_size(places, MAX_SUSPECTS)
+            running = {
+                trait: {
+                    ServerStart(str(server), int(started_ms)): float(at)
+                    for server, started_ms, at, *_ in servers[:MAX_RUNNING]
+                }
+                for trait, servers in places.items()
+            }
+            times = {trait: float(at) for trait, at in items.items()}
+            return AnsweredTraits(times, running)
         case "kh", [dict(items), *_]:
             _check_size(items, MAX_VERDICTS)
             verdicts = {
@@ -74,6 +104,14 @@
     raise ValueError(f"unreadable fields in a message of kind {kind!r}")
 
 
+def _decode_suspect(
+    depth: Any, sent_at: Any, since: Any = None, servers: Any = 0, *_: Any
+) -> Suspect:
+    """Decode a suspect; instances of earlier versions give its first two fields."""
+    first = None if since is None else float(since)
+    return Suspect(int(depth), float(sent_at), first, int(servers))
+
+
 def _check_size(items: dict[str, Any], limit: int) -> None:
     if len(items) > limit:
         raise ValueError(f"a message with {len(items)} traits; {limit} are allowed")
--- a/tests/crash_model.py
+++ b/tests/crash_model.py
@@ -14,7 +14,7 @@
 from typing import TYPE_CHECKING
 
 from wisterialoom.core.crash_suspects import ServerStart
-from wisterialoom.core.crash_watch import CrashWatch
+from wisterialoom.core.crash_watch import CrashWatch, InProgress
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -40,6 +40,8 @@
         begins_at: Time from which deadly requests come.
         for_s: Length of the play.
         wait_s: Mean time until a server begins to answer.
+        wait_spread: How far that time is off its mean at most, as a part of it; 0 if
+            its distribution is exponential.
         run_s: Mean time from there to the end of an answer.
         subjects: Traits that sound requests share, besides the one that all have.
         own_trait: Whether each request has a trait of its own; deadly ones are then
@@ -57,6 +59,7 @@
     begins_at: float = 4.0
     for_s: float = 40.0
     wait_s: float = 0.06
+    wait_spread: float = 0.0
     run_s: float = 1.0
     subjects: int = 60
     own_trait: bool = False
@@ -130,6 +133,8 @@
             CrashWatch(f"front-{number}", names, rng=random.Random(seed + number))
             for number in range(load.instances)
         ]
+        for number, watch in enumerate(self.watches):
+            watch.in_progress = partial(self._in_progress, number)
         self.outcome = Outcome()
         self.now = 0.0
         self.queue: list[tuple[float, int, Callable[[], None]]] = []
@@ -199,9 +204,15 @@
         if request.deadly:
             arrivals = self.outcome.arrivals.setdefault(request.deadly, [])
             arrivals.append(self.now)
-        wait_s = self.rng.expovariate(1 / self.load.wait_s)
+        wait_s = self._draw_wait_s()
         self._after(wait_s, lambda: self._begin(server, request))
 
+    def _draw_wait_s(self) -> float:
+        mean, spread = self.load.wait_s, self.load.wait_spread
+        if spread:
+            return mean * self.rng.uniform(1 - spread, 1 + spread)
+        return self.rng.expovariate(1 / mean)
+
     def _begin(self, server: _Server, request: _Request) -> None:
         if not server.alive or request not in server.requests:
             return
@@ -246,11 +257,23 @@
     def _lose(self, server: _Server, request: _Request) -> None:
         if not request.answered:
             self.watches[request.instance].record_loss(
-                self.now, server.start, request.sent_at, request.traits
+                self.now,
+                server.start,
+                request.sent_at,
+                request.traits,
+                sum(other.alive or other is server for other in self.servers),
             )
         if request.sends <= RETRIES:
             self._send(request)
 
+    def _in_progress(self, number: int) -> list[InProgress]:
+        return [
+            InProgress(server.start, request.sent_at, request.traits)
+            for server in self.servers
+            for request in server.requests
+            if request.instance == number
+        ]
+
     def _tick(self) -> None:
         self._after(DECIDE_S, self._tick)
         for number in range(self.load.instances):
--- a/tests/test_crash_watch.py
+++ b/tests/test_crash_watch.py
@@ -108,6 +108,38 @@
         assert not Model(load, seed).play().held_sound
 
 
+@pytest.mark.parametrize("instances", [1, 6, 35])
+def test_crashes_while_a_new_batch_waits_for_its_first_output_hold_nothing_back(
+    instances: int,
+):
+    """All servers had such requests in progress, so three crashes held the batch."""
+    load = Load(
+        instances=instances,
+        servers=12,
+        rate=25.0 if instances == 1 else 60.0,
+        deadly=(),
+        wait_s=3.8,
+        wait_spread=0.02,
+        planned=((1.0, 1), (1.9, 1), (2.8, 1)),
+        for_s=8.0,
+    )
+    for seed in range(SEEDS):
+        assert not Model(load, seed).play().held_sound
+
+
+def test_batch_that_crashes_servers_is_held_though_all_of_them_run_it():
+    load = Load(
+        servers=12,
+        deadly=(("dead", 1.0),),
+        begins_at=0.0,
+        wait_s=1.0,
+        wait_spread=0.1,
+        for_s=20.0,
+    )
+    # Many servers are about to crash when the first one does.
+    assert mean(play(load)) <= 8
+
+
 def test_held_requests_reach_a_server_only_in_trials():
     outcome = Model(Load(for_s=4.0 + 2 * TRIALS_AFTER_S[0], rate=30.0), 1).play()
     settled = outcome.crashes["dead"][0] + CONTACT_S
