Keep team quotas over all instances: the bucket and the borrowing

No component keeps a team's quota yet. Each instance alone cannot: with an equal share of the limit, a team whose callers use one of 91 instances gets a 91st of it.

The holder of the placement lease keeps one token bucket per team, and instances borrow from it.

Not wired yet. The messages have codecs, as the tests count their bytes.

--- a/src/wisterialoom/platform/hint_codec.py
+++ b/src/wisterialoom/platform/hint_codec.py
@@ -21,6 +21,8 @@
     encode_crash_message,
 )
 from wisterialoom.platform.hints import (
+    AllowanceGranted,
+    AllowanceWanted,
     BrittleRejection,
     COMPRESSION_LEVEL,
     ConfigCopy,
@@ -35,6 +37,7 @@
     PlacementChange,
     PlacementHint,
     PlacementWanted,
+    QuotaHint,
     Released,
     ServerHint,
     ServerLimit,
@@ -49,6 +52,11 @@
     VersionHint,
     VersionsWanted,
 )
+from wisterialoom.platform.quota_codec import (
+    decode_quota_hint,
+    encode_quota_hint,
+    QUOTA_KINDS,
+)
 from wisterialoom.platform.version_codec import (
     decode_version_hint,
     encode_version_hint,
@@ -57,8 +65,8 @@
 
 __all__ = ["decode_hint", "encode_hint"]
 
-SERVER_KINDS = ("b", "x", "l", "lw", "lg", *CRASH_KINDS, *VERSION_KINDS)
-"""Kinds of messages about what an instance knows of servers."""
+SERVER_KINDS = ("b", "x", "l", "lw", "lg", *CRASH_KINDS, *QUOTA_KINDS, *VERSION_KINDS)
+"""Kinds of messages with the name of an instance and one more field."""
 
 KINDS = frozenset({"r", "d", "n", "w", "c", "s", "v", "q", "u", "p", *SERVER_KINDS})
 """All kinds of messages; instances of later versions may send others."""
@@ -116,7 +124,9 @@
         case PlacementWanted():
             item = ["q", hint.instance]
         case (
-            BrittleRejection()
+            AllowanceGranted()
+            | AllowanceWanted()
+            | BrittleRejection()
             | CrashHint()
             | LostPaths()
             | OriginAnswer()
@@ -258,8 +268,10 @@
     )
 
 
-def _encode_server_hint(hint: ServerHint | VersionHint) -> list[Any]:
+def _encode_server_hint(hint: ServerHint | VersionHint | QuotaHint) -> list[Any]:
     match hint:
+        case AllowanceGranted() | AllowanceWanted():
+            return encode_quota_hint(hint)
         case (
             ServerVersions()
             | VersionsWanted()
@@ -288,7 +300,9 @@
 
 def _decode_server_hint(
     kind: str, instance: str, items: Any
-) -> ServerHint | VersionHint:
+) -> ServerHint | VersionHint | QuotaHint:
+    if kind in QUOTA_KINDS:
+        return decode_quota_hint(kind, instance, items)
     if kind in VERSION_KINDS:
         return decode_version_hint(kind, instance, items)
     if kind == "b":
--- a/src/wisterialoom/platform/hints.py
+++ b/src/wisterialoom/platform/hints.py
@@ -21,8 +21,14 @@
     from wisterialoom.core.fleet import Revision, TableEntry
     from wisterialoom.core.placement.placement_table import ServerPlacement
     from wisterialoom.core.serving.stream_origin import StreamOrigin
+    from wisterialoom.core.teams.allowance_message import (
+        AllowanceReply,
+        AllowanceRequest,
+    )
 
 __all__ = [
+    "AllowanceGranted",
+    "AllowanceWanted",
     "BrittleRejection",
     "ConfigCopy",
     "CrashHint",
@@ -36,6 +42,7 @@
     "PlacementChange",
     "PlacementHint",
     "PlacementWanted",
+    "QuotaHint",
     "Released",
     "ServerHint",
     "ServerLimit",
@@ -399,6 +406,25 @@
     possible: tuple[str, ...] | None
 
 
+@dataclass(frozen=True, slots=True)
+class AllowanceWanted:
+    """Asks the holder of the placement lease for allowance of teams' quotas."""
+
+    instance: str
+    request: AllowanceRequest
+
+
+@dataclass(frozen=True, slots=True)
+class AllowanceGranted:
+    """Answers `AllowanceWanted`; `instance` is the holder."""
+
+    instance: str
+    reply: AllowanceReply
+
+
+QuotaHint = AllowanceWanted | AllowanceGranted
+"""Hints about the quotas of teams."""
+
 StreamHint = StreamsBegun | OriginWanted | OriginAnswer
 """Hints about the software versions that began streams."""
 
@@ -416,6 +442,7 @@
     | PlacementChange
     | PlacementHint
     | PlacementWanted
+    | QuotaHint
     | Released
     | News
     | CopyWanted
