Charge requests to their teams' quotas before they are sent

A team could use any amount, as nothing counted its requests.

The ingress charges each attempt of a caller once, when its team is known. Without allowance it waits at most 0.15 s for the holder's reply, and else answers 429 with Retry-After, not run. Further servers cost nothing more. A request that waited over 0.5 s for its first server is charged again just before it is sent, as its allowance may be counted as expired elsewhere. What certainly did not run is given back. A request of another instance that is passed on is not charged, as that instance has done so.

A caller that states no tokens at all costs as much as one without the header. Counts that cannot be decoded count as absent.

An extension of the lease does not count: another instance may hold it.

--- a/src/wisterialoom/platform/app.py
+++ b/src/wisterialoom/platform/app.py
@@ -33,6 +33,7 @@
 from wisterialoom.platform.peers import PeerLink
 from wisterialoom.platform.placement_controller import PlacementController
 from wisterialoom.platform.placement_view import PlacementView
+from wisterialoom.platform.quota_exchange import QuotaExchange
 from wisterialoom.platform.relay import Relay
 from wisterialoom.platform.request_errors import hide_request_bytes
 from wisterialoom.platform.settings import (
@@ -115,6 +116,7 @@
         path_prober: Probes servers that this instance may not reach.
         helper_server: Passes requests of other instances on.
         limit_exchange: Messages about servers that limit requests.
+        quota_exchange: Charges requests to quotas, and messages about allowance.
         crash_exchange: Messages about crashes, and requests that cause them.
         stream_exchange: Messages and records about the versions that began streams.
         orders: Client for loads and unloads at backend servers.
@@ -151,6 +153,7 @@
         self.relay: Relay
         self.peers: PeerLink
         self.limit_exchange: LimitExchange
+        self.quota_exchange: QuotaExchange
         self.crash_exchange: CrashExchange
         self.stream_exchange: StreamExchange
         self.path_prober: PathProber
@@ -203,6 +206,7 @@
                 view, was_direct=was_direct
             ),
             lambda flow: self.stream_exchange.find(flow),
+            lambda: self.quota_exchange,
             self.metrics,
         )
         self.ingress.pooled_session = self._session(
@@ -287,6 +291,14 @@
             settings.instance, peers, self.dispatcher, self.signal.wake
         )
         fleet.limit_exchange = self.limit_exchange
+        self.quota_exchange = QuotaExchange(
+            settings.instance,
+            fleet,
+            self.placement_controller.lease,
+            lambda: self.dispatcher.deployment,
+            lambda: self.settings.bounds.quota,
+        )
+        fleet.quota_exchange = self.quota_exchange
         self.crash_exchange = CrashExchange(
             settings.instance, peers, self.dispatcher.crash_watch, self.ingress.end_held
         )
@@ -324,6 +336,7 @@
         fleet.start()
         self.relay.start()
         self.limit_exchange.start()
+        self.quota_exchange.start()
         self.crash_exchange.start()
         self.stream_exchange.start()
         self.path_prober.start()
@@ -408,6 +421,27 @@
             "Services with several software versions, whose streams are shared.",
             lambda: len(self.stream_exchange.shared_services),
         )
+        metrics.labeled_counter(
+            "quota_refusals_total",
+            "Requests refused for their team's quota.",
+            "reason",
+            lambda: self.quota_exchange.refusals,
+        )
+        metrics.labeled_counter(
+            "quota_messages_total",
+            "Messages about allowance that were sent.",
+            "kind",
+            lambda: self.quota_exchange.messages,
+        )
+        metrics.labeled_counter(
+            "quota_cost_total",
+            "Cost that this instance granted as holder, and that it received.",
+            "direction",
+            lambda: {
+                "granted": self.quota_exchange.granted_cost,
+                "received": self.quota_exchange.allowance.received,
+            },
+        )
         metrics.gauge("servers", "Servers.", lambda: len(self.dispatcher.views))
         metrics.gauge(
             "limited_servers",
@@ -515,6 +549,7 @@
         await self.fleet.stop()
         await self.relay.stop()
         await self.limit_exchange.stop()
+        await self.quota_exchange.stop()
         await self.crash_exchange.stop()
         await self.stream_exchange.stop()
         await self.path_prober.stop()
--- a/src/wisterialoom/platform/exchange.py
+++ b/src/wisterialoom/platform/exchange.py
@@ -14,6 +14,7 @@
 
 if TYPE_CHECKING:
     from wisterialoom.core.serving.request_flow import GiveUp, RequestProfile
+    from wisterialoom.core.teams.allowance import Charge
     from wisterialoom.platform.attempt import BufferedAnswer
 
 __all__ = ["Exchange"]
@@ -49,6 +50,8 @@
         last_write_at: Monotonic time of the last write to a stream; 0 before.
         max_gap_s: Longest pause between two writes.
         response: The final response; `None` until it is known.
+        charge: What the request was charged; `None` if its team has no quota.
+        not_run: Whether the request was refused and certainly has not run.
         closing: Whether to close the caller's connection after the answer.
     """
 
@@ -63,6 +66,8 @@
         self.last_write_at = 0.0
         self.max_gap_s = 0.0
         self.response: web.StreamResponse | None = None
+        self.charge: Charge | None = None
+        self.not_run = False
         self.closing = False
 
     @property
@@ -116,6 +121,7 @@
         if self.stream is not None:
             self.abort()
             return
+        self.not_run = end.not_run
         if end.reason is GiveUpReason.HELD_BACK:
             self.respond(BAD_REQUEST, HELD_BACK_TEXT, not_run=end.not_run)
             return
--- a/src/wisterialoom/platform/fleet.py
+++ b/src/wisterialoom/platform/fleet.py
@@ -14,6 +14,8 @@
 from wisterialoom.core.placement.fleet_demand import DemandReport
 from wisterialoom.platform._tasks import TaskGroup, wait_for
 from wisterialoom.platform.hints import (
+    AllowanceGranted,
+    AllowanceWanted,
     BrittleRejection,
     ConfigCopy,
     CopyWanted,
@@ -25,6 +27,7 @@
     PlacementChange,
     PlacementHint,
     PlacementWanted,
+    QuotaHint,
     Released,
     ServerHint,
     ServerLimits,
@@ -49,6 +52,7 @@
     from wisterialoom.platform.peers import PeerLink
     from wisterialoom.platform.placement_controller import PlacementController
     from wisterialoom.platform.placement_view import PlacementView
+    from wisterialoom.platform.quota_exchange import QuotaExchange
     from wisterialoom.platform.relay import Relay
     from wisterialoom.platform.stream_exchange import StreamExchange
 
@@ -113,6 +117,7 @@
         self.placement_controller: PlacementController
         self.relay: Relay
         self.limit_exchange: LimitExchange
+        self.quota_exchange: QuotaExchange
         self.crash_exchange: CrashExchange
         self.stream_exchange: StreamExchange
         self.holder_address = ""
@@ -179,7 +184,9 @@
                 self._record_seen(now, name, address)
                 self.relay.handle_hint(hint, address)
             case (
-                BrittleRejection()
+                AllowanceGranted()
+                | AllowanceWanted()
+                | BrittleRejection()
                 | CrashHint()
                 | LostPaths()
                 | OriginAnswer()
@@ -196,10 +203,12 @@
 
     def _handle_server_hint(
         self,
-        hint: ServerHint | StreamHint,
+        hint: ServerHint | StreamHint | QuotaHint,
         address: str,
     ) -> None:
         match hint:
+            case AllowanceGranted() | AllowanceWanted():
+                self.quota_exchange.handle_hint(hint, address)
             case StreamsBegun() | OriginWanted() | OriginAnswer():
                 self.stream_exchange.handle_hint(hint, address)
             case LostPaths(instance=name, services=services):
--- a/src/wisterialoom/platform/ingress.py
+++ b/src/wisterialoom/platform/ingress.py
@@ -16,6 +16,7 @@
     Send,
     Wait,
 )
+from wisterialoom.core.teams.allowance import Denied
 from wisterialoom.platform.attempt import Attempt
 from wisterialoom.platform.exchange import Exchange
 from wisterialoom.platform.headers import (
@@ -40,6 +41,7 @@
     from wisterialoom.platform.attempt import BufferedAnswer
     from wisterialoom.platform.headers import ServerNotice
     from wisterialoom.platform.metrics import PlatformMetrics
+    from wisterialoom.platform.quota_exchange import QuotaExchange
 
 __all__ = ["Ingress", "Signal"]
 
@@ -76,6 +78,9 @@
 """
 
 
+OVER_QUOTA = "quota"
+"""Why a request is refused whose team has used up its quota."""
+
 PATH_VERDICTS = (
     AttemptVerdict.NOT_SENT,
     AttemptVerdict.LOST,
@@ -138,6 +143,7 @@
             was reached directly before.
         find_version: Finds the software version that began the stream which a request
             takes up, and sets it.
+        get_quotas: Returns what charges requests to the quotas of their teams.
         metrics: Counters and histograms.
         team_gate: Checks API keys.
         started_at: Monotonic time at which this instance started.
@@ -164,6 +170,7 @@
         connection_opened: Callable[[str], None],
         path_doubted: Callable[[BackendView, bool], None],
         find_version: Callable[[RequestFlow], Awaitable[None]],
+        get_quotas: Callable[[], QuotaExchange],
         metrics: PlatformMetrics,
     ) -> None:
         self.dispatcher = dispatcher
@@ -178,6 +185,7 @@
         self.connection_opened = connection_opened
         self.path_doubted = path_doubted
         self.find_version = find_version
+        self.get_quotas = get_quotas
         self.metrics = metrics
         self.team_gate = TeamGate(
             lambda: self.dispatcher.deployment, lambda: self.is_config_in_doubt
@@ -253,7 +261,16 @@
         if not profile.request_id:
             exchange.respond(400, f"the header {ATTEMPT_ID} is missing; send one")
             return self._final(exchange)
-        await self._serve(exchange, profile)
+        quotas = self.get_quotas()
+        charge = await quotas.charge(profile)
+        if isinstance(charge, Denied):
+            exchange.respond(429, OVER_QUOTA, charge.retry_s)
+            return self._final(exchange)
+        exchange.charge = charge
+        try:
+            await self._serve(exchange, profile)
+        finally:
+            quotas.finish(exchange.charge, not_run=exchange.not_run)
         return self._final(exchange)
 
     def _final(self, exchange: Exchange) -> web.StreamResponse:
@@ -328,19 +345,42 @@
         refusal = self.team_gate.recheck(exchange.request.headers, flow)
         return refusal or self.dispatcher.next_step(time.monotonic(), flow)
 
+    async def _confirm_charge(self, exchange: Exchange, flow: RequestFlow) -> bool:
+        """Return whether a request may be sent; one that may not is refused."""
+        charge = await self.get_quotas().send(flow.profile, exchange.charge)
+        if isinstance(charge, Denied):
+            flow.outcome = OVER_QUOTA
+            exchange.respond(429, OVER_QUOTA, charge.retry_s)
+            return False
+        if charge is exchange.charge:
+            return True
+        exchange.charge = charge
+        # The request may have waited for the charge, so the key is checked again.
+        refusal = self.team_gate.recheck(exchange.request.headers, flow)
+        if refusal is not None:
+            flow.outcome = refusal.reason.value
+            exchange.refuse(flow.profile, refusal)
+        return refusal is None
+
+    def _finish_answered(
+        self, exchange: Exchange, flow: RequestFlow, attempt: Attempt
+    ) -> None:
+        flow.outcome = "answered"
+        self.dispatcher.streams.origins.finish(flow.profile.stream)
+        if attempt.answer is not None:
+            exchange.send_buffered(attempt.answer)
+
     async def _run_steps(self, exchange: Exchange, flow: RequestFlow) -> None:
         failure: BufferedAnswer | None = None
         while True:
             match step := self._next_step(exchange, flow):
                 case Send():
                     self._stop_waiting(flow)
+                    if not await self._confirm_charge(exchange, flow):
+                        return
                     attempt, result = await self._attempt(exchange, flow, step)
                     if result.verdict is AttemptVerdict.ANSWERED:
-                        flow.outcome = "answered"
-                        streams = self.dispatcher.streams
-                        streams.origins.finish(flow.profile.stream)
-                        if attempt.answer is not None:
-                            exchange.send_buffered(attempt.answer)
+                        self._finish_answered(exchange, flow, attempt)
                         return
                     if exchange.head_sent and not exchange.resumable:
                         flow.outcome = result.verdict.value
--- a/src/wisterialoom/platform/settings.py
+++ b/src/wisterialoom/platform/settings.py
@@ -10,6 +10,7 @@
 
 from wisterialoom.core.error import WisterialoomError
 from wisterialoom.core.fleet import LinkClass, ViewPromise
+from wisterialoom.core.teams.quota_bound import QuotaBound
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -45,6 +46,10 @@
             in force.
         drain_s: Time in seconds within which a server that is confirmed to leave must
             get no more requests.
+        quota_window_s: Length in seconds of the windows in which the use of a team is
+            counted.
+        quota_overshoot: Part of the quota of a window by which use may exceed it.
+        quota_slack: Cost by which use may exceed it in addition.
     """
 
     grace_s: float = 8.0
@@ -55,12 +60,20 @@
     fenced: bool = False
     config_apply_s: float = 2.0
     drain_s: float = 2.0
+    quota_window_s: float = 8.0
+    quota_overshoot: float = 0.1
+    quota_slack: float = 17_000.0
 
     @property
     def promise(self) -> ViewPromise:
         """Limits on the age of an instance's view of the store."""
         return ViewPromise.from_config(self.config_apply_s, self.drain_s)
 
+    @property
+    def quota(self) -> QuotaBound:
+        """What teams may use above their quotas."""
+        return QuotaBound(self.quota_window_s, self.quota_overshoot, self.quota_slack)
+
     @classmethod
     def from_table(cls, table: Mapping[str, Any]) -> Bounds:
         """Decode the `bounds` table; missing entries have their defaults."""
@@ -74,6 +87,11 @@
             fenced=bool(table.get("fencingEnforced", base.fenced)),
             config_apply_s=_positive_s(table, "configApplyMs", base.config_apply_s),
             drain_s=_positive_s(table, "drainMs", base.drain_s),
+            quota_window_s=_positive(table, "quotaWindowS", base.quota_window_s),
+            quota_overshoot=_not_negative(
+                table, "quotaOvershoot", base.quota_overshoot
+            ),
+            quota_slack=_not_negative(table, "quotaSlack", base.quota_slack),
         )
 
 
@@ -171,6 +189,30 @@
             ) from error
 
 
+def _positive(table: Mapping[str, Any], name: str, default: float) -> float:
+    """Return a number of a table.
+
+    Raises:
+        ValueError: The number is not above 0.
+    """
+    found = float(table.get(name, default))
+    if not 0.0 < found < float("inf"):
+        raise ValueError(f"bounds.{name} must be above 0")
+    return found
+
+
+def _not_negative(table: Mapping[str, Any], name: str, default: float) -> float:
+    """Return a number of a table.
+
+    Raises:
+        ValueError: The number is below 0.
+    """
+    found = float(table.get(name, default))
+    if not 0.0 <= found < float("inf"):
+        raise ValueError(f"bounds.{name} must not be below 0")
+    return found
+
+
 def _positive_s(table: Mapping[str, Any], name: str, default_s: float) -> float:
     """Return a time of a table in seconds, which the table has in milliseconds.
 
