Keep the quotas during an outage of the store

While the store did not answer, the placement lease ended and nobody granted allowance: each instance had only its own share, so a team at one of 91 instances lost nearly all of its requests until the store came back.

The last holder now goes on for the instances that it hears, as long as it knows of no successor. It first gives up all credit and then grants the parts of those it hears, which they could use as shares of their own anyway. A new holder, if there is one, does not hear them, and now counts each instance's part only once it has heard it. The bound is tested with the fleet split between two holders. A holder that was frozen gives up its credit as well.

--- a/src/wisterialoom/core/teams/allowance_ledger.py
+++ b/src/wisterialoom/core/teams/allowance_ledger.py
@@ -63,6 +63,9 @@
 SILENT_S = 1.0
 """Time without a message after which an instance is assumed to use its own share."""
 
+UNHEARD_S = SILENT_S + 0.01
+"""Time since the last message of an instance that has yet to be heard."""
+
 KNOWN_FOR_S = 120.0
 """Time for which an instance that is not heard counts.
 
@@ -217,11 +220,32 @@
                 member.count = len(self.members)
 
     def record_known(self, now: float, names: Iterable[str]) -> None:
-        """Record instances that a new holder knows but has not heard itself yet."""
+        """Record instances that a new holder knows but has not heard itself yet.
+
+        They may still borrow from an earlier holder, so each adds its part of the rate
+        once it is heard.
+        """
         for name in names:
-            self.members.setdefault(name, Member(now, 0))
+            self.members.setdefault(name, Member(now - UNHEARD_S, 0))
         for member in self.members.values():
             member.count = member.count or len(self.members)
+        self.checked_at = float("-inf")
+        self.check_silent(now)
+
+    def distrust(self, now: float) -> None:
+        """Give up all credit, as another instance may hold the lease by now.
+
+        An instance whose lease has ended, as it does not reach the store, goes on for
+        those that still hear it. It grants what they could use as shares of their own:
+        a new holder, if there is one, does not hear them.
+        """
+        for bucket in self.buckets.values():
+            self._fill(now, bucket)
+            bucket.level = min(bucket.level, 0.0)
+        for member in self.members.values():
+            member.heard_at = min(member.heard_at, now - UNHEARD_S)
+        self.checked_at = float("-inf")
+        self.check_silent(now)
 
     def handle(
         self, now: float, name: str, request: AllowanceRequest
--- a/src/wisterialoom/platform/quota_exchange.py
+++ b/src/wisterialoom/platform/quota_exchange.py
@@ -49,6 +49,9 @@
 INSTANCES_INTERVAL_S = 0.5
 """Time between two updates of the list of instances."""
 
+FROZEN_S = 1.0
+"""Time between two checks of the lease after which it may have passed on meanwhile."""
+
 LOG_INTERVAL_S = 1.0
 """Minimum time between two log lines about the refusals of a team."""
 
@@ -64,6 +67,8 @@
         get_bound: Returns what operators allow above the quotas.
         allowance: Allowance of this instance.
         ledger: Buckets of the teams, while this instance holds the lease.
+        was_valid: Whether the lease was valid when it was last checked.
+        checked_at: Time of that check.
         deployment: Configuration whose quotas are in force here.
         holder_sign: Epoch and serial of the last message from the holder.
         members_heard_at: Monotonic time up to which other instances were heard.
@@ -93,6 +98,8 @@
         # Later processes of the instance continue with higher serials.
         self.allowance = Allowance(instance, int(time.time() * 1e3), get_bound())
         self.ledger: AllowanceLedger | None = None
+        self.was_valid = False
+        self.checked_at = float("-inf")
         self.deployment: Deployment | None = None
         self.holder_sign = (0, 0)
         self.members_heard_at = float("-inf")
@@ -245,15 +252,24 @@
             },
         )
 
-    def _is_holder(self, now: float) -> bool:
-        # An extension of the lease does not count: another instance may hold it.
-        return self.lease.is_holder and now < self.lease.valid_until
-
     def _find_ledger(self, now: float) -> AllowanceLedger | None:
-        """Return the ledger while this instance may grant."""
-        if not self._is_holder(now):
+        """Return the ledger while this instance may grant.
+
+        During an outage of the store, the last holder goes on without a valid lease,
+        for those instances that hear it.
+        """
+        if not self.lease.is_holder:
+            return None
+        is_valid = now < self.lease.valid_until
+        was_frozen = now - self.checked_at > FROZEN_S
+        was_valid, self.was_valid, self.checked_at = self.was_valid, is_valid, now
+        if self.ledger is not None and self.ledger.epoch == self.lease.epoch:
+            if not is_valid and (was_valid or was_frozen):
+                self.ledger.distrust(now)
+                logger.info("keeps the quotas without a valid lease")
+        elif not is_valid:
             return None
-        if self.ledger is None or self.ledger.epoch != self.lease.epoch:
+        else:
             bound = self.allowance.bound
             self.ledger = AllowanceLedger(now, self.lease.epoch, bound)
             self.ledger.record_known(now, self.allowance.names)
--- a/tests/allowance_fleet.py
+++ b/tests/allowance_fleet.py
@@ -53,6 +53,7 @@
         up: Whether it runs; a killed one does not come back.
         frozen: Whether it is suspended.
         cut: Whether its messages to and from the holder are lost.
+        is_old: Whether it reaches only an earlier holder.
         deaf: Whether messages to it are lost, but not those that it sends.
     """
 
@@ -62,6 +63,7 @@
     frozen: bool = False
     cut: bool = False
     deaf: bool = False
+    is_old: bool = False
     scheduled: bool = False
     heard: int = 0
     frozen_events: list[Callable[[], None]] = field(default_factory=list)
@@ -97,6 +99,7 @@
         self.fronts: dict[str, Front] = {}
         self.ledger: AllowanceLedger | None = None
         self.holder = ""
+        self.old: tuple[str, AllowanceLedger | None] = ("", None)
         self.epoch = 0
         self.runs: dict[str, list[tuple[float, float]]] = {team: [] for team in limits}
         self.refused = dict.fromkeys(limits, 0)
@@ -143,8 +146,9 @@
         self.holder = name
         self.epoch += 1
         self.ledger = AllowanceLedger(self.now, self.epoch, self.bound)
-        self.ledger.record_known(self.now, self.fronts)
         self.ledger.set_limits(self.now, self.bound, self.limits)
+        self.ledger.record_known(self.now, self.fronts)
+        self.ledger.record_heard(self.now, (name,))
 
     def lose_holder(self, successor: str, after_s: float = LEASE_S) -> None:
         """Kill the holder; another instance takes the lease later."""
@@ -153,6 +157,27 @@
         self.holder = ""
         self.at(self.now + after_s, lambda: self.take_lease(successor))
 
+    def split(self, every: int, successor: str, after_s: float = LEASE_S) -> None:
+        """Cut the holder and some instances off; another takes the lease later."""
+        assert self.ledger is not None
+        self.old = self.holder, self.ledger
+        for front in list(self.fronts.values())[::every]:
+            front.is_old = True
+        self.fronts[self.holder].is_old = True
+        self.fronts[successor].is_old = False
+        self.ledger.distrust(self.now)
+        self.ledger, self.holder = None, ""
+        self.at(self.now + after_s, lambda: self.take_lease(successor))
+
+    def join(self) -> None:
+        """End the split; the earlier holder learns that there is another."""
+        self.old = "", None
+        for front in self.fronts.values():
+            front.is_old = False
+
+    def holder_of(self, front: Front) -> tuple[str, AllowanceLedger | None]:
+        return self.old if front.is_old else (self.holder, self.ledger)
+
     def set_limits(self, limits: dict[str, Quota]) -> None:
         """Change the configuration; instances know it within two seconds."""
         self.limits = dict(limits)
@@ -184,33 +209,36 @@
     # Messages.
 
     def reaches(self, front: Front, *, to_holder: bool) -> bool:
-        if front.name == self.holder:
+        if front.name == self.holder_of(front)[0]:
             return True
         return not front.cut and (to_holder or not front.deaf)
 
     def tick(self) -> None:
         """Reports of all instances reach the holder, which lists the instances."""
         self.at(self.now + TICK_S, self.tick)
-        if self.ledger is not None:
-            self.ledger.check_silent(self.now)
+        for ledger in (self.ledger, self.old[1]):
+            if ledger is not None:
+                ledger.check_silent(self.now)
         for front in self.fronts.values():
             self.on(front, partial(self.flush, front))
 
     def hint(self) -> None:
         self.at(self.now + HINT_S, self.hint)
-        if self.ledger is None or self.fronts[self.holder].frozen:
-            return
         for front in self.fronts.values():
+            holder, ledger = self.holder_of(front)
+            if ledger is None or self.fronts[holder].frozen:
+                continue
             if not front.up or self.rng.random() < self.network.loss:
                 continue
             if not front.frozen and self.reaches(front, to_holder=True):
-                self.ledger.record_heard(self.now, (front.name,))
+                ledger.record_heard(self.now, (front.name,))
             if self.reaches(front, to_holder=False):
                 self.on(front, partial(self.take_hint, front))
 
     def take_hint(self, front: Front) -> None:
         front.allowance.record_holder(self.now)
-        heard = self.ledger.members if self.ledger is not None else ()
+        ledger = self.holder_of(front)[1]
+        heard = ledger.members if ledger is not None else ()
         if front.heard != len(heard):
             front.heard = len(heard)
             front.allowance.set_instances(self.now, heard)
@@ -231,7 +259,7 @@
         request = front.allowance.request(self.now)
         if request is None:
             return
-        if front.name == self.holder:
+        if front.name == self.holder_of(front)[0]:
             self.deliver_request(front, request)
             return
         hint = AllowanceWanted(front.name, request)
@@ -247,12 +275,13 @@
                 self.at(self.now + self.rng.uniform(*self.network.delay_s), call)
 
     def deliver_request(self, front: Front, request: AllowanceRequest) -> None:
-        if self.ledger is None:
+        name, ledger = self.holder_of(front)
+        if ledger is None:
             return
-        ledger, holder = self.ledger, self.fronts[self.holder]
+        holder = self.fronts[name]
 
         def handle() -> None:
-            if ledger is not self.ledger:
+            if ledger not in (self.ledger, self.old[1]):
                 return
             reply = ledger.handle(self.now, front.name, request)
             if reply is None:
--- a/tests/platform/test_quota_exchange.py
+++ b/tests/platform/test_quota_exchange.py
@@ -81,7 +81,7 @@
 @asynccontextmanager
 async def quota_fleet(
     server: FakePlainServer, count: int = 3
-) -> AsyncIterator[list[PlatformApp]]:
+) -> AsyncIterator[tuple[FakeStore, list[PlatformApp]]]:
     await server.start()
     store = FakeStore()
     await store.start()
@@ -97,7 +97,7 @@
     try:
         await wait_until(lambda: all(app.catalog.is_loaded for app in apps))
         await wait_until(lambda: all(len(app.peers.members) == count for app in apps))
-        yield apps
+        yield store, apps
     finally:
         for app in apps:
             await app.on_stop()
@@ -144,7 +144,7 @@
 
 async def test_team_gets_its_quota_and_no_more_from_all_instances_together():
     server = SwiftServer("i-1")
-    async with quota_fleet(server) as apps:
+    async with quota_fleet(server) as (_, apps):
         results = await call_all(apps, 3 * RATE_PER_S, 9.0)
         assert server.most_in_window() <= ALLOWED
         assert len(server.times) > 0.8 * RATE_PER_S * 9.0
@@ -160,7 +160,7 @@
 
 async def test_team_gets_its_quota_at_one_instance_that_is_not_the_holder():
     server = SwiftServer("i-1")
-    async with quota_fleet(server) as apps:
+    async with quota_fleet(server) as (_, apps):
         await wait_until(lambda: any(x.placement_controller.holds_lease for x in apps))
         others = [app for app in apps if not app.placement_controller.holds_lease]
         await wait_until(lambda: others[0].fleet.holder_address)
@@ -172,7 +172,7 @@
 
 async def test_team_goes_on_after_the_holder_has_ended():
     server = SwiftServer("i-1")
-    async with quota_fleet(server) as apps:
+    async with quota_fleet(server) as (_, apps):
         await wait_until(lambda: any(x.placement_controller.holds_lease for x in apps))
         holder = next(x for x in apps if x.placement_controller.holds_lease)
         others = [app for app in apps if app is not holder]
@@ -186,6 +186,20 @@
         apps.remove(holder)
 
 
+async def test_team_goes_on_while_the_store_does_not_answer():
+    """The lease ends after a second, but the instances still hear its last holder."""
+    server = SwiftServer("i-1")
+    async with quota_fleet(server) as (store, apps):
+        await wait_until(lambda: any(x.placement_controller.holds_lease for x in apps))
+        others = [app for app in apps if not app.placement_controller.holds_lease]
+        await call_all(others[:1], RATE_PER_S / 2, 1.0)
+        store.mode = "down"
+        await asyncio.sleep(2.0)
+        results = await call_all(others[:1], RATE_PER_S / 1.8, 3.0)
+        store.mode = "ok"
+        assert [status for status, _, _ in results] == [200] * len(results)
+
+
 def amounts(site: Harness) -> float:
     """Return what the one instance, which is the holder, may still use."""
     exchange = site.app.quota_exchange
--- a/tests/test_allowance.py
+++ b/tests/test_allowance.py
@@ -70,6 +70,9 @@
         fleet.freeze(fleet.holder, fault.for_s)
     elif fault.kind == "holder" and fleet.holder and others:
         fleet.lose_holder(others[-1].name)
+    elif fault.kind == "split" and fleet.holder and others:
+        fleet.split(fault.every, others[-1].name)
+        fleet.at(fleet.now + fault.for_s, fleet.join)
     elif fault.kind in FACTORS:
         factor = FACTORS[fault.kind]
         changed = {
@@ -102,7 +105,7 @@
         fleet.spread(team, excess * limit.rate_per_s, names, fleet.now, until)
 
 
-FAULTS = (*FRONT_FAULTS, "freeze_holder", "add", "holder")
+FAULTS = (*FRONT_FAULTS, "freeze_holder", "add", "holder", "split")
 
 
 def run_faults(fleet: AllowanceFleet, faults: list[Fault], until: float) -> None:
@@ -234,6 +237,22 @@
     assert fleet.refused["large"] - refused < 0.05 * (fleet.offered["large"] - offered)
 
 
+def test_teams_are_served_as_before_while_no_store_answers():
+    """The lease ends then, but its last holder is still heard by all."""
+    fleet = AllowanceFleet(91, LIMITS, 3)
+    fleet.run(5.0)
+    load(fleet, USUAL, 25.0, hot=True)
+    fleet.run(12.0)
+    refused = dict(fleet.refused)
+    assert fleet.ledger is not None
+    fleet.ledger.distrust(fleet.now)
+    fleet.run(13.5)
+    refused = dict(fleet.refused)
+    fleet.run(25.0)
+    for team in LIMITS:
+        assert fleet.refused[team] - refused[team] <= 0.01 * fleet.offered[team]
+
+
 # Single components.
 
 
