--- a/src/wisterialoom/platform/hint_codec.py
+++ b/src/wisterialoom/platform/hint_codec.py
@@ -30,6 +30,8 @@
     read_text,
 )
 from wisterialoom.platform.hints import (
+    AllowanceGranted,
+    AllowanceWanted,
     BrittleRejection,
     COMPRESSION_LEVEL,
     ConfigCopy,
@@ -47,6 +49,7 @@
     PlacementChange,
     PlacementHint,
     PlacementWanted,
+    QuotaHint,
     Released,
     ServerHint,
     ServerLimit,
@@ -61,6 +64,11 @@
     VersionHint,
     VersionsWanted,
 )
+from wisterialoom.platform.quota_codec import (
+    decode_quota_hint,
+    encode_quota_hint,
+    QUOTA_KINDS,
+)
 from wisterialoom.platform.version_codec import (
     decode_version_hint,
     encode_version_hint,
@@ -69,8 +77,19 @@
 
 __all__ = ["decode_hint", "encode_hint"]
 
-SERVER_KINDS = ("b", "x", "l", "lw", "lg", "tq", "ta", *CRASH_KINDS, *VERSION_KINDS)
-"""Kinds of messages about what an instance knows of servers."""
+SERVER_KINDS = (
+    "b",
+    "x",
+    "l",
+    "lw",
+    "lg",
+    "tq",
+    "ta",
+    *CRASH_KINDS,
+    *QUOTA_KINDS,
+    *VERSION_KINDS,
+)
+"""Kinds of messages with the name of an instance and one more field."""
 
 KINDS = frozenset({"r", "d", "n", "w", "c", "s", "v", "q", "u", "p", *SERVER_KINDS})
 """All kinds of messages; instances of later versions may send others."""
@@ -132,7 +151,9 @@
         case PlacementWanted():
             item = ["q", hint.instance]
         case (
-            BrittleRejection()
+            AllowanceGranted()
+            | AllowanceWanted()
+            | BrittleRejection()
             | CrashHint()
             | KeysAnswer()
             | KeysQuestion()
@@ -299,8 +320,12 @@
     )
 
 
-def _encode_server_hint(hint: ServerHint | VersionHint | KeyHint) -> list[Any]:
+def _encode_server_hint(
+    hint: ServerHint | VersionHint | KeyHint | QuotaHint,
+) -> list[Any]:
     match hint:
+        case AllowanceGranted() | AllowanceWanted():
+            return encode_quota_hint(hint)
         case KeysQuestion():
             return ["tq", hint.instance, [hint.serial]]
         case KeysAnswer():
@@ -335,7 +360,9 @@
 
 def _decode_server_hint(
     kind: str, instance: str, items: Any
-) -> ServerHint | VersionHint | KeyHint:
+) -> ServerHint | VersionHint | KeyHint | QuotaHint:
+    if kind in QUOTA_KINDS:
+        return decode_quota_hint(kind, instance, items)
     if kind in VERSION_KINDS:
         return decode_version_hint(kind, instance, items)
     if kind == "tq":
