Apply the configured limit on request heads, and forward encoded bodies

A request with a header field of over 8,190 bytes got 400 although the configuration allows 16,384 bytes, and maxHeaderBytes had no effect at all. A body with Content-Encoding was decoded and sent on with that header, so that servers could not decode it; one that is not valid gzip got 400.

The limits of the parser are set when the listener starts. They are now an upper bound of 64 KB, and the limit of the configuration in force is applied to each request, with 431. The parser limits single fields only, so a connection on which an incomplete head grows beyond the limit gets 431 and is closed: a head takes at most the limit and one read, where 128 fields of 8,190 bytes were possible. The number of fields follows from the bytes. The listener does not decode bodies any more.

--- a/src/wisterialoom/platform/app.py
+++ b/src/wisterialoom/platform/app.py
@@ -18,6 +18,7 @@
 from wisterialoom.core.serving.dispatcher import Dispatcher
 from wisterialoom.core.serving.helper_choice import HelperChoice
 from wisterialoom.core.serving.retry_budget import RetryLimits
+from wisterialoom.core.serving.routing import IngressLimits
 from wisterialoom.platform._tasks import restart_counts, TaskGroup
 from wisterialoom.platform.attempt import trace_connections
 from wisterialoom.platform.catalog import Catalog
@@ -27,6 +28,7 @@
 from wisterialoom.platform.helper_server import HelperServer
 from wisterialoom.platform.ingress import Ingress, Signal
 from wisterialoom.platform.limit_exchange import LimitExchange
+from wisterialoom.platform.listener import LimitedServer, MAX_HEAD_BYTES
 from wisterialoom.platform.log import dropped_line_counts
 from wisterialoom.platform.metrics import PlatformMetrics
 from wisterialoom.platform.orders import OrderClient
@@ -69,6 +71,9 @@
 SETTINGS_CHECK_S = 1.0
 """Interval between checks of the settings file; changes are rare and not urgent."""
 
+EXTRA_HEAD_BYTES = 2_048
+"""Size of the headers that an instance adds when it asks another one for help."""
+
 TICK_S = 0.25
 """Interval between checks for missing servers, timed-out members and new settings."""
 
@@ -565,17 +570,24 @@
     ) -> None:
         host, _, port = address.rpartition(":")
         hide_request_bytes()
-        server = web.Server(
-            handler,
-            handler_cancellation=True,
-            keepalive_timeout=CALLER_KEEPALIVE_S,
-            access_log=None,
+        server = LimitedServer(
+            handler, self._max_head_bytes, keepalive_timeout=CALLER_KEEPALIVE_S
         )
         runner = web.ServerRunner(server, shutdown_timeout=0.1)
         await runner.setup()
         await web.TCPSite(runner, host, int(port), backlog=1024).start()
         self.runners.append(runner)
 
+    def _max_head_bytes(self) -> int:
+        """Return the size of a request's head above which its connection is closed.
+
+        Callers get an answer at the configured limit. Requests of other instances have
+        a few headers more.
+        """
+        deployment = self.dispatcher.deployment
+        limits = deployment.limits if deployment is not None else IngressLimits()
+        return min(MAX_HEAD_BYTES, limits.max_header_bytes + EXTRA_HEAD_BYTES)
+
     def _session(self, connector: TCPConnector) -> ClientSession:
         session = ClientSession(
             connector=connector,
--- a/src/wisterialoom/platform/ingress.py
+++ b/src/wisterialoom/platform/ingress.py
@@ -25,6 +25,7 @@
     read_profile,
     RESUMES,
 )
+from wisterialoom.platform.listener import head_bytes, MAX_HEAD_BYTES
 from wisterialoom.platform.log import age_ms
 from wisterialoom.platform.team_gate import TeamGate
 
@@ -224,6 +225,12 @@
         if self.refusing:
             exchange.respond(503, "stopping", 0.0)
             return self._final(exchange)
+        if head_bytes(request) > min(
+            MAX_HEAD_BYTES, deployment.limits.max_header_bytes
+        ):
+            exchange.closing = True
+            exchange.respond(431, "the header is too large; send a smaller one")
+            return self._final(exchange)
         host = request.headers.get("Host", "").partition(":")[0]
         path = request.raw_path.partition("?")[0]
         route = deployment.find_route(host, path)
--- a/tests/platform/fakes.py
+++ b/tests/platform/fakes.py
@@ -543,7 +543,15 @@
     An instance of another process may still call the port of a server that has ended,
     which the system then gives to the next one.
     """
-    runner = web.AppRunner(app, handler_cancellation=True, shutdown_timeout=0.1)
+    runner = web.AppRunner(
+        app,
+        handler_cancellation=True,
+        shutdown_timeout=0.1,
+        max_field_size=65_536,
+        max_line_size=65_536,
+        max_headers=16_384,
+        auto_decompress=False,
+    )
     await runner.setup()
     host = f"{own_block()}.255"
     site = web.TCPSite(runner, host, 0)
