Forward the question mark of an empty query

A request for /x? reached the server as /x, which some servers tell apart.

Cause: a URL object does not keep an empty query. The whole target is now passed as the path of the URL, which the client writes as it is. Other targets were sent unchanged before and are now.

--- a/src/wisterialoom/platform/attempt.py
+++ b/src/wisterialoom/platform/attempt.py
@@ -10,7 +10,6 @@
 
 import aiohttp
 from aiohttp import TraceConfig
-from yarl import URL
 
 from wisterialoom.bounded_read import read_bounded
 from wisterialoom.core.serving.request_flow import AttemptResult, AttemptVerdict
@@ -27,7 +26,7 @@
     request_headers,
     SERVER_ID,
 )
-from wisterialoom.platform.server_call import call_server
+from wisterialoom.platform.server_call import call_server, server_url
 from wisterialoom.retry_after import RETRY_AFTER
 from wisterialoom.tracked_response import read_piece
 
@@ -172,7 +171,7 @@
             headers.append((HELP_FOR, self.step.server_id))
             if not profile.route.idempotent:
                 headers.append((HELP_ONCE, "1"))
-        url = URL(f"http://{address}{exchange.target}", encoded=True)
+        url = server_url(address, exchange.target)
         method = exchange.request.method
         request = call_server(
             session, method, url, exchange.body, headers, context=self
--- a/src/wisterialoom/platform/helper_server.py
+++ b/src/wisterialoom/platform/helper_server.py
@@ -10,7 +10,6 @@
 
 import aiohttp
 from aiohttp import web
-from yarl import URL
 
 from wisterialoom.no_resend import was_never_sent
 from wisterialoom.platform.headers import (
@@ -24,7 +23,7 @@
     read_notice,
     SERVER_ID,
 )
-from wisterialoom.platform.server_call import call_server
+from wisterialoom.platform.server_call import call_server, server_url
 from wisterialoom.retry_after import RETRY_AFTER
 from wisterialoom.tracked_response import read_piece
 
@@ -138,7 +137,7 @@
             for name, value in request.headers.items()
             if name.lower() not in dropped
         ]
-        url = URL(f"http://{address}{request.raw_path}", encoded=True)
+        url = server_url(address, request.raw_path)
         try:
             response = await call_server(session, request.method, url, body, headers)
         except (aiohttp.ClientError, OSError) as error:
--- a/src/wisterialoom/platform/server_call.py
+++ b/src/wisterialoom/platform/server_call.py
@@ -5,6 +5,7 @@
 from typing import TYPE_CHECKING
 
 from aiohttp import ClientTimeout
+from yarl import URL
 
 from wisterialoom.no_resend import no_resend
 
@@ -12,14 +13,25 @@
     from collections.abc import Awaitable
 
     from aiohttp import ClientResponse, ClientSession
-    from yarl import URL
 
-__all__ = ["CONNECT_TIMEOUT_S", "call_server"]
+__all__ = ["CONNECT_TIMEOUT_S", "call_server", "server_url"]
 
 CONNECT_TIMEOUT_S = 0.25
 """Connect timeout; about twenty round trips between availability zones."""
 
 
+def server_url(address: str, target: str) -> URL:
+    """Return the URL of a target, which is sent as it is.
+
+    Args:
+        address: `IP:port` of the server.
+        target: Path and query. As a URL has no empty query, all of it is the path.
+    """
+    if not target.startswith("/"):
+        return URL(f"http://{address}{target}", encoded=True)
+    return URL.build(scheme="http", authority=address, path=target, encoded=True)
+
+
 def call_server(
     session: ClientSession,
     method: str,
--- a/tests/platform/fakes.py
+++ b/tests/platform/fakes.py
@@ -527,7 +527,7 @@
         return web.Response(
             status=self.status,
             headers={**common, "Response-Stamp": f"stamp.{self.server_id}"},
-            body=f"{request.method} {request.path_qs}".encode(),
+            body=f"{request.method} {request.raw_path}".encode(),
         )
 
 
--- a/tests/platform/test_request_heads.py
+++ b/tests/platform/test_request_heads.py
@@ -32,6 +32,15 @@
 )
 
 
+@pytest.mark.parametrize("target", [b"x?", b"?", b"x?a=1?", b"x?&", b"x?%20=#f"])
+async def test_query_is_forwarded_unchanged(target: bytes):
+    """The question mark of an empty query was dropped."""
+    async with harness(FakePlainServer("i-1")) as site:
+        status, answer = await send(site, HEAD % target, b"Content-Length: 0\r\n\r\n")
+        assert status == 200
+        assert answer.endswith(b"POST /deposit/" + target)
+
+
 @pytest.mark.parametrize(
     "body", [gzip.compress(b"x" * 500, mtime=0), b"no gzip"], ids=["gzip", "other"]
 )
