--- a/src/wisterialoom/platform/app.py
+++ b/src/wisterialoom/platform/app.py
@@ -12,6 +12,7 @@
 
 from aiohttp import ClientSession, DummyCookieJar, web
 
+from wisterialoom.caller_connection import CallerServer, stop_listening, wait_until_sent
 from wisterialoom.core.fleet import PlacementLease
 from wisterialoom.core.request_limit import ASSUMED_INSTANCES, LimitShares
 from wisterialoom.core.serving.balancer import Balancer
@@ -27,6 +28,7 @@
 from wisterialoom.platform.headers import ATTEMPT_ID
 from wisterialoom.platform.helper_server import HelperServer
 from wisterialoom.platform.ingress import Ingress, Signal
+from wisterialoom.platform.key_exchange import KeyExchange
 from wisterialoom.platform.limit_exchange import LimitExchange
 from wisterialoom.platform.listener import LimitedServer, MAX_HEAD_BYTES
 from wisterialoom.platform.log import dropped_line_counts
@@ -90,6 +92,12 @@
 END_AFTER_GRACE_SHARE = 0.88
 """Fraction of the grace period after which the requests in progress are ended."""
 
+SENT_AFTER_GRACE_SHARE = 0.94
+"""Fraction of the grace period for which callers may read the rest of their answers."""
+
+LAST_REQUESTS_S = 0.3
+"""Time for the answers to requests that arrive as the listener is closed."""
+
 
 START_SPREAD_S = 0.3
 """Time over which instances read the placement lease at the first start of the system.
@@ -113,6 +121,8 @@
             0 before the first check.
         settings_due: Monotonic time of the next check of the settings file.
         runners: Listeners for callers, readiness checks and metrics.
+        front_server: Connections of callers.
+        peer_server: Connections of other instances.
         sessions: HTTP client sessions to close at the end.
         tasks: Background tasks.
         catalog: Configuration and backend servers, as read from the store.
@@ -120,6 +130,7 @@
             the lease, orders loads and unloads of models.
         fleet: Members, demand and placement.
         relay: Distributes the store's contents among instances.
+        key_exchange: Messages about the age of the configuration.
         peers: Datagrams between instances.
         path_prober: Probes servers that this instance may not reach.
         helper_server: Passes requests of other instances on.
@@ -152,12 +163,15 @@
         self.settings_changed_at = 0
         self.settings_due = 0.0
         self.runners: list[web.ServerRunner] = []
+        self.front_server: CallerServer
+        self.peer_server: CallerServer
         self.sessions: list[ClientSession] = []
         self.tasks = TaskGroup()
         self.catalog: Catalog
         self.placement_controller: PlacementController
         self.fleet: Fleet
         self.relay: Relay
+        self.key_exchange: KeyExchange
         self.peers: PeerLink
         self.limit_exchange: LimitExchange
         self.crash_exchange: CrashExchange
@@ -238,7 +252,7 @@
                 f"{settings.ip}:{settings.metrics_port}", self.metrics.answer
             )
         await self._listen(settings.ready, self.answer_ready)
-        await self._listen(settings.front, self.ingress.handle)
+        self.front_server = await self._listen(settings.front, self.ingress.handle)
         self.catalog.start()
         self.tasks.supervise("tick", self._tick)
         logger.info("started", extra={"front": settings.front})
@@ -299,6 +313,18 @@
             link=settings.link,
         )
         fleet.relay = self.relay
+        self.key_exchange = KeyExchange(
+            settings.instance,
+            self.catalog,
+            peers,
+            lambda: self.settings.bounds,
+            lambda: list(self.relay.role.watchers),
+            fleet.holder_to_ask,
+            lambda: self.relay.heard_version,
+            first_start=settings.first_start,
+        )
+        fleet.key_exchange = self.key_exchange
+        self.ingress.team_gate.can_vouch = self.key_exchange.can_vouch
         self.limit_exchange = LimitExchange(
             settings.instance, peers, self.dispatcher, self.signal.wake
         )
@@ -331,7 +357,7 @@
             self.path_prober.record_not_opened,
             self.path_prober.record_doubt,
         )
-        await self._listen(
+        self.peer_server = await self._listen(
             f"{settings.ip}:{settings.peer_port}", self.helper_server.handle
         )
         self.peers = peers
@@ -339,6 +365,7 @@
         await peers.start(settings.ip)
         fleet.start()
         self.relay.start()
+        self.key_exchange.start()
         self.limit_exchange.start()
         self.crash_exchange.start()
         self.stream_exchange.start()
@@ -461,6 +488,35 @@
             "Configuration in force.",
             lambda: self.catalog.config_version,
         )
+        metrics.labeled_counter(
+            "team_checks_total",
+            "API keys checked at arrival.",
+            "result",
+            lambda: self.ingress.team_gate.counts,
+        )
+        metrics.labeled_counter(
+            "team_late_refusals_total",
+            "Requests refused before a send by their API keys.",
+            "result",
+            lambda: self.ingress.team_gate.late_counts,
+        )
+        metrics.labeled_counter(
+            "key_questions_total",
+            "Messages about the age of the configuration.",
+            "event",
+            lambda: self.key_exchange.counts,
+        )
+        metrics.gauge("teams", "Teams of the configuration.", self._count_teams)
+        metrics.gauge(
+            "keys_accepted",
+            "Whether the configuration is new enough for its API keys.",
+            lambda: self.ingress.team_gate.is_vouching,
+        )
+        metrics.gauge(
+            "keys_age_seconds",
+            "Since the configuration was certainly the newest.",
+            self.key_exchange.age_s,
+        )
         metrics.gauge(
             "config_age_seconds",
             "Since the configuration was known to be current.",
@@ -472,9 +528,17 @@
             lambda: time.monotonic() - self.catalog.current_at,
         )
 
+    def _count_teams(self) -> int:
+        deployment = self.dispatcher.deployment
+        return len(deployment.teams.by_name) if deployment is not None else 0
+
     async def answer_ready(self, _: web.BaseRequest) -> web.StreamResponse:
         """Answer the platform's readiness check."""
-        ready = self.catalog.is_loaded and not self.ingress.draining
+        ready = (
+            self.catalog.is_loaded
+            and self.ingress.team_gate.is_vouching
+            and not self.ingress.draining
+        )
         return web.Response(status=200 if ready else 503)
 
     def on_reload(self) -> None:
@@ -520,21 +584,22 @@
         await self.placement_controller.stop()
         started = time.monotonic()
         grace_s = self.settings.bounds.grace_s
+        servers = (self.front_server, self.peer_server)
         logger.info("draining", extra={"active": self.ingress.active})
         await asyncio.sleep(min(REFUSE_AFTER_S, REFUSE_AFTER_GRACE_SHARE * grace_s))
         self.ingress.refuse_new()
         self.helper_server.stopping = True
         limit = started + END_AFTER_GRACE_SHARE * grace_s
-        while self.active and time.monotonic() < limit:
-            await asyncio.sleep(0.05)
+        await wait_until_sent(servers, limit)
         logger.info("ending requests", extra={"active": self.ingress.active})
         self.ingress.end_all()
-        await asyncio.sleep(0.1)
-
-    @property
-    def active(self) -> int:
-        """Requests in progress, those of other instances included."""
-        return self.ingress.active + self.helper_server.active
+        limit = started + SENT_AFTER_GRACE_SHARE * grace_s
+        await wait_until_sent(servers, limit)
+        for runner in self.runners:
+            if runner.server is self.front_server:
+                await stop_listening(runner)
+        limit = min(limit, time.monotonic() + LAST_REQUESTS_S)
+        await wait_until_sent(servers, limit)
 
     async def on_stop(self) -> None:
         """Stop all components and close listeners and sessions."""
@@ -543,6 +608,7 @@
         await self.placement_controller.stop()
         await self.fleet.stop()
         await self.relay.stop()
+        await self.key_exchange.stop()
         await self.limit_exchange.stop()
         await self.crash_exchange.stop()
         await self.stream_exchange.stop()
@@ -567,7 +633,7 @@
         self,
         address: str,
         handler: Callable[[web.BaseRequest], Awaitable[web.StreamResponse]],
-    ) -> None:
+    ) -> CallerServer:
         host, _, port = address.rpartition(":")
         hide_request_bytes()
         server = LimitedServer(
@@ -577,6 +643,7 @@
         await runner.setup()
         await web.TCPSite(runner, host, int(port), backlog=1024).start()
         self.runners.append(runner)
+        return server
 
     def _max_head_bytes(self) -> int:
         """Return the size of a request's head above which its connection is closed.
--- a/src/wisterialoom/platform/listener.py
+++ b/src/wisterialoom/platform/listener.py
@@ -4,13 +4,12 @@
 
 from typing import TYPE_CHECKING
 
-from aiohttp import web
-from aiohttp.web_protocol import RequestHandler
+from wisterialoom.caller_connection import CallerConnection, CallerServer
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
-    from aiohttp import StreamReader
+    from aiohttp import StreamReader, web
 
 __all__ = ["LimitedServer", "MAX_HEAD_BYTES", "head_bytes"]
 
@@ -35,7 +34,7 @@
     )
 
 
-class LimitedServer(web.Server):
+class LimitedServer(CallerServer):
     """Creates a `LimitedHandler` for each connection.
 
     Attributes:
@@ -58,7 +57,7 @@
         return LimitedHandler(self, self.get_limit, self.keepalive_timeout)
 
 
-class LimitedHandler(RequestHandler):
+class LimitedHandler(CallerConnection):
     """Closes a connection on which a head grows beyond the limit.
 
     The parser limits single fields only, so that a head could take a thousand times as
