Let streams that have begun go before new ones

Such a stream may go on only at servers of its version, but it queued there like a new stream, which may begin anywhere, and was refused after half of the time to its first event. It now has urgency 0 at the server, the next slot of a full server is kept for it at its instance, and it waits until its own deadline; a stream with output waits until the deadline of the whole answer. Servers are chosen as before, so no stream is joined from two versions.

Ruled out: keeping slots free in advance, which costs new streams while nothing has broken off.

--- a/src/wisterialoom/core/serving/backend.py
+++ b/src/wisterialoom/core/serving/backend.py
@@ -91,6 +91,8 @@
         placement_count: Order count at which `models` was valid.
         full_until: Monotonic time until which the server gets no request because it
             refused one as full.
+        kept_until: Monotonic time until which free slots are kept for streams that
+            have begun and can go on at few servers.
         notices: What this start of the server has said about itself in answers.
         relayed: Whether requests go through another instance, as the server is not
             reached directly.
@@ -112,6 +114,7 @@
     unloading: frozenset[str] = frozenset()
     placement_count: int = -1
     full_until: float = float("-inf")
+    kept_until: float = float("-inf")
     notices: StartNotices = field(default_factory=StartNotices)
     relayed: bool = False
     is_lone: bool = False
--- a/src/wisterialoom/core/serving/capacity_wait.py
+++ b/src/wisterialoom/core/serving/capacity_wait.py
@@ -1,4 +1,9 @@
-"""How long a request waits for capacity when every server that could run it is full."""
+"""How long a request waits for capacity when every server that could run it is full.
+
+The load that this answers: servers of one software version crash, and all callers of
+the broken streams take them up within a second at the few servers of that version,
+while new streams may begin at any server.
+"""
 
 from __future__ import annotations
 
@@ -8,6 +13,7 @@
     GiveUpReason,
     MAX_RECHECK_S,
     MIN_RECHECK_S,
+    MIN_RUN_S,
     Wait,
 )
 
@@ -28,6 +34,7 @@
     *,
     can_move: bool,
     ahead: int,
+    until: float | None = None,
 ) -> Wait | GiveUpReason:
     """Decide whether a request waits for a server that is full or ejected.
 
@@ -37,11 +44,17 @@
         pool: Servers that have its model resident; each is full or ejected.
         can_move: Whether another server could load the model.
         ahead: Requests that wait for the same model already.
+        until: Monotonic time up to which a stream that has begun waits; `None` for
+            other requests, which try again rather than wait for long.
 
     Returns:
         How long to wait, or the reason for refusing the request.
     """
     retry_at = max(now + MIN_RECHECK_S, min(view.free_at(now) for view in pool))
+    if until is not None:
+        if retry_at > until - MIN_RUN_S:
+            return GiveUpReason.FULL
+        return Wait(min(retry_at, now + MAX_RECHECK_S))
     turns_per_s = sum(view.limit.rate(now) for view in pool)
     late_at = retry_at + ahead / turns_per_s
     max_wait_s = CAPACITY_WAIT_SHARE * (profile.first_output_deadline - profile.arrived)
--- a/src/wisterialoom/core/serving/dispatcher.py
+++ b/src/wisterialoom/core/serving/dispatcher.py
@@ -16,7 +16,6 @@
 from wisterialoom.core.serving.capacity_wait import wait_for_capacity
 from wisterialoom.core.serving.forecast import PlacementForecast
 from wisterialoom.core.serving.model_wait import (
-    MIN_RUN_S,
     wait_for_model,
     wait_for_same_server,
 )
@@ -25,6 +24,8 @@
     AttemptVerdict,
     GiveUp,
     GiveUpReason,
+    MIN_RECHECK_S,
+    MIN_RUN_S,
     RequestFlow,
     RequestProfile,
     Send,
@@ -246,10 +247,15 @@
                 decided = wait_for_same_server(now, flow, candidates)
             else:
                 decided = wait_for_model(
-                    now, profile, engine, self.forecast, candidates
+                    now,
+                    profile,
+                    engine,
+                    self.forecast,
+                    candidates,
+                    flow.waits_until,
                 )
             return self.resolve_wait(now, flow, decided)
-        free = [view for view in pool if self.is_free(now, view)]
+        free = self.free_for(now, flow, pool)
         if not free:
             for view in pool:
                 if not view.limit.allows(now):
@@ -260,7 +266,9 @@
                 pool,
                 can_move=engine is not None and self.can_move(now, candidates),
                 ahead=0 if flow.waiting else self.waiting.get(profile.resource, 0),
+                until=flow.waits_until,
             )
+            self.keep_slots(flow, pool, decided)
             if decided is GiveUpReason.FULL:
                 # Another try may go to a server that this request may not be sent to.
                 others = self.holders(now, profile, self.open_views(profile.service))
@@ -412,9 +420,39 @@
             flow.servers.append(view.server.id)
             flow.software_versions.append(view.server.software_version)
         urgency = min(MAX_URGENCY, max(0, profile.priority))
+        if flow.waits_until is not None:
+            # Its caller loses what it has got if the stream does not go on.
+            urgency = 0
         via = self.ways.helpers.address(flow.in_flight_via)
         return Send(view.server.id, view.server.address, urgency, via)
 
+    def free_for(
+        self, now: float, flow: RequestFlow, pool: list[BackendView]
+    ) -> list[BackendView]:
+        """Return the servers of a pool that can take a request now.
+
+        Slots that are kept for streams that have begun are not free for others.
+        """
+        has_begun = flow.waits_until is not None
+        return [
+            view
+            for view in pool
+            if self.is_free(now, view) and (has_begun or now >= view.kept_until)
+        ]
+
+    def keep_slots(
+        self, flow: RequestFlow, pool: list[BackendView], decided: Wait | GiveUpReason
+    ) -> None:
+        """Keep the next free slots of servers for a waiting stream that has begun.
+
+        New requests can go to servers of any version. The stream renews this while it
+        waits, so no slot is kept for long once it has gone.
+        """
+        if flow.waits_until is None or not isinstance(decided, Wait):
+            return
+        for view in pool:
+            view.kept_until = max(view.kept_until, decided.until + MIN_RECHECK_S)
+
     def resolve_wait(
         self, now: float, flow: RequestFlow, decided: Wait | GiveUpReason
     ) -> Step:
--- a/src/wisterialoom/core/serving/model_wait.py
+++ b/src/wisterialoom/core/serving/model_wait.py
@@ -8,6 +8,7 @@
     GiveUpReason,
     MAX_RECHECK_S,
     MIN_RECHECK_S,
+    MIN_RUN_S,
     Wait,
 )
 
@@ -19,9 +20,6 @@
 
 __all__ = ["MIN_RUN_S", "wait_for_model", "wait_for_same_server"]
 
-MIN_RUN_S = 0.05
-"""Minimum time that a backend server needs to begin an answer, in seconds."""
-
 UNPLANNED_SHARE = 0.5
 """Fraction of the time until the first output is due after which a request for a model
 without a planned load is refused at the earliest. The caller's next attempt then
@@ -42,6 +40,7 @@
     engine: EngineProfile,
     forecast: PlacementForecast,
     candidates: list[BackendView],
+    until: float | None = None,
 ) -> Wait | GiveUpReason:
     """Decide whether a request waits for its model or adapter to be loaded.
 
@@ -54,10 +53,17 @@
         engine: Engine profile of its service.
         forecast: Forecast of the loads in progress.
         candidates: Servers that the request may still be sent to.
+        until: Monotonic time up to which a stream that has begun waits; `None` for
+            other requests, which try again rather than wait for long.
 
     Returns:
         How long to wait, or the reason for refusing the request.
     """
+    if until is not None:
+        # The forecast does not say at which software version a model is loaded.
+        if now > until - MIN_RUN_S:
+            return GiveUpReason.NO_MODEL
+        return Wait(min(until, now + MAX_RECHECK_S))
     ready_at = forecast.ready_at.get(profile.model)
     resident = any(
         profile.model in view.models and profile.model not in view.unloading
--- a/src/wisterialoom/core/serving/request_flow.py
+++ b/src/wisterialoom/core/serving/request_flow.py
@@ -16,6 +16,7 @@
     "GiveUpReason",
     "MAX_RECHECK_S",
     "MIN_RECHECK_S",
+    "MIN_RUN_S",
     "RequestFlow",
     "RequestProfile",
     "Send",
@@ -30,6 +31,10 @@
 """Minimum wait for a free slot; one step of a server's queue."""
 
 
+MIN_RUN_S = 0.05
+"""Minimum time that a backend server needs to begin an answer, in seconds."""
+
+
 class AttemptVerdict(enum.Enum):
     """How an attempt ended, and whether the request may have run."""
 
@@ -201,6 +206,7 @@
         stream_version: Software version that began the stream, which goes on at that
             version only; empty if it began at one that is not known, `None` before
             its first event.
+        has_output: Whether an event was passed on to the caller.
         trial_of: Held trait that the request tries again; empty if it does not.
         view_current_at: Monotonic time at which configuration and servers were known to
             be current when the request arrived.
@@ -223,9 +229,22 @@
     pending_prefill_tokens: int = 0
     output_begun: bool = False
     stream_version: str | None = None
+    has_output: bool = False
     trial_of: str = ""
     view_current_at: float = float("-inf")
 
+    @property
+    def waits_until(self) -> float | None:
+        """Monotonic time up to which a stream that has begun waits; `None` for others.
+
+        Its caller loses what it has got if the stream does not go on.
+        """
+        if not self.stream_version or not self.profile.route.resumable:
+            return None
+        if self.has_output:
+            return self.profile.answer_deadline
+        return self.profile.first_output_deadline
+
     @property
     def reached(self) -> int:
         """Number of servers that received the request, or may be receiving it now."""
--- a/src/wisterialoom/core/serving/stream_versions.py
+++ b/src/wisterialoom/core/serving/stream_versions.py
@@ -101,6 +101,7 @@
         profile = flow.profile
         if not profile.route.resumable:
             return
+        flow.has_output = True
         if flow.stream_version is None:
             flow.stream_version = flow.in_flight_version
         if flow.stream_version:
