Load models at the software version that streams wait for

Demand reports now name models that a stream waits for at a version none of whose servers has them, and the planner loads one copy at a server of that version. The name stands among the waiting ones in a form that lease holders of earlier versions take for an unknown model and ignore, as their decoder refuses further fields.

--- a/src/wisterialoom/core/placement/fleet_demand.py
+++ b/src/wisterialoom/core/placement/fleet_demand.py
@@ -5,7 +5,14 @@
 import math
 from dataclasses import dataclass, field
 
-__all__ = ["DemandReport", "FleetDemand"]
+__all__ = ["DemandReport", "FleetDemand", "version_key"]
+
+VERSION_MARK = "\0"
+"""Stands between a model and the software version at which it is wanted.
+
+Lease holders of earlier versions take the two for the name of an unknown model, and
+ignore it.
+"""
 
 REPORT_MAX_AGE_S = 2.5
 """Age above which an instance's waiting and running requests are ignored."""
@@ -21,7 +28,8 @@
     Attributes:
         instance: Name of the instance.
         boot: Identity of the instance's process.
-        waiting: Number of waiting requests, by model and adapter.
+        waiting: Number of waiting requests, by model and adapter; also, by
+            `version_key`, models that streams wait for which have begun at a version.
         arrivals: Number of requests since the start of the process, by model and
             adapter; contains only counts that changed recently.
         running: Requests in progress, by backend server, then model and adapter.
@@ -34,6 +42,11 @@
     running: dict[str, dict[str, int]]
 
 
+def version_key(model: str, version: str) -> str:
+    """Return the key of a model that is wanted at a software version."""
+    return f"{model}{VERSION_MARK}{version}"
+
+
 @dataclass
 class _InstanceDemand:
     """Last report of one instance, and the counts that were last added to the rates."""
@@ -69,6 +82,8 @@
             entry.arrivals = dict(report.arrivals)
             self.instances[report.instance] = entry
             for resource in report.waiting:
+                if VERSION_MARK in resource:
+                    continue
                 self._add(now, resource, 1)
             return
         entry.report = report
@@ -105,6 +120,22 @@
 
     def waiting(self, now: float) -> dict[str, int]:
         """Return the number of waiting requests, by model and adapter."""
+        return {
+            resource: count
+            for resource, count in self._waiting(now).items()
+            if VERSION_MARK not in resource
+        }
+
+    def wanted_versions(self, now: float) -> set[tuple[str, str]]:
+        """Return models that streams wait for, with the version that began them."""
+        found = set()
+        for resource in self._waiting(now):
+            model, mark, version = resource.partition(VERSION_MARK)
+            if mark:
+                found.add((model, version))
+        return found
+
+    def _waiting(self, now: float) -> dict[str, int]:
         found: dict[str, int] = {}
         for entry in self.instances.values():
             if now - entry.received_at > REPORT_MAX_AGE_S:
--- a/src/wisterialoom/core/placement/model_placer.py
+++ b/src/wisterialoom/core/placement/model_placer.py
@@ -112,6 +112,28 @@
             )
             self.place(model, self.best_candidate(model, warm_only=warm_only))
 
+    def place_at_versions(self) -> None:
+        """Load models that streams wait for at the version that began them.
+
+        Copies at servers of other versions are of no use to these streams.
+        """
+        reserved = self.context.planner.reserved
+        for model, version in sorted(
+            self.context.demand.wanted_versions(self.context.now)
+        ):
+            states = [
+                state
+                for state in self.context.states
+                if version and state.software_version == version
+            ]
+            is_coming = any(
+                model in self.context.kept_models(state) | {state.loading}
+                or reserved.get(state.server_id, ("", 0.0))[0] == model
+                for state in states
+            )
+            if model in self.context.engine.models and not is_coming:
+                self.place(model, self.best_candidate(model, states=states))
+
     def warm_server_free_soon(self, model: str) -> bool:
         """Return whether a server with a warm copy takes orders again soon."""
         return any(
@@ -157,17 +179,22 @@
                 return
 
     def best_candidate(
-        self, model: str, *, warm_only: bool = False
+        self,
+        model: str,
+        *,
+        warm_only: bool = False,
+        states: list[ServerState] | None = None,
     ) -> _Candidate | None:
         """Return the cheapest candidate for loading a model, if there is one.
 
         Args:
             model: Name of the model.
             warm_only: Consider only servers with a warm copy of the model.
+            states: Servers to consider; all if that is `None`.
         """
         candidates = [
             candidate
-            for state in self.context.states
+            for state in (self.context.states if states is None else states)
             if self.context.may_order(state)
             and model not in state.models
             and (not warm_only or self.context.planner.is_warm(state, model))
--- a/src/wisterialoom/core/placement/planner.py
+++ b/src/wisterialoom/core/placement/planner.py
@@ -6,6 +6,8 @@
   unloading others costs least.
 - Demand that shifts to other models: the number of copies follows within seconds.
 - Servers that fail: models that were resident only there are loaded elsewhere.
+- Streams that are taken up after a crash: their model is loaded at a server of the
+  software version that began them, whatever other versions have.
 """
 
 from __future__ import annotations
@@ -71,6 +73,7 @@
         adapters.place_adapters()
         models.place_reserved()
         models.add_copies(saturated_only=True)
+        models.place_at_versions()
         models.place_waiting()
         models.add_copies()
         adapters.prefetch_adapters()
--- a/src/wisterialoom/core/placement/server_state.py
+++ b/src/wisterialoom/core/placement/server_state.py
@@ -72,6 +72,7 @@
         report_due: Monotonic time from which a report is useful.
         loaded_at: Monotonic time at which each model or adapter was loaded.
         conflicts: Number of consecutive conflicts.
+        software_version: Version of the server's software; empty if it is not known.
         is_local_load: Whether the load in progress reads from host memory or disk.
     """
 
@@ -94,6 +95,7 @@
     loaded_at: dict[str, float] = field(default_factory=dict)
     conflicts: int = 0
     is_local_load: bool = False
+    software_version: str = ""
 
     @property
     def occupied(self) -> bool:
--- a/src/wisterialoom/core/serving/dispatcher.py
+++ b/src/wisterialoom/core/serving/dispatcher.py
@@ -11,6 +11,7 @@
 
 from wisterialoom.core.brittle_services import BrittleServices
 from wisterialoom.core.crash_watch import CrashWatch, InProgress
+from wisterialoom.core.placement.fleet_demand import version_key
 from wisterialoom.core.request_limit import LimitMemory, LimitShares
 from wisterialoom.core.serving.backend import BackendServer, BackendView
 from wisterialoom.core.serving.capacity_wait import wait_for_capacity
@@ -24,6 +25,7 @@
     AttemptVerdict,
     GiveUp,
     GiveUpReason,
+    MAX_RECHECK_S,
     MIN_RECHECK_S,
     MIN_RUN_S,
     RequestFlow,
@@ -79,6 +81,8 @@
         sharing_instances: Number of instances that share the fixed number of retries.
         forecast: Forecast of when models that are being loaded become resident.
         waiting: Number of waiting requests, by requested model and adapter.
+        wanted_until: Monotonic time until which a model counts as wanted at a software
+            version, by both.
         arrivals: Requests since the process started, by model and adapter.
         running_counts: Attempts in progress, by server, then model and adapter.
         in_progress: Requests with an attempt in progress, by identity.
@@ -99,6 +103,7 @@
     sharing_instances: int = 8
     forecast: PlacementForecast = field(default_factory=PlacementForecast)
     waiting: dict[str, int] = field(default_factory=dict)
+    wanted_until: dict[tuple[str, str], float] = field(default_factory=dict)
     arrivals: dict[str, int] = field(default_factory=dict)
     running_counts: dict[str, dict[str, int]] = field(default_factory=dict)
     in_progress: dict[int, RequestFlow] = field(default_factory=dict)
@@ -243,6 +248,7 @@
             return self.give_up(now, flow, GiveUpReason.NO_PATH)
         candidates, pool = pool, self.holders(now, profile, pool)
         if not pool and engine is not None:
+            self.want_at_version(flow, candidates, now)
             if flow.reached >= profile.route.max_attempts:
                 decided = wait_for_same_server(now, flow, candidates)
             else:
@@ -453,6 +459,28 @@
         for view in pool:
             view.kept_until = max(view.kept_until, decided.until + MIN_RECHECK_S)
 
+    def want_at_version(
+        self, flow: RequestFlow, candidates: list[BackendView], now: float
+    ) -> None:
+        """Record that no server of a stream's version has its model.
+
+        The stream renews this while it waits.
+        """
+        profile = flow.profile
+        if flow.waits_until is None or any(
+            view.is_resident(profile.model, "") for view in candidates
+        ):
+            return
+        key = (profile.model, flow.stream_version or "")
+        self.wanted_until[key] = now + 2 * MAX_RECHECK_S
+
+    def wanted_versions(self, now: float) -> dict[str, int]:
+        """Return the models that streams wait for at a version, for the planner."""
+        self.wanted_until = {
+            key: until for key, until in self.wanted_until.items() if now < until
+        }
+        return {version_key(*key): 1 for key in self.wanted_until}
+
     def resolve_wait(
         self, now: float, flow: RequestFlow, decided: Wait | GiveUpReason
     ) -> Step:
--- a/src/wisterialoom/platform/fleet.py
+++ b/src/wisterialoom/platform/fleet.py
@@ -340,7 +340,7 @@
         return DemandReport(
             instance=self.instance,
             boot=self.boot,
-            waiting=dict(self.dispatcher.waiting),
+            waiting=self.dispatcher.waiting | self.dispatcher.wanted_versions(now),
             arrivals=recent,
             running=self.dispatcher.running(),
         )
--- a/src/wisterialoom/platform/placement_controller.py
+++ b/src/wisterialoom/platform/placement_controller.py
@@ -283,6 +283,7 @@
             if state is None or state.started_ms != view.server.started_ms:
                 state = ServerState(server_id, view.server.started_ms)
                 self.states[server_id] = state
+            state.software_version = view.server.software_version
             state.settle(now)
             report_needed = state.needs_report or state.occupied
             if (
--- a/tests/test_placement_planner.py
+++ b/tests/test_placement_planner.py
@@ -6,7 +6,11 @@
 
 from hypothesis import given, strategies as st
 
-from wisterialoom.core.placement.fleet_demand import DemandReport, FleetDemand
+from wisterialoom.core.placement.fleet_demand import (
+    DemandReport,
+    FleetDemand,
+    version_key,
+)
 from wisterialoom.core.placement.order import Action, Order, OrderOutcome
 from wisterialoom.core.placement.planner import PlacementPlanner
 from wisterialoom.core.placement.server_state import ServerReport, ServerState
@@ -333,3 +337,23 @@
     for waiting in waves:
         site.report_demand(waiting=waiting, arrivals=waiting)
         site.step(0.3)
+
+
+def test_model_is_loaded_at_the_version_that_began_a_waiting_stream():
+    """Streams waited in vain, as a server of another version had their model."""
+    site = Site.of(["m0"], [], [])
+    for state, version in zip(site.states, ("v2", "v1", "v2"), strict=True):
+        state.software_version = version
+    for _ in range(60):
+        site.report_demand(waiting={"m0": 1, version_key("m0", "v1"): 1})
+        site.step()
+    loads = [order for order in site.orders if order.model == "m0"]
+    assert [order.server_id for order in loads] == ["s1"]
+    assert "m0" in site.states[1].models
+
+
+def test_model_that_is_wanted_at_a_version_without_servers_is_not_loaded():
+    site = Site.of(["m0"], [], [])
+    site.report_demand(waiting={"m0": 1, version_key("m0", "v9"): 1})
+    site.step()
+    assert not [order for order in site.orders if order.model == "m0"]
--- a/tests/test_resumed_streams.py
+++ b/tests/test_resumed_streams.py
@@ -8,6 +8,7 @@
 import pytest
 
 from tests.test_dispatcher import end, flow, make, make_route, server, stream_route
+from wisterialoom.core.placement.fleet_demand import version_key
 from wisterialoom.core.serving.backend import ResidentModel
 from wisterialoom.core.serving.request_flow import (
     AttemptResult,
@@ -245,6 +246,17 @@
     assert left.reason in (GiveUpReason.NO_MODEL, GiveUpReason.DEADLINE)
 
 
+def test_model_is_reported_as_wanted_at_the_version_that_began_a_stream():
+    servers = [
+        server("a", software_version="v1"),
+        server("b", software_version="v2", models=(ResidentModel("m0"),)),
+    ]
+    d = make(*servers, models=True)
+    assert isinstance(d.next_step(0.5, taken_up()), Wait)
+    assert d.wanted_versions(0.6) == {version_key("m0", "v1"): 1}
+    assert d.wanted_versions(2.0) == {}
+
+
 def test_request_that_is_no_stream_keeps_no_slot():
     d = make(server("a"), models=False)
     d.views["a"].record_full(0.0)
