--- a/src/wisterialoom/platform/crash_codec.py
+++ b/src/wisterialoom/platform/crash_codec.py
@@ -17,6 +17,7 @@
     HeldTraits,
 )
 from wisterialoom.core.quarantine import MAX_VERDICTS, Verdict
+from wisterialoom.platform.fields import read_integer, read_mapping, read_number
 
 __all__ = ["CRASH_KINDS", "decode_crash_message", "encode_crash_message"]
 
@@ -72,32 +73,39 @@
         fields: Its fields; those that a later version adds are ignored.
 
     Raises:
-        ValueError: A field has another type, or the message is too large.
+        ValueError: A field is out of range, or the message is too large.
+        TypeError: A field has another type.
     """
     match kind, fields:
         case "kc", [str(server), int(started_ms), at, dict(items), *_]:
             _check_size(items, MAX_SUSPECTS)
             suspects = {
-                trait: _decode_suspect(*fields) for trait, fields in items.items()
+                trait: _decode_suspect(*found) for trait, found in items.items()
             }
-            return CrashSeen(ServerStart(server, started_ms), float(at), suspects)
+            start = ServerStart(server, read_integer(started_ms))
+            return CrashSeen(start, read_number(at), suspects)
         case "ka", [dict(items), *rest]:
-            places = rest[0] if rest else {}
+            places = read_mapping(rest[0]) if rest else {}
             _check_size(items, MAX_SUSPECTS)
             _check_size(places, MAX_SUSPECTS)
+            times = {trait: read_number(at) for trait, at in items.items()}
             running = {
                 trait: {
-                    ServerStart(str(server), int(started_ms)): float(at)
-                    for server, started_ms, at, *_ in servers[:MAX_RUNNING]
+                    ServerStart(str(server), read_integer(started)): read_number(at)
+                    for server, started, at, *_ in servers[:MAX_RUNNING]
                 }
                 for trait, servers in places.items()
             }
-            times = {trait: float(at) for trait, at in items.items()}
             return AnsweredTraits(times, running)
         case "kh", [dict(items), *_]:
             _check_size(items, MAX_VERDICTS)
             verdicts = {
-                trait: Verdict(int(version), bool(held), int(trials), bool(answered))
+                trait: Verdict(
+                    read_integer(version),
+                    bool(held),
+                    read_integer(trials),
+                    bool(answered),
+                )
                 for trait, (version, held, trials, answered, *_) in items.items()
             }
             return HeldTraits(verdicts)
@@ -108,8 +116,10 @@
     depth: Any, sent_at: Any, since: Any = None, servers: Any = 0, *_: Any
 ) -> Suspect:
     """Decode a suspect; instances of earlier versions give its first two fields."""
-    first = None if since is None else float(since)
-    return Suspect(int(depth), float(sent_at), first, int(servers))
+    first = None if since is None else read_number(since)
+    return Suspect(
+        read_integer(depth), read_number(sent_at), first, read_integer(servers)
+    )
 
 
 def _check_size(items: dict[str, Any], limit: int) -> None:
--- a/src/wisterialoom/platform/settings.py
+++ b/src/wisterialoom/platform/settings.py
@@ -10,6 +10,7 @@
 
 from wisterialoom.core.error import WisterialoomError
 from wisterialoom.core.fleet import LinkClass, ViewPromise
+from wisterialoom.core.teams.quota_bound import QuotaBound
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -29,6 +30,13 @@
     return Path(os.environ.get(CONFIG_VARIABLE, DEFAULT_PATH))
 
 
+VIEW_SHARE = 0.4
+"""Promised time for the view, as a share of the bound on revoked keys.
+
+The view is then confirmed so often that keys are not refused before 0.6 of the bound.
+"""
+
+
 @dataclass(frozen=True, slots=True)
 class Bounds:
     """Time limits and retry budgets that the platform's operators set.
@@ -45,6 +53,13 @@
             in force.
         drain_s: Time in seconds within which a server that is confirmed to leave must
             get no more requests.
+        revoke_strict: Whether API keys are refused while it is not certain that they
+            are still valid.
+        revoke_s: Time in seconds after which a revoked API key must not be used.
+        quota_window_s: Length in seconds of the windows in which the use of a team is
+            counted.
+        quota_overshoot: Part of the quota of a window by which use may exceed it.
+        quota_slack: Cost by which use may exceed it in addition.
     """
 
     grace_s: float = 8.0
@@ -55,25 +70,45 @@
     fenced: bool = False
     config_apply_s: float = 2.0
     drain_s: float = 2.0
+    revoke_strict: bool = False
+    revoke_s: float = 5.0
+    quota_window_s: float = 8.0
+    quota_overshoot: float = 0.1
+    quota_slack: float = 17_000.0
 
     @property
     def promise(self) -> ViewPromise:
         """Limits on the age of an instance's view of the store."""
-        return ViewPromise.from_config(self.config_apply_s, self.drain_s)
+        config_s = self.config_apply_s
+        if self.revoke_strict:
+            config_s = min(config_s, VIEW_SHARE * self.revoke_s)
+        return ViewPromise.from_config(config_s, self.drain_s)
+
+    @property
+    def quota(self) -> QuotaBound:
+        """What teams may use above their quotas."""
+        return QuotaBound(self.quota_window_s, self.quota_overshoot, self.quota_slack)
 
     @classmethod
     def from_table(cls, table: Mapping[str, Any]) -> Bounds:
         """Decode the `bounds` table; missing entries have their defaults."""
         base = cls()
         return cls(
-            grace_s=float(table.get("graceS", base.grace_s)),
-            retry_ratio=float(table.get("retryBudgetRatio", base.retry_ratio)),
-            retry_fixed=float(table.get("retryBudgetSlack", base.retry_fixed)),
-            retry_window_s=float(table.get("budgetWindowS", base.retry_window_s)),
-            lease_s=table.get("leaseMs", base.lease_s * 1e3) / 1e3,
+            grace_s=_not_negative(table, "graceS", base.grace_s),
+            retry_ratio=_not_negative(table, "retryBudgetRatio", base.retry_ratio),
+            retry_fixed=_not_negative(table, "retryBudgetSlack", base.retry_fixed),
+            retry_window_s=_not_negative(table, "budgetWindowS", base.retry_window_s),
+            lease_s=_not_negative(table, "leaseMs", base.lease_s * 1e3) / 1e3,
             fenced=bool(table.get("fencingEnforced", base.fenced)),
             config_apply_s=_positive_s(table, "configApplyMs", base.config_apply_s),
             drain_s=_positive_s(table, "drainMs", base.drain_s),
+            revoke_strict=bool(table.get("revokeStrict", base.revoke_strict)),
+            revoke_s=_positive_s(table, "revokeMs", base.revoke_s),
+            quota_window_s=_positive(table, "quotaWindowS", base.quota_window_s),
+            quota_overshoot=_not_negative(
+                table, "quotaOvershoot", base.quota_overshoot
+            ),
+            quota_slack=_not_negative(table, "quotaSlack", base.quota_slack),
         )
 
 
@@ -133,7 +168,7 @@
         """
         try:
             table = tomllib.loads(path.read_text())
-        except (OSError, tomllib.TOMLDecodeError) as error:
+        except (OSError, ValueError, RecursionError) as error:
             raise SettingsError(
                 f"cannot read {path}: {error}; check the file and {CONFIG_VARIABLE}"
             ) from error
@@ -164,13 +199,43 @@
                 link_mbps=float(table.get("limits", {}).get("linkMbps", 1000.0)),
                 first_start=bool(table.get("bootstrap", False)),
             )
-        except (KeyError, IndexError, TypeError, ValueError, AttributeError) as error:
+        except (
+            LookupError,
+            TypeError,
+            ValueError,
+            ArithmeticError,
+            AttributeError,
+        ) as error:
             raise SettingsError(
                 f"the settings lack a usable field: {error!r}; "
                 "compare the file with docs/reference-platform.md"
             ) from error
 
 
+def _positive(table: Mapping[str, Any], name: str, default: float) -> float:
+    """Return a number of a table.
+
+    Raises:
+        ValueError: The number is not above 0.
+    """
+    found = float(table.get(name, default))
+    if not 0.0 < found < float("inf"):
+        raise ValueError(f"bounds.{name} must be above 0")
+    return found
+
+
+def _not_negative(table: Mapping[str, Any], name: str, default: float) -> float:
+    """Return a number of a table.
+
+    Raises:
+        ValueError: The number is below 0.
+    """
+    found = float(table.get(name, default))
+    if not 0.0 <= found < float("inf"):
+        raise ValueError(f"bounds.{name} must not be below 0")
+    return found
+
+
 def _positive_s(table: Mapping[str, Any], name: str, default_s: float) -> float:
     """Return a time of a table in seconds, which the table has in milliseconds.
 
--- a/tests/platform/test_wire.py
+++ b/tests/platform/test_wire.py
@@ -242,11 +242,13 @@
 
 
 @pytest.mark.parametrize("data", [b"[1]", b"[]", b'["w","front-9"]', b"{}", b"x"])
-def test_datagram_that_cannot_be_read_is_logged(data, caplog):
+def test_datagram_that_cannot_be_read_is_logged_once(data, caplog):
     link = PeerLink(1, lambda _, __: None)
-    link.datagram_received(data, ("127.0.0.2", 1))
-    assert [record.message for record in caplog.records] == ["hint dropped"]
-    assert (link.skipped, link.dropped) == (0, 1)
+    for _ in range(2):
+        link.datagram_received(data, ("127.0.0.2", 1))
+    messages = [record.message for record in caplog.records]
+    assert messages == ["unreadable input ignored"]
+    assert (link.skipped, link.dropped) == (0, 2)
 
 
 @pytest.mark.parametrize(
@@ -375,3 +377,9 @@
         service_of(Attempt_Id="later", Last_Event_Id="3", Resumes=name)
         for name in names
     ]
+
+
+@pytest.mark.parametrize("text", ["\u00b2,0,8", "1,0," + "9" * 5000, "-1,0,8", "1,0,"])
+def test_load_with_unusable_digits_counts_as_absent(text):
+    """A superscript digit, or thousands of digits, ended the attempt with an error."""
+    assert read_load({"Server-Load": text}) is None
