Divide the room between teams while servers are full

Each instance now divides what it gets through by weighted max-min fairness, after core-stateless fair queueing; a team's weight is its quota in requests.

Nothing changes without teams.

--- a/src/wisterialoom/core/serving/capacity_wait.py
+++ b/src/wisterialoom/core/serving/capacity_wait.py
@@ -15,7 +15,7 @@
     from wisterialoom.core.serving.backend import BackendView
     from wisterialoom.core.serving.request_flow import RequestProfile
 
-__all__ = ["wait_for_capacity"]
+__all__ = ["wait_for_capacity", "wait_for_share"]
 
 CAPACITY_WAIT_SHARE = 0.5
 """Maximum wait for capacity, as a fraction of the time until first output is due."""
@@ -52,3 +52,15 @@
     # At a service that runs models, the model may become resident on another server
     # in the meantime, so the request keeps waiting.
     return Wait(min(retry_at, now + MAX_RECHECK_S, profile.answer_deadline))
+
+
+def wait_for_share(now: float, profile: RequestProfile) -> Wait | GiveUpReason:
+    """Decide whether a request waits until its team has used less than its share.
+
+    It waits no longer than for capacity. Shares change slowly, so it does not look
+    again at each freed slot.
+    """
+    max_wait_s = CAPACITY_WAIT_SHARE * (profile.first_output_deadline - profile.arrived)
+    if now - profile.arrived > max_wait_s:
+        return GiveUpReason.FULL
+    return Wait(min(now + MAX_RECHECK_S, profile.answer_deadline))
--- a/src/wisterialoom/core/serving/dispatcher.py
+++ b/src/wisterialoom/core/serving/dispatcher.py
@@ -13,7 +13,7 @@
 from wisterialoom.core.crash_watch import CrashWatch
 from wisterialoom.core.request_limit import LimitMemory, LimitShares
 from wisterialoom.core.serving.backend import BackendServer, BackendView
-from wisterialoom.core.serving.capacity_wait import wait_for_capacity
+from wisterialoom.core.serving.capacity_wait import wait_for_capacity, wait_for_share
 from wisterialoom.core.serving.forecast import PlacementForecast
 from wisterialoom.core.serving.model_wait import (
     MIN_RUN_S,
@@ -35,6 +35,7 @@
 from wisterialoom.core.serving.retry_hint import retry_after_s
 from wisterialoom.core.serving.server_notices import ServerNotices
 from wisterialoom.core.serving.stream_versions import StreamVersions
+from wisterialoom.core.serving.team_fairness import TeamFairness
 from wisterialoom.core.serving.way_finder import WayFinder
 
 if TYPE_CHECKING:
@@ -61,6 +62,15 @@
 )
 """Reasons for which the same request is of no use later, so that none is advised."""
 
+UNSERVED_VERDICTS = (
+    AttemptVerdict.NOT_SENT,
+    AttemptVerdict.NO_HELP,
+    AttemptVerdict.REFUSED_FULL,
+    AttemptVerdict.REFUSED_ABSENT,
+    AttemptVerdict.REFUSED_IDENTITY,
+)
+"""Verdicts of attempts that took no room at a server."""
+
 MAX_URGENCY = 9
 """Highest `Send.urgency`, which is served last."""
 
@@ -87,6 +97,7 @@
         crash_watch: Decides which requests are held back, as they crash servers.
         ways: Chooses the way to each server.
         streams: Keeps each stream at the software version that began it.
+        fairness: Divides the room between teams while servers are full.
     """
 
     balancer: Balancer
@@ -105,6 +116,7 @@
     brittle: BrittleServices = field(default_factory=BrittleServices)
     crash_watch: CrashWatch = field(default_factory=CrashWatch)
     streams: StreamVersions = field(default_factory=StreamVersions)
+    fairness: TeamFairness = field(default_factory=TeamFairness)
 
     def __post_init__(self) -> None:
         self.ways = WayFinder(self.views, self.crash_watch)
@@ -216,6 +228,9 @@
         """Count a request that has just arrived."""
         profile = flow.profile
         self.retry_budget(profile.service).record_request(now)
+        if self.deployment is not None:
+            self.fairness.set_teams(self.deployment.teams)
+        self.fairness.record_arrival(now, profile)
         if profile.model:
             resource = profile.resource
             self.arrivals[resource] = self.arrivals.get(resource, 0) + 1
@@ -248,24 +263,47 @@
             return self.resolve_wait(now, flow, decided)
         free = [view for view in pool if self.is_free(now, view)]
         if not free:
-            for view in pool:
-                if not view.limit.allows(now):
-                    view.limit.record_held_back(now)
-            decided = wait_for_capacity(
-                now,
-                profile,
-                pool,
-                can_move=engine is not None and self.can_move(now, candidates),
-                ahead=0 if flow.waiting else self.waiting.get(profile.resource, 0),
-            )
-            if decided is GiveUpReason.FULL:
-                # Another try may go to a server that this request may not be sent to.
-                others = self.holders(now, profile, self.open_views(profile.service))
-                wanted_at = min(view.wanted_at(now) for view in others)
-                return self.give_up(now, flow, decided, not_before=wanted_at)
-            return self.resolve_wait(now, flow, decided)
+            return self.wait_for_room(now, flow, pool, candidates)
+        # A request that may have run already took its share.
+        if not (flow.may_have_run or self.fairness.allows(now, profile)):
+            return self.resolve_wait(now, flow, wait_for_share(now, profile))
         return self.send(now, flow, free)
 
+    def wait_for_room(
+        self,
+        now: float,
+        flow: RequestFlow,
+        pool: list[BackendView],
+        candidates: list[BackendView],
+    ) -> Step:
+        """Return what to do with a request for which no server is free.
+
+        Args:
+            now: Monotonic time.
+            flow: The request.
+            pool: Servers that have its model resident.
+            candidates: Servers that it may be sent to, once they have it.
+        """
+        profile = flow.profile
+        self.fairness.record_short(now, profile)
+        for view in pool:
+            if not view.limit.allows(now):
+                view.limit.record_held_back(now)
+        has_models = self.engine_of(profile.service) is not None
+        decided = wait_for_capacity(
+            now,
+            profile,
+            pool,
+            can_move=has_models and self.can_move(now, candidates),
+            ahead=0 if flow.waiting else self.waiting.get(profile.resource, 0),
+        )
+        if decided is GiveUpReason.FULL:
+            # Another try may go to a server that this request may not be sent to.
+            others = self.holders(now, profile, self.open_views(profile.service))
+            wanted_at = min(view.wanted_at(now) for view in others)
+            return self.give_up(now, flow, decided, not_before=wanted_at)
+        return self.resolve_wait(now, flow, decided)
+
     def held_trait(self, flow: RequestFlow) -> str | None:
         """Return the trait for which a request is held back; `None` if it is not."""
         return self.crash_watch.quarantine.held_trait(flow.profile.traits)
@@ -403,6 +441,7 @@
         view.limit.record_sent(now)
         view.notices.record_sent(now)
         flow.sent_at = now
+        self.fairness.record_sent(now, profile)
         flow.in_flight_via = self.ways.choose(now, view)
         self.begin_attempt(flow, view)
         if view.server.id not in flow.servers:
@@ -546,6 +585,8 @@
         self.release_server(flow)
         if result.verdict in (AttemptVerdict.LOST, AttemptVerdict.TIMED_OUT):
             flow.may_have_run = True
+        if result.verdict in UNSERVED_VERDICTS:
+            self.fairness.record_refused(now, flow.profile)
         if result.verdict is AttemptVerdict.REFUSED_ABSENT:
             flow.absent_refusals += 1
         not_sent = result.verdict in (AttemptVerdict.NOT_SENT, AttemptVerdict.NO_HELP)
@@ -582,6 +623,7 @@
                 view.ejection.record_success(now)
             case AttemptVerdict.REFUSED_FULL if result.saturated or not profile.model:
                 view.record_full(now)
+                self.fairness.record_short(now, profile)
             case AttemptVerdict.REFUSED_FULL:
                 # The server has free slots, so an order about this model must be in
                 # progress there; it still serves other models.
