--- a/src/wisterialoom/platform/__main__.py
+++ b/src/wisterialoom/platform/__main__.py
@@ -2,19 +2,32 @@
 
 from __future__ import annotations
 
+from pathlib import Path
+
 import click
+import orjson
 import uvloop
 
 from wisterialoom.platform.app import PlatformApp
+from wisterialoom.platform.decode import decode_deployment, DecodeError
 from wisterialoom.platform.log import set_up_platform_logs
 from wisterialoom.platform.settings import PlatformSettings, SettingsError
+from wisterialoom.platform.team_decode import decode_teams
 
 
 @click.command()
 @click.option("--metrics-port", default=0, help="Port that serves metrics; 0 for none.")
 @click.option("--check-settings", is_flag=True, help="Print the settings and exit.")
-def main(metrics_port: int, *, check_settings: bool) -> None:
+@click.option(
+    "--check-config",
+    type=click.Path(path_type=Path, dir_okay=False),
+    help="Check a configuration, as it is stored, and exit.",
+)
+def main(metrics_port: int, *, check_settings: bool, check_config: Path | None) -> None:
     """Run one instance on the platform until it receives SIGTERM."""
+    if check_config is not None:
+        check_configuration(check_config)
+        return
     try:
         settings = PlatformSettings.from_environment(metrics_port)
     except SettingsError as error:
@@ -26,6 +39,29 @@
     uvloop.run(serve(settings))
 
 
+def check_configuration(path: Path) -> None:
+    """Print what is wrong with a configuration.
+
+    Args:
+        path: File with the `spec` of the object in the store, as JSON.
+
+    Raises:
+        ClickException: The configuration cannot be used.
+        Exit: It can be used, but its teams have faults.
+    """
+    try:
+        spec = orjson.loads(path.read_bytes())
+        deployment = decode_deployment(spec)
+        _, problems = decode_teams(spec.get("tenants"))
+    except (OSError, ValueError, DecodeError) as error:
+        raise click.ClickException(f"{path}: {error}") from error
+    for problem in problems:
+        click.echo(f"team {problem.team}: {problem.fault}", err=True)
+    click.echo(f"version {deployment.version}, {len(deployment.teams.by_name)} teams")
+    if problems:
+        raise click.exceptions.Exit(1)
+
+
 async def serve(settings: PlatformSettings) -> None:
     """Run the application until it stops."""
     await PlatformApp(settings).run()
--- a/src/wisterialoom/platform/app.py
+++ b/src/wisterialoom/platform/app.py
@@ -489,6 +489,18 @@
             "result",
             lambda: self.ingress.team_gate.counts,
         )
+        metrics.labeled_counter(
+            "team_requests_total",
+            "Requests that were admitted.",
+            "team",
+            lambda: self.ingress.team_gate.team_counts,
+        )
+        metrics.labeled_counter(
+            "team_held_back_total",
+            "Decisions to leave room to other teams while servers are full.",
+            "event",
+            lambda: {"held_back": self.dispatcher.fairness.held_back},
+        )
         metrics.labeled_counter(
             "team_late_refusals_total",
             "Requests refused before a send by their API keys.",
--- a/src/wisterialoom/platform/team_gate.py
+++ b/src/wisterialoom/platform/team_gate.py
@@ -31,6 +31,9 @@
 time unless the path to the store is lost.
 """
 
+MAX_TEAM_LABELS = 200
+"""Teams that are counted by name; requests of further ones count as `other`."""
+
 LOG_INTERVAL_S = 1.0
 """Minimum time between two log lines on refused keys; any caller can cause them."""
 
@@ -62,6 +65,7 @@
         can_vouch: Returns whether keys of the configuration can still be relied on.
         counts: Checks at arrival by result.
         late_counts: Refusals after the arrival by result.
+        team_counts: Admitted requests by team.
         logged_at: Monotonic time of the last log line on a refused key.
     """
 
@@ -76,6 +80,7 @@
         self.can_vouch = can_vouch
         self.counts: Counter[str] = Counter()
         self.late_counts: Counter[str] = Counter()
+        self.team_counts: Counter[str] = Counter()
         self.logged_at = float("-inf")
 
     @property
@@ -113,10 +118,18 @@
         admission = self.check(exchange.request.headers, route)
         if admission.guarded:
             self.counts[admission.result] += 1
+        if admission.team is not None:
+            self._count_team(admission.team.name)
         if admission.status:
             self._refuse(exchange, route, admission)
         return admission
 
+    def _count_team(self, name: str) -> None:
+        counts = self.team_counts
+        if name not in counts and len(counts) >= MAX_TEAM_LABELS:
+            name = "other"
+        counts[name] += 1
+
     def _refuse(self, exchange: Exchange, route: Route, admission: Admission) -> None:
         retry_after_s = DOUBT_RETRY_S if admission.status == 503 else None
         exchange.respond(admission.status, admission.result, retry_after_s)
--- a/tests/platform/test_teams.py
+++ b/tests/platform/test_teams.py
@@ -6,17 +6,23 @@
 import logging
 import time
 from contextlib import asynccontextmanager
+from pathlib import Path
 from typing import Any, TYPE_CHECKING
 
+import orjson
 import pytest
+from click.testing import CliRunner
 
 from tests.platform.fakes import config, FakePlainServer, route
 from tests.platform.test_app import harness, wait_until
 from tests.platform.test_lost_paths import lost_site
+from wisterialoom.platform.__main__ import main
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
 
+    from click.testing import Result
+
     from tests.platform.test_app import Harness
 
 KEY = "k7b2ex5wa5xwyhks8nbk"
@@ -243,3 +249,47 @@
         await site.call("/deposit/", Authorization=f"Bearer {KEY}")
         assert seen[0].priority == 1
         assert seen[0].team == "hule930"
+
+
+async def test_metrics_count_requests_by_team_and_refusals_by_result():
+    """Guards against labels that callers choose."""
+    server = FakePlainServer("i-1")
+    async with team_site(server) as site:
+        for key in (KEY, KEY, "unknown-1", "unknown-2"):
+            await site.call("/deposit/", Authorization=f"Bearer {key}")
+        url = f"http://127.0.0.1:{site.app.settings.metrics_port}/"
+        async with site.session.get(url) as got:
+            text = await got.text()
+    assert 'wisterialoom_team_requests_total{team="hule930"} 2' in text
+    assert 'wisterialoom_team_checks_total{result="unauthorized"} 2' in text
+    assert "unknown-1" not in text
+
+
+async def test_documentation_names_the_metrics_of_teams():
+    page = (Path(__file__).parents[2] / "docs" / "OPERATIONS.md").read_text()
+    server = FakePlainServer("i-1")
+    async with team_site(server) as site:
+        names = [item.name for item in site.app.metrics.registry.get_all()]
+    about_teams = [name for name in names if "_team" in name or "_key" in name]
+    assert len(about_teams) >= 7
+    assert all(name in page for name in about_teams)
+
+
+def check(path: Path, spec: Any) -> Result:
+    path.write_bytes(orjson.dumps(spec))
+    return CliRunner().invoke(main, ["--check-config", str(path)])
+
+
+def test_check_of_a_configuration_reports_bad_keys(tmp_path: Path):
+    """Guards against faults in keys that appear only as 401 in production."""
+    path = tmp_path / "config.json"
+    sound = check(path, config_with_teams(3))
+    assert (sound.exit_code, sound.output) == (0, "version 3, 2 teams\n")
+    shared = [*TENANTS, {"name": "third", "apiKeys": [KEY, ""]}]
+    faulty = check(path, config_with_teams(3, tenants=shared))
+    assert faulty.exit_code == 1
+    assert "team third: it shares a key with team hule930" in faulty.output
+    assert "apiKeys[1]" in faulty.output
+    assert KEY not in faulty.output
+    assert check(path, {"version": 1}).exit_code == 1
+    assert check(path, 5).exit_code == 1
