Use a configuration of which a team is not valid JSON

Bytes that are not text in one entry of tenants made the whole configuration unreadable, so no later change of routes, services or keys came into force. Such entries are left out and count as undecodable; a configuration that is unreadable elsewhere is still refused, as nothing is guessed about it. The fuzz test of hints covers those about keys.

--- a/src/wisterialoom/platform/catalog.py
+++ b/src/wisterialoom/platform/catalog.py
@@ -16,7 +16,7 @@
     says_draining,
 )
 from wisterialoom.platform.store import StoreRestoredError, StoreUnavailableError
-from wisterialoom.platform.team_decode import without_keys
+from wisterialoom.platform.team_decode import drop_unreadable_teams, without_keys
 from wisterialoom.platform.watcher import KindWatcher
 
 if TYPE_CHECKING:
@@ -212,6 +212,7 @@
         Args:
             spec: The configuration as stored.
         """
+        spec = drop_unreadable_teams(spec)
         try:
             current = self.dispatcher.deployment
             teams = current.teams if current is not None else None
--- a/src/wisterialoom/platform/team_decode.py
+++ b/src/wisterialoom/platform/team_decode.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 import logging
 from dataclasses import dataclass, field
 from math import isfinite
@@ -14,11 +15,12 @@
     Team,
     TeamDirectory,
 )
+from wisterialoom.platform.store_json import UnreadableValue
 
 if TYPE_CHECKING:
     from collections.abc import Iterator, Mapping
 
-__all__ = ["decode_teams", "TeamProblem", "without_keys"]
+__all__ = ["TeamProblem", "decode_teams", "drop_unreadable_teams", "without_keys"]
 
 logger = logging.getLogger(__name__)
 
@@ -199,6 +201,30 @@
                 break
 
 
+def drop_unreadable_teams(spec: Any) -> Any:
+    """Return a configuration in which `None` replaces teams that are not valid JSON.
+
+    Bytes that are not text in one entry make the whole object unreadable. Without
+    unreadable teams, or if it is unreadable elsewhere, it is returned as it is.
+    """
+    if not isinstance(spec, UnreadableValue):
+        return spec
+    found = spec.guess()
+    if not isinstance(found, dict) or not isinstance(found.get("tenants"), list):
+        return spec
+    tenants = [item if _is_json(item) else None for item in found["tenants"]]
+    repaired = found | {"tenants": tenants}
+    return repaired if _is_json(repaired) else spec
+
+
+def _is_json(value: Any) -> bool:
+    try:
+        json.dumps(value, allow_nan=False, ensure_ascii=False).encode()
+    except (ValueError, RecursionError):
+        return False
+    return True
+
+
 def without_keys(spec: Any) -> Any:
     """Return a configuration in which digests replace the API keys.
 
--- a/tests/platform/test_decoder_fuzz.py
+++ b/tests/platform/test_decoder_fuzz.py
@@ -25,6 +25,8 @@
     CopyWanted,
     Hint,
     HintError,
+    KeysAnswer,
+    KeysQuestion,
     LostPaths,
     News,
     ServerLimit,
@@ -67,6 +69,8 @@
     ),
     TurnsWanted("f", {"i-1": 4}),
     TurnsGranted("f", {"i-1": 4}),
+    KeysQuestion("f", 4),
+    KeysAnswer("f", 4, 7, 0.25),
 ]
 
 LEASE = {
--- a/tests/platform/test_team_decode.py
+++ b/tests/platform/test_team_decode.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import orjson
 import pytest
 from hypothesis import given
 from multidict import CIMultiDict, CIMultiDictProxy
@@ -11,7 +12,12 @@
 from wisterialoom.core.teams import Quota, QuotaUnit, Team
 from wisterialoom.platform.decode import decode_deployment, DecodeError
 from wisterialoom.platform.headers import read_profile
-from wisterialoom.platform.team_decode import decode_teams, without_keys
+from wisterialoom.platform.store_json import decode_answer, UnreadableValue
+from wisterialoom.platform.team_decode import (
+    decode_teams,
+    drop_unreadable_teams,
+    without_keys,
+)
 
 HULE = {
     "name": "hule930",
@@ -175,3 +181,39 @@
     headers = {"Attempt-Id": "q"} | ({"Token-Count": text} if text is not None else {})
     profile = read_profile(CIMultiDictProxy(CIMultiDict(headers)), found, 0.0)
     assert profile.token_counts == counts
+
+
+BAD_NAME = b'{"name": "du\xffne", "apiKeys": ["k"]}'
+
+
+def unreadable(text: bytes) -> UnreadableValue:
+    answer = decode_answer(b'{"items": [{"spec": ' + text + b"}]}")
+    found = answer["items"][0]["spec"]
+    assert isinstance(found, UnreadableValue)
+    return found
+
+
+def test_team_with_bytes_that_are_not_text_hides_no_other():
+    """Guards against one such entry that keeps the whole configuration from use."""
+    spec = config(7) | {"tenants": [HULE, "replaced"]}
+    text = orjson.dumps(spec).replace(b'"replaced"', BAD_NAME)
+    repaired = drop_unreadable_teams(unreadable(text))
+    deployment = decode_deployment(repaired)
+    assert deployment.version == 7
+    assert set(deployment.teams.by_name) == {"hule930"}
+    assert deployment.teams.skipped == 1
+    assert orjson.dumps(without_keys(repaired))
+
+
+@pytest.mark.parametrize(
+    "text", [b'{"a": "\xff"}', b'{"tenants": {"\xff": 1}}', b"\xff"]
+)
+def test_configuration_that_is_unreadable_elsewhere_is_not_used(text: bytes):
+    """Guards against a guess at what a route or a service may have been."""
+    found = unreadable(text)
+    assert drop_unreadable_teams(found) is found
+    with pytest.raises(DecodeError):
+        decode_deployment(found)
+    spec = config(7) | {"tenants": [HULE], "other": "replaced"}
+    found = unreadable(orjson.dumps(spec).replace(b"replaced", b"\xff"))
+    assert drop_unreadable_teams(found) is found
