--- a/src/wisterialoom/platform/hint_codec.py
+++ b/src/wisterialoom/platform/hint_codec.py
@@ -339,7 +339,8 @@
     if kind in VERSION_KINDS:
         return decode_version_hint(kind, instance, items)
     if kind == "tq":
-        return KeysQuestion(instance, int(items[0]))
+        serial, *_ = items
+        return KeysQuestion(instance, int(serial))
     if kind == "ta":
         serial, version, age_s, *_ = items
         return KeysAnswer(instance, int(serial), int(version), float(age_s))
