Refuse API keys that are not text, or not alone, on the product's interface

A caller whose Authorization held bytes that are not text got 500, as the digest of the key encoded them strictly; of two headers the first counted. Both get 401 now. Keys beyond ASCII stay valid there.

--- a/src/wisterialoom/http/request_parser.py
+++ b/src/wisterialoom/http/request_parser.py
@@ -97,11 +97,16 @@
 
 
 def digest_api_key(web_request: web.Request) -> str:
-    """Return the hex digest of the bearer token; empty if there is none."""
-    scheme, _, key = web_request.headers.get("Authorization", "").partition(" ")
+    """Return the hex digest of the bearer token; empty unless there is exactly one."""
+    values = web_request.headers.getall("Authorization", [])
+    if len(values) != 1:
+        return ""
+    scheme, _, key = values[0].partition(" ")
     if scheme.lower() != "bearer" or not key:
         return ""
-    return hashlib.sha256(key.strip().encode()).hexdigest()
+    # Bytes that are not text arrive as single surrogates.
+    digest = hashlib.sha256(key.strip().encode("utf-8", "surrogateescape"))
+    return digest.hexdigest()
 
 
 def _digest_content(web_request: web.Request, body: bytes) -> str:
--- a/tests/test_caller_api.py
+++ b/tests/test_caller_api.py
@@ -1,5 +1,6 @@
 """Tests of `wisterialoom.http.caller_api`: bad requests and the list of models."""
 
+import asyncio
 import hashlib
 
 import aiohttp
@@ -76,6 +77,29 @@
     assert error["code"] == "no_caller"
 
 
+@pytest.mark.parametrize(
+    "lines",
+    [
+        [b"Authorization: Bearer \xff\xfe"],
+        [f"Authorization: Bearer {KEY}".encode() + b"\xff"],
+        [f"Authorization: Bearer {KEY}".encode(), b"Authorization: Bearer other"],
+        [b"Authorization: Bearer " + b"k" * 7000],
+    ],
+)
+async def test_keys_that_are_not_text_or_not_alone_get_401(lines):
+    """A key with bytes that are not text got 500, and the first of two counted."""
+    caller_api = CallerApi(lambda _: None, lambda: "r1", list_models)
+    server = StandinServer(caller_api.make_app(1_000))
+    async with server:
+        host, _, port = server.url.removeprefix("http://").rpartition(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        head = [b"GET /v1/models HTTP/1.1", b"Host: x", b"Connection: close", *lines]
+        writer.write(b"\r\n".join(head) + b"\r\n\r\n")
+        assert (await reader.readline()).startswith(b"HTTP/1.1 401 ")
+        writer.close()
+        await writer.wait_closed()
+
+
 async def test_models_are_listed_for_a_declared_key():
     caller_api = CallerApi(lambda _: None, lambda: "r1", list_models)
     server = StandinServer(caller_api.make_app(1_000))
