--- a/src/wisterialoom/core/teams/key_validity.py
+++ b/src/wisterialoom/core/teams/key_validity.py
@@ -86,13 +86,18 @@
         """Record a version of the configuration that another instance has."""
         self.known_version = max(self.known_version, version)
 
-    def record_read(self, now: float, began_at: float, version: int) -> None:
+    def record_read(
+        self, now: float, began_at: float, version: int, *, restored: bool = True
+    ) -> None:
         """Record an own call to the store that found nothing newer.
 
         Args:
             now: Time in seconds.
             began_at: Time at which the call began; minus infinity before the first.
             version: Version of the configuration in force here, or 0.
+            restored: Whether the store may have come back from an older copy. One that
+                has not cannot lack a configuration, so that no other instance needs to
+                be asked; after an end of all instances none could answer.
         """
         if not version:
             return
@@ -101,7 +106,8 @@
         if version < self.known_version:
             # The store lacks a configuration that another instance has.
             return
-        if now - self.first_view_at >= SETTLE_SHARE * self.revoke_s:
+        settles_at = self.first_view_at + SETTLE_SHARE * self.revoke_s
+        if not restored or now >= settles_at:
             self.is_settled = True
         if self.is_settled:
             self.current_at = max(self.current_at, began_at)
--- a/src/wisterialoom/platform/key_exchange.py
+++ b/src/wisterialoom/platform/key_exchange.py
@@ -25,6 +25,9 @@
 
 MIN_CHECK_S = 0.02
 MAX_CHECK_S = 0.25
+FIRST_ERA = 1
+"""Era of a store that has never been restored."""
+
 CHECK_SHARE = 0.025
 """Interval between two checks: a share of the bound on revoked keys, within limits."""
 
@@ -105,7 +108,10 @@
         validity.set_limits(strict=bounds.revoke_strict, revoke_s=bounds.revoke_s)
         validity.record_version(self.get_heard_version())
         validity.record_read(
-            now, self.catalog.config.read_at, self.catalog.config_version
+            now,
+            self.catalog.config.read_at,
+            self.catalog.config_version,
+            restored=self.catalog.config.store.era > FIRST_ERA,
         )
         return now
 
--- a/tests/test_key_validity.py
+++ b/tests/test_key_validity.py
@@ -99,6 +99,20 @@
     assert validity.can_vouch(200.0)
 
 
+def test_store_that_was_never_restored_is_relied_on_at_once():
+    """Guards against refused callers for seconds after an end of all instances."""
+    validity = strict()
+    validity.record_read(100.0, 99.9, 6, restored=False)
+    assert validity.can_vouch(100.0)
+
+
+def test_older_configuration_than_another_instance_has_is_not_relied_on():
+    validity = strict()
+    validity.record_version(7)
+    validity.record_read(100.0, 99.9, 6, restored=False)
+    assert not validity.can_vouch(100.0)
+
+
 def test_instance_that_no_other_answers_settles_after_a_while():
     """Guards against a single instance that refuses all keys for good."""
     validity = strict()
