Bound what misbehaving callers can use of a process

Callers that sent bodies stopping short of their end, pipelined requests without reading, or opened connections that send or read a byte now and then, took processes beyond the memory of their machines; 34 uploads of 4 MB to servers that read slowly took one past 300 MB.

Cause: bodies were read into memory without any common bound, connections and requests ahead were not limited, the timeouts of the configuration were not applied, and an answer that nobody read stayed in the buffers.

Ruled out: reserving declared lengths (a header alone takes the budget), refusing the newest (stalled bodies stay), an own HTTP server.

Where the settings name limits.memoryMb or maxFds, one budget admits the bytes of bodies and buffered answers as they arrive; beyond it the incomplete request that has occupied most bytes times seconds gets 503, not run. Connections are limited, and closed when a head, a body or the reading of an answer is too slow; one request of a connection is parsed at a time. Without these settings callers are served as before, except that a body whose declared length is over maxBodyBytes is refused unread, and that an answer of over 64 KB is written in pieces.

--- a/src/wisterialoom/platform/app.py
+++ b/src/wisterialoom/platform/app.py
@@ -12,13 +12,20 @@
 
 from aiohttp import ClientSession, DummyCookieJar, web
 
-from wisterialoom.caller_connection import CallerServer, stop_listening, wait_until_sent
+from wisterialoom.caller_connection import (
+    CallerLimits,
+    CallerServer,
+    stop_listening,
+    wait_until_sent,
+)
 from wisterialoom.core.fleet import PlacementLease
 from wisterialoom.core.request_limit import ASSUMED_INSTANCES, LimitShares
 from wisterialoom.core.serving.balancer import Balancer
 from wisterialoom.core.serving.dispatcher import Dispatcher
 from wisterialoom.core.serving.helper_choice import HelperChoice
+from wisterialoom.core.serving.memory_budget import max_connections, MemoryBudget
 from wisterialoom.core.serving.retry_budget import RetryLimits
+from wisterialoom.core.serving.routing import IngressLimits
 from wisterialoom.platform._tasks import TaskGroup
 from wisterialoom.platform.attempt import trace_connections
 from wisterialoom.platform.catalog import Catalog
@@ -70,6 +77,9 @@
 SETTINGS_CHECK_S = 1.0
 """Interval between checks of the settings file; changes are rare and not urgent."""
 
+READY_SHARE = 0.1
+"""Connections for readiness checks, as a share of those for callers."""
+
 TICK_S = 0.25
 """Interval between checks for missing servers, timed-out members and new settings."""
 
@@ -117,6 +127,7 @@
         runners: Listeners for callers, readiness checks and metrics.
         front_server: Connections of callers.
         peer_server: Connections of other instances.
+        ready_server: Connections of readiness checks.
         sessions: HTTP client sessions to close at the end.
         tasks: Background tasks.
         catalog: Configuration and backend servers, as read from the store.
@@ -158,6 +169,7 @@
         self.runners: list[web.ServerRunner] = []
         self.front_server: CallerServer
         self.peer_server: CallerServer
+        self.ready_server: CallerServer
         self.sessions: list[ClientSession] = []
         self.tasks = TaskGroup()
         self.catalog: Catalog
@@ -220,6 +232,9 @@
             lambda flow: self.stream_exchange.find(flow),
             self.metrics,
         )
+        self.ingress.body_reader.budget = MemoryBudget.from_memory(
+            settings.memory_mb, IngressLimits().max_body_bytes
+        )
         self.ingress.pooled_session = self._session(
             ServerConnector(
                 limit=0, keepalive_timeout=SERVER_KEEPALIVE_S, echo_header=ATTEMPT_ID
@@ -243,8 +258,13 @@
             await self._listen(
                 f"{settings.ip}:{settings.metrics_port}", self.metrics.answer
             )
-        await self._listen(settings.ready, self.answer_ready)
-        self.front_server = await self._listen(settings.front, self.ingress.handle)
+        self.ready_server = await self._listen(
+            settings.ready, self.answer_ready, self._caller_limits(READY_SHARE)
+        )
+        self.front_server = await self._listen(
+            settings.front, self.ingress.handle, self._caller_limits(1.0)
+        )
+        self._register_caller_metrics()
         self.catalog.start()
         self.tasks.spawn(self._tick())
         logger.info("started", extra={"front": settings.front})
@@ -560,13 +580,54 @@
             now = time.monotonic()
             self.catalog.drop_missing_servers(now)
             self.fleet.drop_unresponsive(now)
+            self.front_server.check(now)
+            self.ready_server.check(now)
             if self.watch_settings:
                 self.check_settings_file(now)
 
+    def _caller_limits(self, share: float) -> CallerLimits | None:
+        """Return the limits of a listener; none if the settings name no limit."""
+        settings = self.settings
+        count = max_connections(settings.memory_mb, settings.max_fds)
+        if count is None:
+            return None
+        return CallerLimits(max(16, int(share * count)), self._caller_timeouts)
+
+    def _caller_timeouts(self) -> tuple[float, float]:
+        deployment = self.dispatcher.deployment
+        limits = deployment.limits if deployment else IngressLimits()
+        return limits.header_timeout_s, limits.idle_timeout_s
+
+    def _register_caller_metrics(self) -> None:
+        reader = self.ingress.body_reader
+        self.metrics.labeled_counter(
+            "bodies_refused_total",
+            "Bodies that were refused.",
+            "reason",
+            lambda: reader.refused,
+        )
+        self.metrics.gauge(
+            "held_bytes",
+            "Bytes held for requests and answers.",
+            lambda: reader.budget.used,
+        )
+        for name, server in (
+            ("caller", self.front_server),
+            ("ready", self.ready_server),
+        ):
+            if server.limits is not None:
+                self.metrics.labeled_counter(
+                    f"{name}_connections_closed_total",
+                    "Connections that were closed by a limit.",
+                    "reason",
+                    lambda limits=server.limits: limits.closed,  # type: ignore[misc]
+                )
+
     async def _listen(
         self,
         address: str,
         handler: Callable[[web.BaseRequest], Awaitable[web.StreamResponse]],
+        limits: CallerLimits | None = None,
     ) -> CallerServer:
         host, _, port = address.rpartition(":")
         hide_request_bytes()
@@ -576,6 +637,7 @@
             keepalive_timeout=CALLER_KEEPALIVE_S,
             access_log=None,
         )
+        server.limits = limits
         runner = web.ServerRunner(server, shutdown_timeout=0.1)
         await runner.setup()
         await web.TCPSite(runner, host, int(port), backlog=1024).start()
--- a/src/wisterialoom/platform/attempt.py
+++ b/src/wisterialoom/platform/attempt.py
@@ -58,7 +58,7 @@
 MAX_BUFFERED_BYTES = 1_000_000
 """Size in bytes up to which an answer is read completely before it is forwarded.
 
-Larger answers are forwarded as they arrive.
+Larger answers are forwarded as they arrive, and so are others when memory is short.
 """
 
 
@@ -275,7 +275,8 @@
                 await self.exchange.write(data)
                 continue
             body += data
-            if len(body) > MAX_BUFFERED_BYTES:
+            has_room = self.exchange.hold(len(data))
+            if len(body) > MAX_BUFFERED_BYTES or not has_room:
                 self.had_output = True
                 # Only a stream goes on at another server.
                 self.exchange.resumable = False
--- a/src/wisterialoom/platform/exchange.py
+++ b/src/wisterialoom/platform/exchange.py
@@ -13,6 +13,8 @@
 from wisterialoom.platform.headers import ATTEMPT_ID, LAST_EVENT_ID
 
 if TYPE_CHECKING:
+    from collections.abc import Callable
+
     from wisterialoom.core.serving.request_flow import GiveUp, RequestProfile
     from wisterialoom.platform.attempt import BufferedAnswer
 
@@ -23,6 +25,9 @@
 BAD_GATEWAY = 502
 UNAVAILABLE = 503
 
+PIECE_BYTES = 65_536
+"""Bytes that are written at once; the transport buffers about as many."""
+
 VERSION_REASONS = (GiveUpReason.VERSION_LEFT, GiveUpReason.VERSION_UNKNOWN)
 """Reasons for which a stream cannot go on, while a new one can begin."""
 
@@ -50,6 +55,7 @@
         max_gap_s: Longest pause between two writes.
         response: The final response; `None` until it is known.
         closing: Whether to close the caller's connection after the answer.
+        hold: Returns whether the process may hold so many more bytes of the answer.
     """
 
     def __init__(self, request: web.BaseRequest, body: bytes) -> None:
@@ -64,6 +70,7 @@
         self.max_gap_s = 0.0
         self.response: web.StreamResponse | None = None
         self.closing = False
+        self.hold: Callable[[int], bool] = lambda _: True
 
     @property
     def head_sent(self) -> bool:
@@ -106,6 +113,30 @@
             response.force_close()
         self.response = response
 
+    async def send_large(self) -> None:
+        """Send an answer that is larger than the buffer of a connection.
+
+        It is held until its caller has read most of it.
+        """
+        whole = self.response
+        if not isinstance(whole, web.Response) or self.request.method == "HEAD":
+            return
+        body = whole.body
+        if not isinstance(body, bytes) or len(body) <= PIECE_BYTES:
+            return
+        stream = web.StreamResponse(status=whole.status, headers=whole.headers)
+        stream.content_length = len(body)
+        if self.closing:
+            stream.force_close()
+        try:
+            await stream.prepare(self.request)
+            for start in range(0, len(body), PIECE_BYTES):
+                await stream.write(body[start : start + PIECE_BYTES])
+            await stream.write_eof()
+        except ConnectionError:
+            self.abort()
+        self.response = stream
+
     def refuse(self, profile: RequestProfile | None, end: GiveUp) -> None:
         """Answer with an error, or abort a stream in progress.
 
--- a/src/wisterialoom/platform/ingress.py
+++ b/src/wisterialoom/platform/ingress.py
@@ -17,6 +17,7 @@
     Wait,
 )
 from wisterialoom.platform.attempt import Attempt
+from wisterialoom.platform.body_reader import BodyReader, MEMORY_RETRY_S
 from wisterialoom.platform.exchange import Exchange
 from wisterialoom.platform.headers import (
     ATTEMPT_ID,
@@ -36,10 +37,11 @@
     from wisterialoom.core.serving.backend import BackendView
     from wisterialoom.core.serving.dispatcher import Dispatcher
     from wisterialoom.core.serving.request_flow import RequestProfile, Step
-    from wisterialoom.core.serving.routing import Deployment
+    from wisterialoom.core.serving.routing import Deployment, Route
     from wisterialoom.platform.attempt import BufferedAnswer
     from wisterialoom.platform.headers import ServerNotice
     from wisterialoom.platform.metrics import PlatformMetrics
+    from wisterialoom.platform.team_gate import Admission
 
 __all__ = ["Ingress", "Signal"]
 
@@ -153,6 +155,7 @@
         refusing: Whether new and waiting requests are refused, because the instance
             stops soon.
         active: Number of requests in progress.
+        body_reader: Reads bodies within the memory of the process.
         request_timeouts: Timeouts of the requests in progress.
         unanswered: Requests at servers, by a timeout that aborts the attempt.
     """
@@ -196,6 +199,7 @@
         self.draining = False
         self.refusing = False
         self.active = 0
+        self.body_reader = BodyReader()
         self.request_timeouts: set[asyncio.Timeout] = set()
         self.unanswered: dict[asyncio.Timeout, RequestFlow] = {}
 
@@ -238,12 +242,28 @@
         admission = self.team_gate.admit(exchange, route)
         if admission.status:
             return self._final(exchange)
-        team = admission.team
-        body = await _read_body(request, deployment.limits.max_body_bytes)
-        if body is None:
-            exchange.respond(413, "the body is too large; send a smaller one")
-            return self._final(exchange)
-        exchange.body = body
+        limit = deployment.limits.max_body_bytes
+        with self.body_reader.open(arrived) as held:
+            body = await self.body_reader.read(request, held, limit)
+            if body is None:
+                exchange.closing = True
+                if held in self.body_reader.budget.holders:
+                    exchange.respond(413, "the body is too large; send a smaller one")
+                else:
+                    exchange.respond(503, "memory", MEMORY_RETRY_S)
+                return self._final(exchange)
+            exchange.body = body
+            exchange.hold = lambda count: self.body_reader.hold_answer(held, count)
+            return await self._serve_body(exchange, route, admission, arrived)
+
+    async def _serve_body(
+        self,
+        exchange: Exchange,
+        route: Route,
+        admission: Admission,
+        arrived: float,
+    ) -> web.StreamResponse:
+        request, body, team = exchange.request, exchange.body, admission.team
         exchange.resumable = route.resumable
         caller = (team.name if team else "") if admission.guarded else None
         own_trait = read_own_trait(
@@ -261,6 +281,7 @@
             exchange.respond(400, f"the header {ATTEMPT_ID} is missing; send one")
             return self._final(exchange)
         await self._serve(exchange, profile)
+        await exchange.send_large()
         return self._final(exchange)
 
     def _final(self, exchange: Exchange) -> web.StreamResponse:
@@ -564,15 +585,3 @@
         waiting[resource] -= 1
         if waiting[resource] <= 0:
             del waiting[resource]
-
-
-async def _read_body(request: web.BaseRequest, limit: int) -> bytes | None:
-    """Return a request's body, or `None` if it exceeds a limit in bytes."""
-    if not request.can_read_body:
-        return b""
-    body = bytearray()
-    async for piece in request.content.iter_any():
-        body += piece
-        if len(body) > limit:
-            return None
-    return bytes(body)
--- a/src/wisterialoom/platform/settings.py
+++ b/src/wisterialoom/platform/settings.py
@@ -6,16 +6,18 @@
 import tomllib
 from dataclasses import dataclass, replace
 from pathlib import Path
-from typing import Any, TYPE_CHECKING
+from typing import Any, TYPE_CHECKING, TypeVar
 
 from wisterialoom.core.error import WisterialoomError
 from wisterialoom.core.fleet import LinkClass, ViewPromise
 
 if TYPE_CHECKING:
-    from collections.abc import Mapping
+    from collections.abc import Callable, Mapping
 
 __all__ = ["Bounds", "PlatformSettings", "SettingsError", "settings_path"]
 
+Number = TypeVar("Number", int, float)
+
 CONFIG_VARIABLE = "WISTERIALOOM_CONFIG"
 DEFAULT_PATH = "/etc/wisterialoom/boot.toml"
 
@@ -93,6 +95,8 @@
         bounds: Time limits and retry budgets.
         link_mbps: Rate of this machine's network link in Mbit/s.
         first_start: Whether the whole system starts for the first time.
+        memory_mb: Memory of this machine; `None` if nothing is to be limited by it.
+        max_fds: File descriptors that a process may open; `None` likewise.
     """
 
     instance: str
@@ -106,6 +110,8 @@
     bounds: Bounds
     link_mbps: float = 1000.0
     first_start: bool = False
+    memory_mb: float | None = None
+    max_fds: int | None = None
 
     @property
     def link(self) -> LinkClass:
@@ -163,6 +169,8 @@
                 bounds=Bounds.from_table(table.get("bounds", {})),
                 link_mbps=float(table.get("limits", {}).get("linkMbps", 1000.0)),
                 first_start=bool(table.get("bootstrap", False)),
+                memory_mb=_optional(table, "memoryMb", float),
+                max_fds=_optional(table, "maxFds", int),
             )
         except (KeyError, IndexError, TypeError, ValueError, AttributeError) as error:
             raise SettingsError(
@@ -171,6 +179,23 @@
             ) from error
 
 
+def _optional(
+    table: Mapping[str, Any], name: str, decode: Callable[[Any], Number]
+) -> Number | None:
+    """Return a number of the table `limits`, or `None` if it has none.
+
+    Raises:
+        ValueError: The number is not above 0.
+    """
+    value = table.get("limits", {}).get(name)
+    if value is None:
+        return None
+    found = decode(value)
+    if not 0 < found < float("inf"):
+        raise ValueError(f"limits.{name} must be above 0")
+    return found
+
+
 def _positive_s(table: Mapping[str, Any], name: str, default_s: float) -> float:
     """Return a time of a table in seconds, which the table has in milliseconds.
 
