Continue streams elsewhere that get bytes but no event

A stream whose server sends a byte now and then, but completes no event, was never continued at another server: each byte began the read timeout anew, and its caller waited until the deadline.

After 2.5 read timeouts without a whole event, another server continues the stream if one can. Ruled out: counting time from the last event alone by the read timeout, as large events may take longer; a rate of bytes, as slow streams have none that is typical. Streams of whole events are not affected.

--- a/src/wisterialoom/platform/attempt.py
+++ b/src/wisterialoom/platform/attempt.py
@@ -55,6 +55,13 @@
 
 EVENTS = "text/event-stream"
 
+EVENT_TIMEOUTS = 2.5
+"""Time without a whole event after which a stream has stalled, in read timeouts.
+
+Bytes that complete no event begin the read timeout anew; a large event may take longer
+than one.
+"""
+
 MAX_BUFFERED_BYTES = 1_000_000
 """Size in bytes up to which an answer is read completely before it is forwarded.
 
@@ -292,13 +299,24 @@
         return self._result(AttemptVerdict.ANSWERED, str(response.status))
 
     async def _receive_stream(self, response: ClientResponse) -> AttemptResult:
-        """Receive a stream and forward its whole events as they arrive."""
+        """Receive a stream and forward its whole events as they arrive.
+
+        Raises:
+            TimeoutError: No bytes, or no whole event, came in time, and another server
+                can take the request.
+        """
         exchange = self.exchange
         event_splitter = exchange.event_splitter
+        event_at = time.monotonic()
         while data := await self._read(response):
             complete = event_splitter.feed(data)
             if not complete:
+                without_s = time.monotonic() - event_at
+                stalled = without_s > EVENT_TIMEOUTS * self.read_timeout_s
+                if stalled and self.can_retry_elsewhere():
+                    raise TimeoutError
                 continue
+            event_at = time.monotonic()
             if not self.had_output:
                 self.had_output = True
                 self.output_begun()
