--- a/src/wisterialoom/core/serving/dispatcher.py
+++ b/src/wisterialoom/core/serving/dispatcher.py
@@ -10,13 +10,13 @@
 from typing import TYPE_CHECKING
 
 from wisterialoom.core.brittle_services import BrittleServices
-from wisterialoom.core.crash_watch import CrashWatch
+from wisterialoom.core.crash_watch import CrashWatch, InProgress
+from wisterialoom.core.placement.fleet_demand import version_key
 from wisterialoom.core.request_limit import LimitMemory, LimitShares
 from wisterialoom.core.serving.backend import BackendServer, BackendView
-from wisterialoom.core.serving.capacity_wait import wait_for_capacity
+from wisterialoom.core.serving.capacity_wait import wait_for_capacity, wait_for_share
 from wisterialoom.core.serving.forecast import PlacementForecast
 from wisterialoom.core.serving.model_wait import (
-    MIN_RUN_S,
     wait_for_model,
     wait_for_same_server,
 )
@@ -25,6 +25,9 @@
     AttemptVerdict,
     GiveUp,
     GiveUpReason,
+    MAX_RECHECK_S,
+    MIN_RECHECK_S,
+    MIN_RUN_S,
     RequestFlow,
     RequestProfile,
     Send,
@@ -35,6 +38,7 @@
 from wisterialoom.core.serving.retry_hint import retry_after_s
 from wisterialoom.core.serving.server_notices import ServerNotices
 from wisterialoom.core.serving.stream_versions import StreamVersions
+from wisterialoom.core.serving.team_fairness import TeamFairness
 from wisterialoom.core.serving.way_finder import WayFinder
 
 if TYPE_CHECKING:
@@ -61,6 +65,15 @@
 )
 """Reasons for which the same request is of no use later, so that none is advised."""
 
+UNSERVED_VERDICTS = (
+    AttemptVerdict.NOT_SENT,
+    AttemptVerdict.NO_HELP,
+    AttemptVerdict.REFUSED_FULL,
+    AttemptVerdict.REFUSED_ABSENT,
+    AttemptVerdict.REFUSED_IDENTITY,
+)
+"""Verdicts of attempts that took no room at a server."""
+
 MAX_URGENCY = 9
 """Highest `Send.urgency`, which is served last."""
 
@@ -78,8 +91,11 @@
         sharing_instances: Number of instances that share the fixed number of retries.
         forecast: Forecast of when models that are being loaded become resident.
         waiting: Number of waiting requests, by requested model and adapter.
+        wanted_until: Monotonic time until which a model counts as wanted at a software
+            version, by both.
         arrivals: Requests since the process started, by model and adapter.
         running_counts: Attempts in progress, by server, then model and adapter.
+        in_progress: Requests with an attempt in progress, by identity.
         notices: What servers have said about themselves in answers.
         limit_shares: Divides the limits that servers name among the instances.
         limits: Remembers the limits that servers named.
@@ -87,6 +103,7 @@
         crash_watch: Decides which requests are held back, as they crash servers.
         ways: Chooses the way to each server.
         streams: Keeps each stream at the software version that began it.
+        fairness: Divides the room between teams while servers are full.
     """
 
     balancer: Balancer
@@ -97,17 +114,21 @@
     sharing_instances: int = 8
     forecast: PlacementForecast = field(default_factory=PlacementForecast)
     waiting: dict[str, int] = field(default_factory=dict)
+    wanted_until: dict[tuple[str, str], float] = field(default_factory=dict)
     arrivals: dict[str, int] = field(default_factory=dict)
     running_counts: dict[str, dict[str, int]] = field(default_factory=dict)
+    in_progress: dict[int, RequestFlow] = field(default_factory=dict)
     notices: ServerNotices = field(default_factory=ServerNotices)
     limit_shares: LimitShares = field(default_factory=LimitShares)
     limits: LimitMemory = field(default_factory=LimitMemory)
     brittle: BrittleServices = field(default_factory=BrittleServices)
     crash_watch: CrashWatch = field(default_factory=CrashWatch)
     streams: StreamVersions = field(default_factory=StreamVersions)
+    fairness: TeamFairness = field(default_factory=TeamFairness)
 
     def __post_init__(self) -> None:
         self.ways = WayFinder(self.views, self.crash_watch)
+        self.crash_watch.in_progress = self.attempts_in_progress
 
     # Updates of servers and limits.
 
@@ -216,6 +237,9 @@
         """Count a request that has just arrived."""
         profile = flow.profile
         self.retry_budget(profile.service).record_request(now)
+        if self.deployment is not None:
+            self.fairness.set_teams(self.deployment.teams)
+        self.fairness.record_arrival(now, profile)
         if profile.model:
             resource = profile.resource
             self.arrivals[resource] = self.arrivals.get(resource, 0) + 1
@@ -239,33 +263,64 @@
             return self.give_up(now, flow, GiveUpReason.NO_PATH)
         candidates, pool = pool, self.holders(now, profile, pool)
         if not pool and engine is not None:
+            self.want_at_version(flow, candidates, now)
             if flow.reached >= profile.route.max_attempts:
                 decided = wait_for_same_server(now, flow, candidates)
             else:
                 decided = wait_for_model(
-                    now, profile, engine, self.forecast, candidates
+                    now,
+                    profile,
+                    engine,
+                    self.forecast,
+                    candidates,
+                    flow.waits_until,
                 )
             return self.resolve_wait(now, flow, decided)
-        free = [view for view in pool if self.is_free(now, view)]
+        free = self.free_for(now, flow, pool)
         if not free:
-            for view in pool:
-                if not view.limit.allows(now):
-                    view.limit.record_held_back(now)
-            decided = wait_for_capacity(
-                now,
-                profile,
-                pool,
-                can_move=engine is not None and self.can_move(now, candidates),
-                ahead=0 if flow.waiting else self.waiting.get(profile.resource, 0),
-            )
-            if decided is GiveUpReason.FULL:
-                # Another try may go to a server that this request may not be sent to.
-                others = self.holders(now, profile, self.open_views(profile.service))
-                wanted_at = min(view.wanted_at(now) for view in others)
-                return self.give_up(now, flow, decided, not_before=wanted_at)
-            return self.resolve_wait(now, flow, decided)
+            return self.wait_for_room(now, flow, pool, candidates)
+        # A request that may have run already took its share.
+        if not (flow.may_have_run or self.fairness.allows(now, profile)):
+            return self.resolve_wait(now, flow, wait_for_share(now, profile))
         return self.send(now, flow, free)
 
+    def wait_for_room(
+        self,
+        now: float,
+        flow: RequestFlow,
+        pool: list[BackendView],
+        candidates: list[BackendView],
+    ) -> Step:
+        """Return what to do with a request for which no server is free.
+
+        Args:
+            now: Monotonic time.
+            flow: The request.
+            pool: Servers that have its model resident.
+            candidates: Servers that it may be sent to, once they have it.
+        """
+        profile = flow.profile
+        self.fairness.record_short(now, profile)
+        for view in pool:
+            if not view.limit.allows(now):
+                view.limit.record_held_back(now)
+        has_models = self.engine_of(profile.service) is not None
+        decided = wait_for_capacity(
+            now,
+            profile,
+            pool,
+            can_move=has_models and self.can_move(now, candidates),
+            ahead=0 if flow.waiting else self.waiting.get(profile.resource, 0),
+            until=flow.waits_until,
+        )
+        self.keep_slots(flow, pool, decided)
+        if decided is GiveUpReason.FULL:
+            # Another try may go to a server that this request may not be sent to.
+            others = self.holders(now, profile, self.open_views(profile.service))
+            wanted_at = min(view.wanted_at(now) for view in others)
+            return self.give_up(now, flow, decided, not_before=wanted_at)
+        return self.resolve_wait(now, flow, decided)
+
     def held_trait(self, flow: RequestFlow) -> str | None:
         """Return the trait for which a request is held back; `None` if it is not."""
         return self.crash_watch.quarantine.held_trait(flow.profile.traits)
@@ -403,15 +458,68 @@
         view.limit.record_sent(now)
         view.notices.record_sent(now)
         flow.sent_at = now
+        self.fairness.record_sent(now, profile)
         flow.in_flight_via = self.ways.choose(now, view)
         self.begin_attempt(flow, view)
         if view.server.id not in flow.servers:
             flow.servers.append(view.server.id)
             flow.software_versions.append(view.server.software_version)
         urgency = min(MAX_URGENCY, max(0, profile.priority))
+        if flow.waits_until is not None:
+            # Its caller loses what it has got if the stream does not go on.
+            urgency = 0
         via = self.ways.helpers.address(flow.in_flight_via)
         return Send(view.server.id, view.server.address, urgency, via)
 
+    def free_for(
+        self, now: float, flow: RequestFlow, pool: list[BackendView]
+    ) -> list[BackendView]:
+        """Return the servers of a pool that can take a request now.
+
+        Slots that are kept for streams that have begun are not free for others.
+        """
+        has_begun = flow.waits_until is not None
+        return [
+            view
+            for view in pool
+            if self.is_free(now, view) and (has_begun or now >= view.kept_until)
+        ]
+
+    def keep_slots(
+        self, flow: RequestFlow, pool: list[BackendView], decided: Wait | GiveUpReason
+    ) -> None:
+        """Keep the next free slots of servers for a waiting stream that has begun.
+
+        New requests can go to servers of any version. The stream renews this while it
+        waits, so no slot is kept for long once it has gone.
+        """
+        if flow.waits_until is None or not isinstance(decided, Wait):
+            return
+        for view in pool:
+            view.kept_until = max(view.kept_until, decided.until + MIN_RECHECK_S)
+
+    def want_at_version(
+        self, flow: RequestFlow, candidates: list[BackendView], now: float
+    ) -> None:
+        """Record that no server of a stream's version has its model.
+
+        The stream renews this while it waits.
+        """
+        profile = flow.profile
+        if flow.waits_until is None or any(
+            view.is_resident(profile.model, "") for view in candidates
+        ):
+            return
+        key = (profile.model, flow.stream_version or "")
+        self.wanted_until[key] = now + 2 * MAX_RECHECK_S
+
+    def wanted_versions(self, now: float) -> dict[str, int]:
+        """Return the models that streams wait for at a version, for the planner."""
+        self.wanted_until = {
+            key: until for key, until in self.wanted_until.items() if now < until
+        }
+        return {version_key(*key): 1 for key in self.wanted_until}
+
     def resolve_wait(
         self, now: float, flow: RequestFlow, decided: Wait | GiveUpReason
     ) -> Step:
@@ -445,6 +553,7 @@
         flow.in_flight_version = view.server.software_version
         flow.attempt_count += 1
         flow.output_begun = False
+        self.in_progress[id(flow)] = flow
         counts = self.running_counts.setdefault(view.server.id, {})
         resource = flow.profile.resource
         counts[resource] = counts.get(resource, 0) + 1
@@ -455,6 +564,7 @@
         server_id, flow.in_flight_at = flow.in_flight_at, ""
         if not server_id:
             return
+        self.in_progress.pop(id(flow), None)
         flow.reached_servers.add(server_id)
         if flow.in_flight_via:
             # Nothing is known of how the attempt ended.
@@ -471,6 +581,14 @@
         if not counts:
             self.running_counts.pop(server_id, None)
 
+    def attempts_in_progress(self) -> list[InProgress]:
+        """Return the attempts in progress at servers that are listed."""
+        return [
+            InProgress(view.start, flow.sent_at, flow.profile.traits)
+            for flow in self.in_progress.values()
+            if (view := self.views.get(flow.in_flight_at)) is not None
+        ]
+
     def running(self) -> dict[str, dict[str, int]]:
         """Return the attempts in progress at servers that run models."""
         return {
@@ -546,6 +664,8 @@
         self.release_server(flow)
         if result.verdict in (AttemptVerdict.LOST, AttemptVerdict.TIMED_OUT):
             flow.may_have_run = True
+        if result.verdict in UNSERVED_VERDICTS:
+            self.fairness.record_refused(now, flow.profile)
         if result.verdict is AttemptVerdict.REFUSED_ABSENT:
             flow.absent_refusals += 1
         not_sent = result.verdict in (AttemptVerdict.NOT_SENT, AttemptVerdict.NO_HELP)
@@ -564,7 +684,15 @@
         match result.verdict:
             case AttemptVerdict.LOST if not (result.had_output or view.draining):
                 traits = flow.profile.traits
-                self.crash_watch.record_loss(now, view.start, flow.sent_at, traits)
+                # Servers that have crashed are listed for some time.
+                crashes = self.crash_watch.suspects.crashes
+                servers = sum(
+                    other is view or other.start not in crashes
+                    for other in self.model_holders(flow.profile)
+                )
+                self.crash_watch.record_loss(
+                    now, view.start, flow.sent_at, traits, servers
+                )
             case AttemptVerdict.ANSWERED | AttemptVerdict.FAILED:
                 self.record_answered(now, flow)
 
@@ -582,6 +710,7 @@
                 view.ejection.record_success(now)
             case AttemptVerdict.REFUSED_FULL if result.saturated or not profile.model:
                 view.record_full(now)
+                self.fairness.record_short(now, profile)
             case AttemptVerdict.REFUSED_FULL:
                 # The server has free slots, so an order about this model must be in
                 # progress there; it still serves other models.
--- a/src/wisterialoom/platform/app.py
+++ b/src/wisterialoom/platform/app.py
@@ -26,7 +26,7 @@
 from wisterialoom.core.serving.memory_budget import max_connections, MemoryBudget
 from wisterialoom.core.serving.retry_budget import RetryLimits
 from wisterialoom.core.serving.routing import IngressLimits
-from wisterialoom.platform._tasks import TaskGroup
+from wisterialoom.platform._tasks import restart_counts, TaskGroup
 from wisterialoom.platform.attempt import trace_connections
 from wisterialoom.platform.catalog import Catalog
 from wisterialoom.platform.crash_exchange import CrashExchange
@@ -34,14 +34,17 @@
 from wisterialoom.platform.headers import ATTEMPT_ID
 from wisterialoom.platform.helper_server import HelperServer
 from wisterialoom.platform.ingress import Ingress, Signal
+from wisterialoom.platform.key_exchange import KeyExchange
 from wisterialoom.platform.limit_exchange import LimitExchange
-from wisterialoom.platform.log import dropped_line_count
+from wisterialoom.platform.listener import LimitedServer, MAX_HEAD_BYTES
+from wisterialoom.platform.log import dropped_line_counts
 from wisterialoom.platform.metrics import PlatformMetrics
 from wisterialoom.platform.orders import OrderClient
 from wisterialoom.platform.path_prober import PathProber
 from wisterialoom.platform.peers import PeerLink
 from wisterialoom.platform.placement_controller import PlacementController
 from wisterialoom.platform.placement_view import PlacementView
+from wisterialoom.platform.quota_exchange import QuotaExchange
 from wisterialoom.platform.relay import Relay
 from wisterialoom.platform.request_errors import hide_request_bytes
 from wisterialoom.platform.settings import (
@@ -80,6 +83,9 @@
 READY_SHARE = 0.1
 """Connections for readiness checks, as a share of those for callers."""
 
+EXTRA_HEAD_BYTES = 2_048
+"""Size of the headers that an instance adds when it asks another one for help."""
+
 TICK_S = 0.25
 """Interval between checks for missing servers, timed-out members and new settings."""
 
@@ -135,10 +141,12 @@
             the lease, orders loads and unloads of models.
         fleet: Members, demand and placement.
         relay: Distributes the store's contents among instances.
+        key_exchange: Messages about the age of the configuration.
         peers: Datagrams between instances.
         path_prober: Probes servers that this instance may not reach.
         helper_server: Passes requests of other instances on.
         limit_exchange: Messages about servers that limit requests.
+        quota_exchange: Charges requests to quotas, and messages about allowance.
         crash_exchange: Messages about crashes, and requests that cause them.
         stream_exchange: Messages and records about the versions that began streams.
         orders: Client for loads and unloads at backend servers.
@@ -176,8 +184,10 @@
         self.placement_controller: PlacementController
         self.fleet: Fleet
         self.relay: Relay
+        self.key_exchange: KeyExchange
         self.peers: PeerLink
         self.limit_exchange: LimitExchange
+        self.quota_exchange: QuotaExchange
         self.crash_exchange: CrashExchange
         self.stream_exchange: StreamExchange
         self.path_prober: PathProber
@@ -230,6 +240,7 @@
                 view, was_direct=was_direct
             ),
             lambda flow: self.stream_exchange.find(flow),
+            lambda: self.quota_exchange,
             self.metrics,
         )
         self.ingress.body_reader.budget = MemoryBudget.from_memory(
@@ -266,7 +277,7 @@
         )
         self._register_caller_metrics()
         self.catalog.start()
-        self.tasks.spawn(self._tick())
+        self.tasks.supervise("tick", self._tick)
         logger.info("started", extra={"front": settings.front})
 
     async def _start_fleet(self, store: StoreClient) -> None:
@@ -325,10 +336,30 @@
             link=settings.link,
         )
         fleet.relay = self.relay
+        self.key_exchange = KeyExchange(
+            settings.instance,
+            self.catalog,
+            peers,
+            lambda: self.settings.bounds,
+            lambda: list(self.relay.role.watchers),
+            fleet.holder_to_ask,
+            lambda: self.relay.heard_version,
+            first_start=settings.first_start,
+        )
+        fleet.key_exchange = self.key_exchange
+        self.ingress.team_gate.can_vouch = self.key_exchange.can_vouch
         self.limit_exchange = LimitExchange(
             settings.instance, peers, self.dispatcher, self.signal.wake
         )
         fleet.limit_exchange = self.limit_exchange
+        self.quota_exchange = QuotaExchange(
+            settings.instance,
+            fleet,
+            self.placement_controller.lease,
+            lambda: self.dispatcher.deployment,
+            lambda: self.settings.bounds.quota,
+        )
+        fleet.quota_exchange = self.quota_exchange
         self.crash_exchange = CrashExchange(
             settings.instance, peers, self.dispatcher.crash_watch, self.ingress.end_held
         )
@@ -365,7 +396,9 @@
         await peers.start(settings.ip)
         fleet.start()
         self.relay.start()
+        self.key_exchange.start()
         self.limit_exchange.start()
+        self.quota_exchange.start()
         self.crash_exchange.start()
         self.stream_exchange.start()
         self.path_prober.start()
@@ -402,8 +435,15 @@
             lambda: {
                 "unreadable": self.peers.dropped,
                 "unknown_kind": self.peers.skipped,
+                "failed": self.peers.failed,
             },
         )
+        metrics.labeled_counter(
+            "task_restarts_total",
+            "Background tasks that were restarted after an unexpected error.",
+            "task",
+            restart_counts,
+        )
         metrics.labeled_counter(
             "hint_bytes_total",
             "Bytes of datagrams sent to other instances.",
@@ -412,9 +452,9 @@
         )
         metrics.labeled_counter(
             "log_lines_left_out_total",
-            "Log lines beyond the bound.",
+            "Log lines beyond the bound, or that nobody read in time.",
             "reason",
-            lambda: {"rate": dropped_line_count()},
+            dropped_line_counts,
         )
         metrics.gauge(
             "watches_store",
@@ -456,6 +496,27 @@
             "Services with several software versions, whose streams are shared.",
             lambda: len(self.stream_exchange.shared_services),
         )
+        metrics.labeled_counter(
+            "quota_refusals_total",
+            "Requests refused for their team's quota.",
+            "reason",
+            lambda: self.quota_exchange.refusals,
+        )
+        metrics.labeled_counter(
+            "quota_messages_total",
+            "Messages about allowance that were sent.",
+            "kind",
+            lambda: self.quota_exchange.messages,
+        )
+        metrics.labeled_counter(
+            "quota_cost_total",
+            "Cost that this instance granted as holder, and that it received.",
+            "direction",
+            lambda: {
+                "granted": self.quota_exchange.granted_cost,
+                "received": self.quota_exchange.allowance.received,
+            },
+        )
         metrics.gauge("servers", "Servers.", lambda: len(self.dispatcher.views))
         metrics.gauge(
             "limited_servers",
@@ -480,6 +541,47 @@
             "Configuration in force.",
             lambda: self.catalog.config_version,
         )
+        metrics.labeled_counter(
+            "team_checks_total",
+            "API keys checked at arrival.",
+            "result",
+            lambda: self.ingress.team_gate.counts,
+        )
+        metrics.labeled_counter(
+            "team_requests_total",
+            "Requests that were admitted.",
+            "team",
+            lambda: self.ingress.team_gate.team_counts,
+        )
+        metrics.labeled_counter(
+            "team_held_back_total",
+            "Decisions to leave room to other teams while servers are full.",
+            "event",
+            lambda: {"held_back": self.dispatcher.fairness.held_back},
+        )
+        metrics.labeled_counter(
+            "team_late_refusals_total",
+            "Requests refused before a send by their API keys.",
+            "result",
+            lambda: self.ingress.team_gate.late_counts,
+        )
+        metrics.labeled_counter(
+            "key_questions_total",
+            "Messages about the age of the configuration.",
+            "event",
+            lambda: self.key_exchange.counts,
+        )
+        metrics.gauge("teams", "Teams of the configuration.", self._count_teams)
+        metrics.gauge(
+            "keys_accepted",
+            "Whether the configuration is new enough for its API keys.",
+            lambda: self.ingress.team_gate.is_vouching,
+        )
+        metrics.gauge(
+            "keys_age_seconds",
+            "Since the configuration was certainly the newest.",
+            self.key_exchange.age_s,
+        )
         metrics.gauge(
             "config_age_seconds",
             "Since the configuration was known to be current.",
@@ -491,9 +593,17 @@
             lambda: time.monotonic() - self.catalog.current_at,
         )
 
+    def _count_teams(self) -> int:
+        deployment = self.dispatcher.deployment
+        return len(deployment.teams.by_name) if deployment is not None else 0
+
     async def answer_ready(self, _: web.BaseRequest) -> web.StreamResponse:
         """Answer the platform's readiness check."""
-        ready = self.catalog.is_loaded and not self.ingress.draining
+        ready = (
+            self.catalog.is_loaded
+            and self.ingress.team_gate.is_vouching
+            and not self.ingress.draining
+        )
         return web.Response(status=200 if ready else 503)
 
     def on_reload(self) -> None:
@@ -563,7 +673,9 @@
         await self.placement_controller.stop()
         await self.fleet.stop()
         await self.relay.stop()
+        await self.key_exchange.stop()
         await self.limit_exchange.stop()
+        await self.quota_exchange.stop()
         await self.crash_exchange.stop()
         await self.stream_exchange.stop()
         await self.path_prober.stop()
@@ -631,11 +743,8 @@
     ) -> CallerServer:
         host, _, port = address.rpartition(":")
         hide_request_bytes()
-        server = CallerServer(
-            handler,
-            handler_cancellation=True,
-            keepalive_timeout=CALLER_KEEPALIVE_S,
-            access_log=None,
+        server = LimitedServer(
+            handler, self._max_head_bytes, keepalive_timeout=CALLER_KEEPALIVE_S
         )
         server.limits = limits
         runner = web.ServerRunner(server, shutdown_timeout=0.1)
@@ -644,6 +753,16 @@
         self.runners.append(runner)
         return server
 
+    def _max_head_bytes(self) -> int:
+        """Return the size of a request's head above which its connection is closed.
+
+        Callers get an answer at the configured limit. Requests of other instances have
+        a few headers more.
+        """
+        deployment = self.dispatcher.deployment
+        limits = deployment.limits if deployment is not None else IngressLimits()
+        return min(MAX_HEAD_BYTES, limits.max_header_bytes + EXTRA_HEAD_BYTES)
+
     def _session(self, connector: TCPConnector) -> ClientSession:
         session = ClientSession(
             connector=connector,
--- a/src/wisterialoom/platform/body_reader.py
+++ b/src/wisterialoom/platform/body_reader.py
@@ -24,6 +24,10 @@
 """
 
 
+FIELD_BYTES = 200
+"""Memory planned for a header field; a short one takes far more than its bytes."""
+
+
 class BodyReader:
     """Reads bodies, and refuses some of them when they take too much memory.
 
@@ -60,6 +64,8 @@
         if (request.content_length or 0) > limit:
             self.refused["too_large"] += 1
             return None
+        if not self._reserve(held, FIELD_BYTES * len(request.raw_headers)):
+            return None
         if not request.can_read_body:
             held.complete = True
             return b""
--- a/src/wisterialoom/platform/catalog.py
+++ b/src/wisterialoom/platform/catalog.py
@@ -16,7 +16,7 @@
     says_draining,
 )
 from wisterialoom.platform.store import StoreRestoredError, StoreUnavailableError
-from wisterialoom.platform.team_decode import without_keys
+from wisterialoom.platform.team_decode import drop_unreadable_teams, without_keys
 from wisterialoom.platform.watcher import KindWatcher
 
 if TYPE_CHECKING:
@@ -159,8 +159,8 @@
 
     def start(self) -> None:
         """Start the tasks that read and follow the store once that is decided."""
-        self.tasks.spawn(self.config.run())
-        self.tasks.spawn(self.server_watcher.run())
+        self.tasks.supervise("config_watcher", self.config.run)
+        self.tasks.supervise("server_watcher", self.server_watcher.run)
 
     async def stop(self) -> None:
         """Stop following the store."""
@@ -212,6 +212,7 @@
         Args:
             spec: The configuration as stored.
         """
+        spec = drop_unreadable_teams(spec)
         try:
             current = self.dispatcher.deployment
             teams = current.teams if current is not None else None
--- a/src/wisterialoom/platform/fleet.py
+++ b/src/wisterialoom/platform/fleet.py
@@ -14,10 +14,14 @@
 from wisterialoom.core.placement.fleet_demand import DemandReport
 from wisterialoom.platform._tasks import TaskGroup, wait_for
 from wisterialoom.platform.hints import (
+    AllowanceGranted,
+    AllowanceWanted,
     BrittleRejection,
     ConfigCopy,
     CopyWanted,
     CrashHint,
+    KeysAnswer,
+    KeysQuestion,
     LostPaths,
     News,
     OriginAnswer,
@@ -25,6 +29,7 @@
     PlacementChange,
     PlacementHint,
     PlacementWanted,
+    QuotaHint,
     Released,
     ServerHint,
     ServerLimits,
@@ -44,11 +49,13 @@
 if TYPE_CHECKING:
     from wisterialoom.core.serving.dispatcher import Dispatcher
     from wisterialoom.platform.crash_exchange import CrashExchange
-    from wisterialoom.platform.hints import Hint
+    from wisterialoom.platform.hints import Hint, KeyHint
+    from wisterialoom.platform.key_exchange import KeyExchange
     from wisterialoom.platform.limit_exchange import LimitExchange
     from wisterialoom.platform.peers import PeerLink
     from wisterialoom.platform.placement_controller import PlacementController
     from wisterialoom.platform.placement_view import PlacementView
+    from wisterialoom.platform.quota_exchange import QuotaExchange
     from wisterialoom.platform.relay import Relay
     from wisterialoom.platform.stream_exchange import StreamExchange
 
@@ -113,8 +120,10 @@
         self.placement_controller: PlacementController
         self.relay: Relay
         self.limit_exchange: LimitExchange
+        self.quota_exchange: QuotaExchange
         self.crash_exchange: CrashExchange
         self.stream_exchange: StreamExchange
+        self.key_exchange: KeyExchange
         self.holder_address = ""
         self.epoch = 0
         self.serial = 0
@@ -129,7 +138,7 @@
         """Start sending demand reports."""
         self.peers.members[self.instance] = self.address
         self._update_instances()
-        self.tasks.spawn(self._send_demand())
+        self.tasks.supervise("demand", self._send_demand)
 
     async def stop(self) -> None:
         """Stop sending demand reports."""
@@ -179,8 +188,12 @@
                 self._record_seen(now, name, address)
                 self.relay.handle_hint(hint, address)
             case (
-                BrittleRejection()
+                AllowanceGranted()
+                | AllowanceWanted()
+                | BrittleRejection()
                 | CrashHint()
+                | KeysAnswer()
+                | KeysQuestion()
                 | LostPaths()
                 | OriginAnswer()
                 | OriginWanted()
@@ -196,10 +209,14 @@
 
     def _handle_server_hint(
         self,
-        hint: ServerHint | StreamHint,
+        hint: ServerHint | StreamHint | KeyHint | QuotaHint,
         address: str,
     ) -> None:
         match hint:
+            case KeysQuestion() | KeysAnswer():
+                self.key_exchange.handle_hint(hint, address)
+            case AllowanceGranted() | AllowanceWanted():
+                self.quota_exchange.handle_hint(hint, address)
             case StreamsBegun() | OriginWanted() | OriginAnswer():
                 self.stream_exchange.handle_hint(hint, address)
             case LostPaths(instance=name, services=services):
@@ -340,7 +357,7 @@
         return DemandReport(
             instance=self.instance,
             boot=self.boot,
-            waiting=dict(self.dispatcher.waiting),
+            waiting=self.dispatcher.waiting | self.dispatcher.wanted_versions(now),
             arrivals=recent,
             running=self.dispatcher.running(),
         )
--- a/src/wisterialoom/platform/placement_controller.py
+++ b/src/wisterialoom/platform/placement_controller.py
@@ -119,8 +119,8 @@
 
     def start(self) -> None:
         """Start managing the lease and planning."""
-        self.tasks.spawn(self.lease_manager.run())
-        self.tasks.spawn(self._run_planner())
+        self.tasks.supervise("lease", self.lease_manager.run)
+        self.tasks.supervise("planner", self._run_planner)
 
     async def stop(self) -> None:
         """Cancel all tasks and release the lease."""
@@ -283,6 +283,7 @@
             if state is None or state.started_ms != view.server.started_ms:
                 state = ServerState(server_id, view.server.started_ms)
                 self.states[server_id] = state
+            state.software_version = view.server.software_version
             state.settle(now)
             report_needed = state.needs_report or state.occupied
             if (
--- a/tests/platform/fakes.py
+++ b/tests/platform/fakes.py
@@ -14,7 +14,7 @@
 from aiohttp import web
 
 if TYPE_CHECKING:
-    from collections.abc import Mapping
+    from collections.abc import Awaitable, Callable, Mapping
 
 
 @dataclass(frozen=True)
@@ -50,6 +50,7 @@
         past_revision: Revision that lists and watches show in the mode `past`.
         door_modes: Mode for the calls to one address, which `open_door` returned.
         list_delay_s: Time that each list call takes.
+        before_page: Called before each page of a list with the name that it follows.
         calls: Number of calls by method and kind.
     """
 
@@ -67,6 +68,7 @@
         self.door_modes: dict[str, str] = {}
         self.door_runners: list[web.AppRunner] = []
         self.list_delay_s = 0.0
+        self.before_page: Callable[[str], Awaitable[None]] | None = None
         self.calls: dict[str, int] = {}
         self.address = ""
         self.runner: web.AppRunner | None = None
@@ -201,6 +203,8 @@
         if watch is not None:
             wait_s = int(request.query.get("waitMs", "0")) / 1e3
             return await self.watch(kind, int(watch), wait_s, request)
+        if self.before_page is not None:
+            await self.before_page(request.query.get("after", ""))
         if self.mode_for(request) == "past":
             return answer({"items": [], "truncated": False, "at": self.past_revision})
         items = [
@@ -523,7 +527,7 @@
         return web.Response(
             status=self.status,
             headers={**common, "Response-Stamp": f"stamp.{self.server_id}"},
-            body=f"{request.method} {request.path_qs}".encode(),
+            body=f"{request.method} {request.raw_path}".encode(),
         )
 
 
@@ -539,7 +543,15 @@
     An instance of another process may still call the port of a server that has ended,
     which the system then gives to the next one.
     """
-    runner = web.AppRunner(app, handler_cancellation=True, shutdown_timeout=0.1)
+    runner = web.AppRunner(
+        app,
+        handler_cancellation=True,
+        shutdown_timeout=0.1,
+        max_field_size=65_536,
+        max_line_size=65_536,
+        max_headers=16_384,
+        auto_decompress=False,
+    )
     await runner.setup()
     host = f"{own_block()}.255"
     site = web.TCPSite(runner, host, 0)
--- a/tests/platform/test_misbehaving_callers.py
+++ b/tests/platform/test_misbehaving_callers.py
@@ -276,7 +276,7 @@
 
 async def test_requests_with_very_many_header_fields(tmp_path):
     async with limited(tmp_path, FakePlainServer("i-1")) as instance:
-        for count in (100, 2_000):
+        for count in (100, 1_200, 3_000):
             fields = [b"a%d: b" % number for number in range(count)]
             request = post(b"/look/", *fields, b"Content-Length: 0")
             await flood(instance.front, 100, [request * 4], limit_s=3.0)
