--- a/src/wisterialoom/platform/listener.py
+++ b/src/wisterialoom/platform/listener.py
@@ -79,12 +79,13 @@
             server,
             loop=server._loop,
             keepalive_timeout=keepalive_timeout,
-            access_log=None,  # type: ignore[arg-type]
+            access_log=None,
             max_line_size=MAX_HEAD_BYTES,
             max_field_size=MAX_HEAD_BYTES,
             max_headers=MAX_HEAD_BYTES // MIN_FIELD_BYTES,
             # Bodies are forwarded as they are, with their `Content-Encoding`.
             auto_decompress=False,
+            limits=server.limits,
         )
         self.get_limit = get_limit
         self.unparsed_bytes = 0
@@ -98,7 +99,8 @@
         if len(self._messages) > queued:
             self.payload = self._messages[-1][1]
             self.unparsed_bytes = 0
-        elif in_head:
+        elif in_head and (self.receiving or self.limits is None):
+            # With limits, bytes ahead of an answer are bounded by the connection.
             self.unparsed_bytes += len(data)
             if self.unparsed_bytes > self.get_limit():
                 self._refuse()
