--- a/src/wisterialoom/platform/app.py
+++ b/src/wisterialoom/platform/app.py
@@ -19,6 +19,7 @@
 from wisterialoom.core.serving.dispatcher import Dispatcher
 from wisterialoom.core.serving.helper_choice import HelperChoice
 from wisterialoom.core.serving.retry_budget import RetryLimits
+from wisterialoom.core.serving.routing import IngressLimits
 from wisterialoom.platform._tasks import restart_counts, TaskGroup
 from wisterialoom.platform.attempt import trace_connections
 from wisterialoom.platform.catalog import Catalog
@@ -29,6 +30,7 @@
 from wisterialoom.platform.ingress import Ingress, Signal
 from wisterialoom.platform.key_exchange import KeyExchange
 from wisterialoom.platform.limit_exchange import LimitExchange
+from wisterialoom.platform.listener import LimitedServer, MAX_HEAD_BYTES
 from wisterialoom.platform.log import dropped_line_counts
 from wisterialoom.platform.metrics import PlatformMetrics
 from wisterialoom.platform.orders import OrderClient
@@ -36,6 +38,7 @@
 from wisterialoom.platform.peers import PeerLink
 from wisterialoom.platform.placement_controller import PlacementController
 from wisterialoom.platform.placement_view import PlacementView
+from wisterialoom.platform.quota_exchange import QuotaExchange
 from wisterialoom.platform.relay import Relay
 from wisterialoom.platform.request_errors import hide_request_bytes
 from wisterialoom.platform.settings import (
@@ -71,6 +74,9 @@
 SETTINGS_CHECK_S = 1.0
 """Interval between checks of the settings file; changes are rare and not urgent."""
 
+EXTRA_HEAD_BYTES = 2_048
+"""Size of the headers that an instance adds when it asks another one for help."""
+
 TICK_S = 0.25
 """Interval between checks for missing servers, timed-out members and new settings."""
 
@@ -130,6 +136,7 @@
         path_prober: Probes servers that this instance may not reach.
         helper_server: Passes requests of other instances on.
         limit_exchange: Messages about servers that limit requests.
+        quota_exchange: Charges requests to quotas, and messages about allowance.
         crash_exchange: Messages about crashes, and requests that cause them.
         stream_exchange: Messages and records about the versions that began streams.
         orders: Client for loads and unloads at backend servers.
@@ -169,6 +176,7 @@
         self.key_exchange: KeyExchange
         self.peers: PeerLink
         self.limit_exchange: LimitExchange
+        self.quota_exchange: QuotaExchange
         self.crash_exchange: CrashExchange
         self.stream_exchange: StreamExchange
         self.path_prober: PathProber
@@ -221,6 +229,7 @@
                 view, was_direct=was_direct
             ),
             lambda flow: self.stream_exchange.find(flow),
+            lambda: self.quota_exchange,
             self.metrics,
         )
         self.ingress.pooled_session = self._session(
@@ -324,6 +333,14 @@
             settings.instance, peers, self.dispatcher, self.signal.wake
         )
         fleet.limit_exchange = self.limit_exchange
+        self.quota_exchange = QuotaExchange(
+            settings.instance,
+            fleet,
+            self.placement_controller.lease,
+            lambda: self.dispatcher.deployment,
+            lambda: self.settings.bounds.quota,
+        )
+        fleet.quota_exchange = self.quota_exchange
         self.crash_exchange = CrashExchange(
             settings.instance, peers, self.dispatcher.crash_watch, self.ingress.end_held
         )
@@ -362,6 +379,7 @@
         self.relay.start()
         self.key_exchange.start()
         self.limit_exchange.start()
+        self.quota_exchange.start()
         self.crash_exchange.start()
         self.stream_exchange.start()
         self.path_prober.start()
@@ -459,6 +477,27 @@
             "Services with several software versions, whose streams are shared.",
             lambda: len(self.stream_exchange.shared_services),
         )
+        metrics.labeled_counter(
+            "quota_refusals_total",
+            "Requests refused for their team's quota.",
+            "reason",
+            lambda: self.quota_exchange.refusals,
+        )
+        metrics.labeled_counter(
+            "quota_messages_total",
+            "Messages about allowance that were sent.",
+            "kind",
+            lambda: self.quota_exchange.messages,
+        )
+        metrics.labeled_counter(
+            "quota_cost_total",
+            "Cost that this instance granted as holder, and that it received.",
+            "direction",
+            lambda: {
+                "granted": self.quota_exchange.granted_cost,
+                "received": self.quota_exchange.allowance.received,
+            },
+        )
         metrics.gauge("servers", "Servers.", lambda: len(self.dispatcher.views))
         metrics.gauge(
             "limited_servers",
@@ -617,6 +656,7 @@
         await self.relay.stop()
         await self.key_exchange.stop()
         await self.limit_exchange.stop()
+        await self.quota_exchange.stop()
         await self.crash_exchange.stop()
         await self.stream_exchange.stop()
         await self.path_prober.stop()
@@ -643,11 +683,8 @@
     ) -> CallerServer:
         host, _, port = address.rpartition(":")
         hide_request_bytes()
-        server = CallerServer(
-            handler,
-            handler_cancellation=True,
-            keepalive_timeout=CALLER_KEEPALIVE_S,
-            access_log=None,
+        server = LimitedServer(
+            handler, self._max_head_bytes, keepalive_timeout=CALLER_KEEPALIVE_S
         )
         runner = web.ServerRunner(server, shutdown_timeout=0.1)
         await runner.setup()
@@ -655,6 +692,16 @@
         self.runners.append(runner)
         return server
 
+    def _max_head_bytes(self) -> int:
+        """Return the size of a request's head above which its connection is closed.
+
+        Callers get an answer at the configured limit. Requests of other instances have
+        a few headers more.
+        """
+        deployment = self.dispatcher.deployment
+        limits = deployment.limits if deployment is not None else IngressLimits()
+        return min(MAX_HEAD_BYTES, limits.max_header_bytes + EXTRA_HEAD_BYTES)
+
     def _session(self, connector: TCPConnector) -> ClientSession:
         session = ClientSession(
             connector=connector,
--- a/src/wisterialoom/platform/fleet.py
+++ b/src/wisterialoom/platform/fleet.py
@@ -14,6 +14,8 @@
 from wisterialoom.core.placement.fleet_demand import DemandReport
 from wisterialoom.platform._tasks import TaskGroup, wait_for
 from wisterialoom.platform.hints import (
+    AllowanceGranted,
+    AllowanceWanted,
     BrittleRejection,
     ConfigCopy,
     CopyWanted,
@@ -27,6 +29,7 @@
     PlacementChange,
     PlacementHint,
     PlacementWanted,
+    QuotaHint,
     Released,
     ServerHint,
     ServerLimits,
@@ -52,6 +55,7 @@
     from wisterialoom.platform.peers import PeerLink
     from wisterialoom.platform.placement_controller import PlacementController
     from wisterialoom.platform.placement_view import PlacementView
+    from wisterialoom.platform.quota_exchange import QuotaExchange
     from wisterialoom.platform.relay import Relay
     from wisterialoom.platform.stream_exchange import StreamExchange
 
@@ -116,6 +120,7 @@
         self.placement_controller: PlacementController
         self.relay: Relay
         self.limit_exchange: LimitExchange
+        self.quota_exchange: QuotaExchange
         self.crash_exchange: CrashExchange
         self.stream_exchange: StreamExchange
         self.key_exchange: KeyExchange
@@ -183,7 +188,9 @@
                 self._record_seen(now, name, address)
                 self.relay.handle_hint(hint, address)
             case (
-                BrittleRejection()
+                AllowanceGranted()
+                | AllowanceWanted()
+                | BrittleRejection()
                 | CrashHint()
                 | KeysAnswer()
                 | KeysQuestion()
@@ -202,12 +209,14 @@
 
     def _handle_server_hint(
         self,
-        hint: ServerHint | StreamHint | KeyHint,
+        hint: ServerHint | StreamHint | KeyHint | QuotaHint,
         address: str,
     ) -> None:
         match hint:
             case KeysQuestion() | KeysAnswer():
                 self.key_exchange.handle_hint(hint, address)
+            case AllowanceGranted() | AllowanceWanted():
+                self.quota_exchange.handle_hint(hint, address)
             case StreamsBegun() | OriginWanted() | OriginAnswer():
                 self.stream_exchange.handle_hint(hint, address)
             case LostPaths(instance=name, services=services):
@@ -348,7 +357,7 @@
         return DemandReport(
             instance=self.instance,
             boot=self.boot,
-            waiting=dict(self.dispatcher.waiting),
+            waiting=self.dispatcher.waiting | self.dispatcher.wanted_versions(now),
             arrivals=recent,
             running=self.dispatcher.running(),
         )
