--- a/src/wisterialoom/core/teams/allowance_ledger.py
+++ b/src/wisterialoom/core/teams/allowance_ledger.py
@@ -406,7 +406,8 @@
                 account.returned = account.own = 0.0
             bucket.level += wanted.returned - account.returned
             own = wanted.own - account.own
-            bucket.level -= max(0.0, own - account.withheld)
+            # A damaged total must not leave the team without credit for good.
+            bucket.level -= min(bucket.depth, max(0.0, own - account.withheld))
         account.returned, account.own = wanted.returned, wanted.own
         account.withheld = 0.0
         bucket.level = min(bucket.level, max(0.0, self._top(now, bucket)))
--- a/src/wisterialoom/platform/fleet.py
+++ b/src/wisterialoom/platform/fleet.py
@@ -20,6 +20,8 @@
     ConfigCopy,
     CopyWanted,
     CrashHint,
+    KeysAnswer,
+    KeysQuestion,
     LostPaths,
     News,
     OriginAnswer,
@@ -47,7 +49,8 @@
 if TYPE_CHECKING:
     from wisterialoom.core.serving.dispatcher import Dispatcher
     from wisterialoom.platform.crash_exchange import CrashExchange
-    from wisterialoom.platform.hints import Hint
+    from wisterialoom.platform.hints import Hint, KeyHint
+    from wisterialoom.platform.key_exchange import KeyExchange
     from wisterialoom.platform.limit_exchange import LimitExchange
     from wisterialoom.platform.peers import PeerLink
     from wisterialoom.platform.placement_controller import PlacementController
@@ -120,6 +123,7 @@
         self.quota_exchange: QuotaExchange
         self.crash_exchange: CrashExchange
         self.stream_exchange: StreamExchange
+        self.key_exchange: KeyExchange
         self.holder_address = ""
         self.epoch = 0
         self.serial = 0
@@ -134,7 +138,7 @@
         """Start sending demand reports."""
         self.peers.members[self.instance] = self.address
         self._update_instances()
-        self.tasks.spawn(self._send_demand())
+        self.tasks.supervise("demand", self._send_demand)
 
     async def stop(self) -> None:
         """Stop sending demand reports."""
@@ -188,6 +192,8 @@
                 | AllowanceWanted()
                 | BrittleRejection()
                 | CrashHint()
+                | KeysAnswer()
+                | KeysQuestion()
                 | LostPaths()
                 | OriginAnswer()
                 | OriginWanted()
@@ -203,12 +209,14 @@
 
     def _handle_server_hint(
         self,
-        hint: ServerHint | StreamHint | QuotaHint,
+        hint: ServerHint | StreamHint | KeyHint | QuotaHint,
         address: str,
     ) -> None:
         match hint:
             case AllowanceGranted() | AllowanceWanted():
                 self.quota_exchange.handle_hint(hint, address)
+            case KeysQuestion() | KeysAnswer():
+                self.key_exchange.handle_hint(hint, address)
             case StreamsBegun() | OriginWanted() | OriginAnswer():
                 self.stream_exchange.handle_hint(hint, address)
             case LostPaths(instance=name, services=services):
--- a/src/wisterialoom/platform/hints.py
+++ b/src/wisterialoom/platform/hints.py
@@ -15,6 +15,7 @@
 
 from wisterialoom.core.error import WisterialoomError
 from wisterialoom.core.placement.fleet_demand import DemandReport
+from wisterialoom.platform.fields import decompress
 
 if TYPE_CHECKING:
     from wisterialoom.core.crash_watch import CrashMessage
@@ -35,6 +36,9 @@
     "CopyWanted",
     "Hint",
     "HintError",
+    "KeyHint",
+    "KeysAnswer",
+    "KeysQuestion",
     "LostPaths",
     "News",
     "OriginAnswer",
@@ -63,6 +67,10 @@
 """Compression level of zlib; names repeat, so a higher level gains little."""
 
 
+MAX_CONFIG_BYTES = 16_000_000
+"""Largest configuration; one of 200 models and all routes has some 100 KB."""
+
+
 class HintError(WisterialoomError):
     """Raised when a datagram is damaged or not from an instance."""
 
@@ -202,7 +210,9 @@
             HintError: The copy was damaged in transit.
         """
         try:
-            return orjson.loads(zlib.decompress(base64.b85decode(self.packed)))
+            return orjson.loads(
+                decompress(base64.b85decode(self.packed), MAX_CONFIG_BYTES)
+            )
         except (ValueError, zlib.error) as error:
             raise HintError(
                 f"cannot decompress a configuration copy: {error!r}"
@@ -428,6 +438,40 @@
 StreamHint = StreamsBegun | OriginWanted | OriginAnswer
 """Hints about the software versions that began streams."""
 
+
+@dataclass(frozen=True, slots=True)
+class KeysQuestion:
+    """Asks whether the configuration, and with it each API key, is current.
+
+    Attributes:
+        instance: Name of the sender.
+        serial: Number of the question, which the answer repeats.
+    """
+
+    instance: str
+    serial: int
+
+
+@dataclass(frozen=True, slots=True)
+class KeysAnswer:
+    """Answers a `KeysQuestion`.
+
+    Attributes:
+        instance: Name of the sender.
+        serial: Number of the question.
+        config_version: Version of the configuration that the sender has.
+        age_s: Time since it was certainly the newest, when the answer was made.
+    """
+
+    instance: str
+    serial: int
+    config_version: int
+    age_s: float
+
+
+KeyHint = KeysQuestion | KeysAnswer
+"""Hints about the age of the configuration."""
+
 VersionHint = ServerVersions | VersionsWanted | StreamHint
 """Hints about the versions of servers' software, and of streams."""
 
@@ -449,5 +493,6 @@
     | ConfigCopy
     | ServersCopy
     | StoreReached
+    | KeyHint
     | VersionHint
 )
--- a/src/wisterialoom/platform/settings.py
+++ b/src/wisterialoom/platform/settings.py
@@ -30,6 +30,13 @@
     return Path(os.environ.get(CONFIG_VARIABLE, DEFAULT_PATH))
 
 
+VIEW_SHARE = 0.4
+"""Promised time for the view, as a share of the bound on revoked keys.
+
+The view is then confirmed so often that keys are not refused before 0.6 of the bound.
+"""
+
+
 @dataclass(frozen=True, slots=True)
 class Bounds:
     """Time limits and retry budgets that the platform's operators set.
@@ -50,6 +57,9 @@
             counted.
         quota_overshoot: Part of the quota of a window by which use may exceed it.
         quota_slack: Cost by which use may exceed it in addition.
+        revoke_strict: Whether API keys are refused while it is not certain that they
+            are still valid.
+        revoke_s: Time in seconds after which a revoked API key must not be used.
     """
 
     grace_s: float = 8.0
@@ -63,11 +73,16 @@
     quota_window_s: float = 8.0
     quota_overshoot: float = 0.1
     quota_slack: float = 17_000.0
+    revoke_strict: bool = False
+    revoke_s: float = 5.0
 
     @property
     def promise(self) -> ViewPromise:
         """Limits on the age of an instance's view of the store."""
-        return ViewPromise.from_config(self.config_apply_s, self.drain_s)
+        config_s = self.config_apply_s
+        if self.revoke_strict:
+            config_s = min(config_s, VIEW_SHARE * self.revoke_s)
+        return ViewPromise.from_config(config_s, self.drain_s)
 
     @property
     def quota(self) -> QuotaBound:
@@ -79,19 +94,19 @@
         """Decode the `bounds` table; missing entries have their defaults."""
         base = cls()
         return cls(
-            grace_s=float(table.get("graceS", base.grace_s)),
-            retry_ratio=float(table.get("retryBudgetRatio", base.retry_ratio)),
-            retry_fixed=float(table.get("retryBudgetSlack", base.retry_fixed)),
-            retry_window_s=float(table.get("budgetWindowS", base.retry_window_s)),
-            lease_s=table.get("leaseMs", base.lease_s * 1e3) / 1e3,
+            grace_s=_finite(table, "graceS", base.grace_s),
+            retry_ratio=_finite(table, "retryBudgetRatio", base.retry_ratio),
+            retry_fixed=_finite(table, "retryBudgetSlack", base.retry_fixed),
+            retry_window_s=_finite(table, "budgetWindowS", base.retry_window_s),
+            lease_s=_finite(table, "leaseMs", base.lease_s * 1e3) / 1e3,
             fenced=bool(table.get("fencingEnforced", base.fenced)),
             config_apply_s=_positive_s(table, "configApplyMs", base.config_apply_s),
             drain_s=_positive_s(table, "drainMs", base.drain_s),
             quota_window_s=_positive(table, "quotaWindowS", base.quota_window_s),
-            quota_overshoot=_not_negative(
-                table, "quotaOvershoot", base.quota_overshoot
-            ),
-            quota_slack=_not_negative(table, "quotaSlack", base.quota_slack),
+            quota_overshoot=_finite(table, "quotaOvershoot", base.quota_overshoot),
+            quota_slack=_finite(table, "quotaSlack", base.quota_slack),
+            revoke_strict=bool(table.get("revokeStrict", base.revoke_strict)),
+            revoke_s=_positive_s(table, "revokeMs", base.revoke_s),
         )
 
 
@@ -151,7 +166,7 @@
         """
         try:
             table = tomllib.loads(path.read_text())
-        except (OSError, tomllib.TOMLDecodeError) as error:
+        except (OSError, ValueError, RecursionError) as error:
             raise SettingsError(
                 f"cannot read {path}: {error}; check the file and {CONFIG_VARIABLE}"
             ) from error
@@ -182,7 +197,13 @@
                 link_mbps=float(table.get("limits", {}).get("linkMbps", 1000.0)),
                 first_start=bool(table.get("bootstrap", False)),
             )
-        except (KeyError, IndexError, TypeError, ValueError, AttributeError) as error:
+        except (
+            LookupError,
+            TypeError,
+            ValueError,
+            ArithmeticError,
+            AttributeError,
+        ) as error:
             raise SettingsError(
                 f"the settings lack a usable field: {error!r}; "
                 "compare the file with docs/reference-platform.md"
@@ -201,15 +222,16 @@
     return found
 
 
-def _not_negative(table: Mapping[str, Any], name: str, default: float) -> float:
+def _finite(table: Mapping[str, Any], name: str, default: float) -> float:
     """Return a number of a table.
 
     Raises:
-        ValueError: The number is below 0.
+        TypeError: The value is not a number.
+        ValueError: The number is negative or not finite.
     """
     found = float(table.get(name, default))
     if not 0.0 <= found < float("inf"):
-        raise ValueError(f"bounds.{name} must not be below 0")
+        raise ValueError(f"bounds.{name} must be a finite number of at least 0")
     return found
 
 
