--- a/src/wisterialoom/platform/quota_codec.py
+++ b/src/wisterialoom/platform/quota_codec.py
@@ -11,6 +11,7 @@
     AllowanceRequest,
     TeamRequest,
 )
+from wisterialoom.platform.fields import read_mapping
 from wisterialoom.platform.hints import AllowanceGranted, AllowanceWanted
 
 __all__ = ["QUOTA_KINDS", "decode_quota_hint", "encode_quota_hint"]
@@ -55,23 +56,24 @@
     Raises:
         ValueError: A field cannot be decoded.
         TypeError: A field is of another type.
-        AttributeError: A field is of another type.
     """
     if kind == WANTED_KIND:
         serial, since, teams = items
         wanted = {
-            str(team): TeamRequest(*(_number(value) for value in values))
-            for team, values in teams.items()
+            team: TeamRequest(*(_number(value) for value in values))
+            for team, values in read_mapping(teams).items()
         }
         serial = _whole(serial)
         request = AllowanceRequest(serial, serial - _whole(since), wanted)
         return AllowanceWanted(instance, request)
     epoch, serial, granted, retry_ms = items
     grants = {
-        str(team): AllowanceGrant(_number(amount), _number(valid_ms) / 1e3)
-        for team, (amount, valid_ms) in granted.items()
+        team: AllowanceGrant(_number(amount), _number(valid_ms) / 1e3)
+        for team, (amount, valid_ms) in read_mapping(granted).items()
+    }
+    retry_s = {
+        team: _number(value) / 1e3 for team, value in read_mapping(retry_ms).items()
     }
-    retry_s = {str(team): _number(value) / 1e3 for team, value in retry_ms.items()}
     return AllowanceGranted(
         instance, AllowanceReply(_whole(epoch), _whole(serial), grants, retry_s)
     )
--- a/tests/platform/test_decoder_fuzz.py
+++ b/tests/platform/test_decoder_fuzz.py
@@ -17,9 +17,17 @@
 from tests.platform.test_wire import ENTRY, HINTS, settings_table
 from wisterialoom.core.fleet import Revision, TableEntry
 from wisterialoom.core.serving.backend import BackendServer
+from wisterialoom.core.teams.allowance_message import (
+    AllowanceGrant,
+    AllowanceReply,
+    AllowanceRequest,
+    TeamRequest,
+)
 from wisterialoom.platform.decode import decode_deployment, decode_server, DecodeError
 from wisterialoom.platform.hint_codec import decode_hint, encode_hint
 from wisterialoom.platform.hints import (
+    AllowanceGranted,
+    AllowanceWanted,
     BrittleRejection,
     ConfigCopy,
     CopyWanted,
@@ -71,6 +79,10 @@
     TurnsGranted("f", {"i-1": 4}),
     KeysQuestion("f", 4),
     KeysAnswer("f", 4, 7, 0.25),
+    AllowanceWanted("f", AllowanceRequest(9, 7, {"t": TeamRequest(500.0, 400.0)})),
+    AllowanceGranted(
+        "f", AllowanceReply(3, 9, {"t": AllowanceGrant(500.0, 0.3)}, {"u": 1.5})
+    ),
 ]
 
 LEASE = {
