Measure how much each plain server takes, and choose by it

Callers waited at slow servers while fast ones had room: servers were chosen by free slots, and a fourth figure of Server-Load made the whole header unreadable, so that no load was known there at all.

Each instance compares the work times of a service's servers, corrected by the queue that a request found and the pace that the server stated. Limiters that learn the concurrency of each server were ruled out: with 91 instances, each sees an answer of a server in two seconds.

It acts only where the settings list the contract `pool`.

--- a/src/wisterialoom/core/serving/backend.py
+++ b/src/wisterialoom/core/serving/backend.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from dataclasses import dataclass, field
+from typing import TYPE_CHECKING
 
 from wisterialoom.core.brittle_services import ServerUse
 from wisterialoom.core.crash_suspects import ServerStart
@@ -10,6 +11,9 @@
 from wisterialoom.core.request_limit import RequestLimit
 from wisterialoom.core.serving.server_notices import StartNotices
 
+if TYPE_CHECKING:
+    from wisterialoom.core.serving.measured_capacity import MeasuredCapacity
+
 __all__ = ["UNKNOWN_COUNT", "BackendServer", "BackendView", "ResidentModel"]
 
 UNKNOWN_COUNT = -1
@@ -99,6 +103,7 @@
         is_lone: Whether no other server with its software version has the model of the
             request that is being sent.
         limit: Keeps to the request rate that the server named.
+        capacity: What the server takes well; `None` if that is not measured.
         absent_until: Monotonic time until which a model or adapter is not requested
             here because the server refused it as not resident, by `model/adapter`.
     """
@@ -119,6 +124,7 @@
     relayed: bool = False
     is_lone: bool = False
     limit: RequestLimit = field(default_factory=RequestLimit)
+    capacity: MeasuredCapacity | None = None
     absent_until: dict[str, float] = field(default_factory=dict)
 
     def record_report(self, now: float, running: int, waiting: int) -> None:
@@ -142,6 +148,17 @@
         change = self.in_flight - self.in_flight_at_report
         return float(max(self.in_flight, self.reported_busy + change))
 
+    def load(self, now: float) -> float:
+        """Return the requests at this server as a fraction of what it takes.
+
+        A measured server that is slow counts as loaded while it is idle, too.
+        """
+        slots = max(1, self.server.slots)
+        busy = self.busy(now)
+        if self.capacity is None:
+            return busy / slots
+        return (busy + 1.0) / self.capacity.slots(now, slots) - 1.0 / slots
+
     def set_placement(
         self,
         count: int,
--- a/src/wisterialoom/core/serving/balancer.py
+++ b/src/wisterialoom/core/serving/balancer.py
@@ -78,7 +78,7 @@
     ) -> float:
         """Return the score of a server; lower is better."""
         server = view.server
-        score = view.busy(now) / max(1, server.slots)
+        score = view.load(now)
         score += self.weights.pending_prefill * view.pending_prefill_tokens / 1000
         if server.availability_zone != self.availability_zone:
             score += self.weights.other_zone
--- a/src/wisterialoom/core/serving/dispatcher.py
+++ b/src/wisterialoom/core/serving/dispatcher.py
@@ -16,6 +16,7 @@
 from wisterialoom.core.serving.backend import BackendServer, BackendView
 from wisterialoom.core.serving.capacity_wait import wait_for_capacity, wait_for_share
 from wisterialoom.core.serving.forecast import PlacementForecast
+from wisterialoom.core.serving.measured_capacity import MeasuredCapacity, ServiceSpeed
 from wisterialoom.core.serving.model_wait import (
     wait_for_model,
     wait_for_same_server,
@@ -104,6 +105,8 @@
         ways: Chooses the way to each server.
         streams: Keeps each stream at the software version that began it.
         fairness: Divides the room between teams while servers are full.
+        measures_capacity: Whether it is measured what each server takes well.
+        speeds: Measured work times of the servers of each service.
     """
 
     balancer: Balancer
@@ -125,6 +128,8 @@
     crash_watch: CrashWatch = field(default_factory=CrashWatch)
     streams: StreamVersions = field(default_factory=StreamVersions)
     fairness: TeamFairness = field(default_factory=TeamFairness)
+    measures_capacity: bool = False
+    speeds: dict[str, ServiceSpeed] = field(default_factory=dict)
 
     def __post_init__(self) -> None:
         self.ways = WayFinder(self.views, self.crash_watch)
@@ -137,7 +142,10 @@
         changed = False
         for server_id in list(self.views):
             if server_id not in servers:
-                self.crash_watch.record_down(self.views.pop(server_id).start)
+                view = self.views.pop(server_id)
+                self.crash_watch.record_down(view.start)
+                if view.capacity is not None:
+                    view.capacity.forget()
                 changed = True
         for server_id, server in servers.items():
             changed |= self.set_server(server_id, server)
@@ -151,7 +159,14 @@
             if view is not None:
                 self.crash_watch.record_down(view.start)
                 self.ways.paths.record_restarted(server_id)
+            if view is not None and view.capacity is not None:
+                view.capacity.forget()
             view = BackendView(server)
+            if self.measures_capacity:
+                speed = self.speeds.setdefault(server.service, ServiceSpeed())
+                view.capacity = MeasuredCapacity(server_id, speed)
+                if speed.work_s:
+                    view.capacity.record_joined()
             view.notices = self.notices.of(view.start)
             view.limit = self.limits.limit_of(
                 server_id, server.started_ms, self.limit_shares
@@ -321,6 +336,25 @@
             return self.give_up(now, flow, decided, not_before=wanted_at)
         return self.resolve_wait(now, flow, decided)
 
+    def record_latency(
+        self, now: float, flow: RequestFlow, result: AttemptResult
+    ) -> None:
+        """Record what an attempt tells of a server's capacity.
+
+        Latencies at model servers depend on the prompt, so only their stated pace
+        counts.
+        """
+        view = self.views.get(result.server_id)
+        if view is None or view.capacity is None or flow.profile.model:
+            return
+        match result.verdict:
+            case AttemptVerdict.ANSWERED:
+                view.capacity.record_answer(
+                    now, now - flow.sent_at, flow.busy_when_sent, view.server.slots
+                )
+            case AttemptVerdict.REFUSED_FULL if result.saturated:
+                view.capacity.record_rejected(now)
+
     def held_trait(self, flow: RequestFlow) -> str | None:
         """Return the trait for which a request is held back; `None` if it is not."""
         return self.crash_watch.quarantine.held_trait(flow.profile.traits)
@@ -459,6 +493,7 @@
         view.notices.record_sent(now)
         flow.sent_at = now
         self.fairness.record_sent(now, profile)
+        flow.busy_when_sent = view.busy(now)
         flow.in_flight_via = self.ways.choose(now, view)
         self.begin_attempt(flow, view)
         if view.server.id not in flow.servers:
@@ -624,6 +659,7 @@
         waiting: int,
         *,
         has_load: bool,
+        pace: float | None = None,
     ) -> None:
         """Record the head of an answer, which shows that its server is alive.
 
@@ -633,6 +669,7 @@
             running: Running requests that the server reported.
             waiting: Waiting requests that the server reported.
             has_load: Whether the answer reported a load.
+            pace: How long work takes at the server now, 1 as usual, if it says so.
         """
         self.record_prefill_done(flow)
         view = self.views.get(flow.in_flight_at)
@@ -641,6 +678,8 @@
         view.ejection.record_success(now)
         if has_load:
             view.record_report(now, running, waiting)
+        if pace is not None and view.capacity is not None:
+            view.capacity.record_pace(now, pace)
 
     def record_output(self, now: float, flow: RequestFlow) -> None:
         """Record that a whole event of a stream is about to be passed on."""
@@ -655,6 +694,7 @@
     def end_attempt(self, now: float, flow: RequestFlow, result: AttemptResult) -> None:
         """Record how an attempt ended, for its request and its server."""
         was_reached = result.server_id in flow.reached_servers
+        self.record_latency(now, flow, result)
         view = self.views.get(result.server_id)
         if view is not None:
             self.watch_for_crash(now, flow, view, result)
--- a/src/wisterialoom/core/serving/request_flow.py
+++ b/src/wisterialoom/core/serving/request_flow.py
@@ -196,6 +196,7 @@
         in_flight_via: Instance that the attempt in progress goes through; empty if it
             goes directly.
         sent_at: Monotonic time at which the last attempt began.
+        busy_when_sent: Requests at the server when the last attempt began.
         waited_s: Seconds spent waiting for a server or a model.
         attempt_count: Number of attempts.
         outcome: How the request ended, for the log.
@@ -222,6 +223,7 @@
     in_flight_version: str = ""
     in_flight_via: str = ""
     sent_at: float = float("-inf")
+    busy_when_sent: float = 0.0
     waited_s: float = 0.0
     attempt_count: int = 0
     outcome: str = ""
--- a/src/wisterialoom/platform/app.py
+++ b/src/wisterialoom/platform/app.py
@@ -161,6 +161,7 @@
             RetryLimits(bounds.retry_ratio, bounds.retry_fixed, bounds.retry_window_s),
             limit_shares=LimitShares(settings.instance, assumed=ASSUMED_INSTANCES),
         )
+        self.dispatcher.measures_capacity = settings.shares_servers
         self.dispatcher.crash_watch.me = settings.instance
         self.dispatcher.ways.helpers = HelperChoice(
             settings.instance, settings.peer_port
@@ -474,6 +475,11 @@
             "result",
             lambda: self.helper_server.counts,
         )
+        metrics.gauge(
+            "slow_servers",
+            "Servers that count as having less than 0.7 of their slots.",
+            self._count_slow_servers,
+        )
         metrics.gauge(
             "held_traits",
             "Traits of requests that are held back, as servers crashed on them.",
@@ -593,6 +599,14 @@
             lambda: time.monotonic() - self.catalog.current_at,
         )
 
+    def _count_slow_servers(self) -> int:
+        now = time.monotonic()
+        return sum(
+            view.capacity.slots(now, view.server.slots) < 0.7 * view.server.slots
+            for view in self.dispatcher.views.values()
+            if view.capacity is not None
+        )
+
     def _count_teams(self) -> int:
         deployment = self.dispatcher.deployment
         return len(deployment.teams.by_name) if deployment is not None else 0
--- a/src/wisterialoom/platform/headers.py
+++ b/src/wisterialoom/platform/headers.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import enum
+import re
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
@@ -63,7 +64,10 @@
 LIMIT = "Server-Limit"
 """Requests a second that a server in need accepts from all instances together."""
 LOAD = "Server-Load"
-"""Running requests, waiting requests and slots of a server, separated by commas."""
+"""Running requests, waiting requests and slots of a server, separated by commas.
+
+A server that shares its machine adds how long work takes there now, 100 as usual.
+"""
 MODEL = "Model"
 """Model, or model and adapter separated by a slash."""
 NOT_RUN = "Not-Executed"
@@ -80,6 +84,12 @@
 URGENCY = "Request-Urgency"
 """Rank in the server's queue; 0 is served first; 5 applies if absent."""
 
+LOAD_FIGURE = re.compile(r"\s*[0-9]{1,9}\s*")
+"""One figure of `LOAD`."""
+
+USUAL_PACE = 100
+"""Fourth figure of `LOAD` while work takes as long as usual."""
+
 MAX_DIGITS = 15
 """Longest number in a header; Python refuses to convert very long ones."""
 
@@ -179,11 +189,14 @@
         running: Requests in progress.
         waiting: Requests in the server's queue.
         slots: Requests that the server can run at once.
+        pace: How long work takes there at this moment, 1 as usual; `None` if the
+            server does not say so.
     """
 
     running: int
     waiting: int
     slots: int
+    pace: float | None = None
 
 
 def read_own_trait(
@@ -408,6 +421,8 @@
 def read_load(headers: Mapping[str, str]) -> ServerLoad | None:
     """Decode the load reported with an answer; `None` if absent or malformed."""
     parts = headers.get(LOAD, "").split(",")
-    if len(parts) != 3 or not all(_is_number(part.strip()) for part in parts):
+    if len(parts) not in (3, 4) or not all(LOAD_FIGURE.fullmatch(p) for p in parts):
         return None
-    return ServerLoad(*(int(part) for part in parts))
+    running, waiting, slots = (int(part) for part in parts[:3])
+    pace = int(parts[3]) / USUAL_PACE if len(parts) > 3 else None
+    return ServerLoad(running, waiting, slots, pace)
--- a/src/wisterialoom/platform/ingress.py
+++ b/src/wisterialoom/platform/ingress.py
@@ -553,7 +553,12 @@
         load = notice.load
         running, waiting = (load.running, load.waiting) if load else (0, 0)
         self.dispatcher.record_response_head(
-            now, flow, running, waiting, has_load=load is not None
+            now,
+            flow,
+            running,
+            waiting,
+            has_load=load is not None,
+            pace=load.pace if load else None,
         )
         self.record_notice(now, flow.in_flight_at, notice)
         if not notice.hold_off_s:
--- a/src/wisterialoom/platform/settings.py
+++ b/src/wisterialoom/platform/settings.py
@@ -22,6 +22,9 @@
 CONFIG_VARIABLE = "WISTERIALOOM_CONFIG"
 DEFAULT_PATH = "/etc/wisterialoom/boot.toml"
 
+POOL_CONTRACT = "pool"
+"""Entry of `contracts` where the servers of a service share their load unevenly."""
+
 
 class SettingsError(WisterialoomError):
     """Raised when the settings file cannot be read or decoded."""
@@ -132,6 +135,8 @@
         first_start: Whether the whole system starts for the first time.
         memory_mb: Memory of this machine; `None` if nothing is to be limited by it.
         max_fds: File descriptors that a process may open; `None` likewise.
+        shares_servers: Whether the deployment's servers are a pool of uneven servers
+            that callers compete for, whose capacity is then measured.
     """
 
     instance: str
@@ -147,6 +152,7 @@
     first_start: bool = False
     memory_mb: float | None = None
     max_fds: int | None = None
+    shares_servers: bool = False
 
     @property
     def link(self) -> LinkClass:
@@ -206,6 +212,7 @@
                 first_start=bool(table.get("bootstrap", False)),
                 memory_mb=_optional(table, "memoryMb", float),
                 max_fds=_optional(table, "maxFds", int),
+                shares_servers=POOL_CONTRACT in table.get("contracts", ()),
             )
         except (
             LookupError,
