Use one signal for requests that wait, at the ingress and for quotas

QuotaExchange had a copy of what Signal does: futures of waiting requests, woken together. Signal moves to a module of its own, and both use it. No change of behavior.

--- a/src/wisterialoom/platform/ingress.py
+++ b/src/wisterialoom/platform/ingress.py
@@ -17,6 +17,7 @@
     Wait,
 )
 from wisterialoom.core.teams.allowance import Denied
+from wisterialoom.platform._signal import Signal
 from wisterialoom.platform.attempt import Attempt
 from wisterialoom.platform.body_reader import BodyReader, MEMORY_RETRY_S
 from wisterialoom.platform.exchange import Exchange
@@ -99,36 +100,6 @@
 """Verdicts after which the path to a server may be in doubt."""
 
 
-class Signal:
-    """Wakes the requests that wait for a change, such as a free slot.
-
-    Attributes:
-        waiters: One future for each waiting request.
-    """
-
-    def __init__(self) -> None:
-        self.waiters: set[asyncio.Future[None]] = set()
-
-    def wake(self) -> None:
-        """Wake all waiting requests."""
-        waiters, self.waiters = self.waiters, set()
-        for waiter in waiters:
-            if not waiter.done():
-                waiter.set_result(None)
-
-    async def wait(self, timeout_s: float) -> None:
-        """Wait until woken or until the timeout expires."""
-        waiter = asyncio.get_running_loop().create_future()
-        self.waiters.add(waiter)
-        try:
-            async with asyncio.timeout(timeout_s):
-                await waiter
-        except TimeoutError:
-            pass
-        finally:
-            self.waiters.discard(waiter)
-
-
 class Ingress:
     """Serves callers.
 
--- a/src/wisterialoom/platform/quota_exchange.py
+++ b/src/wisterialoom/platform/quota_exchange.py
@@ -11,6 +11,7 @@
 from wisterialoom.core.teams.allowance import Allowance, Charge, Denied, WAIT_S
 from wisterialoom.core.teams.allowance_ledger import AllowanceLedger
 from wisterialoom.core.teams.quota_bound import request_cost
+from wisterialoom.platform._signal import Signal
 from wisterialoom.platform._tasks import TaskGroup, wait_for
 from wisterialoom.platform.hints import AllowanceGranted, AllowanceWanted
 from wisterialoom.platform.lease_manager import lease_clock
@@ -73,7 +74,7 @@
         holder_sign: Epoch and serial of the last message from the holder.
         members_heard_at: Monotonic time up to which other instances were heard.
         instances_at: Time of the last update of the list of instances.
-        waiters: Futures of the requests that wait for a reply.
+        replied: Wakes the requests that wait for a reply.
         refusals: Refused requests by reason.
         messages: Sent messages by kind.
         refused_teams: Refusals of each team since its last log line.
@@ -104,7 +105,7 @@
         self.holder_sign = (0, 0)
         self.members_heard_at = float("-inf")
         self.instances_at = float("-inf")
-        self.waiters: set[asyncio.Future[None]] = set()
+        self.replied = Signal()
         self.refusals: Counter[str] = Counter()
         self.messages: Counter[str] = Counter()
         self.refused_teams: Counter[str] = Counter()
@@ -211,7 +212,7 @@
         self.wake_event.set()
         try:
             while now < began_at + WAIT_S:
-                await self._wait_for_reply(began_at + WAIT_S - now)
+                await self.replied.wait(began_at + WAIT_S - now)
                 now = lease_clock()
                 decision = allowance.charge(now, team, cost, ticket)
                 if decision is not None:
@@ -220,17 +221,6 @@
         finally:
             allowance.stop_waiting(team, ticket)
 
-    async def _wait_for_reply(self, timeout_s: float) -> None:
-        waiter = asyncio.get_running_loop().create_future()
-        self.waiters.add(waiter)
-        try:
-            async with asyncio.timeout(timeout_s):
-                await waiter
-        except TimeoutError:
-            pass
-        finally:
-            self.waiters.discard(waiter)
-
     def _record_refusal(self, team: str, cost: float, denied: Denied) -> None:
         alone = self.allowance.unanswered_since is not None
         reason = "holder_silent" if alone else "no_credit"
@@ -310,10 +300,7 @@
 
     def _receive(self, now: float, reply: AllowanceReply) -> None:
         self.allowance.receive(now, reply)
-        waiters, self.waiters = self.waiters, set()
-        for waiter in waiters:
-            if not waiter.done():
-                waiter.set_result(None)
+        self.replied.wake()
 
     async def _run(self) -> None:
         while True:
