--- a/review/standin2/harness.py
+++ b/review/standin2/harness.py
@@ -7,8 +7,11 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import os
+import random
 import signal
+import socket
 import sys
 import tempfile
 import time
@@ -24,8 +27,29 @@
 BROKEN, HELD, NOT_RUN = 1, 0, 2
 """Exit codes: the rule was broken, the rule held, the case could not run."""
 
-FRONT, READY, CONTROL, METRICS, PEER = 23149, 23141, 23144, 23464, 23380
-"""Ports of each instance, the same on all machines of a day."""
+METRICS = 9464
+"""Port of the metrics, as in the deploy file."""
+
+
+def find_ports(count: int) -> int:
+    """Return the first of some ports that are free on loopback."""
+    for first in random.sample(range(18_000, 30_000, 32), 300):
+        with contextlib.ExitStack() as stack:
+            try:
+                for port in range(first, first + count):
+                    for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
+                        stack.enter_context(socket.socket(type=kind)).bind(
+                            ("127.0.0.1", port)
+                        )
+            except OSError:
+                continue
+        return first
+    raise RuntimeError("no free ports")
+
+
+FRONT = find_ports(20)
+READY, PEER = FRONT + 1, FRONT + 2
+"""Ports of each instance, the same on all addresses."""
 
 SETTINGS = """
 nodeName = "{name}"
