Test callers that do not behave, against processes with lowered limits

Each starts the system's own processes with the memory and descriptors of a small machine and checks that the process lives, that its peak memory and open descriptors stay below its settings, and that an ordinary request is answered; no times.

The tests run one at a time, after all others (`make test`, marker `alone`).

--- a/Makefile
+++ b/Makefile
@@ -5,7 +5,7 @@
 BIN := .venv/bin
 JOBS ?= 6
 
-.PHONY: demo test check format setup measure slopes mutations benchmark startup
+.PHONY: demo test test-alone check format setup measure slopes mutations benchmark startup
 
 setup: $(STAMP)
 
@@ -24,7 +24,11 @@
 	$(BIN)/mypy
 
 test: check
-	$(BIN)/python -m pytest -n $(JOBS)
+	$(BIN)/python -m pytest -n $(JOBS) -m "not alone"
+	$(BIN)/python -m pytest -m alone
+
+test-alone: $(STAMP)
+	$(BIN)/python -m pytest -m alone
 
 format: $(STAMP)
 	$(BIN)/ruff format .
--- a/tests/processes.py
+++ b/tests/processes.py
@@ -114,7 +114,9 @@
         await wait_until(listens)
         self.urls[name] = f"http://{child.lines[0]['address']}"
 
-    async def start_entry(self, name, zone="az-1", seeds=(), *, listed=True):
+    async def start_entry(
+        self, name, zone="az-1", seeds=(), *, listed=True, settings=""
+    ):
         path = self.folder / f"{name}.toml"
         path.write_text(
             f'[instance]\nname = "{name}"\navailability_zone = "{zone}"\n'
@@ -123,6 +125,7 @@
             f'[platform]\nurl = "{self.urls["platform"]}"\n'
             f"[peers]\nseeds = {json.dumps(list(seeds))}\n"
             'keys = ["a secret of the tests"]\n'
+            f"{settings}"
         )
         child = await self.spawn(name, "entry", "--config", str(path))
 
