--- a/src/wisterialoom/app.py
+++ b/src/wisterialoom/app.py
@@ -13,7 +13,7 @@
 import uvloop
 from aiohttp import web
 
-from wisterialoom.caller_connection import (
+from wisterialoom.caller_server import (
     CallerRunner,
     CallerServer,
     stop_listening,
--- a/src/wisterialoom/platform/body_reader.py
+++ b/src/wisterialoom/caller_memory.py
@@ -8,14 +8,14 @@
 from contextlib import contextmanager
 from typing import TYPE_CHECKING
 
-from wisterialoom.core.serving.memory_budget import HeldBytes, MemoryBudget
+from wisterialoom.core.memory_budget import HeldBytes, MemoryBudget
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterator
 
     from aiohttp import web
 
-__all__ = ["BodyReader", "MEMORY_RETRY_S"]
+__all__ = ["CallerMemory", "MEMORY_RETRY_S"]
 
 MEMORY_RETRY_S = 1.0
 """`Retry-After` of a request that was refused for lack of memory.
@@ -38,7 +38,7 @@
 """Bytes of an answer that a connection takes without waiting for the caller."""
 
 
-class BodyReader:
+class CallerMemory:
     """Reads bodies, and ends some of them, or answers, when memory is short.
 
     Attributes:
--- a/src/wisterialoom/platform/app.py
+++ b/src/wisterialoom/platform/app.py
@@ -13,19 +13,15 @@
 
 from aiohttp import web
 
-from wisterialoom.caller_connection import (
-    CallerLimits,
-    CallerServer,
-    stop_listening,
-    wait_until_sent,
-)
+from wisterialoom.caller_connection import CallerLimits
+from wisterialoom.caller_server import CallerServer, stop_listening, wait_until_sent
 from wisterialoom.client_session import open_session
 from wisterialoom.core.fleet import PlacementLease
+from wisterialoom.core.memory_budget import max_connections, MemoryBudget
 from wisterialoom.core.request_limit import ASSUMED_INSTANCES, LimitShares
 from wisterialoom.core.serving.balancer import Balancer
 from wisterialoom.core.serving.dispatcher import Dispatcher
 from wisterialoom.core.serving.helper_choice import HelperChoice
-from wisterialoom.core.serving.memory_budget import max_connections, MemoryBudget
 from wisterialoom.core.serving.retry_budget import RetryLimits
 from wisterialoom.core.serving.routing import IngressLimits
 from wisterialoom.platform._tasks import TaskGroup
@@ -256,7 +252,7 @@
             lambda: self.quota_exchange,
             self.metrics,
         )
-        self.ingress.body_reader.budget = MemoryBudget.from_memory(
+        self.ingress.memory.budget = MemoryBudget.from_memory(
             settings.memory_mb, IngressLimits().max_body_bytes
         )
         self.ingress.pooled_session = self._session(
--- a/src/wisterialoom/platform/app_metrics.py
+++ b/src/wisterialoom/platform/app_metrics.py
@@ -223,7 +223,7 @@
 
 def register_caller_metrics(app: PlatformApp) -> None:
     """Export what the listeners for callers count; they exist by now."""
-    reader = app.ingress.body_reader
+    reader = app.ingress.memory
     app.metrics.labeled_counter(
         "bodies_refused_total",
         "Bodies that were refused.",
--- a/src/wisterialoom/platform/ingress.py
+++ b/src/wisterialoom/platform/ingress.py
@@ -7,6 +7,7 @@
 import time
 from typing import TYPE_CHECKING
 
+from wisterialoom.caller_memory import CallerMemory, MEMORY_RETRY_S
 from wisterialoom.core.serving.request_flow import (
     AttemptResult,
     AttemptVerdict,
@@ -19,7 +20,6 @@
 from wisterialoom.core.teams.allowance import Denied
 from wisterialoom.platform._signal import Signal
 from wisterialoom.platform.attempt import Attempt
-from wisterialoom.platform.body_reader import BodyReader, MEMORY_RETRY_S
 from wisterialoom.platform.exchange import Exchange
 from wisterialoom.platform.headers import (
     ATTEMPT_ID,
@@ -133,7 +133,7 @@
         refusing: Whether new and waiting requests are refused, because the instance
             stops soon.
         active: Number of requests in progress.
-        body_reader: Reads bodies within the memory of the process.
+        memory: Reads bodies within the memory of the process.
         request_timeouts: Timeouts of the requests in progress.
         unanswered: Requests at servers, by a timeout that aborts the attempt.
     """
@@ -179,7 +179,7 @@
         self.draining = False
         self.refusing = False
         self.active = 0
-        self.body_reader = BodyReader()
+        self.memory = CallerMemory()
         self.request_timeouts: set[asyncio.Timeout] = set()
         self.unanswered: dict[asyncio.Timeout, RequestFlow] = {}
 
@@ -229,18 +229,18 @@
         if admission.status:
             return self._final(exchange)
         limit = deployment.limits.max_body_bytes
-        with self.body_reader.open(arrived) as held:
-            body = await self.body_reader.read(request, held, limit)
+        with self.memory.open(arrived) as held:
+            body = await self.memory.read(request, held, limit)
             if body is None:
                 exchange.closing = True
-                if held in self.body_reader.budget.holders:
+                if held in self.memory.budget.holders:
                     exchange.respond(413, "the body is too large; send a smaller one")
                 else:
                     exchange.respond(503, "memory", MEMORY_RETRY_S)
                 return self._final(exchange)
             exchange.body = body
-            exchange.hold = lambda count: self.body_reader.hold_answer(held, count)
-            exchange.hold_written = self.body_reader.write
+            exchange.hold = lambda count: self.memory.hold_answer(held, count)
+            exchange.hold_written = self.memory.write
             return await self._serve_body(exchange, route, admission, arrived)
 
     async def _serve_body(
--- a/src/wisterialoom/platform/listener.py
+++ b/src/wisterialoom/platform/listener.py
@@ -4,7 +4,8 @@
 
 from typing import TYPE_CHECKING
 
-from wisterialoom.caller_connection import CallerConnection, CallerServer
+from wisterialoom.caller_connection import CallerConnection
+from wisterialoom.caller_server import CallerServer
 
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
--- a/tests/test_caller_connection.py
+++ b/tests/test_caller_connection.py
@@ -11,7 +11,7 @@
 
 from aiohttp import web
 
-from wisterialoom.caller_connection import CallerRunner, stop_listening, wait_until_sent
+from wisterialoom.caller_server import CallerRunner, stop_listening, wait_until_sent
 
 BODY = b"r" * 2_000_000
 LIMIT_S = 10.0
--- a/tests/test_memory_budget.py
+++ b/tests/test_memory_budget.py
@@ -1,4 +1,4 @@
-"""Tests of `wisterialoom.core.serving.memory_budget`, on the patterns it is for."""
+"""Tests of `wisterialoom.core.memory_budget`, on the patterns it is for."""
 
 from __future__ import annotations
 
@@ -7,8 +7,8 @@
 import pytest
 from hypothesis import given, strategies as st
 
-from wisterialoom.core.serving.memory_budget import max_connections, MemoryBudget
-from wisterialoom.platform.body_reader import BodyReader
+from wisterialoom.caller_memory import CallerMemory
+from wisterialoom.core.memory_budget import max_connections, MemoryBudget
 
 MAX_BODY = 4_194_304
 
@@ -109,7 +109,7 @@
 
 async def test_answer_that_waits_longest_for_its_caller_is_ended_first():
     """Guards against memory that grows with the callers that do not read."""
-    reader = BodyReader(MemoryBudget(600_000))
+    reader = CallerMemory(MemoryBudget(600_000))
     ended: list[str] = []
     with (
         reader.write(70_000, lambda: ended.append("first")),
@@ -125,7 +125,7 @@
 
 
 async def test_answer_without_memory_is_ended():
-    reader = BodyReader(MemoryBudget(100_000))
+    reader = CallerMemory(MemoryBudget(100_000))
     with (
         pytest.raises(ConnectionResetError),
         reader.write(70_000, lambda: None),
