Count what a caller sends while it arrives, and parse whole heads only

What callers saw: with 250 connections whose heads of 16 KB consist of short lines, a process with memoryMb 160 took up to 282 MB, whether the heads were complete or not, and 296 MB once they were refused and the connections stayed. Trailers took 191 to 197 MB, trailers without end 384 MB (40 connections), heads of 60 KB 308 MB, Prompt-Prefix with 8,000 parts 259 MB, bodies of 900 KB that arrived at the same moment 246 MB. Beyond its memory a process is ended, and with it the requests of all others.

Cause: bytes went to the HTTP parser as they came. A parsed field takes up to a hundred times its bytes, and the library keeps it until the next request on the connection. Only bodies were counted, once their reader got them; fields were counted after they were parsed and given up with the request; trailers, chunk lines and what was parsed ahead of the reader were not counted at all.

Now a connection keeps heads and trailers as bytes until they are whole (request_framing.py), knows what they will take, and parses them only if that fits into the budget of the process (counted_connection.py). The same count has what is ahead of an answer, what is ahead of the reader of a body, what the library keeps of the last request, and what the caller has yet to read of its answer. The client that holds most for longest goes first; requests that have arrived completely stay. A request without room gets 503 with Retry-After, unparsed, so that "not run" is true. Lines without end are refused after the size of a head, chunk lines after 1 KB. What is planned for a connection covers 6 KB, so that ordinary requests do not compete.

A property test drives the budget with crowds of every mixture.

--- a/src/wisterialoom/caller_connection.py
+++ b/src/wisterialoom/caller_connection.py
@@ -9,33 +9,24 @@
 import struct
 import termios
 import time
-from collections import Counter
-from dataclasses import dataclass, field
 from typing import Any, cast, TYPE_CHECKING
 
-from aiohttp import web
-from aiohttp.http import HttpRequestParser
-from aiohttp.web_protocol import RequestPayloadError
+from wisterialoom.counted_connection import CountedConnection
 
 if TYPE_CHECKING:
     import asyncio
     from collections.abc import Awaitable, Callable
 
-    from aiohttp.streams import StreamReader
+    from aiohttp import web
 
     from wisterialoom.caller_server import CallerServer
+    from wisterialoom.counted_connection import CallerLimits
 
-__all__ = ["CallerConnection", "CallerLimits", "is_readable"]
+__all__ = ["CallerConnection", "is_readable"]
 
 RESET = struct.pack("ii", 1, 0)
 """Value of `SO_LINGER` with which a close resets the connection."""
 
-PIECE_BYTES = 16_384
-"""Bytes that are parsed at once, so that few requests are parsed ahead."""
-
-MAX_AHEAD_BYTES = 65_536
-"""Bytes that a caller may send on a connection before its last request is answered."""
-
 MIN_BODY_BYTES_PER_S = 1_000
 """Rate below which a body is too slow: 4 MB would take over an hour."""
 
@@ -52,153 +43,46 @@
 is being closed.
 """
 
-LINGER_S = 0.5
-"""Time for which the rest of a refused body is read and dropped.
-
-Closing the connection at once would reset it before the caller has read the answer.
-"""
-
-
-@dataclass
-class CallerLimits:
-    """What the callers of a listener may use.
-
-    Attributes:
-        max_connections: Number of connections that are open at the same time.
-        get_timeouts: Returns the seconds within which a head must arrive, and after
-            which an idle or stalled connection is closed.
-        closed: Connections that were closed, by reason.
-    """
-
-    max_connections: int
-    get_timeouts: Callable[[], tuple[float, float]]
-    closed: Counter[str] = field(default_factory=Counter)
-
 
-class CallerConnection(web.RequestHandler):
+class CallerConnection(CountedConnection):
     """A connection of a caller.
 
     aiohttp considers a request done when the end of its answer is in the buffer of the
     transport, from which a caller may still be reading for seconds.
 
-    With limits, only one request of a connection is parsed at a time, and the transport
-    is not read from while one is being answered.
-
     Attributes:
-        limits: Limits of the listener, if it has any.
         receiving: Whether the head of a request has arrived in part.
         head_since: Monotonic time at which it began to arrive.
         phase: What the connection does: `idle`, `head`, `body`, `answer`.
         phase_since: Monotonic time since which it does so without enough progress.
         phase_bytes: Bytes received or sent at that time.
-        received_bytes: Number of bytes that have arrived.
     """
 
     def __init__(
-        self,
-        manager: web.Server,
-        *,
-        limits: CallerLimits | None = None,
-        **options: Any,
+        self, manager: web.Server, *, limits: CallerLimits, **options: Any
     ) -> None:
-        if limits is not None:
-            options["lingering_time"] = LINGER_S
-        super().__init__(manager, **options)
-        self.limits = limits
+        super().__init__(manager, limits=limits, **options)
         self.receiving = False
         self.head_since = 0.0
         self.phase = "idle"
         self.phase_since = time.monotonic()
         self.phase_bytes = 0
-        self.received_bytes = 0
-        self._ahead = b""
-        self._payload: StreamReader | None = None
         self._request: web.BaseRequest | None = None
         self._answered_bytes = 0
-        if limits is not None:
-            self._parser = HttpRequestParser(
-                self,
-                self._loop,
-                self._read_bufsize,
-                max_line_size=self.max_line_size,
-                max_field_size=self.max_field_size,
-                max_headers=self.max_headers,
-                payload_exception=RequestPayloadError,
-                auto_decompress=options.get("auto_decompress", True),
-                max_msg_queue_size=1,
-            )
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Register the connection, and close another if there are too many."""
         super().connection_made(transport)
-        if self.limits is not None and self._manager is not None:
+        if self._manager is not None:
             cast("CallerServer", self._manager).make_room(self)
 
-    def data_received(self, data: bytes) -> None:
-        """Parse bytes of requests."""
-        self.received_bytes += len(data)
-        if self.limits is None:
-            super().data_received(data)
-        else:
-            self._parse(data)
-        if data:
-            self._note_head()
-
-    def _note_head(self) -> None:
-        """Note whether the head of a request has arrived in part, and since when."""
-        receiving = not self._messages and not self.is_handling
+    def _parse(self) -> None:
+        super()._parse()
+        receiving = not self.is_pending and self.framing.has_begun
         if receiving and not self.receiving:
             self.head_since = time.monotonic()
         self.receiving = receiving
 
-    def _parse(self, data: bytes) -> None:
-        """Parse bytes of one request, and keep those after it for later."""
-        if self._ahead:
-            data, self._ahead = self._ahead + data, b""
-        start = 0
-        while True:
-            if self._awaits_answer():
-                self._keep_ahead(data[start:])
-                return
-            piece = data[start : start + PIECE_BYTES]
-            super().data_received(piece)
-            if self._messages:
-                self._payload = self._messages[-1][1]
-            start += PIECE_BYTES
-            if start >= len(data) or self._close or self._force_close:
-                return
-
-    def _awaits_answer(self) -> bool:
-        """Return whether a request has arrived completely and is not answered."""
-        payload = self._payload
-        pending = bool(self._messages) or self.is_handling
-        return pending and payload is not None and payload.is_eof()
-
-    def _keep_ahead(self, data: bytes) -> None:
-        if not data:
-            return
-        self._ahead = data
-        if len(data) > MAX_AHEAD_BYTES:
-            self.end("pipelined")
-        elif not self._buffer_paused:
-            self._pause_reading_for_buffer()
-
-    def _continue(self) -> None:
-        """Parse what has arrived while a request was being answered."""
-        if self.transport is None or self._awaits_answer():
-            return
-        had_more, was_paused = bool(self._ahead), self._buffer_paused
-        self._buffer_paused = False
-        self._parse(b"")
-        if had_more:
-            self._note_head()
-        if was_paused and not self._buffer_paused and not self._reading_paused:
-            self._resume_transport_reading()
-
-    def _resume_reading_if_drained(self) -> None:
-        if not self._ahead:
-            super()._resume_reading_if_drained()
-
     async def _handle_request(
         self,
         request: web.BaseRequest,
@@ -208,18 +92,12 @@
         if self._request is not None:
             self._answered_bytes += self._request.writer.output_size
         self._request = request
-        try:
-            return await super()._handle_request(request, start_time, request_handler)
-        finally:
-            if self.limits is not None:
-                self._payload = None
-                self._loop.call_soon(self._continue)
+        return await super()._handle_request(request, start_time, request_handler)
 
     def end(self, reason: str) -> None:
         """Close the connection at once and count why."""
-        if self.limits is not None:
-            self.limits.closed[reason] += 1
-        self._ahead = b""
+        self.limits.closed[reason] += 1
+        self._drop_input()
         transport = self.transport
         raw = transport.get_extra_info("socket") if transport is not None else None
         if raw is not None and raw.fileno() >= 0:
@@ -234,6 +112,7 @@
 
         A phase begins again when enough bytes have been received or sent in it.
         """
+        self.recount()
         phase, count = self._progress()
         unused = phase == "idle" and count == self.phase_bytes
         if phase != self.phase or (phase == "idle" and not unused):
@@ -266,7 +145,7 @@
                 written += self._request.writer.output_size
             return "answer", written - unsent
         if self._messages or self.is_handling:
-            if self._payload is not None and not self._payload.is_eof():
+            if not self.framing.is_between:
                 return "body", self.received_bytes
             # A server is at work, or the answer pauses.
             return "work", 0
--- a/src/wisterialoom/caller_memory.py
+++ b/src/wisterialoom/caller_memory.py
@@ -1,4 +1,4 @@
-"""Holds the bodies of requests, and answers, within the memory of the process."""
+"""Holds what callers send, and what they are sent, within the memory of the process."""
 
 from __future__ import annotations
 
@@ -23,10 +23,6 @@
 Bodies that are complete are sent on within a second, and stalled ones are refused.
 """
 
-
-FIELD_BYTES = 200
-"""Memory planned for a header field; a short one takes far more than its bytes."""
-
 READ_AHEAD_BYTES = 160_000
 """Memory planned for what a server sends ahead while the caller does not read.
 
@@ -39,12 +35,14 @@
 
 
 class CallerMemory:
-    """Reads bodies, and ends some of them, or answers, when memory is short.
+    """Counts what is held for callers, and ends some of it when memory is short.
+
+    All listeners of a process share one, so that one bound applies to their sum.
 
     Attributes:
-        budget: Decides which requests may be held.
-        endings: Ends what is held for a request: the read of a body, or an answer.
-        refused: Number of bodies and answers that were ended, by reason.
+        budget: Decides what may be held.
+        endings: Ends what is held: a connection, the read of a body, or an answer.
+        refused: Number of bodies, answers and connections that were ended, by reason.
     """
 
     def __init__(self, budget: MemoryBudget | None = None) -> None:
@@ -74,8 +72,6 @@
         if (request.content_length or 0) > limit:
             self.refused["too_large"] += 1
             return None
-        if not self._reserve(held, FIELD_BYTES * len(request.raw_headers)):
-            return None
         if not request.can_read_body:
             held.complete = True
             return b""
@@ -98,16 +94,36 @@
         held.complete = True
         return bytes(body)
 
+    def resize(self, held: HeldBytes, count: int, end: Callable[[], None]) -> bool:
+        """Hold so many bytes for a connection, and return whether there is room.
+
+        Args:
+            held: Counts the bytes of the connection.
+            count: Number of bytes; 0 once it holds none.
+            end: Ends the connection if memory is short later.
+        """
+        refused = self.budget.resize(time.monotonic(), held, count)
+        self._end_all(held, refused)
+        if held in self.budget.holders:
+            self.endings[held] = end
+        else:
+            self.endings.pop(held, None)
+        return held not in refused
+
     def _reserve(self, held: HeldBytes, count: int) -> bool:
         """Reserve memory for more bytes of a body, and end others if need be."""
         if held not in self.budget.holders:
             return False
         refused = self.budget.reserve(time.monotonic(), held, count)
+        self._end_all(held, refused)
+        return held not in refused
+
+    def _end_all(self, held: HeldBytes, refused: list[HeldBytes]) -> None:
+        """End what is refused, except for what asked for memory itself."""
         self.refused["memory"] += len(refused)
         for other in refused:
             if other is not held and other in self.endings:
                 self.endings[other]()
-        return held not in refused
 
     def hold_answer(self, held: HeldBytes, count: int) -> bool:
         """Hold bytes of an answer too if there is room, and return whether so.
--- a/src/wisterialoom/caller_server.py
+++ b/src/wisterialoom/caller_server.py
@@ -4,16 +4,15 @@
 
 import asyncio
 import time
-from typing import cast, TYPE_CHECKING
+from typing import Any, cast, TYPE_CHECKING
 
 from aiohttp import web
 
 from wisterialoom.caller_connection import CallerConnection, is_readable
+from wisterialoom.counted_connection import CallerLimits
 
 if TYPE_CHECKING:
-    from collections.abc import Iterable
-
-    from wisterialoom.caller_connection import CallerLimits
+    from collections.abc import Awaitable, Callable, Iterable
 
 __all__ = ["CallerRunner", "CallerServer", "stop_listening", "wait_until_sent"]
 
@@ -35,10 +34,17 @@
     """Serves callers on `CallerConnection`s.
 
     Attributes:
-        limits: What callers may use, if that is limited.
+        limits: What callers may use.
     """
 
-    limits: CallerLimits | None = None
+    def __init__(
+        self,
+        handler: Callable[[web.BaseRequest], Awaitable[web.StreamResponse]],
+        limits: CallerLimits | None = None,
+        **options: Any,
+    ) -> None:
+        super().__init__(handler, **options)
+        self.limits = limits or CallerLimits()
 
     def __call__(self) -> CallerConnection:
         """Return the protocol of a new connection."""
@@ -48,7 +54,7 @@
 
     def check(self, now: float) -> None:
         """Close the connections of callers that are too slow."""
-        if self.limits is None:
+        if self.limits.get_timeouts is None:
             return
         header_s, idle_s = self.limits.get_timeouts()
         for connection in self.connections:
@@ -57,16 +63,16 @@
 
     def make_room(self, new: CallerConnection) -> None:
         """Close the connection that does least if there are too many."""
-        limits = self.limits
-        if limits is None or len(self._connections) <= limits.max_connections:
+        most = self.limits.max_connections
+        if most is None or len(self._connections) <= most:
             return
         found = cast("list[CallerConnection]", self.connections)
         # A connection that is being closed remains registered until it is.
         found = [other for other in found if other.transport is not None]
-        if len(found) <= limits.max_connections:
+        if len(found) <= most:
             return
         now = time.monotonic()
-        crowded = len(found) > 2 * limits.max_connections
+        crowded = len(found) > 2 * most
         unused = sorted(
             (
                 other
@@ -92,12 +98,26 @@
 
 
 class CallerRunner(web.AppRunner):
-    """Runs an application on a `CallerServer`."""
+    """Runs an application on a `CallerServer`.
+
+    Attributes:
+        limits: What callers may use.
+    """
+
+    def __init__(
+        self,
+        app: web.Application,
+        limits: CallerLimits | None = None,
+        **options: Any,
+    ) -> None:
+        super().__init__(app, **options)
+        self.limits = limits or CallerLimits()
 
     async def _make_server(self) -> web.Server:
         plain = await super()._make_server()
         return CallerServer(
             plain.request_handler,
+            self.limits,
             request_factory=plain.request_factory,
             handler_cancellation=plain.handler_cancellation,
             loop=plain._loop,
--- a/src/wisterialoom/core/memory_budget.py
+++ b/src/wisterialoom/core/memory_budget.py
@@ -1,15 +1,22 @@
 """Bytes that a process may hold for the requests of its callers.
 
-Load pattern: many callers send large bodies at the same time and stop just short of
-their end. Each of these is permitted; all together they take a process beyond the
-memory of its machine. Ordinary callers send small bodies, complete within a moment.
+Load pattern: many callers send large bodies, or heads of very many short lines, at the
+same time and stop just short of their end, or read their answers slowly. Each of these
+is permitted; all together they take a process beyond the memory of its machine.
+Ordinary callers send small requests, complete within a moment.
 """
 
 from __future__ import annotations
 
 from dataclasses import dataclass
 
-__all__ = ["HeldBytes", "MemoryBudget", "max_connections", "spare_bytes"]
+__all__ = [
+    "HeldBytes",
+    "MemoryBudget",
+    "max_connections",
+    "parsed_bytes",
+    "spare_bytes",
+]
 
 SMALL_BYTES = 65_536
 """Size up to which a request may use the part that is kept for small ones."""
@@ -27,7 +34,16 @@
 """Memory for each byte of a request: the body, its copy and the buffers to send it."""
 
 CONNECTION_BYTES = 40_000
-"""Memory planned for a connection with a request in progress; assumed."""
+"""Memory planned for a connection with a request in progress."""
+
+FIELD_BYTES = 280
+"""Bytes that a header field counts as; parsed and copied, it takes 650 in memory."""
+
+MIN_FIELD_BYTES = 4
+"""Bytes of the shortest header field: a letter, a colon and the end of the line."""
+
+ITEM_BYTES = 60
+"""Bytes that an item of a list in a header counts as, once it is split."""
 
 
 @dataclass(slots=True, eq=False)
@@ -61,17 +77,23 @@
         self.holders: set[HeldBytes] = set()
 
     @classmethod
-    def from_memory(cls, memory_mb: float | None, max_body_bytes: int) -> MemoryBudget:
+    def from_memory(
+        cls, memory_mb: float | None, max_body_bytes: int, max_head_bytes: int = 0
+    ) -> MemoryBudget:
         """Return the budget of a process on a machine.
 
         Args:
             memory_mb: Memory of the machine; no limit if `None`.
             max_body_bytes: Largest body of a request; one always has room.
+            max_head_bytes: Largest head; one of the shortest lines has room beside it.
         """
         if memory_mb is None:
             return cls()
         free = spare_bytes(memory_mb)
-        return cls(max(int(0.75 * free / COPIES), 2 * max_body_bytes))
+        lines = max_head_bytes // MIN_FIELD_BYTES
+        largest = max_body_bytes + max_head_bytes + FIELD_BYTES * lines
+        least = max(2 * max_body_bytes, int(largest / (1.0 - SMALL_SHARE)) + 1)
+        return cls(max(int(0.75 * free / COPIES), least))
 
     def open(self, now: float) -> HeldBytes:
         """Begin to count the bytes of a request."""
@@ -114,6 +136,30 @@
                 break
         return refused
 
+    def resize(self, now: float, held: HeldBytes, count: int) -> list[HeldBytes]:
+        """Hold so many bytes for a client in place of those before.
+
+        Args:
+            now: Monotonic time.
+            held: What is held; it is opened if it is not.
+            count: Number of bytes.
+
+        Returns:
+            What to refuse, as `reserve` does.
+        """
+        if held not in self.holders:
+            held.count, held.since = 0, now
+            if not count:
+                return []
+            self.holders.add(held)
+        if count > held.count:
+            return self.reserve(now, held, count - held.count)
+        self.used -= held.count - count
+        held.count = count
+        if not count:
+            self.release(held)
+        return []
+
     def release(self, held: HeldBytes) -> None:
         """Release all bytes of a request; further calls have no effect."""
         if held in self.holders:
@@ -135,6 +181,12 @@
         return self.limit * share
 
 
+def parsed_bytes(head: bytes) -> int:
+    """Return the bytes that a head, or trailers, count as once they are parsed."""
+    lines, items = head.count(b"\n"), head.count(b",")
+    return len(head) + FIELD_BYTES * lines + ITEM_BYTES * items
+
+
 def spare_bytes(memory_mb: float) -> float:
     """Return the memory for requests and connections on a machine."""
     return max(0.0, USABLE_SHARE * memory_mb * 1e6 - PROCESS_BYTES)
--- a/src/wisterialoom/platform/app.py
+++ b/src/wisterialoom/platform/app.py
@@ -9,11 +9,10 @@
 import time
 from collections import Counter
 from dataclasses import replace
-from typing import Any, TYPE_CHECKING
+from typing import Any, cast, TYPE_CHECKING
 
 from aiohttp import web
 
-from wisterialoom.caller_connection import CallerLimits
 from wisterialoom.caller_server import CallerServer, stop_listening, wait_until_sent
 from wisterialoom.client_session import open_session
 from wisterialoom.core.fleet import PlacementLease
@@ -24,6 +23,7 @@
 from wisterialoom.core.serving.helper_choice import HelperChoice
 from wisterialoom.core.serving.retry_budget import RetryLimits
 from wisterialoom.core.serving.routing import IngressLimits
+from wisterialoom.counted_connection import CallerLimits, MAX_HEAD_BYTES
 from wisterialoom.platform._tasks import TaskGroup
 from wisterialoom.platform.app_metrics import (
     register_caller_metrics,
@@ -38,7 +38,7 @@
 from wisterialoom.platform.ingress import Ingress, Signal
 from wisterialoom.platform.key_exchange import KeyExchange
 from wisterialoom.platform.limit_exchange import LimitExchange
-from wisterialoom.platform.listener import LimitedServer, MAX_HEAD_BYTES
+from wisterialoom.platform.listener import answer_refused, listen
 from wisterialoom.platform.metrics import PlatformMetrics
 from wisterialoom.platform.orders import OrderClient
 from wisterialoom.platform.path_prober import PathProber
@@ -47,7 +47,6 @@
 from wisterialoom.platform.placement_view import PlacementView
 from wisterialoom.platform.quota_exchange import QuotaExchange
 from wisterialoom.platform.relay import Relay
-from wisterialoom.platform.request_errors import hide_request_bytes
 from wisterialoom.platform.settings import (
     PlatformSettings,
     settings_path,
@@ -68,12 +67,6 @@
 
 logger = logging.getLogger(__name__)
 
-CALLER_KEEPALIVE_S = 75.0
-"""Idle time after which a caller's connection is closed.
-
-Longer than every idle timeout that the platform declares.
-"""
-
 SERVER_KEEPALIVE_S = 2.0
 """Idle time after which a connection to a backend server is not reused."""
 
@@ -253,7 +246,7 @@
             self.metrics,
         )
         self.ingress.memory.budget = MemoryBudget.from_memory(
-            settings.memory_mb, IngressLimits().max_body_bytes
+            settings.memory_mb, IngressLimits().max_body_bytes, MAX_HEAD_BYTES
         )
         self.ingress.pooled_session = self._session(
             self._connector(
@@ -512,13 +505,22 @@
             if self.watch_settings:
                 self.check_settings_file(now)
 
-    def _caller_limits(self, share: float) -> CallerLimits | None:
-        """Return the limits of a listener; none if the settings name no limit."""
+    def _caller_limits(self, share: float) -> CallerLimits:
+        """Return the limits of a listener for callers.
+
+        Connections are neither counted nor timed if the settings name no limit.
+        """
         settings = self.settings
+        limits = CallerLimits(
+            self.ingress.memory,
+            get_max_head_bytes=self._max_head_bytes,
+            answer_refused=answer_refused,
+        )
         count = max_connections(settings.memory_mb, settings.max_fds)
-        if count is None:
-            return None
-        return CallerLimits(max(16, int(share * count)), self._caller_timeouts)
+        if count is not None:
+            limits.max_connections = max(16, int(share * count))
+            limits.get_timeouts = self._caller_timeouts
+        return limits
 
     def _caller_timeouts(self) -> tuple[float, float]:
         deployment = self.dispatcher.deployment
@@ -531,17 +533,12 @@
         handler: Callable[[web.BaseRequest], Awaitable[web.StreamResponse]],
         limits: CallerLimits | None = None,
     ) -> CallerServer:
-        host, _, port = address.rpartition(":")
-        hide_request_bytes()
-        server = LimitedServer(
-            handler, self._max_head_bytes, keepalive_timeout=CALLER_KEEPALIVE_S
+        limits = limits or CallerLimits(
+            get_max_head_bytes=self._max_head_bytes, answer_refused=answer_refused
         )
-        server.limits = limits
-        runner = web.ServerRunner(server, shutdown_timeout=0.1)
-        await runner.setup()
-        await web.TCPSite(runner, host, int(port), backlog=1024).start()
+        runner = await listen(address, handler, limits)
         self.runners.append(runner)
-        return server
+        return cast("CallerServer", runner.server)
 
     def _max_head_bytes(self) -> int:
         """Return the size of a request's head above which its connection is closed.
--- a/src/wisterialoom/platform/ingress.py
+++ b/src/wisterialoom/platform/ingress.py
@@ -18,6 +18,7 @@
     Wait,
 )
 from wisterialoom.core.teams.allowance import Denied
+from wisterialoom.counted_connection import MAX_HEAD_BYTES
 from wisterialoom.platform._signal import Signal
 from wisterialoom.platform.attempt import Attempt
 from wisterialoom.platform.exchange import Exchange
@@ -28,7 +29,7 @@
     read_profile,
     RESUMES,
 )
-from wisterialoom.platform.listener import head_bytes, MAX_HEAD_BYTES
+from wisterialoom.platform.listener import head_bytes
 from wisterialoom.platform.log import age_ms
 from wisterialoom.platform.team_gate import TeamGate
 
--- a/tests/test_memory_budget.py
+++ b/tests/test_memory_budget.py
@@ -8,7 +8,12 @@
 from hypothesis import given, strategies as st
 
 from wisterialoom.caller_memory import CallerMemory
-from wisterialoom.core.memory_budget import max_connections, MemoryBudget
+from wisterialoom.core.memory_budget import (
+    HeldBytes,
+    max_connections,
+    MemoryBudget,
+    parsed_bytes,
+)
 
 MAX_BODY = 4_194_304
 
@@ -132,3 +137,89 @@
     ):
         pytest.fail("written without memory")
     assert reader.budget.used == 0
+
+
+def test_head_of_the_shortest_lines_counts_as_much_more_than_its_bytes():
+    lines = parsed_bytes(b"a:\r\n" * 4_000)
+    assert lines > 60 * 16_000
+    assert parsed_bytes(b"a: " + b"b" * 16_000 + b"\r\n") < 17_000
+    # A list is split into its items.
+    assert parsed_bytes(b"a: " + b"b," * 8_000 + b"\r\n") > 400_000
+
+
+def test_largest_head_and_the_largest_body_have_room_on_the_smallest_machine():
+    for memory_mb in (1, 160, 552):
+        budget = MemoryBudget.from_memory(memory_mb, MAX_BODY, 65_536)
+        head, body = budget.open(0.0), budget.open(0.0)
+        assert budget.reserve(0.0, head, parsed_bytes(b"a:\r\n" * 16_384)) == []
+        assert budget.reserve(0.0, body, MAX_BODY) == []
+
+
+CLIENTS = st.integers(0, 11)
+SIZES = st.one_of(st.just(0), st.integers(1, 70_000), st.integers(1, 3_000_000))
+STEPS = st.one_of(
+    st.tuples(st.just("resize"), CLIENTS, SIZES),
+    st.tuples(st.just("reserve"), CLIENTS, SIZES),
+    st.tuples(st.just("arrive"), CLIENTS, st.just(0)),
+    st.tuples(st.just("answer"), CLIENTS, st.just(0)),
+    st.tuples(st.just("leave"), CLIENTS, st.just(0)),
+)
+"""What clients of every kind do: heads that grow or are parsed, bodies, whole requests
+that wait, answers after which a connection stays, and connections that end."""
+
+
+@given(st.lists(STEPS, max_size=60))
+def test_bound_holds_for_crowds_of_every_mixture(steps):
+    """Whole requests stay; of others, the one that holds most for longest goes."""
+    budget = MemoryBudget(8_000_000)
+    assert budget.limit is not None
+    clients = [HeldBytes(0.0) for _ in range(12)]
+    for number, (what, index, size) in enumerate(steps):
+        now = float(number)
+        held = clients[index]
+        before = {
+            other: (other.count * (now - other.since), other.count)
+            for other in budget.holders
+            if not other.complete and other is not held
+        }
+        whole = {other for other in budget.holders if other.complete}
+        refused: list[HeldBytes] = []
+        match what:
+            case "resize":
+                refused = budget.resize(now, held, size)
+            case "reserve" if held in budget.holders:
+                refused = budget.reserve(now, held, size)
+            case "arrive":
+                held.complete = True
+            case "answer":
+                held.complete = False
+            case "leave":
+                budget.release(held)
+                clients[index] = HeldBytes(now)
+        assert budget.used == sum(other.count for other in budget.holders)
+        assert budget.used <= budget.limit
+        assert not whole & set(refused) - {held}
+        others = [other for other in refused if other is not held]
+        spared = [before[other] for other in before if other in budget.holders]
+        assert all(
+            before[other] >= held_most for other in others for held_most in spared
+        )
+
+
+@given(st.lists(st.integers(1, 3_000_000), min_size=1, max_size=30))
+def test_ordinary_request_has_room_beside_any_crowd_that_is_incomplete(sizes):
+    budget = MemoryBudget(8_000_000)
+    for number, size in enumerate(sizes):
+        budget.resize(float(number), HeldBytes(0.0), size)
+    ordinary = HeldBytes(0.0)
+    assert ordinary not in budget.resize(100.0, ordinary, 5_000)
+
+
+@given(st.lists(st.integers(70_000, 3_000_000), min_size=1, max_size=30))
+def test_ordinary_request_has_room_beside_large_requests_that_wait(sizes):
+    budget = MemoryBudget(8_000_000)
+    for number, size in enumerate(sizes):
+        whole = HeldBytes(0.0, complete=True)
+        budget.resize(float(number), whole, size)
+    ordinary = HeldBytes(0.0)
+    assert ordinary not in budget.resize(100.0, ordinary, 5_000)
