--- a/tests/misbehaving/test_empty_lines.py
+++ b/tests/misbehaving/test_empty_lines.py
@@ -23,6 +23,9 @@
 COUNT = 60
 """Callers of one listener."""
 
+AHEAD = 200
+"""Callers that send ahead while their requests are in work."""
+
 TOTAL_BYTES = 2_000_000
 """What each of them sends if its connection is not closed."""
 
@@ -55,6 +58,14 @@
         await crowd.send(lambda number: empty_lines(number, firsts[phase]))
 
 
+async def test_lines_that_are_sent_ahead_stay_with_their_senders(tmp_path: Path):
+    """What has arrived and was not read takes memory of the machine, too."""
+    first = head(b"/wait/", 0, NO_BODY) + b"\r\n"
+    async with crowded_front(tmp_path, "front", AHEAD) as (process, crowd):
+        process.watch.ports = {process.front}
+        await crowd.send(lambda number: empty_lines(number, first))
+
+
 @EACH_PHASE
 @pytest.mark.parametrize("listener", ["callers", "admin"])
 async def test_empty_lines_on_the_own_interface(
