Give memory to others only once it is free

Callers saw an instance run out of memory though its budget was never exceeded: when memory was short, the budget took bytes from one connection and gave them to another at once, while the parsed head of the first was still referred to by its request, its task and its transport, and freed some loop iterations later. With many large heads in one iteration of the loop, both were in memory, over and over.

The budget now remembers what it took until the connection is lost and the library has let go of it. A head that counts for much is parsed only when what is held and what is being freed fit together, and answers are held whole only then. A connection drops its last request when it is lost, which broke a cycle that kept heads until the garbage collector ran.

--- a/src/wisterialoom/caller_connection.py
+++ b/src/wisterialoom/caller_connection.py
@@ -94,18 +94,24 @@
         self._request = request
         return await super()._handle_request(request, start_time, request_handler)
 
+    def connection_lost(self, exc: BaseException | None) -> None:
+        """Let go of the last request, which refers to this connection."""
+        self._request = None
+        super().connection_lost(exc)
+
     def end(self, reason: str) -> None:
         """Close the connection at once and count why."""
-        self.limits.closed[reason] += 1
         self._drop_input()
         transport = self.transport
-        raw = transport.get_extra_info("socket") if transport is not None else None
+        if transport is None:
+            return
+        self.limits.closed[reason] += 1
+        raw = transport.get_extra_info("socket")
         if raw is not None and raw.fileno() >= 0:
             # A regular close would keep what the caller has not read, in the kernel.
             raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
         self.force_close()
-        if transport is not None:
-            transport.abort()
+        transport.abort()
 
     def check(self, now: float, header_s: float, idle_s: float) -> None:
         """Close the connection if its caller is too slow.
--- a/src/wisterialoom/caller_memory.py
+++ b/src/wisterialoom/caller_memory.py
@@ -110,6 +110,11 @@
             self.endings.pop(held, None)
         return held not in refused
 
+    def release(self, held: HeldBytes) -> None:
+        """Count what a connection held as freed."""
+        self.endings.pop(held, None)
+        self.budget.release(held)
+
     def _reserve(self, held: HeldBytes, count: int) -> bool:
         """Reserve memory for more bytes of a body, and end others if need be."""
         if held not in self.budget.holders:
--- a/src/wisterialoom/core/memory_budget.py
+++ b/src/wisterialoom/core/memory_budget.py
@@ -69,12 +69,14 @@
         limit: Number of bytes that may be held; `None` if there is no limit.
         used: Number of bytes that are held.
         holders: Requests for which bytes are held.
+        freeing: Bytes of what was refused in favor of others and is not freed yet.
     """
 
     def __init__(self, limit: int | None = None) -> None:
         self.limit = limit
         self.used = 0
         self.holders: set[HeldBytes] = set()
+        self.freeing: dict[HeldBytes, int] = {}
 
     @classmethod
     def from_memory(
@@ -134,6 +136,7 @@
             refused.append(largest)
             if largest is held:
                 break
+            self.freeing[largest] = largest.count
         return refused
 
     def resize(self, now: float, held: HeldBytes, count: int) -> list[HeldBytes]:
@@ -162,10 +165,21 @@
 
     def release(self, held: HeldBytes) -> None:
         """Release all bytes of a request; further calls have no effect."""
+        self.freeing.pop(held, None)
         if held in self.holders:
             self.holders.remove(held)
             self.used -= held.count
 
+    @property
+    def is_freeing(self) -> bool:
+        """Whether what is held and what is being freed are too much together.
+
+        Nothing large should be added meanwhile.
+        """
+        if self.limit is None or not self.freeing:
+            return False
+        return self.used + sum(self.freeing.values()) > self.limit
+
     def has_room(self, count: int) -> bool:
         """Return whether so many bytes of an answer may be held.
 
@@ -173,7 +187,8 @@
         """
         if self.limit is None:
             return True
-        return self.used + count <= self.limit * (1.0 - SMALL_SHARE)
+        taken = self.used + sum(self.freeing.values())
+        return taken + count <= self.limit * (1.0 - SMALL_SHARE)
 
     def _limit_for(self, held: HeldBytes) -> float:
         assert self.limit is not None
--- a/src/wisterialoom/counted_connection.py
+++ b/src/wisterialoom/counted_connection.py
@@ -11,7 +11,7 @@
 from aiohttp.http import RawRequestMessage
 
 from wisterialoom.caller_memory import CallerMemory
-from wisterialoom.core.memory_budget import HeldBytes, parsed_bytes
+from wisterialoom.core.memory_budget import HeldBytes, parsed_bytes, SMALL_BYTES
 from wisterialoom.request_framing import (
     PartKind,
     RequestFault,
@@ -40,6 +40,9 @@
 READ_AHEAD_BYTES = 16_384
 """Bytes of a body that are parsed ahead of their reader; parsing stops above twice."""
 
+FREEING_CHECK_S = 0.005
+"""Interval between checks whether what others held is free; some loop iterations."""
+
 LINGER_S = 0.5
 """Time for which the rest of a refused request is read and dropped.
 
@@ -113,6 +116,7 @@
         dropped_bytes: Bytes that were dropped.
         received_bytes: Number of bytes that have arrived.
         payload: Body of the last request.
+        waiting: Head or trailers that are parsed once there is room.
     """
 
     def __init__(
@@ -131,6 +135,7 @@
         self.dropped_bytes = 0
         self.received_bytes = 0
         self.payload: StreamReader | None = None
+        self.waiting: Part | None = None
 
     def data_received(self, data: bytes) -> None:
         """Count bytes of requests, and parse those for which there is room."""
@@ -151,7 +156,7 @@
         """Parse what has arrived of one request."""
         while not (self._reading_paused or self.awaits_answer):
             try:
-                part = self.framing.take()
+                part = self.waiting or self.framing.take()
             except RequestFaultError as error:
                 self._refuse_fault(error.fault)
                 return
@@ -159,6 +164,7 @@
                 break
             if not self._admit(part):
                 return
+            self.waiting = None
             super().data_received(part.data)
             if part.kind is PartKind.HEAD and not self._begin_request():
                 return
@@ -171,22 +177,27 @@
         return self.is_pending and self.framing.is_between
 
     def _admit(self, part: Part) -> bool:
-        """Return whether there is room for what a part takes once it is parsed.
+        """Return whether there is room now for what a part takes once it is parsed.
 
-        The request is refused if there is none.
+        The request is refused if there is none. It waits if there will be, once what
+        others held is freed.
         """
-        kept = parsed_bytes(part.data)
-        match part.kind:
-            case PartKind.BODY:
-                return True
-            case PartKind.HEAD:
-                self.head_bytes = len(part.data)
-            case PartKind.TRAILERS:
+        if part.kind is PartKind.BODY:
+            return True
+        if self.waiting is None:
+            kept = parsed_bytes(part.data)
+            if part.kind is PartKind.TRAILERS:
                 kept += self.parsed_bytes
-        if not self._has_room(kept):
-            self._refuse(InputRefusal.MEMORY)
+            else:
+                self.head_bytes = len(part.data)
+            if not self._has_room(kept):
+                self._refuse(InputRefusal.MEMORY)
+                return False
+            self.parsed_bytes = kept
+        if self.held.count > SMALL_BYTES and self.limits.memory.budget.is_freeing:
+            self.waiting = part
+            self._loop.call_later(FREEING_CHECK_S, self._continue)
             return False
-        self.parsed_bytes = kept
         return True
 
     def _begin_request(self) -> bool:
@@ -249,17 +260,18 @@
         count = len(self.framing.buffer) + kept
         if self.payload is not None:
             count += getattr(self.payload, "_size", 0)
-        if not self.is_pending and self.transport is not None:
-            count += self.transport.get_write_buffer_size()
-        # A request that has arrived is not refused in favor of others.
-        self.held.complete = self.awaits_answer
+        unread = self.transport.get_write_buffer_size() if self.transport else 0
+        count += unread
+        # A request that has arrived is not refused in favor of others, but its answer
+        # is cut if the caller does not read it.
+        self.held.complete = self.awaits_answer and not unread
         return self.limits.memory.resize(
             self.held, max(0, count - INCLUDED_BYTES), self._end_for_memory
         )
 
     def _end_for_memory(self) -> None:
         """Give up what is held in favor of others."""
-        if self.framing.buffer:
+        if self.framing.buffer or self.waiting is not None:
             self._refuse(InputRefusal.MEMORY)
         else:
             self.end("memory")
@@ -278,7 +290,7 @@
         It is closed without an answer if it still holds much of a request before, or
         if the body of the request is arriving.
         """
-        keeps_much = self.parsed_bytes > INCLUDED_BYTES
+        keeps_much = self._request_count > 0 and self.parsed_bytes > INCLUDED_BYTES
         if self.is_pending or keeps_much or self.transport is None:
             self.end(refusal.value)
             return
@@ -303,13 +315,15 @@
         """Drop what has arrived, and what still arrives."""
         self.is_refused = True
         self.framing.buffer = bytearray()
-        self.limits.memory.resize(self.held, 0, self._end_for_memory)
+        self.waiting = None
 
     def end(self, reason: str) -> None:
         """Close the connection at once and count why."""
         raise NotImplementedError
 
     def connection_lost(self, exc: BaseException | None) -> None:
-        """Release what is held."""
+        """Release what is held, once the library has let go of it."""
         self._drop_input()
+        self.payload = None
         super().connection_lost(exc)
+        self._loop.call_soon(self.limits.memory.release, self.held)
--- a/tests/misbehaving/front.py
+++ b/tests/misbehaving/front.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import functools
 import re
 import signal
 from contextlib import asynccontextmanager
@@ -24,9 +25,23 @@
 
     from tests.platform.fakes import FakeStore
 
-MEMORY_MB = 160
-MAX_FDS = 700
-"""`memoryMb` and `maxFds` of the settings."""
+
+@dataclass(frozen=True)
+class Machine:
+    """Limits of a machine, as the settings name them.
+
+    Attributes:
+        memory_mb: `memoryMb`.
+        max_fds: `maxFds`.
+    """
+
+    memory_mb: int = 160
+    max_fds: int = 700
+
+
+SMALL = Machine()
+USUAL = Machine(300, 4_200)
+"""A small machine, so that small crowds tell, and one as the users have it."""
 
 WAIT_MS = 20_000
 """Time that requests may wait; longer than a test needs."""
@@ -40,6 +55,12 @@
 EVENT = b"id: %d\ndata: " + b"e" * 8_000 + b"\n\n"
 
 
+@functools.cache
+def long_body(size: int) -> bytes:
+    """Return a body, the same one for all answers."""
+    return b"r" * size
+
+
 @dataclass
 class LongServer(FakePlainServer):
     """A server with answers of any length, and streams without end.
@@ -58,7 +79,7 @@
             "Response-Stamp": "s",
         }
         if "size" in request.query:
-            body = b"r" * int(request.query["size"])
+            body = long_body(int(request.query["size"]))
             return web.Response(body=body, headers=headers)
         headers["Content-Type"] = "text/event-stream"
         stream = web.StreamResponse(headers=headers)
@@ -71,7 +92,7 @@
 
 
 class Front(Instance):
-    """The deployed program, with the memory and descriptors of a small machine.
+    """The deployed program, with the memory and descriptors of some machine.
 
     Attributes:
         long: Server with long answers.
@@ -87,10 +108,12 @@
     watch: ProcessWatch
     session: aiohttp.ClientSession
 
-    def __init__(self, name: str, store: str, folder: Path) -> None:
+    def __init__(self, name: str, store: str, folder: Path, machine: Machine) -> None:
         super().__init__(name, store, folder)
         text = self.path.read_text()
-        limits = f"[limits]\nmemoryMb = {MEMORY_MB}\nmaxFds = {MAX_FDS}\n"
+        limits = (
+            f"[limits]\nmemoryMb = {machine.memory_mb}\nmaxFds = {machine.max_fds}\n"
+        )
         self.path.write_text(text + limits)
         found = re.search(r"internalPorts = \[(\d+)", text)
         assert found
@@ -118,7 +141,7 @@
 
 
 @asynccontextmanager
-async def front(tmp_path: Path) -> AsyncIterator[Front]:
+async def front(tmp_path: Path, machine: Machine = SMALL) -> AsyncIterator[Front]:
     """Run an instance, and check it at the end."""
     plain = FakePlainServer("i-1")
     slow = FakePlainServer("i-2", service="slow", hang=True)
@@ -145,11 +168,13 @@
         async with aiohttp.ClientSession(
             connector=connector, timeout=timeout
         ) as session:
-            instance = Front("front-1", store.address, tmp_path)
+            instance = Front("front-1", store.address, tmp_path, machine)
             instance.long, instance.slow = long, slow
             instance.store, instance.session = store, session
             await instance.start(session)
-            instance.watch = ProcessWatch(instance.process, MEMORY_MB, MAX_FDS)
+            instance.watch = ProcessWatch(
+                instance.process, machine.memory_mb, machine.max_fds
+            )
             try:
                 await instance.answer_ordinary()
                 yield instance
@@ -162,7 +187,7 @@
 
 @asynccontextmanager
 async def crowded_front(
-    tmp_path: Path, listener: str, count: int
+    tmp_path: Path, listener: str, count: int, machine: Machine = SMALL
 ) -> AsyncIterator[tuple[Front, Crowd]]:
     """Run an instance and a crowd; ordinary callers are served beside it and after.
 
@@ -170,9 +195,10 @@
         tmp_path: Folder for the settings.
         listener: Listener that the crowd connects to.
         count: Number of its connections.
+        machine: Limits in the settings.
     """
     async with (
-        front(tmp_path) as process,
+        front(tmp_path, machine) as process,
         Crowd(process.address(listener), count) as crowd,
     ):
         yield process, crowd
--- a/tests/misbehaving/test_many_lines.py
+++ b/tests/misbehaving/test_many_lines.py
@@ -20,8 +20,10 @@
     head,
     HELP_FOR,
     NO_BODY,
+    USUAL,
 )
 from tests.misbehaving.lines import LEGAL_BYTES, LINES, lines, mixed_lines
+from tests.misbehaving.process_watch import wait_until
 
 if TYPE_CHECKING:
     from collections.abc import Callable
@@ -32,6 +34,9 @@
 COUNT = 250
 """Callers of one listener; each sends at most 16 KB of lines."""
 
+MANY = 950
+"""Callers of an instance on a usual machine."""
+
 TURNS = 4
 """Requests on one connection, one after the other."""
 
@@ -73,7 +78,7 @@
 async def test_whole_requests_that_wait_at_a_slow_server(tmp_path: Path, shape: str):
     async with crowded_front(tmp_path, "front", COUNT) as (process, crowd):
         await crowd.send(of_shape(waiting, shape, b"\r\n"))
-        assert process.slow.runs
+        await wait_until(lambda: bool(process.slow.runs))
 
 
 @EACH_SHAPE
@@ -83,6 +88,15 @@
         await crowd.send(of_shape(refused, shape, b"\r\n"))
 
 
+@EACH_SHAPE
+async def test_whole_requests_of_many_callers_that_are_refused(
+    tmp_path: Path, shape: str
+):
+    """Guards against memory that is given to others before it is free."""
+    async with crowded_front(tmp_path, "front", MANY, USUAL) as (_, crowd):
+        await crowd.send(of_shape(refused, shape, b"\r\n"))
+
+
 @pytest.mark.parametrize("path", [b"/none/", b"/look/"])
 async def test_requests_one_after_the_other_on_a_connection(
     tmp_path: Path, path: bytes
