--- a/src/wisterialoom/caller_server.py
+++ b/src/wisterialoom/caller_server.py
@@ -3,9 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-import socket
 import time
-from contextlib import suppress
 from typing import Any, cast, TYPE_CHECKING
 
 from aiohttp import web
@@ -19,7 +17,6 @@
 __all__ = [
     "CallerRunner",
     "CallerServer",
-    "open_listener",
     "stop_listening",
     "wait_until_sent",
 ]
@@ -38,34 +35,6 @@
 """
 
 
-RECEIVE_BUFFER_BYTES = 32_768
-"""Receive buffer of a connection; the system takes twice as much.
-
-With the one that the system chooses, it holds some megabytes of what a caller sends
-ahead while nothing is read, and a single read brings up to 262,144 bytes.
-"""
-
-
-def open_listener(host: str, port: int) -> socket.socket:
-    """Return a bound socket, whose connections have small receive buffers.
-
-    Args:
-        host: IP address, version 4 or 6.
-        port: Port; 0 lets the system choose.
-    """
-    family = socket.AF_INET6 if ":" in host else socket.AF_INET
-    opened = socket.socket(family, socket.SOCK_STREAM)
-    opened.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    with suppress(OSError):
-        opened.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
-    try:
-        opened.bind((host, port))
-    except OSError:
-        opened.close()
-        raise
-    return opened
-
-
 class CallerServer(web.Server):
     """Serves callers on `CallerConnection`s.
 
--- a/src/wisterialoom/platform/listener.py
+++ b/src/wisterialoom/platform/listener.py
@@ -8,7 +8,7 @@
 from aiohttp import web
 
 from wisterialoom.caller_memory import MEMORY_RETRY_S
-from wisterialoom.caller_server import CallerServer, open_listener
+from wisterialoom.caller_server import CallerServer
 from wisterialoom.counted_connection import InputRefusal, MAX_HEAD_BYTES
 from wisterialoom.platform.request_errors import hide_request_bytes
 
@@ -84,5 +84,5 @@
     )
     runner = web.ServerRunner(server, shutdown_timeout=0.1)
     await runner.setup()
-    await web.SockSite(runner, open_listener(host, int(port)), backlog=BACKLOG).start()
+    await web.TCPSite(runner, host, int(port), backlog=BACKLOG).start()
     return runner
--- a/tests/test_counted_connection.py
+++ b/tests/test_counted_connection.py
@@ -11,7 +11,7 @@
 from aiohttp import web
 
 from wisterialoom.caller_memory import CallerMemory
-from wisterialoom.caller_server import CallerServer, open_listener
+from wisterialoom.caller_server import CallerServer
 from wisterialoom.core.memory_budget import MemoryBudget
 from wisterialoom.counted_connection import CallerLimits
 
@@ -68,7 +68,7 @@
     )
     runner = web.ServerRunner(server, shutdown_timeout=0.1)
     await runner.setup()
-    await web.SockSite(runner, open_listener("127.0.0.1", 0)).start()
+    await web.TCPSite(runner, "127.0.0.1", 0).start()
     started.server = server
     started.address = runner.addresses[0][:2]
     yield started
