Tell errors of a caller's connection from those of a server's

Callers got 503 from an instance that had taken a server out of use, though the server was well: callers that read nothing were cut when memory was short, and the error of their connections counted as a lost connection to the server. It was ejected, the path to it was doubted, and a resumable stream went on at another server, for nobody.

The new test failed before: two servers ran a request whose caller was cut.

Writes to a caller now raise an error of their own, which ends the request as "caller_gone" and leaves the server as it is.

--- a/src/wisterialoom/platform/exchange.py
+++ b/src/wisterialoom/platform/exchange.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import time
-from contextlib import nullcontext
+from contextlib import contextmanager, nullcontext
 from typing import TYPE_CHECKING
 
 import orjson
@@ -14,14 +14,14 @@
 from wisterialoom.platform.headers import ATTEMPT_ID, LAST_EVENT_ID
 
 if TYPE_CHECKING:
-    from collections.abc import Callable
+    from collections.abc import Callable, Iterator
     from contextlib import AbstractContextManager
 
     from wisterialoom.core.serving.request_flow import GiveUp, RequestProfile
     from wisterialoom.core.teams.allowance import Charge
     from wisterialoom.platform.attempt import BufferedAnswer
 
-__all__ = ["Exchange"]
+__all__ = ["CallerGoneError", "Exchange"]
 
 BAD_REQUEST = 400
 UNAUTHORIZED = 401
@@ -40,6 +40,22 @@
 )
 
 
+class CallerGoneError(Exception):
+    """A caller cannot be sent its answer, whatever the server does.
+
+    It has closed its connection, or it does not read while memory is short.
+    """
+
+
+@contextmanager
+def _sending() -> Iterator[None]:
+    """Tell errors of a caller's connection from those of a server's."""
+    try:
+        yield
+    except ConnectionError as error:
+        raise CallerGoneError from error
+
+
 class Exchange:
     """Sends a caller its answer.
 
@@ -86,21 +102,30 @@
 
     @property
     def head_sent(self) -> bool:
-        """Whether the head of a streamed answer has been sent."""
+        """Whether sending the head of a streamed answer has begun."""
         return self.stream is not None
 
     async def begin(self, status: int, headers: list[tuple[str, str]]) -> None:
-        """Send the head of a streamed answer."""
+        """Send the head of a streamed answer.
+
+        Raises:
+            CallerGoneError: The caller cannot be sent it.
+        """
         stream = web.StreamResponse(status=status)
         stream.headers.extend(headers)
         if self.closing:
             stream.force_close()
         self.head_sent_at = time.monotonic()
-        await stream.prepare(self.request)
         self.stream = stream
+        with _sending():
+            await stream.prepare(self.request)
 
     async def write(self, data: bytes) -> None:
-        """Send a chunk of a streamed answer; waits while the caller does not read."""
+        """Send a chunk of a streamed answer; waits while the caller does not read.
+
+        Raises:
+            CallerGoneError: The caller cannot be sent it.
+        """
         assert self.stream is not None
         now = time.monotonic()
         if self.last_write_at:
@@ -110,13 +135,19 @@
         for start in range(0, len(data), PIECE_BYTES):
             unsent = transport.get_write_buffer_size() if transport is not None else 0
             piece = data[start : start + PIECE_BYTES]
-            with self.hold_written(unsent + len(data) - start, self.cut):
+            count = unsent + len(data) - start
+            with _sending(), self.hold_written(count, self.cut):
                 await self.stream.write(piece)
 
     async def finish(self) -> None:
-        """End a streamed answer."""
+        """End a streamed answer.
+
+        Raises:
+            CallerGoneError: The caller cannot be sent it.
+        """
         assert self.stream is not None
-        await self.stream.write_eof()
+        with _sending():
+            await self.stream.write_eof()
         self.response = self.stream
 
     def send_buffered(self, answer: BufferedAnswer) -> None:
--- a/src/wisterialoom/platform/ingress.py
+++ b/src/wisterialoom/platform/ingress.py
@@ -21,7 +21,7 @@
 from wisterialoom.counted_connection import MAX_HEAD_BYTES
 from wisterialoom.platform._signal import Signal
 from wisterialoom.platform.attempt import Attempt
-from wisterialoom.platform.exchange import Exchange
+from wisterialoom.platform.exchange import CallerGoneError, Exchange
 from wisterialoom.platform.headers import (
     ATTEMPT_ID,
     LAST_EVENT_ID,
@@ -303,7 +303,7 @@
             self.dispatcher.release_server(flow)
             exchange.refuse(profile, GiveUp(GiveUpReason.DEADLINE, not_run, 0.3))
             flow.outcome = GiveUpReason.DEADLINE.value
-        except ConnectionError:
+        except CallerGoneError:
             exchange.abort()
             flow.outcome = "caller_gone"
         finally:
--- a/tests/platform/test_app.py
+++ b/tests/platform/test_app.py
@@ -30,6 +30,7 @@
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator, Callable
+    from contextlib import AbstractContextManager
 
 
 @dataclass
@@ -224,6 +225,25 @@
         assert headers["Response-Stamp"].startswith(("i-1", "i-2"))
 
 
+async def test_caller_that_does_not_read_says_nothing_about_the_server():
+    """Guards against servers that are ejected for what a caller does."""
+    first = FakeModelServer("i-1", models={"m0": []})
+    second = FakeModelServer("i-2", models={"m0": []})
+    async with harness(first, second) as site:
+
+        def refuse(_: int, __: Callable[[], None]) -> AbstractContextManager[None]:
+            raise ConnectionResetError("no memory")
+
+        site.app.ingress.memory.write = refuse  # type: ignore[method-assign]
+        with pytest.raises(aiohttp.ClientPayloadError):
+            await site.call("/draft/", Model="m0", Token_Count="10,30")
+        assert len(first.runs + second.runs) == 1
+        await wait_until(lambda: not site.app.ingress.active)
+        for view in site.app.dispatcher.views.values():
+            assert not view.ejection.until
+            assert not view.in_flight
+
+
 async def test_broken_stream_that_is_not_resumable_ends_incomplete():
     server = FakeModelServer("i-1", models={"m0": []}, break_after=2)
     async with harness(server) as site:
