Keep no names of what callers invent

Callers that each named another model, adapter or stream took an instance out of memory: requests were counted by whatever model and adapter they named, for good, also in what is reported to the placement, and streams and shared parts of prompts were remembered under ids of up to 16 KB.

Only requests for declared models and adapters are counted, and a digest stands for an id of more than 128 characters. Instances of the version before do not find a stream with such an id at an instance of this one; callers then begin it anew.

--- a/src/wisterialoom/core/serving/balancer.py
+++ b/src/wisterialoom/core/serving/balancer.py
@@ -6,6 +6,8 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+from wisterialoom.core.short_key import short_key
+
 if TYPE_CHECKING:
     from collections.abc import Iterable
 
@@ -15,7 +17,7 @@
 __all__ = ["Balancer", "BalancerWeights"]
 
 MAX_PREFIXES = 4096
-"""Maximum number of prompt prefixes remembered; each takes about 60 bytes."""
+"""Maximum number of prompt prefixes remembered; each takes at most some 200 bytes."""
 
 
 @dataclass(frozen=True, slots=True)
@@ -105,4 +107,4 @@
         """Return the key of a prompt's shared prefix, or an empty string."""
         if len(profile.prefix) < 2:
             return ""
-        return f"{profile.resource}:{profile.prefix[-2]}"
+        return short_key(f"{profile.resource}:{profile.prefix[-2]}")
--- a/src/wisterialoom/core/serving/dispatcher.py
+++ b/src/wisterialoom/core/serving/dispatcher.py
@@ -94,7 +94,7 @@
         waiting: Number of waiting requests, by requested model and adapter.
         wanted_until: Monotonic time until which a model counts as wanted at a software
             version, by both.
-        arrivals: Requests since the process started, by model and adapter.
+        arrivals: Requests since the process started, by declared model and adapter.
         running_counts: Attempts in progress, by server, then model and adapter.
         in_progress: Requests with an attempt in progress, by identity.
         notices: What servers have said about themselves in answers.
@@ -255,7 +255,8 @@
         if self.deployment is not None:
             self.fairness.set_teams(self.deployment.teams)
         self.fairness.record_arrival(now, profile)
-        if profile.model:
+        engine = self.engine_of(profile.service)
+        if engine is not None and engine.declares(profile.model, profile.adapter):
             resource = profile.resource
             self.arrivals[resource] = self.arrivals.get(resource, 0) + 1
 
--- a/src/wisterialoom/core/serving/request_flow.py
+++ b/src/wisterialoom/core/serving/request_flow.py
@@ -6,6 +6,8 @@
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
 
+from wisterialoom.core.short_key import short_key
+
 if TYPE_CHECKING:
     from wisterialoom.core.serving.routing import Route
 
@@ -157,8 +159,13 @@
 
     @property
     def stream(self) -> str:
-        """Id of the caller's attempt that begins, or began, the stream."""
-        return self.takes_up or self.request_id
+        """Key of the stream, after the caller's attempt that begins, or began, it."""
+        return short_key(self.takes_up or self.request_id)
+
+    @property
+    def taken_up_stream(self) -> str:
+        """Key of the stream that the request takes up; empty if it names none."""
+        return short_key(self.takes_up or "")
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/wisterialoom/core/serving/routing.py
+++ b/src/wisterialoom/core/serving/routing.py
@@ -114,6 +114,15 @@
     warm_load_s: float
     disk_load_s: float
 
+    def has_adapter(self, name: str) -> bool:
+        """Return whether an adapter of this name is declared."""
+        number = name[1:]
+        if name[:1] != "a" or not number.isascii() or not number.isdecimal():
+            return False
+        if len(number) > len(str(self.adapters)) or number.startswith("0"):
+            return False
+        return int(number) <= self.adapters
+
 
 @dataclass(frozen=True, slots=True)
 class EngineProfile:
@@ -135,6 +144,11 @@
     loads_per_s: float
     models: dict[str, ModelProfile] = field(default_factory=dict)
 
+    def declares(self, model: str, adapter: str) -> bool:
+        """Return whether a model is declared, and the adapter, if one is named."""
+        profile = self.models.get(model)
+        return profile is not None and (not adapter or profile.has_adapter(adapter))
+
 
 @dataclass(frozen=True, slots=True)
 class Service:
--- a/src/wisterialoom/core/serving/stream_versions.py
+++ b/src/wisterialoom/core/serving/stream_versions.py
@@ -119,7 +119,7 @@
             is_current: Whether the servers are known to be current.
         """
         profile = flow.profile
-        origin = self.origins.find(profile.takes_up or "")
+        origin = self.origins.find(profile.taken_up_stream)
         if origin is not None:
             return origin.version if origin.service == profile.service else None
         if not is_current:
--- a/src/wisterialoom/platform/stream_exchange.py
+++ b/src/wisterialoom/platform/stream_exchange.py
@@ -183,7 +183,7 @@
 
     async def _ask_instances(self, flow: RequestFlow) -> str | None:
         profile = flow.profile
-        stream = profile.takes_up or ""
+        stream = profile.taken_up_stream
         addresses = list(self._others(stream, ASKED))
         if not addresses:
             return None
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import pytest
+
 from wisterialoom.core.serving.backend import BackendServer, ResidentModel
 from wisterialoom.core.serving.balancer import Balancer
 from wisterialoom.core.serving.dispatcher import Dispatcher
@@ -174,6 +176,30 @@
     assert retries <= 0.2 * 200 + 50 / 5
 
 
+@pytest.mark.parametrize(
+    ("model", "adapter", "counts"),
+    [
+        ("m0", "", True),
+        ("m0", "a1", True),
+        ("m0", "a4", True),
+        ("m0", "a0", False),
+        ("m0", "a01", False),
+        ("m0", "a5", False),
+        ("m0", "b1", False),
+        ("m0", "a" + "1" * 9_000, False),
+        ("m0", "a\u0661", False),
+        ("other", "", False),
+        ("", "", False),
+    ],
+)
+def test_only_requests_for_what_is_declared_are_counted(model, adapter, counts):
+    """Names of undeclared models were kept for good, whatever their length."""
+    d = make(server("s1"), models=True)
+    f = flow(model=model, adapter=adapter)
+    d.record_arrival(0.0, f)
+    assert bool(d.arrivals) == counts
+
+
 def test_retry_budget_recovers_after_window():
     retry_budget = RetryBudget(RetryLimits(0.2, 10.0, 10.0), sharing_instances=1)
     taken = [retry_budget.spend(0.0) for _ in range(20)]
