Read long lines in the heads of servers' answers

A caller whose Attempt-Id was longer than 8,190 bytes, in a head inside the limits, got 502: servers repeat it in their answers, and the HTTP client refuses a line of more than 8,190 bytes. The request had run.

Evidence: test_request_with_a_long_id failed before with 502 for 12,000 bytes; it now gets its answer. Sessions read lines of up to 65,536 bytes, the largest head that an instance takes from a caller; the tests of answers without end pass as before.

--- a/src/wisterialoom/client_session.py
+++ b/src/wisterialoom/client_session.py
@@ -18,6 +18,9 @@
 READ_AHEAD_BYTES = 8_192
 """Bytes of a body that are read ahead; reading stops above twice as many."""
 
+MAX_LINE_BYTES = 65_536
+"""Longest line of a response's head; servers repeat ids that callers chose."""
+
 
 def open_session(
     connector: TCPConnector, trace_configs: Sequence[TraceConfig] = ()
@@ -35,4 +38,6 @@
         response_class=TrackedResponse,
         trace_configs=list(trace_configs),
         read_bufsize=READ_AHEAD_BYTES,
+        max_line_size=MAX_LINE_BYTES,
+        max_field_size=MAX_LINE_BYTES,
     )
