Count what is passed on for other instances with what callers hold

An instance that passed requests on for others ran out of memory and descriptors: the listener for other instances shared no budget. It held 400 bodies and answers whatever there was room for, took any number of connections, and read bodies of at most 1 MB, so that a larger one inside the limits could not be passed on (413).

The listener now shares the memory of callers, reads bodies up to the configured limit, writes answers in counted pieces, and takes as many requests and connections as the descriptors leave that callers do not need: 400 on usual machines as before, 16 on one with 700 descriptors. One too many is answered as not passed on. Connections of other instances are not timed, as they read as slowly as their callers. The listener for metrics has the limits of the one for readiness.

--- a/src/wisterialoom/caller_connection.py
+++ b/src/wisterialoom/caller_connection.py
@@ -118,7 +118,6 @@
 
         A phase begins again when enough bytes have been received or sent in it.
         """
-        self.recount()
         phase, count = self._progress()
         unused = phase == "idle" and count == self.phase_bytes
         if phase != self.phase or (phase == "idle" and not unused):
--- a/src/wisterialoom/caller_memory.py
+++ b/src/wisterialoom/caller_memory.py
@@ -12,10 +12,11 @@
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterator
+    from contextlib import AbstractContextManager
 
     from aiohttp import web
 
-__all__ = ["CallerMemory", "MEMORY_RETRY_S"]
+__all__ = ["CallerMemory", "MEMORY_RETRY_S", "PIECE_BYTES", "write_in_pieces"]
 
 MEMORY_RETRY_S = 1.0
 """`Retry-After` of a request that was refused for lack of memory.
@@ -32,6 +33,9 @@
 SENT_BYTES = 65_536
 """Bytes of an answer that a connection takes without waiting for the caller."""
 
+PIECE_BYTES = 65_536
+"""Bytes that are written at once; the transport buffers about as many."""
+
 
 class CallerMemory:
     """Counts what is held for callers, and ends some of it when memory is short.
@@ -168,3 +172,33 @@
                 yield
             finally:
                 del self.endings[held]
+
+
+async def write_in_pieces(
+    request: web.BaseRequest,
+    answer: web.StreamResponse,
+    data: bytes,
+    hold: Callable[[int, Callable[[], None]], AbstractContextManager[None]],
+) -> None:
+    """Write bytes of an answer; waits while the caller does not read.
+
+    Args:
+        request: The request that is answered.
+        answer: The answer, whose head was sent.
+        data: The bytes.
+        hold: Holds a number of bytes that the caller has yet to take; its second
+            argument ends the answer if memory is short.
+
+    Raises:
+        ConnectionError: The caller has gone, or there is no memory.
+    """
+    transport = request.transport
+
+    def cut() -> None:
+        if transport is not None:
+            transport.abort()
+
+    for start in range(0, len(data), PIECE_BYTES):
+        unsent = transport.get_write_buffer_size() if transport is not None else 0
+        with hold(unsent + len(data) - start, cut):
+            await answer.write(data[start : start + PIECE_BYTES])
--- a/src/wisterialoom/caller_server.py
+++ b/src/wisterialoom/caller_server.py
@@ -58,13 +58,15 @@
         )
 
     def check(self, now: float) -> None:
-        """Close the connections of callers that are too slow."""
-        if self.limits.get_timeouts is None:
-            return
-        header_s, idle_s = self.limits.get_timeouts()
-        for connection in self.connections:
-            if connection.transport is not None:
-                cast("CallerConnection", connection).check(now, header_s, idle_s)
+        """Count what connections hold, and close those of callers that are too slow."""
+        get_timeouts = self.limits.get_timeouts
+        timeouts = get_timeouts() if get_timeouts is not None else None
+        for connection in cast("list[CallerConnection]", self.connections):
+            if connection.transport is None:
+                continue
+            connection.recount()
+            if timeouts is not None:
+                connection.check(now, *timeouts)
 
     def make_room(self, new: CallerConnection) -> None:
         """Close the connection that does least if there are too many."""
--- a/src/wisterialoom/core/memory_budget.py
+++ b/src/wisterialoom/core/memory_budget.py
@@ -14,6 +14,7 @@
     "HeldBytes",
     "MemoryBudget",
     "max_connections",
+    "max_passed_on",
     "parsed_bytes",
     "spare_bytes",
 ]
@@ -62,6 +63,13 @@
     complete: bool = False
 
 
+MAX_PASSED_ON, MIN_PASSED_ON = 400, 16
+"""Requests of other instances that are passed on at the same time."""
+
+OTHER_DESCRIPTORS = 100
+"""Descriptors for what is neither a caller's connection nor one to a server."""
+
+
 class MemoryBudget:
     """Admits bytes, and names the requests to refuse when there is no room.
 
@@ -219,3 +227,16 @@
     if max_fds is not None:
         limits.append(0.4 * max_fds)
     return max(64, int(min(limits))) if limits else None
+
+
+def max_passed_on(memory_mb: float | None, max_fds: int | None) -> int:
+    """Return the number of requests that are passed on for other instances at once.
+
+    Callers come first: these get what their connections leave of the descriptors. Each
+    has a connection to its server, and two from other instances, one being closed.
+    """
+    count = max_connections(memory_mb, max_fds)
+    if count is None or max_fds is None:
+        return MAX_PASSED_ON
+    left = max_fds - 2 * count - OTHER_DESCRIPTORS
+    return max(MIN_PASSED_ON, min(MAX_PASSED_ON, left // 3))
--- a/src/wisterialoom/platform/app.py
+++ b/src/wisterialoom/platform/app.py
@@ -16,7 +16,11 @@
 from wisterialoom.caller_server import CallerServer, stop_listening, wait_until_sent
 from wisterialoom.client_session import open_session
 from wisterialoom.core.fleet import PlacementLease
-from wisterialoom.core.memory_budget import max_connections, MemoryBudget
+from wisterialoom.core.memory_budget import (
+    max_connections,
+    max_passed_on,
+    MemoryBudget,
+)
 from wisterialoom.core.request_limit import ASSUMED_INSTANCES, LimitShares
 from wisterialoom.core.serving.balancer import Balancer
 from wisterialoom.core.serving.dispatcher import Dispatcher
@@ -268,7 +272,9 @@
         register_metrics(self, store)
         if settings.metrics_port:
             await self._listen(
-                f"{settings.ip}:{settings.metrics_port}", self.metrics.answer
+                f"{settings.ip}:{settings.metrics_port}",
+                self.metrics.answer,
+                self._caller_limits(READY_SHARE),
             )
         self.ready_server = await self._listen(
             settings.ready, self.answer_ready, self._caller_limits(READY_SHARE)
@@ -383,6 +389,8 @@
         self.helper_server = HelperServer(
             self.dispatcher,
             peers,
+            self.ingress.memory,
+            max_passed_on(settings.memory_mb, settings.max_fds),
             self.ingress.pooled_session,
             self.ingress.single_use_session,
             record_notice,
@@ -390,7 +398,9 @@
             self.path_prober.record_doubt,
         )
         self.peer_server = await self._listen(
-            f"{settings.ip}:{settings.peer_port}", self.helper_server.handle
+            f"{settings.ip}:{settings.peer_port}",
+            self.helper_server.handle,
+            self._peer_limits(),
         )
         self.peers = peers
         self.fleet = fleet
@@ -502,20 +512,36 @@
             self.fleet.drop_unresponsive(now)
             self.front_server.check(now)
             self.ready_server.check(now)
+            self.peer_server.check(now)
             if self.watch_settings:
                 self.check_settings_file(now)
 
+    def _limits(self) -> CallerLimits:
+        return CallerLimits(
+            self.ingress.memory,
+            get_max_head_bytes=self._max_head_bytes,
+            answer_refused=answer_refused,
+        )
+
+    def _peer_limits(self) -> CallerLimits:
+        """Return the limits of the listener for other instances.
+
+        Their connections are not timed: they read as slowly as their callers.
+        """
+        settings = self.settings
+        limits = self._limits()
+        if settings.max_fds is not None:
+            count = max_passed_on(settings.memory_mb, settings.max_fds)
+            limits.max_connections = count
+        return limits
+
     def _caller_limits(self, share: float) -> CallerLimits:
         """Return the limits of a listener for callers.
 
         Connections are neither counted nor timed if the settings name no limit.
         """
         settings = self.settings
-        limits = CallerLimits(
-            self.ingress.memory,
-            get_max_head_bytes=self._max_head_bytes,
-            answer_refused=answer_refused,
-        )
+        limits = self._limits()
         count = max_connections(settings.memory_mb, settings.max_fds)
         if count is not None:
             limits.max_connections = max(16, int(share * count))
@@ -531,11 +557,8 @@
         self,
         address: str,
         handler: Callable[[web.BaseRequest], Awaitable[web.StreamResponse]],
-        limits: CallerLimits | None = None,
+        limits: CallerLimits,
     ) -> CallerServer:
-        limits = limits or CallerLimits(
-            get_max_head_bytes=self._max_head_bytes, answer_refused=answer_refused
-        )
         runner = await listen(address, handler, limits)
         self.runners.append(runner)
         return cast("CallerServer", runner.server)
--- a/src/wisterialoom/platform/app_metrics.py
+++ b/src/wisterialoom/platform/app_metrics.py
@@ -238,6 +238,7 @@
     for name, server in (
         ("caller", app.front_server),
         ("ready", app.ready_server),
+        ("peer", app.peer_server),
     ):
         if server.limits is not None:
             app.metrics.labeled_counter(
--- a/src/wisterialoom/platform/exchange.py
+++ b/src/wisterialoom/platform/exchange.py
@@ -9,6 +9,7 @@
 import orjson
 from aiohttp import web
 
+from wisterialoom.caller_memory import PIECE_BYTES, write_in_pieces
 from wisterialoom.core.serving.request_flow import GiveUpReason
 from wisterialoom.platform.event_stream import EventSplitter
 from wisterialoom.platform.headers import ATTEMPT_ID, LAST_EVENT_ID
@@ -28,9 +29,6 @@
 BAD_GATEWAY = 502
 UNAVAILABLE = 503
 
-PIECE_BYTES = 65_536
-"""Bytes that are written at once; the transport buffers about as many."""
-
 VERSION_REASONS = (GiveUpReason.VERSION_LEFT, GiveUpReason.VERSION_UNKNOWN)
 """Reasons for which a stream cannot go on, while a new one can begin."""
 
@@ -131,13 +129,8 @@
         if self.last_write_at:
             self.max_gap_s = max(self.max_gap_s, now - self.last_write_at)
         self.last_write_at = now
-        transport = self.request.transport
-        for start in range(0, len(data), PIECE_BYTES):
-            unsent = transport.get_write_buffer_size() if transport is not None else 0
-            piece = data[start : start + PIECE_BYTES]
-            count = unsent + len(data) - start
-            with _sending(), self.hold_written(count, self.cut):
-                await self.stream.write(piece)
+        with _sending():
+            await write_in_pieces(self.request, self.stream, data, self.hold_written)
 
     async def finish(self) -> None:
         """End a streamed answer.
@@ -237,12 +230,6 @@
             response.force_close()
         self.response = response
 
-    def cut(self) -> None:
-        """Close the connection without sending what is left to send."""
-        transport = self.request.transport
-        if transport is not None:
-            transport.abort()
-
     def abort(self) -> None:
         """Close the connection before the end of the answer.
 
--- a/src/wisterialoom/platform/helper_server.py
+++ b/src/wisterialoom/platform/helper_server.py
@@ -11,6 +11,8 @@
 import aiohttp
 from aiohttp import web
 
+from wisterialoom.caller_memory import write_in_pieces
+from wisterialoom.core.serving.routing import IngressLimits
 from wisterialoom.no_resend import was_never_sent
 from wisterialoom.platform.headers import (
     ATTEMPT_ID,
@@ -31,6 +33,7 @@
 
     from aiohttp import ClientResponse, ClientSession
 
+    from wisterialoom.caller_memory import CallerMemory
     from wisterialoom.core.serving.dispatcher import Dispatcher
     from wisterialoom.platform.headers import ServerNotice
     from wisterialoom.platform.peers import PeerLink
@@ -39,9 +42,6 @@
 
 logger = logging.getLogger(__name__)
 
-MAX_HELPED = 400
-"""Requests of other instances that are passed on at the same time."""
-
 
 class HelperServer:
     """Serves other instances; it passes a request on once, and only directly.
@@ -52,6 +52,8 @@
     Attributes:
         dispatcher: Knows the servers and which of them this instance reaches.
         peers: Knows the other instances; nobody else is served.
+        memory: Holds what is passed on, with what callers send and are sent.
+        max_active: Requests that are passed on at the same time.
         pooled_session: Session with reused connections, for idempotent requests.
         single_use_session: Session that opens a connection for each request.
         record_notice: Called with a server's id and what it says about itself.
@@ -66,6 +68,8 @@
         self,
         dispatcher: Dispatcher,
         peers: PeerLink,
+        memory: CallerMemory,
+        max_active: int,
         pooled_session: ClientSession,
         single_use_session: ClientSession,
         record_notice: Callable[[str, ServerNotice], None],
@@ -74,6 +78,8 @@
     ) -> None:
         self.dispatcher = dispatcher
         self.peers = peers
+        self.memory = memory
+        self.max_active = max_active
         self.pooled_session = pooled_session
         self.single_use_session = single_use_session
         self.record_notice = record_notice
@@ -93,7 +99,7 @@
             view is None
             or view.draining
             or self.stopping
-            or self.active >= MAX_HELPED
+            or self.active >= self.max_active
             or not self.dispatcher.ways.is_direct(view)
         ):
             return self._refuse(HelpResult.NO_HELP)
@@ -103,10 +109,20 @@
         view.notices.record_sent(now)
         self.active += 1
         try:
-            return await self._pass_on(request, view.server.id, view.server.address)
+            with self.memory.open(now) as held:
+                body = await self.memory.read(request, held, self._max_body_bytes())
+                if body is None:
+                    return self._refuse(HelpResult.NO_HELP)
+                server = view.server
+                return await self._pass_on(request, body, server.id, server.address)
         finally:
             self.active -= 1
 
+    def _max_body_bytes(self) -> int:
+        deployment = self.dispatcher.deployment
+        limits = deployment.limits if deployment is not None else IngressLimits()
+        return limits.max_body_bytes
+
     def _refuse(self, result: HelpResult) -> web.StreamResponse:
         self.counts[result.value] += 1
         return web.Response(status=503, headers={HELP_RESULT: result.value})
@@ -125,9 +141,8 @@
         return web.Response(status=503, headers=headers)
 
     async def _pass_on(
-        self, request: web.BaseRequest, server_id: str, address: str
+        self, request: web.BaseRequest, body: bytes, server_id: str, address: str
     ) -> web.StreamResponse:
-        body = await request.read()
         once = HELP_ONCE in request.headers
         session = self.single_use_session if once else self.pooled_session
         dropped = HOP_BY_HOP_HEADERS | {HELP_FOR.lower(), HELP_ONCE.lower()}
@@ -172,7 +187,7 @@
             answer.content_length = response.content_length
         await answer.prepare(request)
         while data := await response.content.readany():
-            await answer.write(data)
+            await write_in_pieces(request, answer, data, self.memory.write)
         await answer.write_eof()
         self.counts[HelpResult.PASSED_ON.value] += 1
         return answer
--- a/tests/platform/test_app.py
+++ b/tests/platform/test_app.py
@@ -234,7 +234,7 @@
         def refuse(_: int, __: Callable[[], None]) -> AbstractContextManager[None]:
             raise ConnectionResetError("no memory")
 
-        site.app.ingress.memory.write = refuse  # type: ignore[method-assign]
+        site.app.ingress.memory.write = refuse
         with pytest.raises(aiohttp.ClientPayloadError):
             await site.call("/draft/", Model="m0", Token_Count="10,30")
         assert len(first.runs + second.runs) == 1
--- a/tests/test_memory_budget.py
+++ b/tests/test_memory_budget.py
@@ -11,6 +11,7 @@
 from wisterialoom.core.memory_budget import (
     HeldBytes,
     max_connections,
+    max_passed_on,
     MemoryBudget,
     parsed_bytes,
 )
@@ -223,3 +224,17 @@
         budget.resize(float(number), whole, size)
     ordinary = HeldBytes(0.0)
     assert ordinary not in budget.resize(100.0, ordinary, 5_000)
+
+
+@pytest.mark.parametrize("max_fds", [700, 1_000, 4_200, 20_000])
+@pytest.mark.parametrize("memory_mb", [160, 300, 4_000])
+def test_all_connections_together_stay_under_the_descriptors(memory_mb, max_fds):
+    """A third of the connections of other instances may be closing."""
+    count = max_connections(memory_mb, max_fds)
+    passed_on = max_passed_on(memory_mb, max_fds)
+    assert 16 <= passed_on <= 400
+    assert 2 * count + 3 * passed_on < max_fds
+
+
+def test_requests_of_other_instances_are_bounded_without_settings():
+    assert max_passed_on(None, None) == max_passed_on(300, 4_200) == 400
