--- a/src/wisterialoom/caller_memory.py
+++ b/src/wisterialoom/caller_memory.py
@@ -8,15 +8,15 @@
 from contextlib import contextmanager
 from typing import TYPE_CHECKING
 
+from aiohttp import web
+
 from wisterialoom.core.memory_budget import HeldBytes, MemoryBudget
 
 if TYPE_CHECKING:
     from collections.abc import Callable, Iterator
     from contextlib import AbstractContextManager
 
-    from aiohttp import web
-
-__all__ = ["CallerMemory", "MEMORY_RETRY_S", "PIECE_BYTES", "write_in_pieces"]
+__all__ = ["CallerMemory", "MEMORY_RETRY_S", "write_in_pieces", "write_whole"]
 
 MEMORY_RETRY_S = 1.0
 """`Retry-After` of a request that was refused for lack of memory.
@@ -202,3 +202,38 @@
         unsent = transport.get_write_buffer_size() if transport is not None else 0
         with hold(unsent + len(data) - start, cut):
             await answer.write(data[start : start + PIECE_BYTES])
+
+
+async def write_whole(
+    request: web.BaseRequest, answer: web.StreamResponse
+) -> web.StreamResponse:
+    """Write a complete answer that is larger than the buffer of a connection.
+
+    It is held until its caller has read most of it.
+
+    Args:
+        request: The request that is answered.
+        answer: The answer.
+
+    Returns:
+        The answer that was sent, or a smaller one, which is yet to be sent. The
+        connection is closed if the caller has gone.
+    """
+    if not isinstance(answer, web.Response) or request.method == "HEAD":
+        return answer
+    body = answer.body
+    if not isinstance(body, bytes) or len(body) <= PIECE_BYTES:
+        return answer
+    stream = web.StreamResponse(status=answer.status, headers=answer.headers)
+    stream.content_length = len(body)
+    if answer.keep_alive is False:
+        stream.force_close()
+    try:
+        await stream.prepare(request)
+        for start in range(0, len(body), PIECE_BYTES):
+            await stream.write(body[start : start + PIECE_BYTES])
+        await stream.write_eof()
+    except ConnectionError:
+        if request.transport is not None:
+            request.transport.close()
+    return stream
--- a/src/wisterialoom/platform/exchange.py
+++ b/src/wisterialoom/platform/exchange.py
@@ -9,7 +9,7 @@
 import orjson
 from aiohttp import web
 
-from wisterialoom.caller_memory import PIECE_BYTES, write_in_pieces
+from wisterialoom.caller_memory import write_in_pieces, write_whole
 from wisterialoom.core.serving.request_flow import GiveUpReason
 from wisterialoom.platform.event_stream import EventSplitter
 from wisterialoom.platform.headers import ATTEMPT_ID, LAST_EVENT_ID
@@ -155,28 +155,11 @@
         self.response = response
 
     async def send_large(self) -> None:
-        """Send an answer that is larger than the buffer of a connection.
-
-        It is held until its caller has read most of it.
-        """
-        whole = self.response
-        if not isinstance(whole, web.Response) or self.request.method == "HEAD":
-            return
-        body = whole.body
-        if not isinstance(body, bytes) or len(body) <= PIECE_BYTES:
-            return
-        stream = web.StreamResponse(status=whole.status, headers=whole.headers)
-        stream.content_length = len(body)
+        """Send an answer that is larger than the buffer of a connection."""
+        assert self.response is not None
         if self.closing:
-            stream.force_close()
-        try:
-            await stream.prepare(self.request)
-            for start in range(0, len(body), PIECE_BYTES):
-                await stream.write(body[start : start + PIECE_BYTES])
-            await stream.write_eof()
-        except ConnectionError:
-            self.abort()
-        self.response = stream
+            self.response.force_close()
+        self.response = await write_whole(self.request, self.response)
 
     def refuse(self, profile: RequestProfile | None, end: GiveUp) -> None:
         """Answer with an error, or abort a stream in progress.
