Bound what callers of the own interface make it hold

A legal head of over 128 short fields was refused, though nothing said so.

Cause: its listeners counted nothing, had no bound on connections, and no setting named the memory or the descriptors.

Both listeners now run on the connections that count what arrives before it is parsed, and share one budget with bodies, buffered answers and answers that callers have yet to read. limits.memory_mb (1,024 MB) and limits.max_descriptors (16,384, or what the system permits) are new; with the defaults as many connections fit as max_concurrent permits requests. Requests that find no memory are refused as not run, with the reason memory. What is held for a request whose caller has left stays counted until the core has settled it.

--- a/src/wisterialoom/app.py
+++ b/src/wisterialoom/app.py
@@ -11,10 +11,8 @@
 from typing import Any, TYPE_CHECKING
 
 import uvloop
-from aiohttp import web
 
 from wisterialoom.caller_server import (
-    CallerRunner,
     CallerServer,
     stop_listening,
     wait_until_sent,
@@ -51,18 +49,19 @@
 from wisterialoom.http.admin import Admin
 from wisterialoom.http.caller_api import CallerApi
 from wisterialoom.http.dispatcher import Dispatcher
+from wisterialoom.http.listener import Listeners
 from wisterialoom.log import configure_logging
 from wisterialoom.metrics import Metrics
 from wisterialoom.object_api.client import PlatformClient
 from wisterialoom.object_api.port import PlatformPort
 from wisterialoom.peer.link import PeerLinks
 from wisterialoom.server_connection import ServerConnector
-from wisterialoom.settings import Settings, split_address
 from wisterialoom.status import Status
 
 if TYPE_CHECKING:
     from wisterialoom.core.message import Command
     from wisterialoom.core.requests.request import Refusal
+    from wisterialoom.settings import Settings
 
 __all__ = ["App", "run"]
 
@@ -83,8 +82,8 @@
 
 LINGER_CHECK_S = 0.05
 
-SHUTDOWN_TIMEOUT_S = 5.0
-"""Time for sending pending answers at shutdown, in seconds."""
+ADMIN_SHARE = 0.1
+"""Connections for operators, as a share of those for callers."""
 
 
 class App:
@@ -100,7 +99,7 @@
         admin_address: `IP:port` of the server for operators once it listens.
         peer_address: `IP:port` of the peer links once they listen.
         drained: Set once no request is in progress and the instance may exit.
-        runners: HTTP servers that are running.
+        listeners: HTTP servers for callers and operators.
         boot_id: Random identifier of this process.
         serial: Number of request ids given out.
         links: Links to the other entry instances.
@@ -115,7 +114,6 @@
         self.admin_address = ""
         self.peer_address = ""
         self.drained = asyncio.Event()
-        self.runners: list[web.AppRunner] = []
         self.boot_id = secrets.token_hex(8)
         self.serial = 0
         self.links = PeerLinks(
@@ -124,7 +122,10 @@
             address=settings.peers.advertise,
             keys=tuple(key.encode() for key in settings.peers.keys),
         )
-        self.caller_api = CallerApi(self.deliver, self.next_id, self.list_models)
+        self.listeners = Listeners(settings.limits, self.next_id)
+        self.caller_api = CallerApi(
+            self.deliver, self.next_id, self.list_models, self.listeners.memory
+        )
         self.dispatcher = Dispatcher(
             self.caller_api, self.address_of, self.deliver, self.metrics
         )
@@ -163,7 +164,7 @@
     async def linger(self) -> None:
         """Answer what is still sent on open connections of callers, for a while."""
         now = started = time.monotonic()
-        *_, callers_runner = self.runners
+        callers_runner = self.listeners.runners["callers"]
         server = callers_runner.server
         assert isinstance(server, CallerServer)
         while server.connections and now - started < MAX_LINGER_S:
@@ -197,9 +198,13 @@
         admin = Admin(
             self.metrics, self.is_ready, self.status.show, self.status.refresh
         )
-        self.admin_address = await self._serve(admin.make_app(), listen.admin)
+        self.admin_address = await self.listeners.start(
+            "admin", admin.make_app(), listen.admin, ADMIN_SHARE
+        )
         app = self.caller_api.make_app(self.settings.limits.max_body_bytes)
-        self.callers_address = await self._serve(app, listen.callers)
+        self.callers_address = await self.listeners.start(
+            "callers", app, listen.callers
+        )
         logger.info("listening", extra=self.addresses())
         await self.on_ready()
 
@@ -218,23 +223,6 @@
         parts.path.admission.max_concurrent = limits.max_concurrent
         return parts
 
-    async def _serve(self, app: web.Application, listen: str) -> str:
-        limits = self.settings.limits
-        runner = CallerRunner(
-            app,
-            handler_cancellation=True,
-            access_log=None,
-            shutdown_timeout=SHUTDOWN_TIMEOUT_S,
-            max_line_size=limits.max_header_bytes,
-            max_field_size=limits.max_header_bytes,
-        )
-        await runner.setup()
-        self.runners.append(runner)
-        host, port = split_address(listen)
-        await web.TCPSite(runner, host, port).start()
-        bound = runner.addresses[0]
-        return f"{bound[0]}:{bound[1]}"
-
     def request_drain(self) -> None:
         """Begin a graceful shutdown; further calls have no effect."""
         if self.parts.core.draining:
@@ -247,8 +235,7 @@
 
     async def stop(self) -> None:
         """Stop all components, the HTTP servers first."""
-        for runner in reversed(self.runners):
-            await runner.cleanup()
+        await self.listeners.stop()
         await self.dispatcher.stop()
         await self.driver.stop()
         await self.engine_port.stop()
@@ -304,9 +291,7 @@
 
     def _record_outcome(self, settled: RequestSettled) -> None:
         self.metrics.record_settled(settled)
-        exchange = self.caller_api.exchanges.get(settled.request_id)
-        if exchange is not None and exchange.caller_gone:
-            del self.caller_api.exchanges[settled.request_id]
+        self.caller_api.record_settled(settled.request_id)
         level = logging.INFO
         if settled.outcome in (Outcome.UNKNOWN, Outcome.FAILED):
             level = logging.WARNING
--- a/src/wisterialoom/core/claims/claim_answer.py
+++ b/src/wisterialoom/core/claims/claim_answer.py
@@ -127,8 +127,8 @@
 
 
 def fits_object(answer: StoredAnswer) -> bool:
-    """Return whether an answer fits into one object."""
-    return len(encode_answer(answer)) <= MAX_OBJECT_BYTES
+    """Return whether an answer is there as a whole and fits into one object."""
+    return answer.is_whole and len(encode_answer(answer)) <= MAX_OBJECT_BYTES
 
 
 def encode_answer(answer: StoredAnswer) -> bytes:
--- a/src/wisterialoom/core/claims/claim_settle.py
+++ b/src/wisterialoom/core/claims/claim_settle.py
@@ -93,7 +93,8 @@
             settled = replace(entry, state=ClaimState.UNKNOWN)
             return self._start(now, bucket, Settle(entry.key, entry.nonce, settled))
         done = replace(entry, state=ClaimState.DONE, answer=answer)
-        if len(done.encode()) - len(entry.encode()) <= INLINE_ANSWER_BYTES:
+        size = len(done.encode()) - len(entry.encode())
+        if answer.is_whole and size <= INLINE_ANSWER_BYTES:
             return self._start(now, bucket, Settle(entry.key, entry.nonce, done))
         done = replace(done, answer=None)
         if not fits_object(answer):
--- a/src/wisterialoom/core/memory_budget.py
+++ b/src/wisterialoom/core/memory_budget.py
@@ -12,6 +12,7 @@
 
 __all__ = [
     "HeldBytes",
+    "MIN_FIELD_BYTES",
     "MemoryBudget",
     "max_connections",
     "max_passed_on",
--- a/src/wisterialoom/core/requests/refusal.py
+++ b/src/wisterialoom/core/requests/refusal.py
@@ -98,6 +98,9 @@
         "before you send it again, or ask the operator.",
         retry_after_s=None,
     ),
+    Reason.MEMORY: _Template(
+        503, "This instance has no memory for the request now; send it again."
+    ),
     Reason.CALLER_GONE: _Template(499, "The caller left before the request was run."),
     Reason.IN_PROGRESS: _Template(
         409,
--- a/src/wisterialoom/core/requests/request.py
+++ b/src/wisterialoom/core/requests/request.py
@@ -69,6 +69,7 @@
     JOB_TOO_LARGE = "job_too_large"
     CALLER_GONE = "caller_gone"
     HELD_BACK = "held_back"
+    MEMORY = "memory"
     # Refusals of a request with the idempotency key of an earlier one.
     IN_PROGRESS = "in_progress"
     KEY_UNKNOWN = "key_unknown"
@@ -184,11 +185,13 @@
         status: HTTP status code.
         content_type: Media type of the body.
         body: The complete body.
+        is_whole: Whether there was memory for the body; it cannot be kept otherwise.
     """
 
     status: int
     content_type: str
     body: bytes
+    is_whole: bool = True
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/wisterialoom/http/caller_api.py
+++ b/src/wisterialoom/http/caller_api.py
@@ -5,30 +5,34 @@
 import asyncio
 import logging
 import time
+from contextlib import ExitStack
 from typing import Any, TYPE_CHECKING
 
 import orjson
 from aiohttp import web
 
+from wisterialoom.caller_memory import CallerMemory
 from wisterialoom.core.jobs.job_endpoint import JobPolled
-from wisterialoom.core.requests.request import CallerGone, Refusal, RequestArrived
-from wisterialoom.http.error_answer import (
-    error_response,
-    OUTCOME_HEADER,
-    REASON_HEADER,
-    REQUEST_ID_HEADER,
+from wisterialoom.core.requests.refusal import refuse
+from wisterialoom.core.requests.request import (
+    CallerGone,
+    Reason,
+    Refusal,
+    RequestArrived,
 )
+from wisterialoom.http.error_answer import bad_request_response, error_response
 from wisterialoom.http.exchange import Exchange, JOB_PATH
 from wisterialoom.http.request_parser import (
     BadRequestError,
     digest_api_key,
-    read_request,
+    parse_request,
     ReceivedRequest,
 )
 
 if TYPE_CHECKING:
     from collections.abc import Callable
 
+    from wisterialoom.core.memory_budget import HeldBytes
     from wisterialoom.core.message import Event
     from wisterialoom.http.job_exchange import JobExchange
 
@@ -45,6 +49,8 @@
         next_id: Returns a new request id.
         list_models: Returns the names served at `/v1/models`, or a refusal, for the
             digest of an API key.
+        memory: Holds bodies of requests, and answers.
+        max_body_bytes: Largest body of a request.
         exchanges: Open exchanges by request id.
         bad_requests: Number of requests that could not be parsed.
         closing: Whether each connection is closed after its next answer.
@@ -56,10 +62,13 @@
         deliver: Callable[[Event], None],
         next_id: Callable[[], str],
         list_models: Callable[[str], list[str] | Refusal],
+        memory: CallerMemory | None = None,
     ) -> None:
         self.deliver = deliver
         self.next_id = next_id
         self.list_models = list_models
+        self.memory = memory or CallerMemory()
+        self.max_body_bytes = 0
         self.exchanges: dict[str, Exchange | JobExchange] = {}
         self.bad_requests = 0
         self.closing = False
@@ -71,7 +80,8 @@
         Args:
             max_body_bytes: Largest request body accepted from a caller.
         """
-        app = web.Application(client_max_size=max_body_bytes)
+        self.max_body_bytes = max_body_bytes
+        app = web.Application()
         app.on_response_prepare.append(self.close_after_answer)
         app.router.add_get("/v1/models", self.models)
         app.router.add_route("*", "/{path:.*}", self.serve)
@@ -100,41 +110,64 @@
         """Handle one request up to the end of its answer."""
         request_id = self.next_id()
         self.arrived_at = time.monotonic()
+        with ExitStack() as resources:
+            held = resources.enter_context(self.memory.open(self.arrived_at))
+            body = await self.memory.read(web_request, held, self.max_body_bytes)
+            if body is None:
+                return self._refuse_body(held, request_id)
+            try:
+                received_request = parse_request(web_request, request_id, body)
+            except BadRequestError as error:
+                return self._bad_request(400, str(error), request_id)
+            exchange = Exchange(web_request, received_request, self.memory, held)
+            exchange.resources = resources.pop_all()
+        return await self._answer(exchange)
+
+    async def _answer(self, exchange: Exchange) -> web.StreamResponse:
+        event = _to_event(exchange.received_request)
+        self.exchanges[exchange.request_id] = exchange
         try:
-            received_request = await read_request(web_request, request_id)
-        except BadRequestError as error:
-            return self._bad_request(400, str(error), request_id)
-        except web.HTTPRequestEntityTooLarge as error:
-            message = f"{error.text}; send a smaller body"
-            return self._bad_request(413, message, request_id)
-        exchange = Exchange(web_request, received_request)
-        self.exchanges[request_id] = exchange
-        try:
-            self.deliver(_to_event(received_request))
-            return await exchange.answer
+            self.deliver(event)
+            return await exchange.send(await exchange.answer)
         except asyncio.CancelledError:
             exchange.caller_gone = True
-            self.deliver(CallerGone(request_id))
+            if not exchange.settled:
+                self.deliver(CallerGone(exchange.request_id))
             raise
         finally:
-            if not exchange.caller_gone:
-                self.exchanges.pop(request_id, None)
+            # The core may still run what it has not settled.
+            is_over = exchange.settled or isinstance(event, JobPolled)
+            if is_over or not exchange.caller_gone:
+                self._drop(exchange)
+
+    def record_settled(self, request_id: str) -> None:
+        """Note that the core is done with a request."""
+        exchange = self.exchanges.get(request_id)
+        if exchange is not None:
+            exchange.settled = True
+            if exchange.caller_gone:
+                self._drop(exchange)
+
+    def _drop(self, exchange: Exchange | JobExchange) -> None:
+        """Forget an exchange, and free what is held for it."""
+        self.exchanges.pop(exchange.request_id, None)
+        exchange.resources.close()
+
+    def _refuse_body(self, held: HeldBytes, request_id: str) -> web.Response:
+        """Refuse a request whose body was not read to its end."""
+        if held in self.memory.budget.holders:
+            message = (
+                f"the body exceeds {self.max_body_bytes} bytes; send a smaller one"
+            )
+            response = self._bad_request(413, message, request_id)
+        else:
+            response = error_response(refuse(Reason.MEMORY), request_id)
+        response.force_close()
+        return response
 
     def _bad_request(self, status: int, message: str, request_id: str) -> web.Response:
         self.bad_requests += 1
-        error = {
-            "message": message,
-            "type": "invalid_request_error",
-            "param": None,
-            "code": "bad_request",
-            "outcome": "not_run",
-        }
-        headers = {
-            OUTCOME_HEADER: "not_run",
-            REASON_HEADER: "bad_request",
-            REQUEST_ID_HEADER: request_id,
-        }
-        return _json({"error": error}, status=status, headers=headers)
+        return bad_request_response(status, message, request_id)
 
 
 def _to_event(received_request: ReceivedRequest) -> Event:
@@ -146,12 +179,5 @@
     return RequestArrived(request, body)
 
 
-def _json(
-    item: Any, status: int = 200, headers: dict[str, str] | None = None
-) -> web.Response:
-    return web.Response(
-        status=status,
-        body=orjson.dumps(item),
-        content_type="application/json",
-        headers=headers,
-    )
+def _json(item: Any) -> web.Response:
+    return web.Response(body=orjson.dumps(item), content_type="application/json")
--- a/src/wisterialoom/http/error_answer.py
+++ b/src/wisterialoom/http/error_answer.py
@@ -8,6 +8,8 @@
 import orjson
 from aiohttp import web
 
+from wisterialoom.core.requests.request import Outcome
+
 if TYPE_CHECKING:
     from wisterialoom.core.requests.request import Refusal
 
@@ -15,6 +17,7 @@
     "OUTCOME_HEADER",
     "REASON_HEADER",
     "REQUEST_ID_HEADER",
+    "bad_request_response",
     "error_event",
     "error_response",
 ]
@@ -56,6 +59,27 @@
     )
 
 
+def bad_request_response(status: int, message: str, request_id: str) -> web.Response:
+    """Return the HTTP response to a request that cannot be read."""
+    error = {
+        "message": message,
+        "type": "invalid_request_error",
+        "param": None,
+        "code": "bad_request",
+        "outcome": Outcome.NOT_RUN.value,
+    }
+    return web.Response(
+        status=status,
+        body=orjson.dumps({"error": error}),
+        content_type="application/json",
+        headers={
+            OUTCOME_HEADER: Outcome.NOT_RUN.value,
+            REASON_HEADER: "bad_request",
+            REQUEST_ID_HEADER: request_id,
+        },
+    )
+
+
 def error_event(refusal: Refusal) -> bytes:
     """Return the server-sent event that reports a truncated stream."""
     return b"event: error\ndata: " + orjson.dumps(error_body(refusal)) + b"\n\n"
--- a/src/wisterialoom/http/exchange.py
+++ b/src/wisterialoom/http/exchange.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import asyncio
+from contextlib import ExitStack
 from typing import ClassVar, TYPE_CHECKING
 
 import orjson
 from aiohttp import web
 
+from wisterialoom.caller_memory import write_in_pieces, write_whole
 from wisterialoom.http.error_answer import (
     error_event,
     error_response,
@@ -18,6 +20,8 @@
 if TYPE_CHECKING:
     from collections.abc import Mapping
 
+    from wisterialoom.caller_memory import CallerMemory
+    from wisterialoom.core.memory_budget import HeldBytes
     from wisterialoom.core.notice_job import JobState
     from wisterialoom.core.requests.request import Refusal, StoredAnswer
     from wisterialoom.http.request_parser import ReceivedRequest
@@ -37,24 +41,36 @@
     Attributes:
         web_request: The caller's request.
         received_request: The request as read.
+        memory: Holds the bytes of the request and its answer.
+        held: Counts them.
+        resources: What is released when the exchange is dropped.
         answer: Resolves to the response at the end of the answer.
         stream: Response of a streamed answer whose headers were sent; otherwise
             `None`.
         caller_gone: Whether the caller has disconnected.
+        settled: Whether the core is done with the request.
         keeps_answer: Whether the core needs the complete answer.
     """
 
     keeps_answer: ClassVar[bool] = False
 
     def __init__(
-        self, web_request: web.Request, received_request: ReceivedRequest
+        self,
+        web_request: web.Request,
+        received_request: ReceivedRequest,
+        memory: CallerMemory,
+        held: HeldBytes,
     ) -> None:
         self.web_request = web_request
         self.received_request = received_request
+        self.memory = memory
+        self.held = held
+        self.resources = ExitStack()
         loop = asyncio.get_running_loop()
         self.answer: asyncio.Future[web.StreamResponse] = loop.create_future()
         self.stream: web.StreamResponse | None = None
         self.caller_gone = False
+        self.settled = False
 
     @property
     def request_id(self) -> str:
@@ -66,6 +82,14 @@
         """Whether the caller is connected and has no complete answer yet."""
         return not self.caller_gone and not self.answer.done()
 
+    def hold(self, count: int) -> bool:
+        """Hold bytes of the answer if there is room, and return whether so.
+
+        Args:
+            count: Number of bytes; negative to release some.
+        """
+        return self.memory.hold_answer(self.held, count)
+
     async def begin(self, status: int, headers: Mapping[str, str]) -> None:
         """Send the status and headers of a streamed answer."""
         if not self.open:
@@ -75,13 +99,22 @@
         await self.stream.prepare(self.web_request)
 
     async def write(self, data: bytes) -> None:
-        """Send a chunk of a streamed answer.
+        """Send a chunk of a streamed answer; waits while the caller does not read.
 
         Raises:
-            ConnectionError: If the caller has disconnected.
+            ConnectionError: If the caller has disconnected, or does not read while
+                memory is short. The connection is closed then.
         """
-        if self.open and self.stream is not None:
-            await self.stream.write(data)
+        if not self.open or self.stream is None:
+            return
+        try:
+            await write_in_pieces(
+                self.web_request, self.stream, data, self.memory.write
+            )
+        except ConnectionError:
+            if self.web_request.transport is not None:
+                self.web_request.transport.abort()
+            raise
 
     async def end(self) -> None:
         """End a streamed answer."""
@@ -100,6 +133,10 @@
         response.headers[OUTCOME_HEADER] = outcome
         self.answer.set_result(response)
 
+    async def send(self, answer: web.StreamResponse) -> web.StreamResponse:
+        """Send an answer that is complete, unless it is small enough to be returned."""
+        return await write_whole(self.web_request, answer)
+
     def report_job(self, job_id: str, state: JobState, *, accepted: bool) -> None:
         """Answer with the URL and state of a job."""
         address = f"{JOB_PATH}{job_id}"
--- a/src/wisterialoom/http/job_exchange.py
+++ b/src/wisterialoom/http/job_exchange.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from contextlib import ExitStack
 from typing import ClassVar, TYPE_CHECKING
 
 from wisterialoom.http.request_parser import ReceivedRequest
@@ -21,6 +22,8 @@
         received_request: The job's request and body.
         caller_gone: Always true, so that the exchange is dropped once the attempt
             has been settled.
+        settled: Whether the core is done with the attempt.
+        resources: What is released when the exchange is dropped.
         keeps_answer: Whether the core needs the complete answer.
     """
 
@@ -35,12 +38,18 @@
             request, command.body, request.path, headers
         )
         self.caller_gone = True
+        self.settled = False
+        self.resources = ExitStack()
 
     @property
     def request_id(self) -> str:
         """Identifier of the request."""
         return self.received_request.request.request_id
 
+    def hold(self, _: int) -> bool:
+        """Return that there is room: few jobs run at the same time."""
+        return True
+
     async def begin(self, status: int, headers: Mapping[str, str]) -> None:
         """Discard the status and headers of a streamed answer."""
 
--- a/src/wisterialoom/http/relay.py
+++ b/src/wisterialoom/http/relay.py
@@ -135,6 +135,8 @@
         retry_after_s: Seconds for which it wants no more requests, if it said so.
         tail: Last bytes of the answer, to detect the end of a stream.
         stored_body: The part of the answer that is kept for claims and jobs.
+        is_kept: Whether there is memory for that part.
+        held_bytes: Bytes of the answer that are held until the attempt has ended.
     """
 
     def __init__(
@@ -157,6 +159,8 @@
         self.retry_after_s: float | None = None
         self.tail = b""
         self.stored_body = bytearray()
+        self.is_kept = True
+        self.held_bytes = 0
 
     async def run(self, session: ClientSession) -> AttemptEnded:
         """Run the attempt and return how it ended.
@@ -181,6 +185,8 @@
                 return self._make_ended(AttemptResult.NOT_SENT)
             self.error = repr(error)
             return self._make_ended(AttemptResult.LOST)
+        finally:
+            self._release()
 
     def _report_notice(self, response: ClientResponse) -> None:
         """Report what the server says about itself, before its answer has ended."""
@@ -261,13 +267,20 @@
 
     async def _relay_buffered(self, response: ClientResponse) -> None:
         body = bytearray()
+        has_room = self._hold(self._declared_bytes(response))
         while chunk := await response.content.readany():
             self.times.record_chunk()
             body += chunk
-            if len(body) > MAX_BUFFERED_BYTES:
-                await self._relay_chunks(response, bytes(body))
+            has_room = has_room and self._hold(len(body) - self.held_bytes)
+            if len(body) > MAX_BUFFERED_BYTES or not has_room:
+                whole = bytes(body)
+                body.clear()
+                self._release()
+                await self._relay_chunks(response, whole)
                 return
         self._store(bytes(body))
+        # The exchange holds the answer until it was sent.
+        self.held_bytes = 0
         self.deliver(AttemptFirstByte(self.attempt))
         outcome = "completed" if response.status < 400 else "failed"
         headers = self._answer_headers(response)
@@ -311,15 +324,39 @@
     def _stores_answer(self) -> bool:
         return self.exchange.keeps_answer or not self.classified.idempotent
 
+    def _declared_bytes(self, response: ClientResponse) -> int:
+        """Return the declared length of an answer that may be buffered whole."""
+        length = response.content_length or 0
+        answers_head = self.exchange.received_request.request.method == "HEAD"
+        return 0 if length > MAX_BUFFERED_BYTES or answers_head else length
+
+    def _hold(self, count: int) -> bool:
+        """Hold more bytes of the answer, and return whether there is room."""
+        if count <= 0:
+            return True
+        has_room = self.exchange.hold(count)
+        self.held_bytes += count if has_room else 0
+        return has_room
+
+    def _release(self) -> None:
+        self.exchange.hold(-self.held_bytes)
+        self.held_bytes = 0
+
     def _store(self, chunk: bytes) -> None:
-        if self._stores_answer and len(self.stored_body) <= MAX_STORED_BYTES:
+        if not self._stores_answer or len(self.stored_body) > MAX_STORED_BYTES:
+            return
+        self.is_kept = self.is_kept and self._hold(len(chunk))
+        if self.is_kept:
             self.stored_body += chunk
+        else:
+            self.stored_body.clear()
 
     def _stored_answer(self, response: ClientResponse) -> StoredAnswer | None:
         if not self._stores_answer:
             return None
         kind = response.headers.get("Content-Type", "application/octet-stream")
-        return StoredAnswer(response.status, kind, bytes(self.stored_body))
+        body = bytes(self.stored_body)
+        return StoredAnswer(response.status, kind, body, is_whole=self.is_kept)
 
     def _answer_headers(self, response: ClientResponse) -> dict[str, str]:
         return {
--- a/src/wisterialoom/http/request_parser.py
+++ b/src/wisterialoom/http/request_parser.py
@@ -17,7 +17,7 @@
 
     from aiohttp import web
 
-__all__ = ["BadRequestError", "ReceivedRequest", "digest_api_key", "read_request"]
+__all__ = ["BadRequestError", "ReceivedRequest", "digest_api_key", "parse_request"]
 
 DEADLINE_HEADER = "X-Deadline-Ms"
 PRIORITY_HEADER = "X-Priority"
@@ -60,18 +60,19 @@
     headers: Mapping[str, str] = field(default_factory=dict)
 
 
-async def read_request(web_request: web.Request, request_id: str) -> ReceivedRequest:
-    """Read a request completely and parse it.
+def parse_request(
+    web_request: web.Request, request_id: str, body: bytes
+) -> ReceivedRequest:
+    """Parse a request.
 
     Args:
         web_request: The request.
         request_id: Identifier to give to it.
+        body: Its complete body.
 
     Raises:
         BadRequestError: If a header or the body cannot be parsed.
-        aiohttp.web.HTTPRequestEntityTooLarge: If the body is too large.
     """
-    body = await web_request.read()
     fields: dict[str, Any] = {}
     if web_request.path in MODEL_PATHS:
         fields = _read_model_fields(body)
--- a/src/wisterialoom/settings.py
+++ b/src/wisterialoom/settings.py
@@ -30,6 +30,9 @@
 MIN_KEY_LENGTH = 16
 """Least length of a peer secret, in characters."""
 
+MIN_MEMORY_MB = 128.0
+MIN_DESCRIPTORS = 256
+
 LOG_LEVELS = ("debug", "info", "warning", "error")
 
 
@@ -102,14 +105,21 @@
 
     Attributes:
         max_body_bytes: Largest body of a request.
-        max_header_bytes: Largest request line or header field.
+        max_header_bytes: Largest request line or header field. A head may have 128
+            times as many bytes.
         max_concurrent: Greatest number of requests in progress, waiting ones
             included.
+        memory_mb: Memory for the process, in MB of 1,000,000 bytes. What callers
+            send, and what they have yet to read, is bounded within it.
+        max_descriptors: File descriptors that the process may open. Connections of
+            callers use two fifths of them, or of the system's limit if that is lower.
     """
 
     max_body_bytes: int = 8_000_000
     max_header_bytes: int = 16_384
     max_concurrent: int = 4_096
+    memory_mb: float = 1_024.0
+    max_descriptors: int = 16_384
 
 
 @dataclass(frozen=True, slots=True)
@@ -207,6 +217,14 @@
     yield from _positive_faults("platform.timeout_s", settings.platform.timeout_s)
     for name in Limits.__dataclass_fields__:
         yield from _positive_faults(f"limits.{name}", getattr(settings.limits, name))
+    for name, least in (
+        ("memory_mb", MIN_MEMORY_MB),
+        ("max_descriptors", MIN_DESCRIPTORS),
+    ):
+        value = getattr(settings.limits, name)
+        if 0 < value < least:
+            remedy = f"use {least:g} or more"
+            yield Fault(f"limits.{name}", f"is {value:g}", remedy)
     if settings.log.level not in LOG_LEVELS:
         problem = f"{settings.log.level!r} is not a level"
         yield Fault("log.level", problem, f"use one of {', '.join(LOG_LEVELS)}")
--- a/src/wisterialoom/standin/completions.py
+++ b/src/wisterialoom/standin/completions.py
@@ -8,7 +8,7 @@
 
 from aiohttp import web
 
-from wisterialoom.http.request_parser import BadRequestError, read_request
+from wisterialoom.http.request_parser import BadRequestError, parse_request
 from wisterialoom.standin.answer import Answer, STREAM_END
 from wisterialoom.standin.batch_runner import BatchRunner
 from wisterialoom.standin.engine_batch import Job, JobTooLargeError
@@ -60,7 +60,7 @@
         if "X-Resume-From" in request.headers:
             return await self._resume(request, request_id)
         try:
-            incoming = await read_request(request, request_id)
+            incoming = parse_request(request, request_id, await request.read())
         except BadRequestError as error:
             return _error_response(400, "bad_request", str(error))
         if self.fault.leaving:
--- a/src/wisterialoom/status.py
+++ b/src/wisterialoom/status.py
@@ -44,6 +44,30 @@
             "unreachable": self._unreachable_models(),
         }
 
+    def _refresh_callers(self) -> None:
+        """Update what is counted of the memory and connections of callers."""
+        metrics, listeners = self.app.metrics, self.app.listeners
+        metrics.set_gauge(
+            "held_bytes",
+            "Bytes held for requests and answers.",
+            listeners.memory.budget.used,
+        )
+        for reason in ("memory", "too_large"):
+            metrics.set_count(
+                "bodies_refused_total",
+                "Bodies and answers that were ended.",
+                listeners.memory.refused[reason],
+                {"reason": reason},
+            )
+        for name, runner in listeners.runners.items():
+            for reason, value in {"memory": 0, **runner.limits.closed}.items():
+                metrics.set_count(
+                    "connections_closed_total",
+                    "Connections that were closed by a limit.",
+                    value,
+                    {"listener": name, "reason": reason},
+                )
+
     def _members(self) -> list[str]:
         others = self.app.parts.config.members
         return sorted({self.app.settings.instance.name, *others})
@@ -134,6 +158,7 @@
             "Processor time spent in decisions.",
             self.app.driver.busy_s,
         )
+        self._refresh_callers()
         for name, value in vars(self.app.links.counters).items():
             if isinstance(value, int):
                 count("peer_total", "Peer traffic by kind.", value, {"kind": name})
--- a/tests/claim_fleet.py
+++ b/tests/claim_fleet.py
@@ -130,6 +130,7 @@
         self.record = Record()
         self.run_s = run_s
         self.answer_size = answer_size
+        self.keeps_answers = True
         self.lose_runs = False
         self.serials = itertools.count(1)
         self.retention_s = 300.0
@@ -180,7 +181,7 @@
         run = (command.key, command.request_id, self.world.now)
         self.record.runs.append(run)
         body = command.request_id.encode().ljust(self.answer_size, b".")
-        answer = StoredAnswer(200, "text/plain", body)
+        answer = StoredAnswer(200, "text/plain", body, is_whole=self.keeps_answers)
         self.record.answers[command.request_id] = answer
         lost = self.lose_runs
         if lost:
--- a/tests/test_caller_api.py
+++ b/tests/test_caller_api.py
@@ -5,10 +5,14 @@
 
 import aiohttp
 import pytest
+from aiohttp import web
 
+from wisterialoom.caller_memory import CallerMemory
+from wisterialoom.caller_server import CallerRunner
 from wisterialoom.core.configuration.document import Caller
+from wisterialoom.core.memory_budget import MemoryBudget
 from wisterialoom.core.requests.classifier import Classifier
-from wisterialoom.core.requests.request import Refusal
+from wisterialoom.core.requests.request import CallerGone, Refusal
 from wisterialoom.http.caller_api import CallerApi
 from wisterialoom.standin.server import StandinServer
 
@@ -41,6 +45,60 @@
     assert caller_api.bad_requests == 1
 
 
+async def test_body_without_memory_is_refused_as_not_run():
+    events = []
+    memory = CallerMemory(MemoryBudget(4_000))
+    caller_api = CallerApi(events.append, lambda: "r1", lambda _: [], memory)
+    server = StandinServer(caller_api.make_app(100_000))
+    async with (
+        server,
+        aiohttp.ClientSession() as session,
+        session.post(server.url + CHAT, data=b"x" * 9_000) as response,
+    ):
+        error = (await response.json())["error"]
+        assert response.status == 503
+        assert response.headers["X-Outcome"] == "not_run"
+        assert int(response.headers["Retry-After"]) >= 1
+        assert response.headers["Connection"] == "close"
+    assert (error["code"], error["outcome"]) == ("memory", "not_run")
+    assert events == []
+    assert memory.budget.used == 0
+
+
+@pytest.mark.parametrize("settled_first", [True, False])
+async def test_nothing_is_held_for_a_caller_that_has_gone(settled_first):
+    """Guards against bodies that stay after callers left, whatever ended first."""
+    events = []
+    caller_api = CallerApi(events.append, lambda: "r1", lambda _: [])
+    runner = CallerRunner(caller_api.make_app(100_000), handler_cancellation=True)
+    await runner.setup()
+    await web.TCPSite(runner, "127.0.0.1", 0).start()
+    host, port = runner.addresses[0][:2]
+    async with asyncio.timeout(10.0):
+        _, writer = await asyncio.open_connection(host, port)
+        writer.write(
+            b"POST /x HTTP/1.1\r\nHost: x\r\nContent-Length: 9\r\n\r\n123456789"
+        )
+        while not events:
+            await asyncio.sleep(0.01)
+        assert caller_api.memory.budget.used == 9
+        if settled_first:
+            caller_api.record_settled("r1")
+        writer.close()
+        while settled_first and caller_api.exchanges:
+            await asyncio.sleep(0.01)
+        while not settled_first and len(events) < 2:
+            await asyncio.sleep(0.01)
+    if not settled_first:
+        # The attempt may still be sending the body.
+        assert events[1:] == [CallerGone("r1")]
+        assert caller_api.memory.budget.used == 9
+        caller_api.record_settled("r1")
+    assert caller_api.exchanges == {}
+    assert caller_api.memory.budget.used == 0
+    await runner.cleanup()
+
+
 KEY = "k" * 24
 
 
--- a/tests/test_claim.py
+++ b/tests/test_claim.py
@@ -86,6 +86,19 @@
     assert bucket.size == 0
 
 
+def test_answer_that_was_not_kept_counts_as_completed_without_an_answer():
+    """Guards against an empty answer in place of one for which there was no memory."""
+    fleet = Fleet()
+    fleet.keeps_answers = False
+    fleet.request_claim("a", "k1")
+    fleet.world.run_for(3.0)
+    again = fleet.request_claim("b", "k1")
+    fleet.world.run_for(3.0)
+    held = fleet.final(again)
+    assert held == ClaimHeld(again, HeldClaimState.DONE, answer_stored=False)
+    assert len(fleet.record.runs) == 1
+
+
 def test_drain_waits_for_settlements_through_an_outage():
     fleet = Fleet()
     fleet.request_claim("a", "k1")
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -16,6 +16,7 @@
 from wisterialoom.http.relay import Relay
 from wisterialoom.server_connection import ServerConnector
 from wisterialoom.standin.answer import answer_text
+from wisterialoom.standin.server import StandinServer
 
 TOKENS = 12
 LIMIT_S = 30.0
@@ -104,12 +105,29 @@
         assert len(deployment.service.record.runs) == 1
 
 
-def make_relay(address, deliver, answers=None):
-    """Return an attempt at a server, and collect complete answers."""
+def make_relay(address, deliver, answers=None, *, idempotent=True, room=10**9):
+    """Return an attempt at a server, and collect complete answers.
+
+    Args:
+        address: Address of the server.
+        deliver: Receives events.
+        answers: Receives complete answers.
+        idempotent: Whether the request may run more than once.
+        room: Bytes of the answer that may be held.
+    """
+    held = 0
+
+    def hold(count):
+        nonlocal held
+        has_room = held + count <= room
+        held += count if has_room else 0
+        return has_room
+
     received = SimpleNamespace(
         request=SimpleNamespace(method="GET"), target="/", body=b"", headers={}
     )
     exchange = SimpleNamespace(
+        hold=hold,
         received_request=received,
         request_id="r1",
         keeps_answer=False,
@@ -120,7 +138,7 @@
     )
     command = SimpleNamespace(
         attempt=Attempt("r1", 1, "registry-1", ""),
-        classified=SimpleNamespace(priority=0, idempotent=True),
+        classified=SimpleNamespace(priority=0, idempotent=idempotent),
         valid_until=float("inf"),
     )
     return Relay(command, exchange, address, deliver)
@@ -197,3 +215,31 @@
     assert not any(isinstance(x, ServerNoticed) for x in events[1:])
     assert expected is not None or not isinstance(events[0], ServerNoticed)
     await runner.cleanup()
+
+
+async def test_answer_without_memory_is_forwarded_as_it_arrives_and_not_kept():
+    body = b"r" * 200_000
+
+    async def answer(_):
+        return web.Response(body=body)
+
+    sent = bytearray()
+
+    async def ignore(*_):
+        pass
+
+    async def write(data):
+        sent.extend(data)
+
+    app = web.Application()
+    app.router.add_route("*", "/{path:.*}", answer)
+    async with StandinServer(app) as server, open_session(ServerConnector()) as session:
+        address = server.url.removeprefix("http://")
+        relay = make_relay(address, lambda _: None, idempotent=False, room=100_000)
+        relay.exchange.begin, relay.exchange.write = ignore, write
+        relay.exchange.end = ignore
+        ended = await relay.run(session)
+    assert ended.result is AttemptResult.COMPLETED
+    assert bytes(sent) == body
+    assert not ended.answer.is_whole
+    assert relay.held_bytes == 0
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -44,6 +44,9 @@
         ('name = "entry-1"', "", "instance.name"),
         ('"debug"', '"loud"', "log.level"),
         ("[log]", "[limits]\nmax_concurrent = 0\n[log]", "limits.max_concurrent"),
+        ("[log]", "[limits]\nmemory_mb = 0\n[log]", "limits.memory_mb"),
+        ("[log]", "[limits]\nmemory_mb = 100\n[log]", "limits.memory_mb"),
+        ("[log]", "[limits]\nmax_descriptors = 99\n[log]", "limits.max_descriptors"),
         ("[log]", "[limits]\nmax_body = 1\n[log]", "limits.max_body"),
     ],
 )
