Pass compressed bodies on as they are on the own interface

Callers that sent a body with Content-Encoding: gzip or deflate had it passed on unpacked, but with the header, so a server could not read it; and what 16 KB unpack to was counted only after it had been unpacked.

Cause: the HTTP library unpacks bodies unless told not to, and the listener did not tell it, unlike the one of the users' platform.

Evidence: the test got 500 bytes of x in place of the 25 of gzip before, and passes now.

--- a/src/wisterialoom/http/listener.py
+++ b/src/wisterialoom/http/listener.py
@@ -91,6 +91,8 @@
             max_line_size=limits.max_header_bytes,
             max_field_size=limits.max_header_bytes,
             max_headers=limits.max_header_bytes // MIN_FIELD_BYTES,
+            # Bodies are forwarded as they are, with their `Content-Encoding`.
+            auto_decompress=False,
         )
         await runner.setup()
         self.runners[name] = runner
