Log a digest of long names of models on the own interface

A caller can name a model of 8 MB, and the line of its request was as long: operators paid for it in their logs, and nothing bounded it but the size of a body.

Names of more than 128 characters are logged as a digest, as the users' platform does. The test got a line with 100,000 characters before, and gets 128 at most now.

--- a/src/wisterialoom/app.py
+++ b/src/wisterialoom/app.py
@@ -43,6 +43,7 @@
     ReplayAnswer,
     RequestSettled,
 )
+from wisterialoom.core.short_key import short_key
 from wisterialoom.driver import Driver
 from wisterialoom.engine.client import EngineClient
 from wisterialoom.engine.port import EnginePort
@@ -301,7 +302,7 @@
             extra={
                 "request_id": settled.request_id,
                 "caller": settled.caller,
-                "model": settled.model,
+                "model": short_key(settled.model),
                 "server": settled.server,
                 "outcome": settled.outcome.value,
                 "reason": settled.reason.value if settled.reason else None,
