Give each worker of a test run ports of its own

Their instances ended at start, as ports 30597, 30601 and 30608 were in use. Two tests of test_process.py had failed in the same way once, beside mypy.

Cause: the workers of pytest-xdist went through the same 11,000 ports, 101 apart for successive process ids. One that had taken more than 101 (a single test takes 500) went on with the ports of the next, in step with it, and another could bind a port between its test and its use.

The range is now divided by the number of workers.

--- a/tests/ports.py
+++ b/tests/ports.py
@@ -17,10 +17,23 @@
 """Distance between the first ports of two processes with successive ids."""
 
 
+def worker_ports(worker: str, count: int) -> range:
+    """Return the ports of a worker of pytest-xdist, which no other worker uses.
+
+    Args:
+        worker: Its id: `gw` and its number.
+        count: Number of workers.
+    """
+    size = PORTS // count
+    first = FIRST_PORT + int(worker.removeprefix("gw")) * size
+    return range(first, first + size)
+
+
 def _candidates() -> Iterator[int]:
-    start = os.getpid() * STEP
-    for number in itertools.count(start):
-        yield FIRST_PORT + number % PORTS
+    worker = os.environ.get("PYTEST_XDIST_WORKER", "gw0")
+    ports = worker_ports(worker, int(os.environ.get("PYTEST_XDIST_WORKER_COUNT", "1")))
+    for number in itertools.count(os.getpid() * STEP):
+        yield ports[number % len(ports)]
 
 
 CANDIDATES = _candidates()
