Do not mark whole answers for closing a second time

Exchange.closing is set before an answer is made, and each way of making one marks it then; write_whole keeps the mark. No change of behavior.

--- a/src/wisterialoom/platform/exchange.py
+++ b/src/wisterialoom/platform/exchange.py
@@ -157,8 +157,6 @@
     async def send_large(self) -> None:
         """Send an answer that is larger than the buffer of a connection."""
         assert self.response is not None
-        if self.closing:
-            self.response.force_close()
         self.response = await write_whole(self.request, self.response)
 
     def refuse(self, profile: RequestProfile | None, end: GiveUp) -> None:
