Write refusals before parsing in one place

Three functions put together the same head: the plain answer, and those of the users' platform and of the own interface.

--- a/src/wisterialoom/counted_connection.py
+++ b/src/wisterialoom/counted_connection.py
@@ -20,13 +20,19 @@
 )
 
 if TYPE_CHECKING:
-    from collections.abc import Awaitable, Callable
+    from collections.abc import Awaitable, Callable, Mapping
 
     from aiohttp.streams import StreamReader
 
     from wisterialoom.request_framing import Part
 
-__all__ = ["CallerLimits", "CountedConnection", "InputRefusal", "MAX_HEAD_BYTES"]
+__all__ = [
+    "CallerLimits",
+    "CountedConnection",
+    "InputRefusal",
+    "MAX_HEAD_BYTES",
+    "encode_refusal",
+]
 
 MAX_HEAD_BYTES = 65_536
 """Largest head of a request, and largest trailers, unless a listener sets less."""
@@ -70,9 +76,21 @@
 
 def answer_plainly(refusal: InputRefusal) -> bytes:
     """Return an answer without a body that refuses a request, and closes."""
-    status = PLAIN_ANSWERS[refusal]
-    head = f"HTTP/1.1 {status}\r\nContent-Length: 0\r\nConnection: close\r\n\r\n"
-    return head.encode()
+    return encode_refusal(PLAIN_ANSWERS[refusal], {}, b"")
+
+
+def encode_refusal(status: str, headers: Mapping[str, str], body: bytes) -> bytes:
+    """Return the bytes of an answer after which the connection is closed.
+
+    Args:
+        status: Status code and reason phrase.
+        headers: Headers other than `Content-Length` and `Connection`.
+        body: The body.
+    """
+    fields = {**headers, "Content-Length": str(len(body)), "Connection": "close"}
+    lines = [f"HTTP/1.1 {status}"]
+    lines += [f"{name}: {value}" for name, value in fields.items()]
+    return "\r\n".join([*lines, "", ""]).encode() + body
 
 
 @dataclass
--- a/src/wisterialoom/http/listener.py
+++ b/src/wisterialoom/http/listener.py
@@ -19,7 +19,7 @@
 )
 from wisterialoom.core.requests.refusal import refuse
 from wisterialoom.core.requests.request import Reason
-from wisterialoom.counted_connection import CallerLimits, InputRefusal
+from wisterialoom.counted_connection import CallerLimits, encode_refusal, InputRefusal
 from wisterialoom.http.error_answer import bad_request_response, error_response
 from wisterialoom.settings import split_address
 
@@ -140,12 +140,8 @@
         case InputRefusal.MALFORMED:
             message = "the bytes are no HTTP request; send one of HTTP/1.1"
             response = bad_request_response(400, message, request_id)
-    body = cast("bytes", response.body)
-    response.headers["Content-Length"] = str(len(body))
-    response.headers["Connection"] = "close"
-    lines = [f"HTTP/1.1 {response.status} {response.reason}"]
-    lines += [f"{name}: {value}" for name, value in response.headers.items()]
-    return "\r\n".join([*lines, "", ""]).encode() + body
+    status = f"{response.status} {response.reason}"
+    return encode_refusal(status, response.headers, cast("bytes", response.body))
 
 
 def open_descriptors(wanted: int) -> int:
--- a/src/wisterialoom/platform/listener.py
+++ b/src/wisterialoom/platform/listener.py
@@ -9,7 +9,7 @@
 
 from wisterialoom.caller_memory import MEMORY_RETRY_S
 from wisterialoom.caller_server import CallerServer
-from wisterialoom.counted_connection import InputRefusal, MAX_HEAD_BYTES
+from wisterialoom.counted_connection import encode_refusal, InputRefusal, MAX_HEAD_BYTES
 from wisterialoom.platform.request_errors import hide_request_bytes
 
 if TYPE_CHECKING:
@@ -49,11 +49,10 @@
     """Return the answer to a request that is refused before it is parsed."""
     status, reason = REFUSALS[refusal]
     body = orjson.dumps({"error": reason})
-    head = [f"HTTP/1.1 {status}", "Content-Type: application/json"]
+    headers = {"Content-Type": "application/json"}
     if refusal is InputRefusal.MEMORY:
-        head.append(f"Retry-After: {MEMORY_RETRY_S:.2f}")
-    head += [f"Content-Length: {len(body)}", "Connection: close", "", ""]
-    return "\r\n".join(head).encode() + body
+        headers["Retry-After"] = f"{MEMORY_RETRY_S:.2f}"
+    return encode_refusal(status, headers, body)
 
 
 async def listen(
