--- a/review/standin3/site.py
+++ b/review/standin3/site.py
@@ -220,6 +220,7 @@
         self.runs: dict[str, dict[str, str]] = {}
         self.born = int(time.time() * 1e3)
         self.running = 0
+        self.started_at = 0.0
         self.server = HttpServer(self._handle)
 
     def entry(self, state: str = "ready") -> dict[str, Any]:
--- a/review/standin3/store.py
+++ b/review/standin3/store.py
@@ -9,12 +9,31 @@
 
 from review.standin3.http import Answer, HttpServer, Request
 
-__all__ = ["Store"]
+__all__ = ["Door", "Store"]
 
 PAGE = 500
 PREFIX = "/v1/objects/"
 
 
+class Door:
+    """One more address of the store, which may turn its callers away.
+
+    Attributes:
+        is_closed: Whether each call is answered with 503, which means not done.
+        server: Listener.
+    """
+
+    def __init__(self, store: Store) -> None:
+        self.store = store
+        self.is_closed = False
+        self.server = HttpServer(self._handle)
+
+    async def _handle(self, request: Request) -> Answer:
+        if self.is_closed:
+            return Answer(503)
+        return await self.store.handle(request)
+
+
 class Store:
     """Keeps objects and answers calls as the platform's pages say.
 
@@ -30,7 +49,7 @@
         self.objects: dict[str, dict[str, dict[str, Any]]] = {}
         self.events: list[tuple[int, str, dict[str, Any], bool]] = []
         self.changed = asyncio.Condition()
-        self.server = HttpServer(self._handle)
+        self.server = HttpServer(self.handle)
 
     async def put(self, kind: str, name: str, spec: Any) -> None:
         """Write an object, as the operator or a worker does."""
@@ -59,7 +78,8 @@
                 self.events.append((self.revision, kind, item, True))
                 self.changed.notify_all()
 
-    async def _handle(self, request: Request) -> Answer:
+    async def handle(self, request: Request) -> Answer:
+        """Answer a call."""
         parts = urlsplit(request.target)
         if not parts.path.startswith(PREFIX):
             return Answer(404)
