--- a/review/standin3/http.py
+++ b/review/standin3/http.py
@@ -10,11 +10,15 @@
 if TYPE_CHECKING:
     from collections.abc import Awaitable, Callable
 
-__all__ = ["Answer", "HttpServer", "Request", "call", "read_head"]
+__all__ = ["Answer", "CutOffError", "HttpServer", "Request", "call", "read_head"]
 
 MAX_HEAD_BYTES = 131_072
 
 
+class CutOffError(Exception):
+    """Raised by a handler to close the connection without an answer."""
+
+
 @dataclass
 class Request:
     """A request as it arrived."""
@@ -97,6 +101,7 @@
             asyncio.CancelledError,
             asyncio.IncompleteReadError,
             asyncio.LimitOverrunError,
+            CutOffError,
             ValueError,
         ):
             while True:
--- a/review/standin3/store.py
+++ b/review/standin3/store.py
@@ -7,7 +7,7 @@
 from typing import Any
 from urllib.parse import parse_qs, unquote, urlsplit
 
-from review.standin3.http import Answer, HttpServer, Request
+from review.standin3.http import Answer, CutOffError, HttpServer, Request
 
 __all__ = ["Door", "Store"]
 
@@ -41,6 +41,7 @@
         revision: Revision of the last change.
         objects: Objects by kind and name.
         events: Revision, kind, object and removal flag of each change.
+        cuts: Number of times that waiting watches were cut off.
         server: Listener.
     """
 
@@ -48,6 +49,7 @@
         self.revision = 1
         self.objects: dict[str, dict[str, dict[str, Any]]] = {}
         self.events: list[tuple[int, str, dict[str, Any], bool]] = []
+        self.cuts = 0
         self.changed = asyncio.Condition()
         self.server = HttpServer(self.handle)
 
@@ -69,6 +71,12 @@
             self.events.append((self.revision, kind, kinds[name], False))
             self.changed.notify_all()
 
+    async def cut_watches(self) -> None:
+        """Cut off all watches that are waiting."""
+        async with self.changed:
+            self.cuts += 1
+            self.changed.notify_all()
+
     async def remove(self, kind: str, name: str) -> None:
         """Remove an object."""
         async with self.changed:
@@ -128,10 +136,13 @@
 
     async def _watch(self, kind: str, since: int, wait_s: float) -> Answer:
         async with self.changed:
+            cuts = self.cuts
             try:
                 async with asyncio.timeout(wait_s):
                     while not self._events_since(kind, since):
                         await self.changed.wait()
+                        if self.cuts != cuts:
+                            raise CutOffError
             except TimeoutError:
                 pass
         events = self._events_since(kind, since)
