Keep routes closed when the last team is taken out

Cause: an absent list, an empty one and one without a readable team are three things, and TeamDirectory had one truth value for them. Five places asked for it; Deployment.from_routes even replaced an empty directory by a new one.

Declaration names the four states, and needs_key decides from it alone. A directory has no truth value any more, so nothing can ask the wrong question.

Two tests that asked for the fault (an empty list needs no key) are replaced by tables over all four states.

--- a/src/wisterialoom/core/serving/request_flow.py
+++ b/src/wisterialoom/core/serving/request_flow.py
@@ -122,8 +122,8 @@
         team_priority: Priority that the team has instead of the route's, if any.
         token_counts: Both numbers of tokens; `None` if the caller stated none that can
             be decoded.
-        guarded: Whether the deployment has teams, so that servers get the team's name
-            instead of the key.
+        guarded: Whether the deployment has a list of teams, so that servers get the
+            team's name instead of the key.
     """
 
     request_id: str
--- a/src/wisterialoom/core/serving/routing.py
+++ b/src/wisterialoom/core/serving/routing.py
@@ -186,7 +186,7 @@
         services: Services by name.
         limits: Limits on callers' requests.
         by_host: Routes by host, longest prefix first.
-        teams: Teams of callers; requests need an API key if there are any.
+        teams: Teams of callers, and whether requests need an API key.
     """
 
     version: int
@@ -212,7 +212,8 @@
             host: tuple(sorted(found, key=lambda route: -len(route.prefix)))
             for host, found in by_host.items()
         }
-        return cls(version, services, limits, ordered, teams or TeamDirectory())
+        found = teams if teams is not None else TeamDirectory()
+        return cls(version, services, limits, ordered, found)
 
     @property
     def longest_stream_s(self) -> float:
--- a/src/wisterialoom/core/serving/team_fairness.py
+++ b/src/wisterialoom/core/serving/team_fairness.py
@@ -22,9 +22,10 @@
 from statistics import median
 from typing import TYPE_CHECKING
 
+from wisterialoom.core.teams import TeamDirectory
+
 if TYPE_CHECKING:
     from wisterialoom.core.serving.request_flow import RequestProfile
-    from wisterialoom.core.teams import TeamDirectory
 
 __all__ = ["TeamFairness"]
 
@@ -112,16 +113,21 @@
     """Decides which teams' requests are sent first.
 
     Attributes:
-        directory: Teams in force; nothing is held back without any.
+        directory: Teams in force.
         services: Use by service.
         held_back: Number of decisions to hold a request back.
     """
 
     def __init__(self) -> None:
-        self.directory: TeamDirectory | None = None
+        self.directory = TeamDirectory()
         self.services: dict[str, _ServiceUse] = {}
         self.held_back = 0
 
+    @property
+    def has_teams(self) -> bool:
+        """Whether there are teams between which the room is divided."""
+        return bool(self.directory.by_name)
+
     def set_teams(self, directory: TeamDirectory) -> None:
         """Set the teams in force."""
         if directory is self.directory:
@@ -137,7 +143,7 @@
 
     def record_arrival(self, now: float, profile: RequestProfile) -> None:
         """Count a request that has just arrived."""
-        if not self.directory:
+        if not self.has_teams:
             return
         use = self._use(profile)
         team = self.directory.find(profile.team)
@@ -147,22 +153,22 @@
 
     def record_short(self, now: float, profile: RequestProfile) -> None:
         """Record that a request found a server, or all servers, full."""
-        if self.directory:
+        if self.has_teams:
             self._service(profile).short_at = now
 
     def record_sent(self, now: float, profile: RequestProfile) -> None:
         """Count a request as served; one that is refused is taken back."""
-        if self.directory:
+        if self.has_teams:
             self._use(profile).served.add(now, 1.0)
 
     def record_refused(self, now: float, profile: RequestProfile) -> None:
         """Take back a request that was sent, but did not run."""
-        if self.directory:
+        if self.has_teams:
             self._use(profile).served.add(now, -1.0)
 
     def allows(self, now: float, profile: RequestProfile) -> bool:
         """Return whether a request may be sent, or must leave room to other teams."""
-        if not self.directory:
+        if not self.has_teams:
             return True
         service = self._service(profile)
         if now - service.short_at > SHORT_S:
@@ -209,7 +215,6 @@
 
     def _weights(self, now: float, service: _ServiceUse) -> dict[str, float]:
         """Return the quota of each team in requests; the median if it has none."""
-        assert self.directory is not None
         known = {}
         for name, use in service.teams.items():
             team = self.directory.find(name)
--- a/src/wisterialoom/core/teams/team_directory.py
+++ b/src/wisterialoom/core/teams/team_directory.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import enum
 import hashlib
 from dataclasses import dataclass, field
 from typing import TYPE_CHECKING
@@ -11,7 +12,7 @@
 
     from wisterialoom.core.teams.team import Team
 
-__all__ = ["TeamDirectory", "is_usable_key", "key_digest"]
+__all__ = ["Declaration", "TeamDirectory", "is_usable_key", "key_digest"]
 
 SCHEME = "bearer"
 
@@ -19,6 +20,23 @@
 """Longest API key that is looked up, so that oversized headers cost nothing."""
 
 
+class Declaration(enum.Enum):
+    """What a configuration says about its teams.
+
+    Only `ABSENT` opens the routes to requests without a key. A list may be empty
+    because its last team was taken out, which revokes all keys.
+    """
+
+    ABSENT = "absent"
+    """There is no list of teams."""
+    EMPTY = "empty"
+    """There is a list, and no team in it."""
+    UNREADABLE = "unreadable"
+    """There are entries in the list, of which none can be decoded."""
+    USABLE = "usable"
+    """There is a list with teams that can be decoded."""
+
+
 def is_usable_key(key: str) -> bool:
     """Return whether a key can be sent in a header: visible ASCII, not too long."""
     return 0 < len(key) <= MAX_KEY_CHARS and all("!" <= char <= "~" for char in key)
@@ -43,15 +61,14 @@
     Only digests of keys are held. A dictionary of digests takes the same time for any
     number of keys, and its timing tells nothing about the keys themselves.
 
-    A directory is true if requests need a key. It stays true if teams are declared but
-    none of them can be decoded; otherwise a malformed entry would admit everyone.
-
     Attributes:
+        declaration: What the configuration says about teams.
         by_name: Teams by name.
         by_digest: Teams by the SHA-256 digests of their keys.
         skipped: Number of declared teams that could not be decoded.
     """
 
+    declaration: Declaration = Declaration.ABSENT
     by_name: Mapping[str, Team] = field(default_factory=dict)
     by_digest: Mapping[bytes, Team] = field(default_factory=dict)
     skipped: int = 0
@@ -60,7 +77,7 @@
     def from_teams(
         cls, teams: Iterable[tuple[Team, Iterable[bytes]]], skipped: int = 0
     ) -> TeamDirectory:
-        """Build a directory.
+        """Build the directory of a declared list.
 
         The first team counts if several have the same name or the same key.
 
@@ -74,10 +91,15 @@
             named = by_name.setdefault(team.name, team)
             for digest in digests:
                 by_digest.setdefault(digest, named)
-        return cls(by_name, by_digest, skipped)
-
-    def __bool__(self) -> bool:
-        return bool(self.by_name) or self.skipped > 0
+        declaration = Declaration.UNREADABLE if skipped else Declaration.EMPTY
+        if by_name:
+            declaration = Declaration.USABLE
+        return cls(declaration, by_name, by_digest, skipped)
+
+    @property
+    def needs_key(self) -> bool:
+        """Whether requests need the key of a team, unless their route is public."""
+        return self.declaration is not Declaration.ABSENT
 
     def find(self, name: str) -> Team | None:
         """Return the team with a name, if there is one."""
--- a/src/wisterialoom/platform/__main__.py
+++ b/src/wisterialoom/platform/__main__.py
@@ -3,16 +3,21 @@
 from __future__ import annotations
 
 from pathlib import Path
+from typing import TYPE_CHECKING
 
 import click
 import orjson
 import uvloop
 
+from wisterialoom.core.teams import Declaration
 from wisterialoom.platform.app import PlatformApp
 from wisterialoom.platform.decode import decode_deployment, DecodeError
 from wisterialoom.platform.log import set_up_platform_logs
 from wisterialoom.platform.settings import PlatformSettings, SettingsError
-from wisterialoom.platform.team_decode import decode_teams
+from wisterialoom.platform.team_decode import read_teams
+
+if TYPE_CHECKING:
+    from wisterialoom.core.teams import TeamDirectory
 
 
 @click.command()
@@ -52,16 +57,27 @@
     try:
         spec = orjson.loads(path.read_bytes())
         deployment = decode_deployment(spec)
-        _, problems = decode_teams(spec.get("tenants"))
+        teams, problems = read_teams(spec)
     except (OSError, ValueError, DecodeError) as error:
         raise click.ClickException(f"{path}: {error}") from error
     for problem in problems:
         click.echo(f"team {problem.team}: {problem.fault}", err=True)
-    click.echo(f"version {deployment.version}, {len(deployment.teams.by_name)} teams")
+    click.echo(f"version {deployment.version}, {describe_teams(teams)}")
     if problems:
         raise click.exceptions.Exit(1)
 
 
+def describe_teams(teams: TeamDirectory) -> str:
+    """Return what a configuration says about teams, for the operator."""
+    match teams.declaration:
+        case Declaration.ABSENT:
+            return "no list of teams: no API key is needed"
+        case Declaration.EMPTY | Declaration.UNREADABLE:
+            return "0 teams: no API key is accepted"
+        case Declaration.USABLE:
+            return f"{len(teams.by_name)} teams"
+
+
 async def serve(settings: PlatformSettings) -> None:
     """Run the application until it stops."""
     await PlatformApp(settings).run()
--- a/src/wisterialoom/platform/app_metrics.py
+++ b/src/wisterialoom/platform/app_metrics.py
@@ -199,6 +199,11 @@
         lambda: app.key_exchange.counts,
     )
     metrics.gauge("teams", "Teams of the configuration.", lambda: count_teams(app))
+    metrics.gauge(
+        "keys_needed",
+        "Whether the configuration has a list of teams, which may be empty.",
+        lambda: int(app.key_exchange.needs_key),
+    )
     metrics.gauge(
         "keys_accepted",
         "Whether the configuration is new enough for its API keys.",
--- a/src/wisterialoom/platform/catalog.py
+++ b/src/wisterialoom/platform/catalog.py
@@ -228,6 +228,7 @@
             "configuration in force",
             extra={
                 "version": deployment.version,
+                "teams": deployment.teams.declaration.value,
                 "revision": self.config.revision,
                 "watches": self.config.active_event.is_set(),
             },
--- a/src/wisterialoom/platform/decode.py
+++ b/src/wisterialoom/platform/decode.py
@@ -19,7 +19,7 @@
     WeightedService,
 )
 from wisterialoom.platform.store_json import UnreadableValue
-from wisterialoom.platform.team_decode import decode_teams
+from wisterialoom.platform.team_decode import read_teams
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -57,7 +57,7 @@
 
     Args:
         spec: The `spec` of the object in the store.
-        previous: The teams in force, see `decode_teams`.
+        previous: The teams in force, see `read_teams`.
 
     Raises:
         DecodeError: A field is missing, or its type or value is invalid.
@@ -69,7 +69,7 @@
         version = int(spec["version"])
         if not 0 <= version <= MAX_INTEGER:
             raise ValueError(f"version is {version}")
-        teams, problems = decode_teams(spec.get("tenants"), previous)
+        teams, problems = read_teams(spec, previous)
         deployment = Deployment.from_routes(
             version,
             [_decode_route(item) for item in spec["routes"]],
--- a/src/wisterialoom/platform/headers.py
+++ b/src/wisterialoom/platform/headers.py
@@ -240,7 +240,7 @@
         now: Monotonic time of the request's arrival.
         own_trait: Trait that only the same request shares; empty if it is not known.
         team: Team that sent the request, if any.
-        guarded: Whether the deployment has teams.
+        guarded: Whether the deployment has a list of teams.
     """
     request_id = _text(headers, ATTEMPT_ID)
     takes_up = _read_taken_up(headers, route)
--- a/src/wisterialoom/platform/key_exchange.py
+++ b/src/wisterialoom/platform/key_exchange.py
@@ -33,7 +33,7 @@
 
 
 class KeyExchange:
-    """Keeps `KeyValidity` up to date where the configuration has teams.
+    """Keeps `KeyValidity` up to date where requests need keys.
 
     Attributes:
         instance: Name of this instance.
@@ -86,10 +86,10 @@
         await self.tasks.stop()
 
     @property
-    def has_teams(self) -> bool:
-        """Whether the configuration has teams."""
+    def needs_key(self) -> bool:
+        """Whether the configuration asks for the keys of teams."""
         deployment = self.catalog.dispatcher.deployment
-        return deployment is not None and bool(deployment.teams)
+        return deployment is not None and deployment.teams.needs_key
 
     def can_vouch(self) -> bool:
         """Return whether the keys of the configuration can be relied on now."""
@@ -125,7 +125,7 @@
         """Ask other instances if that is due."""
         now = self._update()
         vouching = self.validity.can_vouch(now)
-        if not self.has_teams:
+        if not self.needs_key:
             return
         if vouching != self.was_vouching and self.validity.strict:
             self.was_vouching = vouching
--- a/src/wisterialoom/platform/team_decode.py
+++ b/src/wisterialoom/platform/team_decode.py
@@ -20,7 +20,13 @@
 if TYPE_CHECKING:
     from collections.abc import Iterator, Mapping
 
-__all__ = ["TeamProblem", "decode_teams", "drop_unreadable_teams", "without_keys"]
+__all__ = [
+    "TeamProblem",
+    "decode_teams",
+    "drop_unreadable_teams",
+    "read_teams",
+    "without_keys",
+]
 
 logger = logging.getLogger(__name__)
 
@@ -56,24 +62,41 @@
     problems: tuple[TeamProblem, ...] = field(default=())
 
 
+def read_teams(
+    spec: Mapping[str, Any], previous: TeamDirectory | None = None
+) -> tuple[TeamDirectory, list[TeamProblem]]:
+    """Decode what a configuration says about teams.
+
+    Args:
+        spec: The configuration; without a list of teams, requests need no key.
+        previous: The teams that are in force.
+
+    Raises:
+        TypeError: There is something else than a list.
+    """
+    if "tenants" not in spec:
+        return TeamDirectory(), []
+    return decode_teams(spec["tenants"], previous)
+
+
 def decode_teams(
     items: Any, previous: TeamDirectory | None = None
 ) -> tuple[TeamDirectory, list[TeamProblem]]:
-    """Decode the teams of a configuration.
+    """Decode the list of teams of a configuration.
 
     An entry that cannot be decoded affects no other. Of such an entry, the keys are
     those that can still be read, as any other key may be revoked; its priority and its
     quota stay as they were. Without earlier ones it identifies no one.
 
     Args:
-        items: The list `tenants`, or `None` if there is none.
+        items: The list `tenants`; `None` is what some encoders write if it is empty.
         previous: The teams that are in force.
 
     Raises:
         TypeError: There is something else than a list.
     """
     if items is None:
-        return TeamDirectory(), []
+        items = []
     if not isinstance(items, list):
         raise TypeError("tenants is not a list")
     entries = [_decode_entry(index, item, previous) for index, item in enumerate(items)]
--- a/src/wisterialoom/platform/team_gate.py
+++ b/src/wisterialoom/platform/team_gate.py
@@ -1,4 +1,4 @@
-"""Admits requests by their API keys, where the configuration has teams."""
+"""Admits requests by their API keys, where the configuration has a list of teams."""
 
 from __future__ import annotations
 
@@ -46,8 +46,8 @@
         result: What was found, for metrics.
         status: Status of the refusal; 0 if the request is admitted.
         team: Team of the request; `None` if there is none.
-        guarded: Whether the configuration has teams, so that servers get the team's
-            name instead of the key.
+        guarded: Whether the configuration has a list of teams, so that servers get
+            the team's name instead of the key.
     """
 
     result: str
@@ -83,11 +83,16 @@
         self.team_counts: Counter[str] = Counter()
         self.logged_at = float("-inf")
 
+    @property
+    def needs_key(self) -> bool:
+        """Whether the configuration asks for keys."""
+        deployment = self.get_deployment()
+        return deployment is not None and deployment.teams.needs_key
+
     @property
     def is_vouching(self) -> bool:
         """Whether requests with keys are served, or none are needed."""
-        deployment = self.get_deployment()
-        return deployment is None or not deployment.teams or self.can_vouch()
+        return not self.needs_key or self.can_vouch()
 
     def check(self, headers: CIMultiDictProxy[str], route: Route) -> Admission:
         """Return whether a request is admitted now.
@@ -97,7 +102,7 @@
             route: Route of the request.
         """
         deployment = self.get_deployment()
-        if deployment is None or not deployment.teams:
+        if deployment is None or not self.needs_key:
             return Admission("no_teams", guarded=False)
         vouched = self.can_vouch()
         team = deployment.teams.identify(headers.getall(AUTHORIZATION, ()))
--- a/tests/platform/test_app.py
+++ b/tests/platform/test_app.py
@@ -101,6 +101,31 @@
         await store.stop()
 
 
+@asynccontextmanager
+async def second_instance(site: Harness, **changes: Any) -> AsyncIterator[Harness]:
+    """Run one more instance at the store of a site; it hears the first one."""
+    ports = {
+        name: getattr(site.app.settings, name).rpartition(":")[2]
+        for name in ("front", "ready")
+    }
+    values = {
+        "instance": "front-2",
+        "ip": "127.0.0.2",
+        "peer_port": site.app.settings.peer_port,
+        "front": f"127.0.0.2:{ports['front']}",
+        "ready": f"127.0.0.2:{ports['ready']}",
+        "metrics_port": 0,
+        "first_start": False,
+    }
+    app = PlatformApp(settings(site.store.address, **(values | changes)))
+    await app.on_start()
+    try:
+        async with aiohttp.ClientSession() as session:
+            yield Harness(site.store, app, session)
+    finally:
+        await app.on_stop()
+
+
 async def test_plain_request_is_forwarded_unchanged():
     server = FakePlainServer("i-1")
     async with harness(server) as site:
--- a/tests/platform/test_team_decode.py
+++ b/tests/platform/test_team_decode.py
@@ -9,7 +9,7 @@
 
 from tests.platform.fakes import config
 from tests.platform.test_wire import json_values
-from wisterialoom.core.teams import Quota, QuotaUnit, Team
+from wisterialoom.core.teams import Declaration, Quota, QuotaUnit, Team
 from wisterialoom.platform.decode import decode_deployment, DecodeError
 from wisterialoom.platform.headers import read_profile
 from wisterialoom.platform.store_json import decode_answer, UnreadableValue
@@ -51,9 +51,26 @@
     assert not any(public[name] for name in others)
 
 
-@pytest.mark.parametrize("change", [{}, {"tenants": None}, {"tenants": []}])
-def test_configuration_without_teams_needs_no_keys(change):
-    assert not decode_deployment(config() | change).teams
+@pytest.mark.parametrize(
+    ("change", "declaration"),
+    [
+        ({}, Declaration.ABSENT),
+        ({"tenants": None}, Declaration.EMPTY),
+        ({"tenants": []}, Declaration.EMPTY),
+        ({"tenants": [None, {"apiKeys": ["k"]}]}, Declaration.UNREADABLE),
+        ({"tenants": [None, DUNE]}, Declaration.USABLE),
+    ],
+)
+def test_only_a_configuration_without_a_list_of_teams_needs_no_keys(
+    change, declaration
+):
+    """Guards against an empty or unreadable list that is taken for none."""
+    spec = config() | change
+    for found in (spec, without_keys(spec), drop_unreadable_teams(spec)):
+        teams = decode_deployment(found).teams
+        assert teams.declaration is declaration
+        assert teams.needs_key is (declaration is not Declaration.ABSENT)
+        assert teams.identify(["Bearer k"]) is None
 
 
 @pytest.mark.parametrize("rate", [0, None])
@@ -93,7 +110,7 @@
 def test_undecodable_entries_alone_do_not_open_the_routes():
     """Guards against a configuration that admits everyone by a typing error."""
     teams, _ = decode_teams([{"name": "x", "apiKeys": ["k"], "ratePerS": "many"}])
-    assert teams
+    assert teams.needs_key
     assert teams.identify(["Bearer k"]) is None
 
 
@@ -116,7 +133,7 @@
 @given(json_values)
 def test_arbitrary_entries_raise_nothing_and_identify_no_one(item):
     teams, _ = decode_teams([item])
-    assert teams
+    assert teams.needs_key
     assert teams.identify(["Bearer k"]) is None
     assert without_keys({"tenants": [item]})
 
--- a/tests/platform/test_teams.py
+++ b/tests/platform/test_teams.py
@@ -14,9 +14,11 @@
 from click.testing import CliRunner
 
 from tests.platform.fakes import config, FakePlainServer, route
-from tests.platform.test_app import harness, wait_until
+from tests.platform.test_app import harness, second_instance, wait_until
 from tests.platform.test_lost_paths import lost_site
 from wisterialoom.platform.__main__ import main
+from wisterialoom.platform.hints import ConfigCopy
+from wisterialoom.platform.team_decode import without_keys
 
 if TYPE_CHECKING:
     from collections.abc import AsyncIterator
@@ -208,7 +210,10 @@
         assert seen[0] == seen[1] != seen[2]
 
 
-async def test_waiting_request_whose_key_is_revoked_is_not_sent():
+@pytest.mark.parametrize("tenants", [TENANTS[1:], []], ids=["others left", "none left"])
+async def test_waiting_request_whose_key_is_revoked_is_not_sent(
+    tenants: list[dict[str, Any]],
+):
     """Guards against a revoked key that runs after a wait for a server."""
     server = FakePlainServer("i-1", refuse_all=True)
     async with team_site(server) as site:
@@ -216,7 +221,7 @@
             site.call("/deposit/", Authorization=f"Bearer {KEY}", Deadline_Ms="20000")
         )
         await wait_until(lambda: server.seen)
-        await put_config(site, 3, tenants=TENANTS[1:])
+        await put_config(site, 3, tenants=tenants)
         server.refuse_all = False
         status, _, _ = await call
         assert status == 401
@@ -236,6 +241,88 @@
         assert "Authorization" not in servers[0].seen[-1]
 
 
+KEYS = (KEY, "dune-key", "never-held", None)
+"""Keys that a list held before, one that none ever held, and no key."""
+
+
+async def expect_no_key_to_be_admitted(site: Harness, server: FakePlainServer) -> None:
+    """Check that closed routes are refused to all, and public ones get no key."""
+    for key in KEYS:
+        headers = {"Authorization": f"Bearer {key}"} if key else {}
+        server.seen.clear()
+        status, got, _ = await site.call("/deposit/", Tenant="dune", **headers)
+        assert (status, server.seen) == (401, [])
+        assert got["WWW-Authenticate"] == "Bearer"
+        status, _, _ = await site.call("/look/", Tenant="dune", **headers)
+        assert status == 200
+        assert not {"Tenant", "Authorization"} & server.seen[0].keys()
+
+
+@pytest.mark.parametrize("tenants", [[], None, [{"apiKeys": [KEY]}, "x"]])
+async def test_list_that_loses_its_last_team_admits_no_key(tenants: Any):
+    """Guards against routes that open to everyone as the last team is taken out."""
+    server = FakePlainServer("i-1")
+    async with team_site(server) as site:
+        await put_config(site, 3, tenants=tenants)
+        await expect_no_key_to_be_admitted(site, server)
+
+
+async def test_instance_that_lists_a_configuration_without_any_team_admits_no_key():
+    """Guards against open routes at an instance that starts with an empty list."""
+    server = FakePlainServer("i-1")
+    async with team_site(server) as site:
+        await put_config(site, 3, tenants=[])
+        async with second_instance(site) as other:
+            other.app.catalog.read_store()
+            await wait_until(lambda: other.app.catalog.config_version == 3)
+            await expect_no_key_to_be_admitted(other, server)
+
+
+async def test_copy_of_an_empty_list_of_teams_admits_no_key():
+    """Guards against open routes at an instance that is told of an empty list."""
+    server = FakePlainServer("i-1")
+    async with harness(server) as site:
+        spec = config_with_teams(3, tenants=[])
+        copy = ConfigCopy.from_spec(without_keys(spec))
+        site.app.relay.apply_config(copy)
+        assert site.app.catalog.config_version == 3
+        await expect_no_key_to_be_admitted(site, server)
+        site.app.catalog.apply_config(config_with_teams(2))
+        await expect_no_key_to_be_admitted(site, server)
+
+
+async def test_configuration_without_a_list_of_teams_opens_the_routes_again():
+    server = FakePlainServer("i-1")
+    async with team_site(server) as site:
+        await put_config(site, 3, tenants=[])
+        await site.store.put("config", "main", config(4))
+        await wait_until(lambda: site.app.catalog.config_version == 4)
+        for key in KEYS:
+            headers = {"Authorization": f"Bearer {key}"} if key else {}
+            status, _, _ = await site.call("/deposit/", Tenant="dune", **headers)
+            assert status == 200
+            assert server.seen[-1]["Tenant"] == "dune"
+            assert server.seen[-1].get("Authorization") == headers.get("Authorization")
+
+
+@pytest.mark.parametrize(
+    ("changes", "needed"),
+    [({}, False), ({"tenants": []}, True), ({"tenants": TENANTS}, True)],
+)
+async def test_metrics_tell_an_empty_list_of_teams_from_none(
+    changes: dict[str, Any], needed: bool
+):
+    """Guards against closed routes that look like open ones to the operators."""
+    async with harness(FakePlainServer("i-1")) as site:
+        await site.store.put("config", "main", config(2) | changes)
+        await wait_until(lambda: site.app.catalog.config_version == 2)
+        url = f"http://127.0.0.1:{site.app.settings.metrics_port}/"
+        async with site.session.get(url) as got:
+            text = await got.text()
+    assert f"wisterialoom_keys_needed {int(needed)}" in text
+    assert f"wisterialoom_teams {len(changes.get('tenants', ()))}" in text
+
+
 async def test_priority_of_the_team_is_the_urgency_at_servers():
     assert route("look", "safe", "registry").get("priority", 5) != 1
     server = FakePlainServer("i-1")
@@ -291,5 +378,10 @@
     assert "team third: it shares a key with team hule930" in faulty.output
     assert "apiKeys[1]" in faulty.output
     assert KEY not in faulty.output
+    empty = check(path, config_with_teams(3, tenants=[]))
+    assert empty.exit_code == 0
+    assert empty.output == "version 3, 0 teams: no API key is accepted\n"
+    absent = check(path, config(3))
+    assert absent.output == "version 3, no list of teams: no API key is needed\n"
     assert check(path, {"version": 1}).exit_code == 1
     assert check(path, 5).exit_code == 1
--- a/tests/test_teams.py
+++ b/tests/test_teams.py
@@ -10,6 +10,7 @@
 
 from tests.test_dispatcher import flow, make_route
 from wisterialoom.core.teams import (
+    Declaration,
     key_digest,
     Quota,
     QuotaUnit,
@@ -108,12 +109,21 @@
     assert found.find("c") is None
 
 
-def test_directory_is_false_only_without_declared_teams():
-    """Guards against a malformed entry that opens all routes."""
-    assert not TeamDirectory()
-    assert not TeamDirectory.from_teams([])
-    assert TeamDirectory.from_teams([], skipped=1)
-    assert directory()
+@pytest.mark.parametrize(
+    ("found", "declaration"),
+    [
+        (TeamDirectory(), Declaration.ABSENT),
+        (TeamDirectory.from_teams([]), Declaration.EMPTY),
+        (TeamDirectory.from_teams([], skipped=1), Declaration.UNREADABLE),
+        (directory(), Declaration.USABLE),
+    ],
+)
+def test_every_declared_list_needs_a_key(found, declaration):
+    """Guards against an empty list, or a malformed entry, that opens all routes."""
+    assert found.declaration is declaration
+    assert found.needs_key is (declaration is not Declaration.ABSENT)
+    # Whoever tests a directory for truth would mean one of several things.
+    assert bool(found)
 
 
 @pytest.mark.parametrize("key", ["", " ", "a b", "\xfc", "k\n", "k" * 2000])
