Check waiting requests by the route and list of teams in force

Callers saw: a request that waited for a public route as the first list of teams came into force was sent to a server with the caller's key and its own Tenant.

Cause: whether servers get the team in place of the key was settled at arrival, and the check before each send asked the route as it was then.

The check before each send asks the configuration in force, and so does the attempt as it writes its headers. Both cases of test_waiting_request_loses_its_key_once_there_is_a_list_of_teams failed before.

--- a/src/wisterialoom/platform/attempt.py
+++ b/src/wisterialoom/platform/attempt.py
@@ -110,6 +110,7 @@
         record_response_head: Called with what the server says about itself once the
             head of the answer arrives.
         connection_opened: Called when a connection to the server was established.
+        guarded: Whether the server gets the team's name instead of the key.
         output_begun: Called at the first whole event of a stream.
         answer: The complete answer, if it has not been forwarded yet.
         load: Load that the server reported; `None` if it did not.
@@ -128,6 +129,8 @@
         record_response_head: Callable[[ServerNotice], None],
         connection_opened: Callable[[], None],
         output_begun: Callable[[], None],
+        *,
+        guarded: bool,
     ) -> None:
         self.exchange = exchange
         self.profile = profile
@@ -137,6 +140,7 @@
         self.record_response_head = record_response_head
         self.connection_opened = connection_opened
         self.output_begun = output_begun
+        self.guarded = guarded
         self.answer: BufferedAnswer | None = None
         self.load: ServerLoad | None = None
         self.had_output = False
@@ -175,7 +179,7 @@
             last_event_id=exchange.event_splitter.last_id
             if exchange.head_sent
             else None,
-            team=profile.team if profile.guarded else None,
+            team=profile.team if self.guarded else None,
         )
         address = self.step.address
         if self.step.via:
--- a/src/wisterialoom/platform/ingress.py
+++ b/src/wisterialoom/platform/ingress.py
@@ -448,6 +448,8 @@
             lambda notice: self._record_response_head(flow, notice),
             lambda: self.connection_opened(step.server_id),
             lambda: self.dispatcher.record_output(time.monotonic(), flow),
+            # There may be a list of teams since the request was admitted.
+            guarded=profile.guarded or self.team_gate.needs_key,
         )
         hold = asyncio.timeout(None)
         self.unanswered[hold] = flow
--- a/src/wisterialoom/platform/team_gate.py
+++ b/src/wisterialoom/platform/team_gate.py
@@ -151,6 +151,14 @@
                 },
             )
 
+    def _route_in_force(self, route: Route) -> Route:
+        """Return what the configuration in force has in the place of a route."""
+        deployment = self.get_deployment()
+        if deployment is None:
+            return route
+        found = deployment.find_route(route.host, route.prefix)
+        return found if found is not None else route
+
     def recheck(
         self, headers: CIMultiDictProxy[str], flow: RequestFlow
     ) -> GiveUp | None:
@@ -160,12 +168,14 @@
             headers: Headers as the caller sent them.
             flow: The request, admitted at its arrival.
         """
+        if not self.needs_key:
+            return None
         profile = flow.profile
-        admission = self.check(headers, profile.route)
+        admission = self.check(headers, self._route_in_force(profile.route))
         not_run = not flow.may_have_run
         team = admission.team.name if admission.team is not None else ""
-        if admission.result == "no_teams" or (not admission.status and not team):
-            # It needs no key, and what servers are told was settled at its arrival.
+        if not admission.status and not team:
+            # It needs no key, and servers are told no other team than at its arrival.
             return None
         if admission.status == 401:
             self.late_counts["revoked"] += 1
--- a/tests/platform/test_app.py
+++ b/tests/platform/test_app.py
@@ -533,7 +533,15 @@
     loop.set_exception_handler(lambda _, context: reported.append(context))
     unused: Any = None
     attempt = Attempt(
-        unused, unused, unused, 60.0, lambda: False, unused, unused, unused
+        unused,
+        unused,
+        unused,
+        60.0,
+        lambda: False,
+        unused,
+        unused,
+        unused,
+        guarded=False,
     )
     connecting = Connecting()
     pending = loop.create_task(connecting.run())
--- a/tests/platform/test_teams.py
+++ b/tests/platform/test_teams.py
@@ -305,6 +305,26 @@
             assert server.seen[-1].get("Authorization") == headers.get("Authorization")
 
 
+@pytest.mark.parametrize("tenants", [[], TENANTS])
+async def test_waiting_request_loses_its_key_once_there_is_a_list_of_teams(
+    tenants: list[Any],
+):
+    """Guards against a key that reaches a server as it was admitted without teams."""
+    server = FakePlainServer("i-1", refuse_all=True)
+    async with harness(server) as site:
+        call = asyncio.create_task(
+            site.call(
+                "/look/", Authorization="Bearer x", Tenant="own", Deadline_Ms="20000"
+            )
+        )
+        await wait_until(lambda: server.seen)
+        await put_config(site, 2, tenants=tenants)
+        server.seen.clear()
+        server.refuse_all = False
+        assert (await call)[0] == 200
+        assert not {"Tenant", "Authorization"} & server.seen[-1].keys()
+
+
 @pytest.mark.parametrize(
     ("changes", "needed"),
     [({}, False), ({"tenants": []}, True), ({"tenants": TENANTS}, True)],
