Ask others before a restored store opens routes

Callers saw: the store came back from a copy of before there were teams, and an instance that restarted then served everything for up to a second.

Cause: the questions about the age of keys were skipped without teams, as if a configuration without them could not be an old one.

Until it is settled that no other instance knows a newer configuration, a restored one without teams is held to the rule for keys: 503 and not ready. It is settled at once after the first call when the store was not restored. Both cases of test_restored_store_without_teams_opens_no_route_at_a_restarted_instance failed before; a second test shows that a site without teams is not held up.

--- a/src/wisterialoom/platform/app.py
+++ b/src/wisterialoom/platform/app.py
@@ -355,6 +355,7 @@
         )
         fleet.key_exchange = self.key_exchange
         self.ingress.team_gate.can_vouch = self.key_exchange.can_vouch
+        self.ingress.team_gate.may_lack_teams = self.key_exchange.may_lack_teams
         self.limit_exchange = LimitExchange(
             settings.instance, peers, self.dispatcher, self.signal.wake
         )
--- a/src/wisterialoom/platform/key_exchange.py
+++ b/src/wisterialoom/platform/key_exchange.py
@@ -96,6 +96,13 @@
         now = self._update()
         return self.validity.can_vouch(now)
 
+    def may_lack_teams(self) -> bool:
+        """Return whether a configuration without teams may be an older one."""
+        if self.validity.is_settled:
+            return False
+        self._update()
+        return self.validity.strict and not self.validity.is_settled
+
     def age_s(self) -> float:
         """Return the time since the configuration was certainly the newest."""
         return self.validity.age_s(self._update())
@@ -125,7 +132,7 @@
         """Ask other instances if that is due."""
         now = self._update()
         vouching = self.validity.can_vouch(now)
-        if not self.needs_key:
+        if not self.needs_key and self.validity.is_settled:
             return
         if vouching != self.was_vouching and self.validity.strict:
             self.was_vouching = vouching
--- a/src/wisterialoom/platform/team_gate.py
+++ b/src/wisterialoom/platform/team_gate.py
@@ -63,6 +63,8 @@
         get_deployment: Returns the deployment in force.
         is_config_in_doubt: Returns whether the configuration may be outdated.
         can_vouch: Returns whether keys of the configuration can still be relied on.
+        may_lack_teams: Returns whether another instance may know of teams that the
+            configuration lacks, as it comes from a restored store.
         counts: Checks at arrival by result.
         late_counts: Refusals after the arrival by result.
         team_counts: Admitted requests by team.
@@ -74,10 +76,12 @@
         get_deployment: Callable[[], Deployment | None],
         is_config_in_doubt: Callable[[], bool],
         can_vouch: Callable[[], bool] = lambda: True,
+        may_lack_teams: Callable[[], bool] = lambda: False,
     ) -> None:
         self.get_deployment = get_deployment
         self.is_config_in_doubt = is_config_in_doubt
         self.can_vouch = can_vouch
+        self.may_lack_teams = may_lack_teams
         self.counts: Counter[str] = Counter()
         self.late_counts: Counter[str] = Counter()
         self.team_counts: Counter[str] = Counter()
@@ -85,9 +89,11 @@
 
     @property
     def needs_key(self) -> bool:
-        """Whether the configuration asks for keys."""
+        """Whether the configuration asks for keys, or one that is newer may do so."""
         deployment = self.get_deployment()
-        return deployment is not None and deployment.teams.needs_key
+        return deployment is not None and (
+            deployment.teams.needs_key or self.may_lack_teams()
+        )
 
     @property
     def is_vouching(self) -> bool:
--- a/tests/platform/test_key_revocation.py
+++ b/tests/platform/test_key_revocation.py
@@ -4,23 +4,31 @@
 
 import asyncio
 import time
+from contextlib import asynccontextmanager
 from dataclasses import replace
-from typing import TYPE_CHECKING
+from typing import Any, TYPE_CHECKING
 
-import aiohttp
 import pytest
 
 from tests.platform.fakes import FakePlainServer
-from tests.platform.test_app import Harness, harness, settings, wait_until
+from tests.platform.test_app import (
+    Harness,
+    harness,
+    second_instance,
+    settings,
+    wait_until,
+)
 from tests.platform.test_relay import fleet
 from tests.platform.test_teams import config_with_teams, KEY, put_config, TENANTS
-from wisterialoom.platform.app import PlatformApp
 from wisterialoom.platform.hint_codec import decode_hint, encode_hint
 from wisterialoom.platform.hints import KeysAnswer, KeysQuestion
 from wisterialoom.platform.settings import Bounds
 
 if TYPE_CHECKING:
-    from tests.platform.fakes import FakeStore
+    from collections.abc import AsyncIterator
+
+    from tests.platform.fakes import FakeStore, StoreCopy
+    from wisterialoom.platform.app import PlatformApp
 
 REVOKE_S = 1.6
 """Shorter than in practice, so that the tests are, too."""
@@ -153,31 +161,60 @@
         await put_config(site, 2)
         await put_config(site, 3, tenants=TENANTS[1:])
         site.store.objects["config"]["main"]["spec"] = config_with_teams(2)
-        later = PlatformApp(
-            settings(
-                site.store.address,
-                instance="front-2",
-                ip="127.0.0.2",
-                peer_port=site.app.settings.peer_port,
-                front=f"127.0.0.2:{site.app.settings.front.rpartition(':')[2]}",
-                ready=f"127.0.0.2:{site.app.settings.ready.rpartition(':')[2]}",
-                metrics_port=0,
-                first_start=False,
-                bounds=BOUNDS,
-            )
-        )
-        # It reads the store at once, as a real one does if the holder is slow.
-        await later.on_start()
-        later.catalog.read_store()
-        try:
-            async with aiohttp.ClientSession() as session:
-                other = Harness(site.store, later, session)
-                until = time.monotonic() + 2.0
-                while time.monotonic() < until:
-                    status, _, _ = await other.call("/deposit/", Authorization=BEARER)
-                    assert status in (401, 503)
-                await wait_until(later.key_exchange.can_vouch)
-                assert later.catalog.config_version == 3
-        finally:
-            await later.on_stop()
+        async with second_instance(site, bounds=BOUNDS) as other:
+            later = other.app
+            # It reads the store at once, as a real one does if the holder is slow.
+            later.catalog.read_store()
+            until = time.monotonic() + 2.0
+            while time.monotonic() < until:
+                status, _, _ = await other.call("/deposit/", Authorization=BEARER)
+                assert status in (401, 503)
+            await wait_until(later.key_exchange.can_vouch)
+            assert later.catalog.config_version == 3
         assert not server.runs
+
+
+@asynccontextmanager
+async def instance_on_a_restored_store(
+    site: Harness, before: StoreCopy
+) -> AsyncIterator[Harness]:
+    """Run one more instance that reads a copy before it hears the first instance."""
+    await site.store.restore(before)
+    async with second_instance(site, bounds=BOUNDS) as other:
+        hear, other.app.peers.on_hint = other.app.peers.on_hint, lambda *_: None
+        other.app.catalog.read_store()
+        await wait_until(lambda: other.app.catalog.is_loaded)
+        yield other
+        other.app.peers.on_hint = hear
+        await wait_until(lambda: other.app.catalog.config_version == 2)
+
+
+@pytest.mark.parametrize("tenants", [[], TENANTS])
+async def test_restored_store_without_teams_opens_no_route_at_a_restarted_instance(
+    tenants: list[Any],
+):
+    """Guards against a copy from before there were teams that is taken for current."""
+    server = FakePlainServer("i-1")
+    async with harness(server, bounds=BOUNDS) as site:
+        before = site.store.copy()
+        await put_config(site, 2, tenants=tenants)
+        async with instance_on_a_restored_store(site, before) as other:
+            assert not await is_ready(other)
+            for headers in ({}, {"Authorization": BEARER}):
+                status, got, _ = await other.call("/deposit/", **headers)
+                assert status == 503
+                assert float(got["Retry-After"]) > 0
+        assert not server.seen
+
+
+async def test_restored_store_that_never_had_teams_is_served_without_them():
+    """Guards against instances that wait for teams that nobody knows of."""
+    server = FakePlainServer("i-1")
+    async with harness(server, bounds=BOUNDS) as site:
+        await site.store.restore(site.store.copy())
+        async with second_instance(site, bounds=BOUNDS) as other:
+            other.app.catalog.read_store()
+            await wait_until(lambda: other.app.catalog.is_loaded)
+            await wait_until(lambda: other.app.ingress.team_gate.is_vouching, 1.0)
+            assert (await other.call("/deposit/"))[0] == 200
+            assert await is_ready(other)
