Refuse requests of callers that do not wait

Callers saw: Deadline-Ms: 0 was taken for no deadline, and the request waited for the whole timeout of its route.

Cause: the parsed number decided whether the header was there (0 is false). Now the text decides.

--- a/src/wisterialoom/platform/headers.py
+++ b/src/wisterialoom/platform/headers.py
@@ -246,8 +246,9 @@
     takes_up = _read_taken_up(headers, route)
     model, _, adapter = _text(headers, MODEL).partition("/")
     prompt, _, output = headers.get(TOKENS, "").partition(",")
-    wait_s = _parse_number(headers.get(DEADLINE_MS, "")) / 1e3
-    caller_deadline = now + wait_s if wait_s > 0 else now + route.timeout_s
+    wait_ms = headers.get(DEADLINE_MS, "").strip()
+    wait_s = int(wait_ms) / 1e3 if _is_number(wait_ms) else route.timeout_s
+    caller_deadline = now + wait_s
     parts = _text(headers, PREFIX)
     prefix = tuple(part.partition(":")[0] for part in parts.split(",")) if parts else ()
     answer_deadline = min(caller_deadline, now + route.timeout_s)
--- a/tests/platform/test_app.py
+++ b/tests/platform/test_app.py
@@ -213,6 +213,19 @@
         assert len(first.runs + second.runs) == 1
 
 
+@pytest.mark.parametrize("path", ["/deposit/", "/look/"])
+async def test_request_of_a_caller_that_does_not_wait_is_refused_at_once(path: str):
+    """Guards against a deadline of 0 that is taken for none.
+
+    Servers were handed all of the route's timeout.
+    """
+    server = FakePlainServer("i-1")
+    async with harness(server) as site:
+        assert (await site.call(path, Deadline_Ms="0"))[0] == 503
+        assert not server.seen
+        assert (await site.call(path, Deadline_Ms="none"))[0] == 200
+
+
 async def test_safe_request_is_retried_at_another_server_after_a_failure():
     first = FakePlainServer("i-1", status=500)
     second = FakePlainServer("i-2", status=500)
