Accept a configuration of version 0

Callers saw: 503 for good at instances whose operators begin to count at 0.

Cause: version 0 stood for "no configuration", in the catalog, in the age of keys and in the answers to other instances. NO_VERSION is below every version.

--- a/src/wisterialoom/core/serving/routing.py
+++ b/src/wisterialoom/core/serving/routing.py
@@ -17,6 +17,7 @@
     "EngineProfile",
     "IngressLimits",
     "ModelProfile",
+    "NO_VERSION",
     "RetrySafety",
     "Route",
     "Service",
@@ -24,6 +25,10 @@
 ]
 
 
+NO_VERSION = -1
+"""Version that stands for no configuration; operators may begin with 0."""
+
+
 class RetrySafety(enum.Enum):
     """Whether a request may be retried after an attempt that may have run."""
 
--- a/src/wisterialoom/core/teams/key_validity.py
+++ b/src/wisterialoom/core/teams/key_validity.py
@@ -94,12 +94,12 @@
         Args:
             now: Time in seconds.
             began_at: Time at which the call began; minus infinity before the first.
-            version: Version of the configuration in force here, or 0.
+            version: Version of the configuration in force here; below 0 if none is.
             restored: Whether the store may have come back from an older copy. One that
                 has not cannot lack a configuration, so that no other instance needs to
                 be asked; after an end of all instances none could answer.
         """
-        if not version:
+        if version < 0:
             return
         if self.first_view_at is None:
             self.first_view_at = now
@@ -134,7 +134,7 @@
             serial: Serial number of the question; others than the own are ignored.
             answered: Version of the configuration that the other instance has.
             age_s: Time since it was known there to be the newest.
-            version: Version in force here, or 0.
+            version: Version in force here; below 0 if none is.
         """
         self.record_version(answered)
         asked_at = self.questions.get(serial)
--- a/src/wisterialoom/platform/catalog.py
+++ b/src/wisterialoom/platform/catalog.py
@@ -8,6 +8,7 @@
 from typing import Any, TYPE_CHECKING
 
 from wisterialoom.core.fleet import FIRST_REVISION, ServerTable
+from wisterialoom.core.serving.routing import NO_VERSION
 from wisterialoom.platform._tasks import TaskGroup
 from wisterialoom.platform.decode import (
     decode_deployment,
@@ -129,9 +130,9 @@
 
     @property
     def config_version(self) -> int:
-        """Version of the configuration in force, or 0 before the first one."""
+        """Version of the configuration in force, `NO_VERSION` before the first one."""
         deployment = self.dispatcher.deployment
-        return deployment.version if deployment is not None else 0
+        return deployment.version if deployment is not None else NO_VERSION
 
     @property
     def config_current_at(self) -> float:
--- a/src/wisterialoom/platform/key_exchange.py
+++ b/src/wisterialoom/platform/key_exchange.py
@@ -178,7 +178,7 @@
         match hint:
             case KeysQuestion(serial=serial):
                 age_s = self.validity.age_s(now)
-                if version and age_s < float("inf"):
+                if version >= 0 and age_s < float("inf"):
                     self.counts["answered"] += 1
                     answer = KeysAnswer(self.instance, serial, version, age_s)
                     self.peers.send(answer, address)
--- a/tests/platform/test_relay.py
+++ b/tests/platform/test_relay.py
@@ -23,6 +23,7 @@
 from tests.platform.test_app import harness, settings, wait_until
 from wisterialoom.core.fleet import Revision, TableEntry
 from wisterialoom.core.fleet.watcher_role import FIRST_DELAY_S
+from wisterialoom.core.serving.routing import NO_VERSION
 from wisterialoom.platform.app import PlatformApp
 from wisterialoom.platform.hint_codec import decode_hint, encode_hint
 from wisterialoom.platform.hints import (
@@ -157,8 +158,11 @@
         assert store.calls["GET servers"] == lists
 
 
-async def test_empty_list_of_servers_is_copied_like_any_other():
-    """Before the servers had registered, all of 195 instances listed them."""
+@asynccontextmanager
+async def empty_site(
+    **bounds: Any,
+) -> AsyncIterator[tuple[FakeStore, list[PlatformApp]]]:
+    """Run four instances at a store without objects."""
     store = FakeStore()
     await store.start()
     apps = [
@@ -166,16 +170,37 @@
         for number, ip in enumerate(addresses()[:4])
     ]
     for app in apps:
+        changed = replace(app.settings.bounds, **bounds)
+        app.settings = replace(app.settings, bounds=changed)
         await app.on_start()
-    await wait_until(lambda: all(app.catalog.has_servers for app in apps))
-    assert store.calls["GET servers"] < len(apps)
-    await store.put("config", "main", config())
-    await store.put("servers", "i-1", FakePlainServer("i-1").entry() | ADDRESS)
-    await wait_until(lambda: all(app.catalog.is_loaded for app in apps))
-    await wait_until(lambda: all("i-1" in app.dispatcher.views for app in apps))
-    for app in apps:
-        await app.on_stop()
-    await store.stop()
+    try:
+        yield store, apps
+    finally:
+        for app in apps:
+            await app.on_stop()
+        await store.stop()
+
+
+async def test_empty_list_of_servers_is_copied_like_any_other():
+    """Before the servers had registered, all of 195 instances listed them."""
+    async with empty_site() as (store, apps):
+        await wait_until(lambda: all(app.catalog.has_servers for app in apps))
+        assert store.calls["GET servers"] < len(apps)
+        await store.put("config", "main", config())
+        await store.put("servers", "i-1", FakePlainServer("i-1").entry() | ADDRESS)
+        await wait_until(lambda: all(app.catalog.is_loaded for app in apps))
+        await wait_until(lambda: all("i-1" in app.dispatcher.views for app in apps))
+
+
+async def test_configuration_of_version_0_is_in_force_at_all_instances():
+    """Guards against a first version of 0 that is taken for no configuration."""
+    async with empty_site(revoke_strict=True) as (store, apps):
+        assert {app.catalog.config_version for app in apps} == {NO_VERSION}
+        await store.put("config", "main", config(version=0) | {"tenants": []})
+        await store.put("servers", "i-1", FakePlainServer("i-1").entry() | ADDRESS)
+        await wait_until(lambda: all(app.catalog.is_loaded for app in apps))
+        assert {app.catalog.config_version for app in apps} == {0}
+        await wait_until(lambda: all(app.key_exchange.can_vouch() for app in apps))
 
 
 async def test_instance_reads_the_store_if_the_recorded_holder_does_not_answer():
