--- a/src/wisterialoom/platform/app.py
+++ b/src/wisterialoom/platform/app.py
@@ -65,7 +65,6 @@
 
     from aiohttp import ClientSession, TCPConnector
 
-    from wisterialoom.platform.headers import ServerNotice
 
 __all__ = ["PlatformApp"]
 
@@ -303,13 +302,10 @@
             placement,
         )
 
-        def record_notice(server_id: str, notice: ServerNotice) -> None:
-            self.ingress.record_notice(time.monotonic(), server_id, notice)
-
         orders = OrderClient(
             settings.instance,
             self._session(self._connector()),
-            record_notice,
+            self.ingress.notices.record,
             lambda server_id: self.path_prober.record_doubt(server_id),
         )
         self.orders = orders
@@ -394,7 +390,7 @@
             max_passed_on(settings.memory_mb, settings.max_fds),
             self.ingress.pooled_session,
             self.ingress.single_use_session,
-            record_notice,
+            self.ingress.notices.record,
             self.path_prober.record_not_opened,
             self.path_prober.record_doubt,
         )
--- a/src/wisterialoom/platform/ingress.py
+++ b/src/wisterialoom/platform/ingress.py
@@ -31,6 +31,7 @@
 )
 from wisterialoom.platform.listener import head_bytes
 from wisterialoom.platform.log import age_ms
+from wisterialoom.platform.notice_recorder import NoticeRecorder
 from wisterialoom.platform.team_gate import TeamGate
 
 if TYPE_CHECKING:
@@ -43,7 +44,6 @@
     from wisterialoom.core.serving.request_flow import RequestProfile, Step
     from wisterialoom.core.serving.routing import Deployment, Route
     from wisterialoom.platform.attempt import BufferedAnswer
-    from wisterialoom.platform.headers import ServerNotice
     from wisterialoom.platform.metrics import PlatformMetrics
     from wisterialoom.platform.quota_exchange import QuotaExchange
     from wisterialoom.platform.team_gate import Admission
@@ -118,7 +118,6 @@
             force.
         get_view_current_at: Returns the same time for configuration and servers.
         demand_changed: Called when the first request begins to wait for a model.
-        limit_changed: Called with a server that named another limit, or none any more.
         rejected: Called with a brittle server that turned a request away.
         connection_opened: Called with a server to which a connection was established.
         path_doubted: Called with a server at which an attempt failed, and whether it
@@ -127,6 +126,7 @@
             takes up, and sets it.
         get_quotas: Returns what charges requests to the quotas of their teams.
         metrics: Counters and histograms.
+        notices: Follows what servers say about themselves.
         team_gate: Checks API keys.
         started_at: Monotonic time at which this instance started.
         draining: Whether the instance is stopping; answers then close their
@@ -163,13 +163,13 @@
         self.get_config_limit_s = get_config_limit_s
         self.get_view_current_at = get_view_current_at
         self.demand_changed = demand_changed
-        self.limit_changed = limit_changed
         self.rejected = rejected
         self.connection_opened = connection_opened
         self.path_doubted = path_doubted
         self.find_version = find_version
         self.get_quotas = get_quotas
         self.metrics = metrics
+        self.notices = NoticeRecorder(dispatcher, limit_changed)
         self.team_gate = TeamGate(
             lambda: self.dispatcher.deployment, lambda: self.is_config_in_doubt
         )
@@ -445,7 +445,7 @@
             step,
             read_timeout_s,
             lambda: self.dispatcher.can_retry_elsewhere(time.monotonic(), flow),
-            lambda notice: self._record_response_head(flow, notice),
+            lambda notice: self.notices.record_head(flow, notice),
             lambda: self.connection_opened(step.server_id),
             lambda: self.dispatcher.record_output(time.monotonic(), flow),
             # There may be a list of teams since the request was admitted.
@@ -523,54 +523,6 @@
                 },
             )
 
-    def _record_response_head(self, flow: RequestFlow, notice: ServerNotice) -> None:
-        now = time.monotonic()
-        load = notice.load
-        running, waiting = (load.running, load.waiting) if load else (0, 0)
-        self.dispatcher.record_response_head(
-            now,
-            flow,
-            running,
-            waiting,
-            has_load=load is not None,
-            pace=load.pace if load else None,
-        )
-        self.record_notice(now, flow.in_flight_at, notice)
-        if not notice.hold_off_s:
-            self.dispatcher.record_taken(flow.in_flight_at)
-        if notice.limit_per_s is None and notice.is_limit_readable:
-            self._record_limit(now, flow.in_flight_at, None, flow.sent_at)
-        rejections = notice.brittle_rejections
-        as_of = now if rejections is not None else flow.sent_at
-        service = flow.profile.service
-        self.dispatcher.brittle.record(now, service, rejections, as_of)
-
-    def record_notice(self, now: float, server_id: str, notice: ServerNotice) -> None:
-        """Follow a server that is leaving, limits requests, or wants none for a time.
-
-        Only an answer to a request shows that a server no longer names a limit.
-        """
-        if notice.leaving and self.dispatcher.record_leaving(server_id):
-            logger.info("server says that it leaves", extra={"server": server_id})
-        if notice.hold_off_s:
-            self.dispatcher.record_rest(now, server_id, notice.hold_off_s)
-            logger.info(
-                "server wants nothing for a while",
-                extra={"server": server_id, "for_ms": int(notice.hold_off_s * 1e3)},
-            )
-        if notice.limit_per_s is not None:
-            self._record_limit(now, server_id, notice.limit_per_s, now)
-
-    def _record_limit(
-        self, now: float, server_id: str, limit_per_s: float | None, as_of: float
-    ) -> None:
-        if self.dispatcher.record_limit(now, server_id, limit_per_s, as_of):
-            self.limit_changed(server_id)
-            logger.info(
-                "server names a limit" if limit_per_s is not None else "limit ended",
-                extra={"server": server_id, "limit_per_s": limit_per_s},
-            )
-
     def end_held(self) -> None:
         """Abort attempts of requests that are held back now, and refuse waiting ones.
 
