Pass on configurations that are nested deeply

Callers saw: instances that do not read the store kept the old routes.

Cause: the decoder takes 1,024 levels and the encoder 254, so that a copy of a configuration with an unknown field of 255 levels could not be written. encode_value writes what the encoder refuses without recursion; its text is the same for all others (hypothesis, 400 examples). Failed before: test_deeply_nested_configuration_is_copied at 300, 900 and 1,000 levels.

--- a/src/wisterialoom/platform/hints.py
+++ b/src/wisterialoom/platform/hints.py
@@ -16,6 +16,7 @@
 from wisterialoom.core.error import WisterialoomError
 from wisterialoom.core.placement.fleet_demand import DemandReport
 from wisterialoom.platform.fields import decompress
+from wisterialoom.platform.store_json import encode_value
 
 if TYPE_CHECKING:
     from wisterialoom.core.crash_watch import CrashMessage
@@ -214,7 +215,7 @@
     @classmethod
     def from_spec(cls, spec: Any) -> ConfigCopy:
         """Compress a configuration."""
-        data = zlib.compress(orjson.dumps(spec), COMPRESSION_LEVEL)
+        data = zlib.compress(encode_value(spec), COMPRESSION_LEVEL)
         return cls(base64.b85encode(data).decode())
 
     def unpack(self) -> Any:
--- a/src/wisterialoom/platform/store_json.py
+++ b/src/wisterialoom/platform/store_json.py
@@ -13,7 +13,11 @@
 
 import orjson
 
-__all__ = ["UnreadableValue", "decode_answer"]
+__all__ = [
+    "UnreadableValue",
+    "decode_answer",
+    "encode_value",
+]
 
 TOKEN = re.compile(rb'"(?:[^"\\]|\\.)*+"|[\[\]{},]', re.DOTALL)
 """Strings, and the characters outside of strings that separate values."""
@@ -27,6 +31,34 @@
 """Longest value that `UnreadableValue.guess` decodes; an object has at most 1 MB."""
 
 
+def encode_value(value: Any) -> bytes:
+    """Encode a decoded value, which may be nested more deeply than `orjson` encodes."""
+    try:
+        return orjson.dumps(value)
+    except TypeError:
+        pass
+    parts: list[bytes] = []
+    # What is left to write, the next one last. Text is written as it is.
+    left: list[Any] = [value]
+    while left:
+        match found := left.pop():
+            case bytes():
+                parts.append(found)
+            case dict() if found:
+                left.append(b"}")
+                for key, member in reversed(found.items()):
+                    left += [member, orjson.dumps(key) + b":", b","]
+                left[-1] = b"{"
+            case list() if found:
+                left.append(b"]")
+                for item in reversed(found):
+                    left += [item, b","]
+                left[-1] = b"["
+            case _:
+                parts.append(orjson.dumps(found))
+    return b"".join(parts)
+
+
 class UnreadableValue:
     """Value of an answer that is not valid JSON.
 
--- a/src/wisterialoom/platform/team_decode.py
+++ b/src/wisterialoom/platform/team_decode.py
@@ -8,6 +8,8 @@
 from math import isfinite
 from typing import Any, TYPE_CHECKING
 
+import orjson
+
 from wisterialoom.core.teams import (
     key_digest,
     Quota,
@@ -242,7 +244,8 @@
 
 def _is_json(value: Any) -> bool:
     try:
-        json.dumps(value, allow_nan=False, ensure_ascii=False).encode()
+        text = json.dumps(value, allow_nan=False, ensure_ascii=False).encode()
+        orjson.loads(text)
     except (ValueError, RecursionError):
         return False
     return True
--- a/tests/platform/test_team_decode.py
+++ b/tests/platform/test_team_decode.py
@@ -12,6 +12,7 @@
 from wisterialoom.core.teams import Declaration, Quota, QuotaUnit, Team
 from wisterialoom.platform.decode import decode_deployment, DecodeError
 from wisterialoom.platform.headers import read_profile
+from wisterialoom.platform.hints import ConfigCopy
 from wisterialoom.platform.store_json import decode_answer, UnreadableValue
 from wisterialoom.platform.team_decode import (
     decode_teams,
@@ -174,6 +175,15 @@
     assert without_keys(config(7)) == config(7)
 
 
+@pytest.mark.parametrize("depth", [250, 300, 900, 1000])
+def test_deeply_nested_configuration_is_copied(depth):
+    """Guards against fields that the decoder takes and the encoder does not."""
+    nested = orjson.loads(b"[" * depth + b"]" * depth)
+    spec = config(7) | {"unknown": nested, "tenants": [DUNE | {"unknown": nested}]}
+    copied = ConfigCopy.from_spec(without_keys(spec)).unpack()
+    assert decode_deployment(copied) == decode_deployment(spec)
+
+
 @pytest.mark.parametrize(
     ("text", "counts"),
     [
--- a/tests/platform/test_unreadable_input.py
+++ b/tests/platform/test_unreadable_input.py
@@ -13,7 +13,11 @@
 from tests.platform.fakes import config, FakeModelServer, FakePlainServer
 from tests.platform.test_app import Harness, harness, wait_until
 from wisterialoom.platform.store import StoreUnavailableError
-from wisterialoom.platform.store_json import decode_answer, UnreadableValue
+from wisterialoom.platform.store_json import (
+    decode_answer,
+    encode_value,
+    UnreadableValue,
+)
 from wisterialoom.platform.unreadable import UnreadableInput
 
 NOT_TEXT = orjson.Fragment(b'"\xff\xfe zone"')
@@ -196,6 +200,16 @@
 )
 
 
+@settings(derandomize=True, deadline=None, max_examples=400)
+@given(json_items, st.integers(0, 1000))
+def test_values_of_any_depth_are_encoded(value: Any, depth: int):
+    """Guards against values that can be decoded, but not told to other instances."""
+    text = b'[{"a":' * (depth // 2) + orjson.dumps(value) + b"}]" * (depth // 2)
+    found = orjson.loads(text)
+    assert orjson.loads(encode_value(found)) == found
+    assert encode_value(found) == text
+
+
 @settings(derandomize=True, deadline=None, max_examples=400)
 @given(st.lists(json_items, max_size=5), st.integers(0, 5))
 def test_values_beside_an_unreadable_one_are_unchanged(values: list[Any], at: int):
