Describe odd values in errors by a bounded text

Callers saw: servers that left were used on, and new ones were not, at all instances, for as long as one entry with 1,000 to 1,024 levels stood (LOST, but no process ended). The same for the lease record, and for a datagram, whose socket closed.

Cause: the decoder takes 1,024 levels and the interpreter prints some 1,000; the error about the value printed it, raised RecursionError, ended the task, and the task began again at the same entry.

--- a/src/wisterialoom/platform/crash_codec.py
+++ b/src/wisterialoom/platform/crash_codec.py
@@ -17,7 +17,12 @@
     HeldTraits,
 )
 from wisterialoom.core.quarantine import MAX_VERDICTS, Verdict
-from wisterialoom.platform.fields import read_integer, read_mapping, read_number
+from wisterialoom.platform.fields import (
+    read_integer,
+    read_mapping,
+    read_number,
+    read_text,
+)
 
 __all__ = ["CRASH_KINDS", "decode_crash_message", "encode_crash_message"]
 
@@ -91,7 +96,9 @@
             times = {trait: read_number(at) for trait, at in items.items()}
             running = {
                 trait: {
-                    ServerStart(str(server), read_integer(started)): read_number(at)
+                    ServerStart(read_text(server), read_integer(started)): read_number(
+                        at
+                    )
                     for server, started, at, *_ in servers[:MAX_RUNNING]
                 }
                 for trait, servers in places.items()
--- a/src/wisterialoom/platform/decode.py
+++ b/src/wisterialoom/platform/decode.py
@@ -18,6 +18,7 @@
     Service,
     WeightedService,
 )
+from wisterialoom.platform.fields import DECODE_ERRORS, describe
 from wisterialoom.platform.store_json import UnreadableValue
 from wisterialoom.platform.team_decode import read_teams
 
@@ -38,9 +39,6 @@
 
 SERVER_STATES = ("ready", "draining")
 
-DECODE_ERRORS = (KeyError, TypeError, ValueError, AttributeError, ArithmeticError)
-"""Errors that fields of another type or range than expected can lead to."""
-
 MAX_INTEGER = 2**53 - 1
 """Largest integer that is accepted; other instances can decode it exactly."""
 
@@ -79,7 +77,7 @@
         )
     except DECODE_ERRORS as error:
         raise DecodeError(
-            f"the configuration cannot be decoded: {error!r}; "
+            f"the configuration cannot be decoded: {error!r:.200}; "
             "the version in force stays in use until a valid one is received"
         ) from error
     for problem in problems:
@@ -182,13 +180,13 @@
     try:
         state = spec["state"]
         if state not in SERVER_STATES:
-            raise ValueError(f"state is {state!r}")
+            raise ValueError(f"state is {describe(state)}")
         # The name is sent to the server in a header.
         if not server_id.isprintable():
             raise ValueError("the name has control characters")
         address = ADDRESS.fullmatch(_string(spec["address"]))
         if address is None or not 0 < int(address[1]) < 65536:
-            raise ValueError(f"address is {spec['address']!r}")
+            raise ValueError(f"address is {describe(spec['address'])}")
         remaining_ms = spec.get("remainingMs")
         return BackendServer(
             id=server_id,
@@ -208,7 +206,8 @@
         )
     except DECODE_ERRORS as error:
         raise DecodeError(
-            f"entry {server_id!r} does not describe a backend server: {error!r}; "
+            f"entry {describe(server_id)} does not describe a backend server: "
+            f"{error!r:.200}; "
             "its last readable state stays in force until it changes"
         ) from error
 
@@ -243,19 +242,19 @@
     if value is None:
         return ()
     if not isinstance(value, (list, tuple)):
-        raise TypeError(f"{value!r} is not a list")
+        raise TypeError(f"{describe(value)} is not a list")
     return value
 
 
 def _string(value: Any) -> str:
     if not isinstance(value, str) or not value:
-        raise TypeError(f"{value!r} is not a non-empty string")
+        raise TypeError(f"{describe(value)} is not a non-empty string")
     return value
 
 
 def _integer(value: Any) -> int:
     if isinstance(value, bool) or not isinstance(value, int):
-        raise TypeError(f"{value!r} is not an integer")
+        raise TypeError(f"{describe(value)} is not an integer")
     if abs(value) > MAX_INTEGER:
         raise ValueError(f"{value} is out of range")
     return value
--- a/src/wisterialoom/platform/fields.py
+++ b/src/wisterialoom/platform/fields.py
@@ -8,11 +8,14 @@
 
 import ipaddress
 import math
+import reprlib
 import zlib
 from typing import Any
 
 __all__ = [
+    "DECODE_ERRORS",
     "decompress",
+    "describe",
     "read_address",
     "read_integer",
     "read_mapping",
@@ -21,10 +24,37 @@
     "read_text",
 ]
 
+DECODE_ERRORS = (
+    KeyError,
+    TypeError,
+    ValueError,
+    AttributeError,
+    ArithmeticError,
+    RecursionError,
+)
+"""Errors that decoded values of another type, range or depth than expected lead to.
+
+Decoders take values that are nested more deeply than the interpreter can print,
+compare or encode.
+"""
+
 MAX_INTEGER = 2**53 - 1
 """Largest integer that is accepted; any JSON reader has it exactly."""
 
 
+_REPR = reprlib.Repr()
+_REPR.maxlevel = 2
+_REPR.maxstring = _REPR.maxother = 60
+
+
+def describe(value: Any) -> str:
+    """Return a short description of a decoded value for an error message.
+
+    Unlike `repr`, it works for values of any size and depth.
+    """
+    return _REPR.repr(value)
+
+
 def read_text(value: Any) -> str:
     """Return a string.
 
@@ -32,7 +62,7 @@
         TypeError: The value has another type.
     """
     if not isinstance(value, str):
-        raise TypeError(f"{value!r:.60} is not text")
+        raise TypeError(f"{describe(value)} is not text")
     return value
 
 
@@ -44,9 +74,9 @@
         ValueError: The value is out of range.
     """
     if not isinstance(value, int):
-        raise TypeError(f"{value!r:.60} is not an integer")
+        raise TypeError(f"{describe(value)} is not an integer")
     if not minimum <= value <= MAX_INTEGER:
-        raise ValueError(f"{value!r:.60} is out of range")
+        raise ValueError(f"{describe(value)} is out of range")
     return int(value)
 
 
@@ -58,9 +88,9 @@
         ValueError: The value is not finite.
     """
     if not isinstance(value, (int, float)):
-        raise TypeError(f"{value!r:.60} is not a number")
+        raise TypeError(f"{describe(value)} is not a number")
     if not math.isfinite(value):
-        raise ValueError(f"{value!r:.60} is not finite")
+        raise ValueError(f"{describe(value)} is not finite")
     return float(value)
 
 
@@ -71,7 +101,7 @@
         TypeError: The value has another type.
     """
     if not isinstance(value, dict):
-        raise TypeError(f"{value!r:.60} is not a mapping")
+        raise TypeError(f"{describe(value)} is not a mapping")
     return value
 
 
@@ -82,7 +112,7 @@
         TypeError: The value has another type.
     """
     if not isinstance(value, list):
-        raise TypeError(f"{value!r:.60} is not a list")
+        raise TypeError(f"{describe(value)} is not a list")
     return tuple(read_text(name) for name in value)
 
 
--- a/src/wisterialoom/platform/hint_codec.py
+++ b/src/wisterialoom/platform/hint_codec.py
@@ -21,7 +21,9 @@
     encode_crash_message,
 )
 from wisterialoom.platform.fields import (
+    DECODE_ERRORS,
     decompress,
+    describe,
     read_address,
     read_integer,
     read_mapping,
@@ -213,11 +215,12 @@
         )
         match item:
             case [str(kind), *_] if kind not in KINDS:
-                raise UnknownHintError(f"unknown kind of datagram: {kind!r}")
+                raise UnknownHintError(f"unknown kind of datagram: {describe(kind)}")
         return _decode_item(item)
-    except (ValueError, TypeError, ArithmeticError, zlib.error) as error:
+    except (*DECODE_ERRORS, zlib.error) as error:
         raise HintError(
-            f"cannot decode datagram: {error!r}; check what else sends to the peer port"
+            f"cannot decode datagram: {error!r:.200}; "
+            "check what else sends to the peer port"
         ) from error
 
 
--- a/src/wisterialoom/platform/lease_manager.py
+++ b/src/wisterialoom/platform/lease_manager.py
@@ -15,6 +15,7 @@
     TakeLease,
 )
 from wisterialoom.platform.fields import (
+    DECODE_ERRORS,
     read_address,
     read_integer,
     read_mapping,
@@ -253,7 +254,7 @@
             service: list(read_names(names))
             for service, names in read_mapping(versions).items()
         }
-    except (AttributeError, TypeError) as error:
+    except DECODE_ERRORS as error:
         logger.error("cannot decode versions of servers", extra={"error": repr(error)})
         return None
 
@@ -269,6 +270,6 @@
             serial=read_integer(spec["serial"], 0),
             released=bool(spec["released"]),
         )
-    except (KeyError, TypeError, ValueError) as error:
+    except DECODE_ERRORS as error:
         logger.error("cannot decode lease record", extra={"error": repr(error)})
         return None
--- a/src/wisterialoom/platform/orders.py
+++ b/src/wisterialoom/platform/orders.py
@@ -14,7 +14,11 @@
 from wisterialoom.core.placement.server_state import ServerReport
 from wisterialoom.no_resend import no_resend, was_never_sent
 from wisterialoom.platform.decode import decode_models
-from wisterialoom.platform.fields import read_integer, read_text
+from wisterialoom.platform.fields import (
+    DECODE_ERRORS,
+    read_integer,
+    read_text,
+)
 from wisterialoom.platform.headers import EXPECTED_SERVER, read_notice, SERVER_ID
 
 if TYPE_CHECKING:
@@ -42,13 +46,6 @@
 }
 
 
-REPORT_ERRORS = (KeyError, TypeError, ValueError, AttributeError)
-"""Errors of `_decode_report` for a report without a field or with one of another type.
-
-Those of JSON that cannot be decoded are among them.
-"""
-
-
 class OrderClient:
     """Client of the order and report endpoints of model servers.
 
@@ -164,7 +161,7 @@
             aiohttp.ClientError,
             TimeoutError,
             OSError,
-            *REPORT_ERRORS,
+            *DECODE_ERRORS,
         ) as error:
             self.path_doubted(server_id)
             logger.info(
--- a/src/wisterialoom/platform/peers.py
+++ b/src/wisterialoom/platform/peers.py
@@ -112,7 +112,7 @@
             self.dropped += 1
             logger.error(
                 "hint not sent, it cannot be encoded",
-                extra={"kind": type(hint).__name__, "error": str(error)},
+                extra={"kind": type(hint).__name__, "error": f"{error!r:.200}"},
             )
             return
         if len(data) > MAX_DATAGRAM_BYTES:
--- a/src/wisterialoom/platform/quota_codec.py
+++ b/src/wisterialoom/platform/quota_codec.py
@@ -11,7 +11,7 @@
     AllowanceRequest,
     TeamRequest,
 )
-from wisterialoom.platform.fields import read_mapping
+from wisterialoom.platform.fields import describe, read_mapping
 from wisterialoom.platform.hints import AllowanceGranted, AllowanceWanted
 
 __all__ = ["QUOTA_KINDS", "decode_quota_hint", "encode_quota_hint"]
@@ -96,14 +96,14 @@
 def _number(value: Any) -> float:
     """Return a number that is neither negative nor infinite."""
     if isinstance(value, bool) or not isinstance(value, int | float):
-        raise TypeError(f"not a number: {value!r}")
+        raise TypeError(f"not a number: {describe(value)}")
     number = float(value)
     if not 0.0 <= number < math.inf:
-        raise ValueError(f"out of range: {value!r}")
+        raise ValueError(f"out of range: {describe(value)}")
     return number
 
 
 def _whole(value: Any) -> int:
     if isinstance(value, bool) or not isinstance(value, int):
-        raise TypeError(f"not a whole number: {value!r}")
+        raise TypeError(f"not a whole number: {describe(value)}")
     return value
--- a/src/wisterialoom/platform/store.py
+++ b/src/wisterialoom/platform/store.py
@@ -18,6 +18,7 @@
 from wisterialoom.core.error import WisterialoomError
 from wisterialoom.core.fleet import Revision, StoreProgress
 from wisterialoom.no_resend import no_resend, was_never_sent
+from wisterialoom.platform.fields import DECODE_ERRORS, describe
 from wisterialoom.platform.store_json import decode_answer
 from wisterialoom.platform.unreadable import UnreadableInput
 
@@ -459,9 +460,9 @@
         """
         try:
             found = StoreObject.from_wire(era, item)
-        except (KeyError, TypeError, ValueError, AttributeError) as error:
+        except DECODE_ERRORS as error:
             name = ""
-            with suppress(KeyError, TypeError, ValueError, AttributeError):
+            with suppress(*DECODE_ERRORS):
                 name = _decode_name(item)
             self.unreadable.record(kind, name, repr(error))
             return None, name
@@ -573,9 +574,10 @@
     """Treat an answer that lacks fields, or has them of another type, as none."""
     try:
         yield
-    except (KeyError, TypeError, ValueError, AttributeError) as error:
+    except DECODE_ERRORS as error:
         raise StoreUnavailableError(
-            f"the store answered {purpose} with fields that cannot be read: {error!r}",
+            f"the store answered {purpose} with fields that cannot be read: "
+            f"{error!r:.200}",
             ambiguous=True,
         ) from error
 
@@ -589,7 +591,7 @@
 def _decode_name(item: Any) -> str:
     name = item["metadata"]["name"]
     if not isinstance(name, str) or not name:
-        raise TypeError(f"{name!r} is not a name")
+        raise TypeError(f"{describe(name)} is not a name")
     return name
 
 
--- a/src/wisterialoom/platform/stream_exchange.py
+++ b/src/wisterialoom/platform/stream_exchange.py
@@ -17,7 +17,7 @@
 from wisterialoom.core.serving.software_versions import sole_version
 from wisterialoom.core.serving.stream_origin import StreamOrigin
 from wisterialoom.platform._tasks import TaskGroup, wait_for
-from wisterialoom.platform.fields import read_mapping, read_names
+from wisterialoom.platform.fields import DECODE_ERRORS, read_mapping, read_names
 from wisterialoom.platform.hints import OriginAnswer, OriginWanted, StreamsBegun
 from wisterialoom.platform.lease_manager import lease_clock
 from wisterialoom.platform.store import (
@@ -411,6 +411,6 @@
             if version
             for stream in read_names(streams)
         ]
-    except (KeyError, TypeError, AttributeError) as error:
+    except DECODE_ERRORS as error:
         logger.warning("record of streams ignored", extra={"error": repr(error)})
         return []
--- a/src/wisterialoom/platform/unreadable.py
+++ b/src/wisterialoom/platform/unreadable.py
@@ -12,6 +12,10 @@
 """Names whose log line is remembered; about five times the servers of a large site."""
 
 
+MAX_NAME_CHARS = 200
+"""Characters of a name that are logged and remembered."""
+
+
 class UnreadableInput:
     """Counts input that cannot be decoded, and logs each name once.
 
@@ -33,15 +37,15 @@
             error: What is wrong with it.
         """
         self.counts[kind] = self.counts.get(kind, 0) + 1
-        key = (kind, name)
+        key = (kind, name[:MAX_NAME_CHARS])
         if key in self.logged or len(self.logged) >= MAX_LOGGED:
             return
         self.logged.add(key)
         logger.warning(
             "unreadable input ignored",
-            extra={"kind": kind, "item": name, "error": error},
+            extra={"kind": kind, "item": key[1], "error": error},
         )
 
     def record_readable(self, kind: str, name: str) -> None:
         """Record that an item can be read, so that its next fault is logged again."""
-        self.logged.discard((kind, name))
+        self.logged.discard((kind, name[:MAX_NAME_CHARS]))
