Let other tasks run while an unreadable answer is split

Callers saw: late and broken requests each time that an entry of 1 MB that is not valid JSON was read: 1.3 to 2.4 s of the loop.

Cause: the text was split in one go, and brackets were counted one by one. Brackets inside a value are skipped by an expression over several levels, and the reader hands over after 2,000 tokens. Failed before (limit 0.5 s): lists in lists, many lists, many numbers, tables in tables.

--- a/src/wisterialoom/platform/store.py
+++ b/src/wisterialoom/platform/store.py
@@ -544,12 +544,13 @@
                 f"answered in era {answer_era}; read again"
             )
         try:
-            return _Answer(status, answer_era, decode_answer(data) if data else None)
+            item = await decode_answer(data) if data else None
         except ValueError as error:
             raise StoreUnavailableError(
                 f"the store answered {purpose} with text that is not JSON",
                 ambiguous=True,
             ) from error
+        return _Answer(status, answer_era, item)
 
     def _read_era(self, headers: Mapping[str, str]) -> int:
         """Return the era that an answer names, or the latest known one if unusable."""
--- a/src/wisterialoom/platform/store_json.py
+++ b/src/wisterialoom/platform/store_json.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import json
 import re
 from typing import Any
@@ -22,6 +23,17 @@
 TOKEN = re.compile(rb'"(?:[^"\\]|\\.)*+"|[\[\]{},]', re.DOTALL)
 """Strings, and the characters outside of strings that separate values."""
 
+PLAIN = rb'[^"\[\]{}]++|"(?:[^"\\]|\\.)*+"'
+SHALLOW = PLAIN + rb"|[\[{](?:" + PLAIN + rb")*+[\]}]"
+BRACKETS = re.compile(
+    rb"(?:" + SHALLOW + rb"|[\[{](?:" + SHALLOW + rb")*+[\]}])*+([\[{]++|[\]}]++)",
+    re.DOTALL,
+)
+"""All up to the next brackets of a value with several levels, and these brackets."""
+
+TOKENS_PER_STEP = 2_000
+"""Tokens after which others get a turn; about 1 ms."""
+
 KEY = re.compile(rb'\s*("(?:[^"\\]|\\.)*+")\s*:', re.DOTALL)
 
 CONTAINER_KEYS = frozenset({"items", "events", "object", "metadata"})
@@ -86,10 +98,11 @@
             return None
 
 
-def decode_answer(data: bytes) -> Any:
-    """Decode the body of an answer.
+async def decode_answer(data: bytes) -> Any:
+    """Decode the body of an answer, and let other tasks run meanwhile.
 
-    Values of single objects that are not valid JSON become an `UnreadableValue`.
+    Values of single objects that are not valid JSON become an `UnreadableValue`. One of
+    1 MB takes up to a second.
 
     Raises:
         ValueError: The body has no recognizable structure.
@@ -97,13 +110,13 @@
     try:
         return orjson.loads(data)
     except orjson.JSONDecodeError:
-        found = _decode_container(data.strip())
+        found = await _decode_container(data.strip())
     if isinstance(found, UnreadableValue):
         raise ValueError("the body is not JSON")
     return found
 
 
-def _decode_container(data: bytes) -> Any:
+async def _decode_container(data: bytes) -> Any:
     try:
         return orjson.loads(data)
     except orjson.JSONDecodeError:
@@ -111,15 +124,18 @@
     try:
         match data[:1]:
             case b"[":
-                return [_decode_container(part) for part in _split(data)]
+                items = []
+                for part in await _split(data):
+                    items.append(await _decode_container(part))
+                return items
             case b"{":
-                return _decode_members(_split(data))
+                return await _decode_members(await _split(data))
     except ValueError:
         pass
     return UnreadableValue(data)
 
 
-def _decode_members(parts: list[bytes]) -> dict[str, Any]:
+async def _decode_members(parts: list[bytes]) -> dict[str, Any]:
     members = {}
     for part in parts:
         found = KEY.match(part)
@@ -132,7 +148,7 @@
             continue
         value = part[found.end() :].strip()
         if key in CONTAINER_KEYS:
-            members[key] = _decode_container(value)
+            members[key] = await _decode_container(value)
             continue
         try:
             members[key] = orjson.loads(value)
@@ -141,27 +157,55 @@
     return members
 
 
-def _split(data: bytes) -> list[bytes]:
+async def _split(data: bytes) -> list[bytes]:
     """Split the text of a list or an object at its commas.
 
     Raises:
         ValueError: The brackets do not match.
     """
     parts: list[bytes] = []
-    depth = 0
-    start = 1
-    for token in TOKEN.finditer(data):
+    start = at = 1
+    count = 0
+    while (token := TOKEN.search(data, at)) is not None:
+        count += 1
+        if count % TOKENS_PER_STEP == 0:
+            await asyncio.sleep(0)
+        at = token.end()
         match token[0]:
             case b"[" | b"{":
-                depth += 1
+                at = await _skip(data, at)
             case b"]" | b"}":
-                depth -= 1
-                if depth == 0:
-                    if token.end() != len(data):
-                        raise ValueError("text after the end")
-                    last = data[start : token.start()].strip()
-                    return [*parts, last] if last or parts else []
-            case b"," if depth == 1:
+                if at != len(data):
+                    raise ValueError("text after the end")
+                last = data[start : token.start()].strip()
+                return [*parts, last] if last or parts else []
+            case b",":
                 parts.append(data[start : token.start()].strip())
-                start = token.end()
+                start = at
+    raise ValueError("the end is missing")
+
+
+async def _skip(data: bytes, at: int) -> int:
+    """Return the position after the end of a list or an object.
+
+    Args:
+        data: The text.
+        at: Position after its opening bracket.
+
+    Raises:
+        ValueError: The brackets do not match.
+    """
+    depth = 1
+    count = 0
+    while (found := BRACKETS.match(data, at)) is not None:
+        count += 1
+        if count % TOKENS_PER_STEP == 0:
+            await asyncio.sleep(0)
+        start, at = found.span(1)
+        if data[start : start + 1] in b"[{":
+            depth += at - start
+        elif at - start >= depth:
+            return start + depth
+        else:
+            depth -= at - start
     raise ValueError("the end is missing")
--- a/tests/platform/test_team_decode.py
+++ b/tests/platform/test_team_decode.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import asyncio
+
 import orjson
 import pytest
 from hypothesis import given
@@ -214,7 +216,8 @@
 
 
 def unreadable(text: bytes) -> UnreadableValue:
-    answer = decode_answer(b'{"items": [{"spec": ' + text + b"}]}")
+    body = b'{"items": [{"spec": ' + text + b"}]}"
+    answer = asyncio.run(decode_answer(body))
     found = answer["items"][0]["spec"]
     assert isinstance(found, UnreadableValue)
     return found
--- a/tests/platform/test_unreadable_input.py
+++ b/tests/platform/test_unreadable_input.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import time
 from typing import Any
 
 import orjson
@@ -30,6 +31,10 @@
 ADDRESS = {"address": "127.0.0.1:9"}
 
 
+def decode(data: bytes) -> Any:
+    return asyncio.run(decode_answer(data))
+
+
 async def settle(site: Harness) -> None:
     """Wait until all changes that were written so far have been read."""
     watcher = site.app.catalog.server_watcher
@@ -210,6 +215,39 @@
     assert encode_value(found) == text
 
 
+LARGE_VALUES = {
+    "lists in lists": b"[" * 500_000 + b"]" * 500_000,
+    "many lists": b"[" + b"[[[]]]," * 100_000 + b'"\xff"]',
+    "tables in tables": b'{"a":' * 100_000 + b"1" + b"}" * 100_000,
+    "many texts": b"[" + b'"],[",' * 100_000 + b'"\xff"]',
+    "many numbers": b"[" + b"1," * 400_000 + b'"\xff"]',
+}
+
+
+@pytest.mark.parametrize("name", LARGE_VALUES)
+async def test_other_tasks_run_while_a_large_unreadable_object_is_read(name: str):
+    """An object of 1 MB stopped an instance for 2 s each time that it was read."""
+    data = orjson.dumps({"items": ["large", {"spec": {"slots": 1}}], "at": 3})
+    data = data.replace(b'"large"', b'{"spec": ' + LARGE_VALUES[name] + b"}")
+    longest_s = 0.0
+    began_at = time.thread_time()
+
+    async def measure() -> None:
+        nonlocal longest_s, began_at
+        while True:
+            await asyncio.sleep(0)
+            now = time.thread_time()
+            longest_s, began_at = max(longest_s, now - began_at), now
+
+    measuring = asyncio.create_task(measure())
+    found = await decode_answer(data)
+    measuring.cancel()
+    assert isinstance(found["items"][0]["spec"], UnreadableValue)
+    assert found["items"][1] == {"spec": {"slots": 1}}
+    assert found["at"] == 3
+    assert longest_s < 0.5
+
+
 @settings(derandomize=True, deadline=None, max_examples=400)
 @given(st.lists(json_items, max_size=5), st.integers(0, 5))
 def test_values_beside_an_unreadable_one_are_unchanged(values: list[Any], at: int):
@@ -217,7 +255,7 @@
     good = [orjson.loads(orjson.dumps(value)) for value in values]
     parts = [orjson.dumps({"spec": value}) for value in good]
     parts.insert(at, b'{"metadata":{"name":"x"},"spec":{"zone":"\xff}],\\""}}')
-    found = decode_answer(b'{"items": [' + b" ,".join(parts) + b'], "at": 7}')
+    found = decode(b'{"items": [' + b" ,".join(parts) + b'], "at": 7}')
     bad = found["items"].pop(min(at, len(values)))
     assert isinstance(bad["spec"], UnreadableValue)
     assert bad["spec"].guess()["zone"].endswith('}],"')
@@ -242,7 +280,7 @@
     end = data.draw(st.integers(start, min(len(VALID), start + 4)))
     new = data.draw(st.binary(max_size=4) | st.sampled_from([b"]", b'"', b"\\", b"{"]))
     with contextlib.suppress(ValueError):
-        decode_answer(VALID[:start] + new + VALID[end:])
+        decode(VALID[:start] + new + VALID[end:])
 
 
 @pytest.mark.parametrize("adapter", [b"", b"/\xfe"], ids=["declared", "undeclared"])
