List again when a watch brings too much

Callers saw: no change of the list of servers in force until the store forgot its history.

Cause: changes of more than 32 MB were refused as too large and asked for again. A list comes in pages, so that it is what ends this. The new test failed before.

--- a/src/wisterialoom/platform/store.py
+++ b/src/wisterialoom/platform/store.py
@@ -14,7 +14,7 @@
 import orjson
 from aiohttp import ClientTimeout
 
-from wisterialoom.bounded_read import read_bounded
+from wisterialoom.bounded_read import AnswerTooLargeError, read_bounded
 from wisterialoom.core.error import WisterialoomError
 from wisterialoom.core.fleet import Revision, StoreProgress
 from wisterialoom.no_resend import no_resend, was_never_sent
@@ -348,9 +348,17 @@
         """
         known = max(self.progress.latest, since)
         path = f"{kind}?watch={since.number}&waitMs={int(wait_s * 1e3)}"
-        answer = await self._call(
-            "watch", "GET", path, timeout_s=wait_s + timeout_s, era=since.era
-        )
+        try:
+            answer = await self._call(
+                "watch", "GET", path, timeout_s=wait_s + timeout_s, era=since.era
+            )
+        except StoreUnavailableError as error:
+            if isinstance(error.__cause__, AnswerTooLargeError):
+                # It would not become smaller; a list is sent in pages.
+                raise HistoryGoneError(
+                    "the watch brings too much; list again"
+                ) from error
+            raise
         if answer.status == 410:
             raise HistoryGoneError("the store no longer has this history; list again")
         if answer.status != 200:
--- a/tests/platform/fakes.py
+++ b/tests/platform/fakes.py
@@ -17,6 +17,10 @@
     from collections.abc import Awaitable, Callable, Mapping
 
 
+MAX_PAGE_BYTES = 1_000_000
+"""Size of a page of a list, unless a single object is larger."""
+
+
 @dataclass(frozen=True)
 class StoreCopy:
     """Contents of a store at one moment.
@@ -214,6 +218,8 @@
         ]
         await asyncio.sleep(self.list_delay_s)
         page = items[:50]
+        while len(page) > 1 and len(orjson.dumps(page)) > MAX_PAGE_BYTES:
+            page = page[: len(page) // 2]
         truncated = len(items) > len(page)
         return answer({"items": page, "truncated": truncated, "at": self.revision})
 
--- a/tests/platform/test_unreadable_input.py
+++ b/tests/platform/test_unreadable_input.py
@@ -196,6 +196,23 @@
     assert len(found.logged) <= 2000
 
 
+async def test_watch_that_brings_too_much_is_replaced_by_a_list(
+    monkeypatch: pytest.MonkeyPatch,
+):
+    """Guards against an instance that asks for the same changes for good."""
+    monkeypatch.setattr("wisterialoom.platform.store.MAX_ANSWER_BYTES", 200_000)
+    server = FakePlainServer("i-2")
+    async with harness(server) as site:
+        note = "x" * 10_000
+        for number in range(60):
+            entry = server.entry() | {"slots": number + 1, "note": note}
+            await site.store.put("servers", "i-2", entry)
+        await site.store.put("servers", "i-3", server.entry("draining"))
+        views = site.app.dispatcher.views
+        await wait_until(lambda: "i-3" in views)
+        assert views["i-2"].server.slots == 60
+
+
 json_items = st.recursive(
     st.none() | st.booleans() | st.floats(allow_nan=False) | st.text(max_size=5),
     lambda inner: (
