Divide messages between instances by their size

Callers saw: copies and placements reached nobody, or late: a message held up to 200 servers whatever their size, and was dropped when no datagram could carry it.

Entries are bounded (256 characters for a name, 8 KB for the models and adapters of a server), so that each fits into a datagram, and messages are divided by the size of their entries. Changes that do not fit into news are left out: others see from the digest that they need a copy. `models` that is no list is no longer taken for an empty one.

--- a/src/wisterialoom/platform/decode.py
+++ b/src/wisterialoom/platform/decode.py
@@ -45,6 +45,15 @@
 ADDRESS = re.compile(r"(?:[A-Za-z0-9._-]+|\[[0-9A-Fa-f:.]+\]):([0-9]{1,5})")
 """Host or IP address, and port."""
 
+MAX_TEXT_CHARS = 256
+"""Longest name, address or software version of a backend server."""
+
+MAX_MODEL_BYTES = 8_000
+"""Size of the names of all models and adapters that one server holds.
+
+They have to fit into one datagram to other instances.
+"""
+
 
 class DecodeError(WisterialoomError):
     """Raised when an object of the platform has invalid or missing fields."""
@@ -182,8 +191,7 @@
         if state not in SERVER_STATES:
             raise ValueError(f"state is {describe(state)}")
         # The name is sent to the server in a header.
-        if not server_id.isprintable():
-            raise ValueError("the name has control characters")
+        _string(server_id)
         address = ADDRESS.fullmatch(_string(spec["address"]))
         if address is None or not 0 < int(address[1]) < 65536:
             raise ValueError(f"address is {describe(spec['address'])}")
@@ -200,7 +208,7 @@
             # `sequence` counts the accepted orders. It also advances when the server
             # changes its state by itself, and never decreases until a restart.
             order_count=_integer(spec.get("sequence", 0)),
-            models=decode_models(spec.get("models") or ()),
+            models=decode_models(spec.get("models")),
             removal_in_s=remaining_ms / 1e3 if remaining_ms is not None else None,
             software_version=_string(spec["version"]),
         )
@@ -225,16 +233,22 @@
     Raises:
         KeyError: A field is missing.
         TypeError: A field has another type.
+        ValueError: A name cannot be one, or there are too many.
         AttributeError: A field has another type.
     """
-    return tuple(
+    models = tuple(
         ResidentModel(
             name=_string(item["name"]),
             version=_integer(item.get("version", 0)),
             adapters=tuple(_string(name) for name in _list(item.get("adapters"))),
         )
-        for item in items
+        for item in _list(items)
     )
+    names = [name for model in models for name in (model.name, *model.adapters)]
+    size = sum(len(name.encode()) for name in names)
+    if size > MAX_MODEL_BYTES:
+        raise ValueError(f"the names of {len(names)} models and adapters take {size} B")
+    return models
 
 
 def _list(value: Any) -> list[Any] | tuple[Any, ...]:
@@ -249,6 +263,8 @@
 def _string(value: Any) -> str:
     if not isinstance(value, str) or not value:
         raise TypeError(f"{describe(value)} is not a non-empty string")
+    if len(value) > MAX_TEXT_CHARS or not value.isprintable():
+        raise ValueError(f"{describe(value)} is too long or has control characters")
     return value
 
 
--- a/src/wisterialoom/platform/hint_codec.py
+++ b/src/wisterialoom/platform/hint_codec.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import zlib
-from typing import Any
+from typing import Any, TYPE_CHECKING, TypeVar
 
 import orjson
 
@@ -78,7 +78,19 @@
     VERSION_KINDS,
 )
 
-__all__ = ["decode_hint", "encode_hint"]
+if TYPE_CHECKING:
+    from collections.abc import Callable, Mapping
+
+__all__ = [
+    "decode_hint",
+    "encode_hint",
+    "split_entries",
+    "split_placements",
+    "split_versions",
+]
+
+Key = TypeVar("Key")
+Value = TypeVar("Value")
 
 SERVER_KINDS = (
     "b",
@@ -105,6 +117,12 @@
 """
 
 
+MAX_PART_BYTES = 40_000
+"""Size of the entries in one of several datagrams, before compression.
+
+It leaves room for the other fields, and for bytes that cannot be compressed.
+"""
+
 MAX_HINT_BYTES = 2_000_000
 """Largest hint after decompression; names compress to a third, or a tenth at best."""
 
@@ -202,6 +220,42 @@
     )
 
 
+def split_entries(entries: Mapping[str, TableEntry]) -> list[dict[str, TableEntry]]:
+    """Divide server entries into parts that fit into one datagram each."""
+    return _split(
+        entries, lambda key: _encode_entries({key: entries[key]}, with_models=True)
+    )
+
+
+def split_placements(
+    servers: Mapping[str, ServerPlacement | None],
+) -> list[dict[str, ServerPlacement | None]]:
+    """Divide placements into parts that fit into one datagram each."""
+    return _split(servers, lambda key: _encode_placements({key: servers[key]}))
+
+
+def split_versions(
+    versions: Mapping[tuple[str, int], str],
+) -> list[dict[tuple[str, int], str]]:
+    """Divide software versions into parts that fit into one datagram each."""
+    return _split(versions, lambda key: [*key, versions[key]])
+
+
+def _split(
+    items: Mapping[Key, Value], encode: Callable[[Key], Any]
+) -> list[dict[Key, Value]]:
+    parts: list[dict[Key, Value]] = []
+    size = MAX_PART_BYTES
+    for key, value in items.items():
+        added = len(orjson.dumps(encode(key)))
+        if size + added > MAX_PART_BYTES:
+            parts.append({})
+            size = 0
+        size += added
+        parts[-1][key] = value
+    return parts
+
+
 def decode_hint(data: bytes) -> Hint:
     """Decode a datagram.
 
--- a/src/wisterialoom/platform/peers.py
+++ b/src/wisterialoom/platform/peers.py
@@ -97,16 +97,14 @@
         """
         return [address for name, address in self.members.items() if name != me]
 
-    def send(self, hint: Hint, address: str) -> None:
-        """Send a hint to one instance."""
-        self.send_all(hint, [address])
+    def fits(self, hint: Hint) -> bool:
+        """Return whether a hint fits into a datagram."""
+        data = self._encode(hint)
+        return data is not None and len(data) <= MAX_DATAGRAM_BYTES
 
-    def send_all(self, hint: Hint, addresses: list[str]) -> None:
-        """Send a hint to several instances."""
-        if self.transport is None or not addresses:
-            return
+    def _encode(self, hint: Hint) -> bytes | None:
         try:
-            data = encode_hint(hint)
+            return encode_hint(hint)
         except (TypeError, ValueError) as error:
             # Text of a caller or server that is not UTF-8 cannot be encoded.
             self.dropped += 1
@@ -114,6 +112,18 @@
                 "hint not sent, it cannot be encoded",
                 extra={"kind": type(hint).__name__, "error": f"{error!r:.200}"},
             )
+            return None
+
+    def send(self, hint: Hint, address: str) -> None:
+        """Send a hint to one instance."""
+        self.send_all(hint, [address])
+
+    def send_all(self, hint: Hint, addresses: list[str]) -> None:
+        """Send a hint to several instances."""
+        if self.transport is None or not addresses:
+            return
+        data = self._encode(hint)
+        if data is None:
             return
         if len(data) > MAX_DATAGRAM_BYTES:
             self.dropped += 1
--- a/src/wisterialoom/platform/placement_feed.py
+++ b/src/wisterialoom/platform/placement_feed.py
@@ -7,6 +7,7 @@
 
 from wisterialoom.core.fleet import ChangeFeed
 from wisterialoom.core.placement.placement_table import PlacementTable
+from wisterialoom.platform.hint_codec import split_placements
 from wisterialoom.platform.hints import PlacementChange, PlacementHint
 
 if TYPE_CHECKING:
@@ -31,9 +32,6 @@
 It is half of the time without a hint after which others may take over the lease.
 """
 
-SERVERS_PER_HINT = 150
-"""Servers in one datagram; each takes about 200 bytes, and 60 KB is the limit."""
-
 
 class PlacementFeed:
     """Sends the placement hints of the lease holder.
@@ -109,10 +107,11 @@
         if now - self.sent_at >= pause_s:
             self.sent_at = now
             self.sent_loading = set(ready_in_s)
-            hint = self._make_hint(
-                self.servers.take_pending(), self.members.take_pending()
-            )
-            self.peers.send_all(hint, self.peers.addresses_except(self.lease.me))
+            members = self.members.take_pending()
+            for part in split_placements(self.servers.take_pending()) or [{}]:
+                hint = self._make_hint(part, members)
+                self.peers.send_all(hint, self.peers.addresses_except(self.lease.me))
+                members = {}
         else:
             self._tell_waiting(changed, waiting)
 
@@ -154,15 +153,10 @@
 
     def send_snapshot(self, address: str) -> None:
         """Send the complete state to one instance."""
-        server_ids = sorted(self.table.placements)
-        starts = range(0, len(server_ids), SERVERS_PER_HINT) or range(1)
-        for start in starts:
-            part = server_ids[start : start + SERVERS_PER_HINT]
-            members = self.peers.members if start == 0 else {}
-            servers = {
-                server_id: self.table.placements[server_id] for server_id in part
-            }
-            hint = self._make_hint(servers, members, members_complete=start == 0)
+        parts = split_placements(self.table.placements) or [{}]
+        for number, part in enumerate(parts):
+            members = self.peers.members if number == 0 else {}
+            hint = self._make_hint(part, members, members_complete=number == 0)
             self.peers.send(hint, address)
 
     def _make_hint(
--- a/src/wisterialoom/platform/relay.py
+++ b/src/wisterialoom/platform/relay.py
@@ -24,6 +24,7 @@
     WatcherRole,
 )
 from wisterialoom.platform._tasks import TaskGroup, wait_for
+from wisterialoom.platform.hint_codec import split_entries, split_versions
 from wisterialoom.platform.hints import (
     ConfigCopy,
     CopyWanted,
@@ -98,9 +99,6 @@
 It differs from the digest of an empty table, which is a complete view.
 """
 
-SERVERS_PER_PART = 200
-"""Servers in one datagram; each takes about 100 bytes of at most 60 KB."""
-
 
 class Relay:
     """Sends this instance's view of the store to other instances and applies theirs.
@@ -253,6 +251,9 @@
             digest=self.catalog.table.digest,
             changes=self.catalog.table.changed_since(now - CHANGE_RESEND_S),
         )
+        if news.changes and not self.peers.fits(news):
+            # Others see from the digest that they need a copy.
+            news = replace(news, changes={})
         others = self.peers.addresses_except(self.me)
         self._send_versions(news.changes, others)
         if self.catalog.table.lapsed:
@@ -268,13 +269,12 @@
     def _send_versions(self, server_ids: Iterable[str], addresses: list[str]) -> None:
         """Tell instances the software versions of servers, some in each datagram."""
         listed = self.catalog.table.listed
-        versions = [
-            ((server.id, server.started_ms), server.software_version)
+        versions = {
+            (server.id, server.started_ms): server.software_version
             for server_id in server_ids
             if (server := listed.get(server_id)) and server.software_version
-        ]
-        for start in range(0, len(versions), SERVERS_PER_PART):
-            part = dict(versions[start : start + SERVERS_PER_PART])
+        }
+        for part in split_versions(versions):
             self.peers.send_all(ServerVersions(self.me, part), addresses)
 
     def _request_versions(self, now: float) -> None:
@@ -435,18 +435,17 @@
             self.peers.send(self._pack_config(), address)
         if catalog.table.digest == request.digest:
             return
-        entries = [
-            (server_id, entry)
+        entries = {
+            server_id: entry
             for server_id, entry in catalog.table.entries.items()
             if entry.server is not None
-        ]
-        self._send_versions((server_id for server_id, _ in entries), [address])
+        }
+        self._send_versions(entries, [address])
         self._send_window(now, [address])
-        starts = range(0, len(entries), SERVERS_PER_PART) or range(1)
-        copy = ServersCopy(self.me, catalog.server_watcher.revision, 0, len(starts), {})
-        for part, start in enumerate(starts):
-            chunk = dict(entries[start : start + SERVERS_PER_PART])
-            self.peers.send(replace(copy, part=part, entries=chunk), address)
+        parts = split_entries(entries) or [{}]
+        copy = ServersCopy(self.me, catalog.server_watcher.revision, 0, len(parts), {})
+        for number, part in enumerate(parts):
+            self.peers.send(replace(copy, part=number, entries=part), address)
 
     def _pack_config(self) -> ConfigCopy:
         version = self.catalog.config_version
