Refuse counts that cannot grow

Callers saw: requests for models waited at all instances but one.

Cause: a server counted 2^53 - 1 orders; the next count is beyond what others decode, and the placement of all servers in that message was lost. The same for the epoch and the serial number of a lease record. Counts from outside are accepted up to 2^52. Failed before: the counts and epochs of 2^52 + 1 and 2^53 - 1.

--- a/src/wisterialoom/platform/decode.py
+++ b/src/wisterialoom/platform/decode.py
@@ -18,7 +18,7 @@
     Service,
     WeightedService,
 )
-from wisterialoom.platform.fields import DECODE_ERRORS, describe
+from wisterialoom.platform.fields import DECODE_ERRORS, describe, read_count
 from wisterialoom.platform.store_json import UnreadableValue
 from wisterialoom.platform.team_decode import read_teams
 
@@ -207,7 +207,7 @@
             draining=state == "draining",
             # `sequence` counts the accepted orders. It also advances when the server
             # changes its state by itself, and never decreases until a restart.
-            order_count=_integer(spec.get("sequence", 0)),
+            order_count=read_count(spec.get("sequence", 0)),
             models=decode_models(spec.get("models")),
             removal_in_s=remaining_ms / 1e3 if remaining_ms is not None else None,
             software_version=_string(spec["version"]),
--- a/src/wisterialoom/platform/fields.py
+++ b/src/wisterialoom/platform/fields.py
@@ -17,6 +17,7 @@
     "decompress",
     "describe",
     "read_address",
+    "read_count",
     "read_integer",
     "read_mapping",
     "read_names",
@@ -41,6 +42,9 @@
 MAX_INTEGER = 2**53 - 1
 """Largest integer that is accepted; any JSON reader has it exactly."""
 
+MAX_COUNT = 2**52
+"""Largest count that is accepted; a higher one would soon pass `MAX_INTEGER`."""
+
 
 _REPR = reprlib.Repr()
 _REPR.maxlevel = 2
@@ -80,6 +84,20 @@
     return int(value)
 
 
+def read_count(value: Any) -> int:
+    """Return a count that may go on growing.
+
+    Raises:
+        TypeError: The value has another type.
+        ValueError: The value is out of range.
+    """
+    if isinstance(value, bool):
+        raise TypeError("a truth value is not a count")
+    if read_integer(value, 0) > MAX_COUNT:
+        raise ValueError(f"{describe(value)} is out of range")
+    return int(value)
+
+
 def read_number(value: Any) -> float:
     """Return a finite number.
 
--- a/src/wisterialoom/platform/lease_manager.py
+++ b/src/wisterialoom/platform/lease_manager.py
@@ -17,7 +17,7 @@
 from wisterialoom.platform.fields import (
     DECODE_ERRORS,
     read_address,
-    read_integer,
+    read_count,
     read_mapping,
     read_names,
     read_text,
@@ -265,9 +265,9 @@
         return LeaseRecord(
             holder=read_text(spec["holder"]),
             boot=read_text(spec["boot"]),
-            epoch=read_integer(spec["epoch"], 0),
+            epoch=read_count(spec["epoch"]),
             address=read_address(spec["address"]),
-            serial=read_integer(spec["serial"], 0),
+            serial=read_count(spec["serial"]),
             released=bool(spec["released"]),
         )
     except DECODE_ERRORS as error:
--- a/src/wisterialoom/platform/orders.py
+++ b/src/wisterialoom/platform/orders.py
@@ -16,6 +16,7 @@
 from wisterialoom.platform.decode import decode_models
 from wisterialoom.platform.fields import (
     DECODE_ERRORS,
+    read_count,
     read_integer,
     read_text,
 )
@@ -195,7 +196,7 @@
         # "born" is the start time of the server in milliseconds.
         started_ms=read_integer(item.get("born", 0)),
         # "sequence" is the number of orders that the server has accepted.
-        count=read_integer(item["sequence"]),
+        count=read_count(item["sequence"]),
         busy=bool(item["busy"]),
         models=models,
         in_memory=_names(warm.get("inMemory")),
--- a/tests/platform/test_decoder_fuzz.py
+++ b/tests/platform/test_decoder_fuzz.py
@@ -18,6 +18,7 @@
 from tests.platform.odd_values import with_value
 from tests.platform.test_wire import ENTRY, HINTS, settings_table
 from wisterialoom.core.fleet import Revision, TableEntry
+from wisterialoom.core.placement.placement_table import ServerPlacement
 from wisterialoom.core.serving.backend import BackendServer
 from wisterialoom.core.teams.allowance_message import (
     AllowanceGrant,
@@ -26,7 +27,7 @@
     TeamRequest,
 )
 from wisterialoom.platform.decode import decode_deployment, decode_server, DecodeError
-from wisterialoom.platform.fields import DECODE_ERRORS
+from wisterialoom.platform.fields import DECODE_ERRORS, MAX_COUNT
 from wisterialoom.platform.hint_codec import decode_hint, encode_hint
 from wisterialoom.platform.hints import (
     AllowanceGranted,
@@ -40,6 +41,7 @@
     KeysQuestion,
     LostPaths,
     News,
+    PlacementChange,
     ServerLimit,
     ServerLimits,
     ServersCopy,
@@ -309,3 +311,33 @@
             _decode_report(item)
 
 
+@pytest.mark.parametrize("count", [MAX_COUNT, MAX_COUNT + 1, 2**53 - 1])
+def test_count_of_a_server_can_still_grow_when_it_is_told_to_others(count: int):
+    """Guards against a count that an order takes beyond what others decode.
+
+    The placement of all servers in the same message was lost then.
+    """
+    counts = []
+    with contextlib.suppress(DecodeError):
+        counts.append(decode_server("i-1", {**ENTRY, "sequence": count}).order_count)
+    with contextlib.suppress(*DECODE_ERRORS):
+        counts.append(_decode_report({**REPORT, "sequence": count}).count)
+    for found in counts:
+        placement = ServerPlacement({}, frozenset(), found + 1)
+        change = PlacementChange("f", 1, 2, {"i-1": placement, "i-2": None})
+        assert decode_hint(encode_hint(change)) == change
+    assert bool(counts) is (count <= MAX_COUNT)
+
+
+@pytest.mark.parametrize("epoch", [MAX_COUNT, MAX_COUNT + 1, 2**53 - 1])
+def test_epoch_after_that_of_a_record_can_be_told_to_others(epoch: int):
+    """Guards against an epoch whose successor no other instance decodes.
+
+    The placement was then known to its holder alone.
+    """
+    found = StoreObject("placement", Revision(1, 4), {**LEASE, "epoch": epoch})
+    record = _decode_record(found)
+    if record is not None:
+        change = PlacementChange("f", record.epoch + 1, 2, {})
+        assert decode_hint(encode_hint(change)) == change
+    assert (record is not None) is (epoch <= MAX_COUNT)
--- a/tests/platform/test_wire.py
+++ b/tests/platform/test_wire.py
@@ -92,6 +92,8 @@
         {"address": None},
         {"models": [{"name": 7}]},
         {"sequence": 1.5},
+        {"sequence": 2**53 - 1},
+        {"sequence": -1},
         {"service": ""},
     ],
 )
