Read odd keys in copies as the decoder reads them

Callers saw: a configuration in force at instances that read the store, and told to no other; keys accepted at some instances only.

Cause: the copy without keys took lists for texts, and apiKeySha256 that is no list made it fail after the configuration was in force. Copy and decoder share one function for keys, and the copy is made before the configuration is in force.

--- a/src/wisterialoom/platform/catalog.py
+++ b/src/wisterialoom/platform/catalog.py
@@ -221,10 +221,10 @@
         self.unreadable.record_readable(CONFIG_KIND, CONFIG_NAME)
         if deployment.version <= self.config_version:
             return
+        self.config_spec = without_keys(spec)
         self.dispatcher.deployment = deployment
         history = self.dispatcher.streams.history
         history.set_longest_timeout(deployment.longest_stream_s)
-        self.config_spec = without_keys(spec)
         logger.info(
             "configuration in force",
             extra={
--- a/src/wisterialoom/platform/team_decode.py
+++ b/src/wisterialoom/platform/team_decode.py
@@ -143,18 +143,18 @@
 def _decode_digests(
     name: str, item: Mapping[str, Any], problems: list[TeamProblem]
 ) -> Iterator[bytes]:
-    keys = item.get("apiKeys", [])
-    hex_digests = item.get(DIGESTS, [])
-    if not isinstance(keys, list) or not isinstance(hex_digests, list):
+    keys, hex_digests = item.get("apiKeys", []), item.get(DIGESTS, [])
+    if not isinstance(keys, list):
         problems.append(TeamProblem(name, "apiKeys is not a list"))
-        return
+        keys = []
+    if not isinstance(hex_digests, list):
+        problems.append(TeamProblem(name, f"{DIGESTS} is not a list"))
+        hex_digests = []
     if not keys and not hex_digests:
         problems.append(TeamProblem(name, "it has no API key"))
     for position, key in enumerate(keys):
         try:
-            if not isinstance(key, str):
-                raise TypeError("an API key is not a string")
-            yield key_digest(key)
+            yield _digest(key)
         except (TypeError, ValueError) as error:
             problems.append(TeamProblem(name, f"apiKeys[{position}]: {error}"))
     for text in hex_digests:
@@ -164,6 +164,12 @@
             problems.append(TeamProblem(name, f"{DIGESTS}: not a digest"))
 
 
+def _digest(key: Any) -> bytes:
+    if not isinstance(key, str):
+        raise TypeError("an API key is not a string")
+    return key_digest(key)
+
+
 def _decode_priority(item: Mapping[str, Any]) -> int | None:
     priority = item.get("priority")
     if priority is None:
@@ -271,8 +277,9 @@
     if isinstance(keys, list):
         for key in keys:
             try:
-                digests.append(key_digest(key).hex())
+                digests.append(_digest(key).hex())
             except (TypeError, ValueError):
                 continue
+    known = item.get(DIGESTS)
     kept = {name: value for name, value in item.items() if name != "apiKeys"}
-    return kept | {DIGESTS: [*(item.get(DIGESTS) or []), *digests]}
+    return kept | {DIGESTS: [*(known if isinstance(known, list) else ()), *digests]}
--- a/tests/platform/test_team_decode.py
+++ b/tests/platform/test_team_decode.py
@@ -177,6 +177,26 @@
     assert without_keys(config(7)) == config(7)
 
 
+@pytest.mark.parametrize(
+    "item",
+    [
+        {"apiKeys": [["x"], {"x": 1}, 5, None, "k"]},
+        {"apiKeys": ["k"], "apiKeySha256": 5},
+        {"apiKeys": ["k"], "apiKeySha256": True},
+        {"apiKeys": ["k"], "apiKeySha256": {"a": 1}},
+        {"apiKeys": ["k"], "apiKeySha256": ["zz", 5, [], None]},
+        {"apiKeys": 5, "apiKeySha256": 5},
+    ],
+)
+def test_odd_keys_and_digests_are_left_out_of_copies(item):
+    """Guards against a configuration that is in force here and told to nobody."""
+    spec = config(7) | {"tenants": [DUNE, {"name": "x"} | item]}
+    copied = ConfigCopy.from_spec(without_keys(spec)).unpack()
+    teams = decode_deployment(copied).teams
+    assert teams == decode_deployment(spec).teams
+    assert teams.find("dune") is not None
+
+
 @pytest.mark.parametrize("depth", [250, 300, 900, 1000])
 def test_deeply_nested_configuration_is_copied(depth):
     """Guards against fields that the decoder takes and the encoder does not."""
