Follow the instance list past entries that describe none

Cause: the list was decoded as a whole. Now each entry is decoded by itself, one that describes no instance keeps its last readable state, and its fault is logged once. The check of addresses is shared with the users' platform.

--- a/src/wisterialoom/core/fleet/instance_list.py
+++ b/src/wisterialoom/core/fleet/instance_list.py
@@ -47,9 +47,15 @@
 
 @dataclass(frozen=True, slots=True)
 class InstanceList:
-    """The complete list; it may lag behind the actual state of the fleet."""
+    """The complete list; it may lag behind the actual state of the fleet.
+
+    Attributes:
+        instances: The instances.
+        unreadable: What is wrong with each entry that describes no instance, by name.
+    """
 
     instances: tuple[ListedInstance, ...] = ()
+    unreadable: dict[str, str] = field(default_factory=dict)
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/wisterialoom/object_api/client.py
+++ b/src/wisterialoom/object_api/client.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 from typing import TYPE_CHECKING
 from urllib.parse import quote
 
@@ -25,7 +26,7 @@
 
     from aiohttp import ClientSession
 
-    from wisterialoom.core.fleet.instance_list import InstanceList
+    from wisterialoom.core.fleet.instance_list import InstanceList, ListedInstance
 
 __all__ = [
     "VERSION_HEADER",
@@ -34,6 +35,8 @@
     "PlatformUnavailableError",
 ]
 
+logger = logging.getLogger(__name__)
+
 VERSION_HEADER = "X-Version"
 """Header that carries the version of an object in answers about it."""
 
@@ -72,12 +75,16 @@
         url: Base URL, such as `http://127.0.0.1:8000`.
         timeout_s: Timeout of a call in seconds; for a watch, `WATCH_LIMIT_S` is
             added.
+        listed: Instances of the last list by name.
+        unreadable: Names of the entries of the last list that described no instance.
     """
 
     def __init__(self, session: ClientSession, url: str, timeout_s: float) -> None:
         self.session = session
         self.url = url.rstrip("/")
         self.timeout_s = timeout_s
+        self.listed: dict[str, ListedInstance] = {}
+        self.unreadable: set[str] = set()
 
     async def read(self, key: str, known_version: int = ABSENT) -> StoredObject:
         """Read an object; the result has version `ABSENT` if it does not exist.
@@ -159,9 +166,17 @@
         status, _, body = await self._call("GET", url, self.timeout_s)
         self._expect_ok("GET", url, status)
         try:
-            return decode_instances(body)
+            listing = decode_instances(body, self.listed)
         except (ValueError, KeyError, TypeError, AttributeError) as error:
             raise _unreadable("GET", url) from error
+        self.listed = {instance.name: instance for instance in listing.instances}
+        for name in listing.unreadable.keys() - self.unreadable:
+            logger.warning(
+                "entry of the instance list ignored",
+                extra={"item": name, "error": listing.unreadable[name]},
+            )
+        self.unreadable = set(listing.unreadable)
+        return listing
 
     def _object_url(self, key: str) -> URL:
         return URL(f"{self.url}/objects/{quote(key, safe='')}", encoded=True)
--- a/src/wisterialoom/platform/decode.py
+++ b/src/wisterialoom/platform/decode.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import logging
-import re
 from typing import Any, TYPE_CHECKING
 
 from wisterialoom.core.error import WisterialoomError
@@ -21,6 +20,7 @@
 from wisterialoom.platform.fields import DECODE_ERRORS, describe, read_count
 from wisterialoom.platform.store_json import UnreadableValue
 from wisterialoom.platform.team_decode import read_teams
+from wisterialoom.server_address import is_server_address
 
 if TYPE_CHECKING:
     from collections.abc import Mapping
@@ -42,9 +42,6 @@
 MAX_INTEGER = 2**53 - 1
 """Largest integer that is accepted; other instances can decode it exactly."""
 
-ADDRESS = re.compile(r"(?:[A-Za-z0-9._-]+|\[[0-9A-Fa-f:.]+\]):([0-9]{1,5})")
-"""Host or IP address, and port."""
-
 MAX_LOGGED_PROBLEMS = 50
 """Faults of one configuration's teams that are logged."""
 
@@ -199,8 +196,7 @@
             raise ValueError(f"state is {describe(state)}")
         # The name is sent to the server in a header.
         _string(server_id)
-        address = ADDRESS.fullmatch(_string(spec["address"]))
-        if address is None or not 0 < int(address[1]) < 65536:
+        if not is_server_address(_string(spec["address"])):
             raise ValueError(f"address is {describe(spec['address'])}")
         remaining_ms = spec.get("remainingMs")
         return BackendServer(
--- a/tests/test_object_api_client.py
+++ b/tests/test_object_api_client.py
@@ -1,12 +1,15 @@
 """Tests of `wisterialoom.object_api` against the platform emulator."""
 
 import asyncio
+import dataclasses
 from contextlib import asynccontextmanager
 
 import aiohttp
+import orjson
 import pytest
 from aiohttp import web
 
+from tests.platform.odd_values import ODD_ADDRESSES, ODD_VALUES
 from tests.ports import free_port
 from wisterialoom.core.fleet.instance_list import InstanceListRead, ReadInstanceList
 from wisterialoom.core.object_store import (
@@ -30,6 +33,7 @@
     PlatformPort,
     PlatformUnavailableError,
 )
+from wisterialoom.object_api.codec import decode_instances
 from wisterialoom.standin.platform_app import PlatformApp
 from wisterialoom.standin.server import StandinServer
 
@@ -179,6 +183,60 @@
         assert await listed() == []
 
 
+LISTED = {
+    "name": "i-2",
+    "incarnation": "1",
+    "address": "127.0.0.1:9",
+    "availability_zone": "a",
+    "labels": {"kind": "engine"},
+    "state": "live",
+}
+
+
+@pytest.mark.parametrize("name", ODD_VALUES)
+def test_odd_entry_of_the_instance_list_hides_no_other(name):
+    """Guards against a list that counts as unavailable while one entry stands."""
+    good = [LISTED | {"name": "i-1"}, LISTED | {"name": "i-3"}]
+    known = decode_instances(orjson.dumps({"instances": [LISTED]})).instances[0]
+    for field in (*LISTED, "labels.kind", "unknown", ""):
+        value = ODD_VALUES[name]
+        item = LISTED | {field: value} if field else value
+        if field == "labels.kind":
+            item = LISTED | {"labels": {"kind": value}}
+        try:
+            body = orjson.dumps({"instances": [good[0], item, good[1]]})
+            orjson.loads(body)
+        except orjson.JSONDecodeError:
+            # The list as a whole is not JSON.
+            continue
+        listing = decode_instances(body, {"i-2": known})
+        names = [instance.name for instance in listing.instances]
+        assert names[0] == "i-1"
+        assert names[-1] == "i-3"
+        orjson.dumps(listing.instances)
+        if listing.unreadable and field not in ("name", ""):
+            assert listing.instances[1] == known
+
+
+@pytest.mark.parametrize("address", ODD_ADDRESSES)
+def test_odd_address_in_the_instance_list_hides_no_other(address):
+    body = orjson.dumps({"instances": [LISTED | {"address": address}, LISTED]})
+    assert decode_instances(body).instances[-1].name == "i-2"
+
+
+async def test_unreadable_entry_of_the_instance_list_is_logged_once(caplog):
+    async with running() as (platform, client):
+        await client.session.post(f"{client.url}/instances", json={"register": LISTED})
+        assert len((await client.instances()).instances) == 1
+        (registered,) = platform.registry.instances.values()
+        odd = dataclasses.replace(registered, address="127.0.0.1:99999")
+        platform.registry.register(0.0, odd)
+        for _ in range(3):
+            found = (await client.instances()).instances
+            assert [instance.address for instance in found] == ["127.0.0.1:9"]
+    assert [record.item for record in caplog.records] == ["i-2"]
+
+
 async def test_waiting_watch_is_charged_as_one_read():
     async with running(reads_per_s=3.0) as (platform, client):
         watch = asyncio.ensure_future(client.watch(KEY, 0))
