Send a request that was refused on another connection

Callers saw: "not run, try again" for requests that a server ran (REFUSED). A server wrote an earlier refusal once more on a kept connection.

Cause: a response belongs to a request if it repeats the request's id, and the same request sent again has the same id. A connection now knows the ids of requests that were refused or failed on it, and such a request gets another connection. After 64 such ids it is closed.

--- a/src/wisterialoom/server_connection.py
+++ b/src/wisterialoom/server_connection.py
@@ -19,9 +19,12 @@
     import asyncio
 
     from aiohappyeyeballs import AddrInfoType
+    from aiohttp import ClientRequest, ClientTimeout
     from aiohttp.client_reqrep import ConnectionKey
+    from aiohttp.connector import Connection
     from aiohttp.http_parser import RawResponseMessage
     from aiohttp.streams import StreamReader
+    from aiohttp.tracing import Trace
 
 __all__ = [
     "CutResponseError",
@@ -39,6 +42,11 @@
     """
 
 
+FIRST_FAILURE_STATUS = 400
+
+MAX_FAILED = 64
+"""Requests with other answers than success after which a connection is closed."""
+
 RECEIVE_BUFFER_BYTES = 16_384
 """Receive buffer of a connection to a server; the system takes twice as much.
 
@@ -73,6 +81,9 @@
         expected_echo: Value of that header in the current request; empty if it has
             none.
         unattributed: Whether the current response does not repeat the value.
+        failed: Values of that header in requests that were refused or failed here. A
+            second copy of such a response would be taken for the one to the same
+            request if it were sent here again.
         check: Follows the bytes of the current response.
         is_cut: Whether a response without a length is incomplete if it ends now.
         faults: Number of responses that were malformed or cut, by fault.
@@ -90,6 +101,7 @@
         self.early = False
         self.expected_echo = ""
         self.unattributed = False
+        self.failed: set[str] = set()
         self.check = ResponseCheck()
         self.is_cut = True
         self._parsing = False
@@ -199,6 +211,8 @@
             raise ForeignResponseError(
                 "the response belongs to another request, or to none"
             )
+        if message.code >= FIRST_FAILURE_STATUS:
+            self.failed.add(self.expected_echo)
         return message, payload
 
     @property
@@ -206,6 +220,8 @@
         """Whether the connection must not be used for another request."""
         if self.sending or self.early or self.unattributed:
             return True
+        if len(self.failed) >= MAX_FAILED:
+            return True
         # While bytes are parsed, the check follows at their end.
         return super().should_close or (not self._parsing and self._is_spoiled())
 
@@ -259,6 +275,7 @@
         **options: Any,
     ) -> None:
         super().__init__(socket_factory=open_socket, **options)
+        self.echo_header = echo_header
         self._factory: Any = functools.partial(
             ServerConnection,
             self._loop,
@@ -266,6 +283,22 @@
             faults if faults is not None else Counter(),
         )
 
+    async def connect(
+        self, req: ClientRequest, traces: list[Trace], timeout: ClientTimeout
+    ) -> Connection:
+        """Return a connection on which the request has not failed before."""
+        request_id = req.headers.get(self.echo_header, "") if self.echo_header else ""
+        while True:
+            connection = await super().connect(req, traces, timeout)
+            protocol = connection.protocol
+            if (
+                not request_id
+                or not isinstance(protocol, ServerConnection)
+                or request_id not in protocol.failed
+            ):
+                return connection
+            connection.close()
+
     def _release(
         self,
         key: ConnectionKey,
--- a/tests/platform/test_excess_bytes.py
+++ b/tests/platform/test_excess_bytes.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 from contextlib import asynccontextmanager
 from typing import Any, TYPE_CHECKING
 
@@ -217,3 +218,32 @@
     async with harness(FakePlainServer("i-1")) as site:
         status, _, body = await site.call("/deposit/x")
         assert (status, body) == (200, b"POST /deposit/x")
+
+
+async def test_request_that_was_refused_on_a_connection_is_sent_on_another():
+    """Guards against a late copy of a refusal that fits the same request again."""
+    connections: list[int] = []
+
+    async def serve(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        connections.append(0)
+        mine = len(connections) - 1
+        with contextlib.suppress(asyncio.IncompleteReadError):
+            while True:
+                head = await reader.readuntil(b"\r\n\r\n")
+                connections[mine] += 1
+                status = b"503 Full" if b"Id: b1\r" in head else b"200 OK"
+                mark = head.partition(b"Attempt-Id: ")[2].partition(b"\r\n")[0]
+                writer.write(
+                    b"HTTP/1.1 %b\r\nAttempt-Id: %b\r\nContent-Length: 0\r\n\r\n"
+                    % (status, mark)
+                )
+        writer.close()
+
+    listener = await asyncio.start_server(serve, "127.0.0.1", 0)
+    host, port = listener.sockets[0].getsockname()
+    async with server_session(f"{host}:{port}") as session:
+        for request_id in ("b0", "b1", "b2", "b1", "b3", "b3"):
+            async with session.get("/", headers={ATTEMPT_ID: request_id}) as response:
+                await response.read()
+    listener.close()
+    assert connections == [3, 3]
