Use a connection for each order

Operators saw: the holder gave up the placement lease, as a copy of an earlier 412 was taken for the answer to the next order.

Reports are told apart by their count and keep their connections.

--- a/src/wisterialoom/platform/app.py
+++ b/src/wisterialoom/platform/app.py
@@ -304,6 +304,7 @@
 
         orders = OrderClient(
             settings.instance,
+            self._session(self._connector(force_close=True)),
             self._session(self._connector()),
             self.ingress.notices.record,
             lambda server_id: self.path_prober.record_doubt(server_id),
--- a/src/wisterialoom/platform/orders.py
+++ b/src/wisterialoom/platform/orders.py
@@ -52,7 +52,11 @@
 
     Attributes:
         holder: Name of this instance, sent as the holder with each order.
-        session: Connections to the servers.
+        order_session: Opens a connection for each order. Answers to orders do not say
+            which order they belong to, so that a late copy of one would be taken for
+            the answer to the next.
+        report_session: Reused connections, for reports; an earlier one is recognized
+            by its count.
         record_notice: Called with the id of a server and what it says about itself.
         path_doubted: Called with the id of a server that did not answer.
         counts: Number of orders by outcome, and of reports.
@@ -61,14 +65,16 @@
     def __init__(
         self,
         holder: str,
-        session: ClientSession,
+        order_session: ClientSession,
+        report_session: ClientSession,
         record_notice: Callable[[str, ServerNotice], None],
         path_doubted: Callable[[str], None],
     ) -> None:
         self.holder = holder
         self.record_notice = record_notice
         self.path_doubted = path_doubted
-        self.session = session
+        self.order_session = order_session
+        self.report_session = report_session
         self.counts: dict[str, int] = {}
 
     async def send(self, order: Order, address: str, epoch: int) -> OrderOutcome:
@@ -116,7 +122,7 @@
         try:
             async with (
                 asyncio.timeout(ORDER_TIMEOUT_S),
-                self.session.post(
+                self.order_session.post(
                     f"http://{address}/v1/order",
                     data=orjson.dumps(body),
                     headers=headers,
@@ -147,7 +153,7 @@
         try:
             async with (
                 asyncio.timeout(ORDER_TIMEOUT_S),
-                self.session.get(
+                self.report_session.get(
                     f"http://{address}/v1/report",
                     headers={EXPECTED_SERVER: server_id},
                     middlewares=(no_resend,),
