Continue a stream only by events of the same kind

Cause: an answer that is no stream of events was forwarded as it arrived if it was too large or there was no memory to hold it, and any 200 was taken for the rest of the stream. Nothing asked whether the caller had got a head already.

--- a/src/wisterialoom/platform/attempt.py
+++ b/src/wisterialoom/platform/attempt.py
@@ -37,6 +37,7 @@
         ClientResponse,
         ClientSession,
         TraceConnectionCreateEndParams,
+        web,
     )
 
     from wisterialoom.core.serving.request_flow import RequestProfile, Send
@@ -53,6 +54,8 @@
 
 EVENTS = "text/event-stream"
 
+CODING = "Content-Encoding"
+
 EVENT_TIMEOUTS = 2.5
 """Time without a whole event after which a stream has stalled, in read timeouts.
 
@@ -254,6 +257,13 @@
         if response.headers.get(NOT_RUN) or response.status == 421:
             await _read_rest(response)
             return self._refused(response)
+        if self.exchange.stream is not None and not _continues(
+            response, self.exchange.stream
+        ):
+            await _read_rest(response)
+            return self._result(
+                AttemptVerdict.FAILED, f"{response.status}, no part of the stream"
+            )
         if self.profile.route.stream and response.status == 200:
             return await self._receive_stream(response)
         return await self._receive_plain(response)
@@ -380,15 +390,24 @@
 
 
 async def _read_rest(response: ClientResponse) -> None:
-    """Read the rest of a refusal, so that its connection can be used again.
+    """Read the rest of an answer whose head says all, so that its connection is kept.
 
-    What it says is in its head, so one that goes on is left unread.
+    One that goes on is left unread.
     """
     with contextlib.suppress(aiohttp.ClientError, OSError):
         async with asyncio.timeout(REFUSAL_READ_S):
             await read_bounded(response, MAX_REFUSAL_BYTES)
 
 
+def _continues(response: ClientResponse, stream: web.StreamResponse) -> bool:
+    """Return whether an answer goes on with a stream whose head was sent."""
+    return (
+        response.status == stream.status
+        and _has_events(response)
+        and response.headers.get(CODING) == stream.headers.get(CODING)
+    )
+
+
 def _has_events(response: ClientResponse) -> bool:
     """Return whether an answer is a stream of events, also if it does not say so."""
     return response.headers.get("Content-Type", EVENTS).startswith(EVENTS)
