Follow a watch that is cut off by one that does not wait

Cause: a cut counted as an outage, and after an outage entries that are gone stay in use, as they may have expired. A cut is now followed at once by a watch that does not wait; only if that call fails does an outage begin.

--- a/src/wisterialoom/platform/store.py
+++ b/src/wisterialoom/platform/store.py
@@ -37,6 +37,7 @@
     "StoreRestoredError",
     "StoreUnavailableError",
     "WatchAnswer",
+    "WatchCutError",
 ]
 
 logger = logging.getLogger(__name__)
@@ -80,6 +81,13 @@
         self.ambiguous = ambiguous
 
 
+class WatchCutError(StoreUnavailableError):
+    """Raised when the connection of a watch ended while the watch waited.
+
+    The store may do so at any time; only the next call shows whether it is away.
+    """
+
+
 class StoreRestoredError(WisterialoomError):
     """Raised when the store was restored after the revision that a call refers to.
 
@@ -344,6 +352,7 @@
         Raises:
             HistoryGoneError: The history does not go back to the revision; list again.
             StoreRestoredError: The store was restored since then; list again.
+            WatchCutError: The connection ended while the watch waited.
             StoreUnavailableError: The store did not answer, or rejected the call.
         """
         known = max(self.progress.latest, since)
@@ -358,6 +367,8 @@
                 raise HistoryGoneError(
                     "the watch brings too much; list again"
                 ) from error
+            if wait_s > 0 and _was_cut(error):
+                raise WatchCutError(str(error), ambiguous=False) from error
             raise
         if answer.status == 410:
             raise HistoryGoneError("the store no longer has this history; list again")
@@ -578,6 +589,16 @@
         return self.era
 
 
+def _was_cut(error: StoreUnavailableError) -> bool:
+    """Return whether a connection ended after a call was sent, before its answer."""
+    cause = error.__cause__
+    return (
+        isinstance(cause, (aiohttp.ClientError, OSError))
+        and not isinstance(cause, TimeoutError)
+        and not was_never_sent(cause)
+    )
+
+
 @contextmanager
 def _malformed_as_unavailable(purpose: str) -> Iterator[None]:
     """Treat an answer that lacks fields, or has them of another type, as none."""
--- a/src/wisterialoom/platform/watcher.py
+++ b/src/wisterialoom/platform/watcher.py
@@ -14,6 +14,7 @@
     HistoryGoneError,
     StoreRestoredError,
     StoreUnavailableError,
+    WatchCutError,
 )
 
 if TYPE_CHECKING:
@@ -92,6 +93,10 @@
         answered_event: Set while the last call was answered, and not before the first
             call after a start of reading.
         confirmed: Whether the view was confirmed since this instance began to read.
+        was_cut: Whether a watch was cut off while it waited, and no call was answered
+            since then. The next call does not wait, as it shows whether the store is
+            there.
+        cut_at: Monotonic time of the last such cut.
     """
 
     def __init__(
@@ -125,6 +130,9 @@
         self.on_confirmed: Callable[[], None] = lambda: None
         self.on_lost: Callable[[StoreUnavailableError], None] = lambda _: None
         self.confirmed = False
+        self.was_cut = False
+        self.cut_at = float("-inf")
+
 
     async def run(self) -> None:
         """List and watch the objects until canceled."""
@@ -149,6 +157,8 @@
                     "store restored, listing again",
                     extra={"kind": self.kind, "error": str(error)},
                 )
+            except WatchCutError as error:
+                await self._follow_cut(error)
             except StoreUnavailableError as error:
                 self.record_failure(error)
                 await asyncio.sleep(pause_s)
@@ -203,7 +213,8 @@
         else:
             # A new watcher's view counts for other instances only once it is confirmed,
             # so the first call does not wait for a change.
-            wait_s = self._wait_s() if self.confirmed else 0.0
+            waits = self.confirmed and not self.was_cut
+            wait_s = self._wait_s() if waits else 0.0
             answer = await self.store.watch(
                 self.kind, self.revision, wait_s, timeout_s=self.watch_timeout_s
             )
@@ -242,7 +253,17 @@
             MAX_WATCH_TIMEOUT_S, max(self.promise.call_timeout_s, 2 * answer_s)
         )
 
+    async def _follow_cut(self, error: WatchCutError) -> None:
+        """Ask again at once, unless the watch before was cut off just now, too."""
+        self.was_cut = True
+        now = time.monotonic()
+        pause_s = FIRST_RETRY_S if now < self.cut_at + FIRST_RETRY_S else 0.0
+        self.cut_at = now
+        logger.info("watch cut off", extra={"kind": self.kind, "error": str(error)})
+        await asyncio.sleep(pause_s)
+
     def _record_answer(self) -> None:
+        self.was_cut = False
         self.answered_event.set()
         if self.lost_since is None:
             return
--- a/tests/platform/fakes.py
+++ b/tests/platform/fakes.py
@@ -48,14 +48,15 @@
         history: Revision, kind, object and removal flag of each change.
         oldest: Oldest revision that a watch can start from.
         mode: `ok`, `down` (answers 503), `silent` (never answers), `late` (answers
-            after `late_s`), `past` (lists and watches as of `past_revision`), or
-            `lose` (makes writes but does not answer them).
+            after `late_s`), `past` (lists and watches as of `past_revision`), `cut`
+            (closes connections), or `lose` (makes writes but does not answer them).
         late_s: Delay of answers in the mode `late`.
         past_revision: Revision that lists and watches show in the mode `past`.
         door_modes: Mode for the calls to one address, which `open_door` returned.
         list_delay_s: Time that each list call takes.
         before_page: Called before each page of a list with the name that it follows.
         calls: Number of calls by method and kind.
+        watching: Watches that wait.
     """
 
     def __init__(self, era: str | None = "1") -> None:
@@ -74,6 +75,7 @@
         self.list_delay_s = 0.0
         self.before_page: Callable[[str], Awaitable[None]] | None = None
         self.calls: dict[str, int] = {}
+        self.watching: list[web.Request] = []
         self.address = ""
         self.runner: web.AppRunner | None = None
 
@@ -179,13 +181,23 @@
             self.revision += 1
             self.changed.notify_all()
 
+    async def cut_watches(self) -> None:
+        """Close the connections of all watches that wait."""
+        while self.watching:
+            transport = self.watching.pop().transport
+            assert transport is not None
+            transport.close()
+
     async def fail_by_mode(self, request: web.Request) -> web.Response | None:
         mode = self.mode_for(request)
         if mode == "down":
             return web.Response(status=503)
         if mode == "late":
             await asyncio.sleep(self.late_s)
-        if mode == "silent":
+        if mode == "cut":
+            assert request.transport is not None
+            request.transport.close()
+        if mode in ("cut", "silent"):
             await asyncio.sleep(3600)
         return None
 
@@ -235,11 +247,15 @@
 
         async with self.changed:
             try:
+                if wait_s:
+                    self.watching.append(request)
                 async with asyncio.timeout(wait_s):
                     while not events() and self.oldest <= since <= self.revision:
                         await self.changed.wait()
             except TimeoutError:
                 pass
+            finally:
+                self.watching[:] = [x for x in self.watching if x is not request]
         failure = await self.fail_by_mode(request)
         if failure is not None:
             return failure
--- a/tests/platform/test_app.py
+++ b/tests/platform/test_app.py
@@ -366,6 +366,64 @@
         await wait_until(lambda: "i-1" not in site.app.dispatcher.views)
 
 
+@pytest.mark.parametrize("how_often", [1, 3])
+async def test_server_that_leaves_as_waiting_watches_are_cut_off_is_not_kept(
+    how_often: int,
+):
+    """Guards against a watch that is cut off and counts as an outage (review/12).
+
+    Servers that left then were used for as long as after an outage.
+    """
+    first, second = FakePlainServer("i-1"), FakePlainServer("i-2")
+    async with harness(first, second) as site:
+        views = site.app.dispatcher.views
+        for _ in range(how_often):
+            await wait_until(lambda: len(site.store.watching) == 2)
+            # Both watches are cut off before an answer shows that the store is there.
+            await site.store.cut_watches()
+        await site.store.remove("servers", "i-1")
+        removed_at = time.monotonic()
+        await wait_until(lambda: "i-1" not in views)
+        assert time.monotonic() - removed_at < site.app.settings.bounds.drain_s / 2
+        assert site.app.catalog.server_watcher.lost_since is None
+
+
+async def test_store_that_cuts_each_waiting_watch_off_is_followed():
+    """Guards against cuts in a row that count as an outage, and calls without pause."""
+    first, second = FakePlainServer("i-1"), FakePlainServer("i-2")
+    async with harness(first, second) as site:
+        catalog = site.app.catalog
+        await wait_until(lambda: len(site.store.watching) == 2)
+        cutting = asyncio.create_task(cut_for_good(site.store))
+        calls = site.store.calls["GET servers?watch"]
+        await asyncio.sleep(1.0)
+        assert 4 < site.store.calls["GET servers?watch"] - calls < 40
+        await site.store.remove("servers", "i-1")
+        removed_at = time.monotonic()
+        await wait_until(lambda: "i-1" not in site.app.dispatcher.views)
+        assert time.monotonic() - removed_at < site.app.settings.bounds.drain_s / 2
+        assert catalog.server_watcher.lost_since is None
+        cutting.cancel()
+
+
+async def test_store_that_cuts_each_call_off_counts_as_lost():
+    """Guards against an outage that is taken for watches which were cut off."""
+    async with harness(FakePlainServer("i-1")) as site:
+        catalog = site.app.catalog
+        await wait_until(lambda: len(site.store.watching) == 2)
+        site.store.mode = "cut"
+        await site.store.cut_watches()
+        await wait_until(lambda: catalog.server_watcher.lost_since is not None)
+        site.store.mode = "ok"
+        await wait_until(lambda: catalog.server_watcher.lost_since is None)
+
+
+async def cut_for_good(store: FakeStore) -> None:
+    while True:
+        await store.cut_watches()
+        await asyncio.sleep(0.001)
+
+
 async def test_servers_removed_during_an_outage_are_kept_for_a_while():
     server = FakePlainServer("i-1")
     async with harness(server) as site:
