Ignore another instance's outage where the store was never away

Cause: the time for which entries may have expired is passed on with a copy, and an instance that took the copy kept such servers though the store had served it all along. It ignores that time now. The test failed before for such an instance; for one that lost the store the time still applies.

--- a/src/wisterialoom/platform/catalog.py
+++ b/src/wisterialoom/platform/catalog.py
@@ -297,12 +297,15 @@
                 here is ignored.
             entries: All entries by server id.
             window_s: Time for which the other instance still awaits entries that may
-                have expired in an outage of the store.
+                have expired in an outage of the store. It does not apply here if the
+                store has served this instance all along.
         """
         if revision < self.server_watcher.revision:
             return
         now = time.monotonic()
         self.begin_era(revision)
+        if self.server_watcher.is_served:
+            window_s = 0.0
         until = max(
             self.restore_deadline, now + min(window_s, RESTORE_RELIST_TIMEOUT_S)
         )
--- a/src/wisterialoom/platform/watcher.py
+++ b/src/wisterialoom/platform/watcher.py
@@ -133,6 +133,15 @@
         self.was_cut = False
         self.cut_at = float("-inf")
 
+    @property
+    def is_served(self) -> bool:
+        """Whether this instance reads the store, and all its calls were answered."""
+        return (
+            self.active_event.is_set()
+            and self.answered_event.is_set()
+            and self.confirmed
+            and self.lost_since is None
+        )
 
     async def run(self) -> None:
         """List and watch the objects until canceled."""
--- a/tests/platform/test_app.py
+++ b/tests/platform/test_app.py
@@ -23,6 +23,7 @@
     route,
 )
 from tests.ports import free_port
+from wisterialoom.core.fleet import Revision
 from wisterialoom.platform.app import PlatformApp
 from wisterialoom.platform.attempt import Attempt
 from wisterialoom.platform.hints import PlacementHint
@@ -388,6 +389,30 @@
         assert site.app.catalog.server_watcher.lost_since is None
 
 
+@pytest.mark.parametrize("mode", ["ok", "down"])
+async def test_copy_of_an_instance_that_was_turned_away_keeps_no_server_that_left(
+    mode: str,
+):
+    """Guards against an outage of one instance that counts at others (review/13).
+
+    Those that the store had served all along used servers that had left.
+    """
+    first, second = FakePlainServer("i-1"), FakePlainServer("i-2")
+    async with harness(first, second) as site:
+        catalog = site.app.catalog
+        await wait_until(lambda: catalog.server_watcher.is_served)
+        if mode == "down":
+            site.store.mode = mode
+            await wait_until(lambda: catalog.server_watcher.lost_since is not None)
+        entries = dict(catalog.table.entries)
+        del entries["i-1"]
+        revision = catalog.server_watcher.revision
+        later = Revision(revision.era, revision.number + 1)
+        catalog.apply_table(later, entries, window_s=2.0)
+        in_use = site.app.dispatcher.views.keys()
+        assert in_use == ({"i-2"} if mode == "ok" else {"i-1", "i-2"})
+
+
 async def test_store_that_cuts_each_waiting_watch_off_is_followed():
     """Guards against cuts in a row that count as an outage, and calls without pause."""
     first, second = FakePlainServer("i-1"), FakePlainServer("i-2")
