Bound how often a server that fails a request gets it again

Servers saw: a service with one server that answers 500 got the same request 41 times within 0.1 s; the retry budget of all other callers was spent on it. The same for a stream that broke off when the only server in reach answers with errors: 20 attempts with maxAttempts 2.

Cause: attempts were counted by the servers that they reached, and a server that answers is not ejected, so that the only one left was asked again without end.

Found as a trace of the failures of test_broken_streams "through another instance" beside load: with the loop stopped for 0.6 s as an instance connects, 7 of 80 requests were sent 20 times, and 5 got 503 no_path with no server asked.

Answers that are errors count against the limit as servers do (attempts_used). RequestFlow records the end of its attempts itself. The case of one server failed before with 41 attempts, those of two and three servers passed.

The 503 in those traces is true: a connection to another instance that takes longer than 0.25 s is given up, nothing was sent, and the only other instance is not asked again for a second.

--- a/src/wisterialoom/core/serving/dispatcher.py
+++ b/src/wisterialoom/core/serving/dispatcher.py
@@ -280,7 +280,7 @@
         candidates, pool = pool, self.holders(now, profile, pool)
         if not pool and engine is not None:
             self.want_at_version(flow, candidates, now)
-            if flow.reached >= profile.route.max_attempts:
+            if flow.attempts_used >= profile.route.max_attempts:
                 decided = wait_for_same_server(now, flow, candidates)
             else:
                 decided = wait_for_model(
@@ -387,7 +387,7 @@
         route = profile.route
         if not route.idempotent:
             return False
-        if flow.reached >= route.max_attempts:
+        if flow.attempts_used >= route.max_attempts:
             return False
         if self.retry_budget(profile.service).left(now) < 1.0:
             return False
@@ -468,7 +468,7 @@
         ]
         tried = set(flow.servers)
         tried_views = [view for view in views if view.server.id in tried]
-        if flow.reached >= flow.profile.route.max_attempts:
+        if flow.attempts_used >= flow.profile.route.max_attempts:
             # The attempts are used up: only servers that were already tried, and
             # refused, may be tried again.
             return tried_views
@@ -571,7 +571,7 @@
             return self.give_up(now, flow, GiveUpReason.LOST)
         if self.must_hold(now, flow):
             return self.give_up(now, flow, GiveUpReason.HELD_BACK)
-        if flow.may_have_run and flow.reached >= route.max_attempts:
+        if flow.may_have_run and flow.attempts_used >= route.max_attempts:
             return self.give_up(now, flow, GiveUpReason.ATTEMPTS)
         reason = self.streams.give_up_reason(
             flow, self.open_views(flow.profile.service)
@@ -703,15 +703,9 @@
             if self.ways.record_end(now, view, via, result.verdict):
                 view = None
         self.release_server(flow)
-        if result.verdict in (AttemptVerdict.LOST, AttemptVerdict.TIMED_OUT):
-            flow.may_have_run = True
+        flow.record_end(result, was_reached=was_reached)
         if result.verdict in UNSERVED_VERDICTS:
             self.fairness.record_refused(now, flow.profile)
-        if result.verdict is AttemptVerdict.REFUSED_ABSENT:
-            flow.absent_refusals += 1
-        not_sent = result.verdict in (AttemptVerdict.NOT_SENT, AttemptVerdict.NO_HELP)
-        if not_sent and not was_reached:
-            flow.reached_servers.discard(result.server_id)
         if view is not None:
             self.record_verdict(now, flow, view, result)
 
--- a/src/wisterialoom/core/serving/request_flow.py
+++ b/src/wisterialoom/core/serving/request_flow.py
@@ -196,6 +196,7 @@
         servers: Ids of the backend servers that the request was sent to, in order.
         software_versions: Version of the software of each of these servers.
         reached_servers: Servers that received at least a part of the request.
+        errors: Number of attempts that a server answered with an error.
         may_have_run: Whether an attempt ended without certainty that it did not run.
         waiting: Whether the request waits for a server or for a model.
         in_flight_at: Backend server of the attempt in progress; empty if none.
@@ -224,6 +225,7 @@
     servers: list[str] = field(default_factory=list)
     software_versions: list[str] = field(default_factory=list)
     reached_servers: set[str] = field(default_factory=set)
+    errors: int = 0
     may_have_run: bool = False
     waiting: bool = False
     in_flight_at: str = ""
@@ -260,6 +262,32 @@
         current = {self.in_flight_at} if self.in_flight_at else set()
         return len(self.reached_servers | current)
 
+    @property
+    def attempts_used(self) -> int:
+        """Number of attempts that count against the limit of the route.
+
+        A server that answers with an error may be the only one, and would otherwise be
+        asked again without end.
+        """
+        return max(self.reached, self.errors)
+
+    def record_end(self, result: AttemptResult, *, was_reached: bool) -> None:
+        """Record how an attempt ended.
+
+        Args:
+            result: How it ended.
+            was_reached: Whether an earlier attempt had reached the server.
+        """
+        match result.verdict:
+            case AttemptVerdict.LOST | AttemptVerdict.TIMED_OUT:
+                self.may_have_run = True
+            case AttemptVerdict.FAILED:
+                self.errors += 1
+            case AttemptVerdict.REFUSED_ABSENT:
+                self.absent_refusals += 1
+            case AttemptVerdict.NOT_SENT | AttemptVerdict.NO_HELP if not was_reached:
+                self.reached_servers.discard(result.server_id)
+
 
 @dataclass(frozen=True, slots=True)
 class Send:
--- a/tests/platform/test_app.py
+++ b/tests/platform/test_app.py
@@ -227,6 +227,21 @@
         assert (await site.call(path, Deadline_Ms="none"))[0] == 200
 
 
+@pytest.mark.parametrize("count", [1, 2, 3])
+async def test_request_that_servers_answer_with_errors_is_sent_as_often_as_allowed(
+    count: int,
+):
+    """Guards against a lone server that gets a failing request until no retry is left.
+
+    Attempts were counted by server, and 41 were sent within 0.1 s.
+    """
+    servers = [FakePlainServer(f"i-{number}", status=500) for number in range(count)]
+    async with harness(*servers) as site:
+        status, _, _ = await site.call("/look/")
+        assert status == 500
+        assert sum(len(server.runs) for server in servers) == 2
+
+
 async def test_safe_request_is_retried_at_another_server_after_a_failure():
     first = FakePlainServer("i-1", status=500)
     second = FakePlainServer("i-2", status=500)
